Thin whole path: a completion runs from caller to engine and back

Cause: there was no code. The first need is a path that really runs, so that every later change can be measured against it.

Retries, admission, shared budgets, membership and configuration propagation are not built yet.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+# The entry point for building, testing and measuring. See README.md.
+
+GO ?= go
+TOOL := $(GO) tool -modfile=tools/go.mod
+BIN := bin/geraniumhollow
+
+# Tests that KNOWN-RED.txt lists are passed over; each entry starts with a line "test: <name>".
+KNOWN_RED := $(shell sed -n 's/^test: *//p' KNOWN-RED.txt | paste -sd'|')
+SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$',)
+
+.PHONY: build test lint fmt generate check-generated demo demo-check clean
+
+build:
+	$(GO) build -o $(BIN) ./cmd/geraniumhollow
+
+test: lint check-generated
+	@test -z "$(KNOWN_RED)" || { echo "passing over known failures:"; cat KNOWN-RED.txt; }
+	$(GO) test -race -shuffle=on $(SKIP) ./...
+
+lint:
+	$(GO) vet ./...
+	$(TOOL) golangci-lint run ./...
+
+fmt:
+	$(TOOL) gofumpt -w cmd internal
+	$(TOOL) golangci-lint fmt ./...
+
+generate:
+	$(GO) generate ./...
+
+# Fails when committed generated code differs from what the schemas give.
+check-generated: generate
+	git diff --exit-code -- '*.gen.go'
+
+demo: build
+	$(BIN) demo
+
+demo-check: build
+	$(BIN) demo --check
+
+clean:
+	rm -rf bin
--- /dev/null
+++ b/cmd/geraniumhollow/main.go
@@ -0,0 +1,32 @@
+// Command geraniumhollow serves large models whose replicas span several hosts.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"geraniumhollow/internal/bench/demo"
+	"geraniumhollow/internal/node/serve"
+	"github.com/urfave/cli/v3"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	app := &cli.Command{
+		Name:  "geraniumhollow",
+		Usage: "serve large models whose replicas span several hosts",
+		Commands: []*cli.Command{
+			serve.Command(),
+			demo.Command(),
+		},
+	}
+	if err := app.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "geraniumhollow:", err)
+		stop()
+		os.Exit(1) //nolint:gocritic // stop has been called above.
+	}
+}
--- /dev/null
+++ b/internal/bench/demo/check.go
@@ -0,0 +1,150 @@
+package demo
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"geraniumhollow/internal/fake/model"
+	"geraniumhollow/internal/wire/event"
+	"github.com/cockroachdb/errors"
+)
+
+// ErrWrongAnswer marks an answer that is not the whole answer to its request.
+var ErrWrongAnswer = errors.New("wrong answer")
+
+// checkTokens is the length of the answers that the check asks for.
+const checkTokens = 24
+
+// readyTimeout bounds the wait for the first configuration.
+const readyTimeout = 10 * time.Second
+
+// Check sends requests through every node and compares each answer with the expected one.
+func Check(ctx context.Context, s *System, w io.Writer) error {
+	for _, cfg := range s.Nodes {
+		if err := waitReady(ctx, s, cfg.CallerAddress); err != nil {
+			return err
+		}
+		for _, streamed := range []bool{false, true} {
+			if err := checkOne(ctx, s, cfg.CallerAddress, streamed); err != nil {
+				return errors.Newf("%s, streamed %v: %w", cfg.NodeName, streamed, err)
+			}
+		}
+		_, _ = fmt.Fprintf(w, "%s: whole and streamed answers are right\n", cfg.NodeName)
+	}
+	return nil
+}
+
+// waitReady waits until a node knows the model.
+func waitReady(ctx context.Context, s *System, addr string) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for {
+		body, err := send(ctx, s, addr, http.MethodGet, "/v1/models", nil)
+		if err == nil && strings.Contains(string(body), s.Site.Deployment.Model) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Newf("node at %s has no configuration: %w", addr, ctx.Err())
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+type completionRequest struct {
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Stream    bool   `json:"stream"`
+}
+
+type completionChunk struct {
+	Choices []struct {
+		Text string `json:"text"`
+	} `json:"choices"`
+}
+
+func checkOne(ctx context.Context, s *System, addr string, streamed bool) error {
+	prompt := "check " + addr
+	body, err := json.Marshal(completionRequest{
+		Model: s.Site.Deployment.Model, Prompt: prompt, MaxTokens: checkTokens, Stream: streamed,
+	})
+	if err != nil {
+		return errors.Newf("encode request: %w", err)
+	}
+	raw, err := send(ctx, s, addr, http.MethodPost, "/v1/completions", body)
+	if err != nil {
+		return err
+	}
+	var got string
+	if streamed {
+		got, err = streamedText(raw)
+	} else {
+		got, err = chunkText(raw)
+	}
+	if err != nil {
+		return err
+	}
+	if want := model.Answer(prompt, checkTokens); got != want {
+		return errors.Newf("got %d bytes, want %d: %w", len(got), len(want), ErrWrongAnswer)
+	}
+	return nil
+}
+
+func chunkText(raw []byte) (string, error) {
+	var c completionChunk
+	if err := json.Unmarshal(raw, &c); err != nil {
+		return "", errors.Newf("decode chunk: %w", err)
+	}
+	if len(c.Choices) != 1 {
+		return "", errors.Newf("%d choices: %w", len(c.Choices), ErrWrongAnswer)
+	}
+	return c.Choices[0].Text, nil
+}
+
+func streamedText(raw []byte) (string, error) {
+	r := event.NewReader(bytes.NewReader(raw))
+	var text strings.Builder
+	for {
+		ev, err := r.Next()
+		if err != nil {
+			return "", errors.Newf("stream has no end mark: %w", ErrWrongAnswer)
+		}
+		if string(ev.Data) == "[DONE]" {
+			return text.String(), nil
+		}
+		part, err := chunkText(ev.Data)
+		if err != nil {
+			return "", err
+		}
+		text.WriteString(part)
+	}
+}
+
+// send makes one call with the key of the first client account.
+func send(ctx context.Context, s *System, addr, method, path string, body []byte) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Newf("build request: %w", err)
+	}
+	req.Header.Set("Authorization", "Bearer "+s.Site.Deployment.AccountKey(0))
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, errors.Newf("call %s: %w", path, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, errors.Newf("read answer: %w", err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Newf("%s answered %d: %s", path, resp.StatusCode, raw)
+	}
+	return raw, nil
+}
--- /dev/null
+++ b/internal/bench/demo/demo.go
@@ -0,0 +1,117 @@
+// Package demo runs a whole system in one process: the stand-ins and six nodes on loopback.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"geraniumhollow/internal/bench/site"
+	"geraniumhollow/internal/conf/flags"
+	"geraniumhollow/internal/core/tasks"
+	"geraniumhollow/internal/node/serve"
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+	"github.com/urfave/cli/v3"
+)
+
+// nodeCount is the number of entry nodes of a deployment today.
+const nodeCount = 6
+
+// demoRunners keeps the demo light; the deployments have about 65.
+const demoRunners = 12
+
+// System is a running demo.
+type System struct {
+	Site  *site.Site
+	Nodes []flags.Settings
+}
+
+// Command returns the demo subcommand.
+func Command() *cli.Command {
+	var check bool
+	return &cli.Command{
+		Name:  "demo",
+		Usage: "run stand-ins and six nodes in one process",
+		Flags: []cli.Flag{
+			&cli.BoolFlag{Name: "check", Usage: "send requests, inject faults, check every answer and stop", Destination: &check},
+		},
+		Action: func(ctx context.Context, _ *cli.Command) error {
+			log := hclog.New(&hclog.LoggerOptions{Name: "demo", Level: hclog.Warn, Output: os.Stderr})
+			ctx, cancel := context.WithCancel(ctx)
+			defer cancel()
+			g := tasks.New(ctx)
+			sys, err := Start(g, site.Strygekurv().WithRunners(demoRunners), log)
+			if err != nil {
+				return errors.Newf("start demo: %w", err)
+			}
+			if check {
+				g.Go("check", func(ctx context.Context) error {
+					defer cancel()
+					return Check(ctx, sys, os.Stdout)
+				})
+			} else {
+				sys.describe(os.Stdout)
+			}
+			return g.Wait()
+		},
+	}
+}
+
+// Start starts the stand-ins of d and six nodes in g.
+func Start(g *tasks.Group, d site.Deployment, log hclog.Logger) (*System, error) {
+	s, err := site.Start(g, d)
+	if err != nil {
+		return nil, errors.Newf("start stand-ins: %w", err)
+	}
+	sys := &System{Site: s}
+	for i := range nodeCount {
+		cfg, err := startNode(g, s, i, log)
+		if err != nil {
+			return nil, err
+		}
+		sys.Nodes = append(sys.Nodes, cfg)
+	}
+	return sys, nil
+}
+
+func startNode(g *tasks.Group, s *site.Site, i int, log hclog.Logger) (flags.Settings, error) {
+	cfg := flags.Settings{
+		NodeName:        fmt.Sprintf("node-%d", i),
+		DataCentre:      s.Deployment.RunnerDataCentre(i),
+		CallerAddress:   "127.0.0.1:0",
+		OperatorAddress: "127.0.0.1:0",
+		PeerAddress:     "127.0.0.1:0",
+		TableAddress:    s.PlatformAddress,
+		ObjectAddress:   s.PlatformAddress,
+		HostsAddress:    s.PlatformAddress,
+		LogLevel:        "info",
+		DrainNotice:     4 * time.Second,
+		DrainTimeout:    2 * time.Minute,
+	}
+	lns, cfg, err := serve.Listen(g.Context(), cfg)
+	if err != nil {
+		return cfg, errors.Newf("open sockets of %s: %w", cfg.NodeName, err)
+	}
+	n, err := serve.New(cfg, lns, log)
+	if err != nil {
+		return cfg, errors.Newf("build %s: %w", cfg.NodeName, err)
+	}
+	g.Go(cfg.NodeName, n.Run)
+	return cfg, nil
+}
+
+// describe prints the addresses, a key and a call that works.
+func (s *System) describe(w io.Writer) {
+	d := s.Site.Deployment
+	_, _ = fmt.Fprintf(w, "deployment %s: %d runners of %s, service %s\n", d.Name, d.Runners, d.Model, d.Service)
+	for _, cfg := range s.Nodes {
+		_, _ = fmt.Fprintf(w, "%s in %-8s callers %s operators %s\n", cfg.NodeName, cfg.DataCentre, cfg.CallerAddress, cfg.OperatorAddress)
+	}
+	_, _ = fmt.Fprintf(w, "account key: %s\n\n", d.AccountKey(0))
+	_, _ = fmt.Fprintf(w, "curl -N http://%s/v1/completions -H 'Authorization: Bearer %s' \\\n"+
+		"  -d '{\"model\":\"%s\",\"prompt\":\"hello\",\"max_tokens\":8,\"stream\":true}'\n",
+		s.Nodes[0].CallerAddress, d.AccountKey(0), d.Model)
+}
--- /dev/null
+++ b/internal/conf/schema/schema.go
@@ -0,0 +1,60 @@
+// Package schema holds the JSON Schema of the configuration document and the Go types that are
+// generated from it.
+package schema
+
+import _ "embed"
+
+//go:generate go tool -modfile=../../../tools/go.mod go-jsonschema --only-models --disable-custom-types-for-maps --tags json -p schema -t -o document.gen.go config.schema.json
+
+// ConfigSchema is the JSON Schema of the configuration document.
+//
+//go:embed config.schema.json
+var ConfigSchema []byte
+
+// Defaults of Limits; they repeat the defaults of the schema, which the generator does not apply.
+const (
+	defaultBodyBytes          = 1 << 20
+	defaultRequestBufferBytes = 64 << 10
+	defaultAccountBufferBytes = 64 << 20
+	defaultNodeBufferBytes    = 256 << 20
+	defaultQueueRequests      = 512
+	defaultQueueTimeoutMs     = 2_000
+	defaultRequestTimeoutMs   = 120_000
+	defaultCrashRuns          = 2
+	defaultContextTokens      = 8_192
+	defaultRouteTimeoutMs     = 30_000
+)
+
+// WithDefaults returns a copy of l in which every field that is zero has its default.
+func (l Limits) WithDefaults() Limits {
+	l.BodyBytes = orDefault(l.BodyBytes, defaultBodyBytes)
+	l.RequestBufferBytes = orDefault(l.RequestBufferBytes, defaultRequestBufferBytes)
+	l.AccountBufferBytes = orDefault(l.AccountBufferBytes, defaultAccountBufferBytes)
+	l.NodeBufferBytes = orDefault(l.NodeBufferBytes, defaultNodeBufferBytes)
+	l.QueueRequests = orDefault(l.QueueRequests, defaultQueueRequests)
+	l.QueueTimeoutMs = orDefault(l.QueueTimeoutMs, defaultQueueTimeoutMs)
+	l.RequestTimeoutMs = orDefault(l.RequestTimeoutMs, defaultRequestTimeoutMs)
+	l.CrashRuns = orDefault(l.CrashRuns, defaultCrashRuns)
+	return l
+}
+
+// WithDefaults returns a copy of m in which every field that is zero has its default.
+func (m Model) WithDefaults() Model {
+	m.ContextTokens = orDefault(m.ContextTokens, defaultContextTokens)
+	return m
+}
+
+// WithDefaults returns a copy of r in which every field that is zero has its default.
+func (r ServiceRoute) WithDefaults() ServiceRoute {
+	r.TimeoutMs = orDefault(r.TimeoutMs, defaultRouteTimeoutMs)
+	return r
+}
+
+// orDefault returns v, or def when v is zero.
+func orDefault[T comparable](v, def T) T {
+	var zero T
+	if v == zero {
+		return def
+	}
+	return v
+}
--- /dev/null
+++ b/internal/core/sets/sets.go
@@ -0,0 +1,46 @@
+// Package sets holds a generic set.
+package sets
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// Set is a set of comparable values. The zero value is an empty set that may only be read.
+type Set[T comparable] map[T]struct{}
+
+// New returns a set of the given values.
+func New[T comparable](values ...T) Set[T] {
+	s := make(Set[T], len(values))
+	for _, v := range values {
+		s[v] = struct{}{}
+	}
+	return s
+}
+
+// Add puts v into the set and reports whether it was absent.
+func (s Set[T]) Add(v T) bool {
+	if s.Has(v) {
+		return false
+	}
+	s[v] = struct{}{}
+	return true
+}
+
+// Remove takes v out of the set.
+func (s Set[T]) Remove(v T) { delete(s, v) }
+
+// Has reports whether v is in the set.
+func (s Set[T]) Has(v T) bool {
+	_, ok := s[v]
+	return ok
+}
+
+// Len returns the number of values.
+func (s Set[T]) Len() int { return len(s) }
+
+// Sorted returns the values of s in ascending order.
+func Sorted[T cmp.Ordered](s Set[T]) []T {
+	return slices.Sorted(maps.Keys(s))
+}
--- /dev/null
+++ b/internal/fake/model/model.go
@@ -0,0 +1,269 @@
+// Package model is a stand-in for a model engine. Its answers are a pure function of the prompt, so
+// that a test can check every token of an answer whichever engine gave it.
+package model
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"geraniumhollow/internal/plat/engine"
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/valyala/fasthttp"
+	"github.com/zeebo/xxh3"
+)
+
+// Config shapes an engine.
+type Config struct {
+	Group      string
+	Generation uint64
+	Hosts      []string
+	Model      string
+	Version    string
+	Adapters   []string
+	// TokenInterval is the time between tokens.
+	TokenInterval time.Duration
+	// FirstToken is the time to the first token, after queueing.
+	FirstToken time.Duration
+	// ColdRequests is what the engine bears while cold; more crash it. 0 bears anything.
+	ColdRequests int
+	// WarmTokens is how many tokens the engine holds before it runs out of memory; 0 is no limit.
+	WarmTokens int
+	// ReportLag is how old a load report is.
+	ReportLag time.Duration
+}
+
+// Stats counts what an engine has seen.
+type Stats struct {
+	Started      int
+	Completed    int
+	MaxColdHeld  int
+	Crashes      int
+	LastStart    time.Time
+	RunsOfPrompt map[uint64]int
+}
+
+// Engine is one model engine. It is safe for concurrent use.
+type Engine struct {
+	cfg Config
+
+	mu       sync.Mutex
+	instance string
+	state    engine.State
+	running  map[string]*run
+	members  []engine.Member
+	stats    Stats
+	faults   Faults
+	seq      uint64
+	cache    []engine.CacheEvent
+	kill     context.CancelFunc
+	alive    context.Context
+	lagged   engine.Report
+	laggedAt time.Time
+}
+
+// run is one attempt that the engine is working on.
+type run struct {
+	cancel context.CancelFunc
+	tokens int
+}
+
+// Faults are what an engine does wrong. The zero value does nothing wrong.
+type Faults struct {
+	// CutAfterTokens ends each stream after this many tokens without a last frame.
+	CutAfterTokens int
+	// RepeatFrames sends every frame twice.
+	RepeatFrames bool
+	// SwapFrames sends each pair of frames in the wrong order.
+	SwapFrames bool
+	// AlienFrames puts frames of another attempt between the right ones.
+	AlienFrames bool
+	// CrashOnPrompt kills the engine when it runs a prompt with this text.
+	CrashOnPrompt string
+	// Stall stops the tokens of every stream.
+	Stall bool
+}
+
+// New returns an engine in the given state with a fresh instance id.
+func New(cfg Config, state engine.State) *Engine {
+	e := &Engine{cfg: cfg, stats: Stats{RunsOfPrompt: make(map[uint64]int)}}
+	e.restart(state)
+	return e
+}
+
+// Restart gives the engine empty memory and a new instance id; its streams end.
+func (e *Engine) Restart(state engine.State) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.kill()
+	e.restart(state)
+}
+
+func (e *Engine) restart(state engine.State) {
+	e.instance = uuid.NewString()
+	e.state = state
+	e.running = make(map[string]*run)
+	e.cache = nil
+	e.laggedAt = time.Time{}
+	e.members = e.members[:0]
+	for _, h := range e.cfg.Hosts {
+		e.members = append(e.members, engine.Member{Host: h, Group: e.cfg.Group, Generation: e.cfg.Generation})
+	}
+	e.alive, e.kill = context.WithCancel(context.Background())
+}
+
+// SetState changes the state without a restart.
+func (e *Engine) SetState(state engine.State) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.state = state
+}
+
+// SetFaults replaces the faults of the engine.
+func (e *Engine) SetFaults(f Faults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = f
+}
+
+// SetMembers replaces what the hosts of the group report.
+func (e *Engine) SetMembers(members []engine.Member) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.members = slices.Clone(members)
+}
+
+// Stats returns a copy of the counters.
+func (e *Engine) Stats() Stats {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.stats
+	s.RunsOfPrompt = make(map[uint64]int, len(e.stats.RunsOfPrompt))
+	for k, v := range e.stats.RunsOfPrompt {
+		s.RunsOfPrompt[k] = v
+	}
+	return s
+}
+
+// Serve answers the engine protocol on ln until ctx ends.
+func (e *Engine) Serve(ctx context.Context, ln net.Listener) error {
+	srv := &fasthttp.Server{Handler: e.handle, Concurrency: maxConcurrency, CloseOnShutdown: true}
+	stop := context.AfterFunc(ctx, func() {
+		e.mu.Lock()
+		e.kill()
+		e.mu.Unlock()
+		_ = srv.Shutdown()
+	})
+	defer stop()
+	if err := srv.Serve(ln); err != nil {
+		return errors.Newf("serve engine stand-in: %w", err)
+	}
+	return nil
+}
+
+// maxConcurrency bounds the connections of one engine.
+const maxConcurrency = 4096
+
+func (e *Engine) handle(rc *fasthttp.RequestCtx) {
+	e.mu.Lock()
+	rc.Response.Header.Set(engine.HeaderInstance, e.instance)
+	rc.Response.Header.Set(engine.HeaderState, string(e.state))
+	e.mu.Unlock()
+	switch string(rc.Path()) {
+	case engine.PathLoad:
+		e.serveLoad(rc)
+	case engine.PathCompletions:
+		e.serveCompletion(rc)
+	case engine.PathCancel:
+		e.serveCancel(rc)
+	default:
+		rc.SetStatusCode(http.StatusNotFound)
+	}
+}
+
+func (e *Engine) serveLoad(rc *fasthttp.RequestCtx) {
+	e.mu.Lock()
+	r := e.report()
+	e.mu.Unlock()
+	body, err := json.Marshal(r)
+	if err != nil {
+		rc.SetStatusCode(http.StatusInternalServerError)
+		return
+	}
+	rc.SetContentType("application/json")
+	rc.SetBody(body)
+}
+
+// report returns the load report, which is up to ReportLag old.
+func (e *Engine) report() engine.Report {
+	now := time.Now()
+	if e.laggedAt.IsZero() || now.Sub(e.laggedAt) >= e.cfg.ReportLag {
+		e.lagged = e.freshReport()
+		e.laggedAt = now
+	}
+	r := e.lagged
+	r.AgeMs = now.Sub(e.laggedAt).Milliseconds()
+	return r
+}
+
+func (e *Engine) freshReport() engine.Report {
+	return engine.Report{
+		Instance:      e.instance,
+		State:         e.state,
+		Running:       len(e.running),
+		TokensHeld:    e.tokensHeld(),
+		TokenCapacity: e.cfg.WarmTokens,
+		Model:         e.cfg.Model,
+		Version:       e.cfg.Version,
+		Adapters:      e.cfg.Adapters,
+		Members:       slices.Clone(e.members),
+		CacheEvents:   slices.Clone(e.cache),
+	}
+}
+
+func (e *Engine) tokensHeld() int {
+	n := 0
+	for _, r := range e.running {
+		n += r.tokens
+	}
+	return n
+}
+
+func (e *Engine) serveCancel(rc *fasthttp.RequestCtx) {
+	key := runKey(string(rc.Request.Header.Peek(engine.HeaderRequestID)), string(rc.Request.Header.Peek(engine.HeaderAttempt)))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if r, ok := e.running[key]; ok {
+		r.cancel()
+	}
+}
+
+func runKey(id, attempt string) string { return id + "/" + attempt }
+
+// Token returns token i of the answer to a prompt.
+func Token(prompt string, i int) string {
+	h := xxh3.HashString(prompt + "#" + strconv.Itoa(i))
+	return fmt.Sprintf("w%04x ", h&0xffff)
+}
+
+// tokenBytes is the length of a token.
+const tokenBytes = len("w0000 ")
+
+// Answer returns the first n tokens of the answer to a prompt.
+func Answer(prompt string, n int) string {
+	b := make([]byte, 0, n*tokenBytes)
+	for i := range n {
+		b = append(b, Token(prompt, i)...)
+	}
+	return string(b)
+}
+
+// PromptHash returns the key under which Stats counts the runs of a prompt.
+func PromptHash(prompt string) uint64 { return xxh3.HashString(prompt) }
--- /dev/null
+++ b/internal/plat/table/table.go
@@ -0,0 +1,86 @@
+// Package table is the client of the platform's transactional table service.
+//
+// A row has a key, a value and a revision that grows with each write. A transaction checks the
+// revisions of rows and then writes or deletes rows, all or nothing.
+package table
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Errors of a table. Each call returns one of them, wrapped, or nil.
+var (
+	// ErrNotFound means that the row does not exist.
+	ErrNotFound = errors.New("row not found")
+	// ErrConflict means that a condition failed and nothing was written.
+	ErrConflict = errors.New("transaction conflict")
+	// ErrUnavailable means that the call had no effect.
+	ErrUnavailable = errors.New("table unavailable")
+	// ErrUnknown means that the write may or may not have taken effect.
+	ErrUnknown = errors.New("write outcome unknown")
+)
+
+// Absent is the revision of a row that does not exist.
+const Absent uint64 = 0
+
+// Row is one row. The value is never changed in place.
+type Row struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value"`
+	Revision uint64 `json:"revision"`
+}
+
+// Condition demands that the row has the revision; Absent demands that it does not exist.
+type Condition struct {
+	Key      string `json:"key"`
+	Revision uint64 `json:"revision"`
+}
+
+// Put writes a value.
+type Put struct {
+	Key   string `json:"key"`
+	Value []byte `json:"value"`
+}
+
+// Txn is a transaction: all conditions hold and all writes happen, or nothing happens.
+type Txn struct {
+	Conditions []Condition `json:"conditions,omitempty"`
+	Puts       []Put       `json:"puts,omitempty"`
+	Deletes    []string    `json:"deletes,omitempty"`
+}
+
+// Table is the transactional table service. Implementations are safe for concurrent use and return
+// when ctx ends.
+type Table interface {
+	// Get returns one row, or ErrNotFound or ErrUnavailable.
+	Get(ctx context.Context, key string) (Row, error)
+	// Scan returns at most limit rows whose keys start with prefix and come after the key after,
+	// in key order, or ErrUnavailable.
+	Scan(ctx context.Context, prefix, after string, limit int) ([]Row, error)
+	// Commit runs a transaction and returns the revision of its writes, or ErrConflict,
+	// ErrUnavailable or ErrUnknown.
+	Commit(ctx context.Context, txn Txn) (uint64, error)
+}
+
+// Insert returns a transaction that writes a row only if it does not exist.
+func Insert(key string, value []byte) Txn {
+	return Replace(Row{Key: key, Revision: Absent}, value)
+}
+
+// Replace returns a transaction that writes a row only if it still has the revision of old.
+func Replace(old Row, value []byte) Txn {
+	return Txn{
+		Conditions: []Condition{{Key: old.Key, Revision: old.Revision}},
+		Puts:       []Put{{Key: old.Key, Value: value}},
+	}
+}
+
+// Remove returns a transaction that deletes a row only if it still has the revision of old.
+func Remove(old Row) Txn {
+	return Txn{
+		Conditions: []Condition{{Key: old.Key, Revision: old.Revision}},
+		Deletes:    []string{old.Key},
+	}
+}
