Validate configuration documents and compare versions

Cause: any document could be committed, and a rejected operator could not see what another one had changed.

Change: conf/check lists every fault of a document with its JSON path, from the schema and beyond it; conf/delta lists the differences between two documents with entries matched by name; conf/apply keeps a readable history and finds out what became of a commit whose answer was lost even when the caller's deadline has passed. conf/apply no longer treats the caller's deadline as the limit of that read: a lost answer usually comes together with a passed deadline.

--- a/internal/conf/apply/apply.go
+++ b/internal/conf/apply/apply.go
@@ -108,8 +108,37 @@
 	}
 }
 
+// resolveTimeout bounds the read that finds out what became of a commit. It outlives the caller's own
+// deadline, which has often passed when an answer was lost.
+const resolveTimeout = 2 * time.Second
+
+// maxHistory bounds how many versions History returns.
+const maxHistory = 200
+
+// History returns the newest versions up to limit, newest first.
+func (s *Store) History(ctx context.Context, limit int) ([]Entry, error) {
+	version, _, err := s.Version(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var out []Entry
+	for n := version; n > 0 && len(out) < min(limit, maxHistory); n-- {
+		e, err := s.Entry(ctx, n)
+		if errors.Is(err, table.ErrNotFound) {
+			break
+		}
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, e)
+	}
+	return out, nil
+}
+
 // resolve finds out whether a commit whose answer was lost took effect.
 func (s *Store) resolve(ctx context.Context, e Entry) (Entry, error) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), resolveTimeout)
+	defer cancel()
 	got, err := s.Entry(ctx, e.Version)
 	switch {
 	case err == nil && got.Token == e.Token:
--- /dev/null
+++ b/internal/conf/check/check_test.go
@@ -0,0 +1,133 @@
+package check_test
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"geraniumhollow/internal/bench/site"
+	"geraniumhollow/internal/conf/check"
+	"geraniumhollow/internal/conf/schema"
+	"github.com/cockroachdb/errors"
+)
+
+// valid returns a document without faults: 6 groups of 2 hosts in 3 data centres.
+func valid(t *testing.T) *schema.Document {
+	t.Helper()
+	at := site.Addresses{Instances: []string{"10.0.1.1:80", "10.0.1.2:80", "10.0.1.3:80"}}
+	for _, port := range []string{"1", "2", "3", "4", "5", "6"} {
+		at.Runners = append(at.Runners, "10.0.0.1:"+port)
+	}
+	return site.Strygekurv().WithRunners(len(at.Runners)).Document(at)
+}
+
+// parse checks the JSON form of a document and returns its faults as lines.
+func parse(t *testing.T, raw []byte) []string {
+	t.Helper()
+	c, err := check.New()
+	if err != nil {
+		t.Fatalf("make checker: %v", err)
+	}
+	_, err = c.Parse(raw)
+	if err == nil {
+		return nil
+	}
+	if !errors.Is(err, check.ErrInvalid) {
+		t.Errorf("error is not marked ErrInvalid: %v", err)
+	}
+	return strings.Split(err.Error(), "\n")
+}
+
+func encode(t *testing.T, doc *schema.Document) []byte {
+	t.Helper()
+	raw, err := json.Marshal(doc)
+	if err != nil {
+		t.Fatalf("encode document: %v", err)
+	}
+	return raw
+}
+
+// Guards against documents that would break a promise being accepted, and against a rejection that
+// names the wrong place or only the first fault.
+func TestDocumentFaults(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name   string
+		change func(d *schema.Document)
+		want   []string
+	}{
+		{"valid", func(*schema.Document) {}, nil},
+		{"host in two groups", func(d *schema.Document) { d.Groups[3].Hosts[1] = d.Groups[0].Hosts[1] }, []string{`$.groups[3].hosts[1]: host "host-000-01" is already in group "presse-lm-000"`}},
+		{"group across fabric domains", func(d *schema.Document) { d.Hosts[1].FabricDomain = "vejle-fabric" }, []string{`$.groups[0].hosts[1]: host "host-000-01" is in fabric domain "vejle-fabric", the group in "esbjerg-fabric"`}},
+		{"unknown model", func(d *schema.Document) { d.Groups[1].Model = "other" }, []string{`$.groups[1].model: there is no model "other"`}},
+		{"unknown version", func(d *schema.Document) { d.Groups[1].Version = "v9" }, []string{`$.groups[1].version: there is no version of the model named "v9"`}},
+		{"unknown adapter", func(d *schema.Document) { d.Groups[1].Adapters = []string{"da"} }, []string{`$.groups[1].adapters[0]: there is no adapter of the model named "da"`}},
+		{"wrong number of hosts", func(d *schema.Document) { d.Groups[2].Hosts = d.Groups[2].Hosts[:1] }, []string{`$.groups[2].hosts: the model needs 2 hosts, not 1`}},
+		{"no free hosts in the domain", func(d *schema.Document) { d.Groups[5].Hosts = nil; d.Hosts[10].InService = false }, []string{`$.groups[5].fabric_domain: fabric domain "vejle-fabric" has 1 free hosts in service, the group needs 2`}},
+		{"name twice", func(d *schema.Document) { d.Accounts[4].Name = "account-00" }, []string{`$.accounts[4].name: the name "account-00" stands twice`}},
+		{"key of two accounts", func(d *schema.Document) { d.Accounts[1].KeyHashes = d.Accounts[0].KeyHashes }, []string{`$.accounts[1].key_hashes[0]: client account "account-00" has the same key`}},
+		{"cold above warm", func(d *schema.Document) { d.Groups[0].Capacity.ColdRequests = 100 }, []string{`$.groups[0].capacity.cold_requests: is above warm_requests, 64`}},
+		{"address without a port", func(d *schema.Document) { d.Hosts[0].Address = "10.0.0.1" }, []string{`$.hosts[0].address: "10.0.0.1" is not an IP and a port`}},
+		{"unknown region", func(d *schema.Document) { d.DataCentres[2].Region = "north" }, []string{`$.data_centres[2].region: there is no region "north"`}},
+		{"period that ends before it starts", func(d *schema.Document) {
+			d.Calendars = []schema.Calendar{{Name: "dk", Periods: []schema.Period{{Kind: "holiday", FirstDay: "2026-02-10", LastDay: "2026-02-09"}}}}
+		}, []string{`$.calendars[0].periods[0].last_day: is before first_day`}},
+		{"objective of nobody", func(d *schema.Document) {
+			d.Objectives = []schema.Objective{{Account: "none", Model: "presse-lm", Quantile: 0.95}}
+		}, []string{`$.objectives[0].account: there is no client account "none"`}},
+		{"buffers out of order", func(d *schema.Document) { d.Limits.RequestBufferBytes = 1 << 30 }, []string{`$.limits.request_buffer_bytes: is above account_buffer_bytes, 67108864`}},
+		{"last data centre taken out", func(d *schema.Document) {
+			for i := range d.DataCentres {
+				d.DataCentres[i].InService = false
+			}
+		}, []string{`$.models[0]: no group of model "presse-lm" has a place to run`}},
+		{"several faults at once", func(d *schema.Document) { d.Groups[0].Model = "other"; d.DataCentres[0].Region = "north" }, []string{
+			`$.data_centres[0].region: there is no region "north"`, `$.groups[0].model: there is no model "other"`,
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			doc := valid(t)
+			tt.change(doc)
+			expectLines(t, parse(t, encode(t, doc)), tt.want)
+		})
+	}
+}
+
+func expectLines(t *testing.T, got, want []string) {
+	t.Helper()
+	if strings.Join(got, "\n") != strings.Join(want, "\n") {
+		t.Errorf("got faults:\n%s\nwant:\n%s", strings.Join(got, "\n"), strings.Join(want, "\n"))
+	}
+}
+
+// Guards against schema faults that are reported without their place or only one at a time.
+func TestSchemaFaults(t *testing.T) {
+	t.Parallel()
+	raw := encode(t, valid(t))
+	raw = []byte(strings.Replace(string(raw), `"share":8`, `"share":0`, 1))
+	raw = []byte(strings.Replace(string(raw), `"in_service":true,"name":"herning"`, `"in_service":"yes","name":"herning"`, 1))
+	got := strings.Join(parse(t, raw), "\n")
+	for _, want := range []string{"$.accounts[0].share: ", "$.data_centres[1].in_service: "} {
+		if !strings.Contains(got, want) {
+			t.Errorf("faults lack %q:\n%s", want, got)
+		}
+	}
+	if got := parse(t, []byte(`{"regions":`)); len(got) != 1 || !strings.HasPrefix(got[0], "$: not valid JSON") {
+		t.Errorf("cut document: %v", got)
+	}
+}
+
+// Guards against documents that make the checker panic.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(`{}`))
+	f.Add([]byte(`{"regions":[{"name":"a"}],"data_centres":[],"fabric_domains":[],"hosts":[],"models":[],"groups":[],"services":[],"accounts":[],"limits":{}}`))
+	c, err := check.New()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Fuzz(func(_ *testing.T, raw []byte) {
+		_, _ = c.Parse(raw)
+	})
+}
--- /dev/null
+++ b/internal/conf/delta/delta_test.go
@@ -0,0 +1,56 @@
+package delta_test
+
+import (
+	"fmt"
+	"testing"
+
+	"geraniumhollow/internal/conf/delta"
+	"geraniumhollow/internal/conf/schema"
+)
+
+func document() *schema.Document {
+	return &schema.Document{
+		Regions:     []schema.Region{{Name: "r"}},
+		DataCentres: []schema.DataCentre{{Name: "a", Region: "r", InService: true}, {Name: "b", Region: "r", InService: true}},
+	}
+}
+
+// Guards against a conflict page that shows the wrong places, above all after an entry was inserted.
+func TestDocuments(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name   string
+		change func(d *schema.Document)
+		want   string
+	}{
+		{"same", func(*schema.Document) {}, "[]"},
+		{"field", func(d *schema.Document) { d.DataCentres[1].InService = false }, "[{$.data_centres[b].in_service true false}]"},
+		{"inserted first", func(d *schema.Document) {
+			d.DataCentres = append([]schema.DataCentre{{Name: "0", Region: "r"}}, d.DataCentres...)
+		}, `[{$.data_centres[0]  {"in_service":false,"name":"0","region":"r"}}]`},
+		{"removed", func(d *schema.Document) { d.DataCentres = d.DataCentres[1:] }, `[{$.data_centres[a] {"in_service":true,"name":"a","region":"r"} }]`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			to := document()
+			tt.change(to)
+			got, err := delta.Documents(document(), to)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if fmt.Sprint(got) != tt.want {
+				t.Errorf("got %v, want %s", got, tt.want)
+			}
+		})
+	}
+}
+
+func ExampleOverlap() {
+	mine := []delta.Change{{Path: "$.data_centres[a].in_service", To: "false"}, {Path: "$.limits.crash_runs", To: "3"}}
+	theirs := []delta.Change{{Path: "$.data_centres[a].in_service", To: "true"}}
+	for _, c := range delta.Overlap(mine, theirs) {
+		fmt.Println(c.Path)
+	}
+	// Output: $.data_centres[a].in_service
+}
