--- a/cmd/geraniumhollow/main.go
+++ b/cmd/geraniumhollow/main.go
@@ -9,6 +9,7 @@
 	"syscall"
 
 	"geraniumhollow/internal/bench/demo"
+	"geraniumhollow/internal/bench/gauge"
 	"geraniumhollow/internal/node/serve"
 	"github.com/urfave/cli/v3"
 )
@@ -22,6 +23,7 @@
 		Commands: []*cli.Command{
 			serve.Command(),
 			demo.Command(),
+			gauge.Command(),
 		},
 	}
 	if err := app.Run(ctx, os.Args); err != nil {
--- /dev/null
+++ b/internal/bench/gauge/gauge.go
@@ -0,0 +1,18 @@
+// Package gauge gathers the measuring commands under one subcommand.
+package gauge
+
+import (
+	"geraniumhollow/internal/bench/order"
+	"github.com/urfave/cli/v3"
+)
+
+// Command returns the gauge subcommand.
+func Command() *cli.Command {
+	return &cli.Command{
+		Name:  "gauge",
+		Usage: "run a measurement; docs/measurements has the results",
+		Commands: []*cli.Command{
+			order.Command(),
+		},
+	}
+}
