Let the system place groups that have no pinned hosts

Cause: the document demanded a fabric domain for each group, so that a group of a dark domain could not be rebuilt elsewhere.

Change: a group names pinned hosts, a fabric domain, a data centre or nothing; view.WithPlacements puts placed groups in force. The check looks for free hosts where the group may run.

Conclusion: the document can express groups that the keeper forms and heals.

--- a/internal/conf/check/check_test.go
+++ b/internal/conf/check/check_test.go
@@ -64,6 +64,13 @@
 		{"unknown adapter", func(d *schema.Document) { d.Groups[1].Adapters = []string{"da"} }, []string{`$.groups[1].adapters[0]: there is no adapter of the model named "da"`}},
 		{"wrong number of hosts", func(d *schema.Document) { d.Groups[2].Hosts = d.Groups[2].Hosts[:1] }, []string{`$.groups[2].hosts: the model needs 2 hosts, not 1`}},
 		{"no free hosts in the domain", func(d *schema.Document) { d.Groups[5].Hosts = nil; d.Hosts[10].InService = false }, []string{`$.groups[5].fabric_domain: fabric domain "vejle-fabric" has 1 free hosts in service, the group needs 2`}},
+		{"pinned hosts without a domain", func(d *schema.Document) { d.Groups[4].FabricDomain = "" }, []string{
+			`$.groups[4].fabric_domain: a group with pinned hosts needs a fabric domain`,
+			`$.groups[4].hosts[0]: host "host-004-00" is in fabric domain "herning-fabric", the group in ""`,
+			`$.groups[4].hosts[1]: host "host-004-01" is in fabric domain "herning-fabric", the group in ""`,
+		}},
+		{"data centre without the domain", func(d *schema.Document) { d.Groups[4].DataCentre = "vejle" }, []string{`$.groups[4].data_centre: fabric domain "herning-fabric" is in data centre "herning"`}},
+		{"free group", func(d *schema.Document) { d.Groups[5].Hosts = nil; d.Groups[5].FabricDomain = "" }, nil},
 		{"name twice", func(d *schema.Document) { d.Accounts[4].Name = "account-00" }, []string{`$.accounts[4].name: the name "account-00" stands twice`}},
 		{"key of two accounts", func(d *schema.Document) { d.Accounts[1].KeyHashes = d.Accounts[0].KeyHashes }, []string{`$.accounts[1].key_hashes[0]: client account "account-00" has the same key`}},
 		{"cold above warm", func(d *schema.Document) { d.Groups[0].Capacity.ColdRequests = 100 }, []string{`$.groups[0].capacity.cold_requests: is above warm_requests, 64`}},
--- a/internal/conf/schema/document.gen.go
+++ b/internal/conf/schema/document.gen.go
@@ -136,8 +136,12 @@
 	// Whether the engine refuses orders that carry an old fencing number.
 	ChecksFencing bool `json:"checks_fencing,omitempty,omitzero"`
 
-	// FabricDomain corresponds to the JSON schema field "fabric_domain".
-	FabricDomain string `json:"fabric_domain"`
+	// Where the group must run when no fabric domain is named; empty allows any data
+	// centre.
+	DataCentre string `json:"data_centre,omitempty,omitzero"`
+
+	// Where the group must run; empty lets the system pick a fabric domain.
+	FabricDomain string `json:"fabric_domain,omitempty,omitzero"`
 
 	// Pinned hosts, leader first. Empty means that the system picks them.
 	Hosts []string `json:"hosts,omitempty,omitzero"`
--- a/internal/conf/view/view.go
+++ b/internal/conf/view/view.go
@@ -21,7 +21,10 @@
 	Version    string
 	Adapters   sets.Set[string]
 	// Hosts are the members of the group, leader first; empty for a plain service.
-	Hosts         []string
+	Hosts []string
+	// Generation is what the members of a formed group must report; 0 for pinned hosts, whose members
+	// must report the same generation, whichever it is.
+	Generation    uint64
 	ChecksFencing bool
 	Capacity      schema.Capacity
 }
@@ -33,12 +36,22 @@
 	Routes  []schema.ServiceRoute
 }
 
-// View is one version of the configuration. It is never changed after New.
+// Placement says which hosts the system has given to a group that has no pinned hosts.
+type Placement struct {
+	Group        string
+	Generation   uint64
+	FabricDomain string
+	// Hosts are the members, leader first.
+	Hosts []string
+}
+
+// View is one version of the configuration, with the placements of its groups. It is immutable.
 type View struct {
 	Version uint64
 	Limits  schema.Limits
 
 	doc         *schema.Document
+	placements  map[string]Placement
 	models      map[string]schema.Model
 	servers     map[string][]Server
 	services    map[string]Service
@@ -80,6 +93,19 @@
 	return v
 }
 
+// WithPlacements returns a view of the same version in which the groups without pinned hosts run
+// where the placements say.
+func (v *View) WithPlacements(list []Placement) *View {
+	c := *v
+	c.placements = make(map[string]Placement, len(list))
+	for _, p := range list {
+		c.placements[p.Group] = p
+	}
+	c.servers = make(map[string][]Server, len(v.servers))
+	c.indexGroups()
+	return &c
+}
+
 func (v *View) indexAccounts() {
 	for _, a := range v.doc.Accounts {
 		v.accounts[a.Name] = a
@@ -99,24 +125,34 @@
 		hosts[h.Name] = h
 	}
 	for _, g := range v.doc.Groups {
-		dc := domains[g.FabricDomain]
-		if g.OutOfService || !v.dataCentres[dc].InService || !allInService(g.Hosts, hosts) {
+		p := v.placement(g)
+		dc := domains[p.FabricDomain]
+		if g.OutOfService || !v.dataCentres[dc].InService || !allInService(p.Hosts, hosts) {
 			continue
 		}
 		v.servers[g.Model] = append(v.servers[g.Model], Server{
 			Name:          g.Name,
-			Address:       hosts[g.Hosts[0]].Address,
+			Address:       hosts[p.Hosts[0]].Address,
 			DataCentre:    dc,
 			Model:         g.Model,
 			Version:       g.Version,
 			Adapters:      sets.New(g.Adapters...),
-			Hosts:         g.Hosts,
+			Hosts:         p.Hosts,
+			Generation:    p.Generation,
 			ChecksFencing: g.ChecksFencing,
 			Capacity:      g.Capacity,
 		})
 	}
 }
 
+// placement returns where a group runs; it has no hosts when the system has not placed it yet.
+func (v *View) placement(g schema.Group) Placement {
+	if len(g.Hosts) > 0 {
+		return Placement{Group: g.Name, FabricDomain: g.FabricDomain, Hosts: g.Hosts}
+	}
+	return v.placements[g.Name]
+}
+
 // allInService reports whether a group has hosts and every one of them is in service.
 func allInService(names []string, hosts map[string]schema.Host) bool {
 	for _, n := range names {
