Add the load tool: seeded open-loop requests, every answer checked

Cause: no tool drove the nodes with the mix of the two deployments, and none compared what callers were told with what ran.

--- /dev/null
+++ b/internal/bench/load/load.go
@@ -0,0 +1,103 @@
+// Package load drives a running system with a seeded, open-loop mix of requests and a schedule of
+// faults, checks every answer in full, and prints what it saw. It talks to real nodes over sockets.
+package load
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"geraniumhollow/internal/core/tasks"
+	"geraniumhollow/internal/fake/model"
+	"github.com/cockroachdb/errors"
+)
+
+// Fault is something that happens to the system during a load.
+type Fault struct {
+	Name string
+	At   time.Duration
+	Do   func(ctx context.Context) error
+}
+
+// Ground is what the stand-ins know of the requests that reached them; it shows work that ran twice
+// and refusals that were not true.
+type Ground interface {
+	// Runs returns how often a named call of the plain service ran.
+	Runs(call string) int
+	// Prompts returns how often a prompt was started on an engine.
+	Prompts(hash uint64) int
+}
+
+// requestTimeout bounds one request as its caller sees it.
+const requestTimeout = 60 * time.Second
+
+// Run runs the load against the nodes at addrs. ground may be nil, when the stand-ins are out of reach.
+func Run(ctx context.Context, name string, m Mix, addrs []string, faults []Fault, ground Ground) (*Result, []string, error) {
+	m.Nodes = len(addrs)
+	requests := m.Requests()
+	rec := newRecorder()
+	c := newClient(m, addrs, rec)
+	g := tasks.New(ctx)
+	start := time.Now()
+	for _, f := range faults {
+		g.Go("fault "+f.Name, func(ctx context.Context) error {
+			if !sleepUntil(ctx, start.Add(f.At)) {
+				return nil
+			}
+			return f.Do(ctx)
+		})
+	}
+	g.Go("arrivals", func(ctx context.Context) error {
+		for _, r := range requests {
+			due := start.Add(r.At)
+			if !sleepUntil(ctx, due) {
+				return nil
+			}
+			g.Go("request "+strconv.Itoa(r.Index), func(ctx context.Context) error {
+				ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+				defer cancel()
+				c.do(ctx, r, due)
+				return nil
+			})
+		}
+		return nil
+	})
+	if err := g.Wait(); err != nil {
+		return nil, nil, errors.Newf("run load: %w", err)
+	}
+	res := rec.result(name, m, len(requests))
+	if ground != nil {
+		rec.inspect(res, requests, ground)
+	}
+	return res, rec.failures, nil
+}
+
+// inspect compares what callers were told with what ran.
+func (r *recorder) inspect(res *Result, requests []Request, ground Ground) {
+	for _, q := range requests {
+		if q.Kind == Booking && ground.Runs(q.callName()) > 1 {
+			res.Duplicates++
+		}
+	}
+	for _, q := range r.notRun {
+		ran := ground.Prompts(model.PromptHash(q.Prompt)) > 0
+		if q.Kind == Booking || q.Kind == Read {
+			ran = ground.Runs(q.callName()) > 0
+		}
+		if ran {
+			res.FalseNotRun++
+		}
+	}
+}
+
+// sleepUntil waits for a moment and reports whether ctx is still alive.
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	t := time.NewTimer(time.Until(at))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/bench/load/send.go
@@ -0,0 +1,283 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"geraniumhollow/internal/core/fault"
+	"geraniumhollow/internal/fake/model"
+	"geraniumhollow/internal/fake/plain"
+	"geraniumhollow/internal/plat/conns"
+	"geraniumhollow/internal/wire/event"
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// client sends the requests of a load and checks every answer.
+type client struct {
+	mix   Mix
+	nodes []*conns.Pool
+	addrs []string
+	rec   *recorder
+}
+
+func newClient(m Mix, addrs []string, rec *recorder) *client {
+	c := &client{mix: m, addrs: addrs, rec: rec}
+	for _, a := range addrs {
+		c.nodes = append(c.nodes, conns.New(a, conns.Options{}))
+	}
+	return c
+}
+
+// slowPause is how long a slow reader waits between events.
+const slowPause = 5 * time.Millisecond
+
+// reply is what came back of one send.
+type reply struct {
+	verdict Verdict
+	code    fault.Code
+	detail  string
+}
+
+type errorReply struct {
+	Error struct {
+		Code    fault.Code    `json:"code"`
+		Outcome fault.Outcome `json:"outcome"`
+	} `json:"error"`
+}
+
+// do runs one request, whose latency counts from due.
+func (c *client) do(ctx context.Context, r Request, due time.Time) {
+	var rep reply
+	switch r.Kind {
+	case Read, Booking:
+		rep = c.call(ctx, r, r.Node, due)
+	default:
+		rep = c.complete(ctx, r, due)
+	}
+	if r.Kind == Booking && r.Resend {
+		rep = c.resend(ctx, r, rep)
+	}
+	c.rec.verdict(r, rep.verdict, rep.code, rep.detail)
+}
+
+// resend sends a booking again to another node. The caller then knows that it ran if either answer
+// says so.
+func (c *client) resend(ctx context.Context, r Request, first reply) reply {
+	second := c.call(ctx, r, (r.Node+1)%len(c.nodes), time.Now())
+	if first.verdict == Right || second.verdict != Right {
+		return first
+	}
+	return second
+}
+
+// target returns a node that takes connections, first the one that the request names, as the
+// platform's load balancer would.
+func (c *client) post(ctx context.Context, node int, req *fasthttp.Request) (*conns.Response, error) {
+	var last error
+	for i := range c.nodes {
+		n := (node + i) % len(c.nodes)
+		req.Header.SetHost(c.addrs[n])
+		resp, err := c.nodes[n].Do(ctx, req)
+		if err == nil {
+			return resp, nil
+		}
+		last = err
+		if !errors.Is(err, conns.ErrNotSent) {
+			break
+		}
+	}
+	return nil, errors.Newf("send: %w", last)
+}
+
+func (c *client) prepare(r Request, method, path string, body []byte) *fasthttp.Request {
+	req := fasthttp.AcquireRequest()
+	req.Header.SetMethod(method)
+	req.SetRequestURI(path)
+	req.Header.Set("Authorization", "Bearer "+c.mix.Deployment.AccountKey(r.Account))
+	req.SetBody(body)
+	return req
+}
+
+type completionBody struct {
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Stream    bool   `json:"stream"`
+}
+
+func (c *client) complete(ctx context.Context, r Request, due time.Time) reply {
+	body, err := json.Marshal(completionBody{
+		Model: c.mix.Deployment.Model, Prompt: r.Prompt, MaxTokens: r.MaxTokens, Stream: r.Kind != Whole,
+	})
+	if err != nil {
+		return reply{verdict: Lost, detail: err.Error()}
+	}
+	req := c.prepare(r, fasthttp.MethodPost, "/v1/completions", body)
+	defer fasthttp.ReleaseRequest(req)
+	resp, err := c.post(ctx, r.Node, req)
+	if err != nil {
+		return reply{verdict: Lost, detail: err.Error()}
+	}
+	defer resp.Close()
+	if resp.Header.StatusCode() != http.StatusOK {
+		return refusal(resp)
+	}
+	if r.Kind == Whole {
+		return c.whole(r, resp, due)
+	}
+	return c.stream(r, resp, due)
+}
+
+func (c *client) whole(r Request, resp *conns.Response, due time.Time) reply {
+	raw, err := io.ReadAll(resp)
+	if err != nil {
+		return reply{verdict: Cut, detail: err.Error()}
+	}
+	c.rec.time("whole_answer", time.Since(due))
+	text, _, err := parseChunk(raw)
+	if err != nil {
+		return reply{verdict: Wrong, detail: err.Error()}
+	}
+	return c.compare(r, text)
+}
+
+func (c *client) compare(r Request, text string) reply {
+	if want := model.Answer(r.Prompt, r.MaxTokens); text != want {
+		return reply{verdict: Wrong, detail: fmt.Sprintf("%d bytes, want %d", len(text), len(want))}
+	}
+	return reply{verdict: Right}
+}
+
+// stream reads a streamed answer and times its tokens.
+func (c *client) stream(r Request, resp *conns.Response, due time.Time) reply {
+	events := event.NewReader(resp)
+	var text strings.Builder
+	last := due
+	for n := 0; ; n++ {
+		ev, err := events.Next()
+		if err != nil {
+			return reply{verdict: Cut, detail: fmt.Sprintf("after %d events: %v", n, err)}
+		}
+		if string(ev.Data) == "[DONE]" {
+			resp.Drain()
+			return c.compare(r, text.String())
+		}
+		part, failed, err := parseChunk(ev.Data)
+		if err != nil {
+			return reply{verdict: Wrong, detail: err.Error()}
+		}
+		if failed.Code != "" {
+			return judge(failed.Code, failed.Outcome)
+		}
+		if part != "" {
+			c.timeToken(r, text.Len() == 0, time.Since(last))
+			last = time.Now()
+		}
+		text.WriteString(part)
+		if r.Kind == Slow {
+			time.Sleep(slowPause)
+		}
+	}
+}
+
+func (c *client) timeToken(r Request, first bool, d time.Duration) {
+	switch {
+	case first:
+		c.rec.time("first_token", d)
+	case r.Kind != Slow:
+		c.rec.time("between_tokens", d)
+	}
+}
+
+// failure is the error part of an event.
+type failure struct {
+	Code    fault.Code
+	Outcome fault.Outcome
+}
+
+func parseChunk(raw []byte) (string, failure, error) {
+	var body struct {
+		Choices []struct {
+			Text string `json:"text"`
+		} `json:"choices"`
+		errorReply
+	}
+	if err := json.Unmarshal(raw, &body); err != nil {
+		return "", failure{}, errors.Newf("decode chunk: %w", err)
+	}
+	if body.Error.Code != "" {
+		return "", failure(body.Error), nil
+	}
+	if len(body.Choices) != 1 {
+		return "", failure{}, errors.Newf("%d choices", len(body.Choices))
+	}
+	return body.Choices[0].Text, failure{}, nil
+}
+
+// refusal reads an error answer.
+func refusal(resp *conns.Response) reply {
+	raw, err := io.ReadAll(resp)
+	if err != nil {
+		return reply{verdict: Cut, detail: err.Error()}
+	}
+	var body errorReply
+	if err := json.Unmarshal(raw, &body); err != nil || body.Error.Code == "" {
+		return reply{verdict: Wrong, detail: "error without the common shape, status " + strconv.Itoa(resp.Header.StatusCode())}
+	}
+	return judge(body.Error.Code, body.Error.Outcome)
+}
+
+func judge(code fault.Code, outcome fault.Outcome) reply {
+	if outcome == fault.NotRun {
+		return reply{verdict: Refused, code: code}
+	}
+	return reply{verdict: Unknown, code: code}
+}
+
+// call sends a call to the plain service.
+func (c *client) call(ctx context.Context, r Request, node int, due time.Time) reply {
+	method, path := fasthttp.MethodGet, "/status/"
+	if r.Kind == Booking {
+		method, path = fasthttp.MethodPost, "/bookings/"
+	}
+	path = "/v1/services/" + c.mix.Deployment.Service + path + strconv.Itoa(r.Index)
+	req := c.prepare(r, method, path, []byte(r.Prompt))
+	defer fasthttp.ReleaseRequest(req)
+	req.Header.Set(plain.HeaderCall, r.callName())
+	req.Header.Set("Idempotency-Key", r.callName())
+	resp, err := c.post(ctx, node, req)
+	if err != nil {
+		return reply{verdict: Lost, detail: err.Error()}
+	}
+	defer resp.Close()
+	if resp.Header.StatusCode() != http.StatusOK {
+		return refusal(resp)
+	}
+	raw, err := io.ReadAll(resp)
+	if err != nil {
+		return reply{verdict: Cut, detail: err.Error()}
+	}
+	c.rec.time(string(r.Kind), time.Since(due))
+	return checkCall(r, method, raw)
+}
+
+func checkCall(r Request, method string, raw []byte) reply {
+	var got plain.Reply
+	if err := json.Unmarshal(raw, &got); err != nil {
+		return reply{verdict: Wrong, detail: err.Error()}
+	}
+	if got.Method != method || !strings.HasSuffix(got.Path, "/"+strconv.Itoa(r.Index)) {
+		return reply{verdict: Wrong, detail: "the answer belongs to " + got.Method + " " + got.Path}
+	}
+	return reply{verdict: Right}
+}
+
+// callName names a call of the plain service; a booking and its resend share it.
+func (r Request) callName() string { return "call-" + strconv.Itoa(r.Index) }
