Measure what requests and tokens cost a node

Change: `geraniumhollow gauge cost` runs one node in a process of its own, drives it at eight levels of requests and tokens, reads its processor time and memory, and fits cores = base + a * requests/s + b * tokens/s.

--- a/internal/bench/gauge/gauge.go
+++ b/internal/bench/gauge/gauge.go
@@ -2,6 +2,7 @@
 package gauge
 
 import (
+	"geraniumhollow/internal/bench/cost"
 	"geraniumhollow/internal/bench/order"
 	"github.com/urfave/cli/v3"
 )
@@ -12,6 +13,7 @@
 		Name:  "gauge",
 		Usage: "run a measurement; docs/measurements has the results",
 		Commands: []*cli.Command{
+			cost.Command(),
 			order.Command(),
 		},
 	}
--- a/internal/bench/load/mix.go
+++ b/internal/bench/load/mix.go
@@ -60,6 +60,8 @@
 	Profile Profile
 	// SlowReaders is the share of streamed requests whose caller reads slowly.
 	SlowReaders float64
+	// Tokens makes every request a streamed completion of this length; 0 keeps the mix.
+	Tokens int
 }
 
 // Shares of the kinds of requests, and sizes of answers in tokens.
@@ -117,6 +119,10 @@
 		Prompt:    fmt.Sprintf("%s pickup notice %d for basket %d-%d", starts[rng.IntN(len(starts))], i, m.Seed, i),
 		MaxTokens: minTokens + rng.IntN(maxTokens-minTokens),
 	}
+	if m.Tokens > 0 {
+		r.Kind, r.MaxTokens = Streamed, m.Tokens
+		return r
+	}
 	switch x := rng.Float64(); {
 	case x < streamedShare:
 		r.Kind = Streamed
