Remember which backend servers have which prompt prefix

Cause: the chooser needs the expected cache hit of a prompt on each server.

Cache events may come twice or with gaps; a gap, or an answer with far fewer cached tokens than expected, makes what is known of the server uncertain. Uncertain knowledge counts by a trust that is learned per server from the cached tokens of answers.

--- /dev/null
+++ b/internal/route/prefix/prefix_test.go
@@ -0,0 +1,165 @@
+package prefix_test
+
+import (
+	"slices"
+	"strings"
+	"testing"
+
+	"geraniumhollow/internal/route/prefix"
+)
+
+// Guards against fingerprints that do not stand for the whole prompt up to their block, and against
+// prompts without a bound on their fingerprints.
+func TestFingerprints(t *testing.T) {
+	t.Parallel()
+	a, b := strings.Repeat("a", prefix.BlockBytes), strings.Repeat("b", prefix.BlockBytes)
+	tests := []struct {
+		name   string
+		one    string
+		other  string
+		blocks int
+		shared int
+	}{
+		{"same", a + b, a + b, 2, 2},
+		{"tail without a whole block", a + b + "x", a + b + "y", 2, 2},
+		{"other second block", a + b, a + a, 2, 1},
+		{"same block after another one", a + b, b + b, 2, 0},
+		{"short", "x", "x", 0, 0},
+		{"very long", strings.Repeat(a, 100), strings.Repeat(a, 100), prefix.MaxBlocks, prefix.MaxBlocks},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			one, other := prefix.Append(nil, 0, tt.one), prefix.Append(nil, 0, tt.other)
+			shared := 0
+			for i := range min(len(one), len(other)) {
+				if one[i] == other[i] {
+					shared++
+				}
+			}
+			if len(one) != tt.blocks || shared != tt.shared {
+				t.Errorf("%d blocks, %d shared; want %d, %d", len(one), shared, tt.blocks, tt.shared)
+			}
+		})
+	}
+	if prefix.Seed("lm", "v1", "") == prefix.Seed("lm", "", "v1") {
+		t.Error("a version and an adapter of the same name share fingerprints")
+	}
+}
+
+// step is one thing that an index learns of server 0.
+type step func(x *prefix.Index)
+
+func events(evs ...prefix.Event) step { return func(x *prefix.Index) { x.Apply(0, evs) } }
+
+func stored(seq, hash uint64) prefix.Event {
+	return prefix.Event{Seq: seq, Hash: hash, Stored: true}
+}
+
+func dropped(seq, hash uint64) prefix.Event { return prefix.Event{Seq: seq, Hash: hash} }
+
+func instance(name string) step { return func(x *prefix.Index) { x.Instance(0, name) } }
+
+// Guards against an index that invents, loses or overrates what a server has, when events come twice,
+// late or with gaps. The prompt has the blocks 1, 2 and 3.
+func TestIndex(t *testing.T) {
+	t.Parallel()
+	const sure, unsure = prefix.BlockTokens, prefix.BlockTokens / 2
+	all := events(stored(1, 1), stored(2, 2), stored(3, 3))
+	tests := []struct {
+		name   string
+		give   []step
+		blocks int
+		tokens int
+	}{
+		{"nothing known", nil, 0, 0},
+		{"all stored", []step{all}, 3, 3 * sure},
+		{"middle block dropped", []step{all, events(dropped(4, 2))}, 1, sure},
+		{"events repeated", []step{all, events(dropped(4, 2)), all}, 1, sure},
+		{"gap makes earlier blocks uncertain", []step{all, events(stored(9, 7))}, 3, 3 * unsure},
+		{"block seen again after a gap", []step{all, events(stored(9, 1))}, 3, sure + 2*unsure},
+		{"first event missed", []step{events(stored(5, 1))}, 1, sure},
+		{"new instance", []step{instance("a"), all, instance("b")}, 0, 0},
+		{"same instance", []step{instance("a"), all, instance("a")}, 3, 3 * sure},
+		{"forgotten", []step{all, func(x *prefix.Index) { x.Forget(0) }}, 0, 0},
+		{"sent without events", []step{func(x *prefix.Index) { x.Sent(0, []uint64{1, 2, 3}) }}, 3, 3 * unsure},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			x := index(t, 100)
+			for _, s := range tt.give {
+				s(x)
+			}
+			var got prefix.Hit
+			if hits := x.Lookup(nil, []uint64{1, 2, 3}); len(hits) > 0 {
+				got = hits[0]
+			}
+			if got.Blocks != tt.blocks || got.Tokens != tt.tokens {
+				t.Errorf("got %d blocks, %d tokens; want %d, %d", got.Blocks, got.Tokens, tt.blocks, tt.tokens)
+			}
+		})
+	}
+}
+
+func index(t *testing.T, entries int) *prefix.Index {
+	t.Helper()
+	x, err := prefix.NewIndex(entries)
+	if err != nil {
+		t.Fatalf("make index: %v", err)
+	}
+	return x
+}
+
+// Guards against an index that keeps its belief when answers contradict it, or its doubt when they
+// confirm it.
+func TestCorrect(t *testing.T) {
+	t.Parallel()
+	expected := func(cached int) int {
+		x := index(t, 100)
+		chain := []uint64{1, 2, 3}
+		x.Sent(0, chain)
+		for range 30 {
+			x.Correct(0, chain, 3, 3*prefix.BlockTokens, cached)
+		}
+		return x.Lookup(nil, chain)[0].Tokens
+	}
+	if got := expected(0); got > prefix.BlockTokens/2 {
+		t.Errorf("expects %d tokens of a server that has dropped everything 30 times", got)
+	}
+	if got := expected(3 * prefix.BlockTokens); got < 5*prefix.BlockTokens/2 {
+		t.Errorf("expects %d tokens of a server that has had all 30 times", got)
+	}
+}
+
+// Guards against an index that grows with the prompts or servers that it has seen.
+func TestIndexIsBounded(t *testing.T) {
+	t.Parallel()
+	x := index(t, 50)
+	for i := range uint64(1000) {
+		x.Sent(int(i), []uint64{1, i + 2})
+	}
+	hits := x.Lookup(nil, []uint64{1})
+	if x.Len() > 50 || len(hits) > 32 {
+		t.Errorf("%d entries and %d holders; want at most 50 and 32", x.Len(), len(hits))
+	}
+	if !slices.ContainsFunc(hits, func(h prefix.Hit) bool { return h.Server == 999 }) {
+		t.Error("the newest holder is not remembered")
+	}
+}
+
+func BenchmarkLookup(b *testing.B) {
+	x, err := prefix.NewIndex(prefix.DefaultEntries)
+	if err != nil {
+		b.Fatal(err)
+	}
+	chain := prefix.Append(nil, 0, strings.Repeat("x", 16*prefix.BlockBytes))
+	for id := range 32 {
+		x.Sent(id, chain)
+	}
+	var hits []prefix.Hit
+	b.ReportAllocs()
+	for b.Loop() {
+		hits = x.Lookup(hits[:0], chain)
+	}
+}
