Decide the at-most-once protocol of calls that may not be repeated

Cause: a booking that runs twice sends two vans.

Change: internal/route/claim has a pure decider (one action at a time, one event back) and a store that carries out its reads and writes. The claim row is inserted before the send; a lost answer is read back by the attempt token; a row of another attempt is never taken over. A request that was refused not_run while its claim write may still take effect fences that write off in the background. A holder with proof that nothing ran writes state `released` instead of deleting the row: after a delete, a late insert of the same attempt would put back a claim that nobody works on. The caller is answered before the final state is written; if that write fails, a resend hears unknown.

Conclusion: fault cases of the store are in one table.

--- /dev/null
+++ b/internal/route/claim/store_test.go
@@ -0,0 +1,190 @@
+package claim_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"geraniumhollow/internal/core/fault"
+	"geraniumhollow/internal/fake/store"
+	"geraniumhollow/internal/plat/table"
+	"geraniumhollow/internal/route/claim"
+)
+
+const (
+	timeout  = 30 * time.Second
+	callTime = time.Second
+)
+
+var start = time.Date(2026, 1, 5, 8, 0, 0, 0, time.UTC)
+
+func call(token, fingerprint string) claim.Call {
+	return claim.Call{Token: token, Fingerprint: fingerprint, Node: "n", RequestID: "r-" + token, Timeout: timeout}
+}
+
+// run drives a decider against a store until it stops, and returns its reply and the sends.
+func run(t *testing.T, st *claim.Store, c claim.Call, end claim.CallEnded, before func(claim.Action)) (claim.Reply, int) {
+	t.Helper()
+	ctx, key, now := context.Background(), claim.Key("a", "k"), start
+	d := claim.New(c)
+	var reply claim.Reply
+	sends := 0
+	for act := d.Start(now); ; {
+		before(act)
+		var ev claim.Event
+		switch a := act.(type) {
+		case claim.Write:
+			ev, _ = st.Write(ctx, key, a)
+		case claim.Read:
+			ev, _ = st.Read(ctx, key, a)
+		case claim.Wait:
+			now = now.Add(a.For)
+			ev = claim.Elapsed{}
+		case claim.Send:
+			sends++
+			ev = end
+		case claim.Reply:
+			reply = a
+			ev = claim.Replied{}
+		case claim.Stop:
+			return reply, sends
+		}
+		now = now.Add(time.Millisecond)
+		act = d.Next(now, ev)
+	}
+}
+
+func answered(body string) claim.CallEnded {
+	return claim.CallEnded{Result: claim.Answered, Answer: claim.Answer{Status: 201, Body: []byte(body)}}
+}
+
+// Guards against a second run, a send without a claim and a wrong outcome for the caller when the
+// table fails, and against a resend that hears something else than what happened.
+func TestClaimFaults(t *testing.T) {
+	t.Parallel()
+	notRun := claim.CallEnded{Result: claim.NotRun, Fault: fault.New(fault.NoBackend, fault.NotRun, "none")}
+	lost := claim.CallEnded{Result: claim.Lost, Fault: fault.New(fault.BackendFailed, fault.Unknown, "lost")}
+	large := answered(strings.Repeat("x", 20<<10))
+	none := func(*store.Store, claim.Action) {}
+	isReply := func(a claim.Action) bool { _, ok := a.(claim.Reply); return ok }
+	tests := []struct {
+		name        string
+		end         claim.CallEnded
+		fault       func(*store.Store, claim.Action)
+		wantSends   int
+		wantOutcome fault.Outcome
+		wantResends int
+		wantResend  fault.Outcome
+		fingerprint string
+	}{
+		{"answer is kept", answered("ok"), none, 1, fault.Ran, 0, fault.Ran, "f"},
+		{"large answer is kept", large, none, 1, fault.Ran, 0, fault.Ran, "f"},
+		{"other body", answered("ok"), none, 1, fault.Ran, 0, fault.NotRun, "g"},
+		{"proof of not run frees the key", notRun, none, 1, fault.NotRun, 1, fault.Ran, "f"},
+		{"lost call", lost, none, 1, fault.Unknown, 0, fault.Unknown, "f"},
+		{"table down", answered("ok"), func(s *store.Store, a claim.Action) { s.SetDown(!isReply(a)) }, 0, fault.NotRun, 1, fault.Ran, "f"},
+		{"answer of the claim lost", answered("ok"), func(s *store.Store, a claim.Action) {
+			if w, ok := a.(claim.Write); ok && w.Record.State == claim.Claimed {
+				s.LoseAnswers(1)
+			}
+		}, 1, fault.Ran, 0, fault.Ran, "f"},
+		{"final write fails", answered("ok"), func(s *store.Store, a claim.Action) {
+			if isReply(a) {
+				s.SetDown(true)
+			}
+		}, 1, fault.Ran, 0, fault.Unknown, "f"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			fs := store.New()
+			st := claim.NewStore(fs, fs.Objects())
+			reply, sends := run(t, st, call("1", "f"), tt.end, func(a claim.Action) { tt.fault(fs, a) })
+			if sends != tt.wantSends || outcome(reply) != tt.wantOutcome {
+				t.Errorf("first: %d sends, outcome %s; want %d, %s", sends, outcome(reply), tt.wantSends, tt.wantOutcome)
+			}
+			fs.SetDown(false)
+			again, sends := run(t, st, call("2", tt.fingerprint), answered("ok"), func(claim.Action) {})
+			if sends != tt.wantResends || outcome(again) != tt.wantResend {
+				t.Errorf("resend: %d sends, outcome %s; want %d, %s", sends, outcome(again), tt.wantResends, tt.wantResend)
+			}
+			if tt.wantResends == 0 && outcome(again) == fault.Ran && string(again.Answer.Body) != string(tt.end.Answer.Body) {
+				t.Errorf("resend got another answer than the first caller")
+			}
+		})
+	}
+}
+
+func outcome(r claim.Reply) fault.Outcome {
+	if r.Fault == nil {
+		return fault.Ran
+	}
+	return r.Fault.Outcome()
+}
+
+// lateTable holds back the claim write and applies it when the test says so.
+type lateTable struct {
+	*store.Store
+	held []table.Txn
+	hold int
+}
+
+func (l *lateTable) Commit(ctx context.Context, txn table.Txn) (uint64, error) {
+	if l.hold > 0 {
+		l.hold--
+		l.held = append(l.held, txn)
+		return 0, table.ErrUnknown
+	}
+	return l.Store.Commit(ctx, txn)
+}
+
+// Guards against a claim that takes effect after its caller heard not_run, which would leave a row
+// that nobody works on and make every resend hear unknown.
+func TestLateClaimWrite(t *testing.T) {
+	t.Parallel()
+	lt := &lateTable{Store: store.New(), hold: 1}
+	st := claim.NewStore(lt, lt.Objects())
+	reply, sends := run(t, st, call("1", "f"), answered("ok"), func(a claim.Action) {
+		_, read := a.(claim.Read)
+		lt.SetDown(read)
+	})
+	if sends != 0 || outcome(reply) != fault.NotRun {
+		t.Fatalf("%d sends, outcome %s; want 0, not_run", sends, outcome(reply))
+	}
+	lt.SetDown(false)
+	for _, txn := range lt.held {
+		_, _ = lt.Store.Commit(t.Context(), txn)
+	}
+	again, sends := run(t, st, call("2", "f"), answered("ok"), func(claim.Action) {})
+	if sends != 1 || outcome(again) != fault.Ran {
+		t.Errorf("resend: %d sends, outcome %s; want 1, ran", sends, outcome(again))
+	}
+}
+
+// Guards against a claim row that is removed within its retention, or never.
+func TestSweep(t *testing.T) {
+	t.Parallel()
+	fs := store.New()
+	st := claim.NewStore(fs, fs.Objects())
+	run(t, st, call("1", "f"), answered("ok"), func(claim.Action) {})
+	for _, tt := range []struct {
+		at   time.Duration
+		want int
+	}{{claim.Retention, 0}, {claim.Retention + 2*time.Hour, 1}} {
+		if n, err := st.Sweep(t.Context(), start.Add(tt.at)); err != nil || n != tt.want {
+			t.Errorf("sweep after %s removed %d rows (%v), want %d", tt.at, n, err, tt.want)
+		}
+	}
+	if got, _ := st.Read(t.Context(), claim.Key("a", "k"), claim.Read{Timeout: callTime}); got.Result != claim.Absent {
+		t.Error("row is still there after its retention")
+	}
+}
+
+// Guards against two pairs of account and key that share a row.
+func TestKey(t *testing.T) {
+	t.Parallel()
+	if claim.Key("a", "b/c") == claim.Key("a/b", "c") {
+		t.Error("keys are equal")
+	}
+}
