Decide retries and bound them to a tenth of recent requests

Cause: a request may be sent again only with proof that it did not run, or when it is idempotent; and retries must never multiply an outage.

--- /dev/null
+++ b/internal/route/retry/retry_test.go
@@ -0,0 +1,63 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"geraniumhollow/internal/core/fault"
+	"geraniumhollow/internal/route/retry"
+)
+
+// Guards against a retry of a request that may have run, and against a not_run without proof.
+func TestDecide(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name string
+		give retry.Attempt
+		want retry.Verdict
+	}{
+		{"proved not started", retry.Attempt{NotStarted: true}, retry.Verdict{Retry: true, Outcome: fault.NotRun}},
+		{"idempotent", retry.Attempt{Idempotent: true}, retry.Verdict{Retry: true, Outcome: fault.Unknown}},
+		{"may have run", retry.Attempt{}, retry.Verdict{Reason: retry.MayHaveRun, Outcome: fault.Unknown}},
+		{"earlier may have run", retry.Attempt{NotStarted: true, MayHaveRun: true}, retry.Verdict{Reason: retry.MayHaveRun, Outcome: fault.Unknown}},
+		{"rejected", retry.Attempt{NotStarted: true, Rejected: true}, retry.Verdict{Reason: retry.Rejected, Outcome: fault.NotRun}},
+		{"tokens lost", retry.Attempt{Idempotent: true, Delivered: 1}, retry.Verdict{Reason: retry.CutShort, Outcome: fault.Unknown}},
+		{"tokens resumed", retry.Attempt{Idempotent: true, Delivered: 1, Resumable: true}, retry.Verdict{Retry: true, Outcome: fault.Unknown}},
+		{"no time", retry.Attempt{NotStarted: true, Left: -time.Second}, retry.Verdict{Reason: retry.NoTime, Outcome: fault.NotRun}},
+		{"attempts used up", retry.Attempt{NotStarted: true, Number: retry.MaxAttempts}, retry.Verdict{Reason: retry.Attempts, Outcome: fault.NotRun}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			if tt.give.Left == 0 {
+				tt.give.Left = time.Second
+			}
+			if got := retry.Decide(time.Now(), tt.give, retry.NewBudget()); got != tt.want {
+				t.Errorf("got %+v, want %+v", got, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against retries that multiply an outage: when every attempt fails, they stay within a tenth of
+// the requests plus the floor.
+func TestBudget(t *testing.T) {
+	t.Parallel()
+	b := retry.NewBudget()
+	start := time.Unix(1_000_000, 0)
+	retries := 0
+	const requests = 5000
+	for i := range requests {
+		now := start.Add(time.Duration(i) * time.Millisecond)
+		b.Request(now)
+		for b.Take(now) {
+			retries++
+		}
+	}
+	if limit := requests/10 + retry.Floor; retries > limit || retries < limit-1 {
+		t.Errorf("%d retries of %d requests, want %d", retries, requests, limit)
+	}
+	if later := start.Add(time.Minute); !b.Take(later) {
+		t.Error("no retry after the window has passed")
+	}
+}
