Read answers that have no body

Cause: an answer without a body (status 204, or an answer to HEAD) has no body stream. Reading it dereferenced nil and ended the process; a HEAD answer that states a length would have been waited for until the deadline.

Change: the pool skips the body of answers to HEAD, and a missing body reads as empty.

--- a/internal/plat/conns/conns.go
+++ b/internal/plat/conns/conns.go
@@ -113,7 +113,12 @@
 
 // Read reads the body.
 func (r *Response) Read(b []byte) (int, error) {
-	n, err := r.resp.BodyStream().Read(b)
+	body := r.resp.BodyStream()
+	if body == nil { // An answer to HEAD, or a status that has no body.
+		r.eof = true
+		return 0, io.EOF
+	}
+	n, err := body.Read(b)
 	if errors.Is(err, io.EOF) {
 		r.eof = true
 		return n, io.EOF
@@ -236,7 +241,7 @@
 	if err := c.bw.Flush(); err != nil {
 		return nil, errors.Newf("flush request: %w", err)
 	}
-	resp := &fasthttp.Response{StreamBody: true}
+	resp := &fasthttp.Response{StreamBody: true, SkipBody: req.Header.IsHead()}
 	if err := resp.Read(c.br); err != nil {
 		return nil, errors.Newf("read answer: %w", err)
 	}
