--- a/internal/fake/plain/plain.go
+++ b/internal/fake/plain/plain.go
@@ -3,6 +3,7 @@
 package plain
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"maps"
@@ -24,8 +25,19 @@
 	Delay time.Duration
 	// LoseAnswers runs a call and closes the connection without an answer.
 	LoseAnswers bool
+	// CutAnswers runs a call and closes the connection in the middle of the answer's body.
+	CutAnswers bool
+	// Refuse answers without running the call, and says so with X-Not-Started.
+	Refuse bool
+	// Status is the status of answers; 0 is 200.
+	Status int
+	// AnswerBytes is the size of answers; 0 is the size of a Reply.
+	AnswerBytes int
 }
 
+// headerNotStarted marks an answer to a call that the service did not start.
+const headerNotStarted = "X-Not-Started"
+
 // Service is one instance of a plain service. It is safe for concurrent use.
 type Service struct {
 	name string
@@ -42,6 +54,8 @@
 	Path    string `json:"path"`
 	Run     int    `json:"run"`
 	Bytes   int    `json:"bytes"`
+	// Headers are the names and values of the call's headers.
+	Headers map[string]string `json:"headers"`
 }
 
 // New returns a service with the given name.
@@ -74,31 +88,62 @@
 	return nil
 }
 
-func (s *Service) handle(rc *fasthttp.RequestCtx) {
-	call := string(rc.Request.Header.Peek(HeaderCall))
+// begin returns the faults in force, and the number of the run unless the call is refused.
+func (s *Service) begin(call string) (int, Faults) {
 	s.mu.Lock()
-	s.runs[call]++
-	run := s.runs[call]
-	faults := s.faults
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	if !s.faults.Refuse {
+		s.runs[call]++
+	}
+	return s.runs[call], s.faults
+}
+
+func (s *Service) handle(rc *fasthttp.RequestCtx) {
+	run, faults := s.begin(string(rc.Request.Header.Peek(HeaderCall)))
 	if faults.Delay > 0 {
 		time.Sleep(faults.Delay)
 	}
+	if faults.Refuse {
+		rc.Response.Header.Set(headerNotStarted, "1")
+		rc.SetStatusCode(http.StatusServiceUnavailable)
+		return
+	}
 	if faults.LoseAnswers {
 		_ = rc.Conn().Close()
 		return
 	}
-	body, err := json.Marshal(Reply{
+	rc.SetContentType("application/json")
+	if faults.Status != 0 {
+		rc.SetStatusCode(faults.Status)
+	}
+	rc.SetBody(s.body(rc, run, faults))
+	if faults.CutAnswers {
+		rc.HijackSetNoResponse(true)
+		rc.Hijack(func(c net.Conn) {
+			_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\ncut"))
+		})
+	}
+}
+
+// body returns the body of an answer.
+func (s *Service) body(rc *fasthttp.RequestCtx, run int, faults Faults) []byte {
+	if faults.AnswerBytes > 0 {
+		return bytes.Repeat([]byte("x"), faults.AnswerBytes)
+	}
+	r := Reply{
 		Service: s.name,
 		Method:  string(rc.Method()),
-		Path:    string(rc.Path()),
+		Path:    string(rc.RequestURI()),
 		Run:     run,
 		Bytes:   len(rc.PostBody()),
-	})
+		Headers: make(map[string]string),
+	}
+	for k, v := range rc.Request.Header.All() {
+		r.Headers[string(k)] = string(v)
+	}
+	body, err := json.Marshal(r)
 	if err != nil {
-		rc.SetStatusCode(http.StatusInternalServerError)
-		return
+		return nil
 	}
-	rc.SetContentType("application/json")
-	rc.SetBody(body)
+	return body
 }
