Serve calls of plain services, at most once where the route says so

Cause: nothing served /v1/services/{name}/...

Change: internal/node/calls has the handler. The path is matched in its decoded and cleaned form, and that form is forwarded, so that no spelling avoids a rule. A repeatable call is retried on another server within the retry budget; any other one needs an Idempotency-Key and goes through the claim. Headers of the caller's connection, Authorization, Accept-Encoding and Range are not forwarded. Answers are bounded by limits.body_bytes like requests. The claim decider takes Cancelled, so that a node that stops does not wait for another attempt's claim. caller.WriteFault is exported.

--- a/internal/node/caller/shape.go
+++ b/internal/node/caller/shape.go
@@ -114,6 +114,9 @@
 	}}
 }
 
+// WriteFault answers the request id with the JSON form of e.
+func WriteFault(rc *fasthttp.RequestCtx, id string, e *fault.Error) { writeFault(rc, id, e) }
+
 func writeFault(rc *fasthttp.RequestCtx, id string, e *fault.Error) {
 	if d := e.RetryAfter(); d > 0 {
 		rc.Response.Header.Set("Retry-After", strconv.Itoa(int(math.Ceil(d.Seconds()))))
--- /dev/null
+++ b/internal/node/calls/calls_test.go
@@ -0,0 +1,217 @@
+package calls_test
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"geraniumhollow/internal/conf/schema"
+	"geraniumhollow/internal/conf/view"
+	"geraniumhollow/internal/core/tasks"
+	fake "geraniumhollow/internal/fake/plain"
+	"geraniumhollow/internal/fake/store"
+	"geraniumhollow/internal/node/calls"
+	"geraniumhollow/internal/route/claim"
+	"geraniumhollow/internal/route/retry"
+	"github.com/hashicorp/go-hclog"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	bodyBytes = 1 << 10
+	routeMs   = 400
+)
+
+// site is two servers of one plain service behind two nodes.
+type site struct {
+	services [2]*fake.Service
+	platform *store.Store
+	nodes    [2]*calls.Handler
+}
+
+func newSite(t *testing.T, warm int) *site {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	g := tasks.New(ctx)
+	t.Cleanup(func() {
+		cancel()
+		_ = g.Wait()
+	})
+	doc := &schema.Document{
+		DataCentres: []schema.DataCentre{{Name: "dc", InService: true}},
+		Limits:      schema.Limits{BodyBytes: bodyBytes},
+		Services: []schema.Service{{Name: "app", Routes: []schema.ServiceRoute{
+			{Method: "GET", PathPrefix: "/", Repeatable: true, TimeoutMs: routeMs},
+			{Method: "POST", PathPrefix: "/", Repeatable: true, TimeoutMs: routeMs},
+			{Method: "POST", PathPrefix: "/bookings", TimeoutMs: routeMs},
+		}}},
+	}
+	s := &site{platform: store.New()}
+	for i := range s.services {
+		svc := fake.New("app")
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		g.Go("service", func(ctx context.Context) error { return svc.Serve(ctx, ln) })
+		s.services[i] = svc
+		doc.Services[0].Backends = append(doc.Services[0].Backends, schema.ServiceBackend{
+			Name: string(rune('a' + i)), Address: ln.Addr().String(), DataCentre: "dc", Capacity: schema.Capacity{WarmRequests: warm},
+		})
+	}
+	v := view.New(1, doc)
+	for i := range s.nodes {
+		s.nodes[i] = calls.New(g, calls.Deps{
+			Log: hclog.NewNullLogger(), Node: "n", View: func() *view.View { return v },
+			Claims: claim.NewStore(s.platform, s.platform.Objects()), Budget: retry.NewBudget(),
+		})
+	}
+	return s
+}
+
+func (s *site) setFaults(faults ...fake.Faults) {
+	for i, f := range faults {
+		s.services[i].SetFaults(f)
+	}
+}
+
+func (s *site) runs() int { return s.services[0].Runs()["c"] + s.services[1].Runs()["c"] }
+
+// do sends one call to a node and returns the status, the code and outcome of an error, and the body.
+func (s *site) do(node int, method, path, key, body string) (int, string, []byte) {
+	var req fasthttp.Request
+	req.Header.SetMethod(method)
+	req.SetRequestURI(path)
+	req.Header.SetHost("h")
+	req.Header.Set("Authorization", "Bearer secret")
+	req.Header.Set("Connection", "X-Hop")
+	req.Header.Set("X-Hop", "1")
+	req.Header.Set("X-Kept", "1")
+	req.Header.Set(fake.HeaderCall, "c")
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	req.SetBodyString(body)
+	var rc fasthttp.RequestCtx
+	rc.Init(&req, nil, nil)
+	s.nodes[node].Serve(&rc, "r-1", schema.Account{Name: "acc"})
+	var e struct {
+		Error struct{ Code, Outcome string } `json:"error"`
+	}
+	_ = json.Unmarshal(rc.Response.Body(), &e)
+	return rc.Response.StatusCode(), strings.Trim(e.Error.Code+" "+e.Error.Outcome, " "), rc.Response.Body()
+}
+
+// Guards against a call that is repeated although it may have run, one that is not retried although
+// that is safe, and a wrong outcome for the caller.
+func TestServe(t *testing.T) {
+	t.Parallel()
+	refuse, lose, slow := fake.Faults{Refuse: true}, fake.Faults{LoseAnswers: true}, fake.Faults{Delay: 2 * routeMs * time.Millisecond}
+	tests := []struct {
+		name             string
+		method, path     string
+		key, body        string
+		faults           []fake.Faults
+		down             bool
+		wantStatus       int
+		wantFault        string
+		minRuns, maxRuns int
+	}{
+		{name: "answered", method: "GET", path: "/x", wantStatus: 200, minRuns: 1, maxRuns: 1},
+		{name: "error answer is passed on", method: "GET", path: "/x", faults: []fake.Faults{{Status: 500}, {Status: 500}}, wantStatus: 500, minRuns: 1, maxRuns: 1},
+		{name: "refused everywhere", method: "GET", path: "/x", faults: []fake.Faults{refuse, refuse}, wantStatus: 503, wantFault: "no_backend_server not_run"},
+		{name: "lost everywhere", method: "GET", path: "/x", faults: []fake.Faults{lose, lose}, wantStatus: 502, wantFault: "backend_server_failed unknown", minRuns: 2, maxRuns: 2},
+		{name: "lost once", method: "GET", path: "/x", faults: []fake.Faults{lose}, wantStatus: 200, minRuns: 1, maxRuns: 2},
+		{name: "booking", method: "POST", path: "/bookings", key: "k", wantStatus: 200, minRuns: 1, maxRuns: 1},
+		{name: "booking refused once", method: "POST", path: "/bookings", key: "k", faults: []fake.Faults{refuse}, wantStatus: 200, minRuns: 1, maxRuns: 1},
+		{name: "booking refused everywhere", method: "POST", path: "/bookings", key: "k", faults: []fake.Faults{refuse, refuse}, wantStatus: 503, wantFault: "no_backend_server not_run"},
+		{name: "booking lost", method: "POST", path: "/bookings", key: "k", faults: []fake.Faults{lose, lose}, wantStatus: 502, wantFault: "backend_server_failed unknown", minRuns: 1, maxRuns: 1},
+		{name: "booking late", method: "POST", path: "/bookings", key: "k", faults: []fake.Faults{slow, slow}, wantStatus: 504, wantFault: "timeout unknown", minRuns: 1, maxRuns: 1},
+		{name: "booking answer too large", method: "POST", path: "/bookings", key: "k", faults: []fake.Faults{{AnswerBytes: 2 * bodyBytes}, {AnswerBytes: 2 * bodyBytes}}, wantStatus: 502, wantFault: "backend_server_failed ran", minRuns: 1, maxRuns: 1},
+		{name: "booking with table down", method: "POST", path: "/bookings", key: "k", down: true, wantStatus: 503, wantFault: "store_unavailable not_run"},
+		{name: "booking without key", method: "POST", path: "/bookings", wantStatus: 400, wantFault: "idempotency_key_required not_run"},
+		{name: "booking path spelled otherwise", method: "POST", path: "/./%62ookings", wantStatus: 400, wantFault: "idempotency_key_required not_run"},
+		{name: "key too long", method: "POST", path: "/bookings", key: strings.Repeat("k", 256), wantStatus: 400, wantFault: "bad_request not_run"},
+		{name: "body too large", method: "POST", path: "/x", body: strings.Repeat("x", bodyBytes+1), wantStatus: 413, wantFault: "body_too_large not_run"},
+		{name: "no such method", method: "PUT", path: "/x", wantStatus: 405, wantFault: "method_not_allowed not_run"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, 8)
+			s.setFaults(tt.faults...)
+			s.platform.SetDown(tt.down)
+			status, code, _ := s.do(0, tt.method, "/v1/services/app"+tt.path, tt.key, tt.body)
+			if status != tt.wantStatus || code != tt.wantFault {
+				t.Errorf("got %d %q, want %d %q", status, code, tt.wantStatus, tt.wantFault)
+			}
+			if n := s.runs(); n < tt.minRuns || n > tt.maxRuns {
+				t.Errorf("%d runs, want %d to %d", n, tt.minRuns, tt.maxRuns)
+			}
+		})
+	}
+}
+
+// Guards against a resend on another node that runs the call again or hears another answer.
+func TestResend(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 8)
+	_, _, first := s.do(0, "POST", "/v1/services/app/bookings", "k", "body")
+	status, _, again := s.do(1, "POST", "/v1/services/app/bookings", "k", "body")
+	if status != http.StatusOK || string(again) != string(first) || s.runs() != 1 {
+		t.Errorf("resend: status %d, %d runs, answer %s, want %s", status, s.runs(), again, first)
+	}
+	status, code, _ := s.do(1, "POST", "/v1/services/app/bookings", "k", "other")
+	if status != http.StatusUnprocessableEntity || code != "idempotency_key_reused not_run" {
+		t.Errorf("other body: got %d %q", status, code)
+	}
+}
+
+// Guards against the account's key, or headers of the caller's connection, reaching a plain service.
+func TestForwardedHeaders(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 8)
+	_, _, body := s.do(0, "GET", "/v1/services/app/x%20y?q=1", "", "")
+	var r fake.Reply
+	if err := json.Unmarshal(body, &r); err != nil {
+		t.Fatal(err)
+	}
+	if r.Headers["Authorization"]+r.Headers["X-Hop"] != "" || r.Headers["X-Kept"] != "1" || r.Headers["X-Account"] != "acc" {
+		t.Errorf("headers %v", r.Headers)
+	}
+	if r.Path != "/x%20y?q=1" {
+		t.Errorf("path %s", r.Path)
+	}
+}
+
+// Guards against more calls in flight on a server than its warm capacity.
+func TestCapacity(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 1)
+	slow := fake.Faults{Delay: routeMs / 2 * time.Millisecond}
+	s.setFaults(slow, slow)
+	g := tasks.New(t.Context())
+	codes := make(chan string, 3)
+	for range cap(codes) {
+		g.Go("call", func(context.Context) error {
+			_, code, _ := s.do(0, "GET", "/v1/services/app/x", "", "")
+			codes <- code
+			return nil
+		})
+	}
+	_ = g.Wait()
+	close(codes)
+	refused := 0
+	for code := range codes {
+		if code == "overloaded not_run" {
+			refused++
+		}
+	}
+	if refused != 1 {
+		t.Errorf("%d of 3 calls refused as overloaded, want 1", refused)
+	}
+}
--- a/internal/route/claim/claim.go
+++ b/internal/route/claim/claim.go
@@ -105,6 +105,8 @@
 		return d.replied(now)
 	case Elapsed:
 		return d.again()
+	case Cancelled:
+		return d.cancel(now)
 	default:
 		return d.stop()
 	}
@@ -232,6 +234,15 @@
 	return d.again()
 }
 
+// cancel ends a wait early.
+func (d *Decider) cancel(now time.Time) Action {
+	if d.phase != resolving && d.phase != following {
+		return d.stop()
+	}
+	d.deadline, d.claimBy = now, now
+	return d.unread(now)
+}
+
 // again repeats the action of the phase, after a reply or a wait.
 func (d *Decider) again() Action {
 	switch d.phase {
--- a/internal/route/claim/event.go
+++ b/internal/route/claim/event.go
@@ -26,7 +26,7 @@
 	Until time.Time
 }
 
-// Wait lets time pass. It is answered by Elapsed.
+// Wait lets time pass. It is answered by Elapsed, or by Cancelled when the node stops.
 type Wait struct {
 	For time.Duration
 }
@@ -112,6 +112,9 @@
 // Elapsed answers Wait.
 type Elapsed struct{}
 
+// Cancelled answers Wait when there is no more time: the caller is answered with what is known.
+type Cancelled struct{}
+
 // Replied answers Reply.
 type Replied struct{}
 
@@ -119,4 +122,5 @@
 func (ReadEnded) event()  {}
 func (CallEnded) event()  {}
 func (Elapsed) event()    {}
+func (Cancelled) event()  {}
 func (Replied) event()    {}
