--- /dev/null
+++ b/internal/report/metric/metric.go
@@ -0,0 +1,180 @@
+// Package metric counts what a node does, for Prometheus. Label values come from fixed sets, so that
+// the number of series does not grow with callers, accounts or backend servers.
+package metric
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"geraniumhollow/internal/core/fault"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+const namespace = "geraniumhollow"
+
+// other is the label value of everything outside a fixed set.
+const other = "other"
+
+// Values of labels.
+var (
+	attemptResults = []string{"answered", "failed", "cancelled", "unknown"}
+	grantResults   = []string{"granted", "refused", "expired", "released"}
+	modes          = []string{"current", "store_down", "isolated"}
+	peerStates     = []string{"live", "suspect", "leaving", "gone"}
+	tableCalls     = []string{"get", "scan", "commit"}
+	tableResults   = []string{"ok", "not_found", "conflict", "unavailable", "unknown"}
+)
+
+// Set is the metrics of one node on a registry of its own. It is safe for concurrent use.
+type Set struct {
+	registry *prometheus.Registry
+
+	requests  *prometheus.CounterVec
+	duration  prometheus.Histogram
+	attempts  *prometheus.CounterVec
+	retries   prometheus.Counter
+	refusals  *prometheus.CounterVec
+	queue     prometheus.Gauge
+	buffered  prometheus.Gauge
+	grants    *prometheus.CounterVec
+	granted   prometheus.Gauge
+	version   prometheus.Gauge
+	age       prometheus.Gauge
+	mode      *prometheus.GaugeVec
+	peers     *prometheus.GaugeVec
+	tableUses *prometheus.CounterVec
+	tableTime *prometheus.HistogramVec
+}
+
+// New returns the metrics of one node.
+func New() *Set {
+	s := &Set{
+		registry:  prometheus.NewRegistry(),
+		requests:  counters("requests_total", "Requests by error code; ok is a whole answer.", "code"),
+		duration:  histogram("request_seconds", "Time from the request to the end of its answer."),
+		attempts:  counters("attempts_total", "Attempts at backend servers by result.", "result"),
+		retries:   prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "retries_total", Help: "Attempts after the first one."}),
+		refusals:  counters("refusals_total", "Requests refused before an attempt, by error code.", "code"),
+		queue:     gauge("queue_requests", "Requests that wait for admission."),
+		buffered:  gauge("buffered_bytes", "Answer bytes held for callers."),
+		grants:    counters("grants_total", "Grants of shared budgets by result.", "result"),
+		granted:   gauge("grants_held", "Grants that this node holds."),
+		version:   gauge("config_version", "Configuration version in force."),
+		age:       gauge("config_age_seconds", "Time since the table last confirmed the version."),
+		mode:      gauges("mode", "1 for the mode of the node, 0 for the others.", "mode"),
+		peers:     gauges("peers", "Known peers by state.", "state"),
+		tableUses: counters("table_calls_total", "Calls of the table by call and result.", "call", "result"),
+		tableTime: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "table_call_seconds", Help: "Time of a call of the table.", Buckets: prometheus.DefBuckets,
+		}, []string{"call"}),
+	}
+	s.registry.MustRegister(s.requests, s.duration, s.attempts, s.retries, s.refusals, s.queue, s.buffered, s.grants,
+		s.granted, s.version, s.age, s.mode, s.peers, s.tableUses, s.tableTime)
+	return s
+}
+
+func counters(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
+func gauge(name, help string) prometheus.Gauge {
+	return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
+}
+
+func gauges(name, help, label string) *prometheus.GaugeVec {
+	return prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, []string{label})
+}
+
+func histogram(name, help string) prometheus.Histogram {
+	return prometheus.NewHistogram(prometheus.HistogramOpts{
+		Namespace: namespace, Name: name, Help: help, Buckets: prometheus.ExponentialBuckets(0.005, 2, 15),
+	})
+}
+
+// Registry returns the registry of the set, on which other parts may register metrics of their own.
+func (s *Set) Registry() *prometheus.Registry { return s.registry }
+
+// Handler returns the page that Prometheus reads.
+func (s *Set) Handler() http.Handler {
+	return promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{})
+}
+
+// RequestEnded counts a request that took d. code is empty for a whole answer.
+func (s *Set) RequestEnded(code fault.Code, d time.Duration) {
+	s.requests.WithLabelValues(codeLabel(code)).Inc()
+	s.duration.Observe(d.Seconds())
+}
+
+// Refused counts a request that was refused before an attempt.
+func (s *Set) Refused(code fault.Code) { s.refusals.WithLabelValues(codeLabel(code)).Inc() }
+
+// AttemptEnded counts an attempt: answered, failed, cancelled or unknown.
+func (s *Set) AttemptEnded(result string) {
+	s.attempts.WithLabelValues(known(result, attemptResults)).Inc()
+}
+
+// Retried counts an attempt after the first one.
+func (s *Set) Retried() { s.retries.Inc() }
+
+// QueueChanged adds n, which may be negative, to the requests that wait for admission.
+func (s *Set) QueueChanged(n int) { s.queue.Add(float64(n)) }
+
+// BufferedChanged adds n bytes, which may be negative, to the answer bytes held for callers.
+func (s *Set) BufferedChanged(n int) { s.buffered.Add(float64(n)) }
+
+// GrantEnded counts what became of a grant: granted, refused, expired or released.
+func (s *Set) GrantEnded(result string) { s.grants.WithLabelValues(known(result, grantResults)).Inc() }
+
+// GrantsHeld sets the number of grants that this node holds.
+func (s *Set) GrantsHeld(n int) { s.granted.Set(float64(n)) }
+
+// Configuration sets the version in force, its age, and the mode: current, store_down or isolated.
+func (s *Set) Configuration(version uint64, age time.Duration, mode string) {
+	s.version.Set(float64(version))
+	s.age.Set(age.Seconds())
+	for _, m := range modes {
+		s.mode.WithLabelValues(m).Set(oneIf(m == mode))
+	}
+}
+
+// Peers sets the number of peers by state: live, suspect, leaving or gone.
+func (s *Set) Peers(counts map[string]int) {
+	for _, state := range peerStates {
+		s.peers.WithLabelValues(state).Set(float64(counts[state]))
+	}
+}
+
+// TableCalled counts a call of the table: get, scan or commit.
+func (s *Set) TableCalled(call, result string, d time.Duration) {
+	call = known(call, tableCalls)
+	s.tableUses.WithLabelValues(call, known(result, tableResults)).Inc()
+	s.tableTime.WithLabelValues(call).Observe(d.Seconds())
+}
+
+// known returns v if it is in the set, and other if not.
+func known(v string, set []string) string {
+	if slices.Contains(set, v) {
+		return v
+	}
+	return other
+}
+
+// codeLabel returns ok for no code, and other for one that this package does not know.
+func codeLabel(code fault.Code) string {
+	if code == "" {
+		return "ok"
+	}
+	if !slices.Contains(codes, code) {
+		return other
+	}
+	return string(code)
+}
+
+func oneIf(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/report/metric/table.go
@@ -0,0 +1,59 @@
+package metric
+
+import (
+	"context"
+	"time"
+
+	"geraniumhollow/internal/plat/table"
+	"github.com/cockroachdb/errors"
+)
+
+// Table counts the calls of another table.
+type Table struct {
+	set  *Set
+	next table.Table
+}
+
+var _ table.Table = (*Table)(nil)
+
+// Table returns next with its calls counted.
+func (s *Set) Table(next table.Table) *Table { return &Table{set: s, next: next} }
+
+// Get implements table.Table.
+func (t *Table) Get(ctx context.Context, key string) (table.Row, error) {
+	start := time.Now()
+	row, err := t.next.Get(ctx, key)
+	t.set.TableCalled("get", tableResult(err), time.Since(start))
+	return row, err
+}
+
+// Scan implements table.Table.
+func (t *Table) Scan(ctx context.Context, prefix, after string, limit int) ([]table.Row, error) {
+	start := time.Now()
+	rows, err := t.next.Scan(ctx, prefix, after, limit)
+	t.set.TableCalled("scan", tableResult(err), time.Since(start))
+	return rows, err
+}
+
+// Commit implements table.Table.
+func (t *Table) Commit(ctx context.Context, txn table.Txn) (uint64, error) {
+	start := time.Now()
+	rev, err := t.next.Commit(ctx, txn)
+	t.set.TableCalled("commit", tableResult(err), time.Since(start))
+	return rev, err
+}
+
+func tableResult(err error) string {
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.Is(err, table.ErrNotFound):
+		return "not_found"
+	case errors.Is(err, table.ErrConflict):
+		return "conflict"
+	case errors.Is(err, table.ErrUnavailable):
+		return "unavailable"
+	default:
+		return "unknown"
+	}
+}
