Mend validation, comparison and defaults of the configuration

Change: groups are placed in the order of their freedom; the three fields start at 1; overlaps compare whole places; entries without a name are matched by their other keys; History returns entries without documents; Commit returns the entry that may have taken effect. delta.Merge adds their changes to mine, for redoing a change on a new base. Conclusion: each fault has a test.

--- a/internal/conf/apply/apply.go
+++ b/internal/conf/apply/apply.go
@@ -79,7 +79,8 @@
 }
 
 // Commit makes doc the next version after base. It returns ErrConflict when base is not the
-// current version, and table.ErrUnknown when the outcome could not be found out.
+// current version, and table.ErrUnknown when the outcome could not be found out. The entry that comes
+// with table.ErrUnknown is the one that may have been committed, so that its token can be looked for.
 func (s *Store) Commit(ctx context.Context, base uint64, author string, doc *schema.Document) (Entry, error) {
 	current, row, err := s.Version(ctx)
 	if err != nil {
@@ -115,7 +116,8 @@
 // maxHistory bounds how many versions History returns.
 const maxHistory = 200
 
-// History returns the newest versions up to limit, newest first.
+// History returns the newest versions up to limit, newest first and without their documents, which
+// would take hundreds of megabytes at the target size.
 func (s *Store) History(ctx context.Context, limit int) ([]Entry, error) {
 	version, _, err := s.Version(ctx)
 	if err != nil {
@@ -130,6 +132,7 @@
 		if err != nil {
 			return nil, err
 		}
+		e.Document = nil
 		out = append(out, e)
 	}
 	return out, nil
@@ -147,7 +150,7 @@
 		return Entry{}, errors.Newf("version %d belongs to another commit: %w", e.Version, ErrConflict)
 	default:
 		// An absent row proves nothing: the write may still be on its way.
-		return Entry{}, errors.Mark(errors.Newf("find out commit of version %d: %w", e.Version, err), table.ErrUnknown)
+		return e, errors.Mark(errors.Newf("find out commit of version %d: %w", e.Version, err), table.ErrUnknown)
 	}
 }
 
--- a/internal/conf/apply/apply_test.go
+++ b/internal/conf/apply/apply_test.go
@@ -71,8 +71,9 @@
 	t.Parallel()
 	l := &lateTable{Store: store.New()}
 	s := apply.New(l, time.Now)
-	if _, err := s.Commit(t.Context(), 0, "late", document("a")); !errors.Is(err, table.ErrUnknown) {
-		t.Fatalf("got %v, want ErrUnknown", err)
+	e, err := s.Commit(t.Context(), 0, "late", document("a"))
+	if !errors.Is(err, table.ErrUnknown) || e.Version != 1 || e.Token == "" {
+		t.Fatalf("got version %d, token %q, %v; want ErrUnknown and the entry to look for", e.Version, e.Token, err)
 	}
 	if _, err := l.Store.Commit(t.Context(), *l.held); err != nil {
 		t.Fatalf("late write: %v", err)
--- a/internal/conf/check/check_test.go
+++ b/internal/conf/check/check_test.go
@@ -88,6 +88,29 @@
 				d.DataCentres[i].InService = false
 			}
 		}, []string{`$.models[0]: no group of model "presse-lm" has a place to run`}},
+		{"free group before one that needs its domain", func(d *schema.Document) {
+			d.Hosts = append(d.Hosts, schema.Host{Name: "spare-0", FabricDomain: "vejle-fabric", InService: true}, schema.Host{Name: "spare-1", FabricDomain: "vejle-fabric", InService: true})
+			d.Hosts = append(d.Hosts, schema.Host{Name: "spare-2", FabricDomain: "esbjerg-fabric", InService: true}, schema.Host{Name: "spare-3", FabricDomain: "esbjerg-fabric", InService: true})
+			d.Hosts = append(d.Hosts, schema.Host{Name: "spare-4", FabricDomain: "esbjerg-fabric", InService: true})
+			for _, domain := range []string{"", "vejle-fabric"} {
+				d.Groups = append(d.Groups, schema.Group{Name: "new" + domain, Model: "presse-lm", Version: "v1", FabricDomain: domain, Capacity: schema.Capacity{WarmRequests: 1}})
+			}
+		}, nil},
+		{"distance twice", func(d *schema.Document) {
+			d.Distances = append(d.Distances, schema.Distance{From: "vejle", To: "esbjerg", OneWayUs: 1})
+		}, []string{`$.distances[3]: another distance is between the same data centres`}},
+		{"target twice", func(d *schema.Document) {
+			d.Targets = []schema.Target{{Model: "presse-lm", DataCentre: "vejle"}, {Model: "presse-lm", DataCentre: "vejle", Groups: 1}}
+		}, []string{`$.targets[1]: another target is for the same model and data centre`}},
+		{"objective twice", func(d *schema.Document) {
+			o := schema.Objective{Account: "account-00", Model: "presse-lm", Quantile: 0.95}
+			d.Objectives = []schema.Objective{o, o}
+		}, []string{`$.objectives[1]: another objective is for the same client account and model`}},
+		{"time zone of the machine", func(d *schema.Document) {
+			d.Calendars = []schema.Calendar{{Name: "dk", TimeZone: "Local", Periods: []schema.Period{}}}
+		}, []string{`$.calendars[0].time_zone: there is no time zone "Local"`}},
+		{"address without a host", func(d *schema.Document) { d.Hosts[0].Address = "0.0.0.0:80" }, []string{`$.hosts[0].address: "0.0.0.0:80" is not an IP and a port`}},
+		{"address with port 0", func(d *schema.Document) { d.Hosts[0].Address = "10.0.0.1:0" }, []string{`$.hosts[0].address: "10.0.0.1:0" is not an IP and a port`}},
 		{"several faults at once", func(d *schema.Document) { d.Groups[0].Model = "other"; d.DataCentres[0].Region = "north" }, []string{
 			`$.data_centres[0].region: there is no region "north"`, `$.groups[0].model: there is no model "other"`,
 		}},
@@ -126,6 +149,22 @@
 	}
 }
 
+// Guards against an explicit zero that is accepted and then replaced by the default, because the Go
+// types cannot tell it from an absent field.
+func TestZeroIsNotTheDefault(t *testing.T) {
+	t.Parallel()
+	for _, limit := range []string{"body_bytes", "queue_requests", "queue_timeout_ms", "request_timeout_ms", "crash_runs"} {
+		raw := []byte(strings.Replace(string(encode(t, valid(t))), `"limits":{}`, `"limits":{"`+limit+`":0}`, 1))
+		if got := parse(t, raw); len(got) != 1 || !strings.HasPrefix(got[0], "$.limits."+limit) {
+			t.Errorf("%s: faults %v", limit, got)
+		}
+	}
+	raw := []byte(strings.Replace(string(encode(t, valid(t))), `"priority":5`, `"priority":0`, 1))
+	if got := parse(t, raw); len(got) != 1 || !strings.HasPrefix(got[0], "$.accounts[0].priority") {
+		t.Errorf("priority: faults %v", got)
+	}
+}
+
 // Guards against documents that make the checker panic.
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(`{}`))
--- a/internal/conf/check/document.go
+++ b/internal/conf/check/document.go
@@ -1,9 +1,12 @@
 package check
 
 import (
+	"cmp"
 	"fmt"
 	"net/netip"
+	"slices"
 	"time"
+	_ "time/tzdata" // Nodes are diskless; a document must be valid on all of them or on none.
 
 	"geraniumhollow/internal/conf/schema"
 	"geraniumhollow/internal/core/sets"
@@ -95,7 +98,11 @@
 	for i, dc := range r.doc.DataCentres {
 		r.known(fmt.Sprintf("$.data_centres[%d].region", i), "region", dc.Region, r.regions)
 	}
+	pairs := sets.New[[2]string]()
 	for i, d := range r.doc.Distances {
+		if !pairs.Add([2]string{min(d.From, d.To), max(d.From, d.To)}) {
+			r.addf(fmt.Sprintf("$.distances[%d]", i), "another distance is between the same data centres")
+		}
 		r.known(fmt.Sprintf("$.distances[%d].from", i), "data centre", d.From, r.dataCentres)
 		r.known(fmt.Sprintf("$.distances[%d].to", i), "data centre", d.To, r.dataCentres)
 	}
@@ -126,7 +133,8 @@
 }
 
 func (r *review) address(path, addr string) {
-	if _, err := netip.ParseAddrPort(addr); err != nil {
+	a, err := netip.ParseAddrPort(addr)
+	if err != nil || a.Port() == 0 || a.Addr().IsUnspecified() {
 		r.addf(path, "%q is not an IP and a port", addr)
 	}
 }
@@ -266,15 +274,20 @@
 
 func (r *review) schedule() {
 	for i, c := range r.doc.Calendars {
-		if _, err := time.LoadLocation(c.TimeZone); err != nil {
+		// "Local" would differ between nodes.
+		if _, err := time.LoadLocation(c.TimeZone); err != nil || c.TimeZone == "Local" {
 			r.addf(fmt.Sprintf("$.calendars[%d].time_zone", i), "there is no time zone %q", c.TimeZone)
 		}
 		for j, p := range c.Periods {
 			r.period(fmt.Sprintf("$.calendars[%d].periods[%d]", i, j), p)
 		}
 	}
+	targets, objectives := sets.New[[2]string](), sets.New[[2]string]()
 	for i, t := range r.doc.Targets {
 		path := fmt.Sprintf("$.targets[%d]", i)
+		if !targets.Add([2]string{t.Model, t.DataCentre}) {
+			r.addf(path, "another target is for the same model and data centre")
+		}
 		if _, ok := r.models[t.Model]; !ok {
 			r.addf(path+".model", "there is no model %q", t.Model)
 		}
@@ -285,6 +298,9 @@
 	}
 	for i, o := range r.doc.Objectives {
 		path := fmt.Sprintf("$.objectives[%d]", i)
+		if !objectives.Add([2]string{o.Account, o.Model}) {
+			r.addf(path, "another objective is for the same client account and model")
+		}
 		r.known(path+".account", "client account", o.Account, r.accounts)
 		if _, ok := r.models[o.Model]; !ok {
 			r.addf(path+".model", "there is no model %q", o.Model)
@@ -312,7 +328,8 @@
 	free := r.freeHosts()
 	running := make(map[string]int)
 	declared := make(map[string]int)
-	for i, g := range r.doc.Groups {
+	for _, i := range r.placementOrder() {
+		g := r.doc.Groups[i]
 		declared[g.Model]++
 		switch {
 		case g.OutOfService:
@@ -335,6 +352,31 @@
 	}
 }
 
+// placementOrder returns the groups by index, those with the least choice of places first: a group that
+// may run anywhere must not take the hosts that another group depends on.
+func (r *review) placementOrder() []int {
+	order := make([]int, len(r.doc.Groups))
+	for i := range order {
+		order[i] = i
+	}
+	freedom := func(g schema.Group) int {
+		switch {
+		case g.FabricDomain != "":
+			return 0
+		case g.DataCentre != "":
+			return 1
+		default:
+			return 2
+		}
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		x, y := r.doc.Groups[a], r.doc.Groups[b]
+		return cmp.Or(cmp.Compare(freedom(x), freedom(y)),
+			cmp.Compare(r.models[y.Model].HostsPerGroup, r.models[x.Model].HostsPerGroup))
+	})
+	return order
+}
+
 // takePlace takes the free hosts of a group without pinned hosts, from the fabric domain where they
 // fit most tightly, and reports whether there was one.
 func (r *review) takePlace(g schema.Group, free map[string]int) bool {
--- a/internal/conf/delta/delta.go
+++ b/internal/conf/delta/delta.go
@@ -8,6 +8,7 @@
 	"maps"
 	"reflect"
 	"slices"
+	"strings"
 
 	"geraniumhollow/internal/conf/schema"
 	"geraniumhollow/internal/core/sets"
@@ -22,7 +23,7 @@
 }
 
 // Documents returns the differences between two documents, ordered by path. Entries of a list that
-// have names are matched by name, so that inserting one does not change all that follow.
+// have an identity are matched by it, so that inserting one does not change all that follow.
 func Documents(from, to *schema.Document) ([]Change, error) {
 	a, err := tree(from)
 	if err != nil {
@@ -38,22 +39,27 @@
 	return out, nil
 }
 
-// Overlap returns the changes of both lists that touch the same place, so that one would undo or hide
-// the other.
+// Overlap returns the changes of a that touch the same place as one of b, so that one would undo or hide
+// the other. Places are the same when one contains the other.
 func Overlap(a, b []Change) []Change {
-	paths := sets.New[string]()
-	for _, c := range b {
-		paths.Add(c.Path)
-	}
 	var out []Change
 	for _, c := range a {
-		if paths.Has(c.Path) {
+		if slices.ContainsFunc(b, func(d Change) bool { return samePlace(c.Path, d.Path) }) {
 			out = append(out, c)
 		}
 	}
 	return out
 }
 
+// samePlace reports whether one path contains the other.
+func samePlace(a, b string) bool {
+	if len(a) > len(b) {
+		a, b = b, a
+	}
+	rest, ok := strings.CutPrefix(b, a)
+	return ok && (rest == "" || rest[0] == '.' || rest[0] == '[')
+}
+
 // tree turns a document into the generic form of its JSON.
 func tree(doc *schema.Document) (any, error) {
 	raw, err := json.Marshal(doc)
@@ -98,8 +104,8 @@
 }
 
 func compareLists(path string, a, b []any, out *[]Change) {
-	an, aok := named(a)
-	bn, bok := named(b)
+	an, aok := byIdentity(a)
+	bn, bok := byIdentity(b)
 	if aok && bok {
 		compareMaps(path+"[", an, bn, "]", out)
 		return
@@ -109,23 +115,6 @@
 	}
 }
 
-// named returns the entries of a list by name, if each of them has one of its own.
-func named(list []any) (map[string]any, bool) {
-	out := make(map[string]any, len(list))
-	for _, e := range list {
-		m, ok := e.(map[string]any)
-		if !ok {
-			return nil, false
-		}
-		name, ok := m["name"].(string)
-		if !ok || out[name] != nil {
-			return nil, false
-		}
-		out[name] = m
-	}
-	return out, true
-}
-
 func at(list []any, i int) any {
 	if i < len(list) {
 		return list[i]
--- /dev/null
+++ b/internal/conf/delta/merge_test.go
@@ -0,0 +1,73 @@
+package delta_test
+
+import (
+	"fmt"
+	"testing"
+
+	"geraniumhollow/internal/conf/delta"
+	"geraniumhollow/internal/conf/schema"
+)
+
+// Guards against a redone change that undoes the change of the operator who was first, and against
+// conflicts that are not shown because one change contains the other.
+func TestMergeAndOverlap(t *testing.T) {
+	t.Parallel()
+	setB := func(v bool) func(*schema.Document) {
+		return func(d *schema.Document) { d.DataCentres[1].InService = v }
+	}
+	add := func(name string) func(*schema.Document) {
+		return func(d *schema.Document) {
+			d.DataCentres = append(d.DataCentres, schema.DataCentre{Name: name, Region: "r", InService: true})
+		}
+	}
+	tests := []struct {
+		name         string
+		mine, theirs func(d *schema.Document)
+		want         string
+		overlap      int
+	}{
+		{"other entries", setB(false), func(d *schema.Document) { d.DataCentres[0].InService = false }, "[{false a r} {false b r}]", 0},
+		{"other fields of one entry", setB(false), func(d *schema.Document) { d.DataCentres[1].Region = "s" }, "[{true a r} {false b s}]", 0},
+		{"same field", setB(false), func(d *schema.Document) { d.DataCentres[1].InService = false }, "[{true a r} {false b r}]", 1},
+		{"both add", add("c"), add("d"), "[{true a r} {true b r} {true d r} {true c r}]", 0},
+		{"they remove what I change", setB(false), func(d *schema.Document) { d.DataCentres = d.DataCentres[:1] }, "[{true a r} {false b r}]", 1},
+		{"I remove what they change", func(d *schema.Document) { d.DataCentres = d.DataCentres[:1] }, setB(false), "[{true a r}]", 1},
+		{"only they change", func(*schema.Document) {}, setB(false), "[{true a r} {false b r}]", 0},
+		{"optional list", func(d *schema.Document) { d.Distances = []schema.Distance{{From: "a", To: "b"}} }, setB(false), "[{true a r} {false b r}]", 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			mine, theirs := document(), document()
+			tt.mine(mine)
+			tt.theirs(theirs)
+			merged, err := delta.Merge(document(), mine, theirs)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := fmt.Sprint(merged.DataCentres); got != tt.want {
+				t.Errorf("got %s, want %s", got, tt.want)
+			}
+			if len(merged.Distances) != len(mine.Distances) {
+				t.Errorf("%d distances, want %d", len(merged.Distances), len(mine.Distances))
+			}
+			m, _ := delta.Documents(document(), mine)
+			th, _ := delta.Documents(document(), theirs)
+			if got := delta.Overlap(m, th); len(got) != tt.overlap {
+				t.Errorf("overlap %v, want %d places", got, tt.overlap)
+			}
+		})
+	}
+}
+
+// Guards against an inserted distance that is shown as a change of all distances after it.
+func TestIdentityWithoutName(t *testing.T) {
+	t.Parallel()
+	from, to := document(), document()
+	from.Distances = []schema.Distance{{From: "a", To: "b", OneWayUs: 5}}
+	to.Distances = []schema.Distance{{From: "a", To: "c", OneWayUs: 7}, {From: "a", To: "b", OneWayUs: 6}}
+	got, err := delta.Documents(from, to)
+	if err != nil || len(got) != 2 || got[0].Path != "$.distances[a~b].one_way_us" || got[1].Path != "$.distances[a~c]" {
+		t.Errorf("got %v, %v", got, err)
+	}
+}
--- a/internal/conf/schema/document.gen.go
+++ b/internal/conf/schema/document.gen.go
@@ -10,7 +10,7 @@
 	// Name corresponds to the JSON schema field "name".
 	Name string `json:"name"`
 
-	// Default priority; 0 is the lowest.
+	// Default priority; 1 is the lowest.
 	Priority int `json:"priority,omitempty,omitzero"`
 
 	// Rate limit over the whole fleet; 0 is none.
@@ -37,10 +37,10 @@
 
 // Capacity is what one backend server can bear, cold and warm.
 type Capacity struct {
-	// ColdRequests corresponds to the JSON schema field "cold_requests".
+	// Requests at once while the backend server is in cold start.
 	ColdRequests int `json:"cold_requests"`
 
-	// WarmRequests corresponds to the JSON schema field "warm_requests".
+	// Requests at once when the backend server is warm.
 	WarmRequests int `json:"warm_requests"`
 
 	// Tokens of prompt and answer held at once; 0 is no limit.
@@ -49,7 +49,7 @@
 
 // DataCentre is one data centre and whether it is in service.
 type DataCentre struct {
-	// InService corresponds to the JSON schema field "in_service".
+	// Out of service, the data centre receives no new work.
 	InService bool `json:"in_service"`
 
 	// Name corresponds to the JSON schema field "name".
@@ -127,7 +127,7 @@
 // Group is a serving group: one replica of a model over the hosts of one fabric
 // domain.
 type Group struct {
-	// Adapters corresponds to the JSON schema field "adapters".
+	// Adapters that the group loads; the model must list them.
 	Adapters []string `json:"adapters,omitempty,omitzero"`
 
 	// Capacity corresponds to the JSON schema field "capacity".
@@ -152,7 +152,7 @@
 	// Name corresponds to the JSON schema field "name".
 	Name string `json:"name"`
 
-	// OutOfService corresponds to the JSON schema field "out_of_service".
+	// Out of service, the group receives no new work.
 	OutOfService bool `json:"out_of_service,omitempty,omitzero"`
 
 	// Version corresponds to the JSON schema field "version".
@@ -161,7 +161,7 @@
 
 // Host is one machine with accelerators.
 type Host struct {
-	// Accelerators corresponds to the JSON schema field "accelerators".
+	// Number of accelerators of the host.
 	Accelerators int `json:"accelerators"`
 
 	// IP and port of the engine on this host.
@@ -170,7 +170,8 @@
 	// FabricDomain corresponds to the JSON schema field "fabric_domain".
 	FabricDomain string `json:"fabric_domain"`
 
-	// InService corresponds to the JSON schema field "in_service".
+	// Out of service, the host receives no new work, and neither does a group that it
+	// is a member of.
 	InService bool `json:"in_service"`
 
 	// Name corresponds to the JSON schema field "name".
@@ -179,40 +180,40 @@
 
 // Limits bound what one node holds and how long requests wait.
 type Limits struct {
-	// AccountBufferBytes corresponds to the JSON schema field "account_buffer_bytes".
+	// Answer bytes held for all slow callers of one account.
 	AccountBufferBytes int `json:"account_buffer_bytes,omitempty,omitzero"`
 
-	// BodyBytes corresponds to the JSON schema field "body_bytes".
+	// Longest request body.
 	BodyBytes int `json:"body_bytes,omitempty,omitzero"`
 
 	// Times that a request suspected of crashing may run in the whole fleet.
 	CrashRuns int `json:"crash_runs,omitempty,omitzero"`
 
-	// NodeBufferBytes corresponds to the JSON schema field "node_buffer_bytes".
+	// Answer bytes held for all slow callers of a node.
 	NodeBufferBytes int `json:"node_buffer_bytes,omitempty,omitzero"`
 
 	// Requests that may wait for admission on one node.
 	QueueRequests int `json:"queue_requests,omitempty,omitzero"`
 
-	// QueueTimeoutMs corresponds to the JSON schema field "queue_timeout_ms".
+	// Longest wait for admission, in milliseconds.
 	QueueTimeoutMs int `json:"queue_timeout_ms,omitempty,omitzero"`
 
 	// Answer bytes held for one slow caller.
 	RequestBufferBytes int `json:"request_buffer_bytes,omitempty,omitzero"`
 
-	// RequestTimeoutMs corresponds to the JSON schema field "request_timeout_ms".
+	// Longest time of one request, in milliseconds.
 	RequestTimeoutMs int `json:"request_timeout_ms,omitempty,omitzero"`
 }
 
 // Model is a model that serving groups may offer.
 type Model struct {
-	// Adapters corresponds to the JSON schema field "adapters".
+	// Names of the adapters that groups may load.
 	Adapters []string `json:"adapters,omitempty,omitzero"`
 
 	// Longest prompt and answer together, in tokens.
 	ContextTokens int `json:"context_tokens,omitempty,omitzero"`
 
-	// HostsPerGroup corresponds to the JSON schema field "hosts_per_group".
+	// Hosts that one replica spans.
 	HostsPerGroup int `json:"hosts_per_group"`
 
 	// Name corresponds to the JSON schema field "name".
@@ -229,10 +230,10 @@
 	// Account corresponds to the JSON schema field "account".
 	Account string `json:"account"`
 
-	// BetweenTokensMs corresponds to the JSON schema field "between_tokens_ms".
+	// Time between tokens, in milliseconds.
 	BetweenTokensMs int `json:"between_tokens_ms,omitempty,omitzero"`
 
-	// FirstTokenMs corresponds to the JSON schema field "first_token_ms".
+	// Time to the first token, in milliseconds.
 	FirstTokenMs int `json:"first_token_ms,omitempty,omitzero"`
 
 	// Model corresponds to the JSON schema field "model".
@@ -289,7 +290,7 @@
 
 // ServiceBackend is one instance of a plain service.
 type ServiceBackend struct {
-	// Address corresponds to the JSON schema field "address".
+	// IP and port of the backend server.
 	Address string `json:"address"`
 
 	// Capacity corresponds to the JSON schema field "capacity".
@@ -301,7 +302,7 @@
 	// Name corresponds to the JSON schema field "name".
 	Name string `json:"name"`
 
-	// OutOfService corresponds to the JSON schema field "out_of_service".
+	// Out of service, the backend server receives no new work.
 	OutOfService bool `json:"out_of_service,omitempty,omitzero"`
 }
 
@@ -317,7 +318,7 @@
 	// once.
 	Repeatable bool `json:"repeatable"`
 
-	// TimeoutMs corresponds to the JSON schema field "timeout_ms".
+	// Longest time of one call, in milliseconds.
 	TimeoutMs int `json:"timeout_ms,omitempty,omitzero"`
 }
 
@@ -341,7 +342,7 @@
 	// ExamWeekGroups corresponds to the JSON schema field "exam_week_groups".
 	ExamWeekGroups int `json:"exam_week_groups,omitempty,omitzero"`
 
-	// Groups corresponds to the JSON schema field "groups".
+	// Warm groups outside the periods of the calendar.
 	Groups int `json:"groups"`
 
 	// HolidayGroups corresponds to the JSON schema field "holiday_groups".
--- a/internal/conf/schema/schema.go
+++ b/internal/conf/schema/schema.go
@@ -11,7 +11,8 @@
 //go:embed config.schema.json
 var ConfigSchema []byte
 
-// Defaults of Limits; they repeat the defaults of the schema, which the generator does not apply.
+// Defaults of optional fields; they repeat the defaults of the schema, which the generator does not
+// apply. A field with such a default cannot hold zero, which is how an absent field looks.
 const (
 	defaultBodyBytes          = 1 << 20
 	defaultRequestBufferBytes = 64 << 10
@@ -23,6 +24,9 @@
 	defaultCrashRuns          = 2
 	defaultContextTokens      = 8_192
 	defaultRouteTimeoutMs     = 30_000
+	defaultPriority           = 5
+	defaultFirstTokenMs       = 2_000
+	defaultBetweenTokensMs    = 36
 )
 
 // WithDefaults returns a copy of l in which every field that is zero has its default.
@@ -50,6 +54,19 @@
 	return r
 }
 
+// WithDefaults returns a copy of a in which every field that is zero has its default.
+func (a Account) WithDefaults() Account {
+	a.Priority = orDefault(a.Priority, defaultPriority)
+	return a
+}
+
+// WithDefaults returns a copy of o in which every field that is zero has its default.
+func (o Objective) WithDefaults() Objective {
+	o.FirstTokenMs = orDefault(o.FirstTokenMs, defaultFirstTokenMs)
+	o.BetweenTokensMs = orDefault(o.BetweenTokensMs, defaultBetweenTokensMs)
+	return o
+}
+
 // orDefault returns v, or def when v is zero.
 func orDefault[T comparable](v, def T) T {
 	var zero T
--- a/internal/conf/view/view.go
+++ b/internal/conf/view/view.go
@@ -108,7 +108,7 @@
 
 func (v *View) indexAccounts() {
 	for _, a := range v.doc.Accounts {
-		v.accounts[a.Name] = a
+		v.accounts[a.Name] = a.WithDefaults()
 		for _, h := range a.KeyHashes {
 			v.accountKeys[h] = a.Name
 		}
--- a/internal/conf/view/view_test.go
+++ b/internal/conf/view/view_test.go
@@ -89,3 +89,12 @@
 		})
 	}
 }
+
+// Guards against accounts without a priority that end up below every other account.
+func TestDefaultPriority(t *testing.T) {
+	t.Parallel()
+	doc := &schema.Document{Accounts: []schema.Account{{Name: "a", KeyHashes: []string{view.HashKey("k")}}}}
+	if a, ok := view.New(1, doc).AccountByKey("k"); !ok || a.Priority != 5 {
+		t.Errorf("priority %d, known %v; want 5", a.Priority, ok)
+	}
+}
