--- a/internal/bench/demo/check.go
+++ b/internal/bench/demo/check.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"geraniumhollow/internal/bench/load"
 	"geraniumhollow/internal/fake/model"
 	"geraniumhollow/internal/wire/event"
 	"github.com/cockroachdb/errors"
@@ -24,8 +25,40 @@
 // readyTimeout bounds the wait for the first configuration.
 const readyTimeout = 10 * time.Second
 
-// Check sends requests through every node and compares each answer with the expected one.
+// Load of the check's trial.
+const (
+	checkRate   = 60
+	checkLength = 12 * time.Second
+)
+
+// Check sends requests through every node, compares each answer with the expected one, and then runs
+// a small load while a data centre leaves and returns and an engine is killed. The error is marked
+// ErrCheckFailed when a bound was broken.
 func Check(ctx context.Context, s *System, w io.Writer) error {
+	if err := checkNodes(ctx, s, w); err != nil {
+		return err
+	}
+	t := Trial{
+		Name: "check",
+		Mix: load.Mix{
+			Deployment: s.Site.Deployment, Seed: 1, Length: checkLength, Rate: checkRate, Profile: load.Steady,
+		},
+		EngineKilled:   time.Second,
+		DataCentreOut:  2 * time.Second,
+		DataCentreBack: 9 * time.Second,
+	}
+	res, err := t.Run(ctx, s, w)
+	if err != nil {
+		return err
+	}
+	if res.Failed() {
+		return ErrCheckFailed
+	}
+	return nil
+}
+
+// checkNodes sends a whole and a streamed completion and a plain-service call through every node.
+func checkNodes(ctx context.Context, s *System, w io.Writer) error {
 	for _, cfg := range s.Nodes {
 		if err := waitReady(ctx, s, cfg.CallerAddress); err != nil {
 			return err
--- a/internal/bench/demo/demo.go
+++ b/internal/bench/demo/demo.go
@@ -27,6 +27,9 @@
 type System struct {
 	Site  *site.Site
 	Nodes []flags.Settings
+
+	// stops begin the planned stop of a node.
+	stops []context.CancelFunc
 }
 
 // Command returns the demo subcommand.
@@ -68,16 +71,16 @@
 	}
 	sys := &System{Site: s}
 	for i := range nodeCount {
-		cfg, err := startNode(g, s, i, log)
-		if err != nil {
+		if err := sys.startNode(g, i, log); err != nil {
 			return nil, err
 		}
-		sys.Nodes = append(sys.Nodes, cfg)
 	}
 	return sys, nil
 }
 
-func startNode(g *tasks.Group, s *site.Site, i int, log hclog.Logger) (flags.Settings, error) {
+// startNode starts node i and adds it to the system.
+func (sys *System) startNode(g *tasks.Group, i int, log hclog.Logger) error {
+	s := sys.Site
 	cfg := flags.Settings{
 		NodeName:        fmt.Sprintf("node-%d", i),
 		DataCentre:      s.Deployment.RunnerDataCentre(i),
@@ -93,14 +96,17 @@
 	}
 	lns, cfg, err := serve.Listen(g.Context(), cfg)
 	if err != nil {
-		return cfg, errors.Newf("open sockets of %s: %w", cfg.NodeName, err)
+		return errors.Newf("open sockets of %s: %w", cfg.NodeName, err)
 	}
 	n, err := serve.New(cfg, lns, log)
 	if err != nil {
-		return cfg, errors.Newf("build %s: %w", cfg.NodeName, err)
+		return errors.Newf("build %s: %w", cfg.NodeName, err)
 	}
-	g.Go(cfg.NodeName, n.Run)
-	return cfg, nil
+	ctx, stop := context.WithCancel(g.Context())
+	sys.Nodes = append(sys.Nodes, cfg)
+	sys.stops = append(sys.stops, stop)
+	g.Go(cfg.NodeName, func(context.Context) error { return n.Run(ctx) })
+	return nil
 }
 
 // describe prints the addresses, a key and a call that works.
