--- a/internal/bench/demo/demo.go
+++ b/internal/bench/demo/demo.go
@@ -79,17 +79,16 @@
 }
 
 // startNode starts node i and adds it to the system.
-func (sys *System) startNode(g *tasks.Group, i int, log hclog.Logger) error {
-	s := sys.Site
+func (s *System) startNode(g *tasks.Group, i int, log hclog.Logger) error {
 	cfg := flags.Settings{
 		NodeName:        fmt.Sprintf("node-%d", i),
-		DataCentre:      s.Deployment.RunnerDataCentre(i),
+		DataCentre:      s.Site.Deployment.RunnerDataCentre(i),
 		CallerAddress:   "127.0.0.1:0",
 		OperatorAddress: "127.0.0.1:0",
 		PeerAddress:     "127.0.0.1:0",
-		TableAddress:    s.PlatformAddress,
-		ObjectAddress:   s.PlatformAddress,
-		HostsAddress:    s.PlatformAddress,
+		TableAddress:    s.Site.PlatformAddress,
+		ObjectAddress:   s.Site.PlatformAddress,
+		HostsAddress:    s.Site.PlatformAddress,
 		LogLevel:        "info",
 		DrainNotice:     4 * time.Second,
 		DrainTimeout:    2 * time.Minute,
@@ -103,8 +102,8 @@
 		return errors.Newf("build %s: %w", cfg.NodeName, err)
 	}
 	ctx, stop := context.WithCancel(g.Context())
-	sys.Nodes = append(sys.Nodes, cfg)
-	sys.stops = append(sys.stops, stop)
+	s.Nodes = append(s.Nodes, cfg)
+	s.stops = append(s.stops, stop)
 	g.Go(cfg.NodeName, func(context.Context) error { return n.Run(ctx) })
 	return nil
 }
