Relay resumes an answer on another backend server and bounds its memory

Cause: an engine that died, cut or stalled its stream ended the request, any instance of an engine could get a send, and a slow caller's answer was held by nothing but TCP.

Change: one engine client per server and instance, whose connections check the instance and which does not send past the end of a grant. The relay tries other servers, waits and tries again until the queue timeout, resumes at the offset with the text so far, bounds the wait for each frame, sends a cancel to the engine when an attempt ends early, and has AbortServer for a route that closes. One log per answer holds undelivered and delivered text within the request's bound and shares of the account's and the node's; past the bound the attempt is cancelled and resumed when the caller has read on. Text that is dropped leaves only the engine that has the answer.

The stand-in engine refuses a resume whose text is wrong, can resume requests that it has run, breaks its connections on a restart and has more faults. 64 KiB bound the line and data of one event.

Conclusion: the caller interface does not use resume and outcomes yet.

--- a/internal/fake/model/complete.go
+++ b/internal/fake/model/complete.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -23,6 +24,9 @@
 type attempt struct {
 	key     string
 	id      string
+	account string
+	resume  string
+	conn    net.Conn
 	number  int
 	offset  int
 	prompt  string
@@ -34,30 +38,46 @@
 func (e *Engine) serveCompletion(rc *fasthttp.RequestCtx) {
 	a, err := parseAttempt(rc)
 	if err != nil {
-		rc.Response.Header.Set(engine.HeaderNotStarted, "1")
-		rc.Error(err.Error(), http.StatusBadRequest)
+		refuse(rc, http.StatusBadRequest)
 		return
 	}
-	ctx, ok := e.start(&a)
-	if !ok {
+	ctx, status := e.start(&a)
+	switch status {
+	case http.StatusOK:
+	case statusCrashed:
 		_ = rc.Conn().Close()
 		return
+	case http.StatusInternalServerError:
+		rc.SetStatusCode(status)
+		return
+	default:
+		refuse(rc, status)
+		return
 	}
 	rc.SetContentType("text/event-stream")
 	rc.SetBodyStreamWriter(func(w *bufio.Writer) { e.stream(ctx, w, a) })
 }
 
+// refuse states that the request did not start.
+func refuse(rc *fasthttp.RequestCtx, status int) {
+	rc.Response.Header.Set(engine.HeaderNotStarted, "1")
+	rc.SetStatusCode(status)
+}
+
 func parseAttempt(rc *fasthttp.RequestCtx) (attempt, error) {
 	var body engine.Body
 	if err := json.Unmarshal(rc.PostBody(), &body); err != nil {
 		return attempt{}, err //nolint:wrapcheck // The text goes to the peer as it is.
 	}
 	h := &rc.Request.Header
-	a := attempt{id: string(h.Peek(engine.HeaderRequestID)), prompt: body.Prompt, tokens: body.MaxTokens}
+	a := attempt{
+		id: string(h.Peek(engine.HeaderRequestID)), account: string(h.Peek(engine.HeaderAccount)),
+		prompt: body.Prompt, tokens: body.MaxTokens, resume: body.ResumeText, conn: rc.Conn(),
+	}
 	if a.prompt == "" {
 		a.prompt = string(body.Messages)
 	}
-	if a.tokens == 0 {
+	if a.tokens == 0 && a.prompt != "" {
 		a.tokens = defaultMaxTokens
 	}
 	a.number, _ = strconv.Atoi(string(h.Peek(engine.HeaderAttempt)))
@@ -66,32 +86,87 @@
 	return a, nil
 }
 
-// start books the attempt. It returns false when the attempt crashed the engine.
-func (e *Engine) start(a *attempt) (context.Context, bool) {
+// statusCrashed stands for an attempt that gets no answer because it crashed the engine.
+const statusCrashed = 0
+
+// start books the attempt and returns the HTTP status of its answer, or statusCrashed.
+func (e *Engine) start(a *attempt) (context.Context, int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.stats.Started++
-	e.stats.LastStart = time.Now()
-	e.stats.RunsOfPrompt[PromptHash(a.prompt)]++
+	switch {
+	case e.conns[a.conn] != e.instance:
+		return nil, statusCrashed // The connection belongs to an instance that has ended.
+	case e.faults.Refuse:
+		return nil, http.StatusServiceUnavailable
+	case e.faults.Fail:
+		e.stats.Started++
+		return nil, http.StatusInternalServerError
+	case !e.canResume(a):
+		return nil, http.StatusConflict
+	}
+	e.book(a)
 	ctx, cancel := context.WithCancel(e.alive)
 	e.running[a.key] = &run{cancel: cancel, tokens: len(a.prompt)/bytesPerToken + a.tokens}
+	if e.state == engine.Cold {
+		e.stats.MaxColdHeld = max(e.stats.MaxColdHeld, len(e.running))
+	}
+	if e.overloaded() || (e.faults.CrashOnPrompt != "" && a.prompt == e.faults.CrashOnPrompt) {
+		e.crash()
+		return ctx, statusCrashed
+	}
+	return ctx, http.StatusOK
+}
+
+// canResume completes an attempt past offset 0 from what the instance knows. Without the text of the
+// answer so far, only a request that this instance has run can be resumed.
+func (e *Engine) canResume(a *attempt) bool {
+	if a.offset == 0 {
+		return a.prompt != ""
+	}
+	k, ok := e.known[a.id]
+	if ok && k.account == a.account {
+		a.prompt, a.tokens = k.prompt, k.tokens
+		return a.resume == "" || a.resume == Answer(a.prompt, a.offset)
+	}
+	return a.prompt != "" && a.resume == Answer(a.prompt, a.offset)
+}
+
+// maxKnown bounds the requests that an instance can resume by itself.
+const maxKnown = 4096
+
+// book counts an attempt that starts.
+func (e *Engine) book(a *attempt) {
 	a.faults = e.faults
 	a.started = time.Now()
+	e.stats.Started++
+	e.stats.LastStart = a.started
+	e.stats.RunsOfPrompt[PromptHash(a.prompt)]++
+	if a.offset > 0 {
+		e.stats.Resumed++
+		if a.resume == "" {
+			e.stats.ResumedAlone++
+		}
+	}
+	if _, ok := e.known[a.id]; !ok {
+		e.knownIDs = append(e.knownIDs, a.id)
+	}
+	e.known[a.id] = known{account: a.account, prompt: a.prompt, tokens: a.tokens}
+	if len(e.knownIDs) > maxKnown {
+		delete(e.known, e.knownIDs[0])
+		e.knownIDs = e.knownIDs[1:]
+	}
 	e.seq++
 	e.cache = append(e.cache, engine.CacheEvent{Seq: e.seq, Hash: PromptHash(a.prompt), Stored: true})
 	if len(e.cache) > maxCacheEvents {
 		e.cache = e.cache[len(e.cache)-maxCacheEvents:]
 	}
-	if e.state == engine.Cold {
-		e.stats.MaxColdHeld = max(e.stats.MaxColdHeld, len(e.running))
-	}
-	if e.overloaded() || (e.faults.CrashOnPrompt != "" && a.prompt == e.faults.CrashOnPrompt) {
-		e.stats.Crashes++
-		e.kill()
-		e.restart(engine.Cold)
-		return ctx, false
-	}
-	return ctx, true
+}
+
+// crash ends the instance. The engine is locked.
+func (e *Engine) crash() {
+	e.stats.Crashes++
+	e.kill()
+	e.restart(engine.Cold)
 }
 
 // maxCacheEvents is how many cache events a report carries; older ones are lost.
@@ -125,11 +200,7 @@
 	}
 	var held []byte
 	for i := a.offset; i < a.tokens; i++ {
-		if a.faults.CutAfterTokens > 0 && i-a.offset >= a.faults.CutAfterTokens {
-			return
-		}
-		if a.faults.Stall {
-			<-ctx.Done()
+		if !e.misbehave(ctx, w, a, i-a.offset) {
 			return
 		}
 		frames := a.frames(i)
@@ -150,8 +221,35 @@
 	completed = w.Flush() == nil
 }
 
+// misbehave does what the faults demand after n tokens of an attempt and reports whether its stream goes
+// on.
+func (e *Engine) misbehave(ctx context.Context, w *bufio.Writer, a attempt, n int) bool {
+	f := a.faults
+	switch {
+	case f.CutAfterTokens > 0 && n >= f.CutAfterTokens:
+		return false
+	case f.Stall || (f.StallAfterTokens > 0 && n >= f.StallAfterTokens):
+		<-ctx.Done()
+		return false
+	case f.CrashAfterTokens > 0 && n >= f.CrashAfterTokens:
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if e.conns[a.conn] == e.instance {
+			e.crash()
+		}
+		return false
+	case f.Garbage > 0 && n == f.Garbage:
+		_, err := w.WriteString("id: x\ndata: {\n\n")
+		return err == nil
+	}
+	return true
+}
+
 // frames returns the wire form of token i, with the faults of the engine.
 func (a attempt) frames(i int) []byte {
+	if a.faults.DropToken > 0 && i%a.faults.DropToken == 0 {
+		return nil
+	}
 	f := engine.Frame{Text: Token(a.prompt, i)}
 	b := a.encode(a.number, i, f)
 	if a.faults.RepeatFrames {
--- a/internal/fake/model/model.go
+++ b/internal/fake/model/model.go
@@ -42,8 +42,13 @@
 
 // Stats counts what an engine has seen.
 type Stats struct {
-	Started      int
-	Completed    int
+	Started   int
+	Completed int
+	// Cancelled counts the cancels that ended a run.
+	Cancelled int
+	// Resumed counts the attempts that started past offset 0, and ResumedAlone those without text.
+	Resumed      int
+	ResumedAlone int
 	MaxColdHeld  int
 	Crashes      int
 	LastStart    time.Time
@@ -58,6 +63,11 @@
 	instance string
 	state    engine.State
 	running  map[string]*run
+	// known are the requests that the instance can resume by itself, oldest first in knownIDs.
+	known    map[string]known
+	knownIDs []string
+	// conns are the open connections with the instance that accepted each.
+	conns    map[net.Conn]string
 	members  []engine.Member
 	stats    Stats
 	faults   Faults
@@ -75,6 +85,13 @@
 	tokens int
 }
 
+// known is a request that an instance has run.
+type known struct {
+	account string
+	prompt  string
+	tokens  int
+}
+
 // Faults are what an engine does wrong. The zero value does nothing wrong.
 type Faults struct {
 	// CutAfterTokens ends each stream after this many tokens without a last frame.
@@ -89,11 +106,25 @@
 	CrashOnPrompt string
 	// Stall stops the tokens of every stream.
 	Stall bool
+	// StallAfterTokens stops each stream after this many tokens and leaves it open.
+	StallAfterTokens int
+	// CrashAfterTokens kills the engine when a stream has had this many tokens.
+	CrashAfterTokens int
+	// DropToken leaves out every token whose offset is a multiple of it.
+	DropToken int
+	// Garbage sends a frame that cannot be decoded after this many tokens.
+	Garbage int
+	// Refuse answers 503 and states that the request did not start.
+	Refuse bool
+	// Fail answers 500 and states nothing.
+	Fail bool
 }
 
 // New returns an engine in the given state with a fresh instance id.
 func New(cfg Config, state engine.State) *Engine {
-	e := &Engine{cfg: cfg, stats: Stats{RunsOfPrompt: make(map[uint64]int)}}
+	e := &Engine{
+		cfg: cfg, stats: Stats{RunsOfPrompt: make(map[uint64]int)}, conns: make(map[net.Conn]string),
+	}
 	e.restart(state)
 	return e
 }
@@ -108,6 +139,10 @@
 
 func (e *Engine) restart(state engine.State) {
 	e.instance = uuid.NewString()
+	for nc := range e.conns {
+		_ = nc.Close()
+	}
+	e.known, e.knownIDs = make(map[string]known), nil
 	e.state = state
 	e.running = make(map[string]*run)
 	e.cache = nil
@@ -140,6 +175,20 @@
 	e.members = slices.Clone(members)
 }
 
+// Instance returns the id of the instance that runs now.
+func (e *Engine) Instance() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.instance
+}
+
+// Running returns the number of attempts that run now.
+func (e *Engine) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.running)
+}
+
 // Stats returns a copy of the counters.
 func (e *Engine) Stats() Stats {
 	e.mu.Lock()
@@ -154,7 +203,9 @@
 
 // Serve answers the engine protocol on ln until ctx ends.
 func (e *Engine) Serve(ctx context.Context, ln net.Listener) error {
-	srv := &fasthttp.Server{Handler: e.handle, Concurrency: maxConcurrency, CloseOnShutdown: true}
+	srv := &fasthttp.Server{
+		Handler: e.handle, Concurrency: maxConcurrency, CloseOnShutdown: true, ConnState: e.connState,
+	}
 	stop := context.AfterFunc(ctx, func() {
 		e.mu.Lock()
 		e.kill()
@@ -171,6 +222,19 @@
 // maxConcurrency bounds the connections of one engine.
 const maxConcurrency = 4096
 
+// connState keeps the open connections, which break when the engine restarts.
+func (e *Engine) connState(nc net.Conn, state fasthttp.ConnState) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch state {
+	case fasthttp.StateNew:
+		e.conns[nc] = e.instance
+	case fasthttp.StateClosed, fasthttp.StateHijacked:
+		delete(e.conns, nc)
+	default:
+	}
+}
+
 func (e *Engine) handle(rc *fasthttp.RequestCtx) {
 	e.mu.Lock()
 	rc.Response.Header.Set(engine.HeaderInstance, e.instance)
@@ -241,6 +305,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if r, ok := e.running[key]; ok {
+		e.stats.Cancelled++
 		r.cancel()
 	}
 }
--- /dev/null
+++ b/internal/node/relay/attempt.go
@@ -0,0 +1,131 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"geraniumhollow/internal/conf/view"
+	"geraniumhollow/internal/plat/engine"
+	"geraniumhollow/internal/route/stream"
+	"github.com/cockroachdb/errors"
+)
+
+// attempt runs the request on one backend server. It returns nil when the answer is whole.
+func (u *run) attempt(ctx context.Context, s view.Server, g Grant) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer u.r.flights.add(s.Name, cancel)()
+	res := Result{Failed: true, Instance: g.Instance}
+	u.r.deps.Picker.Started(s.Name, u.w)
+	defer func() {
+		u.r.deps.Granter.Release(g, res)
+		u.r.deps.Picker.Ended(s.Name, u.w, res)
+	}()
+	timer := time.AfterFunc(u.r.deps.Timeouts.FirstFrame, func() { cancel(errStalled) })
+	defer timer.Stop()
+	number, before := u.rec.startAttempt()
+	client := u.r.clients.get(s.Address, g.Instance)
+	begun := time.Now()
+	st, err := client.Complete(ctx, u.job(number, g))
+	if err != nil {
+		if errors.Is(err, engine.ErrNotStarted) {
+			u.rec.revertAttempt(before)
+		} else {
+			u.r.cancels.send(client, u.c.ID, number)
+		}
+		return withCause(ctx, errors.Newf("attempt %d: %w", number, err))
+	}
+	defer st.Close()
+	res.Instance, res.State = st.Instance, st.State
+	u.log.Begin(s.Name)
+	err = u.copyFrames(st, number, func(f engine.Frame) {
+		if res.FirstToken == 0 {
+			res.FirstToken = time.Since(begun)
+		}
+		res.PromptTokens, res.CachedTokens = max(res.PromptTokens, f.PromptTokens), max(res.CachedTokens, f.CachedTokens)
+		timer.Reset(u.r.deps.Timeouts.Frame)
+	})
+	res.Failed = err != nil && !errors.Is(err, stream.ErrFull)
+	if err != nil {
+		u.r.cancels.send(client, u.c.ID, number)
+		return withCause(ctx, errors.Newf("attempt %d: %w", number, err))
+	}
+	return nil
+}
+
+// withCause adds the reason for which ctx was cancelled to an error that follows from it.
+func withCause(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return errors.Mark(errors.Newf("%w: %w", cause, err), cause)
+	}
+	return err
+}
+
+// startAttempt returns the number of a new attempt and notes that the request may run from now on. The
+// second result is what the note was before.
+func (rec *record) startAttempt() (int, bool) {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	before := rec.started
+	rec.started = true
+	rec.attempts++
+	return rec.attempts, before
+}
+
+// revertAttempt takes the note back after proof that the attempt did not start.
+func (rec *record) revertAttempt(before bool) {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	rec.started = before
+}
+
+func (u *run) job(number int, g Grant) engine.Job {
+	j := engine.Job{
+		RequestID: u.c.ID, Attempt: number, Offset: u.log.End(), Account: u.c.Account.Name,
+		Priority: u.c.Priority, SendBy: g.Until,
+		Body: engine.Body{
+			Model: u.c.Model, Version: u.c.Version, Adapter: u.c.Adapter, Prompt: u.c.Prompt,
+			Messages: u.c.Messages, MaxTokens: u.c.MaxTokens, Seed: u.c.Seed,
+		},
+	}
+	if j.Offset > 0 {
+		j.Body.ResumeText, _ = u.log.Text()
+	}
+	return j
+}
+
+// copyFrames appends the frames of an attempt to the log until the answer is whole. seen is called for
+// each frame of the attempt.
+func (u *run) copyFrames(st *engine.Stream, number int, seen func(engine.Frame)) error {
+	asm := stream.New(u.log.End())
+	asm.Begin(number)
+	var ready []stream.Frame
+	for {
+		f, err := st.Next()
+		if errors.Is(err, io.EOF) {
+			return errors.New("engine ended the stream before the answer was whole")
+		}
+		if err != nil {
+			return errors.Newf("read frame: %w", err)
+		}
+		before := asm.Next()
+		ready, err = asm.Add(ready[:0], stream.Frame{
+			Attempt: f.Attempt, Offset: f.Offset, Text: f.Text, Finish: f.FinishReason,
+		})
+		if err != nil {
+			return errors.Newf("assemble answer: %w", err)
+		}
+		if asm.Next() > before || len(ready) > 0 {
+			seen(f)
+		}
+		for _, out := range ready {
+			if err := u.log.Append(out); err != nil {
+				return errors.Newf("hold answer: %w", err)
+			}
+			if out.Finish != "" {
+				return nil
+			}
+		}
+	}
+}
--- a/internal/node/relay/deps.go
+++ b/internal/node/relay/deps.go
@@ -9,6 +9,7 @@
 	"geraniumhollow/internal/core/fault"
 	"geraniumhollow/internal/core/sets"
 	"geraniumhollow/internal/plat/engine"
+	"github.com/cockroachdb/errors"
 )
 
 // Work is what a request asks of a backend server.
@@ -71,12 +72,65 @@
 	Release(g Grant, r Result)
 }
 
+// Retrier limits the attempts that follow a failed one. It is safe for concurrent use.
+type Retrier interface {
+	// Began counts a request.
+	Began(w Work)
+	// Retry reports whether another attempt may follow a failed one.
+	Retry(w Work) bool
+}
+
+// Ask is a demand for the rest of an answer that a caller has seen a part of.
+type Ask struct {
+	RequestID string
+	// Account is the name of the client account that asks.
+	Account string
+	// Offset is the first token that the caller lacks.
+	Offset int
+	// Server is the backend server that gave the last token that the caller has.
+	Server string
+}
+
+// Origin reaches the nodes that requests began on. It is safe for concurrent use. The asked node
+// answers with Relay.ResumeLocal and Relay.Status.
+type Origin interface {
+	// Resume passes the rest of an answer to sink. It returns ErrOriginUnreachable when the node
+	// cannot be asked or its link broke, and else nil or the *fault.Error of the asked node.
+	Resume(ctx context.Context, node string, a Ask, sink Sink) error
+	// Outcome returns what the node knows of a request, with the same errors.
+	Outcome(ctx context.Context, node, requestID, account string) (Status, error)
+}
+
+// ErrOriginUnreachable means that the node that a request began on cannot be asked.
+var ErrOriginUnreachable = errors.New("origin node cannot be reached")
+
+// Timeouts bound the waits of an attempt. Zero values have defaults.
+type Timeouts struct {
+	// FirstFrame is the longest wait for the first frame of an attempt, prefill included.
+	FirstFrame time.Duration
+	// Frame is the longest wait for each later frame.
+	Frame time.Duration
+}
+
+// Defaults of Timeouts. A first token is due within 2 s and each later one within 36 ms; the bounds
+// leave room for a full engine queue and for a long pause of the engine's host.
+const (
+	defaultFirstFrame = 10 * time.Second
+	defaultFrame      = 2 * time.Second
+)
+
 // Deps are the parts that a relay decides with. New fills the absent ones with parts that decide
-// nothing: round robin, no admission control and no shared budget.
+// nothing: round robin, no admission control, no shared budget, retries without a budget and no links
+// to other nodes.
 type Deps struct {
-	Picker  Picker
-	Gate    Gate
-	Granter Granter
+	// Node is the name of this node, which request ids carry.
+	Node     string
+	Picker   Picker
+	Gate     Gate
+	Granter  Granter
+	Retrier  Retrier
+	Origin   Origin
+	Timeouts Timeouts
 }
 
 func (d Deps) withDefaults() Deps {
@@ -89,6 +143,18 @@
 	if d.Granter == nil {
 		d.Granter = freeGrants{}
 	}
+	if d.Retrier == nil {
+		d.Retrier = freeRetries{}
+	}
+	if d.Origin == nil {
+		d.Origin = noOrigin{}
+	}
+	if d.Timeouts.FirstFrame == 0 {
+		d.Timeouts.FirstFrame = defaultFirstFrame
+	}
+	if d.Timeouts.Frame == 0 {
+		d.Timeouts.Frame = defaultFrame
+	}
 	return d
 }
 
@@ -100,10 +166,12 @@
 func (p *roundRobin) Pick(v *view.View, w Work) (view.Server, *fault.Error) {
 	servers := v.Servers(w.Model)
 	for range servers {
-		s := servers[int(p.next.Add(1))%len(servers)]
-		if !w.Tried.Has(s.Name) {
-			return s, nil
+		s := servers[p.next.Add(1)%uint64(len(servers))]
+		if w.Tried.Has(s.Name) || (w.Version != "" && s.Version != w.Version) ||
+			(w.Adapter != "" && !s.Adapters.Has(w.Adapter)) {
+			continue
 		}
+		return s, nil
 	}
 	return view.Server{}, fault.New(fault.NoBackend, fault.NotRun, "no backend server offers the model").
 		WithRetryAfter(retryAfter)
@@ -127,3 +195,19 @@
 }
 
 func (freeGrants) Release(Grant, Result) {}
+
+// freeRetries allows every retry.
+type freeRetries struct{}
+
+func (freeRetries) Began(Work) {}
+
+func (freeRetries) Retry(Work) bool { return true }
+
+// noOrigin reaches no other node.
+type noOrigin struct{}
+
+func (noOrigin) Resume(context.Context, string, Ask, Sink) error { return ErrOriginUnreachable }
+
+func (noOrigin) Outcome(context.Context, string, string, string) (Status, error) {
+	return Status{}, ErrOriginUnreachable
+}
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -5,23 +5,19 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
-	"sync"
 	"time"
 
 	"geraniumhollow/internal/conf/schema"
 	"geraniumhollow/internal/conf/view"
 	"geraniumhollow/internal/core/fault"
 	"geraniumhollow/internal/core/sets"
+	"geraniumhollow/internal/core/tasks"
 	"geraniumhollow/internal/plat/engine"
 	"geraniumhollow/internal/route/stream"
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 )
 
-// maxAttempts bounds the attempts of one request.
-const maxAttempts = 4
-
 // retryAfter is when a caller may come back after a refusal for want of a backend server.
 const retryAfter = time.Second
 
@@ -44,139 +40,113 @@
 
 // Relay runs requests. It is safe for concurrent use.
 type Relay struct {
-	log  hclog.Logger
-	view func() *view.View
-	deps Deps
-
-	mu      sync.Mutex
-	engines map[string]*engine.Client
+	log     hclog.Logger
+	view    func() *view.View
+	deps    Deps
+	clients clients
+	flights flights
+	cancels *canceller
+	budget  *stream.Budget
+	recent  *recent
 }
 
 // New returns a relay that reads the configuration in force from current.
 func New(log hclog.Logger, current func() *view.View, deps Deps) *Relay {
-	return &Relay{log: log, view: current, deps: deps.withDefaults(), engines: make(map[string]*engine.Client)}
+	return &Relay{
+		log: log, view: current, deps: deps.withDefaults(),
+		clients: clients{byAddr: make(map[string][]*engine.Client)},
+		flights: flights{byServer: make(map[string]map[uint64]context.CancelCauseFunc)},
+		cancels: newCanceller(), budget: stream.NewBudget(), recent: newRecent(),
+	}
 }
 
-// Complete runs a completion and passes its answer to sink. The error is a *fault.Error.
+// ErrAborted is the cause of an attempt that AbortServer ended.
+var ErrAborted = errors.New("route to the backend server closed")
+
+// AbortServer ends all attempts in flight on a backend server at once and returns their number. Their
+// requests resume on other backend servers.
+func (r *Relay) AbortServer(name string) int { return r.flights.abort(name, ErrAborted) }
+
+// BufferedBytes returns the bytes of prompts and answers that the relay holds.
+func (r *Relay) BufferedBytes() int { return r.budget.Held() }
+
+// Complete runs a completion and passes its answer to sink.
 func (r *Relay) Complete(ctx context.Context, c Completion, sink Sink) *fault.Error {
-	v := r.view()
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(v.Limits.RequestTimeoutMs)*time.Millisecond)
-	defer cancel()
-	w := work(c)
-	leave, ferr := r.deps.Gate.Enter(ctx, v, w)
+	rec, ferr := r.open(c, r.view().Limits.RequestBufferBytes)
 	if ferr != nil {
 		return ferr
 	}
-	defer leave()
-	asm := stream.New(0)
-	started := false
-	var last error
-	for attempt := 1; attempt <= maxAttempts && ctx.Err() == nil; attempt++ {
-		s, ferr := r.deps.Picker.Pick(v, w)
-		if ferr != nil {
-			last = ferr
-			break
-		}
-		done, err := r.attempt(ctx, c, w, s, attempt, asm, sink)
-		if done {
-			return nil
-		}
-		started = started || !errors.Is(err, engine.ErrNotStarted)
-		last = err
-		w.Tried.Add(s.Name)
-		r.log.Info("attempt failed", "request_id", c.ID, "attempt", attempt, "backend_server", s.Name, "error", err)
+	return r.start(ctx, rec).deliver(sink)
+}
+
+// CompleteWhole runs a completion and returns its whole text and the reason for its end.
+func (r *Relay) CompleteWhole(ctx context.Context, c Completion) (string, string, *fault.Error) {
+	rec, ferr := r.open(c, stream.Unbounded)
+	if ferr != nil {
+		return "", "", ferr
 	}
-	outcome := fault.NotRun
-	if started {
-		outcome = fault.Unknown
+	log := rec.log
+	if ferr := r.start(ctx, rec).deliver(func(stream.Frame) error { return nil }); ferr != nil {
+		return "", "", ferr
 	}
-	return fault.New(fault.BackendFailed, outcome, "no backend server completed the request").
-		WithRetryAfter(retryAfter).WithCause(last)
+	text, _ := log.Text()
+	return text, log.Finish(), nil
 }
 
-// bytesPerToken is the rough size of a prompt token.
-const bytesPerToken = 4
-
-func work(c Completion) Work {
-	return Work{
-		RequestID: c.ID, Account: c.Account.Name, Priority: c.Priority, Model: c.Model, Version: c.Version,
-		Adapter: c.Adapter, PromptTokens: (len(c.Prompt) + len(c.Messages)) / bytesPerToken,
-		MaxTokens: c.MaxTokens, Tried: sets.New[string](),
+// open makes the record of a new request, which holds its prompt and the first bytes of its answer.
+func (r *Relay) open(c Completion, limit int) (*record, *fault.Error) {
+	limits := r.view().Limits
+	share := r.budget.Open(c.Account.Name, limits.AccountBufferBytes, limits.NodeBufferBytes)
+	if !share.Grow(len(c.Prompt) + len(c.Messages) + stream.InitialBytes) {
+		return nil, fault.New(fault.Overloaded, fault.NotRun, "the node holds as many bytes as it may").
+			WithRetryAfter(retryAfter)
 	}
+	return &record{
+		id: c.ID, account: c.Account.Name, share: share, completion: c,
+		log:    stream.NewLog(share, limit, 0),
+		status: Status{RequestID: c.ID, State: Running, Outcome: fault.Unknown},
+	}, nil
 }
 
-// attempt runs the request on one backend server and reports whether the answer is whole.
-func (r *Relay) attempt(
-	ctx context.Context, c Completion, w Work, s view.Server, n int, asm *stream.Assembler, sink Sink,
-) (bool, error) {
-	g, err := r.deps.Granter.Acquire(ctx, s, w.PromptTokens+w.MaxTokens)
-	if err != nil {
-		return false, errors.Mark(errors.Newf("acquire grant: %w", err), engine.ErrNotStarted)
-	}
-	res := Result{Failed: true}
-	r.deps.Picker.Started(s.Name, w)
-	defer func() {
-		r.deps.Granter.Release(g, res)
-		r.deps.Picker.Ended(s.Name, w, res)
-	}()
-	asm.Begin(n)
-	st, err := r.engine(s).Complete(ctx, engine.Job{
-		RequestID: c.ID,
-		Attempt:   n,
-		Offset:    asm.Next(),
-		Account:   c.Account.Name,
-		Priority:  c.Priority,
-		Body: engine.Body{
-			Model: c.Model, Version: c.Version, Adapter: c.Adapter, Prompt: c.Prompt,
-			Messages: c.Messages, MaxTokens: c.MaxTokens, Seed: c.Seed,
-		},
-	})
-	if err != nil {
-		return false, errors.Newf("attempt %d: %w", n, err)
-	}
-	defer st.Close()
-	res.Instance, res.State = st.Instance, st.State
-	done, err := copyFrames(st, asm, sink)
-	res.Failed = !done
-	return done, err
+// errCallerGone is the cause of a request whose caller cannot be reached any more.
+var errCallerGone = errors.New("caller is gone")
+
+// turn is one run of a record: an answer in production and its delivery.
+type turn struct {
+	run    *run
+	cancel context.CancelCauseFunc
 }
 
-// copyFrames passes the frames of an attempt to sink until the answer is whole.
-func copyFrames(st *engine.Stream, asm *stream.Assembler, sink Sink) (bool, error) {
-	var ready []stream.Frame
-	for {
-		f, err := st.Next()
-		if errors.Is(err, io.EOF) {
-			return false, errors.New("engine ended the stream before the answer was whole")
-		}
-		if err != nil {
-			return false, errors.Newf("read frame: %w", err)
-		}
-		ready, err = asm.Add(ready[:0], stream.Frame{
-			Attempt: f.Attempt, Offset: f.Offset, Text: f.Text, Finish: f.FinishReason,
-		})
-		if err != nil {
-			return false, errors.Newf("assemble answer: %w", err)
-		}
-		for _, out := range ready {
-			if err := sink(out); err != nil {
-				return false, errors.Newf("deliver answer: %w", err)
-			}
-			if out.Finish != "" {
-				return true, nil
-			}
-		}
-	}
+// start begins to produce the answer of a record in the background. deliver has to be called on the
+// turn.
+func (r *Relay) start(ctx context.Context, rec *record) turn {
+	timeout := time.Duration(r.view().Limits.RequestTimeoutMs) * time.Millisecond
+	ctx, cancel := context.WithCancelCause(ctx)
+	ctx, stop := context.WithTimeoutCause(ctx, timeout, errTimeout)
+	rec.begin(cancel)
+	r.recent.add(rec)
+	u := newRun(r, rec)
+	tasks.New(ctx).Go("request "+rec.id, func(ctx context.Context) error {
+		defer cancel(nil)
+		defer stop()
+		u.produce(ctx)
+		return nil
+	})
+	return turn{run: u, cancel: cancel}
 }
 
-// engine returns the client of a backend server.
-func (r *Relay) engine(s view.Server) *engine.Client {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	c, ok := r.engines[s.Address]
-	if !ok {
-		c = engine.New(s.Address, "")
-		r.engines[s.Address] = c
+func (t turn) deliver(sink Sink) *fault.Error { return t.run.deliver(t.cancel, sink) }
+
+// bytesPerToken is the rough size of a prompt token.
+const bytesPerToken = 4
+
+// PromptTokens estimates the tokens of a prompt of n bytes.
+func PromptTokens(n int) int { return (n + bytesPerToken - 1) / bytesPerToken }
+
+func work(c Completion) Work {
+	return Work{
+		RequestID: c.ID, Account: c.Account.Name, Priority: c.Priority, Model: c.Model, Version: c.Version,
+		Adapter: c.Adapter, PromptTokens: PromptTokens(len(c.Prompt) + len(c.Messages)),
+		MaxTokens: c.MaxTokens, Tried: sets.New[string](),
 	}
-	return c
 }
--- /dev/null
+++ b/internal/node/relay/run.go
@@ -0,0 +1,287 @@
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"geraniumhollow/internal/conf/view"
+	"geraniumhollow/internal/core/fault"
+	"geraniumhollow/internal/core/sets"
+	"geraniumhollow/internal/plat/engine"
+	"geraniumhollow/internal/route/stream"
+	"github.com/cockroachdb/errors"
+)
+
+// Bounds of the attempts of one request.
+const (
+	// maxBarren is the number of attempts in a row that may fail without a new token.
+	maxBarren = 4
+	// maxFailures is the number of attempts that may fail in all.
+	maxFailures = 16
+)
+
+// Bounds of the wait for a backend server.
+const (
+	// maxAsks is the number of servers that are asked for a grant between two waits.
+	maxAsks  = 4
+	minPause = 5 * time.Millisecond
+	maxPause = 50 * time.Millisecond
+)
+
+// Causes of the end of an attempt or a request.
+var (
+	errTimeout   = errors.New("request timeout")
+	errStalled   = errors.New("engine sent no frame in time")
+	errTakenOver = errors.New("answer is resumed on another connection")
+)
+
+// run produces one answer.
+type run struct {
+	r      *Relay
+	rec    *record
+	log    *stream.Log
+	c      Completion
+	w      Work
+	reader int
+	// failures and barren count failed attempts, in all and since the last new token.
+	failures, barren int
+}
+
+func newRun(r *Relay, rec *record) *run {
+	return &run{r: r, rec: rec, log: rec.log, reader: rec.log.Reader(), c: rec.completion, w: work(rec.completion)}
+}
+
+// begin opens another turn of a record.
+func (rec *record) begin(cancel context.CancelCauseFunc) {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	rec.cancel, rec.done = cancel, make(chan struct{})
+	rec.status.State, rec.status.Outcome, rec.status.Code = Running, fault.Unknown, ""
+}
+
+// produce runs attempts until the answer is whole or given up, and settles the record.
+func (u *run) produce(ctx context.Context) {
+	// A panic in a part that the relay decides with leaves this error.
+	ferr := fault.New(fault.Internal, fault.Unknown, "the request failed inside the node")
+	defer func() { u.settle(ferr) }()
+	if u.log.Done() {
+		ferr = nil
+		return
+	}
+	leave, refusal := u.r.deps.Gate.Enter(ctx, u.r.view(), u.w)
+	if refusal != nil {
+		ferr = refusal
+		return
+	}
+	defer leave()
+	u.r.deps.Retrier.Began(u.w)
+	ferr = u.attempts(ctx)
+}
+
+// settle ends the turn for the reader and keeps what is known of the request.
+func (u *run) settle(ferr *fault.Error) {
+	rec := u.rec
+	rec.mu.Lock()
+	rec.status.State, rec.status.Outcome = Done, fault.Ran
+	if ferr != nil {
+		rec.status.State, rec.status.Outcome, rec.status.Code = Failed, ferr.Outcome(), ferr.Code()
+		u.log.Close(ferr)
+	} else {
+		u.log.Close(nil)
+		rec.share.Shrink(len(rec.completion.Prompt) + len(rec.completion.Messages))
+		rec.completion.Prompt, rec.completion.Messages = "", nil
+	}
+	rec.mu.Unlock()
+	u.r.recent.settle(rec, u.r.view().Limits.NodeBufferBytes/answersPart)
+	close(rec.done)
+}
+
+// deliver passes the answer to sink.
+func (u *run) deliver(cancel context.CancelCauseFunc, sink Sink) *fault.Error {
+	for {
+		f, err := u.log.Next(u.reader)
+		if err != nil {
+			return asFault(err)
+		}
+		if err := sink(f); err != nil {
+			cancel(errors.Mark(err, errCallerGone))
+			return fault.New(fault.OutcomeUnknown, fault.Unknown, "the caller is gone").WithCause(err)
+		}
+		if f.Finish != "" {
+			return nil
+		}
+	}
+}
+
+func asFault(err error) *fault.Error {
+	var ferr *fault.Error
+	if errors.As(err, &ferr) {
+		return ferr
+	}
+	return fault.New(fault.Internal, fault.Unknown, "the answer ended early").WithCause(err)
+}
+
+func (u *run) attempts(ctx context.Context) *fault.Error {
+	for !u.log.Done() {
+		s, g, refusal := u.reserve(ctx)
+		if refusal != nil {
+			return u.givenUp(ctx, refusal)
+		}
+		before := u.log.End()
+		err := u.attempt(ctx, s, g)
+		switch {
+		case err == nil:
+		case ctx.Err() != nil:
+			return u.givenUp(ctx, err)
+		case errors.Is(err, stream.ErrFull):
+			if err := u.log.WaitDrained(ctx); err != nil {
+				return u.givenUp(ctx, err)
+			}
+		case u.mustStop(before, err):
+			return u.givenUp(ctx, err)
+		default:
+			u.w.Tried.Add(s.Name)
+			u.r.log.Info("attempt failed", "request_id", u.c.ID, "backend_server", s.Name, "error", err)
+		}
+	}
+	return nil
+}
+
+// mustStop counts a failed attempt that started at an offset and reports whether it is the last.
+func (u *run) mustStop(before int, err error) bool {
+	if errors.IsAny(err, engine.ErrRejected, stream.ErrNoRoom) {
+		return true
+	}
+	u.failures++
+	u.barren++
+	if u.log.End() > before {
+		u.barren = 0
+	}
+	if u.failures >= maxFailures {
+		return true
+	}
+	if errors.Is(err, ErrAborted) {
+		return false
+	}
+	return u.barren >= maxBarren || !u.r.deps.Retrier.Retry(u.w)
+}
+
+// givenUp returns the error for the caller. Only a request of which no attempt can have started has the
+// outcome not_run.
+func (u *run) givenUp(ctx context.Context, err error) *fault.Error {
+	outcome := fault.NotRun
+	u.rec.mu.Lock()
+	if u.rec.started {
+		outcome = fault.Unknown
+	}
+	u.rec.mu.Unlock()
+	var refusal *fault.Error
+	switch {
+	case errors.Is(context.Cause(ctx), errTimeout):
+		return fault.New(fault.Timeout, outcome, "the request took too long").WithRetryAfter(retryAfter).WithCause(err)
+	case ctx.Err() != nil:
+		return fault.New(fault.OutcomeUnknown, outcome, "the request was cancelled").WithCause(context.Cause(ctx))
+	case errors.Is(err, engine.ErrRejected):
+		return fault.New(fault.BadRequest, outcome, "the backend server refused the request as invalid").WithCause(err)
+	case errors.Is(err, stream.ErrNoRoom):
+		return fault.New(fault.Overloaded, outcome, "the node has no room for the whole answer").
+			WithRetryAfter(retryAfter).WithCause(err)
+	case errors.As(err, &refusal) && outcome == fault.NotRun && u.failures == 0:
+		return refusal
+	}
+	return fault.New(fault.BackendFailed, outcome, "no backend server completed the request").
+		WithRetryAfter(retryAfter).WithCause(err)
+}
+
+// reserve chooses a backend server and gets a grant for it. While there is none, it tries again until
+// the queue timeout.
+func (u *run) reserve(ctx context.Context) (view.Server, Grant, *fault.Error) {
+	deadline := time.Now().Add(time.Duration(u.r.view().Limits.QueueTimeoutMs) * time.Millisecond)
+	pause := minPause
+	for {
+		s, g, refusal := u.reserveOnce(ctx)
+		if refusal == nil {
+			return s, g, nil
+		}
+		if u.stuck() || !wait(ctx, pause/2+rand.N(pause/2), deadline) {
+			return view.Server{}, Grant{}, refusal
+		}
+		pause = min(2*pause, maxPause)
+	}
+}
+
+// wait waits for d and reports whether that ended before the deadline and before ctx.
+func wait(ctx context.Context, d time.Duration, deadline time.Time) bool {
+	if time.Now().Add(d).After(deadline) {
+		return false
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// reserveOnce asks a few backend servers for a grant.
+func (u *run) reserveOnce(ctx context.Context) (view.Server, Grant, *fault.Error) {
+	v := u.r.view()
+	w := u.w
+	w.Tried = sets.New(sets.Sorted(u.w.Tried)...)
+	var busy *fault.Error
+	for range maxAsks {
+		s, refusal := u.pick(v, w)
+		if refusal != nil {
+			if busy != nil {
+				refusal = busy
+			}
+			return view.Server{}, Grant{}, refusal
+		}
+		g, err := u.r.deps.Granter.Acquire(ctx, s, w.PromptTokens+w.MaxTokens)
+		if err == nil {
+			return s, g, nil
+		}
+		w.Tried.Add(s.Name)
+		busy = fault.New(fault.Overloaded, fault.NotRun, "no backend server can take the request now").
+			WithRetryAfter(retryAfter).WithCause(err)
+	}
+	return view.Server{}, Grant{}, busy
+}
+
+// pick chooses a backend server. An answer whose beginning is no longer held can only be resumed by the
+// engine that has it.
+func (u *run) pick(v *view.View, w Work) (view.Server, *fault.Error) {
+	if !u.pinned() {
+		return u.r.deps.Picker.Pick(v, w)
+	}
+	if name := u.log.Server(); !w.Tried.Has(name) {
+		if s, ok := serverByName(v, name); ok {
+			return s, nil
+		}
+	}
+	return view.Server{}, fault.New(fault.NoBackend, fault.NotRun, "the backend server of the answer is not in service").
+		WithRetryAfter(retryAfter)
+}
+
+func (u *run) pinned() bool {
+	_, ok := u.log.Text()
+	return !ok
+}
+
+// stuck reports whether waiting for a backend server cannot help.
+func (u *run) stuck() bool { return u.pinned() && u.w.Tried.Has(u.log.Server()) }
+
+// serverByName returns a model's backend server that is in service.
+func serverByName(v *view.View, name string) (view.Server, bool) {
+	for _, m := range v.Document().Models {
+		for _, s := range v.Servers(m.Name) {
+			if s.Name == name {
+				return s, true
+			}
+		}
+	}
+	return view.Server{}, false
+}
--- a/internal/plat/conns/conns.go
+++ b/internal/plat/conns/conns.go
@@ -10,6 +10,7 @@
 	"context"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -89,12 +90,16 @@
 
 // Do sends req and returns when the headers of the answer have been read. An error that is marked
 // ErrNotSent proves that no byte of the request left; any other error leaves that open. The
-// connection is closed when ctx ends.
-func (p *Pool) Do(ctx context.Context, req *fasthttp.Request) (*Response, error) {
+// connection is closed when ctx ends. With a non-zero sendBy, the request is not sent after that time.
+func (p *Pool) Do(ctx context.Context, req *fasthttp.Request, sendBy time.Time) (*Response, error) {
 	c, err := p.take(ctx)
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotSent)
 	}
+	if !sendBy.IsZero() && time.Now().After(sendBy) {
+		p.put(c)
+		return nil, errors.Mark(errors.New("too late to send"), ErrNotSent)
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.nc.Close() })
 	resp, err := c.exchange(req)
 	if err != nil {
@@ -225,9 +230,20 @@
 		return
 	}
 	c.idleFrom = time.Now()
+	p.dropExpired()
 	p.idle = append(p.idle, c)
 }
 
+// dropExpired closes the connections that have waited too long; the oldest come first.
+func (p *Pool) dropExpired() {
+	n := 0
+	for n < len(p.idle) && time.Since(p.idle[n].idleFrom) >= p.opts.IdleTimeout {
+		_ = p.idle[n].nc.Close()
+		n++
+	}
+	p.idle = slices.Delete(p.idle, 0, n)
+}
+
 // exchange writes a request and reads the headers of its answer.
 func (c *Conn) exchange(req *fasthttp.Request) (*fasthttp.Response, error) {
 	if err := req.Write(c.bw); err != nil {
--- a/internal/plat/engine/engine.go
+++ b/internal/plat/engine/engine.go
@@ -55,6 +55,9 @@
 	ErrInstanceChanged = errors.New("engine instance changed")
 	// ErrRejected means that the engine refused the request as invalid.
 	ErrRejected = errors.New("engine rejected the request")
+	// ErrCannotResume means that the engine does not know the answer up to the offset that the
+	// attempt wanted to resume at, and was not given its text.
+	ErrCannotResume = errors.New("engine cannot resume the answer")
 )
 
 // Member is what one host of a group reports of itself.
@@ -96,7 +99,9 @@
 	Offset   int
 	Account  string
 	Priority int
-	Body     Body
+	// SendBy is when the right to send ends; zero is never.
+	SendBy time.Time
+	Body   Body
 }
 
 // Body is the JSON body of a completion.
@@ -108,7 +113,9 @@
 	Messages  json.RawMessage `json:"messages,omitempty"`
 	MaxTokens int             `json:"max_tokens"`
 	Seed      int64           `json:"seed,omitempty"`
-	// ResumeText is the text that earlier attempts have delivered.
+	// ResumeText is the text of the answer up to the offset. Without it, only an engine that ran an
+	// earlier attempt can resume; it answers 409 when it cannot. Such an attempt may leave out the
+	// prompt, too.
 	ResumeText string `json:"resume_text,omitempty"`
 }
 
@@ -168,7 +175,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	req.SetRequestURI(PathLoad)
 	req.Header.SetHost(c.addr)
-	resp, err := c.pool.Do(ctx, req)
+	resp, err := c.pool.Do(ctx, req, time.Time{})
 	if err != nil {
 		return Report{}, errors.Newf("ask for load: %w", err)
 	}
@@ -195,7 +202,7 @@
 	if err := fill(req, c.addr, j); err != nil {
 		return nil, errors.Mark(err, ErrNotStarted)
 	}
-	resp, err := c.pool.Do(ctx, req)
+	resp, err := c.pool.Do(ctx, req, j.SendBy)
 	if err != nil {
 		if errors.Is(err, conns.ErrNotSent) {
 			err = errors.Mark(err, ErrNotStarted)
@@ -206,23 +213,33 @@
 		defer resp.Close()
 		return nil, refusal(resp, status)
 	}
-	return &Stream{
+	st := &Stream{
 		Instance: string(resp.Header.Peek(HeaderInstance)),
 		State:    State(resp.Header.Peek(HeaderState)),
 		resp:     resp,
 		events:   event.NewReader(resp),
-	}, nil
+	}
+	if c.instance != "" && st.Instance != c.instance {
+		st.Close()
+		return nil, errors.Newf("want %s, got %s: %w", c.instance, st.Instance, ErrInstanceChanged)
+	}
+	return st, nil
 }
 
+// maxRefusalBytes bounds what is read of an error answer.
+const maxRefusalBytes = 4 << 10
+
 // refusal turns an error answer into an error.
 func refusal(resp *conns.Response, status int) error {
-	_, _ = io.Copy(io.Discard, resp)
+	_, _ = io.CopyN(io.Discard, resp, maxRefusalBytes)
 	err := errors.Newf("engine answered status %d", status)
 	if len(resp.Header.Peek(HeaderNotStarted)) > 0 {
 		err = errors.Mark(err, ErrNotStarted)
 	}
-	if status >= http.StatusBadRequest && status < http.StatusInternalServerError &&
-		status != http.StatusTooManyRequests {
+	switch status {
+	case http.StatusConflict:
+		err = errors.Mark(err, ErrCannotResume)
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
 		err = errors.Mark(err, ErrRejected)
 	}
 	return err
@@ -260,7 +277,7 @@
 	req.Header.SetHost(c.addr)
 	req.Header.Set(HeaderRequestID, requestID)
 	req.Header.Set(HeaderAttempt, strconv.Itoa(attempt))
-	resp, err := c.pool.Do(ctx, req)
+	resp, err := c.pool.Do(ctx, req, time.Time{})
 	if err != nil {
 		return errors.Newf("cancel attempt: %w", err)
 	}
@@ -287,7 +304,7 @@
 	if err != nil {
 		return Frame{}, err //nolint:wrapcheck // io.EOF has to stay comparable.
 	}
-	f, err := parseFrame(ev)
+	f, err := DecodeFrame(ev)
 	if err != nil {
 		return Frame{}, err
 	}
@@ -304,8 +321,8 @@
 	s.resp.Close()
 }
 
-// parseFrame decodes an event whose id is <attempt>:<offset>.
-func parseFrame(ev event.Event) (Frame, error) {
+// DecodeFrame decodes an event whose id is <attempt>:<offset>.
+func DecodeFrame(ev event.Event) (Frame, error) {
 	var f Frame
 	if err := json.Unmarshal(ev.Data, &f); err != nil {
 		return Frame{}, errors.Newf("decode frame: %w", err)
--- a/internal/route/stream/stream.go
+++ b/internal/route/stream/stream.go
@@ -17,6 +17,9 @@
 // larger distance means that frames were lost.
 const maxEarly = 64
 
+// maxEarlyBytes bounds the text of the frames that wait for an earlier one.
+const maxEarlyBytes = 16 << 10
+
 // Frame is one token of an answer, or its end.
 type Frame struct {
 	Attempt int
@@ -24,14 +27,17 @@
 	Text    string
 	// Finish is the reason for which the answer ended, or "" for a token.
 	Finish string
+	// Server is the backend server that gave the frame.
+	Server string
 }
 
 // Assembler puts the frames of an answer in order. It is not safe for concurrent use.
 type Assembler struct {
-	attempt int
-	next    int
-	early   map[int]Frame
-	finish  option.Option[Frame]
+	attempt    int
+	next       int
+	early      map[int]Frame
+	earlyBytes int
+	finish     option.Option[Frame]
 }
 
 // New returns an assembler of an answer that has delivered offset tokens so far.
@@ -43,6 +49,7 @@
 func (a *Assembler) Begin(attempt int) {
 	a.attempt = attempt
 	clear(a.early)
+	a.earlyBytes = 0
 	a.finish = option.None[Frame]()
 }
 
@@ -60,9 +67,20 @@
 	}
 	if f.Finish != "" {
 		a.finish = option.Some(f)
-	} else {
-		a.early[f.Offset] = f
+		return a.flush(out), nil
+	}
+	if f.Offset == a.next && len(a.early) == 0 {
+		a.next++
+		return a.flush(append(out, f)), nil
+	}
+	if _, ok := a.early[f.Offset]; ok {
+		return out, nil
+	}
+	if f.Offset != a.next && a.earlyBytes+len(f.Text) > maxEarlyBytes {
+		return out, ErrTooFarAhead
 	}
+	a.early[f.Offset] = f
+	a.earlyBytes += len(f.Text)
 	return a.flush(out), nil
 }
 
@@ -74,6 +92,7 @@
 			break
 		}
 		delete(a.early, a.next)
+		a.earlyBytes -= len(f.Text)
 		a.next++
 		out = append(out, f)
 	}
--- a/internal/wire/event/event.go
+++ b/internal/wire/event/event.go
@@ -17,7 +17,10 @@
 
 // maxLineBytes bounds one line of a stream. A longer line ends the stream with an error, so that a
 // broken peer cannot fill the memory.
-const maxLineBytes = 1 << 20
+const maxLineBytes = 64 << 10
+
+// maxEventBytes bounds the data of one event, which may have several lines.
+const maxEventBytes = 64 << 10
 
 // initialLineBytes is the first size of the line buffer.
 const initialLineBytes = 1 << 10
@@ -54,6 +57,9 @@
 		case "id":
 			ev.ID = string(value)
 		case "data":
+			if len(ev.Data)+len(value) > maxEventBytes {
+				return Event{}, errors.New("read event: data is too long")
+			}
 			ev.Data = append(ev.Data, value...)
 		}
 	}
