--- a/internal/bench/load/send.go
+++ b/internal/bench/load/send.go
@@ -84,7 +84,7 @@
 	for i := range c.nodes {
 		n := (node + i) % len(c.nodes)
 		req.Header.SetHost(c.addrs[n])
-		resp, err := c.nodes[n].Do(ctx, req)
+		resp, err := c.nodes[n].Do(ctx, req, time.Time{})
 		if err == nil {
 			return resp, nil
 		}
--- a/internal/plat/plain/plain.go
+++ b/internal/plat/plain/plain.go
@@ -80,7 +80,7 @@
 	if r.Once {
 		pool = c.fresh
 	}
-	resp, err := pool.Do(ctx, req)
+	resp, err := pool.Do(ctx, req, time.Time{})
 	if err != nil {
 		if errors.Is(err, conns.ErrNotSent) {
 			err = errors.Mark(err, ErrNotStarted)
