Add the shells that choose and admit for the relay

Cause: the deciders of route/choose, route/prefix and route/admit need to be fed from digests, answers and the configuration, under concurrent requests.

An answer that shows another instance or a cold one counts before the next digest does; a digest from before such an answer is dropped. Servers of a pool are in a slice, because each admission looks for the one with most room.

--- /dev/null
+++ b/internal/node/pick/pick_test.go
@@ -0,0 +1,185 @@
+package pick_test
+
+import (
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"geraniumhollow/internal/bench/site"
+	"geraniumhollow/internal/conf/schema"
+	"geraniumhollow/internal/conf/view"
+	"geraniumhollow/internal/core/fault"
+	"geraniumhollow/internal/core/sets"
+	"geraniumhollow/internal/node/pick"
+	"geraniumhollow/internal/node/relay"
+	"geraniumhollow/internal/plat/engine"
+	"geraniumhollow/internal/route/choose"
+	"geraniumhollow/internal/route/prefix"
+	"geraniumhollow/internal/wire/frame"
+)
+
+var deployment = site.Strygekurv()
+
+// document describes n runners; change edits it.
+func document(n int, change func(*schema.Document)) *view.View {
+	doc := deployment.Document(site.Addresses{Runners: make([]string, n)})
+	if change != nil {
+		change(doc)
+		return view.New(2, doc)
+	}
+	return view.New(1, doc)
+}
+
+func newPicker(t testing.TB, v *view.View) *pick.Picker {
+	t.Helper()
+	p, err := pick.New(pick.Config{
+		DataCentre: "herning", View: func() *view.View { return v }, Now: time.Now, Seed: 1,
+		Choose: choose.DefaultConfig(), PrefixEntries: 1000,
+	})
+	if err != nil {
+		t.Fatalf("make picker: %v", err)
+	}
+	return p
+}
+
+func digest(i int) frame.LoadDigest {
+	return frame.LoadDigest{
+		Server: deployment.GroupName(i), Inst: "i", State: string(engine.Warm), Open: true, Run: 4, Held: 1000, Cap: 200_000,
+	}
+}
+
+func work() relay.Work {
+	return relay.Work{RequestID: "r", Model: deployment.Model, PromptTokens: 2000, MaxTokens: 100, Tried: sets.New[string]()}
+}
+
+// Guards against choices that the digests, the configuration or the request's own attempts forbid. Two
+// runners are known; only the wanted one may be chosen.
+func TestPick(t *testing.T) {
+	t.Parallel()
+	chain := []uint64{1, 2, 3, 4, 5, 6, 7, 8}
+	tests := []struct {
+		name   string
+		change func(*schema.Document)
+		give   func(*pick.Picker, *relay.Work)
+		want   int // -1: none
+		code   fault.Code
+	}{
+		{name: "no digest", want: -1, code: fault.NoBackend},
+		{name: "one digest", give: func(p *pick.Picker, _ *relay.Work) { p.Observe(digest(1)) }, want: 1},
+		{name: "tried", give: func(p *pick.Picker, w *relay.Work) {
+			p.Observe(digest(0))
+			p.Observe(digest(1))
+			w.Tried.Add(deployment.GroupName(0))
+		}, want: 1},
+		{
+			name: "data centre taken out", change: func(d *schema.Document) { d.DataCentres[0].InService = false },
+			give: func(p *pick.Picker, _ *relay.Work) {
+				p.Observe(digest(0))
+				p.Observe(digest(1))
+			}, want: 1,
+		},
+		{name: "memory full", give: func(p *pick.Picker, _ *relay.Work) {
+			d := digest(0)
+			d.Held = d.Cap
+			p.Observe(d)
+		}, want: -1, code: fault.Overloaded},
+		{name: "cache events", give: func(p *pick.Picker, w *relay.Work) {
+			p.Observe(digest(0))
+			p.Observe(digest(1))
+			for i, fp := range chain {
+				p.Events(deployment.GroupName(1), "i", []engine.CacheEvent{{Seq: uint64(i + 1), Hash: fp, Stored: true}})
+			}
+			w.Prefix = chain
+		}, want: 1},
+		{name: "earlier request with the prefix", give: func(p *pick.Picker, w *relay.Work) {
+			p.Observe(digest(0))
+			p.Observe(digest(1))
+			w.Prefix = chain
+			p.Started(deployment.GroupName(1), *w)
+			p.Ended(deployment.GroupName(1), *w, relay.Result{Instance: "i", State: engine.Warm, PromptTokens: 1000})
+		}, want: 1},
+		{name: "answer that shows a cold instance", give: func(p *pick.Picker, w *relay.Work) {
+			p.Observe(digest(0))
+			p.Observe(digest(1))
+			p.Started(deployment.GroupName(0), *w)
+			p.Ended(deployment.GroupName(0), *w, relay.Result{Instance: "j", State: engine.Cold})
+			// The digest is of the instance before.
+			late := digest(0)
+			late.AgeMs = 500
+			p.Observe(late)
+		}, want: 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			v := document(2, tt.change)
+			p, w := newPicker(t, v), work()
+			if tt.give != nil {
+				tt.give(p, &w)
+			}
+			for range 20 {
+				s, err := p.Pick(document(2, nil), w)
+				if tt.want < 0 {
+					if err == nil || err.Code() != tt.code || err.Outcome() != fault.NotRun || err.RetryAfter() == 0 {
+						t.Fatalf("got %s, %v; want %s, not_run", s.Name, err, tt.code)
+					}
+					continue
+				}
+				if err != nil || s.Name != deployment.GroupName(tt.want) {
+					t.Fatalf("got %q, %v; want runner %d", s.Name, err, tt.want)
+				}
+			}
+		})
+	}
+}
+
+// Guards against data races between requests, digests and configuration changes.
+func TestConcurrentUse(t *testing.T) {
+	t.Parallel()
+	v := document(20, nil)
+	p := newPicker(t, v)
+	changed := document(10, func(*schema.Document) {})
+	var wg sync.WaitGroup
+	for g := range 8 {
+		wg.Go(func() {
+			for i := range 200 {
+				w := work()
+				w.RequestID = strconv.Itoa(g*1000 + i)
+				w.Prefix = prefix.Append(nil, 0, string(make([]byte, 2000)))
+				p.Observe(digest(i % 20))
+				if s, err := p.Pick(v, w); err == nil {
+					p.Started(s.Name, w)
+					p.Ended(s.Name, w, relay.Result{Instance: "i", State: engine.Warm, PromptTokens: 500})
+				}
+				if i == 100 {
+					_, _ = p.Pick(changed, w)
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// BenchmarkRequest is the locked path of one request with 600 servers and a prompt of 16 blocks.
+func BenchmarkRequest(b *testing.B) {
+	v := document(600, nil)
+	p := newPicker(b, v)
+	for i := range 600 {
+		p.Observe(digest(i))
+	}
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		w := work()
+		w.Prefix = prefix.Append(nil, 0, string(make([]byte, 16*prefix.BlockBytes)))
+		for i := 0; pb.Next(); i++ {
+			w.RequestID = strconv.Itoa(i)
+			s, err := p.Pick(v, w)
+			if err != nil {
+				continue
+			}
+			p.Started(s.Name, w)
+			p.Ended(s.Name, w, relay.Result{Instance: "i", State: engine.Warm, PromptTokens: 2000, CachedTokens: 2000})
+		}
+	})
+}
--- a/internal/route/admit/admit.go
+++ b/internal/route/admit/admit.go
@@ -195,6 +195,9 @@
 	return models
 }
 
+// SetQueue sets how many requests may wait. Those that wait stay when it shrinks.
+func (c *Controller) SetQueue(requests int) { c.cfg.QueueRequests = requests }
+
 // Waiting returns the number of requests that wait.
 func (c *Controller) Waiting() int { return c.waiting }
 
--- a/internal/route/admit/pool.go
+++ b/internal/route/admit/pool.go
@@ -22,7 +22,9 @@
 	virtual float64
 	seq     uint64
 	flights map[uint64]flight
-	servers map[string]*server
+	// servers is a slice because each admission looks for the one with most room.
+	servers []server
+	byName  map[string]int
 	// hold and cost are means over the requests that have ended, in seconds and tokens.
 	hold float64
 	cost float64
@@ -46,14 +48,14 @@
 
 // flight is an admitted request. Its tokens count for server, which is a guess until Place.
 type flight struct {
-	account string
-	server  string
-	tokens  int
-	at      time.Time
+	server string
+	tokens int
+	at     time.Time
 }
 
 // server is one backend server's memory.
 type server struct {
+	name     string
 	capacity int
 	reported int
 	madeAt   time.Time
@@ -71,7 +73,7 @@
 func newPool() *Pool {
 	return &Pool{
 		limit: NewLimit(0, 0), queues: make(map[string]*queue), flights: make(map[uint64]flight),
-		servers: make(map[string]*server),
+		byName: make(map[string]int),
 	}
 }
 
@@ -90,11 +92,13 @@
 
 // Observe takes the tokens held and the capacity that a server has reported. Capacity 0 is no bound.
 func (p *Pool) Observe(name string, held, capacity int, madeAt time.Time) {
-	s, ok := p.servers[name]
+	i, ok := p.byName[name]
 	if !ok {
-		s = &server{}
-		p.servers[name] = s
+		i = len(p.servers)
+		p.byName[name] = i
+		p.servers = append(p.servers, server{name: name})
 	}
+	s := &p.servers[i]
 	if madeAt.Before(s.madeAt) {
 		return
 	}
@@ -107,7 +111,17 @@
 }
 
 // Forget drops a server.
-func (p *Pool) Forget(name string) { delete(p.servers, name) }
+func (p *Pool) Forget(name string) {
+	i, ok := p.byName[name]
+	if !ok {
+		return
+	}
+	last := len(p.servers) - 1
+	p.servers[i] = p.servers[last]
+	p.byName[p.servers[i].name] = i
+	p.servers = p.servers[:last]
+	delete(p.byName, name)
+}
 
 // Place notes the server that an admitted request is sent to.
 func (p *Pool) Place(now time.Time, id uint64, name string) {
@@ -118,14 +132,14 @@
 	p.unplace(f)
 	f.server, f.at = name, now
 	p.flights[id] = f
-	if s, ok := p.servers[name]; ok {
-		s.recent += f.tokens
+	if i, ok := p.byName[name]; ok {
+		p.servers[i].recent += f.tokens
 	}
 }
 
 func (p *Pool) unplace(f flight) {
-	if s, ok := p.servers[f.server]; ok && !f.at.Before(s.madeAt) {
-		s.recent -= f.tokens
+	if i, ok := p.byName[f.server]; ok && !f.at.Before(p.servers[i].madeAt) {
+		p.servers[i].recent -= f.tokens
 	}
 }
 
@@ -180,8 +194,9 @@
 const requestCost = 50
 
 func (p *Pool) start(now time.Time, r Request) {
-	f := flight{account: r.Account, server: p.roomiest(), tokens: r.Tokens, at: now}
-	if s, ok := p.servers[f.server]; ok {
+	f := flight{tokens: r.Tokens, at: now}
+	if s := p.roomiest(); s != nil {
+		f.server = s.name
 		s.recent += r.Tokens
 	}
 	p.flights[r.ID] = f
@@ -217,15 +232,8 @@
 	if p.tokens > 0 && p.held > 0 && p.held+tokens > p.tokens {
 		return false
 	}
-	if len(p.servers) == 0 {
-		return true
-	}
-	for _, s := range p.servers {
-		if s.room() >= tokens {
-			return true
-		}
-	}
-	return false
+	s := p.roomiest()
+	return s == nil || s.room() >= tokens
 }
 
 func (s *server) room() int {
@@ -235,12 +243,14 @@
 	return s.capacity - s.reported - s.recent
 }
 
-// roomiest returns the server with most room, which is where a request counts until it is placed.
-func (p *Pool) roomiest() string {
-	best, most := "", math.MinInt
-	for name, s := range p.servers {
-		if room := s.room(); room > most || (room == most && name < best) {
-			best, most = name, room
+// roomiest returns the server with most room, which is where a request counts until it is placed, or
+// nil when none is known.
+func (p *Pool) roomiest() *server {
+	var best *server
+	most := math.MinInt
+	for i := range p.servers {
+		if room := p.servers[i].room(); room > most {
+			best, most = &p.servers[i], room
 		}
 	}
 	return best
--- a/internal/route/choose/table.go
+++ b/internal/route/choose/table.go
@@ -110,8 +110,10 @@
 	used   bool
 	report Report
 	madeAt int64
-	sends  []send
-	slow   float64 // learned factor on the time of prefill
+	// changed is when an answer showed another instance than the report.
+	changed int64
+	sends   []send
+	slow    float64 // learned factor on the time of prefill
 }
 
 // send is one request that this node sent.
@@ -213,12 +215,16 @@
 	return names
 }
 
-// Observe takes a report. A report that is older than the one held for the same instance is dropped.
-func (t *Table) Observe(id int, r Report) {
+// Observe takes a report and returns true. A report that is older than the one held for the same
+// instance, or than the answer that showed a new instance, is dropped.
+func (t *Table) Observe(id int, r Report) bool {
 	l := &t.loads[id]
 	madeAt := t.clock(r.MadeAt)
 	if r.Instance == l.report.Instance && madeAt < l.madeAt {
-		return
+		return false
+	}
+	if r.Instance != l.report.Instance && madeAt < l.changed {
+		return false
 	}
 	if r.Instance != l.report.Instance {
 		l.sends = l.sends[:0]
@@ -236,6 +242,7 @@
 	// that it is tried again.
 	l.slow = math.Pow(l.slow, slowReturn)
 	t.refresh(id)
+	return true
 }
 
 // Learning rates: a step towards each observed first token, and a return to 1 with each report.
@@ -442,3 +449,33 @@
 	w := &t.rows[id]
 	return w.madeAt >= at-t.maxAge && need <= w.room && t.marks[id] != tried
 }
+
+// Answer takes what an answer said of its server, which is newer than the report. It holds until the
+// next report.
+func (t *Table) Answer(id int, now time.Time, instance string, cold bool) {
+	l := &t.loads[id]
+	if instance == "" || l.madeAt == 0 {
+		return
+	}
+	if instance != l.report.Instance {
+		l.report.Instance = instance
+		l.changed = t.clock(now)
+		l.sends = l.sends[:0]
+		l.slow = 1
+	}
+	l.report.Cold = cold
+	t.refresh(id)
+}
+
+// Full reports whether some server could be chosen for a request if it had room for its tokens.
+func (t *Table) Full(now time.Time, r Request) bool {
+	t.mark(r)
+	defer t.unmark(r)
+	at := t.clock(now)
+	for _, id := range t.list(r) {
+		if t.usable(int(id), at, 0) {
+			return true
+		}
+	}
+	return false
+}
