--- a/internal/plat/conns/conns_test.go
+++ b/internal/plat/conns/conns_test.go
@@ -43,7 +43,7 @@
 		req.Header.SetMethod(method)
 		req.Header.SetHost(ln.Addr().String())
 		req.SetRequestURI("/")
-		resp, err := pool.Do(ctx, req)
+		resp, err := pool.Do(ctx, req, time.Time{})
 		if err != nil {
 			t.Fatalf("%s: %v", method, err)
 		}
