Caller interface: one error shape, bounded waits, resume and outcomes

Cause: errors of the HTTP library were plain text or a reset connection, a refusal of a stream came as an event under status 200, input was hardly checked, a caller that left or read nothing held its request, and a cut stream could not be taken up again.

Change: faults of reading a request have the JSON form, and the connection lingers until the caller has read it. The body bound comes from the limits in force. Fields are checked, max_tokens and prompt against the model's context. A stream's header waits for the first frame, so that a refusal has its own status. Priority of a request can only lower that of the account; adapter and version are optional. Event ids name request, offset and backend server; request ids name node and account tag. Last-Event-ID resumes from the node's memory, from the origin node through relay.Origin, or at the engine that the id names; else the completion runs again only if the body came again. GET /v1/requests/{id} gives the outcome. A poll of waiting connections cancels the requests of callers that left; a write deadline closes those that read nothing for 60 s. The kernel holds 64 KiB for a caller, and connections past 16,384 are refused.

Figures: 28 bad requests and 8 bad HTTP messages get a 4xx with not_run and none runs; 7 ways to resume give the whole answer.

Conclusion: the peer link behind relay.Origin is to be wired. Plain services and Idempotency-Key are not part of this change.

--- a/internal/node/caller/caller.go
+++ b/internal/node/caller/caller.go
@@ -3,25 +3,19 @@
 package caller
 
 import (
-	"bufio"
-	"bytes"
 	"context"
-	"encoding/json"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
 	"geraniumhollow/internal/conf/schema"
 	"geraniumhollow/internal/conf/view"
 	"geraniumhollow/internal/core/fault"
+	"geraniumhollow/internal/core/tasks"
 	"geraniumhollow/internal/node/relay"
-	"geraniumhollow/internal/route/stream"
-	"geraniumhollow/internal/wire/event"
 	"github.com/cockroachdb/errors"
 	"github.com/fasthttp/router"
-	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 	"github.com/valyala/fasthttp"
 )
@@ -29,57 +23,145 @@
 // Bounds of the HTTP server.
 const (
 	maxHeaderBytes = 8 << 10
-	maxBodyBytes   = 64 << 20
-	headerTimeout  = 5 * time.Second
 	idleTimeout    = 60 * time.Second
-	concurrency    = 16 << 10
+	maxConnections = 16 << 10
 )
 
-// defaultMaxTokens is the length of an answer whose request sets none.
-const defaultMaxTokens = 256
+// Defaults of Timeouts.
+const (
+	defaultHeader = 5 * time.Second
+	defaultBody   = 30 * time.Second
+	defaultStall  = 60 * time.Second
+)
+
+// Timeouts bound the waits for a caller. Zero values have defaults.
+type Timeouts struct {
+	// Header is the longest time in which a request header may arrive.
+	Header time.Duration
+	// Body is the longest time in which a request body may arrive.
+	Body time.Duration
+	// Stall is how long a caller may read nothing of its answer before its connection is closed.
+	Stall time.Duration
+}
+
+func (t Timeouts) withDefaults() Timeouts {
+	if t.Header == 0 {
+		t.Header = defaultHeader
+	}
+	if t.Body == 0 {
+		t.Body = defaultBody
+	}
+	if t.Stall == 0 {
+		t.Stall = defaultStall
+	}
+	return t
+}
+
+// Option changes a server that New makes.
+type Option func(*Server)
+
+// WithTimeouts replaces the default waits.
+func WithTimeouts(t Timeouts) Option { return func(s *Server) { s.timeouts = t.withDefaults() } }
 
 // Server answers callers.
 type Server struct {
-	ctx   context.Context
-	log   hclog.Logger
-	node  string
-	view  func() *view.View
-	relay *relay.Relay
-	srv   *fasthttp.Server
+	ctx      context.Context
+	log      hclog.Logger
+	node     string
+	view     func() *view.View
+	relay    *relay.Relay
+	timeouts Timeouts
+	watch    *watch
+	srv      *fasthttp.Server
 }
 
 // New returns a server whose requests end with ctx. node is the name that request ids carry.
-func New(ctx context.Context, log hclog.Logger, node string, current func() *view.View, rl *relay.Relay) *Server {
-	s := &Server{ctx: ctx, log: log, node: node, view: current, relay: rl}
+func New(
+	ctx context.Context, log hclog.Logger, node string, current func() *view.View, rl *relay.Relay, opts ...Option,
+) *Server {
+	s := &Server{
+		ctx: ctx, log: log, node: node, view: current, relay: rl, timeouts: Timeouts{}.withDefaults(), watch: newWatch(),
+	}
+	for _, o := range opts {
+		o(s)
+	}
+	s.srv = &fasthttp.Server{
+		Handler:               s.routes().Handler,
+		ErrorHandler:          s.receiveError,
+		HeaderReceived:        s.headerReceived,
+		ReadBufferSize:        maxHeaderBytes,
+		ReadTimeout:           s.timeouts.Header,
+		WriteTimeout:          s.timeouts.Stall,
+		IdleTimeout:           idleTimeout,
+		Concurrency:           2 * maxConnections, // The listener refuses earlier, in the JSON form.
+		NoDefaultServerHeader: true,
+		CloseOnShutdown:       true,
+		Logger:                quiet{log: log},
+	}
+	return s
+}
+
+func (s *Server) routes() *router.Router {
 	rt := router.New()
+	rt.RedirectTrailingSlash, rt.RedirectFixedPath, rt.HandleOPTIONS = false, false, false
 	rt.GET("/healthz", func(rc *fasthttp.RequestCtx) { rc.SetStatusCode(http.StatusOK) })
 	rt.GET("/v1/models", s.withAccount(s.models))
 	rt.POST("/v1/completions", s.withAccount(s.completion(completionShape{})))
 	rt.POST("/v1/chat/completions", s.withAccount(s.completion(chatShape{})))
+	rt.GET("/v1/requests/{id}", s.withAccount(s.outcome))
 	rt.NotFound = func(rc *fasthttp.RequestCtx) {
 		writeFault(rc, "", fault.New(fault.NotFound, fault.NotRun, "no such path"))
 	}
-	s.srv = &fasthttp.Server{
-		Handler:               rt.Handler,
-		ReadBufferSize:        maxHeaderBytes,
-		MaxRequestBodySize:    maxBodyBytes,
-		ReadTimeout:           headerTimeout,
-		IdleTimeout:           idleTimeout,
-		Concurrency:           concurrency,
-		NoDefaultServerHeader: true,
-		CloseOnShutdown:       true,
+	rt.MethodNotAllowed = func(rc *fasthttp.RequestCtx) {
+		writeFault(rc, "", fault.New(fault.MethodNotAllowed, fault.NotRun, "the path does not have this method"))
 	}
-	return s
+	rt.PanicHandler = func(rc *fasthttp.RequestCtx, p any) {
+		s.log.Error("request handler panicked", "panic", p)
+		writeFault(rc, "", fault.New(fault.Internal, fault.Unknown, "the request failed inside the node"))
+	}
+	return rt
 }
 
 // Serve answers callers on ln until the context of the server ends.
 func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
+	g := tasks.New(ctx)
+	g.Go("watch callers", s.watch.run)
 	stop := context.AfterFunc(ctx, func() { _ = s.srv.Shutdown() })
 	defer stop()
-	if err := s.srv.Serve(ln); err != nil {
-		return errors.Newf("serve callers: %w", err)
+	g.Go("serve callers", func(context.Context) error {
+		if err := s.srv.Serve(&listener{Listener: ln}); err != nil {
+			return errors.Newf("serve callers: %w", err)
+		}
+		return nil
+	})
+	return g.Wait()
+}
+
+// headerReceived sets the bounds of a body by the limits in force.
+func (s *Server) headerReceived(*fasthttp.RequestHeader) fasthttp.RequestConfig {
+	return fasthttp.RequestConfig{MaxRequestBodySize: s.view().Limits.BodyBytes, ReadTimeout: s.timeouts.Body}
+}
+
+// receiveError answers a request that could not be read.
+func (s *Server) receiveError(rc *fasthttp.RequestCtx, err error) {
+	if c, ok := rc.Conn().(*conn); ok {
+		c.linger.Store(true)
 	}
-	return nil
+	writeFault(rc, "", receiveFault(err))
+}
+
+func receiveFault(err error) *fault.Error {
+	var small *fasthttp.ErrSmallBuffer
+	var timeout net.Error
+	switch {
+	case errors.As(err, &small):
+		return fault.New(fault.HeaderTooLarge, fault.NotRun, "the header is too large")
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		return fault.New(fault.BodyTooLarge, fault.NotRun, "the body is too large")
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return fault.New(fault.HeaderTimeout, fault.NotRun, "the request did not arrive in time")
+	}
+	return fault.New(fault.BadRequest, fault.NotRun, "the request is not valid HTTP")
 }
 
 // handler answers a request of an authenticated account.
@@ -88,18 +170,17 @@
 // withAccount authenticates a request by its bearer key.
 func (s *Server) withAccount(h handler) fasthttp.RequestHandler {
 	return func(rc *fasthttp.RequestCtx) {
-		id := s.node + "-" + uuid.NewString()
 		key, ok := strings.CutPrefix(string(rc.Request.Header.Peek("Authorization")), "Bearer ")
 		if !ok {
-			writeFault(rc, id, fault.New(fault.Unauthorized, fault.NotRun, "a bearer key is required"))
+			writeFault(rc, "", fault.New(fault.Unauthorized, fault.NotRun, "a bearer key is required"))
 			return
 		}
 		a, ok := s.view().AccountByKey(key)
 		if !ok {
-			writeFault(rc, id, fault.New(fault.Unauthorized, fault.NotRun, "the bearer key is not known"))
+			writeFault(rc, "", fault.New(fault.Unauthorized, fault.NotRun, "the bearer key is not known"))
 			return
 		}
-		h(rc, id, a)
+		h(rc, relay.NewRequestID(s.node, a.Name), a)
 	}
 }
 
@@ -122,81 +203,18 @@
 	writeJSON(rc, http.StatusOK, list)
 }
 
-// completionBody is the JSON body of a completion or a chat completion.
-type completionBody struct {
-	Model     string          `json:"model"`
-	Prompt    string          `json:"prompt"`
-	Messages  json.RawMessage `json:"messages"`
-	MaxTokens int             `json:"max_tokens"`
-	Stream    bool            `json:"stream"`
-	Seed      int64           `json:"seed"`
-}
-
-func (s *Server) completion(sh shape) handler {
-	return func(rc *fasthttp.RequestCtx, id string, a schema.Account) {
-		var body completionBody
-		if err := json.Unmarshal(rc.PostBody(), &body); err != nil {
-			writeFault(rc, id, fault.New(fault.BadRequest, fault.NotRun, "the body is not valid JSON"))
-			return
-		}
-		if _, ok := s.view().Model(body.Model); !ok {
-			writeFault(rc, id, fault.New(fault.ModelNotFound, fault.NotRun, "the model is not known"))
-			return
-		}
-		c := relay.Completion{
-			ID: id, Account: a, Model: body.Model, Prompt: body.Prompt, Messages: bytes.Clone(body.Messages),
-			MaxTokens: body.MaxTokens, Seed: body.Seed, Priority: a.Priority,
-		}
-		if c.MaxTokens == 0 {
-			c.MaxTokens = defaultMaxTokens
-		}
-		if body.Stream {
-			s.streamed(rc, c, sh)
-			return
-		}
-		s.whole(rc, c, sh)
-	}
-}
-
-// whole answers with one JSON body.
-func (s *Server) whole(rc *fasthttp.RequestCtx, c relay.Completion, sh shape) {
-	var text []byte
-	var finish string
-	err := s.relay.Complete(s.ctx, c, func(f stream.Frame) error {
-		text = append(text, f.Text...)
-		finish = f.Finish
-		return nil
-	})
-	if err != nil {
-		writeFault(rc, c.ID, err)
+// outcome tells what is known of an earlier request of the account.
+func (s *Server) outcome(rc *fasthttp.RequestCtx, _ string, a schema.Account) {
+	id, _ := rc.UserValue("id").(string)
+	ctx, cancel := context.WithTimeout(s.ctx, outcomeTimeout)
+	defer cancel()
+	status, ferr := s.relay.Outcome(ctx, id, a.Name)
+	if ferr != nil {
+		writeFault(rc, id, ferr)
 		return
 	}
-	rc.Response.Header.Set("X-Request-Id", c.ID)
-	writeJSON(rc, http.StatusOK, sh.whole(c, string(text), finish))
+	writeJSON(rc, http.StatusOK, status)
 }
 
-// streamed answers with server-sent events whose ids are <request id>:<offset>.
-func (s *Server) streamed(rc *fasthttp.RequestCtx, c relay.Completion, sh shape) {
-	rc.Response.Header.Set("X-Request-Id", c.ID)
-	rc.SetContentType("text/event-stream")
-	rc.Response.Header.Set("Cache-Control", "no-store")
-	rc.SetBodyStreamWriter(func(w *bufio.Writer) {
-		var buf []byte
-		err := s.relay.Complete(s.ctx, c, func(f stream.Frame) error {
-			id := c.ID + ":" + strconv.Itoa(f.Offset)
-			buf = event.Append(buf[:0], event.Event{ID: id, Data: encode(sh.chunk(c, f))})
-			if _, err := w.Write(buf); err != nil {
-				return errors.Newf("write event: %w", err)
-			}
-			if err := w.Flush(); err != nil {
-				return errors.Newf("flush event: %w", err)
-			}
-			return nil
-		})
-		if err != nil {
-			_, _ = w.Write(event.Append(nil, event.Event{Data: encode(faultBody(c.ID, err))}))
-			return
-		}
-		_, _ = w.Write(event.Append(nil, event.Event{Data: []byte("[DONE]")}))
-	})
-}
+// outcomeTimeout bounds the question to the node that a request began on.
+const outcomeTimeout = 2 * time.Second
--- /dev/null
+++ b/internal/node/caller/caller_test.go
@@ -0,0 +1,527 @@
+package caller_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"geraniumhollow/internal/bench/site"
+	"geraniumhollow/internal/conf/schema"
+	"geraniumhollow/internal/conf/view"
+	"geraniumhollow/internal/core/fault"
+	"geraniumhollow/internal/fake/model"
+	"geraniumhollow/internal/node/caller"
+	"geraniumhollow/internal/node/relay"
+	"geraniumhollow/internal/plat/engine"
+	"geraniumhollow/internal/wire/event"
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+)
+
+const (
+	prompt = "when does the van come"
+	// contextTokens is the context of the model in these tests.
+	contextTokens = 8192
+	bodyBytes     = 64 << 10
+)
+
+// fleet is two nodes in front of the same engines.
+type fleet struct {
+	t       *testing.T
+	d       site.Deployment
+	engines []*model.Engine
+	relays  map[string]*relay.Relay
+	addrs   map[string]string
+	// cut makes the link between the nodes fail.
+	cut bool
+}
+
+func newFleet(t *testing.T, engines int, interval time.Duration, limits schema.Limits) *fleet {
+	t.Helper()
+	f := &fleet{
+		t: t, d: site.Strygekurv().WithRunners(engines), relays: make(map[string]*relay.Relay),
+		addrs: make(map[string]string),
+	}
+	at := site.Addresses{Instances: make([]string, f.d.Instances)}
+	for i := range engines {
+		e := model.New(model.Config{Group: f.d.GroupName(i), Model: f.d.Model, TokenInterval: interval}, engine.Warm)
+		f.engines = append(f.engines, e)
+		at.Runners = append(at.Runners, f.serve(e.Serve))
+	}
+	doc := f.d.Document(at)
+	limits.BodyBytes = bodyBytes
+	doc.Limits = limits
+	doc.Models[0].Adapters = []string{"school"}
+	doc.Accounts[1].Priority = 3
+	v := view.New(1, doc)
+	for _, name := range []string{"node-a", "node-b"} {
+		rl := relay.New(hclog.NewNullLogger(), func() *view.View { return v }, relay.Deps{Node: name, Origin: f})
+		srv := caller.New(t.Context(), hclog.NewNullLogger(), name, func() *view.View { return v }, rl,
+			caller.WithTimeouts(caller.Timeouts{Header: 300 * time.Millisecond, Stall: 500 * time.Millisecond}))
+		f.relays[name] = rl
+		f.addrs[name] = f.serve(srv.Serve)
+	}
+	return f
+}
+
+// serve runs a server on loopback until the test ends.
+func (f *fleet) serve(run func(context.Context, net.Listener) error) string {
+	f.t.Helper()
+	var lc net.ListenConfig
+	ln, err := lc.Listen(f.t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatalf("listen: %v", err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { _ = run(ctx, ln) }()
+	f.t.Cleanup(cancel)
+	return ln.Addr().String()
+}
+
+// Resume implements relay.Origin with a call in place of a link.
+func (f *fleet) Resume(ctx context.Context, node string, a relay.Ask, sink relay.Sink) error {
+	rl, ok := f.relays[node]
+	if !ok || f.cut {
+		return relay.ErrOriginUnreachable
+	}
+	if ferr := rl.ResumeLocal(ctx, a, sink); ferr != nil {
+		return ferr
+	}
+	return nil
+}
+
+// Outcome implements relay.Origin.
+func (f *fleet) Outcome(_ context.Context, node, id, account string) (relay.Status, error) {
+	rl, ok := f.relays[node]
+	if !ok || f.cut {
+		return relay.Status{}, relay.ErrOriginUnreachable
+	}
+	s, ok := rl.Status(id, account)
+	if !ok {
+		return s, fault.New(fault.NotFound, fault.Unknown, "unknown")
+	}
+	return s, nil
+}
+
+type call struct {
+	node, method, path, key, body, last string
+}
+
+// answer is the answer to a call.
+type answer struct {
+	status int
+	body   io.ReadCloser
+}
+
+// send makes a call with the key of the first account unless another is given.
+func (f *fleet) send(c call) answer {
+	f.t.Helper()
+	if c.node == "" {
+		c.node = "node-a"
+	}
+	if c.method == "" {
+		c.method = http.MethodPost
+	}
+	if c.path == "" {
+		c.path = "/v1/completions"
+	}
+	if c.key == "" {
+		c.key = f.d.AccountKey(0)
+	}
+	req, err := http.NewRequestWithContext(f.t.Context(), c.method, "http://"+f.addrs[c.node]+c.path, strings.NewReader(c.body))
+	if err != nil {
+		f.t.Fatalf("build request: %v", err)
+	}
+	req.Header.Set("Authorization", "Bearer "+c.key)
+	if c.last != "" {
+		req.Header.Set("Last-Event-ID", c.last)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		f.t.Fatalf("call: %v", err)
+	}
+	f.t.Cleanup(func() { _ = resp.Body.Close() })
+	return answer{status: resp.StatusCode, body: resp.Body}
+}
+
+// body returns a streamed completion of n tokens.
+func (f *fleet) body(n int) string {
+	return fmt.Sprintf(`{"model":%q,"prompt":%q,"max_tokens":%d,"stream":true}`, f.d.Model, prompt, n)
+}
+
+// read reads at most n events (0 reads to the end) and returns their text, the last id and whether the
+// end mark was seen.
+func read(t *testing.T, r io.Reader, n int) (string, string, bool) {
+	t.Helper()
+	var text, last string
+	er := event.NewReader(r)
+	for i := 0; n == 0 || i < n; i++ {
+		ev, err := er.Next()
+		if err != nil {
+			return text, last, false
+		}
+		if string(ev.Data) == "[DONE]" {
+			return text, last, true
+		}
+		var c struct {
+			Choices []struct{ Text string } `json:"choices"`
+		}
+		if err := json.Unmarshal(ev.Data, &c); err != nil || len(c.Choices) != 1 {
+			t.Fatalf("event %s: %v", ev.Data, err)
+		}
+		text += c.Choices[0].Text
+		last = ev.ID
+	}
+	return text, last, false
+}
+
+// refusal is the JSON form of errors.
+type refusal struct {
+	Error *struct {
+		Code       fault.Code    `json:"code"`
+		Message    string        `json:"message"`
+		Outcome    fault.Outcome `json:"outcome"`
+		RequestID  *string       `json:"request_id"`
+		RetryAfter *float64      `json:"retry_after"`
+	} `json:"error"`
+}
+
+// wantRefusal checks the one JSON form of errors.
+func wantRefusal(t *testing.T, raw []byte, code fault.Code, outcome fault.Outcome) {
+	t.Helper()
+	var r refusal
+	if err := json.Unmarshal(raw, &r); err != nil || r.Error == nil {
+		t.Fatalf("body %q is not an error: %v", raw, err)
+	}
+	if r.Error.Code != code || r.Error.Outcome != outcome {
+		t.Errorf("got %s %s, want %s %s", r.Error.Code, r.Error.Outcome, code, outcome)
+	}
+	if r.Error.Message == "" || r.Error.RequestID == nil || r.Error.RetryAfter == nil {
+		t.Errorf("body %s lacks a field", raw)
+	}
+	if strings.Contains(r.Error.Message, prompt) {
+		t.Errorf("message %q holds text of the caller", r.Error.Message)
+	}
+}
+
+// Guards against bad input that is run, that gets an unclear answer, or whose refusal claims that the
+// request may have run.
+func TestBadInput(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 0, schema.Limits{})
+	const chat = "/v1/chat/completions"
+	with := func(fields string) string { return fmt.Sprintf(`{"model":%q,%s}`, f.d.Model, fields) }
+	tests := []struct {
+		name   string
+		give   call
+		status int
+		code   fault.Code
+	}{
+		{"no JSON", call{body: "{"}, 400, fault.BadRequest},
+		{"not an object", call{body: "[1]"}, 400, fault.BadRequest},
+		{"empty body", call{}, 400, fault.BadRequest},
+		{"deep JSON", call{body: strings.Repeat("[", 20_000)}, 400, fault.BadRequest},
+		{"wrong type of prompt", call{body: with(`"prompt":7`)}, 400, fault.BadRequest},
+		{"wrong type of max_tokens", call{body: with(`"prompt":"p","max_tokens":"9"`)}, 400, fault.BadRequest},
+		{"wrong type of stream", call{body: with(`"prompt":"p","stream":"yes"`)}, 400, fault.BadRequest},
+		{"negative max_tokens", call{body: with(`"prompt":"p","max_tokens":-1`)}, 400, fault.BadRequest},
+		{"zero max_tokens", call{body: with(`"prompt":"p","max_tokens":0`)}, 400, fault.BadRequest},
+		{"huge max_tokens", call{body: with(`"prompt":"p","max_tokens":1e30`)}, 400, fault.BadRequest},
+		{"max_tokens above the context", call{body: with(`"prompt":"p","max_tokens":8192`)}, 400, fault.BadRequest},
+		{"prompt above the context", call{body: with(`"prompt":"` + strings.Repeat("a", 4*contextTokens) + `"`)}, 400, fault.BadRequest},
+		{"neither prompt nor messages", call{body: with(`"max_tokens":1`)}, 400, fault.BadRequest},
+		{"prompt and messages", call{body: with(`"prompt":"p","messages":[{"role":"user","content":"c"}]`)}, 400, fault.BadRequest},
+		{"chat without messages", call{path: chat, body: with(`"max_tokens":1`)}, 400, fault.BadRequest},
+		{"chat with prompt", call{path: chat, body: with(`"prompt":"p","messages":[{"role":"user","content":"c"}]`)}, 400, fault.BadRequest},
+		{"chat with no message", call{path: chat, body: with(`"messages":[]`)}, 400, fault.BadRequest},
+		{"chat with text", call{path: chat, body: with(`"messages":"hello"`)}, 400, fault.BadRequest},
+		{"chat without role", call{path: chat, body: with(`"messages":[{"content":"c"}]`)}, 400, fault.BadRequest},
+		{"unknown model", call{body: `{"model":"x","prompt":"p"}`}, 404, fault.ModelNotFound},
+		{"unknown adapter", call{body: with(`"prompt":"p","adapter":"x"`)}, 400, fault.BadRequest},
+		{"unknown version", call{body: with(`"prompt":"p","version":"x"`)}, 400, fault.BadRequest},
+		{"priority out of range", call{body: with(`"prompt":"p","priority":10`)}, 400, fault.BadRequest},
+		{"wrong key", call{key: "x", body: with(`"prompt":"p"`)}, 401, fault.Unauthorized},
+		{"body too large", call{body: strings.Repeat("a", 16*bodyBytes)}, 413, fault.BodyTooLarge},
+		{"unknown path", call{path: "/v2", body: "{}"}, 404, fault.NotFound},
+		{"wrong method", call{method: http.MethodDelete}, 405, fault.MethodNotAllowed},
+		{"bad event id", call{last: "x", body: f.body(4)}, 400, fault.BadRequest},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			resp := f.send(tt.give)
+			raw, err := io.ReadAll(resp.body)
+			if err != nil {
+				t.Fatalf("read answer: %v", err)
+			}
+			if resp.status != tt.status {
+				t.Errorf("status %d, want %d", resp.status, tt.status)
+			}
+			wantRefusal(t, raw, tt.code, fault.NotRun)
+		})
+	}
+	t.Cleanup(func() {
+		if n := f.engines[0].Stats().Started; n != 0 {
+			t.Errorf("%d requests with bad input ran", n)
+		}
+	})
+}
+
+// Guards against HTTP faults that are answered in another form than JSON, or by a reset connection.
+func TestBadHTTP(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 0, schema.Limits{})
+	tests := []struct {
+		name string
+		give string
+		code fault.Code
+	}{
+		{"no HTTP", "hello\r\n\r\n", fault.BadRequest},
+		{"bad version", "GET / HTTP/9\r\nHost: a\r\n\r\n", fault.BadRequest},
+		{"bad content length", "POST /v1/completions HTTP/1.1\r\nHost: a\r\nContent-Length: x\r\n\r\n", fault.BadRequest},
+		{"header too large", "GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("a", 64<<10) + "\r\n\r\n", fault.HeaderTooLarge},
+		{"slow header", "GET / HTTP/1.1\r\nHos", fault.HeaderTimeout},
+		{"body announced too large", "POST /v1/completions HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999999\r\n\r\n", fault.BodyTooLarge},
+		{"bad chunk", "POST /v1/completions HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", fault.BadRequest},
+		{"no key", "GET /v1/models HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n", fault.Unauthorized},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			nc := dial(t, f.addrs["node-a"])
+			if _, err := io.WriteString(nc, tt.give); err != nil {
+				t.Fatalf("write: %v", err)
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+			if err != nil {
+				t.Fatalf("read answer: %v", err)
+			}
+			raw, err := io.ReadAll(resp.Body)
+			if err != nil {
+				t.Fatalf("read body: %v", err)
+			}
+			_ = resp.Body.Close()
+			if resp.StatusCode/100 != 4 {
+				t.Errorf("status %d", resp.StatusCode)
+			}
+			wantRefusal(t, raw, tt.code, fault.NotRun)
+		})
+	}
+}
+
+func dial(t *testing.T, addr string) net.Conn {
+	t.Helper()
+	nc, err := (&net.Dialer{Timeout: time.Second}).DialContext(t.Context(), "tcp", addr)
+	if err != nil {
+		t.Fatalf("dial: %v", err)
+	}
+	t.Cleanup(func() { _ = nc.Close() })
+	_ = nc.SetDeadline(time.Now().Add(10 * time.Second))
+	return nc
+}
+
+// Guards against a stream that is cut, repeated or refused when its caller comes back.
+func TestResume(t *testing.T) {
+	t.Parallel()
+	const tokens = 60
+	want := model.Answer(prompt, tokens)
+	tests := []struct {
+		name string
+		// read is the number of events before the caller leaves; 0 reads all of them.
+		read int
+		node string
+		// prepare changes the fleet while the caller is away.
+		prepare func(f *fleet)
+		body    bool
+		// alone is set when the engine has to go on by itself.
+		alone bool
+	}{
+		{name: "same node", read: 20, node: "node-a"},
+		{name: "same node, answer complete", node: "node-a"},
+		{name: "other node", read: 20, node: "node-b"},
+		{name: "other node, with body", read: 20, node: "node-b", body: true},
+		{name: "other node, answer complete", node: "node-b"},
+		{name: "origin gone", read: 20, node: "node-b", prepare: func(f *fleet) { f.cut = true }, alone: true},
+		{name: "engine gone", read: 20, node: "node-a", prepare: func(f *fleet) {
+			for _, e := range f.engines[:2] {
+				e.SetFaults(model.Faults{Refuse: true})
+			}
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, 3, 2*time.Millisecond, schema.Limits{})
+			resp := f.send(call{body: f.body(tokens)})
+			first, last, _ := read(t, resp.body, tt.read)
+			if tt.read == 0 {
+				// The caller has lost the last tokens and comes back for them.
+				parts := strings.Split(last, ":")
+				last = parts[0] + ":29:" + parts[2]
+				first = model.Answer(prompt, 30)
+			} else {
+				_ = resp.body.Close()
+			}
+			if tt.prepare != nil {
+				tt.prepare(f)
+			}
+			body := ""
+			if tt.body {
+				body = f.body(tokens)
+			}
+			second, next, ended := read(t, f.send(call{node: tt.node, last: last, body: body}).body, 0)
+			if first+second != want || !ended {
+				t.Errorf("got %d and %d bytes, want %d; ended %v", len(first), len(second), len(want), ended)
+			}
+			if id, _, _ := strings.Cut(last, ":"); !strings.HasPrefix(next, id+":") {
+				t.Errorf("resumed as %s, want the ids of %s", next, last)
+			}
+			alone := 0
+			for _, e := range f.engines {
+				alone += e.Stats().ResumedAlone
+			}
+			if (alone > 0) != tt.alone {
+				t.Errorf("engines resumed %d answers by themselves", alone)
+			}
+		})
+	}
+}
+
+// Guards against answers and outcomes that another account gets to see, and against a second run of an
+// answer that cannot be resumed unless the caller sent the body again.
+func TestResumeRefused(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, time.Millisecond, schema.Limits{})
+	f.cut = true
+	resp := f.send(call{body: f.body(30)})
+	_, last, _ := read(t, resp.body, 10)
+	_ = resp.body.Close()
+	id, _, _ := strings.Cut(last, ":")
+	other := f.d.AccountKey(1)
+	get := call{method: http.MethodGet, path: "/v1/requests/" + id}
+	foreign := get
+	foreign.key = other
+	away := get
+	away.node = "node-b"
+	f.engines[0].Restart(engine.Warm)
+	tests := []struct {
+		name string
+		give call
+		code fault.Code
+	}{
+		{"resume by another account", call{key: other, last: last}, fault.NotFound},
+		{"outcome for another account", foreign, fault.NotFound},
+		{"outcome while the origin is gone", away, fault.OutcomeUnknown},
+		{"resume while origin and engine are gone", call{node: "node-b", last: last}, fault.BackendFailed},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			raw, _ := io.ReadAll(f.send(tt.give).body)
+			wantRefusal(t, raw, tt.code, fault.Unknown)
+		})
+	}
+	text, next, ended := read(t, f.send(call{node: "node-b", last: last, body: f.body(30)}).body, 0)
+	if text != model.Answer(prompt, 30) || !ended || strings.HasPrefix(next, id) {
+		t.Errorf("with the body: got %q as %s", text, next)
+	}
+}
+
+// Guards against outcomes that are wrong or not to be had on other nodes.
+func TestOutcome(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 0, schema.Limits{QueueTimeoutMs: 50})
+	_, last, _ := read(t, f.send(call{body: f.body(12)}).body, 0)
+	f.engines[0].SetFaults(model.Faults{Fail: true})
+	failed := f.send(call{body: f.body(12)})
+	raw, _ := io.ReadAll(failed.body)
+	wantRefusal(t, raw, fault.BackendFailed, fault.Unknown)
+	var r refusal
+	_ = json.Unmarshal(raw, &r)
+	id, _, _ := strings.Cut(last, ":")
+	for _, tt := range []struct {
+		id   string
+		want relay.Status
+	}{
+		{id, relay.Status{State: relay.Done, Outcome: fault.Ran, Tokens: 12}},
+		{*r.Error.RequestID, relay.Status{State: relay.Failed, Outcome: fault.Unknown, Code: fault.BackendFailed}},
+	} {
+		for _, node := range []string{"node-a", "node-b"} {
+			var got relay.Status
+			raw, _ := io.ReadAll(f.send(call{node: node, method: http.MethodGet, path: "/v1/requests/" + tt.id}).body)
+			if err := json.Unmarshal(raw, &got); err != nil {
+				t.Fatalf("%s: %v", raw, err)
+			}
+			tt.want.RequestID = tt.id
+			if got != tt.want {
+				t.Errorf("%s: got %+v, want %+v", node, got, tt.want)
+			}
+		}
+	}
+}
+
+// Guards against a caller that reads nothing and holds its connection and the engine for ever, and
+// against an engine that works for a caller that has closed its connection.
+func TestDeadCallers(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name   string
+		body   func(f *fleet) string
+		faults model.Faults
+		leave  bool
+	}{
+		{"stalled reader", func(f *fleet) string { return f.body(8000) }, model.Faults{}, false},
+		{"closed while waiting for a stream", func(f *fleet) string { return f.body(10) }, model.Faults{Stall: true}, true},
+		{"closed while waiting for a whole answer", func(f *fleet) string {
+			return strings.Replace(f.body(10), `"stream":true`, `"stream":false`, 1)
+		}, model.Faults{StallAfterTokens: 3}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, 1, 0, schema.Limits{})
+			f.engines[0].SetFaults(tt.faults)
+			nc := dial(t, f.addrs["node-a"])
+			_ = nc.(*net.TCPConn).SetReadBuffer(64 << 10) //nolint:forcetypeassert // Dialled with tcp.
+			body := tt.body(f)
+			_, err := fmt.Fprintf(nc, "POST /v1/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
+				f.d.AccountKey(0), len(body), body)
+			if err != nil {
+				t.Fatalf("write: %v", err)
+			}
+			waitFor(t, "request started", func() bool { return f.engines[0].Stats().Started > 0 })
+			if tt.leave {
+				_ = nc.Close()
+			}
+			waitFor(t, "engine free", func() bool { return f.engines[0].Running() == 0 })
+			if tt.leave {
+				return
+			}
+			time.Sleep(700 * time.Millisecond)
+			var got bytes.Buffer
+			_, err = io.Copy(&got, nc)
+			if strings.Contains(got.String(), "[DONE]") || errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Errorf("the connection of a stalled reader was not closed: %v after %d bytes", err, got.Len())
+			}
+		})
+	}
+}
+
+func waitFor(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for range 400 {
+		if ok() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Errorf("timed out: %s", what)
+}
--- a/internal/node/caller/shape.go
+++ b/internal/node/caller/shape.go
@@ -15,6 +15,8 @@
 type shape interface {
 	chunk(c relay.Completion, f stream.Frame) any
 	whole(c relay.Completion, text, finish string) any
+	// check checks the fields that the path needs.
+	check(b completionBody) *fault.Error
 }
 
 // answer is the JSON body of an answer or of one of its chunks.
--- a/internal/node/relay/deps.go
+++ b/internal/node/relay/deps.go
@@ -94,7 +94,7 @@
 // Origin reaches the nodes that requests began on. It is safe for concurrent use. The asked node
 // answers with Relay.ResumeLocal and Relay.Status.
 type Origin interface {
-	// Resume passes the rest of an answer to sink. It returns ErrOriginUnreachable when the node
+	// Resume passes the rest of an answer to sink, on the calling goroutine. It returns ErrOriginUnreachable when the node
 	// cannot be asked or its link broke, and else nil or the *fault.Error of the asked node.
 	Resume(ctx context.Context, node string, a Ask, sink Sink) error
 	// Outcome returns what the node knows of a request, with the same errors.
--- a/internal/node/relay/resume.go
+++ b/internal/node/relay/resume.go
@@ -123,6 +123,12 @@
 	return r.start(ctx, rec).deliver(sink)
 }
 
+// ModelOf returns the model of a backend server that is in service, or "".
+func (r *Relay) ModelOf(server string) string {
+	s, _ := serverByName(r.view(), server)
+	return s.Model
+}
+
 // Status returns what this node knows of a request of a client account.
 func (r *Relay) Status(id, account string) (Status, bool) {
 	rec, ok := r.recent.get(id)
--- a/internal/node/relay/run.go
+++ b/internal/node/relay/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"time"
 
@@ -101,6 +102,9 @@
 func (u *run) deliver(cancel context.CancelCauseFunc, sink Sink) *fault.Error {
 	for {
 		f, err := u.log.Next(u.reader)
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
 		if err != nil {
 			return asFault(err)
 		}
--- a/internal/node/serve/serve.go
+++ b/internal/node/serve/serve.go
@@ -80,7 +80,7 @@
 // Run serves until ctx ends.
 func (n *Node) Run(ctx context.Context) error {
 	g := tasks.New(ctx)
-	rl := relay.New(n.log.Named("relay"), n.view.Load, relay.Deps{})
+	rl := relay.New(n.log.Named("relay"), n.view.Load, relay.Deps{Node: n.cfg.NodeName})
 	srv := caller.New(g.Context(), n.log.Named("caller"), n.cfg.NodeName, n.view.Load, rl)
 	g.Go("callers", func(ctx context.Context) error { return srv.Serve(ctx, n.lns.Callers) })
 	g.Go("configuration", n.pollConfig)
--- a/internal/route/stream/log.go
+++ b/internal/route/stream/log.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"io"
 	"math"
 	"strings"
 	"sync"
@@ -170,8 +171,8 @@
 	return l.reader
 }
 
-// Next returns the next frame to deliver and waits for it. It returns the error of Close when the
-// answer ended without a last frame, and ErrReplaced when another goroutine reads now.
+// Next returns the next frame to deliver and waits for it. It returns io.EOF after the last frame, the
+// error of Close when the answer ended without one, and ErrReplaced when another goroutine reads now.
 func (l *Log) Next(reader int) (Frame, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -203,7 +204,10 @@
 		return Frame{Offset: l.next, Finish: l.finish, Server: l.serverAt(l.next)}, true, nil
 	}
 	if l.closed {
-		return Frame{}, false, errors.WithMessage(l.err, "answer ended")
+		if l.err == nil {
+			return Frame{}, false, io.EOF
+		}
+		return Frame{}, false, errors.Newf("answer ended: %w", l.err)
 	}
 	return Frame{}, false, nil
 }
