--- a/internal/wire/frame/messages.gen.go
+++ b/internal/wire/frame/messages.gen.go
@@ -2,6 +2,28 @@
 
 package frame
 
+// ConfigAsk asks for the document of a version or a newer one.
+type ConfigAsk struct {
+	// Lowest version that helps.
+	Ver int `json:"ver"`
+}
+
+// ConfigDocument carries one version of the configuration.
+type ConfigDocument struct {
+	// The document as JSON, compressed with zstd.
+	Doc []byte `json:"doc"`
+
+	// Version, or 0 when the sender has none that helps.
+	Ver int `json:"ver"`
+}
+
+// ConfigOffer says that the sender has a version and gives its document to whoever
+// asks.
+type ConfigOffer struct {
+	// Ver corresponds to the JSON schema field "ver".
+	Ver int `json:"ver"`
+}
+
 // GrantAsk asks the owner of a shard for the right to send one request.
 type GrantAsk struct {
 	// Number of the grant, unique for the asking incarnation.
@@ -64,24 +86,40 @@
 // Heartbeat is sent once a second on every link that carries membership.
 type Heartbeat struct {
 	// Milliseconds since the table vouched for the version.
-	AgeMs int `json:"age_ms"`
+	AgeMs int `json:"age_ms,omitempty,omitzero"`
+
+	// Number of the last heartbeat received from the other side.
+	Echo int `json:"echo,omitempty,omitzero"`
 
-	// Nodes heard in the whole fleet; sent towards children.
+	// Nodes heard in the whole fleet; sent to children.
 	Fleet int `json:"fleet,omitempty,omitzero"`
 
 	// Nodes heard in the sender's subtree, itself included.
 	Heard int `json:"heard,omitempty,omitzero"`
 
-	// Drain state of the sender.
-	State string `json:"state,omitempty,omitzero"`
+	// Milliseconds since that heartbeat was received.
+	HoldMs int `json:"hold_ms,omitempty,omitzero"`
+
+	// What the receiver is to the sender in the topology.
+	Rel HeartbeatRel `json:"rel"`
 
-	// Whether the table answers the sender.
-	StoreOk bool `json:"store_ok,omitempty,omitzero"`
+	// Number of this heartbeat on the sender's side, from 1.
+	Seq int `json:"seq"`
+
+	// Drain state of the sender; empty while it serves.
+	State string `json:"state,omitempty,omitzero"`
 
 	// Configuration version in force.
-	Ver int `json:"ver"`
+	Ver int `json:"ver,omitempty,omitzero"`
 }
 
+type HeartbeatRel string
+
+const HeartbeatRelChild HeartbeatRel = "child"
+const HeartbeatRelMesh HeartbeatRel = "mesh"
+const HeartbeatRelParent HeartbeatRel = "parent"
+const HeartbeatRelRoot HeartbeatRel = "root"
+
 // Hello is the first message on a link, in both directions.
 type Hello struct {
 	// Data centre of the sending node.
@@ -126,6 +164,15 @@
 
 // Messages lists every message between nodes; the type itself is not sent.
 type Messages struct {
+	// ConfigAsk corresponds to the JSON schema field "config_ask".
+	ConfigAsk *ConfigAsk `json:"config_ask,omitempty,omitzero"`
+
+	// ConfigDocument corresponds to the JSON schema field "config_document".
+	ConfigDocument *ConfigDocument `json:"config_document,omitempty,omitzero"`
+
+	// ConfigOffer corresponds to the JSON schema field "config_offer".
+	ConfigOffer *ConfigOffer `json:"config_offer,omitempty,omitzero"`
+
 	// GrantAsk corresponds to the JSON schema field "grant_ask".
 	GrantAsk *GrantAsk `json:"grant_ask,omitempty,omitzero"`
 
@@ -143,4 +190,22 @@
 
 	// LoadDigest corresponds to the JSON schema field "load_digest".
 	LoadDigest *LoadDigest `json:"load_digest,omitempty,omitzero"`
+
+	// ProbeAsk corresponds to the JSON schema field "probe_ask".
+	ProbeAsk *ProbeAsk `json:"probe_ask,omitempty,omitzero"`
+
+	// ProbeReply corresponds to the JSON schema field "probe_reply".
+	ProbeReply *ProbeReply `json:"probe_reply,omitempty,omitzero"`
+}
+
+// ProbeAsk asks whether the receiver reaches a node that the sender does not hear.
+type ProbeAsk struct {
+	// Name of the silent node.
+	Node string `json:"node"`
+}
+
+// ProbeReply answers a ProbeAsk.
+type ProbeReply struct {
+	// Heard corresponds to the JSON schema field "heard".
+	Heard bool `json:"heard"`
 }
