--- /dev/null
+++ b/internal/bench/spread/mix.go
@@ -0,0 +1,256 @@
+package spread
+
+import (
+	"fmt"
+	"time"
+
+	"geraniumhollow/internal/conf/watch"
+	"geraniumhollow/internal/fleet/roster"
+	"geraniumhollow/internal/plat/hosts"
+	"github.com/cockroachdb/errors"
+)
+
+// ErrRuleBroken marks an interleaving in which a promise did not hold.
+var ErrRuleBroken = errors.New("promise broken")
+
+// Draw returns a number from 0 to n-1.
+type Draw func(n int) int
+
+// Sizes of an interleaving.
+const (
+	mixNodes = 3
+	mixSteps = 250
+)
+
+// mixNode is one node of the model: the two deciders, and what is on its way to it.
+type mixNode struct {
+	name    string
+	start   int
+	roster  *roster.Roster
+	watch   *watch.Watch
+	paused  bool
+	storeUp bool
+	highest uint64
+}
+
+// mixEvent is a message or an answer of the table that has not arrived.
+type mixEvent struct {
+	to, toStart     int
+	from, fromStart int
+	beat            *roster.Beat
+	version         uint64
+	document        bool
+	read            bool
+	failed          bool
+	sentAt          time.Time
+}
+
+// mix is a fleet of deciders under one clock. Messages wait until a step delivers or loses them.
+type mix struct {
+	draw    Draw
+	now     time.Time
+	nodes   []*mixNode
+	list    []hosts.Host
+	waiting []mixEvent
+	commits []time.Time
+	// gaps counts moments at which a node in store_down lacked a change older than the bound.
+	gaps int
+}
+
+// Interleave runs one random interleaving of heartbeats, documents, reads, commits, pauses, restarts
+// and outages over three nodes' roster and watch. It returns an error marked ErrRuleBroken when a
+// version goes down in a node, or when a node is current without a change that was accepted more
+// than watch.Bound ago. The number is that of steps in which a node in store_down lacked one.
+func Interleave(draw Draw) (int, error) {
+	m := &mix{draw: draw, now: time.Unix(1_000_000, 0), commits: []time.Time{{}}}
+	for i := range mixNodes {
+		name := fmt.Sprintf("n%d", i)
+		m.list = append(m.list, hosts.Host{Name: name, Kind: hosts.Entry, State: hosts.Live, DataCentre: "dc"})
+		m.nodes = append(m.nodes, &mixNode{name: name, storeUp: true})
+	}
+	for i := range m.nodes {
+		m.restart(i)
+	}
+	m.commits = append(m.commits, m.now)
+	for step := range mixSteps {
+		m.step()
+		if err := m.check(); err != nil {
+			return m.gaps, errors.Newf("step %d: %w", step, err)
+		}
+	}
+	return m.gaps, nil
+}
+
+// step does one random thing. Ticks and deliveries are the most frequent.
+func (m *mix) step() {
+	switch k := m.draw(20); {
+	case k < 5:
+		m.disturb(k, m.nodes[m.draw(len(m.nodes))])
+	case k < 9:
+		m.now = m.now.Add(time.Duration(m.draw(400)) * time.Millisecond)
+		for i := range m.nodes {
+			m.tick(i)
+		}
+	case len(m.waiting) == 0:
+	case k == 9:
+		m.take(m.draw(len(m.waiting)))
+	default:
+		m.deliver(m.draw(len(m.waiting)))
+	}
+}
+
+// disturb lets time jump, pauses or restarts a node, cuts it from the table, or commits a change.
+func (m *mix) disturb(kind int, n *mixNode) {
+	switch kind {
+	case 0:
+		m.now = m.now.Add(time.Duration(m.draw(3000)) * time.Millisecond)
+	case 1:
+		n.paused = !n.paused
+	case 2:
+		n.storeUp = !n.storeUp
+	case 3:
+		if m.draw(4) == 0 {
+			m.restart(m.index(n.name))
+		}
+	default:
+		if n.storeUp && !n.paused && n.roster.MayCommit(m.now) {
+			m.commits = append(m.commits, m.now)
+		}
+	}
+}
+
+func (m *mix) restart(i int) {
+	n := m.nodes[i]
+	n.start++
+	n.roster = roster.New(roster.Place{Node: n.name, DataCentre: "dc"}, n.start<<16, m.now)
+	n.roster.List(m.now, m.list)
+	n.watch = watch.New()
+	n.highest = 0
+}
+
+// take removes an event that waits. Messages between two nodes stay in order on a link, but a
+// delivery may overtake those on other links.
+func (m *mix) take(i int) mixEvent {
+	e := m.waiting[i]
+	m.waiting = append(m.waiting[:i], m.waiting[i+1:]...)
+	return e
+}
+
+func (m *mix) tick(i int) {
+	n := m.nodes[i]
+	if n.paused {
+		return
+	}
+	sends, probes := n.roster.Tick(m.now, roster.Own{Version: n.watch.Version(), Vouched: n.watch.Vouched()})
+	for _, s := range sends {
+		beat := s.Beat
+		m.post(mixEvent{from: i, to: m.index(s.To), beat: &beat})
+	}
+	for _, p := range probes {
+		n.roster.Probed(m.now, p.Node, m.draw(2) == 0)
+	}
+	for _, a := range n.watch.Tick(m.now, n.roster.Reader() == n.name) {
+		m.act(i, a)
+	}
+}
+
+// act carries out an action of a watch. A read sees the table as it is when it is sent.
+func (m *mix) act(i int, a watch.Action) {
+	n := m.nodes[i]
+	e := mixEvent{from: i, to: i, sentAt: m.now, version: m.current(), failed: !n.storeUp}
+	switch a.Kind {
+	case watch.ReadVersion:
+		e.read = true
+	case watch.ReadDocument:
+		e.document = true
+	case watch.AskDocument:
+		peer := m.nodes[m.index(a.Peer)]
+		e.document, e.version, e.failed = true, peer.watch.Version(), peer.paused || peer.watch.Version() < a.Version
+	}
+	m.post(e)
+}
+
+func (m *mix) post(e mixEvent) {
+	e.toStart, e.fromStart = m.nodes[e.to].start, m.nodes[e.from].start
+	m.waiting = append(m.waiting, e)
+}
+
+func (m *mix) deliver(i int) {
+	n := m.nodes[m.waiting[i].to]
+	if n.paused {
+		return
+	}
+	e := m.take(i)
+	if e.toStart != n.start {
+		return
+	}
+	from := m.nodes[e.from]
+	switch {
+	case e.beat != nil:
+		if !n.roster.Incarnation(m.now, from.name, fmt.Sprintf("%06d", e.fromStart)) {
+			return
+		}
+		asOf, proved := n.roster.Received(m.now, from.name, *e.beat)
+		n.watch.Heard(m.now, from.name, e.beat.Version, e.beat.Age)
+		if proved {
+			n.watch.VouchedBy(asOf, e.beat.Version)
+		}
+	case e.read && e.failed:
+		n.watch.ReadFailed()
+	case e.read:
+		n.watch.Read(e.sentAt, e.version)
+	case e.failed:
+		n.watch.LoadFailed()
+	case n.watch.Loaded(e.version):
+		for j := range m.nodes {
+			if j != e.to {
+				m.post(mixEvent{from: e.to, to: j, document: true, version: e.version})
+			}
+		}
+	}
+}
+
+// current returns the version in the table.
+func (m *mix) current() uint64 { return uint64(len(m.commits) - 1) }
+
+// due returns the version that every node that serves has to have.
+func (m *mix) due() uint64 {
+	v := uint64(0)
+	for i, at := range m.commits {
+		if i > 0 && m.now.Sub(at) > watch.Bound {
+			v = uint64(i)
+		}
+	}
+	return v
+}
+
+func (m *mix) check() error {
+	due := m.due()
+	for _, n := range m.nodes {
+		v := n.watch.Version()
+		if v < n.highest {
+			return errors.Newf("%s went from version %d to %d: %w", n.name, n.highest, v, ErrRuleBroken)
+		}
+		n.highest = v
+		if n.paused || v >= due {
+			continue
+		}
+		switch n.watch.Mode(m.now, n.roster.Heard(m.now), n.roster.Size()) {
+		case watch.Current:
+			return errors.Newf("%s is current with version %d, %d is due: %w", n.name, v, due, ErrRuleBroken)
+		case watch.StoreDown:
+			m.gaps++
+		case watch.Isolated:
+		}
+	}
+	return nil
+}
+
+func (m *mix) index(name string) int {
+	for i, n := range m.nodes {
+		if n.name == name {
+			return i
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/conf/watch/watch.go
@@ -0,0 +1,214 @@
+// Package watch decides which configuration version a node has, how old the table's last word on it
+// is, and what the node may do with it.
+//
+// A vouch is the statement that the table's current version was V at the time T. As versions only go
+// up, nothing above V had been accepted by T, so a node whose own version is at least V knows of
+// every change that was accepted before T. The vouched age of the node is the time since the
+// youngest such T by its own clock. Vouches come from own reads, where T is when the read was sent,
+// and from peers, where T is the earliest time that the peer's heartbeat allows.
+//
+// A Watch is a decider and is not safe for concurrent use.
+package watch
+
+import (
+	"slices"
+	"time"
+)
+
+// Times of the age rule.
+const (
+	// Bound is the age up to which a configuration is current.
+	Bound = 4 * time.Second
+	// OwnReadAfter is the age past which a node reads the table itself.
+	OwnReadAfter = 2 * time.Second
+	// ReadInterval is the time between reads of the version row.
+	ReadInterval = time.Second
+	// loadRetry is the time after which a document is asked for elsewhere.
+	loadRetry = 500 * time.Millisecond
+	// claimMargin keeps a node out of isolation when the store goes down: its own age runs ahead of
+	// what its peers state by the time of a message, and passes Bound first.
+	claimMargin = time.Second
+)
+
+// maxSources bounds the peers that are remembered as having a wanted version.
+const maxSources = 4
+
+// Mode says what a node may do.
+type Mode string
+
+// Modes of a node.
+const (
+	// Current means that the age is within Bound.
+	Current Mode = "current"
+	// StoreDown means that the table answers nobody, so that nothing can be accepted: the node goes
+	// on with the last configuration.
+	StoreDown Mode = "store_down"
+	// Isolated means that changes may have been accepted that the node does not know.
+	Isolated Mode = "isolated"
+)
+
+// Kind is what an Action asks for.
+type Kind int
+
+// Kinds of actions.
+const (
+	// ReadVersion asks for a read of the version row, reported with Read or ReadFailed.
+	ReadVersion Kind = iota
+	// ReadDocument asks for a read of a version from the table, reported with Loaded or LoadFailed.
+	ReadDocument
+	// AskDocument asks a peer for a version or a newer one, reported like ReadDocument.
+	AskDocument
+)
+
+// Action is an order to the shell.
+type Action struct {
+	Kind    Kind
+	Version uint64
+	Peer    string
+}
+
+// Watch is the decider of one node.
+type Watch struct {
+	version uint64
+	vouched time.Time
+
+	// wanted is the highest version heard of that is above the own one, and wantedAsOf the youngest
+	// vouch that needs it.
+	wanted     uint64
+	wantedAsOf time.Time
+	sources    []string
+	loading    bool
+	loadAt     time.Time
+	loads      int
+
+	reading bool
+	readAt  time.Time
+	// claimed is the youngest vouch that a peer has stated, whether or not it could be proved.
+	claimed time.Time
+}
+
+// New returns a watch without a version.
+func New() *Watch { return &Watch{} }
+
+// Version returns the version in force, 0 for none.
+func (w *Watch) Version() uint64 { return w.version }
+
+// Vouched returns when the table last confirmed the version; zero for never.
+func (w *Watch) Vouched() time.Time { return w.vouched }
+
+// vouch takes the statement that the table's version was v at asOf.
+func (w *Watch) vouch(asOf time.Time, v uint64) {
+	if v <= w.version {
+		if asOf.After(w.vouched) {
+			w.vouched = asOf
+		}
+		return
+	}
+	w.wanted = max(w.wanted, v)
+	if asOf.After(w.wantedAsOf) {
+		w.wantedAsOf = asOf
+	}
+}
+
+// Heard takes the version and the vouched age in a peer's heartbeat, however late it arrives.
+func (w *Watch) Heard(now time.Time, from string, v uint64, age time.Duration) {
+	if v == 0 {
+		return
+	}
+	if at := now.Add(-age); at.After(w.claimed) {
+		w.claimed = at
+	}
+	w.Offered(from, v)
+}
+
+// VouchedBy takes a proved vouch of a peer: the table's version was v at asOf.
+func (w *Watch) VouchedBy(asOf time.Time, v uint64) { w.vouch(asOf, v) }
+
+// Offered notes that a peer has a version.
+func (w *Watch) Offered(from string, v uint64) {
+	if v <= w.version {
+		return
+	}
+	if v > w.wanted {
+		w.wanted = v
+		w.sources = nil
+	}
+	if v == w.wanted && !slices.Contains(w.sources, from) && len(w.sources) < maxSources {
+		w.sources = append(w.sources, from)
+	}
+}
+
+// Read takes the answer to a read of the version row that was sent at asOf.
+func (w *Watch) Read(asOf time.Time, v uint64) {
+	w.reading = false
+	w.vouch(asOf, v)
+}
+
+// ReadFailed notes that the table did not answer.
+func (w *Watch) ReadFailed() { w.reading = false }
+
+// Loaded takes a document of a version and reports whether it has to be put in force. A version that
+// is not above the own one never is, whatever the order in which documents arrive.
+func (w *Watch) Loaded(v uint64) bool {
+	w.loading = false
+	if v <= w.version {
+		return false
+	}
+	w.version = v
+	if w.wanted <= v {
+		if w.wantedAsOf.After(w.vouched) {
+			w.vouched = w.wantedAsOf
+		}
+		w.wanted, w.wantedAsOf, w.sources, w.loads = 0, time.Time{}, nil, 0
+	}
+	return true
+}
+
+// LoadFailed notes that a document did not come.
+func (w *Watch) LoadFailed() { w.loading = false }
+
+// Tick returns what has to be read or asked for. reader says that this node reads the table for its
+// data centre.
+func (w *Watch) Tick(now time.Time, reader bool) []Action {
+	var out []Action
+	if w.wanted > w.version && !w.loading && now.Sub(w.loadAt) >= loadRetry {
+		out = append(out, w.load(now))
+	}
+	due := reader || w.Age(now) > OwnReadAfter
+	if due && !w.reading && now.Sub(w.readAt) >= ReadInterval {
+		w.reading, w.readAt = true, now
+		out = append(out, Action{Kind: ReadVersion})
+	}
+	return out
+}
+
+// load asks the peers that offered the wanted version in turn, and the table after them.
+func (w *Watch) load(now time.Time) Action {
+	w.loading, w.loadAt = true, now
+	i := w.loads % (len(w.sources) + 1)
+	w.loads++
+	if i < len(w.sources) {
+		return Action{Kind: AskDocument, Version: w.wanted, Peer: w.sources[i]}
+	}
+	return Action{Kind: ReadDocument, Version: w.wanted}
+}
+
+// Age returns the vouched age, very large when there is no vouch.
+func (w *Watch) Age(now time.Time) time.Duration { return now.Sub(w.vouched) }
+
+// Mode returns what the node may do while it hears so many nodes of a fleet, itself included.
+func (w *Watch) Mode(now time.Time, heard, size int) Mode {
+	switch {
+	case w.version == 0:
+		return Isolated
+	case w.Age(now) <= Bound:
+		return Current
+	case w.wanted > w.version, now.Sub(w.claimed) <= Bound-claimMargin:
+		// A newer version exists, or the table answers a node that this one hears.
+		return Isolated
+	case 2*heard > size:
+		return StoreDown
+	default:
+		return Isolated
+	}
+}
