Join nodes to a fleet: shells of membership, configuration and drain

Cause: the deciders of membership and configuration were not run by a node, a node stopped at once and cut its requests, and nothing refused work on a node that had lost the table.

The demo's live list names its nodes and engine hosts.

--- a/internal/bench/demo/demo.go
+++ b/internal/bench/demo/demo.go
@@ -23,6 +23,12 @@
 // demoRunners keeps the demo light; the deployments have about 65.
 const demoRunners = 12
 
+// Times of a planned stop in the demo, which has no balancer that needs notice.
+const (
+	drainNotice  = 100 * time.Millisecond
+	drainTimeout = 5 * time.Second
+)
+
 // System is a running demo.
 type System struct {
 	Site  *site.Site
@@ -74,6 +80,7 @@
 		}
 		sys.Nodes = append(sys.Nodes, cfg)
 	}
+	s.List(sys.Nodes)
 	return sys, nil
 }
 
@@ -88,14 +95,14 @@
 		ObjectAddress:   s.PlatformAddress,
 		HostsAddress:    s.PlatformAddress,
 		LogLevel:        "info",
-		DrainNotice:     4 * time.Second,
-		DrainTimeout:    2 * time.Minute,
+		DrainNotice:     drainNotice,
+		DrainTimeout:    drainTimeout,
 	}
 	lns, cfg, err := serve.Listen(g.Context(), cfg)
 	if err != nil {
 		return cfg, errors.Newf("open sockets of %s: %w", cfg.NodeName, err)
 	}
-	n, err := serve.New(cfg, lns, log)
+	n, err := serve.New(cfg, lns, log, serve.Parts{})
 	if err != nil {
 		return cfg, errors.Newf("build %s: %w", cfg.NodeName, err)
 	}
--- a/internal/conf/watch/watch.go
+++ b/internal/conf/watch/watch.go
@@ -25,6 +25,9 @@
 	ReadInterval = time.Second
 	// loadRetry is the time after which a document is asked for elsewhere.
 	loadRetry = 500 * time.Millisecond
+	// offerWait is how long an offered document is waited for before it is asked for: most are on
+	// their way already.
+	offerWait = 200 * time.Millisecond
 	// claimMargin keeps a node out of isolation when the store goes down: its own age runs ahead of
 	// what its peers state by the time of a message, and passes Bound first.
 	claimMargin = time.Second
@@ -96,6 +99,9 @@
 // Vouched returns when the table last confirmed the version; zero for never.
 func (w *Watch) Vouched() time.Time { return w.vouched }
 
+// Wanted returns the highest version heard of that is above the own one, or 0.
+func (w *Watch) Wanted() uint64 { return w.wanted }
+
 // vouch takes the statement that the table's version was v at asOf.
 func (w *Watch) vouch(asOf time.Time, v uint64) {
 	if v <= w.version {
@@ -118,20 +124,23 @@
 	if at := now.Add(-age); at.After(w.claimed) {
 		w.claimed = at
 	}
-	w.Offered(from, v)
+	w.Offered(now, from, v)
 }
 
 // VouchedBy takes a proved vouch of a peer: the table's version was v at asOf.
 func (w *Watch) VouchedBy(asOf time.Time, v uint64) { w.vouch(asOf, v) }
 
 // Offered notes that a peer has a version.
-func (w *Watch) Offered(from string, v uint64) {
+func (w *Watch) Offered(now time.Time, from string, v uint64) {
 	if v <= w.version {
 		return
 	}
 	if v > w.wanted {
 		w.wanted = v
 		w.sources = nil
+		if wait := now.Add(offerWait - loadRetry); wait.After(w.loadAt) {
+			w.loadAt = wait
+		}
 	}
 	if v == w.wanted && !slices.Contains(w.sources, from) && len(w.sources) < maxSources {
 		w.sources = append(w.sources, from)
--- /dev/null
+++ b/internal/fleet/drain/drain_test.go
@@ -0,0 +1,95 @@
+package drain_test
+
+import (
+	"testing"
+	"time"
+
+	"geraniumhollow/internal/conf/schema"
+	"geraniumhollow/internal/fleet/drain"
+	"geraniumhollow/internal/plat/hosts"
+)
+
+// Guards against a stop that cuts requests, refuses too early, or never ends.
+func TestNode(t *testing.T) {
+	t.Parallel()
+	start := time.Unix(100, 0)
+	type event struct {
+		at      time.Duration
+		signal  bool
+		running int
+	}
+	tests := []struct {
+		name   string
+		events []event
+		want   drain.State
+		ready  bool
+		accept bool
+	}{
+		{"no signal", []event{{at: time.Hour}}, drain.Serving, true, true},
+		{"notice", []event{{signal: true}, {at: 3999 * time.Millisecond}}, drain.Notice, false, true},
+		{"finishing", []event{{signal: true}, {at: 4 * time.Second, running: 1}}, drain.Finishing, false, false},
+		{"nothing runs", []event{{signal: true}, {at: 4 * time.Second}}, drain.Stopped, false, false},
+		{"last request ends", []event{{signal: true}, {at: 4 * time.Second, running: 1}, {at: 5 * time.Second}}, drain.Stopped, false, false},
+		{"within the time", []event{{signal: true}, {at: 4 * time.Second, running: 1}, {at: 63 * time.Second, running: 1}}, drain.Finishing, false, false},
+		{"time is up", []event{{signal: true}, {at: 4 * time.Second, running: 1}, {at: 64 * time.Second, running: 1}}, drain.Stopped, false, false},
+		{"second signal", []event{{signal: true}, {at: time.Second, signal: true}}, drain.Stopped, false, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			n := drain.NewNode(4*time.Second, time.Minute)
+			for _, e := range tt.events {
+				if e.signal {
+					n.Signal(start.Add(e.at))
+					continue
+				}
+				n.Tick(start.Add(e.at), e.running)
+			}
+			if n.State() != tt.want || n.Ready() != tt.ready || n.Accepts() != tt.accept {
+				t.Errorf("state %s, ready %v, accepts %v", n.State(), n.Ready(), n.Accepts())
+			}
+		})
+	}
+}
+
+// Guards against new work for backend servers that are leaving or out of service.
+func TestSet(t *testing.T) {
+	t.Parallel()
+	doc := &schema.Document{
+		DataCentres: []schema.DataCentre{{Name: "in", InService: true}, {Name: "out"}},
+		Hosts: []schema.Host{
+			{Name: "h1", InService: true}, {Name: "h2", InService: true}, {Name: "h3"}, {Name: "h4", InService: true},
+		},
+		Groups: []schema.Group{
+			{Name: "whole", Hosts: []string{"h1"}},
+			{Name: "member leaves", Hosts: []string{"h1", "h2"}},
+			{Name: "member out", Hosts: []string{"h3"}},
+			{Name: "group out", Hosts: []string{"h4"}, OutOfService: true},
+		},
+	}
+	set := drain.Set{}.WithHosts([]hosts.Host{{Name: "h2", State: hosts.Leaving}, {Name: "h1", State: hosts.Live}}).WithDocument(doc)
+	tests := []struct {
+		server, dc string
+		home       string
+		want       bool
+	}{
+		{"whole", "in", "", true},
+		{"whole", "out", "", false},
+		{"member leaves", "in", "", false},
+		{"member out", "in", "", false},
+		{"group out", "in", "", false},
+		{"whole", "in", "in", true},
+		{"whole", "in", "other", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.server+tt.dc+tt.home, func(t *testing.T) {
+			t.Parallel()
+			if got := set.WithHome(tt.home).Allowed(tt.server, tt.dc); got != tt.want {
+				t.Errorf("got %v, want %v", got, tt.want)
+			}
+		})
+	}
+	if !set.WithHosts(nil).Allowed("member leaves", "in") {
+		t.Error("a host that returns is still left out")
+	}
+}
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -234,6 +234,13 @@
 	return true
 }
 
+// Linked notes a new link to a node, which gets a heartbeat at the next tick.
+func (r *Roster) Linked(node string) {
+	if m, ok := r.members[node]; ok {
+		m.answer = true
+	}
+}
+
 // Received takes a heartbeat. It returns when, by this node's clock, the table had confirmed the
 // version in it at the earliest. That is known only if the heartbeat echoes one of this node's own:
 // it was then sent no earlier than the own one plus the time that the sender held it, so a message
@@ -467,6 +474,17 @@
 	return fleet
 }
 
+// Suspects returns the number of nodes that had been heard and are suspect.
+func (r *Roster) Suspects() int {
+	n := 0
+	for _, m := range r.members {
+		if m.suspect && !m.heard.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
 // Size returns the number of nodes in the fleet, this node included.
 func (r *Roster) Size() int { return len(r.members) + 1 }
 
--- /dev/null
+++ b/internal/node/peers/peers.go
@@ -0,0 +1,423 @@
+// Package peers joins a node to the fleet: it runs the deciders of membership (fleet/roster) and of
+// the configuration (conf/watch) over the links of wire/peer, the platform's list and the table.
+package peers
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"geraniumhollow/internal/conf/apply"
+	"geraniumhollow/internal/conf/schema"
+	"geraniumhollow/internal/conf/watch"
+	"geraniumhollow/internal/core/tasks"
+	"geraniumhollow/internal/fleet/roster"
+	"geraniumhollow/internal/plat/hosts"
+	"geraniumhollow/internal/wire/frame"
+	"geraniumhollow/internal/wire/peer"
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+)
+
+// Times of the loops.
+const (
+	tickInterval = 100 * time.Millisecond
+	listInterval = time.Second
+	// readTimeout bounds a read of the table or the list. A read that fails after 2 s of age and
+	// this time still leaves half a second before the age passes its bound.
+	readTimeout  = 1500 * time.Millisecond
+	askTimeout   = time.Second
+	probeTimeout = 500 * time.Millisecond
+)
+
+// firstSeqRange is the range of the first heartbeat number of an incarnation. It makes it unlikely
+// that an echo of an earlier incarnation's number falls on one of this incarnation's.
+const firstSeqRange = 1 << 24
+
+// userMembership is the user of the links that heartbeats need.
+const userMembership = "membership"
+
+// Config is what Peers is made of.
+type Config struct {
+	Node       string
+	DataCentre string
+	// Incarnation grows with each start of the node; see NewIncarnation.
+	Incarnation string
+	Hosts       hosts.Lister
+	Configs     *apply.Store
+	Log         hclog.Logger
+	// Apply puts a version in force. Its calls are in ascending order of version. It must not call
+	// back into Peers.
+	Apply func(version uint64, doc *schema.Document)
+	// Listed is told of each answer of the platform's list. It may be nil.
+	Listed func(list []hosts.Host)
+	// Dial makes connections to other nodes; nil for plain TCP.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
+}
+
+// NewIncarnation returns an incarnation for a process that starts at now. It is ordered by the
+// host's clock, which must not go back by more than the time between two starts.
+func NewIncarnation(now time.Time) string { return fmt.Sprintf("%016x", now.UnixNano()) }
+
+// Status is what a node knows of the fleet and of its configuration.
+type Status struct {
+	Version uint64
+	// Age is the vouched age of the version; Vouched says whether there is one.
+	Age     time.Duration
+	Vouched bool
+	Mode    watch.Mode
+	// Heard and Size are nodes of the fleet, this one included.
+	Heard   int
+	Size    int
+	Members []roster.Member
+}
+
+// Peers is the membership of one node. It is safe for concurrent use.
+type Peers struct {
+	cfg Config
+	net *peer.Net
+
+	mu     sync.Mutex
+	group  *tasks.Group
+	roster *roster.Roster
+	watch  *watch.Watch
+	packed []byte
+	drain  string
+	links  []string
+	mode   watch.Mode
+	// currentUntil is the end of the mode current, as time since base; it only grows.
+	base         time.Time
+	currentUntil atomic.Int64
+	// suspicions counts the changes of a node from heard to suspect.
+	suspicions uint64
+	suspects   int
+}
+
+// New returns a node's membership, which has not started.
+func New(cfg Config) *Peers {
+	if cfg.Listed == nil {
+		cfg.Listed = func([]hosts.Host) {}
+	}
+	first := rand.IntN(firstSeqRange) //nolint:gosec // No secret: it only has to differ between starts.
+	self := roster.Place{Node: cfg.Node, DataCentre: cfg.DataCentre}
+	p := &Peers{
+		cfg: cfg, roster: roster.New(self, first, time.Now()), watch: watch.New(), mode: watch.Isolated,
+		base: time.Now(),
+	}
+	p.net = peer.New(peer.Config{
+		Self:    peer.Peer{Node: cfg.Node, Incarnation: cfg.Incarnation, DataCentre: cfg.DataCentre},
+		Log:     cfg.Log.Named("links"),
+		Resolve: p.resolve,
+		Accept:  p.accept,
+		Changed: p.linkChanged,
+		Dial:    cfg.Dial,
+	})
+	peer.On(p.net, p.heartbeat)
+	peer.On(p.net, p.offered)
+	peer.On(p.net, func(from peer.Peer, m *frame.ConfigDocument) { p.received(from.Node, m) })
+	peer.OnAsk(p.net, p.document)
+	peer.OnAsk(p.net, p.probe)
+	return p
+}
+
+// Net returns the links, for messages of other parts of the node.
+func (p *Peers) Net() *peer.Net { return p.net }
+
+// Run takes part in the fleet until ctx ends. ln accepts links of other nodes.
+func (p *Peers) Run(ctx context.Context, ln net.Listener) error {
+	g := tasks.New(ctx)
+	p.mu.Lock()
+	p.group = g
+	p.mu.Unlock()
+	g.Go("links", func(ctx context.Context) error { return p.net.Run(ctx, ln) })
+	g.Go("list", func(ctx context.Context) error { return every(ctx, listInterval, p.list) })
+	g.Go("ticks", func(ctx context.Context) error {
+		return every(ctx, tickInterval, func(context.Context) { p.tick() })
+	})
+	if err := g.Wait(); err != nil {
+		return errors.Newf("membership: %w", err)
+	}
+	return nil
+}
+
+// every calls f at once and then at each interval until ctx ends.
+func every(ctx context.Context, d time.Duration, f func(ctx context.Context)) error {
+	t := time.NewTicker(d)
+	defer t.Stop()
+	for {
+		f(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+	}
+}
+
+// Status returns what the node knows now.
+func (p *Peers) Status() Status {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	heard, size := p.roster.Heard(now), p.roster.Size()
+	return Status{
+		Version: p.watch.Version(),
+		Age:     p.watch.Age(now),
+		Vouched: !p.watch.Vouched().IsZero(),
+		Mode:    p.watch.Mode(now, heard, size),
+		Heard:   heard,
+		Size:    size,
+		Members: p.roster.Members(),
+	}
+}
+
+// Mode returns what the node may do now. While the configuration is current it takes no lock.
+func (p *Peers) Mode() watch.Mode {
+	if int64(time.Since(p.base)) < p.currentUntil.Load() {
+		return watch.Current
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.modeNow(time.Now())
+}
+
+// modeNow returns the mode and logs a change. p.mu is held.
+func (p *Peers) modeNow(now time.Time) watch.Mode {
+	mode := p.watch.Mode(now, p.roster.Heard(now), p.roster.Size())
+	if mode == watch.Current {
+		p.currentUntil.Store(int64(p.watch.Vouched().Add(watch.Bound).Sub(p.base)))
+	}
+	if mode != p.mode {
+		p.cfg.Log.Info("mode changed", "from", p.mode, "to", mode, "version", p.watch.Version(),
+			"heard", p.roster.Heard(now), "size", p.roster.Size())
+		p.mode = mode
+	}
+	return mode
+}
+
+// MayCommit is the commit rule: it reports whether this node hears enough of the fleet to accept a
+// change of the configuration.
+func (p *Peers) MayCommit() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.roster.MayCommit(time.Now())
+}
+
+// DroppedAt returns when the platform's list dropped a node.
+func (p *Peers) DroppedAt(node string) (time.Time, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.roster.DroppedAt(node)
+}
+
+// Suspicions returns how often a node that had been heard became suspect.
+func (p *Peers) Suspicions() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.suspicions
+}
+
+// SetDrain tells the peers of this node's drain state with the next heartbeat, which is sent at once.
+func (p *Peers) SetDrain(state string) {
+	p.mu.Lock()
+	p.drain = state
+	for node := range p.roster.Neighbours() {
+		p.roster.Linked(node)
+	}
+	p.mu.Unlock()
+	p.tick()
+}
+
+// Hold stops all work of the node until release is called, as a pause of its process would. It is
+// for tests and measurements.
+func (p *Peers) Hold() (release func()) { //nolint:nonamedreturns // Says what the function does.
+	p.mu.Lock()
+	return p.mu.Unlock
+}
+
+// resolve returns the address of a node.
+func (p *Peers) resolve(node string) (string, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m, ok := p.roster.Member(node)
+	return m.Address, ok && m.Address != ""
+}
+
+func (p *Peers) accept(from peer.Peer) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.roster.Incarnation(time.Now(), from.Node, from.Incarnation)
+}
+
+func (p *Peers) linkChanged(to peer.Peer, up bool) {
+	p.cfg.Log.Debug("link changed", "peer", to.Node, "incarnation", to.Incarnation, "up", up)
+	if !up {
+		return
+	}
+	p.mu.Lock()
+	p.roster.Linked(to.Node)
+	p.mu.Unlock()
+}
+
+// list reads the platform's list. When it does not answer, the last one stays.
+func (p *Peers) list(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	list, err := p.cfg.Hosts.List(ctx)
+	if err != nil {
+		p.cfg.Log.Debug("live list not read", "error", err)
+		return
+	}
+	p.mu.Lock()
+	gone := p.roster.List(time.Now(), list)
+	p.mu.Unlock()
+	for _, node := range gone {
+		p.cfg.Log.Info("node is gone", "peer", node)
+		p.net.Drop(node)
+	}
+	p.cfg.Listed(list)
+	p.tick()
+}
+
+// tick runs the deciders and carries out what they return.
+func (p *Peers) tick() {
+	p.mu.Lock()
+	now := time.Now()
+	own := roster.Own{Version: p.watch.Version(), Vouched: p.watch.Vouched(), Drain: p.drain}
+	sends, probes := p.roster.Tick(now, own)
+	actions := p.watch.Tick(now, p.roster.Reader() == p.cfg.Node)
+	links := p.roster.Links()
+	changed := len(links) != len(p.links)
+	for i := 0; !changed && i < len(links); i++ {
+		changed = links[i] != p.links[i]
+	}
+	p.links = links
+	p.countSuspects()
+	p.modeNow(now)
+	p.mu.Unlock()
+
+	if changed {
+		p.net.Want(userMembership, links)
+	}
+	for _, s := range sends {
+		p.send(s)
+	}
+	for _, pr := range probes {
+		p.spawn("probe", func(ctx context.Context) { p.probeVia(ctx, pr) })
+	}
+	for _, a := range actions {
+		p.spawn("configuration", func(ctx context.Context) { p.act(ctx, a) })
+	}
+}
+
+// countSuspects notes new suspicions. p.mu is held.
+func (p *Peers) countSuspects() {
+	n := p.roster.Suspects()
+	if n > p.suspects {
+		p.suspicions += uint64(n - p.suspects)
+		p.cfg.Log.Info("peers suspected", "suspects", n)
+	}
+	p.suspects = n
+}
+
+// spawn starts f in the group of the node.
+func (p *Peers) spawn(name string, f func(ctx context.Context)) {
+	p.mu.Lock()
+	g := p.group
+	p.mu.Unlock()
+	if g == nil || g.Context().Err() != nil {
+		return
+	}
+	g.Go(name, func(ctx context.Context) error {
+		f(ctx)
+		return nil
+	})
+}
+
+// send sends a heartbeat. A link that is missing or full is noticed by the other side's silence.
+func (p *Peers) send(s roster.Send) {
+	b := s.Beat
+	_ = p.net.Send(s.To, &frame.Heartbeat{
+		Seq: b.Seq, Echo: b.Echo, HoldMs: int(b.Hold.Milliseconds()),
+		Rel: frame.HeartbeatRel(b.Relation), Ver: int(b.Version), AgeMs: ceilMs(b.Age),
+		State: b.Drain, Heard: b.Heard, Fleet: b.Fleet,
+	})
+}
+
+// ceilMs rounds up, so that a vouch never looks younger than it is.
+func ceilMs(d time.Duration) int { return int((d + time.Millisecond - 1) / time.Millisecond) }
+
+// heartbeat takes a heartbeat of a peer.
+func (p *Peers) heartbeat(from peer.Peer, m *frame.Heartbeat) {
+	if m.Ver < 0 || m.AgeMs < 0 || m.HoldMs < 0 {
+		return
+	}
+	b := roster.Beat{
+		Seq: m.Seq, Echo: m.Echo, Hold: time.Duration(m.HoldMs) * time.Millisecond,
+		Relation: roster.Relation(m.Rel), Version: uint64(m.Ver), Age: time.Duration(m.AgeMs) * time.Millisecond,
+		Drain: m.State, Heard: m.Heard, Fleet: m.Fleet,
+	}
+	p.mu.Lock()
+	now := time.Now()
+	before := p.watch.Vouched()
+	asOf, proved := p.roster.Received(now, from.Node, b)
+	p.watch.Heard(now, from.Node, b.Version, b.Age)
+	if proved {
+		p.watch.VouchedBy(asOf, b.Version)
+	}
+	urgent := m.Echo == 0 || p.watch.Vouched().After(before)
+	p.mu.Unlock()
+	if urgent {
+		p.tick()
+	}
+}
+
+// probeVia asks nodes whether they reach a silent one.
+func (p *Peers) probeVia(ctx context.Context, pr roster.Probe) {
+	ctx, cancel := context.WithTimeout(ctx, 2*probeTimeout)
+	defer cancel()
+	answers := make(chan bool, len(pr.Via))
+	for _, via := range pr.Via {
+		p.spawn("probe via "+via, func(context.Context) {
+			reply, err := p.net.Ask(ctx, via, &frame.ProbeAsk{Node: pr.Node})
+			r, ok := reply.(*frame.ProbeReply)
+			answers <- err == nil && ok && r.Heard
+		})
+	}
+	reached := false
+	for range pr.Via {
+		select {
+		case ok := <-answers:
+			reached = reached || ok
+		case <-ctx.Done():
+		}
+	}
+	p.mu.Lock()
+	p.roster.Probed(time.Now(), pr.Node, reached)
+	p.mu.Unlock()
+	// A link on which nothing arrives may be broken without an error.
+	p.net.Drop(pr.Node)
+	p.tick()
+}
+
+// probe answers whether this node reaches another one: it hears it, or the other answers an ask.
+func (p *Peers) probe(ctx context.Context, from peer.Peer, m *frame.ProbeAsk) *frame.ProbeReply {
+	if m.Node == p.cfg.Node {
+		return &frame.ProbeReply{Heard: true}
+	}
+	p.mu.Lock()
+	heard := p.roster.Reaches(time.Now(), m.Node)
+	p.mu.Unlock()
+	if heard || m.Node == from.Node {
+		return &frame.ProbeReply{Heard: heard}
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	reply, err := p.net.Ask(ctx, m.Node, &frame.ProbeAsk{Node: m.Node})
+	r, ok := reply.(*frame.ProbeReply)
+	return &frame.ProbeReply{Heard: err == nil && ok && r.Heard}
+}
--- a/internal/node/serve/command.go
+++ b/internal/node/serve/command.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"geraniumhollow/internal/conf/flags"
 	"github.com/cockroachdb/errors"
@@ -10,7 +12,8 @@
 	"github.com/urfave/cli/v3"
 )
 
-// Command returns the serve subcommand, which runs one node until its context ends.
+// Command returns the serve subcommand, which runs one node. The end of its context begins a planned
+// stop; another signal after that ends the node at once.
 func Command() *cli.Command {
 	var cfg flags.Settings
 	return &cli.Command{
@@ -28,11 +31,20 @@
 			if err != nil {
 				return errors.Newf("serve: %w", err)
 			}
-			n, err := New(cfg, lns, log)
+			n, err := New(cfg, lns, log, Parts{})
 			if err != nil {
 				return errors.Newf("serve: %w", err)
 			}
+			defer context.AfterFunc(ctx, func() { stopOnSignal(n) })()
 			return n.Run(ctx)
 		},
 	}
 }
+
+// stopOnSignal passes the next signal to the node.
+func stopOnSignal(n *Node) {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, os.Interrupt, syscall.SIGTERM)
+	<-c
+	n.Stop()
+}
--- a/internal/node/serve/serve.go
+++ b/internal/node/serve/serve.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -11,24 +12,45 @@
 	"geraniumhollow/internal/conf/flags"
 	"geraniumhollow/internal/conf/schema"
 	"geraniumhollow/internal/conf/view"
+	"geraniumhollow/internal/conf/watch"
 	"geraniumhollow/internal/core/tasks"
+	"geraniumhollow/internal/fleet/drain"
 	"geraniumhollow/internal/node/caller"
+	"geraniumhollow/internal/node/peers"
 	"geraniumhollow/internal/node/relay"
+	"geraniumhollow/internal/plat/hosts"
 	"geraniumhollow/internal/plat/table"
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 )
 
-// pollInterval is the time between reads of the version row.
-const pollInterval = time.Second
+// Parts are what a node is built from. New fills the absent ones from the settings.
+type Parts struct {
+	Table table.Table
+	Hosts hosts.Lister
+	// Dial makes connections to other nodes; nil for plain TCP.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
+	// Relay has the parts that the request path decides with. Its Gate is asked after the node's own
+	// check that new requests are served.
+	Relay relay.Deps
+}
 
 // Node is one entry node.
 type Node struct {
-	cfg     flags.Settings
-	lns     Listeners
-	log     hclog.Logger
-	configs *apply.Store
-	view    atomic.Pointer[view.View]
+	cfg   flags.Settings
+	lns   Listeners
+	log   hclog.Logger
+	parts Parts
+	peers *peers.Peers
+	view  atomic.Pointer[view.View]
+	// allowed says which backend servers may get new work.
+	allowed atomic.Pointer[drain.Set]
+	running atomic.Int64
+	// signals carries Stop to the drain loop.
+	signals chan struct{}
+
+	mu    sync.Mutex
+	drain *drain.Node
 }
 
 // Listeners are the sockets of a node.
@@ -63,63 +85,115 @@
 
 // New returns a node that has not started. It returns an error marked flags.ErrInvalid when the
 // settings cannot be used.
-func New(cfg flags.Settings, lns Listeners, log hclog.Logger) (*Node, error) {
+func New(cfg flags.Settings, lns Listeners, log hclog.Logger, parts Parts) (*Node, error) {
 	if err := cfg.Check(); err != nil {
 		return nil, errors.Newf("check settings: %w", err)
 	}
+	if parts.Table == nil {
+		parts.Table = table.New(cfg.TableAddress)
+	}
+	if parts.Hosts == nil {
+		parts.Hosts = hosts.New(cfg.HostsAddress)
+	}
 	n := &Node{
-		cfg:     cfg,
-		lns:     lns,
-		log:     log.Named(cfg.NodeName),
-		configs: apply.New(table.New(cfg.TableAddress), time.Now),
+		cfg: cfg, lns: lns, log: log.Named(cfg.NodeName), parts: parts,
+		signals: make(chan struct{}, 1),
+		drain:   drain.NewNode(cfg.DrainNotice, cfg.DrainTimeout),
 	}
 	n.view.Store(view.New(0, &schema.Document{}))
+	n.allowed.Store(&drain.Set{})
+	n.peers = peers.New(peers.Config{
+		Node:        cfg.NodeName,
+		DataCentre:  cfg.DataCentre,
+		Incarnation: peers.NewIncarnation(time.Now()),
+		Hosts:       parts.Hosts,
+		Configs:     apply.New(parts.Table, time.Now),
+		Log:         n.log.Named("peers"),
+		Apply:       n.apply,
+		Listed:      n.listed,
+		Dial:        parts.Dial,
+	})
 	return n, nil
 }
 
-// Run serves until ctx ends.
+// Peers returns the node's membership and its links to other nodes.
+func (n *Node) Peers() *peers.Peers { return n.peers }
+
+// View returns the configuration in force.
+func (n *Node) View() *view.View { return n.view.Load() }
+
+// Run serves until a planned stop has ended, which begins when ctx ends.
 func (n *Node) Run(ctx context.Context) error {
-	g := tasks.New(ctx)
-	rl := relay.New(n.log.Named("relay"), n.view.Load, relay.Deps{})
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	g := tasks.New(work)
+	deps := n.parts.Relay
+	deps.Gate = &gate{node: n, next: deps.Gate}
+	rl := relay.New(n.log.Named("relay"), n.view.Load, deps)
 	srv := caller.New(g.Context(), n.log.Named("caller"), n.cfg.NodeName, n.view.Load, rl)
 	g.Go("callers", func(ctx context.Context) error { return srv.Serve(ctx, n.lns.Callers) })
-	g.Go("configuration", n.pollConfig)
+	g.Go("operators", func(ctx context.Context) error { return n.serveHealth(ctx, n.lns.Operators) })
+	g.Go("peers", func(ctx context.Context) error { return n.peers.Run(ctx, n.lns.Peers) })
+	g.Go("stop", func(work context.Context) error {
+		n.awaitStop(ctx, work)
+		cancel()
+		return nil
+	})
 	if err := g.Wait(); err != nil {
 		return errors.Newf("node %s: %w", n.cfg.NodeName, err)
 	}
 	return nil
 }
 
-// pollConfig reads the configuration until ctx ends.
-func (n *Node) pollConfig(ctx context.Context) error {
-	t := time.NewTicker(pollInterval)
-	defer t.Stop()
-	for {
-		if err := n.readConfig(ctx); err != nil && ctx.Err() == nil {
-			n.log.Warn("configuration not read", "error", err)
-		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-		}
+// apply puts a version in force.
+func (n *Node) apply(version uint64, doc *schema.Document) {
+	n.view.Store(view.New(version, doc))
+	n.changeSet(func(s drain.Set) drain.Set { return s.WithDocument(doc) })
+}
+
+// listed takes an answer of the platform's list.
+func (n *Node) listed(list []hosts.Host) {
+	n.changeSet(func(s drain.Set) drain.Set { return s.WithHosts(list) })
+}
+
+func (n *Node) changeSet(f func(s drain.Set) drain.Set) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s := f(*n.allowed.Load())
+	n.allowed.Store(&s)
+}
+
+// Allowed reports whether a backend server may get new work: its hosts are not leaving, its data
+// centre is in service, and, while this node is cut off and its region's policy is serve_local, the
+// data centre is the node's own.
+func (n *Node) Allowed(server, dataCentre string) bool {
+	s := *n.allowed.Load()
+	if n.peers.Mode() == watch.Isolated {
+		s = s.WithHome(n.cfg.DataCentre)
 	}
+	return s.Allowed(server, dataCentre)
 }
 
-// readConfig puts the current version in force if it is newer than the node's own.
-func (n *Node) readConfig(ctx context.Context) error {
-	version, _, err := n.configs.Version(ctx)
-	if err != nil {
-		return err
+// Isolated reports whether new requests are refused because changes may have been accepted that the
+// node does not know. A node without a configuration is isolated under every policy.
+func (n *Node) Isolated() bool {
+	if n.peers.Mode() != watch.Isolated {
+		return false
 	}
-	if version <= n.view.Load().Version {
-		return nil
+	v := n.view.Load()
+	return v.Version == 0 || !servesLocal(v, n.cfg.DataCentre)
+}
+
+// servesLocal reports whether the region of a data centre lets cut-off nodes serve.
+func servesLocal(v *view.View, dataCentre string) bool {
+	dc, ok := v.DataCentre(dataCentre)
+	if !ok {
+		return false
 	}
-	e, err := n.configs.Entry(ctx, version)
-	if err != nil {
-		return err
+	for _, r := range v.Document().Regions {
+		if r.Name == dc.Region {
+			return r.IsolationPolicy == schema.RegionIsolationPolicyServeLocal
+		}
 	}
-	n.view.Store(view.New(e.Version, e.Document))
-	n.log.Info("configuration in force", "version", e.Version)
-	return nil
+	return false
 }
