--- a/internal/bench/demo/demo.go
+++ b/internal/bench/demo/demo.go
@@ -23,6 +23,12 @@
 // demoRunners keeps the demo light; the deployments have about 65.
 const demoRunners = 12
 
+// Times of a planned stop in the demo, which has no balancer that needs notice.
+const (
+	drainNotice  = 100 * time.Millisecond
+	drainTimeout = 5 * time.Second
+)
+
 // System is a running demo.
 type System struct {
 	Site  *site.Site
@@ -75,6 +81,7 @@
 			return nil, err
 		}
 	}
+	s.List(sys.Nodes)
 	return sys, nil
 }
 
@@ -90,14 +97,14 @@
 		ObjectAddress:   s.Site.PlatformAddress,
 		HostsAddress:    s.Site.PlatformAddress,
 		LogLevel:        "info",
-		DrainNotice:     4 * time.Second,
-		DrainTimeout:    2 * time.Minute,
+		DrainNotice:     drainNotice,
+		DrainTimeout:    drainTimeout,
 	}
 	lns, cfg, err := serve.Listen(g.Context(), cfg)
 	if err != nil {
 		return errors.Newf("open sockets of %s: %w", cfg.NodeName, err)
 	}
-	n, err := serve.New(cfg, lns, log)
+	n, err := serve.New(cfg, lns, log, serve.Parts{})
 	if err != nil {
 		return errors.Newf("build %s: %w", cfg.NodeName, err)
 	}
