Serve the operators' address: API, forms, metrics and health

Cause: the configuration could be changed only by code that talks to the table, and a node showed neither its state nor its decisions. Change: a JSON API and pages over one path for changes: validate against every rule, commit on a base version, and answer with faults by path, with both changes after a conflict, with an outage, or with the commit to look for when its answer was lost. Forms are made from the JSON Schema; edits travel in the pages, so a node keeps nothing between them. A redone change is merged onto the current version. The API takes the operator key; pages take a session that this node signed, a token in each form and the Origin header. Without an operator key nothing can be read or changed. Conclusion: operators can change every part without a script.

--- /dev/null
+++ b/internal/node/admin/api_test.go
@@ -0,0 +1,209 @@
+package admin_test
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"geraniumhollow/internal/conf/apply"
+	"geraniumhollow/internal/conf/schema"
+	"geraniumhollow/internal/node/admin"
+	"geraniumhollow/internal/report/reason"
+)
+
+// Guards against a change that is answered wrongly: an accepted one must be in force, any other must
+// leave the version as it was and tell why.
+func TestApply(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name    string
+		base    uint64
+		change  func(d *schema.Document)
+		prepare func(n *node)
+		status  int
+		code    string
+		version uint64
+	}{
+		{"accepted", 1, nil, nil, http.StatusOK, "", 2},
+		{"faults", 1, func(d *schema.Document) { d.Groups[0].Model = "x"; d.Hosts[0].FabricDomain = "y" }, nil, http.StatusUnprocessableEntity, admin.CodeInvalid, 1},
+		{"table down", 1, nil, func(n *node) { n.platform.SetDown(true) }, http.StatusServiceUnavailable, admin.CodeUnavailable, 1},
+		{"answer lost", 1, nil, func(n *node) { n.platform.LoseAnswers(1) }, http.StatusOK, "", 2},
+		{"outcome unknown", 1, nil, func(n *node) { n.hold.lose = true }, http.StatusAccepted, admin.CodeUnknown, 1},
+		{"cut off", 1, nil, func(n *node) { n.cut.Store(true) }, http.StatusServiceUnavailable, admin.CodeIsolated, 1},
+		{"base that does not exist", 9, nil, nil, http.StatusConflict, admin.CodeConflict, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			n := start(t, operatorKey)
+			doc := document()
+			doc.DataCentres[0].InService = false
+			if tt.change != nil {
+				tt.change(doc)
+			}
+			if tt.prepare != nil {
+				tt.prepare(n)
+			}
+			status, p := n.apply(tt.base, doc)
+			if status != tt.status || p.Error.Code != tt.code {
+				t.Errorf("status %d, code %q; want %d, %q", status, p.Error.Code, tt.status, tt.code)
+			}
+			if tt.code == admin.CodeInvalid && (len(p.Faults) < 2 || p.Faults[0].Path == "") {
+				t.Errorf("faults %v", p.Faults)
+			}
+			if tt.code == admin.CodeUnknown && (p.Pending == nil || p.Pending.Version != 2 || p.Pending.Token == "") {
+				t.Errorf("pending %v", p.Pending)
+			}
+			n.platform.SetDown(false)
+			var now admin.CurrentReply
+			n.api("GET", admin.PathConfig, nil, &now)
+			if now.Version != tt.version || now.Document.DataCentres[0].InService == (tt.version == 2) {
+				t.Errorf("version %d, data centre in service %v", now.Version, now.Document.DataCentres[0].InService)
+			}
+		})
+	}
+}
+
+// Guards against a loser of a race who does not see both changes and where they meet.
+func TestApplyConflict(t *testing.T) {
+	t.Parallel()
+	n := start(t, operatorKey)
+	theirs, mine := document(), document()
+	theirs.DataCentres[0].InService = false
+	theirs.Limits.CrashRuns = 4
+	mine.DataCentres[0].InService = false
+	mine.Accounts[0].Share = 9
+	if status, _ := n.apply(1, theirs); status != http.StatusOK {
+		t.Fatalf("first change: %d", status)
+	}
+	status, p := n.apply(1, mine)
+	c := p.Conflict
+	if status != http.StatusConflict || c == nil || c.Base != 1 || c.Current != 2 || c.Author != "api" {
+		t.Fatalf("status %d, conflict %+v", status, c)
+	}
+	if len(c.Theirs) != 2 || len(c.Mine) != 2 || len(c.Overlap) != 1 || c.Overlap[0].Path != "$.data_centres[esbjerg].in_service" {
+		t.Errorf("theirs %v, mine %v, overlap %v", c.Theirs, c.Mine, c.Overlap)
+	}
+}
+
+// Guards against reads that are wrong, or that fail while the table is down although the node knows the
+// answer.
+func TestReads(t *testing.T) {
+	t.Parallel()
+	n := start(t, operatorKey)
+	doc := document()
+	doc.Limits.CrashRuns = 5
+	n.apply(1, doc)
+	var history []admin.VersionSummary
+	var old apply.Entry
+	var diff admin.DiffReply
+	var status admin.NodeStatus
+	var fleet []admin.NodeStatus
+	var decisions []reason.Entry
+	var valid admin.ValidReply
+	n.api("GET", admin.PathHistory, nil, &history)
+	n.api("GET", admin.PathVersions+"1", nil, &old)
+	n.api("GET", admin.PathDiff+"?from=1&to=2", nil, &diff)
+	n.api("GET", admin.PathStatus, nil, &status)
+	n.api("GET", admin.PathFleet, nil, &fleet)
+	n.api("GET", admin.PathExplain+"?kind=configuration&subject=node-0", nil, &decisions)
+	n.api("POST", admin.PathValidate, doc, &valid)
+	if len(history) != 2 || history[0].Version != 2 || history[0].Author != "api" || old.Document.Limits.CrashRuns != 3 {
+		t.Errorf("history %v, version 1 has %v", history, old.Document.Limits)
+	}
+	if len(diff.Changes) != 1 || diff.Changes[0].Path != "$.limits.crash_runs" || !valid.Valid {
+		t.Errorf("diff %v, valid %v", diff, valid)
+	}
+	if status.Version != 2 || !status.Ready || len(fleet) != 1 || len(decisions) != 1 || decisions[0].Decision != "accepted" {
+		t.Errorf("status %v, fleet %v, decisions %v", status, fleet, decisions)
+	}
+	n.platform.SetDown(true)
+	var now admin.CurrentReply
+	if n.api("GET", admin.PathConfig, nil, &now); now.Version != 2 || !now.Stale || now.Document.Limits.CrashRuns != 5 {
+		t.Errorf("with the table down: version %d, stale %v", now.Version, now.Stale)
+	}
+	for path, want := range map[string]int{
+		admin.PathHistory: 503, admin.PathVersions + "1": 503, admin.PathVersions + "x": 400, admin.PathDiff + "?from=x": 400, "/api/none": 404,
+	} {
+		var p admin.Problem
+		if got := n.api("GET", path, nil, &p); got != want || p.Error.Code == "" {
+			t.Errorf("%s: status %d, want %d", path, got, want)
+		}
+	}
+}
+
+// Guards against access without the operator key, and against a key check that keeps probes out.
+func TestAccess(t *testing.T) {
+	t.Parallel()
+	keyed, bare := start(t, operatorKey), start(t, "")
+	tests := []struct {
+		name   string
+		n      *node
+		path   string
+		auth   string
+		status int
+		text   string
+	}{
+		{"health", keyed, "/healthz", "", 200, "ok"},
+		{"readiness", keyed, "/readyz", "", 200, "ready"},
+		{"metrics", keyed, "/metrics", "", 200, "geraniumhollow_"},
+		{"no key", keyed, "/api/config", "", 401, "unauthorized"},
+		{"wrong key", keyed, "/api/config", "Bearer other", 401, "unauthorized"},
+		{"hash instead of key", keyed, "/api/config", "Bearer " + strings.Repeat("a", 64), 401, "unauthorized"},
+		{"key without its scheme", keyed, "/api/config", operatorKey, 401, "unauthorized"},
+		{"right key", keyed, "/api/status", "Bearer " + operatorKey, 200, "node-0"},
+		{"page without a session", keyed, "/parts/hosts", "", 200, "Operator key"},
+		{"node without a key", bare, "/api/config", "Bearer ", 403, "GERANIUMHOLLOW_OPERATOR_KEY_HASH"},
+		{"pages of a node without a key", bare, "/", "", 403, "GERANIUMHOLLOW_OPERATOR_KEY_HASH"},
+		{"login of a node without a key", bare, "/login", "", 403, "GERANIUMHOLLOW_OPERATOR_KEY_HASH"},
+		{"health of a node without a key", bare, "/healthz", "", 200, "ok"},
+	}
+	for _, tt := range tests {
+		a := tt.n.browser().do("GET", tt.path, nil, map[string]string{"Authorization": tt.auth})
+		if a.status != tt.status || !strings.Contains(a.body, tt.text) {
+			t.Errorf("%s: status %d, want %d with %q", tt.name, a.status, tt.status, tt.text)
+		}
+		csp := a.header.Get("Content-Security-Policy")
+		if strings.Contains(csp, "script") || !strings.Contains(csp, "default-src 'none'") || a.header.Get("X-Frame-Options") != "DENY" {
+			t.Errorf("%s: weak headers %v", tt.name, a.header)
+		}
+	}
+}
+
+// Guards against bodies that take unbounded memory or break the API.
+func TestBadBodies(t *testing.T) {
+	t.Parallel()
+	n := start(t, operatorKey)
+	auth := map[string]string{"Authorization": "Bearer " + operatorKey}
+	tests := []struct {
+		name, path, body string
+		status           int
+	}{
+		{"not JSON", admin.PathApply, "{", 400},
+		{"no base", admin.PathApply, `{"author":"a","document":{}}`, 400},
+		{"no document", admin.PathApply, `{"author":"a","base":1}`, 400},
+		{"empty document", admin.PathApply, `{"author":"a","base":1,"document":{}}`, 422},
+		{"no author", admin.PathApply, `{"base":1,"document":{}}`, 400},
+		{"author with a line break", admin.PathApply, `{"author":"a\nb","base":1,"document":{}}`, 400},
+		{"validate nothing", admin.PathValidate, "", 422},
+	}
+	for _, tt := range tests {
+		if a := n.browser().do("POST", tt.path, strings.NewReader(tt.body), auth); a.status != tt.status {
+			t.Errorf("%s: status %d, want %d: %s", tt.name, a.status, tt.status, a.body)
+		}
+	}
+	// The size is refused before the body is read.
+	c, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", strings.TrimPrefix(n.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_, _ = c.Write([]byte("POST " + admin.PathApply + " HTTP/1.1\r\nHost: a\r\nContent-Length: 17000000\r\n\r\n"))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || resp.StatusCode != http.StatusRequestEntityTooLarge {
+		t.Fatalf("too large: %v, %v", resp, err)
+	}
+	_ = resp.Body.Close()
+}
--- /dev/null
+++ b/internal/node/admin/change.go
@@ -0,0 +1,221 @@
+package admin
+
+import (
+	"context"
+	"net/http"
+
+	"geraniumhollow/internal/conf/apply"
+	"geraniumhollow/internal/conf/check"
+	"geraniumhollow/internal/conf/delta"
+	"geraniumhollow/internal/conf/schema"
+	"geraniumhollow/internal/plat/table"
+	"geraniumhollow/internal/report/reason"
+	"github.com/cockroachdb/errors"
+)
+
+// Problem is the body of every answer of the API that is not a success.
+type Problem struct {
+	Status int           `json:"-"`
+	Error  ProblemDetail `json:"error"`
+	// Faults are what is wrong with a document.
+	Faults []check.Fault `json:"faults,omitempty"`
+	// Conflict is set when another change was accepted first.
+	Conflict *Conflict `json:"conflict,omitempty"`
+	// Pending is set when it is not known whether a change was accepted.
+	Pending *Pending `json:"pending,omitempty"`
+}
+
+// ProblemDetail says what went wrong and what to do next.
+type ProblemDetail struct {
+	Code    string `json:"code"`
+	Message string `json:"message"`
+	Help    string `json:"help,omitempty"`
+}
+
+// Conflict shows both changes since the common base.
+type Conflict struct {
+	Base    uint64 `json:"base"`
+	Current uint64 `json:"current"`
+	// Author is who made the current version.
+	Author string         `json:"author"`
+	Theirs []delta.Change `json:"theirs"`
+	Mine   []delta.Change `json:"mine"`
+	// Overlap are those of mine that touch the same place as one of theirs.
+	Overlap []delta.Change `json:"overlap"`
+}
+
+// Pending names the commit that may have taken effect: it has if the version carries the token.
+type Pending struct {
+	Version uint64 `json:"version"`
+	Token   string `json:"token"`
+}
+
+// Codes of problems.
+const (
+	CodeInvalid     = "invalid_document"
+	CodeConflict    = "conflict"
+	CodeUnavailable = "store_unavailable"
+	CodeIsolated    = "node_isolated"
+	CodeUnknown     = "outcome_unknown"
+	CodeNoKey       = "operator_key_not_set"
+	CodeWrongKey    = "unauthorized"
+	CodeNotFound    = "not_found"
+	CodeBadRequest  = "bad_request"
+	CodeTooLarge    = "body_too_large"
+	CodeInternal    = "internal"
+)
+
+func problem(status int, code, message, help string) *Problem {
+	return &Problem{Status: status, Error: ProblemDetail{Code: code, Message: message, Help: help}}
+}
+
+func badRequest(message string) *Problem {
+	return problem(http.StatusBadRequest, CodeBadRequest, message, "")
+}
+
+// snapshot is a version of the configuration.
+type snapshot struct {
+	Version  uint64
+	Document *schema.Document
+	// Stale is set when the table did not answer and the node's own last version is shown.
+	Stale bool
+}
+
+// latest returns the newest version, or the node's own while the table does not answer.
+func (s *Server) latest(ctx context.Context) (snapshot, *Problem) {
+	own := s.View()
+	version, _, err := s.Configs.Version(ctx)
+	switch {
+	case err != nil:
+		s.Log.Warn("configuration not read", "error", err)
+		return snapshot{Version: own.Version, Document: own.Document(), Stale: true}, nil
+	case version == own.Version:
+		return snapshot{Version: version, Document: own.Document()}, nil
+	}
+	doc, p := s.document(ctx, version)
+	return snapshot{Version: version, Document: doc}, p
+}
+
+// document returns the document of a version; version 0 is empty.
+func (s *Server) document(ctx context.Context, version uint64) (*schema.Document, *Problem) {
+	if version == 0 {
+		return &schema.Document{}, nil
+	}
+	if own := s.View(); own.Version == version {
+		return own.Document(), nil
+	}
+	e, p := s.entry(ctx, version)
+	return e.Document, p
+}
+
+func (s *Server) entry(ctx context.Context, version uint64) (apply.Entry, *Problem) {
+	e, err := s.Configs.Entry(ctx, version)
+	if err != nil {
+		return apply.Entry{}, s.readProblem(err)
+	}
+	return e, nil
+}
+
+// readProblem turns a failed read of the table into an answer.
+func (s *Server) readProblem(err error) *Problem {
+	if errors.Is(err, table.ErrNotFound) {
+		return problem(http.StatusNotFound, CodeNotFound, "there is no such version", "The history lists the versions.")
+	}
+	s.Log.Warn("table not read", "error", err)
+	return unavailable()
+}
+
+func unavailable() *Problem {
+	return problem(http.StatusServiceUnavailable, CodeUnavailable, "the table service does not answer",
+		"Nothing was changed. Serving continues with the last configuration. Try again when the table is back.")
+}
+
+// validate returns the document, or the problem with all of its faults.
+func (s *Server) validate(raw []byte) (*schema.Document, *Problem) {
+	doc, err := s.checker.Parse(raw)
+	if err == nil {
+		return doc, nil
+	}
+	p := problem(http.StatusUnprocessableEntity, CodeInvalid, "the document has faults", "Nothing was changed. Mend every fault and send the document again.")
+	var invalid *check.InvalidError
+	if !errors.As(err, &invalid) {
+		return nil, problem(http.StatusInternalServerError, CodeInternal, err.Error(), "")
+	}
+	p.Faults = invalid.Faults
+	return nil, p
+}
+
+// submit validates a document and makes it the version after base.
+func (s *Server) submit(ctx context.Context, base uint64, author string, raw []byte) (apply.Entry, *Problem) {
+	if !validAuthor(author) {
+		return apply.Entry{}, badRequest("author must be a name of at most 64 printable characters")
+	}
+	doc, p := s.validate(raw)
+	if p != nil {
+		return apply.Entry{}, p
+	}
+	if err := s.Node.MayCommit(); err != nil {
+		return apply.Entry{}, problem(http.StatusServiceUnavailable, CodeIsolated, "this node may not accept changes now: "+err.Error(),
+			"Nothing was changed. Use another node, or try again when this node hears its peers.")
+	}
+	e, err := s.Configs.Commit(ctx, base, author, doc)
+	switch {
+	case err == nil:
+		s.Log.Info("configuration accepted", "version", e.Version, "base", base)
+		s.note("accepted", "committed by an operator", e.Version)
+		s.Node.Accepted(e)
+		return e, nil
+	case errors.Is(err, apply.ErrConflict):
+		s.note("refused", "another change was accepted first", base)
+		return apply.Entry{}, s.conflict(ctx, base, doc)
+	case errors.Is(err, table.ErrUnknown):
+		s.note("unknown", "the answer of the table was lost", e.Version)
+		p := problem(http.StatusAccepted, CodeUnknown, "it is not known whether the change was accepted",
+			"Read the pending version: the change was accepted if it carries the pending token. Don't apply the change again before.")
+		p.Pending = &Pending{Version: e.Version, Token: e.Token}
+		return apply.Entry{}, p
+	default:
+		s.Log.Warn("configuration not committed", "base", base, "error", err)
+		return apply.Entry{}, unavailable()
+	}
+}
+
+func (s *Server) note(decision, why reason.Text, version uint64) {
+	s.Reasons.Add(reason.Configuration, s.Node.Status().Node, decision, why, reason.Int("version", int(version)))
+}
+
+// conflict shows an operator both changes since the base.
+func (s *Server) conflict(ctx context.Context, base uint64, mine *schema.Document) *Problem {
+	p := problem(http.StatusConflict, CodeConflict, "another change was accepted first",
+		"Nothing was changed. Look at both changes, and make yours again on the current version.")
+	p.Conflict = &Conflict{Base: base, Theirs: []delta.Change{}, Mine: []delta.Change{}, Overlap: []delta.Change{}}
+	version, _, err := s.Configs.Version(ctx)
+	if err != nil {
+		return p
+	}
+	current, problem1 := s.entry(ctx, version)
+	from, problem2 := s.document(ctx, base)
+	if problem1 != nil || problem2 != nil || base > version {
+		p.Conflict.Current = version
+		return p
+	}
+	theirs, err1 := delta.Documents(from, current.Document)
+	own, err2 := delta.Documents(from, mine)
+	if err := errors.Join(err1, err2); err != nil {
+		s.Log.Error("versions not compared", "error", err)
+		return p
+	}
+	p.Conflict = &Conflict{
+		Base: base, Current: version, Author: current.Author,
+		Theirs: nonNil(theirs), Mine: nonNil(own), Overlap: nonNil(delta.Overlap(own, theirs)),
+	}
+	return p
+}
+
+// nonNil keeps empty lists from being null in JSON.
+func nonNil[T any](list []T) []T {
+	if list == nil {
+		return []T{}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/node/admin/edit.go
@@ -0,0 +1,144 @@
+package admin
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+
+	"geraniumhollow/internal/conf/delta"
+	"geraniumhollow/internal/conf/schema"
+	"github.com/cockroachdb/errors"
+)
+
+// Operations of an edit.
+const (
+	opPut     = "put"
+	opRemove  = "remove"
+	opRestore = "restore"
+)
+
+// edit is one change that an operator makes through the forms. The pages carry it from the form through
+// the preview to the commit, so that the node keeps nothing.
+type edit struct {
+	Part string
+	Op   string
+	// ID is the identity of the entry before the change; empty adds one.
+	ID    string
+	Entry any
+	// Base is the version that the change was made from.
+	Base uint64
+	// Version is the version whose document is put in force again by opRestore.
+	Version uint64
+}
+
+// EntryJSON returns the entry for a hidden field.
+func (e edit) EntryJSON() string {
+	raw, err := json.Marshal(e.Entry)
+	if err != nil {
+		return "null"
+	}
+	return string(raw)
+}
+
+// documentTree returns the generic form of a document's JSON, with numbers as they are written.
+func documentTree(doc *schema.Document) (map[string]any, error) {
+	raw, err := json.Marshal(doc)
+	if err != nil {
+		return nil, errors.Newf("encode document: %w", err)
+	}
+	v, err := decodeValue(raw)
+	if err != nil {
+		return nil, err
+	}
+	tree, ok := v.(map[string]any)
+	if !ok {
+		return nil, errors.New("document is no object")
+	}
+	return tree, nil
+}
+
+func decodeValue(raw []byte) (any, error) {
+	d := json.NewDecoder(bytes.NewReader(raw))
+	d.UseNumber()
+	var v any
+	if err := d.Decode(&v); err != nil {
+		return nil, errors.Newf("decode value: %w", err)
+	}
+	return v, nil
+}
+
+// find returns the index of an entry, or -1.
+func find(list []any, id string) int {
+	for i, e := range list {
+		if got, ok := delta.Identity(e); ok && got == id {
+			return i
+		}
+	}
+	return -1
+}
+
+// entryOf returns an entry of a tree, or the part itself when it is single.
+func entryOf(tree map[string]any, p part, id string) (any, bool) {
+	if p.Single {
+		return tree[p.Name], true
+	}
+	list, _ := tree[p.Name].([]any)
+	i := find(list, id)
+	if i < 0 {
+		return nil, false
+	}
+	return list[i], true
+}
+
+// applyTo changes a tree and returns the path of the changed entry, by index as the validation names it.
+func (e edit) applyTo(tree map[string]any, p part) string {
+	if p.Single {
+		tree[p.Name] = e.Entry
+		return "$." + p.Name
+	}
+	list, _ := tree[p.Name].([]any)
+	i := -1
+	if e.ID != "" {
+		i = find(list, e.ID)
+	}
+	switch {
+	case e.Op == opRemove && i >= 0:
+		list = append(list[:i:i], list[i+1:]...)
+	case e.Op == opRemove:
+	case i >= 0:
+		list[i] = e.Entry
+	default:
+		list = append(list, e.Entry)
+		i = len(list) - 1
+	}
+	if list == nil {
+		list = []any{}
+	}
+	tree[p.Name] = list
+	return fmt.Sprintf("$.%s[%d]", p.Name, i)
+}
+
+// onto returns the edit for a newer base: the entry of merged, which has their changes as well.
+func (e edit) onto(current uint64, theirs, merged map[string]any, p part) edit {
+	out := e
+	out.Base = current
+	if e.Op != opPut || p.Single {
+		if e.Op == opPut {
+			out.Entry = merged[p.Name]
+		}
+		return out
+	}
+	id, ok := delta.Identity(e.Entry)
+	if !ok {
+		return out
+	}
+	if entry, ok := entryOf(merged, p, id); ok {
+		out.Entry = entry
+	}
+	// When both added an entry of this name, mine changes theirs instead of standing beside it.
+	list, _ := theirs[p.Name].([]any)
+	if find(list, e.ID) < 0 && find(list, id) >= 0 {
+		out.ID = id
+	}
+	return out
+}
--- /dev/null
+++ b/internal/node/admin/field.go
@@ -0,0 +1,180 @@
+package admin
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// node is one node of the JSON Schema, as far as a form needs it.
+type node struct {
+	Name        string `json:"-"`
+	Description string `json:"description"`
+	// Types is one JSON type: object, array, string, integer, number or boolean.
+	Type       string   `json:"type"`
+	Enum       []string `json:"enum"`
+	Default    any      `json:"default"`
+	Minimum    *float64 `json:"minimum"`
+	Maximum    *float64 `json:"maximum"`
+	Above      *float64 `json:"exclusiveMinimum"`
+	Below      *float64 `json:"exclusiveMaximum"`
+	Pattern    string   `json:"pattern"`
+	Required   []string `json:"required"`
+	Items      *node    `json:"-"`
+	Properties []*node  `json:"-"`
+	// Mandatory is set when the parent requires the field.
+	Mandatory bool `json:"-"`
+	// Ref names the list of the document whose names the field takes.
+	Ref string `json:"x-ref"`
+}
+
+// part is one property of the document: a list of entries, or limits, which is a single object.
+type part struct {
+	Name  string
+	Label string
+	Help  string
+	// Entry is the schema of one entry, or of the part itself when it is single.
+	Entry  *node
+	Single bool
+}
+
+// rawNode holds the parts of a schema node that are nodes themselves.
+type rawNode struct {
+	Ref        string                     `json:"$ref"`
+	Items      json.RawMessage            `json:"items"`
+	Properties json.RawMessage            `json:"properties"`
+	Defs       map[string]json.RawMessage `json:"$defs"`
+}
+
+// documentParts returns the properties of the document in the order of its schema.
+func documentParts(raw []byte) ([]part, error) {
+	var root rawNode
+	if err := json.Unmarshal(raw, &root); err != nil {
+		return nil, errors.Newf("decode schema: %w", err)
+	}
+	doc, err := parseNode(raw, root.Defs)
+	if err != nil {
+		return nil, err
+	}
+	parts := make([]part, 0, len(doc.Properties))
+	for _, p := range doc.Properties {
+		entry := p
+		if p.Type == "array" {
+			entry = p.Items
+		}
+		parts = append(parts, part{
+			Name: p.Name, Label: label(p.Name), Help: sentence(entry.Description), Entry: entry, Single: p.Type != "array",
+		})
+	}
+	return parts, nil
+}
+
+// parseNode reads a node and everything below it. The schema has no cycles.
+func parseNode(raw json.RawMessage, defs map[string]json.RawMessage) (*node, error) {
+	var r rawNode
+	if err := json.Unmarshal(raw, &r); err != nil {
+		return nil, errors.Newf("decode schema node: %w", err)
+	}
+	if r.Ref != "" {
+		name := strings.TrimPrefix(r.Ref, "#/$defs/")
+		if defs[name] == nil {
+			return nil, errors.Newf("schema has no definition %q", name)
+		}
+		return parseNode(defs[name], defs)
+	}
+	n := &node{}
+	if err := json.Unmarshal(raw, n); err != nil {
+		return nil, errors.Newf("decode schema node: %w", err)
+	}
+	if r.Items != nil {
+		items, err := parseNode(r.Items, defs)
+		if err != nil {
+			return nil, err
+		}
+		n.Items = items
+	}
+	return n, n.parseProperties(r.Properties, defs)
+}
+
+// parseProperties reads the properties in the order in which the schema lists them, which a Go map
+// would lose.
+func (n *node) parseProperties(raw json.RawMessage, defs map[string]json.RawMessage) error {
+	if raw == nil {
+		return nil
+	}
+	d := json.NewDecoder(bytes.NewReader(raw))
+	if _, err := d.Token(); err != nil {
+		return errors.Newf("decode properties: %w", err)
+	}
+	for d.More() {
+		key, err := d.Token()
+		if err != nil {
+			return errors.Newf("decode property: %w", err)
+		}
+		var value json.RawMessage
+		if err := d.Decode(&value); err != nil {
+			return errors.Newf("decode property %v: %w", key, err)
+		}
+		child, err := parseNode(value, defs)
+		if err != nil {
+			return err
+		}
+		child.Name, _ = key.(string)
+		for _, r := range n.Required {
+			child.Mandatory = child.Mandatory || r == child.Name
+		}
+		n.Properties = append(n.Properties, child)
+	}
+	return nil
+}
+
+// property returns a property by name, or nil.
+func (n *node) property(name string) *node {
+	for _, p := range n.Properties {
+		if p.Name == name {
+			return p
+		}
+	}
+	return nil
+}
+
+// units are the last words of field names that are units.
+var units = map[string]string{"ms": "ms", "us": "µs", "bytes": "bytes", "tokens": "tokens"}
+
+// label turns a field name such as queue_timeout_ms into words: Queue timeout (ms).
+func label(name string) string {
+	words := strings.Split(name, "_")
+	unit := units[words[len(words)-1]]
+	if unit != "" && len(words) > 1 {
+		words = words[:len(words)-1]
+	} else {
+		unit = ""
+	}
+	text := strings.Join(words, " ")
+	if text == "" {
+		return name
+	}
+	text = strings.ToUpper(text[:1]) + text[1:]
+	if unit != "" {
+		text += " (" + unit + ")"
+	}
+	return text
+}
+
+// sentence drops the type name that starts the descriptions of the schema's definitions, which are also
+// Go doc comments: "Host is one machine" becomes "One machine".
+func sentence(description string) string {
+	for _, verb := range []string{" is ", " says ", " groups ", " lists ", " bound "} {
+		first, rest, ok := strings.Cut(description, verb)
+		if !ok || strings.Contains(first, " ") {
+			continue
+		}
+		if verb != " is " {
+			rest = strings.TrimSpace(verb) + " " + rest
+		}
+		return strings.ToUpper(rest[:1]) + rest[1:]
+	}
+	return description
+}
--- /dev/null
+++ b/internal/node/admin/form.go
@@ -0,0 +1,236 @@
+package admin
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"geraniumhollow/internal/conf/check"
+)
+
+// Kinds of fields that the templates know.
+const (
+	kindText   = "text"
+	kindNumber = "number"
+	kindCheck  = "checkbox"
+	kindSelect = "select"
+	kindLines  = "lines"
+	kindObject = "object"
+	kindRows   = "rows"
+)
+
+// maxRows bounds the rows that a form may claim to have.
+const maxRows = 1000
+
+// formPrefix keeps the names of document fields apart from those that the form itself needs.
+const formPrefix = "f."
+
+// field is one field of a form, ready for the template.
+type field struct {
+	Kind string
+	Name string
+	// Path is the place below the entry, such as versions[0].name.
+	Path    string
+	ID      string
+	Label   string
+	Help    string
+	Value   string
+	Checked bool
+	Options []string
+	// Suggestions is the list of the document whose names are suggested.
+	Suggestions string
+	Min, Max    string
+	Step        string
+	Mandatory   bool
+	Faults      []string
+	Fields      []field
+	Rows        []row
+}
+
+// row is one entry of a list of objects.
+type row struct {
+	Title  string
+	Remove string
+	Fields []field
+}
+
+// renderer turns a value of the document into fields.
+type renderer struct {
+	// faults are messages by path below the entry, such as capacity.cold_requests.
+	faults map[string][]string
+	// used are the paths whose faults stand at a field.
+	used map[string]bool
+	// add is the path of the list that gets a blank row.
+	add string
+}
+
+// render returns the fields of an entry. Faults that belong to no field are returned as well.
+func render(n *node, value any, faults map[string][]string, add string) ([]field, []string) {
+	r := &renderer{faults: faults, used: make(map[string]bool), add: add}
+	fields := r.properties(n, "", value, false)
+	var rest []string
+	for path, messages := range faults {
+		if !r.used[path] {
+			for _, m := range messages {
+				rest = append(rest, strings.TrimSpace(path+" "+m))
+			}
+		}
+	}
+	return fields, rest
+}
+
+func (r *renderer) properties(n *node, prefix string, value any, blank bool) []field {
+	m, _ := value.(map[string]any)
+	fields := make([]field, 0, len(n.Properties))
+	for _, p := range n.Properties {
+		fields = append(fields, r.field(p, join2(prefix, p.Name), m[p.Name], blank))
+	}
+	return fields
+}
+
+func join2(prefix, name string) string {
+	if prefix == "" {
+		return name
+	}
+	return prefix + "." + name
+}
+
+func (r *renderer) field(n *node, path string, value any, blank bool) field {
+	f := field{
+		Name: formPrefix + path, Path: path, ID: "f-" + strings.NewReplacer(".", "-", "[", "-", "]", "").Replace(path),
+		Label: label(n.Name), Help: sentence(n.Description), Mandatory: n.Mandatory && !blank, Suggestions: n.Ref,
+		Faults: r.faultsAt(path),
+	}
+	switch {
+	case n.Type == "object":
+		f.Kind, f.Fields = kindObject, r.properties(n, path, value, blank)
+	case n.Type == "array" && n.Items.Type == "object":
+		f.Kind, f.Rows = kindRows, r.rows(n, path, value)
+	case n.Type == "array":
+		f.Kind, f.Value = kindLines, lines(value)
+		f.Faults = append(f.Faults, r.faultsOfLines(path)...)
+	case n.Type == "boolean":
+		f.Kind = kindCheck
+		f.Checked, _ = value.(bool)
+	case len(n.Enum) > 0:
+		f.Kind, f.Options, f.Value = kindSelect, n.Enum, text(value)
+	default:
+		f.Kind, f.Value = kindText, text(value)
+		f.number(n)
+	}
+	if n.Default != nil && n.Default != "" && n.Default != false && n.Type != "boolean" {
+		f.Help = strings.TrimSpace(f.Help + " Empty means " + text(n.Default) + ".")
+	}
+	return f
+}
+
+// number sets the bounds of a number field.
+func (f *field) number(n *node) {
+	if n.Type != "integer" && n.Type != "number" {
+		return
+	}
+	f.Kind, f.Step = kindNumber, "any"
+	if n.Type == "integer" {
+		f.Step = "1"
+	}
+	for _, b := range []struct {
+		bound *float64
+		to    *string
+	}{{n.Minimum, &f.Min}, {n.Maximum, &f.Max}, {n.Above, &f.Min}, {n.Below, &f.Max}} {
+		if b.bound != nil {
+			*b.to = strconv.FormatFloat(*b.bound, 'f', -1, 64)
+		}
+	}
+}
+
+// rows returns the rows of a list of objects, with a blank one when it was asked for or when the list
+// needs an entry and has none.
+func (r *renderer) rows(n *node, path string, value any) []row {
+	list, _ := value.([]any)
+	rows := make([]row, 0, len(list)+1)
+	for i, e := range list {
+		rows = append(rows, r.row(n, path, i, e, false))
+	}
+	if r.add == path || len(list) == 0 && n.Mandatory {
+		rows = append(rows, r.row(n, path, len(list), nil, true))
+	}
+	return rows
+}
+
+func (r *renderer) row(n *node, path string, i int, value any, blank bool) row {
+	at := fmt.Sprintf("%s[%d]", path, i)
+	return row{
+		Title: fmt.Sprintf("%s %d", label(n.Name), i+1), Remove: "remove." + at,
+		Fields: append(r.rowFaults(n, at), r.properties(n.Items, at, value, blank)...),
+	}
+}
+
+// rowFaults returns a field that only shows the faults of a row as a whole, if it has any.
+func (r *renderer) rowFaults(n *node, path string) []field {
+	faults := r.faultsAt(path)
+	if len(faults) == 0 {
+		return nil
+	}
+	return []field{{Kind: "faults", Label: label(n.Name), Faults: faults}}
+}
+
+func (r *renderer) faultsAt(path string) []string {
+	r.used[path] = true
+	return r.faults[path]
+}
+
+// faultsOfLines returns the faults of the lines of a text area, which is one field.
+func (r *renderer) faultsOfLines(path string) []string {
+	var out []string
+	for at, messages := range r.faults {
+		rest, ok := strings.CutPrefix(at, path+"[")
+		if !ok {
+			continue
+		}
+		r.used[at] = true
+		index, _ := strconv.Atoi(strings.TrimSuffix(rest, "]"))
+		for _, m := range messages {
+			out = append(out, fmt.Sprintf("line %d: %s", index+1, m))
+		}
+	}
+	return out
+}
+
+// entryFaults splits the faults of a document into those of one entry, by path below it, and others.
+func entryFaults(faults []check.Fault, prefix string) (map[string][]string, []check.Fault) {
+	own := make(map[string][]string)
+	var others []check.Fault
+	for _, f := range faults {
+		rest, ok := strings.CutPrefix(f.Path, prefix)
+		if !ok || rest != "" && rest[0] != '.' && rest[0] != '[' {
+			others = append(others, f)
+			continue
+		}
+		path := strings.TrimPrefix(rest, ".")
+		own[path] = append(own[path], f.Message)
+	}
+	return own, others
+}
+
+// text returns a scalar as a form shows it.
+func text(v any) string {
+	switch v := v.(type) {
+	case nil:
+		return ""
+	case string:
+		return v
+	case float64:
+		return strconv.FormatFloat(v, 'f', -1, 64)
+	default:
+		return fmt.Sprint(v)
+	}
+}
+
+func lines(v any) string {
+	list, _ := v.([]any)
+	out := make([]string, len(list))
+	for i, e := range list {
+		out[i] = text(e)
+	}
+	return strings.Join(out, "\n")
+}
--- /dev/null
+++ b/internal/node/admin/pages.go
@@ -0,0 +1,252 @@
+package admin
+
+import (
+	"bytes"
+	"context"
+	"embed"
+	"html/template"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fasthttp/router"
+	"github.com/valyala/fasthttp"
+)
+
+//go:embed templates/*.html
+var templateFiles embed.FS
+
+//go:embed static/style.css
+var styleSheet []byte
+
+// templates has one set for each page: the layout, the shared pieces and the page.
+var templates = parseTemplates("login", "setup", "start", "list", "entry", "preview", "conflict", "outcome", "message", "history", "changes", "explain")
+
+func parseTemplates(pages ...string) map[string]*template.Template {
+	funcs := template.FuncMap{
+		"when":  func(t time.Time) string { return t.UTC().Format("2006-01-02 15:04:05 UTC") },
+		"label": label,
+		"carry": func(token string, e any) any { return carriedEdit{Token: token, Edit: e} },
+		"dict":  func(fields []field, names suggestions) any { return fieldList{Fields: fields, Names: names} },
+	}
+	base := template.Must(template.New("layout").Funcs(funcs).ParseFS(templateFiles, "templates/layout.html", "templates/field.html"))
+	out := make(map[string]*template.Template, len(pages))
+	for _, p := range pages {
+		out[p] = template.Must(template.Must(base.Clone()).ParseFS(templateFiles, "templates/"+p+".html"))
+	}
+	return out
+}
+
+// suggestions are the names that reference fields offer, by list of the document.
+type suggestions map[string][]string
+
+// fieldList is what the field template gets.
+type fieldList struct {
+	Fields []field
+	Names  suggestions
+}
+
+// carriedEdit is what the template of the hidden fields gets.
+type carriedEdit struct {
+	Token string
+	Edit  any
+}
+
+// page is what every template gets.
+type page struct {
+	Title  string
+	Node   string
+	Author string
+	Token  string
+	Parts  []part
+	// Stale is set when the table does not answer.
+	Stale bool
+	Data  any
+}
+
+// visit is one request of a logged-in operator.
+type visit struct {
+	*fasthttp.RequestCtx
+	ctx     context.Context
+	session session
+}
+
+// form returns a value of a post.
+func (v visit) form(name string) string { return string(v.PostArgs().Peek(name)) }
+
+func (s *Server) pageRoutes(rt *router.Router) {
+	rt.GET("/static/style.css", func(rc *fasthttp.RequestCtx) {
+		rc.SetContentType("text/css; charset=utf-8")
+		rc.Response.Header.Set("Cache-Control", "max-age=300")
+		rc.SetBody(styleSheet)
+	})
+	rt.GET("/login", s.loginPage)
+	rt.POST("/login", s.loginPost)
+	rt.POST("/logout", s.post(func(v visit) {
+		s.login.end(v.RequestCtx)
+		redirect(v.RequestCtx, "/login")
+	}))
+	rt.GET("/", s.page(s.startPage))
+	rt.GET("/parts/{part}", s.page(s.withPart(s.listPage)))
+	rt.GET("/parts/{part}/new", s.page(s.withPart(s.newPage)))
+	rt.GET("/parts/{part}/edit", s.page(s.withPart(s.editPage)))
+	rt.GET("/parts/{part}/remove", s.page(s.withPart(s.removePage)))
+	rt.GET("/parts/{part}/switch", s.page(s.withPart(s.switchPage)))
+	rt.POST("/parts/{part}/preview", s.post(s.withPart(s.previewPost)))
+	rt.POST("/changes/preview", s.post(s.carriedPreview))
+	rt.POST("/changes/edit", s.post(s.carriedEdit))
+	rt.POST("/changes/confirm", s.post(s.confirm))
+	rt.GET("/changes/outcome", s.page(s.outcomePage))
+	rt.GET("/history", s.page(s.historyPage))
+	rt.GET("/history/changes", s.page(s.changesPage))
+	rt.GET("/history/restore", s.page(s.restorePage))
+	rt.GET("/explain", s.page(s.explainPage))
+}
+
+// page serves a page to a logged-in operator and sends everybody else to the login.
+func (s *Server) page(h func(v visit)) fasthttp.RequestHandler {
+	return func(rc *fasthttp.RequestCtx) {
+		if !s.login.configured() {
+			s.render(rc, http.StatusForbidden, "setup", page{Title: "No operator key", Data: noKeyHelp})
+			return
+		}
+		sess, ok := s.login.session(rc)
+		if !ok {
+			redirect(rc, "/login")
+			return
+		}
+		ctx, cancel := s.callContext()
+		defer cancel()
+		h(visit{RequestCtx: rc, ctx: ctx, session: sess})
+	}
+}
+
+// post serves a form post that comes from a form of this node.
+func (s *Server) post(h func(v visit)) fasthttp.RequestHandler {
+	return s.page(func(v visit) {
+		if len(v.PostBody()) > maxFormBytes {
+			s.message(v, tooLarge(maxFormBytes))
+			return
+		}
+		if !s.login.ownPost(v.RequestCtx, v.session) {
+			s.message(v, problem(http.StatusForbidden, "cross_site", "this form does not come from this page of this node",
+				"Nothing was changed. Open the page again and repeat the change."))
+			return
+		}
+		h(v)
+	})
+}
+
+func (s *Server) withPart(h func(v visit, p part)) func(v visit) {
+	return func(v visit) {
+		name, _ := v.UserValue("part").(string)
+		p, ok := s.part(name)
+		if !ok {
+			s.message(v, notFoundProblem())
+			return
+		}
+		h(v, p)
+	}
+}
+
+func (s *Server) part(name string) (part, bool) {
+	for _, p := range s.parts {
+		if p.Name == name {
+			return p, true
+		}
+	}
+	return part{}, false
+}
+
+func notFoundProblem() *Problem {
+	return problem(http.StatusNotFound, CodeNotFound, "there is no such page", "")
+}
+
+func (s *Server) notFound(rc *fasthttp.RequestCtx) {
+	if strings.HasPrefix(string(rc.Path()), "/api/") {
+		writeProblem(rc, problem(http.StatusNotFound, CodeNotFound, "there is no such path", ""))
+		return
+	}
+	s.page(func(v visit) { s.message(v, notFoundProblem()) })(rc)
+}
+
+// show renders a page for a logged-in operator.
+func (s *Server) show(v visit, status int, name, title string, data any) {
+	s.render(v.RequestCtx, status, name, page{
+		Title: title, Author: v.session.Author, Token: s.login.token(v.session), Data: data,
+	})
+}
+
+// message shows a problem.
+func (s *Server) message(v visit, p *Problem) {
+	s.show(v, p.Status, "message", "Not done", messageData{Problem: p})
+}
+
+// messageData is a problem, with the change to try again when there is one.
+type messageData struct {
+	*Problem
+	Retry *edit
+}
+
+func (s *Server) render(rc *fasthttp.RequestCtx, status int, name string, p page) {
+	p.Node, p.Parts = s.Node.Status().Node, s.parts
+	var buf bytes.Buffer
+	if err := templates[name].ExecuteTemplate(&buf, "layout", p); err != nil {
+		s.Log.Error("page not rendered", "page", name, "error", err)
+		rc.Error("the page could not be rendered", http.StatusInternalServerError)
+		return
+	}
+	rc.SetStatusCode(status)
+	rc.SetContentType("text/html; charset=utf-8")
+	rc.SetBody(buf.Bytes())
+}
+
+// redirect sends the browser on with a GET. The place is always a path of this node.
+func redirect(rc *fasthttp.RequestCtx, path string) {
+	rc.Response.Header.Set("Location", path)
+	rc.SetStatusCode(http.StatusSeeOther)
+}
+
+// loginData is the state of the login form.
+type loginData struct {
+	Author string
+	Fault  string
+}
+
+func (s *Server) loginPage(rc *fasthttp.RequestCtx) {
+	if !s.login.configured() {
+		s.render(rc, http.StatusForbidden, "setup", page{Title: "No operator key", Data: noKeyHelp})
+		return
+	}
+	s.renderLogin(rc, http.StatusOK, loginData{})
+}
+
+func (s *Server) renderLogin(rc *fasthttp.RequestCtx, status int, d loginData) {
+	s.render(rc, status, "login", page{Title: "Log in", Token: s.login.token(session{}), Data: d})
+}
+
+func (s *Server) loginPost(rc *fasthttp.RequestCtx) {
+	author := strings.TrimSpace(string(rc.PostArgs().Peek("author")))
+	switch {
+	case !s.login.ownPost(rc, session{}):
+		s.renderLogin(rc, http.StatusForbidden, loginData{Author: author, Fault: "The form was out of date. Please log in again."})
+	case !s.login.keyMatches(string(rc.PostArgs().Peek("key"))):
+		s.renderLogin(rc, http.StatusUnauthorized, loginData{Author: author, Fault: "The operator key is wrong, or this node has another one."})
+	case !validAuthor(author):
+		s.renderLogin(rc, http.StatusUnprocessableEntity, loginData{Fault: "Your name must have 1 to 64 printable characters."})
+	default:
+		if err := s.login.start(rc, author); err != nil {
+			s.Log.Error("session not started", "error", err)
+			rc.Error("the session could not be started", http.StatusInternalServerError)
+			return
+		}
+		redirect(rc, "/")
+	}
+}
+
+// internalProblem logs an error and hides it from the page.
+func (s *Server) internalProblem(err error) *Problem {
+	s.Log.Error("operators' page failed", "error", errors.Newf("page: %w", err))
+	return problem(http.StatusInternalServerError, CodeInternal, "the page could not be made", "The log of the node has the reason.")
+}
--- a/internal/node/serve/serve.go
+++ b/internal/node/serve/serve.go
@@ -12,9 +12,12 @@
 	"geraniumhollow/internal/conf/schema"
 	"geraniumhollow/internal/conf/view"
 	"geraniumhollow/internal/core/tasks"
+	"geraniumhollow/internal/node/admin"
 	"geraniumhollow/internal/node/caller"
 	"geraniumhollow/internal/node/relay"
 	"geraniumhollow/internal/plat/table"
+	"geraniumhollow/internal/report/metric"
+	"geraniumhollow/internal/report/reason"
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 )
@@ -22,6 +25,9 @@
 // pollInterval is the time between reads of the version row.
 const pollInterval = time.Second
 
+// reasonEntries is the number of recent decisions that a node keeps, about 1 MB.
+const reasonEntries = 4096
+
 // Node is one entry node.
 type Node struct {
 	cfg     flags.Settings
@@ -82,6 +88,16 @@
 	g := tasks.New(ctx)
 	rl := relay.New(n.log.Named("relay"), n.view.Load, relay.Deps{})
 	srv := caller.New(g.Context(), n.log.Named("caller"), n.cfg.NodeName, n.view.Load, rl)
+	metrics := metric.New()
+	adm, err := admin.New(g.Context(), admin.Deps{
+		Log: n.log.Named("admin"), Configs: n.configs, View: n.view.Load, Reasons: reason.New(reasonEntries, time.Now),
+		Node:    admin.NewLocal(n.cfg.NodeName, n.cfg.DataCentre, n.view.Load, n.accept),
+		Metrics: metrics.Handler(), KeyHash: n.cfg.OperatorKeyHash, Now: time.Now,
+	})
+	if err != nil {
+		return errors.Newf("build operators' address: %w", err)
+	}
+	g.Go("operators", func(ctx context.Context) error { return adm.Serve(ctx, n.lns.Operators) })
 	g.Go("callers", func(ctx context.Context) error { return srv.Serve(ctx, n.lns.Callers) })
 	g.Go("configuration", n.pollConfig)
 	if err := g.Wait(); err != nil {
@@ -119,7 +135,16 @@
 	if err != nil {
 		return err
 	}
-	n.view.Store(view.New(e.Version, e.Document))
-	n.log.Info("configuration in force", "version", e.Version)
+	n.accept(e)
 	return nil
 }
+
+// accept puts a version in force if it is newer than the node's own.
+func (n *Node) accept(e apply.Entry) {
+	for next, old := view.New(e.Version, e.Document), n.view.Load(); old.Version < e.Version; old = n.view.Load() {
+		if n.view.CompareAndSwap(old, next) {
+			n.log.Info("configuration in force", "version", e.Version)
+			return
+		}
+	}
+}
