--- a/internal/node/serve/serve.go
+++ b/internal/node/serve/serve.go
@@ -20,6 +20,8 @@
 	"geraniumhollow/internal/node/relay"
 	"geraniumhollow/internal/plat/hosts"
 	"geraniumhollow/internal/plat/table"
+	"geraniumhollow/internal/report/metric"
+	"geraniumhollow/internal/report/reason"
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 )
@@ -35,6 +37,9 @@
 	Relay relay.Deps
 }
 
+// reasonEntries is the number of recent decisions that a node keeps, about 1 MB.
+const reasonEntries = 4096
+
 // Node is one entry node.
 type Node struct {
 	cfg   flags.Settings
@@ -42,7 +47,12 @@
 	log   hclog.Logger
 	parts Parts
 	peers *peers.Peers
-	view  atomic.Pointer[view.View]
+	// configs reads and commits the configuration.
+	configs *apply.Store
+	reasons *reason.Ring
+	metrics *metric.Set
+	now     func() time.Time
+	view    atomic.Pointer[view.View]
 	// allowed says which backend servers may get new work.
 	allowed atomic.Pointer[drain.Set]
 	running atomic.Int64
@@ -98,8 +108,12 @@
 	n := &Node{
 		cfg: cfg, lns: lns, log: log.Named(cfg.NodeName), parts: parts,
 		signals: make(chan struct{}, 1),
+		now:     time.Now,
 		drain:   drain.NewNode(cfg.DrainNotice, cfg.DrainTimeout),
 	}
+	n.configs = apply.New(parts.Table, n.now)
+	n.reasons = reason.New(reasonEntries, n.now)
+	n.metrics = metric.New()
 	n.view.Store(view.New(0, &schema.Document{}))
 	n.allowed.Store(&drain.Set{})
 	n.peers = peers.New(peers.Config{
@@ -107,7 +121,7 @@
 		DataCentre:  cfg.DataCentre,
 		Incarnation: peers.NewIncarnation(time.Now()),
 		Hosts:       parts.Hosts,
-		Configs:     apply.New(parts.Table, time.Now),
+		Configs:     n.configs,
 		Log:         n.log.Named("peers"),
 		Apply:       n.apply,
 		Listed:      n.listed,
@@ -133,7 +147,7 @@
 	rl := relay.New(n.log.Named("relay"), n.view.Load, deps)
 	srv := caller.New(g.Context(), n.log.Named("caller"), n.cfg.NodeName, n.view.Load, rl)
 	g.Go("callers", func(ctx context.Context) error { return srv.Serve(ctx, n.lns.Callers) })
-	g.Go("operators", func(ctx context.Context) error { return n.serveHealth(ctx, n.lns.Operators) })
+	g.Go("operators", func(ctx context.Context) error { return n.serveOperators(ctx, n.metrics) })
 	g.Go("peers", func(ctx context.Context) error { return n.peers.Run(ctx, n.lns.Peers) })
 	g.Go("stop", func(work context.Context) error {
 		n.awaitStop(ctx, work)
--- a/internal/node/serve/stop.go
+++ b/internal/node/serve/stop.go
@@ -2,16 +2,12 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
 	"time"
 
 	"geraniumhollow/internal/conf/view"
 	"geraniumhollow/internal/core/fault"
 	"geraniumhollow/internal/fleet/drain"
 	"geraniumhollow/internal/node/relay"
-	"github.com/cockroachdb/errors"
-	"github.com/valyala/fasthttp"
 )
 
 // drainTick is the time between looks at a node that stops.
@@ -75,6 +71,12 @@
 	return state
 }
 
+func (n *Node) drainState() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return string(n.drain.State())
+}
+
 // accepts reports whether new requests are served, as far as a planned stop is concerned.
 func (n *Node) accepts() (bool, time.Duration) {
 	n.mu.Lock()
@@ -129,24 +131,3 @@
 	}
 	return nil
 }
-
-// serveHealth answers /healthz and /readyz on the operators' address until ctx ends.
-func (n *Node) serveHealth(ctx context.Context, ln net.Listener) error {
-	srv := &fasthttp.Server{NoDefaultServerHeader: true, CloseOnShutdown: true, Handler: func(rc *fasthttp.RequestCtx) {
-		switch string(rc.Path()) {
-		case "/healthz":
-		case "/readyz":
-			if !n.Ready() {
-				rc.SetStatusCode(http.StatusServiceUnavailable)
-			}
-		default:
-			rc.SetStatusCode(http.StatusNotFound)
-		}
-	}}
-	stop := context.AfterFunc(ctx, func() { _ = srv.Shutdown() })
-	defer stop()
-	if err := srv.Serve(ln); err != nil {
-		return errors.Newf("serve operators: %w", err)
-	}
-	return nil
-}
