--- a/internal/node/pick/pick.go
+++ b/internal/node/pick/pick.go
@@ -33,6 +33,8 @@
 	Seed uint64
 	// Choose holds the assumptions of the estimate.
 	Choose choose.Config
+	// Chooser decides; nil takes the shortest expected time to first token.
+	Chooser choose.Chooser
 	// PrefixEntries bounds the prefix index.
 	PrefixEntries int
 	// Started, if set, is told of each choice that is used; admission counts tokens with it.
@@ -77,10 +79,13 @@
 	if err != nil {
 		return nil, errors.Newf("make picker: %w", err)
 	}
-	rnd := rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Now().UnixNano())))
+	if cfg.Chooser == nil {
+		rnd := rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Now().UnixNano())))
+		cfg.Chooser = choose.NewShortest(rnd, choose.DefaultWindow())
+	}
 	return &Picker{
-		cfg: cfg, table: choose.NewTable(cfg.Choose, cfg.Now()), index: index,
-		chooser: choose.NewShortest(rnd, choose.DefaultWindow()), sent: make(map[sendKey]sentRequest),
+		cfg: cfg, table: choose.NewTable(cfg.Choose, cfg.Now()), index: index, chooser: cfg.Chooser,
+		sent: make(map[sendKey]sentRequest),
 	}, nil
 }
 
--- a/internal/route/choose/choose_test.go
+++ b/internal/route/choose/choose_test.go
@@ -155,6 +155,8 @@
 		_, ok := tab.Estimate(id, start.Add(2*time.Second), choose.Request{Model: "lm", PromptTokens: tokens})
 		return ok
 	}
+	// A report may be as old as the table itself.
+	seen(0, 0)
 	seen(time.Second, 0)
 	sent := tab.Send(id, start.Add(1200*time.Millisecond), request())
 	if fits(199_000) {
--- a/internal/route/choose/table.go
+++ b/internal/route/choose/table.go
@@ -19,8 +19,11 @@
 	MaxReportAge time.Duration
 	// PrefillPerToken is the time to process one prompt token that is not cached.
 	PrefillPerToken time.Duration
-	// QueuedPrompt is the assumed length in tokens of a prompt that a report counts as waiting.
+	// QueuedPrompt is what a request that a report counts as waiting is assumed to need of prefill, in
+	// tokens, until own sends have shown it.
 	QueuedPrompt int
+	// PeerSends is how many sends of other nodes are assumed for each own send since the report.
+	PeerSends float64
 	// Hold is how long a request is assumed to occupy its place until ends have been observed.
 	Hold time.Duration
 	// ColdFactor is how many times slower than a warm instance a cold one is assumed to be.
@@ -135,6 +138,7 @@
 	epoch  time.Time
 	maxAge int64
 	hold   float64 // seconds
+	queued float64 // tokens of prefill that a waiting request is assumed to need
 	nextID uint64
 	ids    map[string]int
 	free   []int
@@ -153,7 +157,8 @@
 func NewTable(cfg Config, now time.Time) *Table {
 	return &Table{
 		cfg: cfg, epoch: now, maxAge: int64(cfg.MaxReportAge), hold: cfg.Hold.Seconds(),
-		ids: make(map[string]int), lists: make(map[wish][]int32),
+		queued: float64(cfg.QueuedPrompt),
+		ids:    make(map[string]int), lists: make(map[wish][]int32),
 	}
 }
 
@@ -250,6 +255,7 @@
 	slowStep   = 0.15
 	slowReturn = 0.97
 	holdStep   = 0.02
+	queuedStep = 0.02
 )
 
 // Bounds of the learned factor.
@@ -277,6 +283,7 @@
 		prefill:  float64(left) * t.cfg.PrefillPerToken.Seconds(),
 		estimate: t.rows[id].cost(at, float64(left), math.Inf(1)),
 	})
+	t.queued += queuedStep * (float64(left) - t.queued)
 	t.refresh(id)
 	return t.nextID
 }
@@ -322,7 +329,7 @@
 // refresh computes the row of a server.
 func (t *Table) refresh(id int) {
 	l := &t.loads[id]
-	if !l.used || !l.report.Open || l.madeAt == 0 {
+	if !l.used || !l.report.Open {
 		t.rows[id] = row{madeAt: never}
 		return
 	}
@@ -333,7 +340,7 @@
 	transit := int64(l.spec.Distance)
 	prefill := t.cfg.PrefillPerToken.Seconds() * slow
 	w := row{madeAt: l.madeAt, inFlight: l.report.Running + l.report.Waiting}
-	w.busyUntil = l.madeAt + nanos(float64(l.report.Waiting*t.cfg.QueuedPrompt)*prefill)
+	w.busyUntil = l.madeAt + nanos(float64(l.report.Waiting)*t.queued*prefill)
 	held := l.report.Held
 	for i := range l.sends {
 		s := &l.sends[i]
@@ -344,7 +351,7 @@
 		case !reported && s.ended == 0:
 			w.inFlight++
 			held += s.tokens
-			w.busyUntil = max(w.busyUntil, s.at+transit) + nanos(s.prefill*slow)
+			w.busyUntil = max(w.busyUntil, s.at+transit) + nanos(s.prefill*slow*(1+t.cfg.PeerSends))
 		}
 	}
 	w.inFlight, held = max(0, w.inFlight), max(0, held)
@@ -454,7 +461,7 @@
 // next report.
 func (t *Table) Answer(id int, now time.Time, instance string, cold bool) {
 	l := &t.loads[id]
-	if instance == "" || l.madeAt == 0 {
+	if instance == "" || !l.report.Open {
 		return
 	}
 	if instance != l.report.Instance {
