Run the group keeper of a domain over table and engines

Cause: plan/heal and plan/agenda had no shell, and engines took no orders.

Change: node/keep polls the engines of its domain each 0.5 s, reads the rows each second, and carries out transactions and orders, with the duty checked before each. It keeps watching open routes through a table outage. plat/engine sends orders, reports list loaded weights, and the engine stand-in loads for a time, joins, drops, and refuses or ignores old fencing numbers.

--- a/internal/fake/model/model.go
+++ b/internal/fake/model/model.go
@@ -67,6 +67,8 @@
 	alive    context.Context
 	lagged   engine.Report
 	laggedAt time.Time
+	orders   Orders
+	memory   memory
 }
 
 // run is one attempt that the engine is working on.
@@ -111,6 +113,7 @@
 	e.state = state
 	e.running = make(map[string]*run)
 	e.cache = nil
+	e.memory = memory{}
 	e.laggedAt = time.Time{}
 	e.members = e.members[:0]
 	for _, h := range e.cfg.Hosts {
@@ -183,6 +186,8 @@
 		e.serveCompletion(rc)
 	case engine.PathCancel:
 		e.serveCancel(rc)
+	case engine.PathOrders:
+		e.serveOrder(rc)
 	default:
 		rc.SetStatusCode(http.StatusNotFound)
 	}
@@ -204,6 +209,7 @@
 // report returns the load report, which is up to ReportLag old.
 func (e *Engine) report() engine.Report {
 	now := time.Now()
+	e.carryOut(now)
 	if e.laggedAt.IsZero() || now.Sub(e.laggedAt) >= e.cfg.ReportLag {
 		e.lagged = e.freshReport()
 		e.laggedAt = now
@@ -223,7 +229,8 @@
 		Model:         e.cfg.Model,
 		Version:       e.cfg.Version,
 		Adapters:      e.cfg.Adapters,
-		Members:       slices.Clone(e.members),
+		Loaded:        slices.Clone(e.memory.loaded),
+		Members:       e.reportedMembers(),
 		CacheEvents:   slices.Clone(e.cache),
 	}
 }
--- a/internal/plan/heal/rows.go
+++ b/internal/plan/heal/rows.go
@@ -125,3 +125,14 @@
 	txn.Puts = append(txn.Puts, table.Put{Key: key, Value: value})
 	return nil
 }
+
+// Fence returns the fencing number under which the commit was decided.
+func (c Commit) Fence() uint64 {
+	for _, v := range c.Groups {
+		return v.Row.Fence
+	}
+	for _, v := range c.Hosts {
+		return v.Row.Fence
+	}
+	return 0
+}
--- a/internal/plat/engine/engine.go
+++ b/internal/plat/engine/engine.go
@@ -84,6 +84,7 @@
 	Model         string       `json:"model"`
 	Version       string       `json:"version"`
 	Adapters      []string     `json:"adapters,omitempty"`
+	Loaded        []Weights    `json:"loaded,omitempty"`
 	Members       []Member     `json:"members"`
 	CacheEvents   []CacheEvent `json:"cache_events,omitempty"`
 }
