--- a/internal/plat/engine/orders.go
+++ b/internal/plat/engine/orders.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
@@ -56,7 +57,7 @@
 	req.Header.SetHost(c.addr)
 	req.Header.SetContentType("application/json")
 	req.SetBody(body)
-	resp, err := c.pool.Do(ctx, req)
+	resp, err := c.pool.Do(ctx, req, time.Time{})
 	if err != nil {
 		return errors.Newf("send order: %w", err)
 	}
