Keep the runs on a server until each ends, whatever is reported of its death

Cause: a report of a death removed the runs of its server from the decider. A report that came late, when the server was already running requests again, made the server look idle, and a suspect began beside another request of its node.

Change: a death marks the runs as part of a crash and leaves them; a run ends only when its own attempt ends.

The new step of TestIsolation fails without the change.

--- a/internal/route/crash/crash.go
+++ b/internal/route/crash/crash.go
@@ -73,6 +73,8 @@
 	server      string
 	// begun is false while a holder waits for its server or for its count.
 	begun bool
+	// counted is set when the run has been made part of a crash.
+	counted bool
 	// brokenAt is when the attempt broke; zero while it runs.
 	brokenAt time.Time
 }
--- a/internal/route/crash/crash_test.go
+++ b/internal/route/crash/crash_test.go
@@ -121,6 +121,10 @@
 	if _, ok := d.Start("b", "1"); ok {
 		t.Error("a run started on a held server")
 	}
+	d.Died(start, "1")
+	if d.Idle(own) {
+		t.Error("suspect is idle beside a run that a late report of a death did not end")
+	}
 	d.Abandon(other)
 	if !d.Idle(own) {
 		t.Error("suspect is not idle after the other run ended")
--- a/internal/route/crash/death.go
+++ b/internal/route/crash/death.go
@@ -7,9 +7,9 @@
 )
 
 // Died makes suspects of the requests that ran on a server that died, and returns what changed. A
-// second report of the same death finds no runs and changes nothing.
+// second report of the same death finds no new runs and changes nothing.
 func (d *Decider) Died(now time.Time, server string) []Suspicion {
-	involved := d.takeRuns(now, server)
+	involved := d.countRuns(now, server)
 	if involved.Len() == 0 {
 		return nil
 	}
@@ -27,17 +27,18 @@
 	return append(out, Suspicion{Fingerprint: culprit, Change: Suspected, Crashes: d.suspects[culprit].crashes})
 }
 
-// takeRuns removes the runs on a server, those that broke just now included, and returns their
-// fingerprints.
-func (d *Decider) takeRuns(now time.Time, server string) sets.Set[Fingerprint] {
+// countRuns returns the fingerprints of the runs on a server, those that broke just now included, which
+// are no part of a crash yet. The runs stay until they are ended one by one: the report may be late, and
+// the server may be running them again, so that a suspect beside them would not be alone.
+func (d *Decider) countRuns(now time.Time, server string) sets.Set[Fingerprint] {
 	out := sets.New[Fingerprint]()
-	for id, r := range d.runs {
+	for _, r := range d.runs {
 		late := !r.brokenAt.IsZero() && now.Sub(r.brokenAt) > brokenGrace
-		if r.server != server || !r.begun || late {
+		if r.server != server || !r.begun || r.counted || late {
 			continue
 		}
 		out.Add(r.fingerprint)
-		d.end(id, r)
+		r.counted = true
 	}
 	return out
 }
