Serve plain-service calls through the caller interface

Change: the caller interface routes /v1/services/ to it, behind the same checks for draining and isolation as completions, and counted for a planned stop.

--- a/internal/node/caller/caller.go
+++ b/internal/node/caller/caller.go
@@ -63,6 +63,12 @@
 // WithTimeouts replaces the default waits.
 func WithTimeouts(t Timeouts) Option { return func(s *Server) { s.timeouts = t.withDefaults() } }
 
+// ServiceHandler answers a call of a plain service by an authenticated account.
+type ServiceHandler func(rc *fasthttp.RequestCtx, requestID string, a schema.Account)
+
+// WithServices serves the paths of plain services.
+func WithServices(h ServiceHandler) Option { return func(s *Server) { s.services = h } }
+
 // Server answers callers.
 type Server struct {
 	ctx      context.Context
@@ -71,6 +77,7 @@
 	view     func() *view.View
 	relay    *relay.Relay
 	timeouts Timeouts
+	services ServiceHandler
 	watch    *watch
 	srv      *fasthttp.Server
 }
@@ -109,6 +116,9 @@
 	rt.POST("/v1/completions", s.withAccount(s.completion(completionShape{})))
 	rt.POST("/v1/chat/completions", s.withAccount(s.completion(chatShape{})))
 	rt.GET("/v1/requests/{id}", s.withAccount(s.outcome))
+	if s.services != nil {
+		rt.ANY("/v1/services/{name}/{path:*}", s.withAccount(handler(s.services)))
+	}
 	rt.NotFound = func(rc *fasthttp.RequestCtx) {
 		writeFault(rc, "", fault.New(fault.NotFound, fault.NotRun, "no such path"))
 	}
--- /dev/null
+++ b/internal/node/serve/build.go
@@ -0,0 +1,31 @@
+package serve
+
+import (
+	"geraniumhollow/internal/conf/schema"
+	"geraniumhollow/internal/core/tasks"
+	"geraniumhollow/internal/node/caller"
+	"geraniumhollow/internal/node/calls"
+	"geraniumhollow/internal/plat/object"
+	"geraniumhollow/internal/route/claim"
+	"geraniumhollow/internal/route/retry"
+	"github.com/valyala/fasthttp"
+)
+
+// services returns the handler of plain-service calls. Like completions, they are counted for a planned
+// stop and refused while the node drains or is isolated.
+func (n *Node) services(g *tasks.Group) caller.ServiceHandler {
+	h := calls.New(g, calls.Deps{
+		Log: n.log.Named("calls"), Node: n.cfg.NodeName, View: n.view.Load,
+		Claims: claim.NewStore(n.parts.Table, object.New(n.cfg.ObjectAddress)),
+		Budget: retry.NewBudget(),
+	})
+	return func(rc *fasthttp.RequestCtx, requestID string, a schema.Account) {
+		n.running.Add(1)
+		defer n.running.Add(-1)
+		if err := n.refusal(); err != nil {
+			caller.WriteFault(rc, requestID, err)
+			return
+		}
+		h.Serve(rc, requestID, a)
+	}
+}
--- a/internal/node/serve/serve.go
+++ b/internal/node/serve/serve.go
@@ -145,7 +145,7 @@
 	deps.Node = n.cfg.NodeName
 	deps.Gate = &gate{node: n, next: deps.Gate}
 	rl := relay.New(n.log.Named("relay"), n.view.Load, deps)
-	srv := caller.New(g.Context(), n.log.Named("caller"), n.cfg.NodeName, n.view.Load, rl)
+	srv := caller.New(g.Context(), n.log.Named("caller"), n.cfg.NodeName, n.view.Load, rl, caller.WithServices(n.services(g)))
 	g.Go("callers", func(ctx context.Context) error { return srv.Serve(ctx, n.lns.Callers) })
 	g.Go("operators", func(ctx context.Context) error { return n.serveOperators(ctx, n.metrics) })
 	g.Go("peers", func(ctx context.Context) error { return n.peers.Run(ctx, n.lns.Peers) })
