Mend what operators stumble on in the pages

Cause: a look at every page in Chromium, wide and at 390 pixels, with and without scripts, showed: buttons off the screen in lists on a narrow screen; faults elsewhere named by index only; rows without their names; "Warm (tokens)" as a label; a jump to the top after adding a row; the style sheet of the version before for 5 minutes after an upgrade; and equal changes of both operators shown as a clash. Conclusion: login, edit, preview, conflict, redo, new key and history work in a real browser with the content policy, cookie and Origin checks on.

--- a/internal/node/admin/changes.go
+++ b/internal/node/admin/changes.go
@@ -70,10 +70,14 @@
 	d := entryData{Part: p, Edit: e, Names: namesOf(tree)}
 	own, others := entryFaults(faults, e.applyTo(tree, p))
 	d.Fields, d.Faults = render(p.Entry, e.Entry, own, add)
-	d.Others = others
-	title := "Edit: " + p.Label
-	if e.ID == "" && !p.Single {
-		title = "New: " + p.Label
+	d.Others = withNames(others, tree)
+	title := p.Label
+	switch {
+	case p.Single:
+	case e.ID == "":
+		title = "New " + singular(p.Name)
+	default:
+		title = label(singular(p.Name)) + " " + e.ID
 	}
 	s.show(v, status, "entry", title, d)
 }
@@ -261,7 +265,7 @@
 	}
 	doc, pr := s.validate(raw)
 	if pr != nil {
-		s.faulty(v, p, e, pr)
+		s.faulty(v, p, e, raw, pr)
 		return
 	}
 	changes, err := delta.Documents(base, doc)
@@ -275,9 +279,11 @@
 }
 
 // faulty shows the faults of an edit: in its form when it has one.
-func (s *Server) faulty(v visit, p part, e edit, pr *Problem) {
+func (s *Server) faulty(v visit, p part, e edit, raw []byte, pr *Problem) {
+	value, _ := decodeValue(raw)
+	after, _ := value.(map[string]any)
 	if e.Op != opPut || pr.Faults == nil {
-		s.show(v, pr.Status, "preview", "Not possible", previewData{Part: p, Edit: e, Faults: pr.Faults})
+		s.show(v, pr.Status, "preview", "Not possible", previewData{Part: p, Edit: e, Faults: withNames(pr.Faults, after)})
 		return
 	}
 	tree, problem := s.treeAt(v, e.Base)
@@ -309,7 +315,7 @@
 	case pr.Conflict != nil:
 		s.conflictPage(v, p, e, base, raw, pr)
 	case pr.Faults != nil:
-		s.faulty(v, p, e, pr)
+		s.faulty(v, p, e, raw, pr)
 	default:
 		s.show(v, pr.Status, "message", "Not done", messageData{Problem: pr, Retry: &e})
 	}
@@ -328,6 +334,8 @@
 	Path         string
 	Theirs, Mine *delta.Change
 	Both         bool
+	// Same is set when both made the same change.
+	Same bool
 }
 
 func (s *Server) conflictPage(v visit, p part, e edit, base *schema.Document, mine []byte, pr *Problem) {
@@ -383,7 +391,7 @@
 	for i := range c.Mine {
 		m := &c.Mine[i]
 		if at, ok := index[m.Path]; ok {
-			out[at].Mine = m
+			out[at].Mine, out[at].Same = m, m.To == out[at].Theirs.To
 			continue
 		}
 		out = append(out, place{Path: m.Path, Mine: m, Both: both[m.Path]})
--- a/internal/node/admin/field.go
+++ b/internal/node/admin/field.go
@@ -141,7 +141,7 @@
 }
 
 // units are the last words of field names that are units.
-var units = map[string]string{"ms": "ms", "us": "µs", "bytes": "bytes", "tokens": "tokens"}
+var units = map[string]string{"ms": "ms", "us": "µs", "bytes": "bytes"}
 
 // label turns a field name such as queue_timeout_ms into words: Queue timeout (ms).
 func label(name string) string {
@@ -166,15 +166,14 @@
 // sentence drops the type name that starts the descriptions of the schema's definitions, which are also
 // Go doc comments: "Host is one machine" becomes "One machine".
 func sentence(description string) string {
-	for _, verb := range []string{" is ", " says ", " groups ", " lists ", " bound "} {
-		first, rest, ok := strings.Cut(description, verb)
-		if !ok || strings.Contains(first, " ") {
-			continue
-		}
-		if verb != " is " {
-			rest = strings.TrimSpace(verb) + " " + rest
-		}
-		return strings.ToUpper(rest[:1]) + rest[1:]
+	first, rest, ok := strings.Cut(description, " is ")
+	if !ok || rest == "" || strings.Contains(first, " ") {
+		return description
 	}
-	return description
+	return strings.ToUpper(rest[:1]) + rest[1:]
+}
+
+// singular returns what one entry of a list is called: "data centre" for data_centres.
+func singular(list string) string {
+	return strings.TrimSuffix(strings.ReplaceAll(list, "_", " "), "s")
 }
--- a/internal/node/admin/form.go
+++ b/internal/node/admin/form.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"geraniumhollow/internal/conf/check"
+	"geraniumhollow/internal/conf/delta"
 )
 
 // Kinds of fields that the templates know.
@@ -30,8 +31,10 @@
 	Kind string
 	Name string
 	// Path is the place below the entry, such as versions[0].name.
-	Path    string
-	ID      string
+	Path string
+	ID   string
+	// Last is the last word of the path, the field's own name.
+	Last    string
 	Label   string
 	Help    string
 	Value   string
@@ -98,7 +101,7 @@
 func (r *renderer) field(n *node, path string, value any, blank bool) field {
 	f := field{
 		Name: formPrefix + path, Path: path, ID: "f-" + strings.NewReplacer(".", "-", "[", "-", "]", "").Replace(path),
-		Label: label(n.Name), Help: sentence(n.Description), Mandatory: n.Mandatory && !blank, Suggestions: n.Ref,
+		Last: n.Name, Label: label(n.Name), Help: sentence(n.Description), Mandatory: n.Mandatory && !blank, Suggestions: n.Ref,
 		Faults: r.faultsAt(path),
 	}
 	switch {
@@ -159,8 +162,12 @@
 
 func (r *renderer) row(n *node, path string, i int, value any, blank bool) row {
 	at := fmt.Sprintf("%s[%d]", path, i)
+	title := fmt.Sprintf("%s %d", label(singular(n.Name)), i+1)
+	if id, ok := delta.Identity(value); ok {
+		title += ": " + id
+	}
 	return row{
-		Title: fmt.Sprintf("%s %d", label(n.Name), i+1), Remove: "remove." + at,
+		Title: title, Remove: "remove." + at,
 		Fields: append(r.rowFaults(n, at), r.properties(n.Items, at, value, blank)...),
 	}
 }
@@ -212,6 +219,25 @@
 	return own, others
 }
 
+// withNames replaces the index in the paths of faults by the name of the entry: $.groups[3].model becomes
+// $.groups[presse-lm-003].model, as in the lists of changes.
+func withNames(faults []check.Fault, tree map[string]any) []check.Fault {
+	out := make([]check.Fault, 0, len(faults))
+	for _, f := range faults {
+		head, rest, ok := strings.Cut(strings.TrimPrefix(f.Path, "$."), "[")
+		index, tail, ok2 := strings.Cut(rest, "]")
+		i, err := strconv.Atoi(index)
+		list, _ := tree[head].([]any)
+		if ok && ok2 && err == nil && i < len(list) {
+			if id, named := delta.Identity(list[i]); named {
+				f.Path = "$." + head + "[" + id + "]" + tail
+			}
+		}
+		out = append(out, f)
+	}
+	return out
+}
+
 // text returns a scalar as a form shows it.
 func text(v any) string {
 	switch v := v.(type) {
--- a/internal/node/admin/pages.go
+++ b/internal/node/admin/pages.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"embed"
+	"fmt"
 	"html/template"
 	"net/http"
 	"strings"
@@ -12,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fasthttp/router"
 	"github.com/valyala/fasthttp"
+	"github.com/zeebo/xxh3"
 )
 
 //go:embed templates/*.html
@@ -20,6 +22,9 @@
 //go:embed static/style.css
 var styleSheet []byte
 
+// stylePath changes with the style sheet, so that browsers don't use the old one after an upgrade.
+var stylePath = fmt.Sprintf("/static/style.css?v=%x", xxh3.Hash(styleSheet))
+
 // templates has one set for each page: the layout, the shared pieces and the page.
 var templates = parseTemplates("login", "setup", "start", "list", "entry", "preview", "conflict", "outcome", "message", "history", "changes", "explain")
 
@@ -27,8 +32,12 @@
 	funcs := template.FuncMap{
 		"when":  func(t time.Time) string { return t.UTC().Format("2006-01-02 15:04:05 UTC") },
 		"label": label,
+		"style": func() string { return stylePath },
 		"carry": func(token string, e any) any { return carriedEdit{Token: token, Edit: e} },
-		"dict":  func(fields []field, names suggestions) any { return fieldList{Fields: fields, Names: names} },
+		"dict": func(fields []field, names suggestions, action string) any {
+			return fieldList{Fields: fields, Names: names, Action: action}
+		},
+		"singular": singular,
 	}
 	base := template.Must(template.New("layout").Funcs(funcs).ParseFS(templateFiles, "templates/layout.html", "templates/field.html"))
 	out := make(map[string]*template.Template, len(pages))
@@ -45,6 +54,8 @@
 type fieldList struct {
 	Fields []field
 	Names  suggestions
+	// Action is where the form goes.
+	Action string
 }
 
 // carriedEdit is what the template of the hidden fields gets.
@@ -78,7 +89,7 @@
 func (s *Server) pageRoutes(rt *router.Router) {
 	rt.GET("/static/style.css", func(rc *fasthttp.RequestCtx) {
 		rc.SetContentType("text/css; charset=utf-8")
-		rc.Response.Header.Set("Cache-Control", "max-age=300")
+		rc.Response.Header.Set("Cache-Control", "max-age=86400")
 		rc.SetBody(styleSheet)
 	})
 	rt.GET("/login", s.loginPage)
