Test six nodes against outages, partitions and stops; fix two faults found

Cause: the propagation of a change was not tested with faults.

Change: a contract test runs six nodes with a network and a platform that can be cut. It found two faults, both fixed. Want could add the first goroutine of a group while Wait began (race report in 1 of 10 runs); the group is now shown to others after its first goroutine. A change within 500 ms of another waited for the retry time of the first (up to 342 ms); the retry time now ends with the load, and a test covers it. Refresh lets the node that committed a change read it at once. bench/spread measures propagation, cost, false suspicions and message sizes.

Conclusion: the node that commits has to call Refresh.

--- a/internal/bench/spread/spread.go
+++ b/internal/bench/spread/spread.go
@@ -7,8 +7,10 @@
 // Command returns the spread subcommand.
 func Command() *cli.Command {
 	return &cli.Command{
-		Name:     "spread",
-		Usage:    "measure membership and the propagation of configuration",
-		Commands: []*cli.Command{interleaveCommand()},
+		Name:  "spread",
+		Usage: "measure membership and the propagation of configuration",
+		Commands: []*cli.Command{
+			interleaveCommand(), propagateCommand(), pausesCommand(), costCommand(), sizesCommand(),
+		},
 	}
 }
--- a/internal/conf/watch/watch.go
+++ b/internal/conf/watch/watch.go
@@ -86,6 +86,7 @@
 
 	reading bool
 	readAt  time.Time
+	refresh bool
 	// claimed is the youngest vouch that a peer has stated, whether or not it could be proved.
 	claimed time.Time
 }
@@ -147,6 +148,9 @@
 	}
 }
 
+// Refresh makes the next tick read the version row.
+func (w *Watch) Refresh() { w.refresh = true }
+
 // Read takes the answer to a read of the version row that was sent at asOf.
 func (w *Watch) Read(asOf time.Time, v uint64) {
 	w.reading = false
@@ -168,7 +172,9 @@
 		if w.wantedAsOf.After(w.vouched) {
 			w.vouched = w.wantedAsOf
 		}
-		w.wanted, w.wantedAsOf, w.sources, w.loads = 0, time.Time{}, nil, 0
+		w.wanted, w.wantedAsOf, w.sources = 0, time.Time{}, nil
+		// The next version does not wait for a retry of this one.
+		w.loads, w.loadAt = 0, time.Time{}
 	}
 	return true
 }
@@ -184,8 +190,8 @@
 		out = append(out, w.load(now))
 	}
 	due := reader || w.Age(now) > OwnReadAfter
-	if due && !w.reading && now.Sub(w.readAt) >= ReadInterval {
-		w.reading, w.readAt = true, now
+	if !w.reading && (w.refresh || due && now.Sub(w.readAt) >= ReadInterval) {
+		w.reading, w.readAt, w.refresh = true, now, false
 		out = append(out, Action{Kind: ReadVersion})
 	}
 	return out
--- a/internal/conf/watch/watch_test.go
+++ b/internal/conf/watch/watch_test.go
@@ -110,3 +110,19 @@
 		t.Errorf("asked %q, want a, b and the table in turn each 500 ms", asked)
 	}
 }
+
+// Guards against a change that waits because another one came just before it.
+func TestQuickSuccession(t *testing.T) {
+	t.Parallel()
+	w := watch.New()
+	for v := uint64(1); v <= 3; v++ {
+		now := at(int(v) * 10)
+		w.Refresh()
+		w.Tick(now, false)
+		w.Read(now, v)
+		if got := w.Tick(now, false); len(got) != 1 || got[0].Kind != watch.ReadDocument || got[0].Version != v {
+			t.Fatalf("version %d: got %v, want a read of the document at once", v, got)
+		}
+		w.Loaded(v)
+	}
+}
--- a/internal/node/peers/peers.go
+++ b/internal/node/peers/peers.go
@@ -130,10 +130,11 @@
 // Run takes part in the fleet until ctx ends. ln accepts links of other nodes.
 func (p *Peers) Run(ctx context.Context, ln net.Listener) error {
 	g := tasks.New(ctx)
+	g.Go("links", func(ctx context.Context) error { return p.net.Run(ctx, ln) })
+	// The group is shown to others only now: its first goroutine must not start while Wait begins.
 	p.mu.Lock()
 	p.group = g
 	p.mu.Unlock()
-	g.Go("links", func(ctx context.Context) error { return p.net.Run(ctx, ln) })
 	g.Go("list", func(ctx context.Context) error { return every(ctx, listInterval, p.list) })
 	g.Go("ticks", func(ctx context.Context) error {
 		return every(ctx, tickInterval, func(context.Context) { p.tick() })
@@ -207,6 +208,15 @@
 	return p.roster.MayCommit(time.Now())
 }
 
+// Refresh reads the version row at once. A node that has committed a change calls it, so that the
+// change does not wait for the next read of a data centre's reader.
+func (p *Peers) Refresh() {
+	p.mu.Lock()
+	p.watch.Refresh()
+	p.mu.Unlock()
+	p.tick()
+}
+
 // DroppedAt returns when the platform's list dropped a node.
 func (p *Peers) DroppedAt(node string) (time.Time, bool) {
 	p.mu.Lock()
--- /dev/null
+++ b/internal/node/serve/serve_test.go
@@ -0,0 +1,315 @@
+package serve_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"geraniumhollow/internal/bench/site"
+	"geraniumhollow/internal/bench/spread"
+	"geraniumhollow/internal/conf/apply"
+	"geraniumhollow/internal/conf/flags"
+	"geraniumhollow/internal/conf/watch"
+	"geraniumhollow/internal/core/tasks"
+	"geraniumhollow/internal/node/serve"
+	"github.com/hashicorp/go-hclog"
+)
+
+// bound is the time in which a change has to be in force everywhere.
+const bound = 4 * time.Second
+
+// running is one node of a system.
+type running struct {
+	*serve.Node
+	cfg      flags.Settings
+	platform *spread.Platform
+	stop     func()
+}
+
+// system is six nodes in three data centres, with the stand-ins of a deployment.
+type system struct {
+	t       *testing.T
+	site    *site.Site
+	network *spread.Network
+	nodes   []*running
+	version uint64
+}
+
+func newSystem(t *testing.T) *system {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	g := tasks.New(ctx)
+	st, err := site.Start(g, site.Strygekurv().WithRunners(3))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &system{t: t, site: st, network: spread.NewNetwork(), version: 1}
+	t.Cleanup(func() {
+		for _, n := range s.nodes {
+			n.stop()
+		}
+		cancel()
+		if err := g.Wait(); err != nil {
+			t.Error(err)
+		}
+	})
+	for i := range 6 {
+		s.nodes = append(s.nodes, s.start(i, "127.0.0.1:0"))
+	}
+	s.list()
+	s.eventually(2*bound, "six current nodes that hear each other", func() bool {
+		for _, n := range s.nodes {
+			if st := n.Peers().Status(); st.Mode != watch.Current || st.Heard != 6 {
+				return false
+			}
+		}
+		return true
+	})
+	return s
+}
+
+func (s *system) start(i int, peerAddress string) *running {
+	s.t.Helper()
+	cfg := flags.Settings{
+		NodeName: fmt.Sprintf("node-%d", i), DataCentre: s.site.Deployment.RunnerDataCentre(i),
+		CallerAddress: "127.0.0.1:0", OperatorAddress: "127.0.0.1:0", PeerAddress: peerAddress,
+		TableAddress: s.site.PlatformAddress, ObjectAddress: s.site.PlatformAddress, HostsAddress: s.site.PlatformAddress,
+		LogLevel: "error", DrainNotice: 300 * time.Millisecond, DrainTimeout: 10 * time.Second,
+	}
+	lns, cfg, err := serve.Listen(context.Background(), cfg)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.network.Name(cfg.PeerAddress, cfg.NodeName)
+	p := spread.NewPlatform(s.site.Platform, s.site.Platform)
+	n, err := serve.New(cfg, lns, hclog.NewNullLogger(), serve.Parts{Table: p, Hosts: p, Dial: s.network.Dialer(cfg.NodeName)})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- n.Run(ctx) }()
+	return &running{Node: n, cfg: cfg, platform: p, stop: sync.OnceFunc(func() {
+		cancel()
+		if err := <-done; err != nil {
+			s.t.Errorf("%s: %v", cfg.NodeName, err)
+		}
+	})}
+}
+
+func (s *system) list() {
+	cfgs := make([]flags.Settings, 0, len(s.nodes))
+	for _, n := range s.nodes {
+		cfgs = append(cfgs, n.cfg)
+	}
+	s.site.List(cfgs)
+}
+
+func (s *system) eventually(limit time.Duration, what string, ok func() bool) {
+	s.t.Helper()
+	for end := time.Now().Add(limit); !ok(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			for _, n := range s.nodes {
+				st := n.Peers().Status()
+				s.t.Logf("%s: version %d, age %v, %s, heard %d of %d", n.cfg.NodeName, st.Version, st.Age, st.Mode, st.Heard, st.Size)
+			}
+			s.t.Fatalf("not within %v: %s", limit, what)
+		}
+	}
+}
+
+// commit commits the next version and waits until the nodes have it and serve it.
+func (s *system) commit(nodes []*running) {
+	s.t.Helper()
+	if _, err := apply.New(s.site.Platform, time.Now).Commit(context.Background(), s.version, "test", s.site.Document); err != nil {
+		s.t.Fatal(err)
+	}
+	s.version++
+	s.eventually(bound, fmt.Sprintf("version %d in force", s.version), func() bool {
+		for _, n := range nodes {
+			if n.View().Version != s.version || !n.Ready() {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// complete sends a completion through a node and returns status and body.
+func (s *system) complete(n *running, tokens int) (int, string) {
+	s.t.Helper()
+	body := fmt.Sprintf(`{"model":%q,"prompt":"p","max_tokens":%d,"stream":true}`, s.site.Deployment.Model, tokens)
+	req, _ := http.NewRequest(http.MethodPost, "http://"+n.cfg.CallerAddress+"/v1/completions", bytes.NewBufferString(body))
+	req.Header.Set("Authorization", "Bearer "+s.site.Deployment.AccountKey(0))
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return resp.StatusCode, string(raw)
+}
+
+func (s *system) refused(n *running, code string) bool {
+	_, body := s.complete(n, 1)
+	return strings.Contains(body, code) && strings.Contains(body, `"not_run"`) && strings.Contains(body, `"retry_after"`)
+}
+
+// Guards against changes that are late or lost when the store is down for some nodes.
+func TestChangeInForce(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name string
+		down []int
+	}{
+		{"quiet", nil},
+		{"store down for some nodes", []int{0, 4}},
+		{"one data centre cut from the store", []int{1, 4}},
+		{"store up for one node only", []int{0, 1, 2, 3, 4}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			s := newSystem(t)
+			for _, i := range tt.down {
+				s.nodes[i].platform.SetDown(true)
+			}
+			time.Sleep(bound)
+			for range 3 {
+				s.commit(s.nodes)
+			}
+		})
+	}
+}
+
+// Guards against nodes that serve an old configuration when they are cut off, and against nodes that
+// stop serving when the store is down for all.
+func TestCutOff(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t)
+	cut, rest := []*running{s.nodes[0], s.nodes[3]}, []*running{s.nodes[1], s.nodes[2], s.nodes[4], s.nodes[5]}
+	for _, c := range cut {
+		c.platform.SetDown(true)
+		for _, r := range rest {
+			s.network.CutBoth(c.cfg.NodeName, r.cfg.NodeName, true)
+		}
+	}
+	s.eventually(2*bound, "isolated nodes", func() bool { return !cut[0].Ready() && !cut[1].Ready() })
+	s.commit(rest)
+	for _, c := range cut {
+		if !s.refused(c, "node_isolated") || c.Peers().MayCommit() {
+			t.Errorf("%s serves while it is cut off", c.cfg.NodeName)
+		}
+	}
+	for _, c := range cut {
+		for _, r := range rest {
+			s.network.CutBoth(c.cfg.NodeName, r.cfg.NodeName, false)
+		}
+	}
+	s.eventually(2*bound, "return of the cut nodes", func() bool {
+		return cut[0].Ready() && cut[1].Ready() && cut[0].View().Version == s.version
+	})
+	for _, n := range s.nodes {
+		n.platform.SetDown(true)
+	}
+	s.eventually(2*bound, "store_down everywhere", func() bool {
+		for _, n := range s.nodes {
+			if n.Peers().Status().Mode != watch.StoreDown {
+				return false
+			}
+		}
+		return true
+	})
+	if status, body := s.complete(s.nodes[0], 3); status != http.StatusOK || !strings.Contains(body, "[DONE]") {
+		t.Errorf("store down: got %d %s", status, body)
+	}
+}
+
+// Guards against a node that serves an old version, or anything, before it knows the current one.
+func TestRestart(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t)
+	s.commit(s.nodes)
+	old := s.nodes[5]
+	old.stop()
+	s.site.Platform.SetDown(true)
+	fresh := s.start(5, old.cfg.PeerAddress)
+	if fresh.Ready() || !s.refused(fresh, "unauthorized") {
+		t.Error("a node without a configuration serves")
+	}
+	fresh.stop()
+	s.site.Platform.SetDown(false)
+	s.nodes[5] = s.start(5, old.cfg.PeerAddress)
+	lowest := s.version
+	s.eventually(bound, "the version after a restart", func() bool {
+		v := s.nodes[5].View().Version
+		if v != 0 && v < lowest {
+			t.Fatalf("version %d after a restart, %d was in force", v, lowest)
+		}
+		return v == lowest && s.nodes[5].Ready()
+	})
+	s.commit(s.nodes)
+}
+
+// Guards against a planned stop that cuts a request, refuses too early, or lets new work in late.
+func TestPlannedStop(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t)
+	n := s.nodes[2]
+	answer := make(chan string, 1)
+	go func() {
+		_, body := s.complete(n, 600)
+		answer <- body
+	}()
+	time.Sleep(100 * time.Millisecond)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		n.stop()
+	}()
+	s.eventually(time.Second, "readiness off", func() bool { return !n.Ready() })
+	for path, want := range map[string]int{"/healthz": http.StatusOK, "/readyz": http.StatusServiceUnavailable} {
+		resp, err := http.Get("http://" + n.cfg.OperatorAddress + path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != want {
+			t.Errorf("%s: got %d, want %d", path, resp.StatusCode, want)
+		}
+	}
+	if status, body := s.complete(n, 1); status != http.StatusOK || !strings.Contains(body, "[DONE]") {
+		t.Errorf("during notice: got %d %s", status, body)
+	}
+	s.eventually(time.Second, "refusal after the notice", func() bool { return s.refused(n, "node_draining") })
+	if body := <-answer; !strings.Contains(body, "[DONE]") {
+		t.Errorf("a running request was cut after %d bytes", len(body))
+	}
+	<-stopped
+}
+
+// Guards against a second signal that has to wait for running requests.
+func TestSecondSignal(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t)
+	n := s.nodes[2]
+	go s.complete(n, 4000)
+	time.Sleep(100 * time.Millisecond)
+	began := time.Now()
+	n.Stop()
+	time.Sleep(50 * time.Millisecond)
+	n.Stop()
+	n.stop()
+	if took := time.Since(began); took > 3*time.Second {
+		t.Errorf("stop took %v", took)
+	}
+}
--- a/internal/wire/peer/peer.go
+++ b/internal/wire/peer/peer.go
@@ -176,12 +176,6 @@
 		ReduceMemoryUsage: true,
 		Logger:            quiet{},
 	}
-	n.mu.Lock()
-	n.group = g
-	for node := range n.wanted() {
-		n.startKeeper(node)
-	}
-	n.mu.Unlock()
 	g.Go("accept", func(context.Context) error {
 		if err := srv.Serve(ln); err != nil && ctx.Err() == nil {
 			return errors.Newf("accept links: %w", err)
@@ -194,6 +188,13 @@
 		_ = srv.Shutdown()
 		return nil
 	})
+	// The group is shown to others only now: its first goroutine must not start while Wait begins.
+	n.mu.Lock()
+	n.group = g
+	for node := range n.wanted() {
+		n.startKeeper(node)
+	}
+	n.mu.Unlock()
 	if err := g.Wait(); err != nil {
 		return errors.Newf("peer links: %w", err)
 	}
