--- a/internal/conf/apply/apply.go
+++ b/internal/conf/apply/apply.go
@@ -116,13 +116,16 @@
 // maxHistory bounds how many versions History returns.
 const maxHistory = 200
 
-// History returns the newest versions up to limit, newest first and without their documents, which
-// would take hundreds of megabytes at the target size.
-func (s *Store) History(ctx context.Context, limit int) ([]Entry, error) {
+// History returns the versions below before, or the newest ones when before is 0, up to limit, newest
+// first and without their documents, which would take hundreds of megabytes at the target size.
+func (s *Store) History(ctx context.Context, before uint64, limit int) ([]Entry, error) {
 	version, _, err := s.Version(ctx)
 	if err != nil {
 		return nil, err
 	}
+	if before > 0 {
+		version = min(version, before-1)
+	}
 	var out []Entry
 	for n := version; n > 0 && len(out) < min(limit, maxHistory); n-- {
 		e, err := s.Entry(ctx, n)
--- a/internal/conf/apply/apply_test.go
+++ b/internal/conf/apply/apply_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -123,11 +124,17 @@
 			t.Fatal(err)
 		}
 	}
-	entries, err := s.History(t.Context(), 3)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if len(entries) != 3 || entries[0].Version != 5 || entries[2].Version != 3 {
-		t.Errorf("got %d entries, first %d", len(entries), entries[0].Version)
+	for before, want := range map[uint64]string{0: "5 4 3 ", 5: "4 3 2 ", 3: "2 1 ", 1: "", 99: "5 4 3 "} {
+		entries, err := s.History(t.Context(), before, 3)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got := ""
+		for _, e := range entries {
+			got += fmt.Sprint(e.Version, " ")
+		}
+		if got != want {
+			t.Errorf("before %d: got versions %s, want %s", before, got, want)
+		}
 	}
 }
--- a/internal/node/admin/admin.go
+++ b/internal/node/admin/admin.go
@@ -3,6 +3,7 @@
 package admin
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"net/http"
@@ -21,14 +22,16 @@
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 )
 
-// Bounds of the HTTP server. The largest document at the target size has about 2.5 MB.
+// Bounds of the HTTP server. The largest document at the target size has about 2.5 MB. Only calls of the
+// API with the operator key may send one, so that others can't fill the node's memory.
 const (
 	maxBodyBytes   = 16 << 20
+	maxOpenBytes   = 2 << 20
 	maxFormBytes   = 1 << 20
 	maxHeaderBytes = 16 << 10
 	readTimeout    = 10 * time.Second
 	idleTimeout    = 60 * time.Second
-	concurrency    = 256
+	concurrency    = 64
 	callTimeout    = 5 * time.Second
 )
 
@@ -37,7 +40,7 @@
 	Version(ctx context.Context) (uint64, table.Row, error)
 	Entry(ctx context.Context, version uint64) (apply.Entry, error)
 	Commit(ctx context.Context, base uint64, author string, doc *schema.Document) (apply.Entry, error)
-	History(ctx context.Context, limit int) ([]apply.Entry, error)
+	History(ctx context.Context, before uint64, limit int) ([]apply.Entry, error)
 }
 
 // NodeStatus is what operators see of one node.
@@ -113,7 +116,8 @@
 		Handler:               secured(s.routes().Handler),
 		ErrorHandler:          securedError(s.malformed),
 		ReadBufferSize:        maxHeaderBytes,
-		MaxRequestBodySize:    maxBodyBytes,
+		MaxRequestBodySize:    maxOpenBytes,
+		HeaderReceived:        s.bodyLimit,
 		ReadTimeout:           readTimeout,
 		IdleTimeout:           idleTimeout,
 		Concurrency:           concurrency,
@@ -157,12 +161,20 @@
 // malformed answers requests that could not be read.
 func (s *Server) malformed(rc *fasthttp.RequestCtx, err error) {
 	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
-		writeProblem(rc, tooLarge(maxBodyBytes))
+		writeProblem(rc, tooLarge(maxOpenBytes))
 		return
 	}
 	writeProblem(rc, problem(http.StatusBadRequest, "bad_request", "the request could not be read", ""))
 }
 
+// bodyLimit lets only holders of the operator key send large bodies.
+func (s *Server) bodyLimit(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
+	if bytes.HasPrefix(h.RequestURI(), []byte("/api/")) && s.login.bearer(h) {
+		return fasthttp.RequestConfig{MaxRequestBodySize: maxBodyBytes}
+	}
+	return fasthttp.RequestConfig{}
+}
+
 // secured adds the headers that keep pages from being framed, scripted or kept.
 func secured(next fasthttp.RequestHandler) fasthttp.RequestHandler {
 	return func(rc *fasthttp.RequestCtx) {
--- a/internal/node/admin/api.go
+++ b/internal/node/admin/api.go
@@ -116,7 +116,7 @@
 	if !s.login.configured() {
 		return problem(http.StatusForbidden, CodeNoKey, "this node has no operator key", noKeyHelp)
 	}
-	if !s.login.bearer(rc) {
+	if !s.login.bearer(&rc.Request.Header) {
 		return problem(http.StatusUnauthorized, CodeWrongKey, "the operator key is missing or wrong",
 			"Send the operator key as Authorization: Bearer.")
 	}
@@ -133,11 +133,15 @@
 	if p != nil {
 		return nil, p
 	}
-	return s.history(ctx, int(min(limit, maxList)))
+	before, p := numberArg(rc, "before", 0)
+	if p != nil {
+		return nil, p
+	}
+	return s.history(ctx, before, int(min(limit, maxList)))
 }
 
-func (s *Server) history(ctx context.Context, limit int) ([]VersionSummary, *Problem) {
-	entries, err := s.Configs.History(ctx, limit)
+func (s *Server) history(ctx context.Context, before uint64, limit int) ([]VersionSummary, *Problem) {
+	entries, err := s.Configs.History(ctx, before, limit)
 	if err != nil {
 		return nil, s.readProblem(err)
 	}
@@ -237,7 +241,8 @@
 
 func tooLarge(limit int) *Problem {
 	return problem(http.StatusRequestEntityTooLarge, CodeTooLarge,
-		"the body is larger than "+strconv.Itoa(limit>>20)+" MiB", "")
+		"the body is larger than "+strconv.Itoa(limit>>20)+" MiB",
+		"Documents go to the API with the operator key, where 16 MiB are allowed.")
 }
 
 func writeProblem(rc *fasthttp.RequestCtx, p *Problem) { writeJSON(rc, p.Status, p) }
--- a/internal/node/admin/api_test.go
+++ b/internal/node/admin/api_test.go
@@ -30,7 +30,7 @@
 		{"faults", 1, func(d *schema.Document) { d.Groups[0].Model = "x"; d.Hosts[0].FabricDomain = "y" }, nil, http.StatusUnprocessableEntity, admin.CodeInvalid, 1},
 		{"table down", 1, nil, func(n *node) { n.platform.SetDown(true) }, http.StatusServiceUnavailable, admin.CodeUnavailable, 1},
 		{"answer lost", 1, nil, func(n *node) { n.platform.LoseAnswers(1) }, http.StatusOK, "", 2},
-		{"outcome unknown", 1, nil, func(n *node) { n.hold.lose = true }, http.StatusAccepted, admin.CodeUnknown, 1},
+		{"outcome unknown", 1, nil, func(n *node) { n.hold.lose.Store(true) }, http.StatusAccepted, admin.CodeUnknown, 1},
 		{"cut off", 1, nil, func(n *node) { n.cut.Store(true) }, http.StatusServiceUnavailable, admin.CodeIsolated, 1},
 		{"base that does not exist", 9, nil, nil, http.StatusConflict, admin.CodeConflict, 1},
 	}
@@ -187,6 +187,7 @@
 		{"empty document", admin.PathApply, `{"author":"a","base":1,"document":{}}`, 422},
 		{"no author", admin.PathApply, `{"base":1,"document":{}}`, 400},
 		{"author with a line break", admin.PathApply, `{"author":"a\nb","base":1,"document":{}}`, 400},
+		{"document of 3 MB", admin.PathApply, strings.Repeat("x", 3<<20), 400},
 		{"validate nothing", admin.PathValidate, "", 422},
 	}
 	for _, tt := range tests {
@@ -194,16 +195,31 @@
 			t.Errorf("%s: status %d, want %d: %s", tt.name, a.status, tt.status, a.body)
 		}
 	}
-	// The size is refused before the body is read.
+	// Sizes are refused before the body is read; without the key, smaller ones are.
+	for _, head := range []string{
+		"POST " + admin.PathApply + " HTTP/1.1\r\nAuthorization: Bearer " + operatorKey + "\r\nContent-Length: 17000000",
+		"POST " + admin.PathApply + " HTTP/1.1\r\nContent-Length: 3000000",
+		"POST /login HTTP/1.1\r\nAuthorization: Bearer " + operatorKey + "\r\nContent-Length: 3000000",
+	} {
+		if status := sendHead(t, n, head); status != http.StatusRequestEntityTooLarge {
+			t.Errorf("%q: status %d", head, status)
+		}
+	}
+}
+
+// sendHead sends the head of a request without its body and returns the status of the answer.
+func sendHead(t *testing.T, n *node, head string) int {
+	t.Helper()
 	c, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", strings.TrimPrefix(n.url, "http://"))
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer func() { _ = c.Close() }()
-	_, _ = c.Write([]byte("POST " + admin.PathApply + " HTTP/1.1\r\nHost: a\r\nContent-Length: 17000000\r\n\r\n"))
+	_, _ = c.Write([]byte(head + "\r\nHost: a\r\n\r\n"))
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
-	if err != nil || resp.StatusCode != http.StatusRequestEntityTooLarge {
-		t.Fatalf("too large: %v, %v", resp, err)
+	if err != nil {
+		t.Fatal(err)
 	}
 	_ = resp.Body.Close()
+	return resp.StatusCode
 }
--- a/internal/node/admin/auth.go
+++ b/internal/node/admin/auth.go
@@ -62,9 +62,9 @@
 	return l.configured() && subtle.ConstantTimeCompare([]byte(view.HashKey(key)), []byte(l.keyHash)) == 1
 }
 
-// bearer reports whether the request carries the operator key.
-func (l logins) bearer(rc *fasthttp.RequestCtx) bool {
-	key, ok := strings.CutPrefix(string(rc.Request.Header.Peek("Authorization")), "Bearer ")
+// bearer reports whether a request carries the operator key.
+func (l logins) bearer(h *fasthttp.RequestHeader) bool {
+	key, ok := strings.CutPrefix(string(h.Peek("Authorization")), "Bearer ")
 	return ok && l.keyMatches(key)
 }
 
--- a/internal/node/admin/changes.go
+++ b/internal/node/admin/changes.go
@@ -151,27 +151,37 @@
 		s.entryAgain(v, p, e, add)
 		return
 	}
-	key := ""
 	if v.form("action") == "new_key" {
-		if key, err = addKey(e.Entry); err != nil {
-			s.message(v, s.internalProblem(err))
-			return
-		}
+		s.previewNewKey(v, p, e)
+		return
 	}
-	s.preview(v, p, e, key)
+	s.preview(v, p, e, "")
 }
 
-// addKey adds the hash of a new key to a client account and returns the key.
-func addKey(entry any) (string, error) {
+// previewNewKey previews an edit of a client account that adds the hash of a new key. With faults there
+// is no preview to show the key on, so none is added.
+func (s *Server) previewNewKey(v visit, p part, e edit) {
+	m, ok := e.Entry.(map[string]any)
+	if !ok || p.Entry.property("key_hashes") == nil {
+		s.message(v, badRequest("this entry has no keys"))
+		return
+	}
+	_, raw, pr := s.changed(v, p, e)
+	if pr == nil {
+		_, pr = s.validate(raw)
+	}
+	if pr != nil {
+		s.faulty(v, p, e, raw, pr)
+		return
+	}
 	key, err := newAccountKey()
 	if err != nil {
-		return "", err
-	}
-	if m, ok := entry.(map[string]any); ok {
-		hashes, _ := m["key_hashes"].([]any)
-		m["key_hashes"] = append(hashes, view.HashKey(key))
+		s.message(v, s.internalProblem(err))
+		return
 	}
-	return key, nil
+	hashes, _ := m["key_hashes"].([]any)
+	m["key_hashes"] = append(hashes, view.HashKey(key))
+	s.preview(v, p, e, key)
 }
 
 // entryAgain shows the form with what was entered.
@@ -282,7 +292,11 @@
 func (s *Server) faulty(v visit, p part, e edit, raw []byte, pr *Problem) {
 	value, _ := decodeValue(raw)
 	after, _ := value.(map[string]any)
-	if e.Op != opPut || pr.Faults == nil {
+	if pr.Faults == nil {
+		s.message(v, pr)
+		return
+	}
+	if e.Op != opPut {
 		s.show(v, pr.Status, "preview", "Not possible", previewData{Part: p, Edit: e, Faults: withNames(pr.Faults, after)})
 		return
 	}
--- a/internal/node/admin/lists.go
+++ b/internal/node/admin/lists.go
@@ -123,13 +123,13 @@
 	for _, e := range list {
 		m, _ := e.(map[string]any)
 		id, ok := delta.Identity(e)
-		if !ok || !strings.Contains(strings.ToLower(id), filter) {
-			continue
-		}
 		entry := listEntry{ID: id}
 		for _, c := range cols {
 			entry.Cells = append(entry.Cells, cell(m[c]))
 		}
+		if !ok || !strings.Contains(strings.ToLower(strings.Join(entry.Cells, "\n")), filter) {
+			continue
+		}
 		if field, ok := serviceField(p.Entry); ok {
 			entry.Out = outOfService(m, field)
 			entry.Switch = "Take out of service"
@@ -180,13 +180,31 @@
 	return now, tree, nil
 }
 
+// historyData is one page of the history.
+type historyData struct {
+	Versions []VersionSummary
+	// Newest is set when the first version is the one in force.
+	Newest bool
+	// Older is where the next page starts; 0 on the last one.
+	Older uint64
+}
+
 func (s *Server) historyPage(v visit) {
-	list, p := s.history(v.ctx, pageSize)
+	before, p := numberArg(v.RequestCtx, "before", 0)
 	if p != nil {
 		s.message(v, p)
 		return
 	}
-	s.show(v, http.StatusOK, "history", "History", list)
+	list, p := s.history(v.ctx, before, defaultHistory)
+	if p != nil {
+		s.message(v, p)
+		return
+	}
+	d := historyData{Versions: list, Newest: before == 0}
+	if n := len(list); n == defaultHistory && list[n-1].Version > 1 {
+		d.Older = list[n-1].Version
+	}
+	s.show(v, http.StatusOK, "history", "History", d)
 }
 
 func (s *Server) changesPage(v visit) {
--- a/internal/node/admin/pages_test.go
+++ b/internal/node/admin/pages_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/url"
 	"regexp"
@@ -147,6 +148,33 @@
 	b.get("/parts/models/remove?id=presse-lm").expect(t, http.StatusUnprocessableEntity, "not possible", "$.groups[presse-lm-000].model")
 }
 
+// Guards against lists and a history that cut off what is further down.
+func TestLongLists(t *testing.T) {
+	t.Parallel()
+	n := start(t, operatorKey)
+	doc := document()
+	for i := range 150 {
+		doc.Hosts = append(doc.Hosts, schema.Host{Name: fmt.Sprintf("spare-%03d", i), FabricDomain: "vejle-fabric", InService: true})
+	}
+	n.apply(1, doc)
+	for base := uint64(2); base < 25; base++ {
+		doc.Limits.QueueRequests = int(base)
+		n.apply(base, doc)
+	}
+	b := n.login("Asta")
+	b.get("/parts/hosts").expect(t, http.StatusOK, "1 to 100 of 162", "from=101")
+	b.get("/parts/hosts?from=101").expect(t, http.StatusOK, "101 to 162 of 162", "spare-149", "from=1")
+	b.get("/parts/hosts?q=SPARE-14").expect(t, http.StatusOK, "1 to 10 of 10")
+	b.get("/parts/hosts?q=herning").expect(t, http.StatusOK, "1 to 4 of 4")
+	b.get("/parts/hosts?q=nothing&from=999").expect(t, http.StatusOK, "No entries")
+	b.get("/history").expect(t, http.StatusOK, ">25<", ">6<", "before=6", "in force")
+	older := b.get("/history?before=6")
+	older.expect(t, http.StatusOK, ">5<", ">1<", "restore?version=5")
+	if strings.Contains(older.body, "in force") {
+		t.Error("an old version is shown as in force")
+	}
+}
+
 // Guards against a row that cannot be added without a script.
 func TestAddRow(t *testing.T) {
 	t.Parallel()
@@ -174,6 +202,12 @@
 	const action = "/parts/accounts/preview"
 	f := b.get("/parts/accounts/edit?id=account-00").form(t, action)
 	f.Set("action", "new_key")
+	good := f.Get("f.share")
+	f.Set("f.share", "0")
+	if hashes := b.post(action, f).form(t, action).Get("f.key_hashes"); strings.Contains(strings.TrimSpace(hashes), "\n") {
+		t.Errorf("a key that was never shown stays in the form: %q", hashes)
+	}
+	f.Set("f.share", good)
 	preview := b.post(action, f)
 	key := match(regexp.MustCompile(`<code class="key">([^<]+)</code>`), preview.body)
 	done := b.post(confirmAction, preview.form(t, confirmAction))
@@ -284,12 +318,12 @@
 	down.expect(t, http.StatusServiceUnavailable, "Nothing was changed", "Try again")
 	n.platform.SetDown(false)
 	retry := b.post(previewAction, down.form(t, previewAction)).form(t, confirmAction)
-	n.hold.lose = true
+	n.hold.lose.Store(true)
 	lost := b.post(confirmAction, retry)
 	lost.expect(t, http.StatusAccepted, "its answer was lost")
 	q := lost.form(t, "/changes/outcome").Encode()
 	b.get("/changes/outcome?"+q).expect(t, http.StatusOK, "There is no version 2 yet")
-	if _, err := n.platform.Commit(t.Context(), *n.hold.held); err != nil {
+	if _, err := n.platform.Commit(t.Context(), *n.hold.held.Load()); err != nil {
 		t.Fatal(err)
 	}
 	b.get("/changes/outcome?"+q).expect(t, http.StatusOK, "It was accepted")
--- a/internal/node/admin/site_test.go
+++ b/internal/node/admin/site_test.go
@@ -12,7 +12,6 @@
 	"net/url"
 	"regexp"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -55,16 +54,13 @@
 // holdingTable can keep a commit back and lose its answer.
 type holdingTable struct {
 	*store.Store
-	mu   sync.Mutex
-	lose bool
-	held *table.Txn
+	lose atomic.Bool
+	held atomic.Pointer[table.Txn]
 }
 
 func (h *holdingTable) Commit(ctx context.Context, txn table.Txn) (uint64, error) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.lose {
-		h.held = &txn
+	if h.lose.Load() {
+		h.held.Store(&txn)
 		return 0, table.ErrUnknown
 	}
 	return h.Store.Commit(ctx, txn)
