--- a/internal/conf/apply/apply.go
+++ b/internal/conf/apply/apply.go
@@ -38,6 +38,15 @@
 	Document *schema.Document `json:"document"`
 }
 
+// head is an entry without its document, which takes most of the time to decode.
+type head struct {
+	Version uint64    `json:"version"`
+	Base    uint64    `json:"base"`
+	Token   string    `json:"token"`
+	Author  string    `json:"author"`
+	At      time.Time `json:"at"`
+}
+
 // Store commits and reads versions. It is safe for concurrent use.
 type Store struct {
 	table table.Table
@@ -67,15 +76,23 @@
 
 // Entry returns one version of the history, or table.ErrNotFound.
 func (s *Store) Entry(ctx context.Context, version uint64) (Entry, error) {
+	var e Entry
+	if err := s.read(ctx, version, &e); err != nil {
+		return Entry{}, err
+	}
+	return e, nil
+}
+
+// read decodes the row of a version into out.
+func (s *Store) read(ctx context.Context, version uint64, out any) error {
 	row, err := s.table.Get(ctx, versionKey(version))
 	if err != nil {
-		return Entry{}, errors.Newf("read version %d: %w", version, err)
+		return errors.Newf("read version %d: %w", version, err)
 	}
-	var e Entry
-	if err := json.Unmarshal(row.Value, &e); err != nil {
-		return Entry{}, errors.Newf("decode version %d: %w", version, err)
+	if err := json.Unmarshal(row.Value, out); err != nil {
+		return errors.Newf("decode version %d: %w", version, err)
 	}
-	return e, nil
+	return nil
 }
 
 // Commit makes doc the next version after base. It returns ErrConflict when base is not the
@@ -128,15 +145,15 @@
 	}
 	var out []Entry
 	for n := version; n > 0 && len(out) < min(limit, maxHistory); n-- {
-		e, err := s.Entry(ctx, n)
+		var h head
+		err := s.read(ctx, n, &h)
 		if errors.Is(err, table.ErrNotFound) {
 			break
 		}
 		if err != nil {
 			return nil, err
 		}
-		e.Document = nil
-		out = append(out, e)
+		out = append(out, Entry{Version: h.Version, Base: h.Base, Token: h.Token, Author: h.Author, At: h.At})
 	}
 	return out, nil
 }
