Play random interleavings of the claim, retry and crash deciders

Cause: the promises "runs at most once" and "a not_run is true" hold only if they hold for every order of events.

TestInProgress was added for the wait.

--- /dev/null
+++ b/internal/bench/runs/table.go
@@ -0,0 +1,136 @@
+package runs
+
+import (
+	"math/rand/v2"
+
+	"geraniumhollow/internal/plat/table"
+)
+
+// Chooser returns a number from 0 to n-1. All chance of an interleaving comes from it.
+type Chooser func(n int) int
+
+// Seeded returns uniform choices that repeat with the seed.
+func Seeded(seed uint64) Chooser {
+	r := rand.New(rand.NewPCG(seed, 0))
+	return r.IntN
+}
+
+// steepness returns the number of kinds of steps to choose from. The first few kinds are faults, so that
+// some interleavings are full of them and others hardly have any.
+func steepness(choose Chooser) int { return []int{24, 60, 150}[choose(3)] }
+
+// chance reports true once in n times.
+func (c Chooser) chance(n int) bool { return c(n) == 0 }
+
+// cell is a row with its revision.
+type cell[R any] struct {
+	value R
+	rev   uint64
+}
+
+// op is one call of the table that is under way.
+type op[R any] struct {
+	key    string
+	read   bool
+	base   uint64
+	value  R
+	remove bool
+
+	applied  bool
+	got      cell[R]
+	conflict bool
+}
+
+// heard is what the caller of a table operation hears.
+type heard int
+
+const (
+	heardAnswer heard = iota
+	// heardRefusal means that the operation has no effect.
+	heardRefusal
+	// heardNothing means that the answer is lost.
+	heardNothing
+)
+
+// faultyTable is a table that may be down or slow, lose answers, and apply writes late.
+type faultyTable[R any] struct {
+	choose Chooser
+	// mostly is the inverse rate of each fault; it differs between interleavings.
+	mostly int
+	rows   map[string]cell[R]
+	rev    uint64
+	down   bool
+	// late are writes whose callers have heard nothing and that may still take effect.
+	late []*op[R]
+}
+
+func newFaultyTable[R any](choose Chooser) *faultyTable[R] {
+	mostly := []int{4, 10, 30}[choose(3)]
+	return &faultyTable[R]{choose: choose, mostly: mostly, rows: make(map[string]cell[R])}
+}
+
+// apply carries out an operation once.
+func (t *faultyTable[R]) apply(o *op[R]) {
+	if o.applied {
+		return
+	}
+	o.applied = true
+	row := t.rows[o.key]
+	switch {
+	case o.read:
+		o.got = row
+	case row.rev != o.base:
+		o.conflict = true
+	case o.remove:
+		delete(t.rows, o.key)
+	default:
+		t.rev++
+		o.got = cell[R]{value: o.value, rev: t.rev}
+		t.rows[o.key] = o.got
+	}
+}
+
+// finish ends the wait of an operation's caller.
+func (t *faultyTable[R]) finish(o *op[R]) heard {
+	fates := t.mostly
+	if t.down {
+		fates = 2
+	}
+	if !o.applied {
+		switch t.choose(fates) {
+		case 0:
+			return heardRefusal
+		case 1:
+			t.abandon(o)
+			return heardNothing
+		}
+	}
+	t.apply(o)
+	if t.choose.chance(t.mostly) {
+		return heardNothing
+	}
+	return heardAnswer
+}
+
+// abandon leaves a write without a caller.
+func (t *faultyTable[R]) abandon(o *op[R]) {
+	if !o.read && !o.applied {
+		t.late = append(t.late, o)
+	}
+}
+
+// applyLate applies or drops a write whose caller has heard nothing.
+func (t *faultyTable[R]) applyLate() {
+	if len(t.late) == 0 {
+		return
+	}
+	i := t.choose(len(t.late))
+	o := t.late[i]
+	t.late = append(t.late[:i], t.late[i+1:]...)
+	if !t.choose.chance(4) {
+		t.apply(o)
+	}
+}
+
+// absent reports whether a cell stands for no row.
+func (c cell[R]) absent() bool { return c.rev == table.Absent }
--- a/internal/route/claim/store_test.go
+++ b/internal/route/claim/store_test.go
@@ -188,3 +188,29 @@
 		t.Error("keys are equal")
 	}
 }
+
+// Guards against a resend that waits past its deadline for an attempt that is still running, or that
+// hears not_run although that attempt may run.
+func TestInProgress(t *testing.T) {
+	t.Parallel()
+	fs := store.New()
+	st := claim.NewStore(fs, fs.Objects())
+	held := claim.Write{Timeout: callTime, Record: claim.Record{
+		Fingerprint: "f", State: claim.Claimed, Token: "1", ClaimedAt: start, TimeoutMs: time.Hour.Milliseconds(),
+	}}
+	if _, err := st.Write(t.Context(), claim.Key("a", "k"), held); err != nil {
+		t.Fatal(err)
+	}
+	waited := time.Duration(0)
+	reply, sends := run(t, st, call("2", "f"), answered("ok"), func(a claim.Action) {
+		if w, ok := a.(claim.Wait); ok {
+			waited += w.For
+		}
+	})
+	if sends != 0 || outcome(reply) != fault.Unknown || reply.Fault.Code() != fault.RequestInProgress {
+		t.Errorf("%d sends, %v; want none, request_in_progress unknown", sends, reply.Fault)
+	}
+	if waited > timeout+time.Second {
+		t.Errorf("waited %s, the deadline is %s", waited, timeout)
+	}
+}
