Resume an answer on another node over the peer link

Cause: a caller that came back to another node could only be served by the engine that gave its last token.

Change: node/origin asks the node that the request began on for the rest of the answer; each part is asked, so that the caller's speed slows the sender down, and the outcome of a request is asked the same way.

--- a/internal/node/serve/serve.go
+++ b/internal/node/serve/serve.go
@@ -16,6 +16,7 @@
 	"geraniumhollow/internal/core/tasks"
 	"geraniumhollow/internal/fleet/drain"
 	"geraniumhollow/internal/node/caller"
+	"geraniumhollow/internal/node/origin"
 	"geraniumhollow/internal/node/peers"
 	"geraniumhollow/internal/node/relay"
 	"geraniumhollow/internal/plat/hosts"
@@ -47,6 +48,8 @@
 	log   hclog.Logger
 	parts Parts
 	peers *peers.Peers
+	// origin reaches the nodes that other requests began on.
+	origin *origin.Links
 	// configs reads and commits the configuration.
 	configs *apply.Store
 	reasons *reason.Ring
@@ -127,6 +130,7 @@
 		Listed:      n.listed,
 		Dial:        parts.Dial,
 	})
+	n.origin = origin.New(n.peers.Net())
 	return n, nil
 }
 
@@ -143,8 +147,10 @@
 	g := tasks.New(work)
 	deps := n.parts.Relay
 	deps.Node = n.cfg.NodeName
+	deps.Origin = n.origin
 	deps.Gate = &gate{node: n, next: deps.Gate}
 	rl := relay.New(n.log.Named("relay"), n.view.Load, deps)
+	n.origin.Serve(g, rl)
 	srv := caller.New(g.Context(), n.log.Named("caller"), n.cfg.NodeName, n.view.Load, rl, caller.WithServices(n.services(g)))
 	g.Go("callers", func(ctx context.Context) error { return srv.Serve(ctx, n.lns.Callers) })
 	g.Go("operators", func(ctx context.Context) error { return n.serveOperators(ctx, n.metrics) })
--- a/internal/wire/frame/messages.gen.go
+++ b/internal/wire/frame/messages.gen.go
@@ -191,11 +191,56 @@
 	// LoadDigest corresponds to the JSON schema field "load_digest".
 	LoadDigest *LoadDigest `json:"load_digest,omitempty,omitzero"`
 
+	// OutcomeAsk corresponds to the JSON schema field "outcome_ask".
+	OutcomeAsk *OutcomeAsk `json:"outcome_ask,omitempty,omitzero"`
+
+	// OutcomeReply corresponds to the JSON schema field "outcome_reply".
+	OutcomeReply *OutcomeReply `json:"outcome_reply,omitempty,omitzero"`
+
 	// ProbeAsk corresponds to the JSON schema field "probe_ask".
 	ProbeAsk *ProbeAsk `json:"probe_ask,omitempty,omitzero"`
 
 	// ProbeReply corresponds to the JSON schema field "probe_reply".
 	ProbeReply *ProbeReply `json:"probe_reply,omitempty,omitzero"`
+
+	// StreamAsk corresponds to the JSON schema field "stream_ask".
+	StreamAsk *StreamAsk `json:"stream_ask,omitempty,omitzero"`
+
+	// StreamPart corresponds to the JSON schema field "stream_part".
+	StreamPart *StreamPart `json:"stream_part,omitempty,omitzero"`
+
+	// StreamStarted corresponds to the JSON schema field "stream_started".
+	StreamStarted *StreamStarted `json:"stream_started,omitempty,omitzero"`
+
+	// StreamTaken corresponds to the JSON schema field "stream_taken".
+	StreamTaken *StreamTaken `json:"stream_taken,omitempty,omitzero"`
+}
+
+// OutcomeAsk asks the node that a request began on what became of it.
+type OutcomeAsk struct {
+	// Acct corresponds to the JSON schema field "acct".
+	Acct string `json:"acct"`
+
+	// Req corresponds to the JSON schema field "req".
+	Req string `json:"req"`
+}
+
+// OutcomeReply answers an OutcomeAsk.
+type OutcomeReply struct {
+	// Code corresponds to the JSON schema field "code".
+	Code string `json:"code,omitempty,omitzero"`
+
+	// Found corresponds to the JSON schema field "found".
+	Found bool `json:"found,omitempty,omitzero"`
+
+	// Out corresponds to the JSON schema field "out".
+	Out string `json:"out,omitempty,omitzero"`
+
+	// State corresponds to the JSON schema field "state".
+	State string `json:"state,omitempty,omitzero"`
+
+	// Length of the answer so far.
+	Tokens int `json:"tokens,omitempty,omitzero"`
 }
 
 // ProbeAsk asks whether the receiver reaches a node that the sender does not hear.
@@ -209,3 +254,70 @@
 	// Heard corresponds to the JSON schema field "heard".
 	Heard bool `json:"heard"`
 }
+
+// StreamAsk asks the node that a request began on for the rest of its answer.
+type StreamAsk struct {
+	// Client account that asks.
+	Acct string `json:"acct"`
+
+	// Number of the stream at the asking node.
+	Id int `json:"id"`
+
+	// First token that the caller lacks.
+	Off int `json:"off"`
+
+	// Request id.
+	Req string `json:"req"`
+
+	// Backend server that gave the last token that the caller has.
+	Server string `json:"server,omitempty,omitzero"`
+}
+
+// StreamPart carries one frame of the answer, or its end. It is asked, so that the
+// reply slows the sender down to the caller.
+type StreamPart struct {
+	// Attempt.
+	Att int `json:"att,omitempty,omitzero"`
+
+	// Error that ended the answer, or empty.
+	Code string `json:"code,omitempty,omitzero"`
+
+	// No part follows.
+	End bool `json:"end,omitempty,omitzero"`
+
+	// Reason for which the answer ended, or empty.
+	Fin string `json:"fin,omitempty,omitzero"`
+
+	// Number of the stream at the asking node.
+	Id int `json:"id"`
+
+	// Message of the error.
+	Msg string `json:"msg,omitempty,omitzero"`
+
+	// Offset in tokens.
+	Off int `json:"off,omitempty,omitzero"`
+
+	// Outcome of the error.
+	Out string `json:"out,omitempty,omitzero"`
+
+	// When the caller may come back; 0 is never.
+	RetryMs int `json:"retry_ms,omitempty,omitzero"`
+
+	// Backend server that gave the frame.
+	Server string `json:"server,omitempty,omitzero"`
+
+	// Text corresponds to the JSON schema field "text".
+	Text string `json:"text,omitempty,omitzero"`
+}
+
+// StreamStarted says that parts will follow.
+type StreamStarted struct {
+	// Always true.
+	Ok bool `json:"ok,omitempty,omitzero"`
+}
+
+// StreamTaken says whether a part reached the caller; without it the sender stops.
+type StreamTaken struct {
+	// Ok corresponds to the JSON schema field "ok".
+	Ok bool `json:"ok,omitempty,omitzero"`
+}
