Streams: the HTTP server reads an answer itself; buffers grow less

Cause: each token crossed four goroutines and a pipe on its way to the caller. Callers that read nothing could fill the byte budget and keep new requests out. The stall measurement showed two more faults: an event buffer that was refilled before it was empty never gave back what had been sent, and a log that doubled its buffer left much of it unused.

Change: an answer is pulled (relay.Answer), so that a token goes from the goroutine that reads the engine to the one that writes to the caller in one step; events that are ready go out in one write. event.Buffer moves unread bytes to its front. A bounded log grows by at most 8 KiB at once. An eighth of the account's and of the node's budget is kept for the start of new requests, and ended answers are dropped before a request is refused for want of bytes.

--- a/internal/node/caller/answer.go
+++ b/internal/node/caller/answer.go
@@ -1,15 +1,14 @@
 package caller
 
 import (
-	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"time"
 
 	"geraniumhollow/internal/conf/schema"
 	"geraniumhollow/internal/core/fault"
-	"geraniumhollow/internal/core/tasks"
 	"geraniumhollow/internal/node/relay"
 	"geraniumhollow/internal/route/stream"
 	"geraniumhollow/internal/wire/event"
@@ -34,13 +33,13 @@
 		// The parsed form holds the text; the raw body would double the memory of a slow answer.
 		rc.Request.ResetBody()
 		c.ID = id
-		if streamed {
-			s.streamed(rc, newEvents(sh, c), func(ctx context.Context, sink relay.Sink) *fault.Error {
-				return s.relay.Complete(ctx, c, sink)
-			})
+		if !streamed {
+			s.whole(rc, c, sh)
 			return
 		}
-		s.whole(rc, c, sh)
+		s.streamed(rc, newEvents(sh, c), func(ctx context.Context) (*relay.Answer, *fault.Error) {
+			return s.relay.Start(ctx, c)
+		})
 	}
 }
 
@@ -64,14 +63,14 @@
 	}
 	rc.Request.ResetBody()
 	es := newEvents(sh, relay.Completion{ID: ask.RequestID, Model: s.relay.ModelOf(ask.Server)})
-	s.streamed(rc, es, func(ctx context.Context, sink relay.Sink) *fault.Error {
-		ferr := s.relay.Resume(ctx, a, ask, sink)
-		if ferr == nil || again == nil || es.begun() || ctx.Err() != nil {
-			return ferr
-		}
-		es.completion = *again
-		return s.relay.Complete(ctx, *again, sink)
-	})
+	starts := []starter{func(ctx context.Context) (*relay.Answer, *fault.Error) { return s.relay.Resume(ctx, a, ask) }}
+	if again != nil {
+		starts = append(starts, func(ctx context.Context) (*relay.Answer, *fault.Error) {
+			es.completion = withoutPrompt(*again)
+			return s.relay.Start(ctx, *again)
+		})
+	}
+	s.streamed(rc, es, starts...)
 }
 
 // whole answers with one JSON body.
@@ -88,111 +87,114 @@
 	writeJSON(rc, http.StatusOK, sh.whole(c, text, finish))
 }
 
-// streamed answers with server-sent events. An error before the first frame is answered with its own
-// HTTP status.
-func (s *Server) streamed(
-	rc *fasthttp.RequestCtx, es *events, run func(ctx context.Context, sink relay.Sink) *fault.Error,
-) {
+// starter begins an answer.
+type starter func(ctx context.Context) (*relay.Answer, *fault.Error)
+
+// streamed answers with server-sent events from the first of starts that gives a frame. An error before
+// the first frame is answered with its own HTTP status.
+func (s *Server) streamed(rc *fasthttp.RequestCtx, es *events, starts ...starter) {
 	ctx, cancel := context.WithCancelCause(s.ctx)
 	es.conn, es.stall = rc.Conn(), s.timeouts.Stall
 	unwatch := s.watch.add(rc.Conn(), cancel)
-	tasks.New(ctx).Go("answer", func(ctx context.Context) error {
-		defer cancel(nil)
-		defer unwatch()
-		ferr := fault.New(fault.Internal, fault.Unknown, "the request failed inside the node")
-		defer func() { es.end(ferr) }()
-		ferr = run(ctx, es.sink)
-		return nil
-	})
-	if ferr := <-es.first; ferr != nil {
+	es.closed = func() {
+		unwatch()
+		cancel(nil)
+	}
+	var ferr *fault.Error
+	for _, start := range starts {
+		if ferr = es.open(ctx, start); ferr == nil || ctx.Err() != nil {
+			break
+		}
+	}
+	if ferr != nil {
+		es.closed()
 		writeFault(rc, es.completion.ID, ferr)
 		return
 	}
 	rc.Response.Header.Set("X-Request-Id", es.completion.ID)
 	rc.SetContentType("text/event-stream")
 	rc.Response.Header.Set("Cache-Control", "no-store")
-	rc.SetBodyStreamWriter(es.attach)
+	rc.Response.SetBodyStream(es, -1)
 }
 
-// events writes an answer as server-sent events whose ids are
-// <request id>:<offset>:<backend server>.
+// events is the body of a streamed answer: server-sent events whose ids are
+// <request id>:<offset>:<backend server>. The HTTP server reads it, so that a token crosses from the
+// goroutine that reads the engine to the one that writes to the caller in one step.
 type events struct {
 	shape      shape
 	completion relay.Completion
 	conn       net.Conn
 	stall      time.Duration
-	// first gets nil with the first frame, or the error that came before it.
-	first chan *fault.Error
-	// writers hands over the writer of the response once its header is set.
-	writers chan *bufio.Writer
-	done    chan struct{}
-
-	w   *bufio.Writer
-	buf []byte
+	answer     *relay.Answer
+	closed     func()
+
+	buf   event.Buffer
+	ended bool
 }
 
 func newEvents(sh shape, c relay.Completion) *events {
-	// The prompt belongs to the relay, which counts its bytes.
-	c.Prompt, c.Messages = "", nil
-	return &events{
-		shape: sh, completion: c, first: make(chan *fault.Error, 1), writers: make(chan *bufio.Writer, 1),
-		done: make(chan struct{}),
-	}
+	return &events{shape: sh, completion: withoutPrompt(c)}
 }
 
-// begun reports whether a frame has been passed on.
-func (e *events) begun() bool { return e.w != nil }
-
-// attach gives the events the writer of the response and waits for their end.
-func (e *events) attach(w *bufio.Writer) {
-	e.writers <- w
-	<-e.done
+// withoutPrompt returns a copy without the text, which belongs to the relay and its byte budget.
+func withoutPrompt(c relay.Completion) relay.Completion {
+	c.Prompt, c.Messages = "", nil
+	return c
 }
 
-// begin waits for the writer before the first event.
-func (e *events) begin() {
-	if e.w == nil {
-		e.first <- nil
-		e.w = <-e.writers
+// open starts the answer and waits for its first frame.
+func (e *events) open(ctx context.Context, start starter) *fault.Error {
+	a, ferr := start(ctx)
+	if ferr != nil {
+		return ferr
 	}
+	f, err := a.Next()
+	if err != nil && !errors.Is(err, io.EOF) {
+		a.Close()
+		return relay.AsFault(err)
+	}
+	e.answer = a
+	e.add(f, err)
+	return nil
 }
 
-func (e *events) sink(f stream.Frame) error {
-	e.begin()
-	return e.write(event.Event{
-		ID:   relay.EventID(e.completion.ID, f.Offset, f.Server),
-		Data: encode(e.shape.chunk(e.completion, f)),
-	})
+// add encodes a frame, the end mark or the error that ended the answer.
+func (e *events) add(f stream.Frame, err error) {
+	switch {
+	case err == nil:
+		id := relay.EventID(e.completion.ID, f.Offset, f.Server)
+		e.buf.Add(event.Event{ID: id, Data: encode(e.shape.chunk(e.completion, f))})
+	case errors.Is(err, io.EOF):
+		e.ended = true
+		e.buf.Add(event.Event{Data: []byte("[DONE]")})
+	default:
+		e.ended = true
+		e.buf.Add(event.Event{Data: encode(faultBody(e.completion.ID, relay.AsFault(err)))})
+	}
 }
 
-// write sends one event. The connection's deadline moves with each event that the caller makes room
-// for, so that a caller that reads nothing is closed.
-func (e *events) write(ev event.Event) error {
-	e.buf = event.Append(e.buf[:0], ev)
-	if err := e.conn.SetWriteDeadline(time.Now().Add(e.stall)); err != nil {
-		return errors.Newf("set deadline of the caller: %w", err)
+// Read implements io.Reader. It waits for one event and adds those that are there already. The deadline
+// of the connection moves with each read, so that a caller that takes nothing is closed.
+func (e *events) Read(p []byte) (int, error) {
+	if e.buf.Len() == 0 {
+		if e.ended {
+			return 0, io.EOF
+		}
+		e.add(e.answer.Next())
 	}
-	if _, err := e.w.Write(e.buf); err != nil {
-		return errors.Newf("write event: %w", err)
+	for !e.ended && e.buf.Len() < len(p) && e.answer.Ready() {
+		e.add(e.answer.Next())
 	}
-	if err := e.w.Flush(); err != nil {
-		return errors.Newf("flush event: %w", err)
+	n := e.buf.Read(p)
+	if err := e.conn.SetWriteDeadline(time.Now().Add(e.stall)); err != nil {
+		return n, errors.Newf("set deadline of the caller: %w", err)
 	}
-	return nil
+	return n, nil
 }
 
-// end writes the end mark or the error, unless nothing has been written yet and the error can have an
-// HTTP status of its own.
-func (e *events) end(ferr *fault.Error) {
-	defer close(e.done)
-	if ferr != nil && !e.begun() {
-		e.first <- ferr
-		return
-	}
-	e.begin()
-	data := []byte("[DONE]")
-	if ferr != nil {
-		data = encode(faultBody(e.completion.ID, ferr))
-	}
-	_ = e.write(event.Event{Data: data}) // A caller that is gone needs no end mark.
+// Close implements io.Closer: the answer is complete or the caller is gone.
+func (e *events) Close() error {
+	e.answer.Close()
+	e.closed()
+	return nil
 }
--- a/internal/node/relay/recent.go
+++ b/internal/node/relay/recent.go
@@ -54,6 +54,8 @@
 	completion Completion
 	attempts   int
 	started    bool
+	// origin is the node that has the record of the request, if that is another one.
+	origin string
 	// cancel and done belong to the running turn; a record that is resumed has another turn.
 	cancel context.CancelCauseFunc
 	done   chan struct{}
@@ -105,15 +107,29 @@
 	r.ended = append(r.ended, rec.id)
 	r.answers = append(r.answers, rec)
 	r.bytes += rec.share.Held()
+	r.shed(limit)
+	for len(r.ended) > maxRecent {
+		delete(r.byID, r.ended[0])
+		r.ended = r.ended[1:]
+	}
+}
+
+// shed drops the texts of the oldest ended requests until the rest has at most limit bytes.
+func (r *recent) shed(limit int) {
 	for r.bytes > limit && len(r.answers) > 0 {
 		r.reduce(r.answers[0])
 		r.answers[0] = nil
 		r.answers = r.answers[1:]
 	}
-	for len(r.ended) > maxRecent {
-		delete(r.byID, r.ended[0])
-		r.ended = r.ended[1:]
-	}
+}
+
+// forgetAnswers drops the texts of all ended requests and reports whether there were any.
+func (r *recent) forgetAnswers() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	held := len(r.answers) > 0
+	r.shed(0)
+	return held
 }
 
 // reduce drops the text of an ended request.
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -70,13 +70,22 @@
 // BufferedBytes returns the bytes of prompts and answers that the relay holds.
 func (r *Relay) BufferedBytes() int { return r.budget.Held() }
 
+// Start begins a completion. The answer has to be closed.
+func (r *Relay) Start(ctx context.Context, c Completion) (*Answer, *fault.Error) {
+	rec, ferr := r.open(c, r.view().Limits.RequestBufferBytes)
+	if ferr != nil {
+		return nil, ferr
+	}
+	return r.start(ctx, rec), nil
+}
+
 // Complete runs a completion and passes its answer to sink.
 func (r *Relay) Complete(ctx context.Context, c Completion, sink Sink) *fault.Error {
-	rec, ferr := r.open(c, r.view().Limits.RequestBufferBytes)
+	a, ferr := r.Start(ctx, c)
 	if ferr != nil {
 		return ferr
 	}
-	return r.start(ctx, rec).deliver(sink)
+	return a.deliver(sink)
 }
 
 // CompleteWhole runs a completion and returns its whole text and the reason for its end.
@@ -85,19 +94,20 @@
 	if ferr != nil {
 		return "", "", ferr
 	}
-	log := rec.log
-	if ferr := r.start(ctx, rec).deliver(func(stream.Frame) error { return nil }); ferr != nil {
+	a := r.start(ctx, rec)
+	if ferr := a.deliver(func(stream.Frame) error { return nil }); ferr != nil {
 		return "", "", ferr
 	}
-	text, _ := log.Text()
-	return text, log.Finish(), nil
+	text, _ := a.log.Text()
+	return text, a.log.Finish(), nil
 }
 
 // open makes the record of a new request, which holds its prompt and the first bytes of its answer.
 func (r *Relay) open(c Completion, limit int) (*record, *fault.Error) {
 	limits := r.view().Limits
 	share := r.budget.Open(c.Account.Name, limits.AccountBufferBytes, limits.NodeBufferBytes)
-	if !share.Grow(len(c.Prompt) + len(c.Messages) + stream.InitialBytes) {
+	first := len(c.Prompt) + len(c.Messages) + stream.InitialBytes
+	if !share.Start(first) && (!r.recent.forgetAnswers() || !share.Start(first)) {
 		return nil, fault.New(fault.Overloaded, fault.NotRun, "the node holds as many bytes as it may").
 			WithRetryAfter(retryAfter)
 	}
@@ -111,15 +121,8 @@
 // errCallerGone is the cause of a request whose caller cannot be reached any more.
 var errCallerGone = errors.New("caller is gone")
 
-// turn is one run of a record: an answer in production and its delivery.
-type turn struct {
-	run    *run
-	cancel context.CancelCauseFunc
-}
-
-// start begins to produce the answer of a record in the background. deliver has to be called on the
-// turn.
-func (r *Relay) start(ctx context.Context, rec *record) turn {
+// start begins to produce the answer of a record in the background.
+func (r *Relay) start(ctx context.Context, rec *record) *Answer {
 	timeout := time.Duration(r.view().Limits.RequestTimeoutMs) * time.Millisecond
 	ctx, cancel := context.WithCancelCause(ctx)
 	ctx, stop := context.WithTimeoutCause(ctx, timeout, errTimeout)
@@ -132,11 +135,9 @@
 		u.produce(ctx)
 		return nil
 	})
-	return turn{run: u, cancel: cancel}
+	return &Answer{log: rec.log, reader: rec.log.Reader(), cancel: cancel}
 }
 
-func (t turn) deliver(sink Sink) *fault.Error { return t.run.deliver(t.cancel, sink) }
-
 // bytesPerToken is the rough size of a prompt token.
 const bytesPerToken = 4
 
--- a/internal/node/relay/resume.go
+++ b/internal/node/relay/resume.go
@@ -22,66 +22,37 @@
 	return fault.New(fault.NotFound, fault.Unknown, "the request is not known")
 }
 
-// Resume passes the rest of an answer to sink: from this node's memory or running request, from the
-// node that the request began on, or else from the engine that gave the last token.
-func (r *Relay) Resume(ctx context.Context, account schema.Account, a Ask, sink Sink) *fault.Error {
+// Resume begins the rest of an answer: from this node's memory or running request, from the node that
+// the request began on, or else from the engine that gave the last token. The answer has to be closed.
+func (r *Relay) Resume(ctx context.Context, account schema.Account, a Ask) (*Answer, *fault.Error) {
 	node, tag, ok := ParseRequestID(a.RequestID)
 	if !ok || tag != AccountTag(account.Name) {
-		return errUnknownRequest()
+		return nil, errUnknownRequest()
 	}
 	a.Account = account.Name
-	follow := func(f stream.Frame) error {
-		if err := sink(f); err != nil {
-			return errors.Mark(err, errCallerGone)
-		}
-		a.Offset, a.Server = f.Offset+1, f.Server
-		return nil
-	}
-	if ferr := r.ResumeLocal(ctx, a, follow); !isUnknownRequest(ferr) {
-		return ferr
-	}
-	if node != r.deps.Node {
-		if done, ferr := r.resumeAtOrigin(ctx, node, a, follow); done {
-			return ferr
-		}
+	answer, ferr := r.resumeLocal(ctx, a)
+	if ferr == nil || ferr.Code() != fault.NotFound {
+		return answer, ferr
 	}
-	return r.resumeAtEngine(ctx, account, a, follow)
-}
-
-func isUnknownRequest(ferr *fault.Error) bool { return ferr != nil && ferr.Code() == fault.NotFound }
-
-// resumeAtOrigin asks the node that the request began on. It returns false when that node cannot help.
-func (r *Relay) resumeAtOrigin(ctx context.Context, node string, a Ask, sink Sink) (bool, *fault.Error) {
-	err := r.deps.Origin.Resume(ctx, node, a, sink)
-	var ferr *fault.Error
-	switch {
-	case err == nil:
-		return true, nil
-	case errors.Is(err, errCallerGone) || ctx.Err() != nil:
-		return true, fault.New(fault.OutcomeUnknown, fault.Unknown, "the caller is gone").WithCause(err)
-	case errors.As(err, &ferr) && !isUnknownRequest(ferr):
-		return true, ferr
-	}
-	r.log.Info("origin node cannot resume", "request_id", a.RequestID, "node", node, "error", err)
-	return false, nil
+	return r.resumeForeign(ctx, account, node, a)
 }
 
 // ResumeLocal passes the rest of an answer to sink if this node has its record, and else returns an
-// error with code not_found. A request that still runs for another connection is taken over.
+// error with code not_found.
 func (r *Relay) ResumeLocal(ctx context.Context, a Ask, sink Sink) *fault.Error {
-	rec, ok := r.recent.get(a.RequestID)
-	if !ok || rec.account != a.Account {
-		return errUnknownRequest()
-	}
-	t, ferr := r.restart(ctx, rec, a.Offset)
+	answer, ferr := r.resumeLocal(ctx, a)
 	if ferr != nil {
 		return ferr
 	}
-	return t.deliver(sink)
+	return answer.deliver(sink)
 }
 
-// restart ends the running turn of a record, if any, and starts another one at offset.
-func (r *Relay) restart(ctx context.Context, rec *record, offset int) (turn, *fault.Error) {
+// resumeLocal ends the running turn of a record, if any, and starts another one at the offset.
+func (r *Relay) resumeLocal(ctx context.Context, a Ask) (*Answer, *fault.Error) {
+	rec, ok := r.recent.get(a.RequestID)
+	if !ok || rec.account != a.Account {
+		return nil, errUnknownRequest()
+	}
 	rec.resuming.Lock()
 	defer rec.resuming.Unlock()
 	rec.mu.Lock()
@@ -91,36 +62,70 @@
 	select {
 	case <-done:
 	case <-ctx.Done():
-		return turn{}, fault.New(fault.OutcomeUnknown, fault.Unknown, "the caller is gone").WithCause(ctx.Err())
+		return nil, fault.New(fault.OutcomeUnknown, fault.Unknown, "the caller is gone").WithCause(ctx.Err())
 	}
 	if !r.recent.revive(rec) {
-		return turn{}, errUnknownRequest()
+		return nil, errUnknownRequest()
 	}
-	if !rec.log.Seek(offset) {
+	if !rec.log.Seek(a.Offset) {
 		r.recent.settle(rec, r.view().Limits.NodeBufferBytes/answersPart)
-		return turn{}, errUnknownRequest()
+		return nil, errUnknownRequest()
 	}
 	return r.start(ctx, rec), nil
 }
 
-// resumeAtEngine has the engine that gave the last token go on by itself: this node has neither the
-// prompt nor the text.
-func (r *Relay) resumeAtEngine(ctx context.Context, account schema.Account, a Ask, sink Sink) *fault.Error {
-	s, ok := serverByName(r.view(), a.Server)
-	if !ok {
-		return fault.New(fault.OutcomeUnknown, fault.Unknown, "the answer cannot be resumed")
-	}
+// resumeForeign resumes an answer of which this node has neither the prompt nor the text.
+func (r *Relay) resumeForeign(
+	ctx context.Context, account schema.Account, node string, a Ask,
+) (*Answer, *fault.Error) {
+	limit := r.view().Limits.RequestBufferBytes
 	rec, ferr := r.open(Completion{
-		ID: a.RequestID, Account: account, Model: s.Model, Priority: account.Priority,
-	}, r.view().Limits.RequestBufferBytes)
+		ID: a.RequestID, Account: account, Model: r.ModelOf(a.Server), Priority: account.Priority,
+	}, limit)
 	if ferr != nil {
-		return ferr.WithOutcome(fault.Unknown)
+		return nil, ferr.WithOutcome(fault.Unknown)
 	}
-	rec.log = stream.NewLog(rec.share, r.view().Limits.RequestBufferBytes, a.Offset)
-	rec.log.Begin(s.Name)
+	rec.log = stream.NewLog(rec.share, limit, a.Offset)
+	rec.log.Begin(a.Server)
 	rec.started = true
 	rec.attempts = foreignAttempts + rand.IntN(foreignSpan)
-	return r.start(ctx, rec).deliver(sink)
+	if node != r.deps.Node {
+		rec.origin = node
+	}
+	return r.start(ctx, rec), nil
+}
+
+// fromOrigin takes the answer from the node that the request began on. It returns false when that node
+// cannot give all of it; the engine has to go on then.
+func (u *run) fromOrigin(ctx context.Context) bool {
+	if u.rec.origin == "" {
+		return false
+	}
+	ask := Ask{RequestID: u.c.ID, Account: u.c.Account.Name, Offset: u.log.End(), Server: u.log.Server()}
+	err := u.r.deps.Origin.Resume(ctx, u.rec.origin, ask, func(f stream.Frame) error {
+		if f.Server != u.log.Server() {
+			u.log.Begin(f.Server)
+		}
+		return u.hold(ctx, f)
+	})
+	if err != nil {
+		u.r.log.Info("origin node cannot resume", "request_id", u.c.ID, "node", u.rec.origin, "error", err)
+	}
+	// An answer that the caller has seen to its end has no further frame.
+	return err == nil || u.log.Done()
+}
+
+// hold appends a frame and waits for a slow caller.
+func (u *run) hold(ctx context.Context, f stream.Frame) error {
+	for {
+		err := u.log.Append(f)
+		if !errors.Is(err, stream.ErrFull) {
+			return err //nolint:wrapcheck // Logged with its context by the caller.
+		}
+		if err := u.log.WaitDrained(ctx); err != nil {
+			return errors.Newf("wait for the caller: %w", err)
+		}
+	}
 }
 
 // ModelOf returns the model of a backend server that is in service, or "".
--- a/internal/node/relay/run.go
+++ b/internal/node/relay/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"time"
 
@@ -39,18 +38,17 @@
 
 // run produces one answer.
 type run struct {
-	r      *Relay
-	rec    *record
-	log    *stream.Log
-	c      Completion
-	w      Work
-	reader int
+	r   *Relay
+	rec *record
+	log *stream.Log
+	c   Completion
+	w   Work
 	// failures and barren count failed attempts, in all and since the last new token.
 	failures, barren int
 }
 
 func newRun(r *Relay, rec *record) *run {
-	return &run{r: r, rec: rec, log: rec.log, reader: rec.log.Reader(), c: rec.completion, w: work(rec.completion)}
+	return &run{r: r, rec: rec, log: rec.log, c: rec.completion, w: work(rec.completion)}
 }
 
 // begin opens another turn of a record.
@@ -70,6 +68,10 @@
 		ferr = nil
 		return
 	}
+	if u.fromOrigin(ctx) {
+		ferr = nil
+		return
+	}
 	leave, refusal := u.r.deps.Gate.Enter(ctx, u.r.view(), u.w)
 	if refusal != nil {
 		ferr = refusal
@@ -98,34 +100,7 @@
 	close(rec.done)
 }
 
-// deliver passes the answer to sink.
-func (u *run) deliver(cancel context.CancelCauseFunc, sink Sink) *fault.Error {
-	for {
-		f, err := u.log.Next(u.reader)
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return asFault(err)
-		}
-		if err := sink(f); err != nil {
-			cancel(errors.Mark(err, errCallerGone))
-			return fault.New(fault.OutcomeUnknown, fault.Unknown, "the caller is gone").WithCause(err)
-		}
-		if f.Finish != "" {
-			return nil
-		}
-	}
-}
-
-func asFault(err error) *fault.Error {
-	var ferr *fault.Error
-	if errors.As(err, &ferr) {
-		return ferr
-	}
-	return fault.New(fault.Internal, fault.Unknown, "the answer ended early").WithCause(err)
-}
-
+// attempts runs attempts until the answer is whole or given up.
 func (u *run) attempts(ctx context.Context) *fault.Error {
 	for !u.log.Done() {
 		s, g, refusal := u.reserve(ctx)
--- a/internal/route/stream/budget.go
+++ b/internal/route/stream/budget.go
@@ -36,12 +36,23 @@
 	retained bool
 }
 
-// Grow takes n more bytes and reports whether both limits have room for them.
+// startPart is the part of both limits that is kept for new requests. Without it, callers that read
+// nothing could fill the budget and keep all others out.
+const startPart = 8
+
+// Start takes the first n bytes of a request and reports whether both limits have room for them.
+func (s *Share) Start(n int) bool { return s.take(n, s.accountLimit, s.nodeLimit) }
+
+// Grow takes n more bytes and reports whether there is room for them beside the part for new requests.
 func (s *Share) Grow(n int) bool {
+	return s.take(n, s.accountLimit-s.accountLimit/startPart, s.nodeLimit-s.nodeLimit/startPart)
+}
+
+func (s *Share) take(n, accountLimit, nodeLimit int) bool {
 	b := s.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.node+n > s.nodeLimit || b.accounts[s.account]+n > s.accountLimit {
+	if b.node+n > nodeLimit || b.accounts[s.account]+n > accountLimit {
 		return false
 	}
 	s.add(n)
--- a/internal/route/stream/log.go
+++ b/internal/route/stream/log.go
@@ -147,9 +147,21 @@
 	return ErrTokenTooLarge
 }
 
+// growStep is the most by which a bounded buffer grows at once. Doubling left a third of the buffers of
+// stalled callers unused.
+const growStep = 8 << 10
+
+// step returns the most by which buf grows at once. A whole answer may be long, so its buffer doubles.
+func (l *Log) step() int {
+	if l.limit == Unbounded {
+		return Unbounded
+	}
+	return growStep
+}
+
 // grow enlarges buf within the limit and the share.
 func (l *Log) grow(n int) bool {
-	size := min(max(2*cap(l.buf), len(l.buf)+n), l.limit)
+	size := min(max(cap(l.buf)+min(cap(l.buf), l.step()), len(l.buf)+n), l.limit)
 	if size < len(l.buf)+n || !l.share.Grow(size-cap(l.buf)) {
 		return false
 	}
@@ -187,6 +199,13 @@
 	}
 }
 
+// Ready reports whether Next returns without waiting.
+func (l *Log) Ready() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.read < l.next || (l.finish != "" && !l.finishRead) || l.closed
+}
+
 // take returns the next frame if there is one. The log is locked.
 func (l *Log) take() (Frame, bool, error) {
 	if l.read < l.next {
--- a/internal/wire/event/event.go
+++ b/internal/wire/event/event.go
@@ -27,7 +27,8 @@
 
 // Reader reads events from a stream.
 type Reader struct {
-	sc *bufio.Scanner
+	sc   *bufio.Scanner
+	data []byte
 }
 
 // NewReader returns a reader of r.
@@ -37,15 +38,16 @@
 	return &Reader{sc: sc}
 }
 
-// Next returns the next event, or io.EOF at a clean end. An event that is cut off by the end of the
+// Next returns the next event, or io.EOF at a clean end. Its data is valid until the next call. An event that is cut off by the end of the
 // stream is dropped and gives io.ErrUnexpectedEOF.
 func (r *Reader) Next() (Event, error) {
-	var ev Event
+	ev := Event{Data: r.data[:0]}
 	started := false
 	for r.sc.Scan() {
 		line := r.sc.Bytes()
 		if len(line) == 0 {
 			if started {
+				r.data = ev.Data
 				return ev, nil
 			}
 			continue
@@ -83,3 +85,29 @@
 	b = append(b, ev.Data...)
 	return append(b, "\n\n"...)
 }
+
+// Buffer holds encoded events until they are read. The zero value is empty.
+type Buffer struct {
+	b    []byte
+	sent int
+}
+
+// Add encodes an event behind those that have not been read.
+func (b *Buffer) Add(ev Event) {
+	b.b = b.b[:copy(b.b, b.b[b.sent:])]
+	b.sent = 0
+	b.b = Append(b.b, ev)
+}
+
+// Len returns the bytes that have not been read.
+func (b *Buffer) Len() int { return len(b.b) - b.sent }
+
+// Cap returns the bytes of memory that the buffer takes.
+func (b *Buffer) Cap() int { return cap(b.b) }
+
+// Read moves bytes to p and returns their number.
+func (b *Buffer) Read(p []byte) int {
+	n := copy(p, b.b[b.sent:])
+	b.sent += n
+	return n
+}
