--- /dev/null
+++ b/internal/route/stream/log_test.go
@@ -0,0 +1,199 @@
+package stream_test
+
+import (
+	"io"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"testing"
+
+	"geraniumhollow/internal/route/stream"
+	"github.com/cockroachdb/errors"
+	"pgregory.net/rapid"
+)
+
+func newLog(limit, account, node int) (*stream.Log, *stream.Share) {
+	share := stream.NewBudget().Open("a", account, node)
+	share.Start(stream.InitialBytes)
+	return stream.NewLog(share, limit, 0), share
+}
+
+func word(i int) string { return "w" + strconv.Itoa(i) + " " }
+
+func answer(n int) string {
+	var b strings.Builder
+	for i := range n {
+		b.WriteString(word(i))
+	}
+	return b.String()
+}
+
+// Guards against an answer that is cut, repeated or out of order for any order, repeat and loss of the
+// frames of any attempts, and any pace of the caller; and against bytes past the bounds.
+func TestAnswerFromAttempts(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(rt *rapid.T) {
+		tokens := rapid.IntRange(0, 400).Draw(rt, "tokens")
+		limit := rapid.IntRange(1, 4).Draw(rt, "limit KiB") << 10
+		log, share := newLog(limit, 1<<20, 1<<20)
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 0))
+		var got strings.Builder
+		for attempt := 1; !log.Done(); attempt++ {
+			if attempt > 2000 {
+				rt.Fatalf("no end after %d attempts, %d of %d tokens", attempt, log.End(), tokens)
+			}
+			runAttempt(rt, log, rng, attempt, tokens)
+			deliver(rt, log, &got, rng.IntN(200))
+			if share.Held() > limit {
+				rt.Fatalf("log holds %d bytes, bound %d", share.Held(), limit)
+			}
+			if text, ok := log.Text(); ok && text != answer(log.End()) {
+				rt.Fatalf("text for a resume is %q", text)
+			}
+		}
+		log.Close(nil)
+		deliver(rt, log, &got, tokens+1)
+		if got.String() != answer(tokens) {
+			rt.Fatalf("got %q, want %q", got.String(), answer(tokens))
+		}
+	})
+}
+
+// runAttempt plays an attempt whose frames are disturbed and whose stream may be cut.
+func runAttempt(rt *rapid.T, log *stream.Log, rng *rand.Rand, attempt, tokens int) {
+	asm := stream.New(log.End())
+	asm.Begin(attempt)
+	for _, f := range disturb(rng, attempt, log.End(), tokens) {
+		ready, err := asm.Add(nil, f)
+		if errors.Is(err, stream.ErrTooFarAhead) {
+			return
+		}
+		for _, r := range ready {
+			if err := log.Append(r); errors.Is(err, stream.ErrFull) {
+				return
+			} else if err != nil {
+				rt.Fatalf("append: %v", err)
+			}
+		}
+	}
+}
+
+// disturb returns the frames of an attempt with repeats, swaps, losses, frames of other attempts and an
+// early end.
+func disturb(rng *rand.Rand, attempt, from, tokens int) []stream.Frame {
+	var out []stream.Frame
+	for i := from; i < tokens; i++ {
+		if rng.IntN(300) == 0 {
+			continue
+		}
+		out = append(out, stream.Frame{Attempt: attempt, Offset: i, Text: word(i)})
+		if rng.IntN(10) == 0 {
+			out = append(out, stream.Frame{Attempt: attempt + rng.IntN(3) - 1, Offset: i, Text: word(i)})
+		}
+		if rng.IntN(10) == 0 {
+			out = append(out, stream.Frame{Attempt: attempt + 1, Offset: i + 1, Text: "other "})
+		}
+	}
+	out = append(out, stream.Frame{Attempt: attempt, Offset: tokens, Finish: "stop"})
+	for range len(out) / 8 {
+		i := rng.IntN(len(out))
+		j := min(i+rng.IntN(5), len(out)-1)
+		out[i], out[j] = out[j], out[i]
+	}
+	if rng.IntN(3) > 0 {
+		out = out[:rng.IntN(len(out)+1)]
+	}
+	return out
+}
+
+// deliver reads at most n frames that are there already.
+func deliver(rt *rapid.T, log *stream.Log, got *strings.Builder, n int) {
+	for range n {
+		if !log.Ready() {
+			return
+		}
+		f, err := log.Next(log.Reader())
+		if errors.Is(err, io.EOF) {
+			return
+		}
+		if err != nil {
+			rt.Fatalf("next: %v", err)
+		}
+		got.WriteString(f.Text)
+	}
+}
+
+// Guards against a log that grows past its own bound, the account's or the node's, and against a new
+// request that finds no room because slow callers took it all.
+func TestLogBounds(t *testing.T) {
+	t.Parallel()
+	const size = 8 << 10
+	tests := []struct {
+		name                 string
+		limit, account, node int
+		want                 error
+	}{
+		{"request", size, 1 << 20, 1 << 20, stream.ErrFull},
+		{"account", 1 << 20, size, 1 << 20, stream.ErrFull},
+		{"node", 1 << 20, 1 << 20, size, stream.ErrFull},
+		{"whole answer", stream.Unbounded, 1 << 20, size, stream.ErrNoRoom},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			budget := stream.NewBudget()
+			share := budget.Open("a", tt.account, tt.node)
+			share.Start(stream.InitialBytes)
+			log := stream.NewLog(share, tt.limit, 0)
+			var err error
+			for i := 0; err == nil; i++ {
+				err = log.Append(stream.Frame{Offset: i, Text: word(i)})
+			}
+			if !errors.Is(err, tt.want) || share.Held() > size {
+				t.Errorf("got %v with %d bytes held, want %v within %d", err, share.Held(), tt.want, size)
+			}
+			if next := budget.Open("a", tt.account, tt.node); !next.Start(stream.InitialBytes) {
+				t.Error("no room for a new request")
+			}
+			share.Close()
+			if budget.Held() != stream.InitialBytes {
+				t.Errorf("%d bytes held after the end", budget.Held())
+			}
+		})
+	}
+}
+
+// Guards against a resume that repeats or skips tokens, and against two readers of one answer.
+func TestLogSeek(t *testing.T) {
+	t.Parallel()
+	log, _ := newLog(1<<20, 1<<20, 1<<20)
+	for i := range 10 {
+		_ = log.Append(stream.Frame{Offset: i, Text: word(i)})
+	}
+	_ = log.Append(stream.Frame{Offset: 10, Finish: "stop"})
+	log.Close(nil)
+	for _, from := range []int{0, 4, 10, 11} {
+		before := log.Reader()
+		if !log.Seek(from) {
+			t.Fatalf("cannot seek to %d", from)
+		}
+		if _, err := log.Next(before); !errors.Is(err, stream.ErrReplaced) {
+			t.Errorf("earlier reader got %v", err)
+		}
+		log.Close(nil)
+		text, finished := "", false
+		for {
+			f, err := log.Next(log.Reader())
+			if err != nil {
+				break
+			}
+			text, finished = text+f.Text, f.Finish != ""
+		}
+		if want := answer(10)[len(answer(min(from, 10))):]; text != want || finished != (from <= 10) {
+			t.Errorf("from %d: got %q, finished %v", from, text, finished)
+		}
+	}
+	if log.Seek(12) {
+		t.Error("seek past the end")
+	}
+}
