Count the sends of other nodes and the age of cached blocks

Nodes with like reports send like requests to the same holders of a prefix within a report's age, and a prefix that was sent long ago counted as much as one sent just now, although caches drop what has not been used for longest.

Change: each own send since the report counts for one send of another node as well. The trust in a block that no cache event confirms is learned by the age of the block, counted in blocks sent to the server since, instead of one trust per server. First tokens change the learned speed of a server in smaller steps (0.08 instead of 0.15, return 0.98 instead of 0.97).

--- a/internal/node/pick/pick.go
+++ b/internal/node/pick/pick.go
@@ -70,7 +70,7 @@
 type sentRequest struct {
 	server int
 	id     uint64
-	blocks int // of the prompt that the server was expected to have
+	hit    prefix.Hit
 }
 
 // New returns a picker that knows no load: it chooses a server after the first digest of it.
@@ -143,7 +143,7 @@
 	s := sentRequest{server: id, id: p.table.Send(id, p.cfg.Now(), p.request(w))}
 	for _, h := range p.hits {
 		if h.Server == id {
-			s.blocks = h.Blocks
+			s.hit = h
 		}
 	}
 	p.sent[sendKey{w.RequestID, server}] = s
@@ -168,7 +168,7 @@
 	p.index.Instance(s.server, r.Instance)
 	p.table.Done(s.server, s.id, now, r.FirstToken)
 	if !r.Failed && r.PromptTokens > 0 {
-		p.index.Correct(s.server, w.Prefix, s.blocks, r.PromptTokens, r.CachedTokens)
+		p.index.Correct(s.server, w.Prefix, s.hit, r.PromptTokens, r.CachedTokens)
 	}
 }
 
--- a/internal/route/choose/choose.go
+++ b/internal/route/choose/choose.go
@@ -67,8 +67,8 @@
 	full, oldest := fillLimit(r.Priority), at-t.maxAge
 	best, inf := math.Inf(1), math.Inf(1)
 	costs, rows, marks := c.costs, t.rows, t.marks
-	// Comparisons instead of min and max: those of floating-point numbers also handle NaN, which
-	// took a third of the time of this loop.
+	// Comparisons instead of min and max: those of floating-point numbers also handle NaN, with which a
+	// decision at 600 servers takes 3.2 microseconds instead of 2.6.
 	for k, id := range ids {
 		w, hit := &rows[id], int(marks[id])
 		cost := inf
--- a/internal/route/choose/table.go
+++ b/internal/route/choose/table.go
@@ -22,7 +22,8 @@
 	// QueuedPrompt is what a request that a report counts as waiting is assumed to need of prefill, in
 	// tokens, until own sends have shown it.
 	QueuedPrompt int
-	// PeerSends is how many sends of other nodes are assumed for each own send since the report.
+	// PeerSends is how many sends of other nodes are assumed for each own send since the report. Nodes
+	// have like requests and like reports, so what attracts the sends of one attracts those of others.
 	PeerSends float64
 	// Hold is how long a request is assumed to occupy its place until ends have been observed.
 	Hold time.Duration
@@ -39,6 +40,7 @@
 		PrefillPerToken: 100 * time.Microsecond,
 		QueuedPrompt:    1000,
 		Hold:            4 * time.Second,
+		PeerSends:       1,
 		ColdFactor:      4,
 		BatchFactor:     1,
 	}
@@ -252,8 +254,8 @@
 
 // Learning rates: a step towards each observed first token, and a return to 1 with each report.
 const (
-	slowStep   = 0.15
-	slowReturn = 0.97
+	slowStep   = 0.08
+	slowReturn = 0.98
 	holdStep   = 0.02
 	queuedStep = 0.02
 )
--- a/internal/route/prefix/index.go
+++ b/internal/route/prefix/index.go
@@ -1,6 +1,8 @@
 package prefix
 
 import (
+	"math/bits"
+
 	"geraniumhollow/internal/core/option"
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/golang-lru/v2/simplelru"
@@ -22,6 +24,8 @@
 	// whose cache events do not reach this node.
 	Blocks int
 	Tokens int
+	// first and last are the ages of the first and last of the blocks.
+	first, last int
 }
 
 // Limits of an index.
@@ -31,13 +35,16 @@
 	DefaultEntries = 16_384
 	// maxHolders bounds the servers that are remembered for one fingerprint; the one that was seen
 	// longest ago is replaced first.
-	maxHolders = 32
+	maxHolders = 16
 )
 
-// trust is the part of uncertain knowledge that is counted. It is learned per server.
+// Trust is the part of uncertain knowledge that is counted. It is learned by age, since caches drop
+// what has not been used for longest. The age of a block is how many blocks this node has sent to the
+// server since, in powers of two.
 const (
 	trustStart = 0.5
-	trustStep  = 0.1
+	trustStep  = 0.02
+	ages       = 16
 )
 
 // Index remembers which servers have which prefix. Servers are known by small numbers.
@@ -45,6 +52,7 @@
 	entries *simplelru.LRU[uint64, *entry]
 	servers []server
 	stamp   uint64
+	trust   [ages]float64
 	// tokensPerBlock converts blocks to tokens; it is learned from answers.
 	tokensPerBlock float64
 }
@@ -57,6 +65,7 @@
 type holder struct {
 	server int
 	stamp  uint64
+	sent   uint64 // blocks that the server had been sent
 }
 
 // server is what the index knows of one server besides its blocks.
@@ -66,7 +75,8 @@
 	// lost and doubt are stamps: older knowledge is void, or uncertain.
 	lost  uint64
 	doubt uint64
-	trust float64
+	// sent counts the blocks that this node has sent and that were not known to be there.
+	sent uint64
 	// hit is where the server stands in the hits of the lookup that runs, counted from 1; 0 is nowhere.
 	hit int
 }
@@ -77,7 +87,11 @@
 	if err != nil {
 		return nil, errors.Newf("make index of %d entries: %w", entries, err)
 	}
-	return &Index{entries: lru, tokensPerBlock: BlockTokens}, nil
+	x := &Index{entries: lru, tokensPerBlock: BlockTokens}
+	for i := range x.trust {
+		x.trust[i] = trustStart
+	}
+	return x, nil
 }
 
 // Len returns the number of fingerprints that are remembered.
@@ -106,12 +120,11 @@
 	x.stamp++
 	s.lost, s.doubt = x.stamp, x.stamp
 	s.seq = option.None[uint64]()
-	s.trust = trustStart
 }
 
 func (x *Index) server(id int) *server {
 	for len(x.servers) <= id {
-		x.servers = append(x.servers, server{trust: trustStart})
+		x.servers = append(x.servers, server{})
 	}
 	return &x.servers[id]
 }
@@ -148,17 +161,18 @@
 	}
 }
 
-// Correct takes the prompt tokens and cached tokens that a server counted for a prompt. blocks is
-// what Lookup had found there before the prompt was sent. A server that had much less than that has
-// dropped blocks of which no event has come yet, so what else is known of it becomes uncertain.
-func (x *Index) Correct(id int, prefix []uint64, blocks, promptTokens, cachedTokens int) {
+// Correct takes the prompt tokens and cached tokens that a server counted for a prompt. hit is what
+// Lookup had found there before the prompt was sent. A server that had much less than that has dropped
+// blocks of which no event has come yet, so what else is known of it becomes uncertain.
+func (x *Index) Correct(id int, prefix []uint64, hit Hit, promptTokens, cachedTokens int) {
 	s := x.server(id)
 	if n := len(prefix); n > 0 && promptTokens > 0 {
 		x.learnBlockSize(float64(promptTokens) / float64(n))
 	}
-	if blocks > 0 {
-		part := min(1, float64(cachedTokens)/(float64(blocks)*x.tokensPerBlock))
-		s.trust += trustStep * (part - s.trust)
+	if hit.Blocks > 0 {
+		part := float64(cachedTokens) / (float64(hit.Blocks) * x.tokensPerBlock)
+		x.learnTrust(hit.first, cachedTokens > 0)
+		x.learnTrust(hit.last, part > wholePart)
 		if part < missPart {
 			x.stamp++
 			s.doubt = x.stamp
@@ -167,8 +181,23 @@
 	x.Sent(id, prefix)
 }
 
-// missPart is the part of an expected hit below which the expectation counts as wrong.
-const missPart = 0.5
+func (x *Index) learnTrust(age int, cached bool) {
+	sample := 0.0
+	if cached {
+		sample = 1
+	}
+	x.trust[age] += trustStep * (sample - x.trust[age])
+}
+
+// age returns the age of what is known of a server.
+func (s *server) age(h holder) int { return min(ages-1, bits.Len64(s.sent-h.sent)) }
+
+// missPart is the part of an expected hit below which the expectation counts as wrong, and wholePart
+// the part above which it counts as right to its last block; the size of a block is not exact.
+const (
+	missPart  = 0.5
+	wholePart = 0.95
+)
 
 // learnBlockSize moves the learned tokens of a block towards a sample. The tail of a prompt that fills
 // no block makes single samples too large, so that the least ones count most.
@@ -187,21 +216,23 @@
 		e = &entry{}
 		x.entries.Add(fp, e)
 	}
+	s := x.server(id)
 	oldest := 0
 	for i := range e.holders {
 		if e.holders[i].server == id {
-			e.holders[i].stamp = x.stamp
+			e.holders[i] = holder{id, x.stamp, s.sent}
 			return
 		}
 		if e.holders[i].stamp < e.holders[oldest].stamp {
 			oldest = i
 		}
 	}
+	s.sent++
 	if len(e.holders) < maxHolders {
-		e.holders = append(e.holders, holder{id, x.stamp})
+		e.holders = append(e.holders, holder{id, x.stamp, s.sent})
 		return
 	}
-	e.holders[oldest] = holder{id, x.stamp}
+	e.holders[oldest] = holder{id, x.stamp, s.sent}
 }
 
 func (x *Index) drop(fp uint64, id int) {
@@ -259,11 +290,15 @@
 	if s.hit == 0 || (*dst)[s.hit-1].Blocks != depth {
 		return false
 	}
-	part := 1.0
+	part, age := 1.0, s.age(h)
 	if _, events := s.seq.Get(); !events || h.stamp <= s.doubt {
-		part = s.trust
+		part = x.trust[age]
 	}
 	hit := &(*dst)[s.hit-1]
+	if depth == 0 {
+		hit.first = age
+	}
+	hit.last = age
 	hit.Blocks++
 	hit.Tokens += int(part * x.tokensPerBlock)
 	return true
