Tell the owner of a budget what is known of the end of an attempt

Cause: the relay gave a grant back as soon as it had given an attempt up, also when the engine might still be working on it; a slow reader's cancelled attempt counted as ended. In cold start that lets an engine hold more than its limit.

Change: a result says whether the attempt was not started, ended (whole answer or acknowledged cancel), or unsure; a cancelled attempt is given back when the engine has answered the cancel. The stand-in engine answers a cancel when the attempt has ended. Attempts go through the guard, which keeps requests apart that are suspected of crashing backend servers.

--- a/internal/core/sets/sets.go
+++ b/internal/core/sets/sets.go
@@ -37,6 +37,14 @@
 	return ok
 }
 
+// Union returns a new set of the values that are in s or in o.
+func (s Set[T]) Union(o Set[T]) Set[T] {
+	u := make(Set[T], len(s)+len(o))
+	maps.Copy(u, s)
+	maps.Copy(u, o)
+	return u
+}
+
 // Len returns the number of values.
 func (s Set[T]) Len() int { return len(s) }
 
--- a/internal/fake/model/complete.go
+++ b/internal/fake/model/complete.go
@@ -106,7 +106,7 @@
 	}
 	e.book(a)
 	ctx, cancel := context.WithCancel(e.alive)
-	e.running[a.key] = &run{cancel: cancel, tokens: len(a.prompt)/bytesPerToken + a.tokens}
+	e.running[a.key] = &run{cancel: cancel, done: make(chan struct{}), tokens: len(a.prompt)/bytesPerToken + a.tokens}
 	if e.state == engine.Cold {
 		e.stats.MaxColdHeld = max(e.stats.MaxColdHeld, len(e.running))
 	}
@@ -184,6 +184,7 @@
 	defer e.mu.Unlock()
 	if r, ok := e.running[a.key]; ok {
 		r.cancel()
+		close(r.done)
 		delete(e.running, a.key)
 	}
 	if completed {
--- a/internal/fake/model/model.go
+++ b/internal/fake/model/model.go
@@ -85,6 +85,8 @@
 type run struct {
 	cancel context.CancelFunc
 	tokens int
+	// done is closed when the attempt has ended.
+	done chan struct{}
 }
 
 // known is a request that an instance has run.
@@ -310,13 +312,26 @@
 func (e *Engine) serveCancel(rc *fasthttp.RequestCtx) {
 	key := runKey(string(rc.Request.Header.Peek(engine.HeaderRequestID)), string(rc.Request.Header.Peek(engine.HeaderAttempt)))
 	e.mu.Lock()
-	defer e.mu.Unlock()
-	if r, ok := e.running[key]; ok {
+	r, ok := e.running[key]
+	if ok {
 		e.stats.Cancelled++
 		r.cancel()
 	}
+	e.mu.Unlock()
+	if !ok {
+		return
+	}
+	// The answer tells the sender that the attempt no longer runs.
+	select {
+	case <-r.done:
+	case <-time.After(cancelWait):
+		rc.SetStatusCode(http.StatusServiceUnavailable)
+	}
 }
 
+// cancelWait bounds the wait for the end of a cancelled attempt.
+const cancelWait = time.Second
+
 func runKey(id, attempt string) string { return id + "/" + attempt }
 
 // Token returns token i of the answer to a prompt.
--- a/internal/node/relay/attempt.go
+++ b/internal/node/relay/attempt.go
@@ -5,36 +5,36 @@
 	"io"
 	"time"
 
-	"geraniumhollow/internal/conf/view"
 	"geraniumhollow/internal/plat/engine"
 	"geraniumhollow/internal/route/stream"
 	"github.com/cockroachdb/errors"
 )
 
 // attempt runs the request on one backend server. It returns nil when the answer is whole.
-func (u *run) attempt(ctx context.Context, s view.Server, g Grant) error {
+func (u *run) attempt(ctx context.Context, p place) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	s := p.server
 	defer u.r.flights.add(s.Name, cancel)()
-	res := Result{Failed: true, Instance: g.Instance}
+	res := Result{Failed: true, Instance: p.grant.Instance}
 	u.r.deps.Picker.Started(s.Name, u.w)
-	defer func() {
-		u.r.deps.Granter.Release(g, res)
-		u.r.deps.Picker.Ended(s.Name, u.w, res)
-	}()
 	timer := time.AfterFunc(u.r.deps.Timeouts.FirstFrame, func() { cancel(errStalled) })
 	defer timer.Stop()
 	number, before := u.rec.startAttempt()
-	client := u.r.clients.get(s.Address, g.Instance)
+	client := u.r.clients.get(s.Address, p.grant.Instance)
 	begun := time.Now()
-	st, err := client.Complete(ctx, u.job(number, g))
+	st, err := client.Complete(ctx, u.job(number, p.grant))
 	if err != nil {
+		err = withCause(ctx, errors.Newf("attempt %d: %w", number, err))
 		if errors.Is(err, engine.ErrNotStarted) {
 			u.rec.revertAttempt(before)
+			res.End = Unused
 		} else {
-			u.r.cancels.send(client, u.c.ID, number)
+			// The attempt may still be on its way, so the answer to this cancel proves nothing.
+			u.r.cancels.send(client, u.c.ID, number, nil)
 		}
-		return withCause(ctx, errors.Newf("attempt %d: %w", number, err))
+		u.end(p, res, err)
+		return err
 	}
 	defer st.Close()
 	res.Instance, res.State = st.Instance, st.State
@@ -47,11 +47,41 @@
 		timer.Reset(u.r.deps.Timeouts.Frame)
 	})
 	res.Failed = err != nil && !errors.Is(err, stream.ErrFull)
-	if err != nil {
-		u.r.cancels.send(client, u.c.ID, number)
-		return withCause(ctx, errors.Newf("attempt %d: %w", number, err))
+	if err == nil {
+		res.End = Ended
+		u.end(p, res, nil)
+		return nil
+	}
+	err = withCause(ctx, errors.Newf("attempt %d: %w", number, err))
+	u.r.cancels.send(client, u.c.ID, number, func(acknowledged bool) {
+		if acknowledged {
+			res.End = Ended
+		}
+		u.end(p, res, err)
+	})
+	return err
+}
+
+// end gives back what an attempt held. It may be called after the request has ended.
+func (u *run) end(p place, res Result, err error) {
+	u.r.deps.Granter.Release(p.grant, res)
+	u.r.deps.Picker.Ended(p.server.Name, u.w, res)
+	if errors.Is(err, engine.ErrInstanceChanged) && u.r.deps.Guard != nil {
+		u.r.deps.Guard.ServerDied(p.server.Name)
+	}
+	if p.guarded == nil {
+		return
+	}
+	switch {
+	case err == nil:
+		p.guarded.Complete()
+	case res.End == Unused:
+		p.guarded.NotStarted()
+	case errors.IsAny(err, stream.ErrFull, ErrAborted, errTakenOver, errTimeout, context.Canceled):
+		p.guarded.Abandon()
+	default:
+		p.guarded.Break()
 	}
-	return nil
 }
 
 // withCause adds the reason for which ctx was cancelled to an error that follows from it.
--- a/internal/node/relay/clients.go
+++ b/internal/node/relay/clients.go
@@ -89,15 +89,21 @@
 	return &canceller{group: tasks.New(context.Background()), slots: make(chan struct{}, maxCancels)}
 }
 
-func (c *canceller) send(cl *engine.Client, requestID string, attempt int) {
+// send cancels an attempt. done, if any, is told whether the engine acknowledged the cancel.
+func (c *canceller) send(cl *engine.Client, requestID string, attempt int, done func(acknowledged bool)) {
+	if done == nil {
+		done = func(bool) {}
+	}
 	select {
 	case c.slots <- struct{}{}:
 	default:
+		done(false)
 		return
 	}
 	c.group.Go("cancel", func(ctx context.Context) error {
 		defer func() { <-c.slots }()
-		_ = cl.Cancel(ctx, requestID, attempt) // The closed connection ends the attempt, too.
+		// Without an answer the closed connection ends the attempt, too, only later.
+		done(cl.Cancel(ctx, requestID, attempt) == nil)
 		return nil
 	})
 }
--- a/internal/node/relay/deps.go
+++ b/internal/node/relay/deps.go
@@ -8,6 +8,7 @@
 	"geraniumhollow/internal/conf/view"
 	"geraniumhollow/internal/core/fault"
 	"geraniumhollow/internal/core/sets"
+	"geraniumhollow/internal/node/guard"
 	"geraniumhollow/internal/plat/engine"
 	"github.com/cockroachdb/errors"
 )
@@ -28,8 +29,21 @@
 	Tried sets.Set[string]
 }
 
+// End is what is known of an attempt at the engine after it has ended here.
+type End int
+
+const (
+	// Unsure means that the engine may still be working on the attempt.
+	Unsure End = iota
+	// Unused is proof that the engine did not start the attempt.
+	Unused
+	// Ended means that the engine completed the answer or acknowledged a cancel.
+	Ended
+)
+
 // Result is what an attempt showed of a backend server.
 type Result struct {
+	End          End
 	Instance     string
 	State        engine.State
 	Failed       bool
@@ -123,6 +137,8 @@
 // nothing: round robin, no admission control, no shared budget, retries without a budget and no links
 // to other nodes.
 type Deps struct {
+	// Guard keeps requests apart that are suspected of crashing backend servers; nil keeps none.
+	Guard *guard.Guard
 	// Node is the name of this node, which request ids carry.
 	Node     string
 	Picker   Picker
--- a/internal/node/relay/run.go
+++ b/internal/node/relay/run.go
@@ -8,7 +8,9 @@
 	"geraniumhollow/internal/conf/view"
 	"geraniumhollow/internal/core/fault"
 	"geraniumhollow/internal/core/sets"
+	"geraniumhollow/internal/node/guard"
 	"geraniumhollow/internal/plat/engine"
+	"geraniumhollow/internal/route/crash"
 	"geraniumhollow/internal/route/stream"
 	"github.com/cockroachdb/errors"
 )
@@ -43,12 +45,19 @@
 	log *stream.Log
 	c   Completion
 	w   Work
+	// fingerprint is what the guard knows the request by; empty without a guard.
+	fingerprint crash.Fingerprint
 	// failures and barren count failed attempts, in all and since the last new token.
 	failures, barren int
 }
 
 func newRun(r *Relay, rec *record) *run {
-	return &run{r: r, rec: rec, log: rec.log, c: rec.completion, w: work(rec.completion)}
+	c := rec.completion
+	u := &run{r: r, rec: rec, log: rec.log, c: c, w: work(c)}
+	if r.deps.Guard != nil {
+		u.fingerprint = crash.Of(c.Account.Name, c.Model, c.Prompt, c.Messages)
+	}
+	return u
 }
 
 // begin opens another turn of a record.
@@ -103,12 +112,12 @@
 // attempts runs attempts until the answer is whole or given up.
 func (u *run) attempts(ctx context.Context) *fault.Error {
 	for !u.log.Done() {
-		s, g, refusal := u.reserve(ctx)
+		p, refusal := u.reserve(ctx)
 		if refusal != nil {
 			return u.givenUp(ctx, refusal)
 		}
 		before := u.log.End()
-		err := u.attempt(ctx, s, g)
+		err := u.attempt(ctx, p)
 		switch {
 		case err == nil:
 		case ctx.Err() != nil:
@@ -120,8 +129,8 @@
 		case u.mustStop(before, err):
 			return u.givenUp(ctx, err)
 		default:
-			u.w.Tried.Add(s.Name)
-			u.r.log.Info("attempt failed", "request_id", u.c.ID, "backend_server", s.Name, "error", err)
+			u.w.Tried.Add(p.server.Name)
+			u.r.log.Info("attempt failed", "request_id", u.c.ID, "backend_server", p.server.Name, "error", err)
 		}
 	}
 	return nil
@@ -173,18 +182,26 @@
 		WithRetryAfter(retryAfter).WithCause(err)
 }
 
+// place is the right to make one attempt on a backend server.
+type place struct {
+	server view.Server
+	grant  Grant
+	// guarded is the guard's view of the attempt, or nil.
+	guarded *guard.Run
+}
+
 // reserve chooses a backend server and gets a grant for it. While there is none, it tries again until
 // the queue timeout.
-func (u *run) reserve(ctx context.Context) (view.Server, Grant, *fault.Error) {
+func (u *run) reserve(ctx context.Context) (place, *fault.Error) {
 	deadline := time.Now().Add(time.Duration(u.r.view().Limits.QueueTimeoutMs) * time.Millisecond)
 	pause := minPause
 	for {
-		s, g, refusal := u.reserveOnce(ctx)
+		p, refusal := u.reserveOnce(ctx)
 		if refusal == nil {
-			return s, g, nil
+			return p, nil
 		}
-		if u.stuck() || !wait(ctx, pause/2+rand.N(pause/2), deadline) {
-			return view.Server{}, Grant{}, refusal
+		if refusal.Code() == fault.CrashLimit || u.stuck() || !wait(ctx, pause/2+rand.N(pause/2), deadline) {
+			return place{}, refusal
 		}
 		pause = min(2*pause, maxPause)
 	}
@@ -206,28 +223,57 @@
 }
 
 // reserveOnce asks a few backend servers for a grant.
-func (u *run) reserveOnce(ctx context.Context) (view.Server, Grant, *fault.Error) {
+func (u *run) reserveOnce(ctx context.Context) (place, *fault.Error) {
 	v := u.r.view()
 	w := u.w
 	w.Tried = sets.New(sets.Sorted(u.w.Tried)...)
 	var busy *fault.Error
 	for range maxAsks {
-		s, refusal := u.pick(v, w)
+		p, refusal := u.choose(ctx, v, w)
 		if refusal != nil {
-			if busy != nil {
+			if busy != nil && refusal.Code() != fault.CrashLimit {
 				refusal = busy
 			}
-			return view.Server{}, Grant{}, refusal
+			return place{}, refusal
 		}
-		g, err := u.r.deps.Granter.Acquire(ctx, s, w.PromptTokens+w.MaxTokens)
+		g, err := u.r.deps.Granter.Acquire(ctx, p.server, w.PromptTokens+w.MaxTokens)
 		if err == nil {
-			return s, g, nil
+			p.grant = g
+			return p, nil
 		}
-		w.Tried.Add(s.Name)
+		if p.guarded != nil {
+			p.guarded.NotStarted()
+		}
+		w.Tried.Add(p.server.Name)
 		busy = fault.New(fault.Overloaded, fault.NotRun, "no backend server can take the request now").
 			WithRetryAfter(retryAfter).WithCause(err)
 	}
-	return view.Server{}, Grant{}, busy
+	return place{}, busy
+}
+
+// choose picks a backend server, away from those that the guard keeps for suspects.
+func (u *run) choose(ctx context.Context, v *view.View, w Work) (place, *fault.Error) {
+	var p place
+	pick := func(avoid sets.Set[string], _ bool) (string, *fault.Error) {
+		if avoid.Len() > 0 {
+			w.Tried = w.Tried.Union(avoid)
+		}
+		s, refusal := u.pick(v, w)
+		p.server = s
+		return s.Name, refusal
+	}
+	if u.r.deps.Guard == nil {
+		_, refusal := pick(nil, false)
+		return p, refusal
+	}
+	u.rec.mu.Lock()
+	started := u.rec.started
+	u.rec.mu.Unlock()
+	run, refusal := u.r.deps.Guard.Begin(ctx, guard.Request{
+		ID: u.c.ID, Fingerprint: u.fingerprint, MayHaveRun: started, Limit: v.Limits.CrashRuns,
+	}, pick)
+	p.guarded = run
+	return p, refusal
 }
 
 // pick chooses a backend server. An answer whose beginning is no longer held can only be resumed by the
--- a/internal/plat/engine/engine.go
+++ b/internal/plat/engine/engine.go
@@ -267,7 +267,8 @@
 // cancelTimeout bounds a cancel, which nobody waits for.
 const cancelTimeout = 2 * time.Second
 
-// Cancel asks the engine to stop an attempt that may still be running.
+// Cancel asks the engine to stop an attempt. Without an error, the engine has answered that the
+// attempt no longer runs.
 func (c *Client) Cancel(ctx context.Context, requestID string, attempt int) error {
 	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
 	defer cancel()
@@ -284,6 +285,9 @@
 	}
 	defer resp.Close()
 	_, _ = io.Copy(io.Discard, resp)
+	if status := resp.Header.StatusCode(); status != http.StatusOK {
+		return errors.Newf("cancel attempt: status %d", status)
+	}
 	return nil
 }
 
