Owner and holder of shared budgets

Change: internal/route/budget has both deciders, pure: events and time in, answers out. With reserves 4 and 2 and 5 inherited requests of the second, the first may still use its 4.

internal/fleet/lease: a lease that was registered again doesn't count for a duty until its row has been written again. Without this, a holder whose lease row was deleted through another duty took its old duties for held between its registration and its next read.

--- a/internal/fleet/lease/decider.go
+++ b/internal/fleet/lease/decider.go
@@ -62,6 +62,8 @@
 	Clean bool
 	// Lost means that another process holds the duty, or that it has been released.
 	Lost bool
+
+	session uint64
 }
 
 // Kind says what an operation does.
@@ -151,6 +153,14 @@
 // Valid reports whether the node lease is valid by the process's own clock.
 func (d *Decider) Valid(now time.Time) bool { return d.own != 0 && now.Before(d.until) }
 
+// Holds reports whether the process holds the duty under a valid lease. A lease that was lost and
+// registered again doesn't count for a duty until its row has been written again, because another
+// process may have taken the duty in between.
+func (d *Decider) Holds(now time.Time, duty string) bool {
+	t, ok := d.tenures[duty]
+	return ok && !t.Lost && t.session == d.session && d.Valid(now)
+}
+
 // Replaced reports whether a newer process of the same node has registered. The process must stop.
 func (d *Decider) Replaced() bool { return d.replaced }
 
@@ -411,7 +421,8 @@
 	if Preferred("forget", d.live(now, 0)) != d.cfg.Node {
 		return Op{}, false
 	}
-	for name, s := range d.nodes {
+	for _, name := range slices.Sorted(maps.Keys(d.nodes)) {
+		s := d.nodes[name]
 		if name == d.cfg.Node || !d.dropped(name) || now.Sub(s.since) < d.cfg.Lifetime {
 			continue
 		}
@@ -549,7 +560,7 @@
 		}
 		if !had || t.Fence != r.Fence {
 			last, ok := d.lastFence[name]
-			t = Tenure{Duty: name, Fence: r.Fence, Retaken: ok && last == r.Fence-1, Clean: r.Clean}
+			t = Tenure{Duty: name, Fence: r.Fence, Retaken: ok && last == r.Fence-1, Clean: r.Clean, session: r.Session}
 			d.lastFence[name] = r.Fence
 			delete(d.consent, name)
 		}
--- a/internal/fleet/lease/shell.go
+++ b/internal/fleet/lease/shell.go
@@ -151,11 +151,11 @@
 	}
 }
 
-// Valid reports whether the node lease is valid now.
-func (k *Keeper) Valid() bool {
+// Holds reports whether the process holds the duty under a valid lease now.
+func (k *Keeper) Holds(duty string) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.dec.Valid(time.Now())
+	return k.dec.Holds(time.Now(), duty)
 }
 
 // Tenures returns the duties that the process holds or has not consented to the loss of.
--- /dev/null
+++ b/internal/route/budget/budget_test.go
@@ -0,0 +1,286 @@
+package budget_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"geraniumhollow/internal/route/budget"
+)
+
+const (
+	run    = 20 * time.Second
+	tokens = 100
+)
+
+// table is one owner under a clock that the test moves.
+type table struct {
+	t   *testing.T
+	now time.Time
+	o   *budget.Owner
+	ids uint64
+	out []budget.Key
+}
+
+func newTable(t *testing.T, cold, warm int) *table {
+	t.Helper()
+	return &table{t: t, now: time.Unix(1000, 0), o: budget.NewOwner(budget.DefaultConfig(run, tokens), limits(cold, warm))}
+}
+
+func limits(cold, warm int) budget.Limits {
+	return budget.Limits{
+		Cold: budget.Load{Requests: cold, Tokens: cold * tokens},
+		Warm: budget.Load{Requests: warm, Tokens: warm * tokens},
+	}
+}
+
+// take starts a tenure behind earlier owners of the depths 0 to earlier-1.
+func (x *table) take(fence uint64, earlier int) {
+	t := budget.Tenure{Fence: fence, Depth: earlier, Clean: fence == 1}
+	for d := range earlier {
+		t.Earlier = append(t.Earlier, budget.EarlierHolder{ID: fmt.Sprint(d), Depth: d})
+	}
+	x.o.Take(x.now, t)
+}
+
+func (x *table) report(inst string, s budget.State, running int) {
+	x.now = x.now.Add(time.Millisecond)
+	x.o.Report(x.now, x.now, budget.Report{Instance: inst, State: s, Running: running, Open: true})
+}
+
+func (x *table) wait(d time.Duration) { x.now = x.now.Add(d) }
+
+// fill asks until the owner refuses and returns how many grants it gave.
+func (x *table) fill(valid bool) int {
+	for n := 0; ; n++ {
+		x.ids++
+		k := budget.Key{Holder: "h", ID: x.ids}
+		if x.o.Ask(x.now, valid, budget.Ask{Key: k, Tokens: tokens}).Status != budget.Granted {
+			return n
+		}
+		x.out = append(x.out, k)
+	}
+}
+
+// release ends the first n grants that are out, twice each.
+func (x *table) release(n int, end budget.End) {
+	for _, k := range x.out[:n] {
+		x.o.Release(x.now, budget.Release{Key: k, End: end})
+		x.o.Release(x.now, budget.Release{Key: k, End: end})
+	}
+	x.out = x.out[n:]
+}
+
+func (x *table) want(what string, got, want int) {
+	x.t.Helper()
+	if got != want {
+		x.t.Errorf("%s: got %d, want %d", what, got, want)
+	}
+}
+
+// Guards against grants past a limit, and against capacity that is never given again.
+func TestOwner(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name       string
+		cold, warm int
+		run        func(x *table)
+	}{
+		{"limit 4, any number of nodes", 4, 8, func(x *table) {
+			x.take(1, 0)
+			x.want("before a report", x.fill(true), 0)
+			x.report("i", budget.Cold, 0)
+			x.want("cold", x.fill(true), 4)
+			x.release(1, budget.Ended)
+			x.want("a double release frees one", x.fill(true), 1)
+			x.report("i", budget.Warm, 4)
+			x.want("warm", x.fill(true), 4)
+		}},
+		{"limit 1 behind one earlier owner", 1, 1, func(x *table) {
+			x.take(2, 1)
+			x.wait(33 * time.Second)
+			x.report("i", budget.Cold, 0)
+			x.want("nothing left", x.fill(true), 0)
+			x.o.Update(x.now, budget.Tenure{Fence: 2})
+			x.report("i", budget.Cold, 0)
+			x.want("not at once after it is gone", x.fill(true), 0)
+			x.wait(33 * time.Second)
+			x.report("i", budget.Cold, 0)
+			x.want("after a report that covers it", x.fill(true), 1)
+		}},
+		{"lapsed lease leaves the reserve", 4, 4, func(x *table) {
+			x.take(1, 0)
+			x.report("i", budget.Cold, 0)
+			x.want("reserve", x.fill(false), 2)
+			x.want("rest", x.fill(true), 2)
+			x.release(1, budget.Ended)
+			x.want("over the reserve", x.fill(false), 0)
+		}},
+		{"takeover of a cold instance", 4, 4, func(x *table) {
+			x.take(2, 0)
+			x.wait(31 * time.Second)
+			x.report("i", budget.Cold, 1)
+			x.want("too early", x.fill(true), 0)
+			x.wait(2 * time.Second)
+			x.report("i", budget.Cold, 3)
+			x.want("inherited 3", x.fill(true), 1)
+			x.report("i", budget.Cold, 2)
+			x.report("i", budget.Cold, 4)
+			x.want("inherited falls and never rises", x.fill(true), 1)
+		}},
+		{"takeover of a warm instance", 4, 4, func(x *table) {
+			x.take(2, 0)
+			x.wait(4 * time.Second)
+			x.report("i", budget.Warm, 0)
+			x.want("after 3 s", x.fill(true), 4)
+		}},
+		{"inherited load of a warm instance ends by time", 4, 4, func(x *table) {
+			x.take(2, 0)
+			x.wait(4 * time.Second)
+			x.report("i", budget.Warm, 3)
+			x.want("inherited 3", x.fill(true), 1)
+			x.release(1, budget.Ended)
+			x.wait(run + 33*time.Second)
+			x.report("i", budget.Warm, 3)
+			x.want("ended", x.fill(true), 4)
+		}},
+		{"two earlier owners, one with much out", 8, 8, func(x *table) {
+			// Reserves are 4 and 2. With 5 inherited of the second, the first may still give 4.
+			x.take(3, 2)
+			x.wait(33 * time.Second)
+			x.report("i", budget.Cold, 5)
+			x.want("pool", x.fill(true), 0)
+			x.report("i", budget.Cold, 1)
+			x.want("pool", x.fill(true), 2)
+		}},
+		{"a lost grant counts until a report covers it", 2, 2, func(x *table) {
+			x.take(1, 0)
+			x.report("i", budget.Cold, 0)
+			x.want("all", x.fill(true), 2)
+			x.release(1, budget.Unsure)
+			x.wait(33 * time.Second)
+			x.want("still counted", x.fill(true), 0)
+			x.report("i", budget.Cold, 1)
+			x.want("one is running", x.fill(true), 1)
+			x.release(1, budget.Ended)
+			x.release(1, budget.Ended)
+			x.want("the lost one may be the one that runs", x.fill(true), 1)
+			x.report("i", budget.Cold, 0)
+			x.want("nothing runs", x.fill(true), 1)
+		}},
+		{"a lagging report does not cover later grants", 2, 2, func(x *table) {
+			x.take(1, 0)
+			x.report("i", budget.Cold, 0)
+			x.want("all", x.fill(true), 2)
+			x.wait(33 * time.Second)
+			x.o.Report(x.now, x.now, budget.Report{Instance: "i", State: budget.Cold, Age: 2 * time.Second, Open: true})
+			x.want("made too early", x.fill(true), 0)
+		}},
+		{"a restarted engine starts empty", 2, 2, func(x *table) {
+			x.take(1, 0)
+			x.report("i", budget.Cold, 0)
+			x.want("all", x.fill(true), 2)
+			x.report("j", budget.Cold, 0)
+			x.want("new instance", x.fill(true), 2)
+			x.release(2, budget.Ended)
+			x.want("releases for the old instance", x.fill(true), 0)
+			x.report("i", budget.Warm, 0)
+			x.want("late report of the old instance", x.fill(true), 0)
+		}},
+		{"a restart within the tenure needs no takeover wait", 2, 2, func(x *table) {
+			x.take(2, 0)
+			x.report("i", budget.Cold, 1)
+			x.want("waits", x.fill(true), 0)
+			x.report("j", budget.Cold, 0)
+			x.want("new instance", x.fill(true), 2)
+		}},
+		{"answers make the owner careful", 2, 8, func(x *table) {
+			x.take(1, 0)
+			x.report("i", budget.Warm, 0)
+			x.o.Release(x.now, budget.Release{Instance: "i", State: budget.Cold})
+			x.want("cold by answer", x.fill(true), 2)
+			x.o.Release(x.now, budget.Release{Instance: "j", State: budget.Warm})
+			x.release(2, budget.Ended)
+			x.want("unknown instance", x.fill(true), 0)
+		}},
+		{"a lowered limit", 4, 4, func(x *table) {
+			x.take(1, 0)
+			x.report("i", budget.Cold, 0)
+			x.want("all", x.fill(true), 4)
+			x.o.SetLimits(x.now, limits(2, 2))
+			x.release(2, budget.Ended)
+			x.want("full", x.fill(true), 0)
+			x.release(1, budget.Ended)
+			x.want("one", x.fill(true), 1)
+		}},
+		{"closed route and old report", 2, 2, func(x *table) {
+			x.take(1, 0)
+			x.o.Report(x.now.Add(time.Second), x.now.Add(time.Second), budget.Report{Instance: "i", State: budget.Cold})
+			x.want("closed", x.fill(true), 0)
+			x.wait(time.Second)
+			x.report("i", budget.Cold, 0)
+			x.wait(4 * time.Second)
+			x.want("old", x.fill(true), 0)
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			tt.run(newTable(t, tt.cold, tt.warm))
+		})
+	}
+}
+
+// Guards against reserves that add up to more than the limit.
+func TestReserve(t *testing.T) {
+	t.Parallel()
+	for limit := range 500 {
+		left := budget.Load{Requests: limit, Tokens: limit * 7}
+		for d := range 12 {
+			left.Requests -= budget.Reserve(budget.Load{Requests: limit, Tokens: limit * 7}, d).Requests
+			left.Tokens -= budget.Reserve(budget.Load{Requests: limit, Tokens: limit * 7}, d).Tokens
+		}
+		if left.Requests < 0 || left.Tokens < 0 {
+			t.Fatalf("limit %d: %+v left", limit, left)
+		}
+	}
+}
+
+// Guards against a grant that is used twice, late, for another instance, or under an old fence.
+func TestHolder(t *testing.T) {
+	t.Parallel()
+	now := time.Unix(1000, 0)
+	h := budget.NewHolder("h", 2*time.Second)
+	ask := func(fence uint64) (budget.Reply, uint64) {
+		a := h.Ask(now, "o", "s", 1)
+		return budget.Reply{Key: a.Key, Status: budget.Granted, Instance: "i", Fence: fence}, a.Key.ID
+	}
+	check := func(what string, got, want bool) {
+		t.Helper()
+		if got != want {
+			t.Errorf("%s: got %v, want %v", what, got, want)
+		}
+	}
+	r, id := ask(5)
+	ok, _ := h.Reply(now, "o", "s", r)
+	check("granted", ok, true)
+	check("other instance", h.Use(now, id, "j"), false)
+	check("first use", h.Use(now, id, "i"), true)
+	check("second use", h.Use(now, id, "i"), false)
+	check("unsure end", h.End(now, id, budget.Release{}).Release.End == budget.Unsure, true)
+	ok, back := h.Reply(now, "o", "s", r)
+	check("late copy frees nothing", ok || back != nil, false)
+
+	r, _ = ask(4)
+	ok, back = h.Reply(now, "o", "s", r)
+	check("old fence", ok || back == nil || back.Release.End != budget.Unused, false)
+
+	r, id = ask(6)
+	ok, _ = h.Reply(now, "o", "s", r)
+	check("granted", ok, true)
+	now = now.Add(2 * time.Second)
+	check("late use", h.Use(now, id, "i"), false)
+	check("given up", len(h.Expire(now)) == 1, true)
+	ok, back = h.Reply(now, "o", "s", r)
+	check("late reply is unused", !ok && back != nil && back.Release.End == budget.Unused, true)
+}
