Budget: pause the reserve after a lowered limit or a fall back to cold

An owner whose lease had lapsed went by its reserve of the lowered limit, while the owner after it still had running what it had given by the higher limit: 6 requests at a limit of 5, and 3 at a cold limit of 2.

Change: without a valid lease an owner grants nothing after a lowered limit or a fall back to cold inside one instance, until a report from after everybody has learned of it shows that what runs fits beside its reserve. Tests for both cases, and one for duties whose holder has lost its lease and registered again.

--- a/internal/fleet/lease/decider.go
+++ b/internal/fleet/lease/decider.go
@@ -153,12 +153,13 @@
 // Valid reports whether the node lease is valid by the process's own clock.
 func (d *Decider) Valid(now time.Time) bool { return d.own != 0 && now.Before(d.until) }
 
-// Holds reports whether the process holds the duty under a valid lease. A lease that was lost and
+// Holds reports whether the process holds the duty under a valid lease with this fencing number. A
+// caller that has not seen the newest tenure yet gets false. A lease that was lost and
 // registered again doesn't count for a duty until its row has been written again, because another
 // process may have taken the duty in between.
-func (d *Decider) Holds(now time.Time, duty string) bool {
+func (d *Decider) Holds(now time.Time, duty string, fence uint64) bool {
 	t, ok := d.tenures[duty]
-	return ok && !t.Lost && t.session == d.session && d.Valid(now)
+	return ok && !t.Lost && t.Fence == fence && t.session == d.session && d.Valid(now)
 }
 
 // Replaced reports whether a newer process of the same node has registered. The process must stop.
--- a/internal/fleet/lease/lease_test.go
+++ b/internal/fleet/lease/lease_test.go
@@ -211,6 +211,38 @@
 	f.check("renewal was due and conflicts", ok && late.Kind == lease.Renew && fmt.Sprint(err) == table.ErrConflict.Error())
 }
 
+// Guards against duties that count as held after their holder has lost its lease and registered again,
+// while others may be taking them.
+func TestRegisteredAgainHoldsNothing(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, "x", "y")
+	f.run(10*time.Second, "x")
+	until := func(name string, k lease.Kind) {
+		d := f.procs[name]
+		for range 1000 {
+			op, ok := d.Next(f.now)
+			if !ok {
+				f.now = f.now.Add(500 * time.Millisecond)
+				continue
+			}
+			d.Done(f.now, op, f.call(op))
+			if op.Kind == k {
+				return
+			}
+		}
+		t.Fatalf("%s did nothing of kind %d", name, k)
+	}
+	until("y", lease.Change)
+	until("x", lease.Register)
+	f.check("x is registered", f.procs["x"].Valid(f.now))
+	for _, ten := range f.procs["x"].Tenures() {
+		f.check("no hold of "+ten.Duty, !f.procs["x"].Holds(f.now, ten.Duty, ten.Fence))
+	}
+	f.run(2*time.Second, "x")
+	n, ten := f.held("x", "b")
+	f.check("what nobody took is held again", n == len(duties)-1 && ten.Retaken && f.procs["x"].Holds(f.now, "b", ten.Fence))
+}
+
 // Guards against an uneven spread of duties.
 func TestPreferredSpreads(t *testing.T) {
 	t.Parallel()
--- a/internal/fleet/lease/shell.go
+++ b/internal/fleet/lease/shell.go
@@ -151,11 +151,11 @@
 	}
 }
 
-// Holds reports whether the process holds the duty under a valid lease now.
-func (k *Keeper) Holds(duty string) bool {
+// Holds reports whether the process holds the duty under a valid lease now; see Decider.Holds.
+func (k *Keeper) Holds(duty string, fence uint64) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.dec.Holds(time.Now(), duty)
+	return k.dec.Holds(time.Now(), duty, fence)
 }
 
 // Tenures returns the duties that the process holds or has not consented to the loss of.
--- a/internal/route/budget/budget_test.go
+++ b/internal/route/budget/budget_test.go
@@ -213,6 +213,26 @@
 			x.release(1, budget.Ended)
 			x.want("one", x.fill(true), 1)
 		}},
+		{"a lowered limit pauses the reserve while a later owner may have more out", 4, 4, func(x *table) {
+			x.take(1, 0)
+			x.report("i", budget.Cold, 0)
+			x.o.SetLimits(x.now, limits(2, 2))
+			x.want("at once", x.fill(false), 0)
+			x.wait(37 * time.Second)
+			x.report("i", budget.Cold, 2)
+			x.want("no room beside the reserve", x.fill(false), 0)
+			x.report("i", budget.Cold, 0)
+			x.want("room", x.fill(false), 1)
+		}},
+		{"a fall back to cold pauses the reserve", 2, 8, func(x *table) {
+			x.take(1, 0)
+			x.report("i", budget.Warm, 0)
+			x.report("i", budget.Cold, 3)
+			x.want("at once", x.fill(false), 0)
+			x.wait(37 * time.Second)
+			x.report("i", budget.Cold, 1)
+			x.want("room", x.fill(false), 1)
+		}},
 		{"closed route and old report", 2, 2, func(x *table) {
 			x.take(1, 0)
 			x.o.Report(x.now.Add(time.Second), x.now.Add(time.Second), budget.Report{Instance: "i", State: budget.Cold})
--- a/internal/route/budget/owner.go
+++ b/internal/route/budget/owner.go
@@ -41,6 +41,10 @@
 	// was last lowered, and zero when the ceiling is the limit itself.
 	ceiling Limits
 	lowered time.Time
+	// settling is when a limit or the state was last lowered, until a report shows that what a later
+	// owner gave before it learned of that leaves room for the reserve.
+	settling       time.Time
+	settlingTokens bool
 
 	covered     bool // a report covers the grants of earlier owners
 	inherited   int  // at most this many of their requests are running, besides their reserves
@@ -65,7 +69,8 @@
 // so their reserves are those of the higher limits until a report covers what they gave by them.
 func (o *Owner) SetLimits(now time.Time, l Limits) {
 	if !o.limits.Cold.Fits(l.Cold) || !o.limits.Warm.Fits(l.Warm) {
-		o.lowered = now
+		o.lowered, o.settling = now, now
+		o.settlingTokens = o.settlingTokens || l.Cold.Tokens < o.limits.Cold.Tokens || l.Warm.Tokens < o.limits.Warm.Tokens
 	}
 	if o.lowered.IsZero() {
 		o.ceiling = l
@@ -205,6 +210,10 @@
 	if !valid {
 		pool = pool.Min(Reserve(limit, o.tenure.Depth))
 	}
+	if !valid && !o.settling.IsZero() {
+		// A later owner may have more out than the lowered limit leaves beside the reserve.
+		pool = Load{}
+	}
 	return pool.Minus(o.Outstanding())
 }
 
@@ -284,7 +293,8 @@
 // it later than this one.
 func (o *Owner) setState(now time.Time, s State) {
 	if o.state == Warm && s != Warm {
-		o.lowered = now
+		o.lowered, o.settling = now, now
+		o.settlingTokens = o.settlingTokens || o.limits.Cold.Tokens < o.limits.Warm.Tokens
 	}
 	o.state = s
 }
@@ -304,6 +314,23 @@
 		o.setState(now, r.State)
 	}
 	o.cover(now, made, r.Running)
+	o.settle(made, r.Running)
+}
+
+// settle ends the pause of the reserve after a lowered limit or state. Once everything that was given
+// by the higher limit has been sent, and all that runs fits beside the reserve, a later owner adds
+// only what its own pool leaves.
+func (o *Owner) settle(made time.Time, running int) {
+	if o.settling.IsZero() || !made.After(o.settling.Add(o.cfg.Spread+o.wait())) {
+		return
+	}
+	held := Load{Requests: running}
+	if o.settlingTokens {
+		held.Tokens = running * o.cfg.MaxTokens
+	}
+	if held.Fits(o.limit().Minus(Reserve(o.limit(), o.tenure.Depth))) {
+		o.settling, o.settlingTokens = time.Time{}, false
+	}
 }
 
 // replace starts the books of another instance. Grants for the old one can't reach the new one,
