--- a/internal/wire/frame/messages.gen.go
+++ b/internal/wire/frame/messages.gen.go
@@ -4,7 +4,7 @@
 
 // GrantAsk asks the owner of a shard for the right to send one request.
 type GrantAsk struct {
-	// Number of the grant, unique for the asking incarnation.
+	// Number of the grant, unique for the incarnation that the link's hello named.
 	Id int `json:"id"`
 
 	// Name of the backend server.
@@ -14,9 +14,9 @@
 	Tokens int `json:"tokens"`
 }
 
-// GrantRelease ends a grant: the request has ended, or the grant was not used.
+// GrantRelease ends a grant. It is sent again until it is acknowledged.
 type GrantRelease struct {
-	// Fence corresponds to the JSON schema field "fence".
+	// Fencing number of the grant.
 	Fence int `json:"fence,omitempty,omitzero"`
 
 	// Id corresponds to the JSON schema field "id".
@@ -25,6 +25,10 @@
 	// Instance that the engine named in its answer, or empty.
 	Inst string `json:"inst,omitempty,omitzero"`
 
+	// Proof that the request is not at the engine: ended (the engine stated its end),
+	// unused (no byte was sent), or empty for none.
+	Proof string `json:"proof,omitempty,omitzero"`
+
 	// Server corresponds to the JSON schema field "server".
 	Server string `json:"server"`
 
@@ -96,12 +100,15 @@
 
 // LoadDigest is what the owner knows of a backend server.
 type LoadDigest struct {
-	// Age of the report, in milliseconds.
+	// Age of the oldest part of the report when the digest was sent, in milliseconds.
 	AgeMs int `json:"age_ms,omitempty,omitzero"`
 
 	// Tokens that fit.
 	Cap int `json:"cap,omitempty,omitzero"`
 
+	// Requests that the owner could still grant.
+	Free int `json:"free,omitempty,omitzero"`
+
 	// Tokens held.
 	Held int `json:"held,omitempty,omitzero"`
 
