Refuse a suspect for good only after its runs have crashed

Cause: a run that was still under way used up the limit like one that crashed. When a server died with several equal prompts on it, all innocent, the third one was told crash_limit_reached while the first two were still running.

Change: the row crash/<fingerprint> counts runs that may be under way by token and runs that ended with a death by number. The limit itself is unchanged: both kinds count.

Conclusion: TestLimitInUse covers the wait.

--- a/internal/bench/runs/crashes.go
+++ b/internal/bench/runs/crashes.go
@@ -59,7 +59,7 @@
 	waiting
 	counting
 	running
-	givingBack
+	endingCount
 	ended
 )
 
@@ -91,6 +91,8 @@
 type crashSim struct {
 	choose Chooser
 	kinds  int
+	// length is the average number of steps of a run.
+	length int
 	now    time.Time
 	end    time.Time
 	table  *faultyTable[crash.Row]
@@ -109,7 +111,8 @@
 func RunCrashes(choose Chooser) Crashes {
 	start := time.Unix(1_000_000, 0)
 	s := &crashSim{
-		choose: choose, kinds: steepness(choose), now: start, end: start.Add(crashClock),
+		choose: choose, kinds: steepness(choose), length: []int{1, 2, 12}[choose(3)],
+		now: start, end: start.Add(crashClock),
 		table: newFaultyTable[crash.Row](choose), counts: make(map[crash.Fingerprint]int), faults: true,
 	}
 	for i := range s.nodes {
@@ -227,7 +230,7 @@
 		if d.Idle(j.id) {
 			s.startCounter(j, counting, crash.Count(j.token, crashRuns))
 		}
-	case counting, givingBack:
+	case counting, endingCount:
 		s.count(j, d)
 	case running:
 		s.run(j, d)
--- a/internal/bench/runs/jobs.go
+++ b/internal/bench/runs/jobs.go
@@ -30,7 +30,7 @@
 	case crash.Read:
 		j.op = &op[crash.Row]{key: key, read: true}
 	case crash.Write:
-		j.op = &op[crash.Row]{key: key, base: a.Base, value: a.Row, remove: len(a.Row.Tokens) == 0}
+		j.op = &op[crash.Row]{key: key, base: a.Base, value: a.Row, remove: a.Row.Empty()}
 	case crash.Verdict:
 		s.verdict(j, d, a)
 	}
@@ -38,11 +38,14 @@
 
 func (s *crashSim) verdict(j *job, d *crash.Decider, v crash.Verdict) {
 	switch {
-	case j.stage == givingBack:
+	case j.stage == endingCount:
 		j.stage = ended
 	case v == crash.Allowed:
 		d.Begin(j.id)
 		s.started(j)
+	case v == crash.InUse && s.faults: // It waits and tries again.
+		d.Abandon(j.id)
+		j.stage = arriving
 	default:
 		s.out.Refused++
 		d.Abandon(j.id)
@@ -90,7 +93,10 @@
 			s.share(j.node, d.Died(s.now, name))
 		}
 		j.stage = ended
-	case s.faults && s.choose.chance(2): // It runs on.
+		if j.alone {
+			s.startCounter(j, endingCount, crash.Settle(j.token))
+		}
+	case s.faults && !s.choose.chance(s.length): // It runs on.
 	case s.faults && s.choose(8) == 0:
 		d.Abandon(j.id)
 		s.giveBack(j)
@@ -112,6 +118,6 @@
 	j.stage = ended
 	if j.alone {
 		s.counts[j.f]--
-		s.startCounter(j, givingBack, crash.GiveBack(j.token))
+		s.startCounter(j, endingCount, crash.GiveBack(j.token))
 	}
 }
--- a/internal/node/guard/count.go
+++ b/internal/node/guard/count.go
@@ -67,7 +67,7 @@
 		return errors.Mark(errors.Newf("encode run count: %w", err), table.ErrUnavailable)
 	}
 	txn := table.Replace(base, value)
-	if len(w.Row.Tokens) == 0 {
+	if w.Row.Empty() {
 		txn = table.Remove(base)
 	}
 	if _, err := g.deps.Table.Commit(ctx, txn); err != nil {
@@ -76,17 +76,18 @@
 	return nil
 }
 
-// giveBack takes the count of a suspect's run back. A count that stays only makes the fleet stricter
-// for an hour.
-func (r *Run) giveBack() {
+// endCount ends the count of a suspect's run. A count that stays only makes the fleet stricter for an
+// hour.
+func (r *Run) endCount(c *crash.Counter) {
 	if !r.Alone {
 		return
 	}
 	g := r.guard
-	g.group.Go("give back run count", func(ctx context.Context) error {
-		if v := g.count(context.WithoutCancel(ctx), r.f, crash.GiveBack(r.token)); v != crash.Allowed {
-			g.deps.Log.Info("run count not given back")
+	g.group.Go("end run count", func(ctx context.Context) error {
+		if v := g.count(context.WithoutCancel(ctx), r.f, c); v != crash.Allowed {
+			g.deps.Log.Info("run count not ended")
 		}
+		g.update(func(*crash.Decider) []crash.Suspicion { return nil })
 		return nil
 	})
 }
--- a/internal/node/guard/guard.go
+++ b/internal/node/guard/guard.go
@@ -21,6 +21,9 @@
 // wait of others for a server that is held; a held server takes nothing else meanwhile.
 const holdWait = 10 * time.Second
 
+// pollTime is the time between looks at a limit that runs of other nodes use up.
+const pollTime = 500 * time.Millisecond
+
 // retryAfter is when a caller may come back after a refusal that is not final.
 const retryAfter = time.Second
 
@@ -93,21 +96,43 @@
 	for {
 		run, changed, ferr := g.try(r, pick)
 		if run != nil && run.Alone {
-			return g.beginAlone(ctx, r, run)
-		}
-		if run != nil || changed == nil {
+			var inUse bool
+			if inUse, ferr = g.beginAlone(ctx, r, run); !inUse {
+				return run.unless(ferr), ferr
+			}
+		} else if run != nil || changed == nil {
 			return run, ferr
 		}
-		select {
-		case <-ctx.Done():
+		if !g.waitChange(ctx, changed) {
 			return nil, refused(r, ferr)
-		case <-changed:
 		}
 	}
 }
 
-// try starts a run, or holds a server for a suspect. A non-nil channel means that a server may become
-// free when the channel is closed.
+// unless returns nil when there is an error.
+func (r *Run) unless(ferr *fault.Error) *Run {
+	if ferr != nil {
+		return nil
+	}
+	return r
+}
+
+// waitChange waits until changed is closed, or for a short time: a run of another node may end without
+// news of it. It reports false when ctx has ended.
+func (g *Guard) waitChange(ctx context.Context, changed <-chan struct{}) bool {
+	t := time.NewTimer(pollTime)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-changed:
+	case <-t.C:
+	}
+	return true
+}
+
+// try starts a run, or holds a server for a suspect. A non-nil channel means that another try may
+// succeed when the channel is closed.
 func (g *Guard) try(r Request, pick Pick) (*Run, <-chan struct{}, *fault.Error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -139,7 +164,7 @@
 	if !ok {
 		return nil, g.changed, fault.New(fault.Overloaded, fault.NotRun, "the backend server is held").WithRetryAfter(retryAfter)
 	}
-	return run, nil, nil
+	return run, g.changed, nil
 }
 
 // refused corrects the outcome of an error for a request that may have run before.
@@ -150,26 +175,31 @@
 	return ferr
 }
 
-// beginAlone waits until the server runs nothing else of this node and counts the run in the table.
-func (g *Guard) beginAlone(ctx context.Context, r Request, run *Run) (*Run, *fault.Error) {
+// beginAlone waits until the server runs nothing else of this node and counts the run in the table. It
+// reports whether runs that are under way use up the limit; the server is then free again.
+func (g *Guard) beginAlone(ctx context.Context, r Request, run *Run) (bool, *fault.Error) {
 	if !g.waitIdle(ctx, run.id) {
 		run.Abandon()
-		return nil, refused(r, fault.New(fault.Overloaded, fault.NotRun, "no backend server is free to run the request alone").
-			WithRetryAfter(retryAfter))
+		return false, refused(r, fault.New(fault.Overloaded, fault.NotRun,
+			"no backend server is free to run the request alone").WithRetryAfter(retryAfter))
 	}
-	switch g.count(ctx, r.Fingerprint, crash.Count(run.token, r.Limit)) {
-	case crash.Allowed:
+	v := g.count(ctx, r.Fingerprint, crash.Count(run.token, r.Limit))
+	if v == crash.Allowed {
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		g.decider.Begin(run.id)
-		return run, nil
+		return false, nil
+	}
+	run.Abandon()
+	switch v {
 	case crash.LimitReached:
-		run.Abandon()
-		return nil, refused(r, fault.New(fault.CrashLimit, fault.NotRun,
+		return false, refused(r, fault.New(fault.CrashLimit, fault.NotRun,
 			"backend servers died each time they ran this request; it is not run again"))
+	case crash.InUse:
+		return true, fault.New(fault.Overloaded, fault.NotRun,
+			"the request is running elsewhere under suspicion of crashes").WithRetryAfter(retryAfter)
 	default:
-		run.Abandon()
-		return nil, refused(r, fault.New(fault.StoreUnavailable, fault.NotRun,
+		return false, refused(r, fault.New(fault.StoreUnavailable, fault.NotRun,
 			"the run of a request that is suspected of crashes could not be counted").WithRetryAfter(retryAfter))
 	}
 }
@@ -194,7 +224,7 @@
 func (r *Run) Complete() {
 	r.once.Do(func() {
 		r.guard.update(func(d *crash.Decider) []crash.Suspicion { return d.Complete(r.id, r.f) })
-		r.giveBack()
+		r.endCount(crash.GiveBack(r.token))
 	})
 }
 
@@ -202,7 +232,7 @@
 func (r *Run) NotStarted() {
 	r.once.Do(func() {
 		r.abandon()
-		r.giveBack()
+		r.endCount(crash.GiveBack(r.token))
 	})
 }
 
@@ -213,6 +243,7 @@
 			d.Break(r.guard.deps.Now(), r.id)
 			return nil
 		})
+		r.endCount(crash.Settle(r.token))
 	})
 }
 
--- a/internal/node/guard/guard_test.go
+++ b/internal/node/guard/guard_test.go
@@ -175,3 +175,32 @@
 	}
 	suspect.Complete()
 }
+
+// Guards against a final refusal of a request whose counted runs may still complete: it waits, and is no
+// longer a suspect when one of them has completed.
+func TestLimitInUse(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	if ferr := f.crashOnce(t, 0, false); ferr != nil {
+		t.Fatal(ferr)
+	}
+	var inFlight [limit]*guard.Run
+	for i := range inFlight {
+		run, ferr := f.begin(t, i, "x", false)
+		if ferr != nil {
+			t.Fatal(ferr)
+		}
+		inFlight[i] = run
+	}
+	if _, ferr := f.begin(t, 0, "x", false); ferr == nil || ferr.Code() != fault.Overloaded || ferr.RetryAfter() == 0 {
+		t.Fatalf("got %v, want overloaded with retry_after", ferr)
+	}
+	f.group.Go("complete", func(context.Context) error {
+		time.Sleep(100 * time.Millisecond)
+		inFlight[1].Complete()
+		return nil
+	})
+	if run, ferr := f.begin(t, 0, "x", false); ferr != nil || run.Alone {
+		t.Errorf("after a run completed: %v", ferr)
+	}
+}
