--- a/internal/node/calls/calls_test.go
+++ b/internal/node/calls/calls_test.go
@@ -15,6 +15,7 @@
 	fake "geraniumhollow/internal/fake/plain"
 	"geraniumhollow/internal/fake/store"
 	"geraniumhollow/internal/node/calls"
+	"geraniumhollow/internal/plat/table"
 	"geraniumhollow/internal/route/claim"
 	"geraniumhollow/internal/route/retry"
 	"github.com/hashicorp/go-hclog"
@@ -30,7 +31,16 @@
 type site struct {
 	services [2]*fake.Service
 	platform *store.Store
-	nodes    [2]*calls.Handler
+	nodes    []*calls.Handler
+	view     *view.View
+}
+
+// addNode puts a node with a given claim store in the first place.
+func (s *site) addNode(g *tasks.Group, claims *claim.Store) {
+	s.nodes = append([]*calls.Handler{calls.New(g, calls.Deps{
+		Log: hclog.NewNullLogger(), Node: "n", View: func() *view.View { return s.view },
+		Claims: claims, Budget: retry.NewBudget(),
+	})}, s.nodes...)
 }
 
 func newSite(t *testing.T, warm int) *site {
@@ -63,12 +73,9 @@
 			Name: string(rune('a' + i)), Address: ln.Addr().String(), DataCentre: "dc", Capacity: schema.Capacity{WarmRequests: warm},
 		})
 	}
-	v := view.New(1, doc)
-	for i := range s.nodes {
-		s.nodes[i] = calls.New(g, calls.Deps{
-			Log: hclog.NewNullLogger(), Node: "n", View: func() *view.View { return v },
-			Claims: claim.NewStore(s.platform, s.platform.Objects()), Budget: retry.NewBudget(),
-		})
+	s.view = view.New(1, doc)
+	for range 2 {
+		s.addNode(g, claim.NewStore(s.platform, s.platform.Objects()))
 	}
 	return s
 }
@@ -215,3 +222,47 @@
 		t.Errorf("%d of 3 calls refused as overloaded, want 1", refused)
 	}
 }
+
+// Guards against a slow table that is taken for one that is down: the claim takes effect after the caller
+// heard not_run, and a resend must still run the call, once.
+func TestSlowTable(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 8)
+	ctx, cancel := context.WithCancel(context.Background())
+	g := tasks.New(ctx)
+	t.Cleanup(func() {
+		cancel()
+		_ = g.Wait()
+	})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.Go("platform", func(ctx context.Context) error { return s.platform.Serve(ctx, ln) })
+	s.addNode(g, claim.NewStore(table.New(ln.Addr().String()), s.platform.Objects()))
+
+	const slow, longest = 1500 * time.Millisecond, 5 * time.Second
+	s.platform.SetDelay(slow)
+	start := time.Now()
+	if _, code, _ := s.do(0, "POST", "/v1/services/app/bookings", "k", ""); code != "store_unavailable not_run" {
+		t.Errorf("got %q, want store_unavailable not_run", code)
+	}
+	if took := time.Since(start); took > longest {
+		t.Errorf("the caller heard not_run after %s", took)
+	}
+	for s.claimState(t, "k") != claim.Released && time.Since(start) < 4*longest {
+		time.Sleep(slow / 10)
+	}
+	s.platform.SetDelay(0)
+	if status, code, _ := s.do(1, "POST", "/v1/services/app/bookings", "k", ""); status != http.StatusOK || s.runs() != 1 {
+		t.Errorf("resend: %d %q, %d runs; want 200 and 1 run", status, code, s.runs())
+	}
+}
+
+// claimState returns the state of the claim of a key.
+func (s *site) claimState(t *testing.T, key string) claim.State {
+	t.Helper()
+	st := claim.NewStore(s.platform, s.platform.Objects())
+	ev, _ := st.Read(t.Context(), claim.Key("acc", key), claim.Read{Timeout: time.Minute})
+	return ev.Record.State
+}
