--- a/internal/route/choose/choose.go
+++ b/internal/route/choose/choose.go
@@ -19,7 +19,7 @@
 	Fixed time.Duration
 }
 
-// DefaultWindow is the window that docs/measurements/choosing.md found best.
+// DefaultWindow is the window of nodes; docs/measurements/choosing.md compares it with others.
 func DefaultWindow() Window { return Window{Part: 0.1, Fixed: 5 * time.Millisecond} }
 
 // Shortest picks the shortest expected time to first token. Among near-equal servers it draws two at
