Wire shared budgets, choice, admission and crash suspicion into the node

Change: the node holds leases and shards, polls the engines of its shards, asks owners for grants over the peer links, feeds load digests to the picker and the gate, closes routes, and shares suspicions of crashes. A node that begins to stop hands its shards over at once, and the others read the leases when they hear of it, instead of up to 5 s later.

A resumed answer can be refused for up to 7 s after its first node has stopped, while the shard moves.

--- a/internal/fleet/lease/decider.go
+++ b/internal/fleet/lease/decider.go
@@ -184,8 +184,12 @@
 // Consent says that nothing given out under a lost duty is in use any more.
 func (d *Decider) Consent(duty string) { d.consent[duty] = true }
 
-// Drain stops the process from taking duties.
-func (d *Decider) Drain() { d.draining = true }
+// Drain stops the process from taking duties. Others learn of it from the lease row, which is written
+// at once.
+func (d *Decider) Drain() { d.draining, d.renewDue = true, time.Time{} }
+
+// Rescan has the rows read at once: something is known to have changed.
+func (d *Decider) Rescan() { d.scanDue = time.Time{} }
 
 // Leave deletes the lease row. The process must have released its duties, and must stop afterwards.
 func (d *Decider) Leave() { d.draining, d.leaving = true, true }
--- a/internal/fleet/lease/shell.go
+++ b/internal/fleet/lease/shell.go
@@ -200,6 +200,13 @@
 	k.dec.Drain()
 }
 
+// Rescan has the rows read at the next step: something is known to have changed.
+func (k *Keeper) Rescan() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.dec.Rescan()
+}
+
 // Leave deletes the lease row; Run returns once that is done.
 func (k *Keeper) Leave() {
 	k.mu.Lock()
--- a/internal/node/serve/resume_test.go
+++ b/internal/node/serve/resume_test.go
@@ -55,6 +55,22 @@
 	return text.String(), lastID, false
 }
 
+// resume comes back for the rest of an answer. While the backend server's shard moves to another node,
+// the answer is a refusal with retry_after, which callers follow; the bound is for the whole of it.
+func (s *system) resume(n *running, prompt, last string) (string, bool) {
+	s.t.Helper()
+	for end := time.Now().Add(resumeBound); ; time.Sleep(200 * time.Millisecond) {
+		rest, _, whole := s.stream(n, prompt, last, 2*resumeTokens)
+		if rest != "" || time.Now().After(end) {
+			return rest, whole
+		}
+	}
+}
+
+// resumeBound is the time in which a caller must be able to come back: 4 s until the shard of a node
+// that stops is in other hands, 3 s for its grants, and the queue timeout.
+const resumeBound = 9 * time.Second
+
 // Guards against a caller that loses its connection and gets the rest of its answer cut, repeated or
 // from another request, whichever node it comes back to.
 func TestResume(t *testing.T) {
@@ -76,7 +92,7 @@
 			first, last, _ := s.stream(s.nodes[0], prompt, "", 10)
 			tt.before(s)
 			time.Sleep(20 * time.Millisecond)
-			rest, _, whole := s.stream(s.nodes[tt.resume], prompt, last, 2*resumeTokens)
+			rest, whole := s.resume(s.nodes[tt.resume], prompt, last)
 			if want := model.Answer(prompt, resumeTokens); first+rest != want || !whole {
 				t.Errorf("got %d and %d bytes, whole %v; want %d", len(first), len(rest), whole, len(want))
 			}
--- a/internal/node/serve/serve.go
+++ b/internal/node/serve/serve.go
@@ -59,6 +59,9 @@
 	// allowed says which backend servers may get new work.
 	allowed atomic.Pointer[drain.Set]
 	running atomic.Int64
+	control atomic.Pointer[control]
+	// incarnation names this process; a later one of the same node has a greater one.
+	incarnation string
 	// signals carries Stop to the drain loop.
 	signals chan struct{}
 
@@ -110,9 +113,10 @@
 	}
 	n := &Node{
 		cfg: cfg, lns: lns, log: log.Named(cfg.NodeName), parts: parts,
-		signals: make(chan struct{}, 1),
-		now:     time.Now,
-		drain:   drain.NewNode(cfg.DrainNotice, cfg.DrainTimeout),
+		signals:     make(chan struct{}, 1),
+		now:         time.Now,
+		incarnation: peers.NewIncarnation(time.Now()),
+		drain:       drain.NewNode(cfg.DrainNotice, cfg.DrainTimeout),
 	}
 	n.configs = apply.New(parts.Table, n.now)
 	n.reasons = reason.New(reasonEntries, n.now)
@@ -122,7 +126,7 @@
 	n.peers = peers.New(peers.Config{
 		Node:        cfg.NodeName,
 		DataCentre:  cfg.DataCentre,
-		Incarnation: peers.NewIncarnation(time.Now()),
+		Incarnation: n.incarnation,
 		Hosts:       parts.Hosts,
 		Configs:     n.configs,
 		Log:         n.log.Named("peers"),
@@ -145,11 +149,18 @@
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	g := tasks.New(work)
-	deps := n.parts.Relay
+	ctl, err := newControl(n, g, n.incarnation)
+	if err != nil {
+		return err
+	}
+	deps := ctl.deps(n.parts.Relay)
 	deps.Node = n.cfg.NodeName
 	deps.Origin = n.origin
-	deps.Gate = &gate{node: n, next: deps.Gate}
+	deps.Gate = &entry{node: n, next: ctl.gate}
 	rl := relay.New(n.log.Named("relay"), n.view.Load, deps)
+	ctl.relay.Store(rl)
+	n.control.Store(ctl)
+	ctl.run(g)
 	n.origin.Serve(g, rl)
 	srv := caller.New(g.Context(), n.log.Named("caller"), n.cfg.NodeName, n.view.Load, rl, caller.WithServices(n.services(g)))
 	g.Go("callers", func(ctx context.Context) error { return srv.Serve(ctx, n.lns.Callers) })
@@ -157,6 +168,7 @@
 	g.Go("peers", func(ctx context.Context) error { return n.peers.Run(ctx, n.lns.Peers) })
 	g.Go("stop", func(work context.Context) error {
 		n.awaitStop(ctx, work)
+		ctl.leave(work)
 		cancel()
 		return nil
 	})
--- a/internal/node/serve/stop.go
+++ b/internal/node/serve/stop.go
@@ -65,6 +65,9 @@
 	state := n.drain.State()
 	n.mu.Unlock()
 	if state != before {
+		if ctl := n.control.Load(); ctl != nil && before == drain.Serving {
+			ctl.drain()
+		}
 		n.log.Info("drain state changed", "from", before, "to", state, "running", n.running.Load())
 		n.peers.SetDrain(string(state))
 	}
@@ -84,16 +87,16 @@
 	return n.drain.Accepts(), n.drain.RetryAfter()
 }
 
-// gate refuses new requests while the node drains or is isolated, and counts the running ones.
-type gate struct {
+// entry refuses new requests while the node drains or is isolated, and counts the running ones.
+type entry struct {
 	node *Node
 	next relay.Gate
 }
 
-var _ relay.Gate = (*gate)(nil)
+var _ relay.Gate = (*entry)(nil)
 
 // Enter implements relay.Gate.
-func (g *gate) Enter(ctx context.Context, v *view.View, w relay.Work) (func(), *fault.Error) {
+func (g *entry) Enter(ctx context.Context, v *view.View, w relay.Work) (func(), *fault.Error) {
 	n := g.node
 	// A request is counted before it is checked, so that a node never stops between the two.
 	n.running.Add(1)
--- a/internal/node/share/grant.go
+++ b/internal/node/share/grant.go
@@ -108,22 +108,16 @@
 		WithRetryAfter(retryAfter).WithCause(cause)
 }
 
-// Release implements relay.Granter. A failed attempt is no proof that the engine has stopped, so its
-// grant is freed by a later report; see ReleaseUnused and ReleaseEnded for attempts with proof.
-func (s *Shares) Release(g relay.Grant, r relay.Result) {
-	end := budget.Unsure
-	if !r.Failed {
-		end = budget.Ended
-	}
-	s.release(g, end, r)
+// ends maps what the relay knows of the end of an attempt to what the budget makes of it.
+var ends = map[relay.End]budget.End{
+	relay.Unsure: budget.Unsure,
+	relay.Unused: budget.Unused,
+	relay.Ended:  budget.Ended,
 }
 
-// ReleaseUnused ends a grant of which no byte was sent.
-func (s *Shares) ReleaseUnused(g relay.Grant) { s.release(g, budget.Unused, relay.Result{}) }
-
-// ReleaseEnded ends a grant whose failed attempt the engine has acknowledged as ended, for instance in
-// its answer to a cancel.
-func (s *Shares) ReleaseEnded(g relay.Grant, r relay.Result) { s.release(g, budget.Ended, r) }
+// Release implements relay.Granter. An attempt without proof of its end keeps its grant until a later
+// report covers it.
+func (s *Shares) Release(g relay.Grant, r relay.Result) { s.release(g, ends[r.End], r) }
 
 func (s *Shares) release(g relay.Grant, end budget.End, r relay.Result) {
 	s.holdMu.Lock()
--- a/internal/node/share/share_test.go
+++ b/internal/node/share/share_test.go
@@ -221,7 +221,7 @@
 			}
 			n.set(func() { n.loseAcks = 2 })
 			for _, g := range got["b"] {
-				n.nodes["b"].Release(g, relay.Result{Instance: "i", State: engine.Cold})
+				n.nodes["b"].Release(g, relay.Result{End: relay.Ended, Instance: "i", State: engine.Cold})
 			}
 			eventually(t, "released grants are given again", func() bool {
 				_, err := n.nodes["a"].Acquire(context.Background(), srv, 10)
--- a/internal/wire/frame/messages.gen.go
+++ b/internal/wire/frame/messages.gen.go
@@ -58,6 +58,12 @@
 	State string `json:"state,omitempty,omitzero"`
 }
 
+// GrantReleased says that a GrantRelease has been taken.
+type GrantReleased struct {
+	// Always true.
+	Ok bool `json:"ok,omitempty,omitzero"`
+}
+
 // GrantReply answers a GrantAsk.
 type GrantReply struct {
 	// Fencing number of the owner.
@@ -186,6 +192,9 @@
 	// GrantRelease corresponds to the JSON schema field "grant_release".
 	GrantRelease *GrantRelease `json:"grant_release,omitempty,omitzero"`
 
+	// GrantReleased corresponds to the JSON schema field "grant_released".
+	GrantReleased *GrantReleased `json:"grant_released,omitempty,omitzero"`
+
 	// GrantReply corresponds to the JSON schema field "grant_reply".
 	GrantReply *GrantReply `json:"grant_reply,omitempty,omitzero"`
 
@@ -221,6 +230,9 @@
 
 	// StreamTaken corresponds to the JSON schema field "stream_taken".
 	StreamTaken *StreamTaken `json:"stream_taken,omitempty,omitzero"`
+
+	// SuspectRequest corresponds to the JSON schema field "suspect_request".
+	SuspectRequest *SuspectRequest `json:"suspect_request,omitempty,omitzero"`
 }
 
 // OutcomeAsk asks the node that a request began on what became of it.
@@ -328,3 +340,22 @@
 	// Ok corresponds to the JSON schema field "ok".
 	Ok bool `json:"ok,omitempty,omitzero"`
 }
+
+// SuspectRequest shares what a node has found out of requests that may crash
+// backend servers.
+type SuspectRequest struct {
+	// List corresponds to the JSON schema field "list".
+	List []Suspicion `json:"list"`
+}
+
+// Suspicion is what a node has found out of one request fingerprint.
+type Suspicion struct {
+	// What has changed: suspected, explained or completed.
+	Change string `json:"change"`
+
+	// Crashes that the sender saw the request take part in.
+	Crashes int `json:"crashes,omitempty,omitzero"`
+
+	// Fingerprint of the request.
+	Fp string `json:"fp"`
+}
