Give the count of a cancelled run back when its server lives on

Cause: a suspect's run that its caller cancelled stayed counted as under way, so that two cancelled runs kept the request refused for an hour.

After 3 s it is settled as a crash if the request took part in one meanwhile, and is given back otherwise.

--- a/internal/node/guard/count.go
+++ b/internal/node/guard/count.go
@@ -79,12 +79,20 @@
 // endCount ends the count of a suspect's run. A count that stays only makes the fleet stricter for an
 // hour.
 func (r *Run) endCount(c *crash.Counter) {
+	r.endCountAfter(0, func() *crash.Counter { return c })
+}
+
+// endCountAfter ends the count after some time. When the node stops earlier the run stays counted.
+func (r *Run) endCountAfter(wait time.Duration, c func() *crash.Counter) {
 	if !r.Alone {
 		return
 	}
 	g := r.guard
 	g.group.Go("end run count", func(ctx context.Context) error {
-		if v := g.count(context.WithoutCancel(ctx), r.f, c); v != crash.Allowed {
+		if wait > 0 && !sleep(ctx, wait) {
+			return nil
+		}
+		if v := g.count(context.WithoutCancel(ctx), r.f, c()); v != crash.Allowed {
 			g.deps.Log.Info("run count not ended")
 		}
 		g.update(func(*crash.Decider) []crash.Suspicion { return nil })
@@ -92,6 +100,18 @@
 	})
 }
 
+// sleep reports false when ctx ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
 // Sweep removes run counts that have expired and returns how many it removed. One node does this at a
 // time, under a duty.
 func (g *Guard) Sweep(ctx context.Context) (int, error) {
--- a/internal/node/guard/guard.go
+++ b/internal/node/guard/guard.go
@@ -24,6 +24,10 @@
 // pollTime is the time between looks at a limit that runs of other nodes use up.
 const pollTime = 500 * time.Millisecond
 
+// settleTime is how long after a cancelled run the death of its server is put down to it. It is longer
+// than the time within which the crash decider counts a broken run as running.
+const settleTime = 3 * time.Second
+
 // retryAfter is when a caller may come back after a refusal that is not final.
 const retryAfter = time.Second
 
@@ -179,7 +183,7 @@
 // reports whether runs that are under way use up the limit; the server is then free again.
 func (g *Guard) beginAlone(ctx context.Context, r Request, run *Run) (bool, *fault.Error) {
 	if !g.waitIdle(ctx, run.id) {
-		run.Abandon()
+		run.abandon()
 		return false, refused(r, fault.New(fault.Overloaded, fault.NotRun,
 			"no backend server is free to run the request alone").WithRetryAfter(retryAfter))
 	}
@@ -190,7 +194,7 @@
 		g.decider.Begin(run.id)
 		return false, nil
 	}
-	run.Abandon()
+	run.abandon()
 	switch v {
 	case crash.LimitReached:
 		return false, refused(r, fault.New(fault.CrashLimit, fault.NotRun,
@@ -239,18 +243,34 @@
 // Break ends a run whose connection broke; the caller also reports ServerDied when the server is dead.
 func (r *Run) Break() {
 	r.once.Do(func() {
-		r.guard.update(func(d *crash.Decider) []crash.Suspicion {
-			d.Break(r.guard.deps.Now(), r.id)
-			return nil
-		})
+		r.broke()
 		r.endCount(crash.Settle(r.token))
 	})
 }
 
-// Abandon ends a run for a reason that has nothing to do with its server, such as a caller that left. A
-// suspect's run stays counted, because what it would have done is not known.
-func (r *Run) Abandon() { r.once.Do(r.abandon) }
+// Abandon ends a run that its caller cancelled. Like a run that broke, it is part of a crash that is
+// reported soon after; without one its count is given back.
+func (r *Run) Abandon() {
+	r.once.Do(func() {
+		before := r.weight()
+		r.broke()
+		r.endCountAfter(settleTime, func() *crash.Counter {
+			if r.weight() > before {
+				return crash.Settle(r.token)
+			}
+			return crash.GiveBack(r.token)
+		})
+	})
+}
+
+func (r *Run) broke() {
+	r.guard.update(func(d *crash.Decider) []crash.Suspicion {
+		d.Break(r.guard.deps.Now(), r.id)
+		return nil
+	})
+}
 
+// abandon ends a run that has not begun.
 func (r *Run) abandon() {
 	r.guard.update(func(d *crash.Decider) []crash.Suspicion {
 		d.Abandon(r.id)
@@ -258,6 +278,14 @@
 	})
 }
 
+// weight returns the crashes that this node knows the request to have taken part in.
+func (r *Run) weight() int {
+	r.guard.mu.Lock()
+	defer r.guard.mu.Unlock()
+	_, n := r.guard.decider.Suspect(r.guard.deps.Now(), r.f)
+	return n
+}
+
 // ServerDied tells the guard that a backend server has died. Reports of the same death may repeat.
 func (g *Guard) ServerDied(server string) {
 	g.update(func(d *crash.Decider) []crash.Suspicion { return d.Died(g.deps.Now(), server) })
--- a/internal/node/guard/guard_test.go
+++ b/internal/node/guard/guard_test.go
@@ -204,3 +204,36 @@
 		t.Errorf("after a run completed: %v", ferr)
 	}
 }
+
+// Guards against a cancelled run that uses up the limit for an hour, and against a crash that is not
+// counted because the caller had just cancelled.
+func TestAbandon(t *testing.T) {
+	t.Parallel()
+	for _, dies := range []bool{false, true} {
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t)
+			if ferr := f.crashOnce(t, 0, false); ferr != nil {
+				t.Fatal(ferr)
+			}
+			for range limit {
+				run, ferr := f.begin(t, 0, "x", false)
+				if ferr != nil {
+					t.Fatal(ferr)
+				}
+				run.Abandon()
+				if dies {
+					f.guards[0].ServerDied(run.Server)
+				}
+			}
+			if _, ferr := f.begin(t, 1, "x", false); ferr == nil || ferr.Code() != fault.Overloaded {
+				t.Errorf("soon after: got %v, want overloaded", ferr)
+			}
+			time.Sleep(4 * time.Second)
+			_, ferr := f.begin(t, 1, "x", false)
+			if refused := ferr != nil && ferr.Code() == fault.CrashLimit; refused != dies {
+				t.Errorf("later: got %v, servers died: %v", ferr, dies)
+			}
+		})
+	}
+}
