--- a/internal/conf/check/check.go
+++ b/internal/conf/check/check.go
@@ -90,10 +90,26 @@
 
 // invalid marks faults and orders them by path.
 func invalid(f []Fault) error {
-	slices.SortStableFunc(f, func(a, b Fault) int { return cmp.Compare(a.Path, b.Path) })
+	slices.SortStableFunc(f, func(a, b Fault) int { return comparePaths(a.Path, b.Path) })
 	return errors.Mark(&InvalidError{Faults: f}, ErrInvalid)
 }
 
+// comparePaths orders paths by their parts, and indices by number, so that $.hosts[2] comes before
+// $.hosts[10].
+func comparePaths(a, b string) int {
+	return slices.CompareFunc(pathParts(a), pathParts(b), func(x, y string) int {
+		if isIndex(x) && isIndex(y) {
+			return cmp.Or(cmp.Compare(len(x), len(y)), cmp.Compare(x, y))
+		}
+		return cmp.Compare(x, y)
+	})
+}
+
+// pathParts splits $.hosts[2].name into $, hosts, 2 and name.
+func pathParts(path string) []string {
+	return strings.FieldsFunc(path, func(r rune) bool { return r == '.' || r == '[' || r == ']' })
+}
+
 // schemaFaults returns the faults that the JSON Schema finds, one for each place.
 func (c *Checker) schemaFaults(value any) []Fault {
 	err := c.schema.Validate(value)
--- a/internal/conf/check/check_test.go
+++ b/internal/conf/check/check_test.go
@@ -111,6 +111,9 @@
 		}, []string{`$.calendars[0].time_zone: there is no time zone "Local"`}},
 		{"address without a host", func(d *schema.Document) { d.Hosts[0].Address = "0.0.0.0:80" }, []string{`$.hosts[0].address: "0.0.0.0:80" is not an IP and a port`}},
 		{"address with port 0", func(d *schema.Document) { d.Hosts[0].Address = "10.0.0.1:0" }, []string{`$.hosts[0].address: "10.0.0.1:0" is not an IP and a port`}},
+		{"order of the document", func(d *schema.Document) { d.Hosts[10].Address, d.Hosts[2].Address = "x", "x" }, []string{
+			`$.hosts[2].address: "x" is not an IP and a port`, `$.hosts[10].address: "x" is not an IP and a port`, `$.hosts[10].address: host "host-001-00" has the same address`,
+		}},
 		{"several faults at once", func(d *schema.Document) { d.Groups[0].Model = "other"; d.DataCentres[0].Region = "north" }, []string{
 			`$.data_centres[0].region: there is no region "north"`, `$.groups[0].model: there is no model "other"`,
 		}},
--- a/internal/conf/delta/delta_test.go
+++ b/internal/conf/delta/delta_test.go
@@ -12,6 +12,7 @@
 	return &schema.Document{
 		Regions:     []schema.Region{{Name: "r"}},
 		DataCentres: []schema.DataCentre{{Name: "a", Region: "r", InService: true}, {Name: "b", Region: "r", InService: true}},
+		Distances:   []schema.Distance{{From: "a", To: "b", OneWayUs: 5}},
 	}
 }
 
@@ -28,6 +29,9 @@
 		{"inserted first", func(d *schema.Document) {
 			d.DataCentres = append([]schema.DataCentre{{Name: "0", Region: "r"}}, d.DataCentres...)
 		}, `[{$.data_centres[0]  {"in_service":false,"name":"0","region":"r"}}]`},
+		{"inserted first, without a name", func(d *schema.Document) {
+			d.Distances = []schema.Distance{{From: "a", To: "c"}, {From: "a", To: "b", OneWayUs: 6}}
+		}, `[{$.distances[a~b].one_way_us 5 6} {$.distances[a~c]  {"from":"a","one_way_us":0,"to":"c"}}]`},
 		{"removed", func(d *schema.Document) { d.DataCentres = d.DataCentres[1:] }, `[{$.data_centres[a] {"in_service":true,"name":"a","region":"r"} }]`},
 	}
 	for _, tt := range tests {
--- a/internal/conf/delta/merge_test.go
+++ b/internal/conf/delta/merge_test.go
@@ -34,7 +34,7 @@
 		{"they remove what I change", setB(false), func(d *schema.Document) { d.DataCentres = d.DataCentres[:1] }, "[{true a r} {false b r}]", 1},
 		{"I remove what they change", func(d *schema.Document) { d.DataCentres = d.DataCentres[:1] }, setB(false), "[{true a r}]", 1},
 		{"only they change", func(*schema.Document) {}, setB(false), "[{true a r} {false b r}]", 0},
-		{"optional list", func(d *schema.Document) { d.Distances = []schema.Distance{{From: "a", To: "b"}} }, setB(false), "[{true a r} {false b r}]", 0},
+		{"optional list", func(d *schema.Document) { d.Calendars = []schema.Calendar{{Name: "a"}} }, setB(false), "[{true a r} {false b r}]", 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -49,8 +49,8 @@
 			if got := fmt.Sprint(merged.DataCentres); got != tt.want {
 				t.Errorf("got %s, want %s", got, tt.want)
 			}
-			if len(merged.Distances) != len(mine.Distances) {
-				t.Errorf("%d distances, want %d", len(merged.Distances), len(mine.Distances))
+			if len(merged.Calendars) != len(mine.Calendars) {
+				t.Errorf("%d calendars, want %d", len(merged.Calendars), len(mine.Calendars))
 			}
 			m, _ := delta.Documents(document(), mine)
 			th, _ := delta.Documents(document(), theirs)
@@ -92,15 +92,3 @@
 		t.Errorf("two added keys touch the same place: %v, %v", mine, theirs)
 	}
 }
-
-// Guards against an inserted distance that is shown as a change of all distances after it.
-func TestIdentityWithoutName(t *testing.T) {
-	t.Parallel()
-	from, to := document(), document()
-	from.Distances = []schema.Distance{{From: "a", To: "b", OneWayUs: 5}}
-	to.Distances = []schema.Distance{{From: "a", To: "c", OneWayUs: 7}, {From: "a", To: "b", OneWayUs: 6}}
-	got, err := delta.Documents(from, to)
-	if err != nil || len(got) != 2 || got[0].Path != "$.distances[a~b].one_way_us" || got[1].Path != "$.distances[a~c]" {
-		t.Errorf("got %v, %v", got, err)
-	}
-}
--- a/internal/node/admin/admin.go
+++ b/internal/node/admin/admin.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"geraniumhollow/internal/conf/apply"
@@ -116,7 +117,7 @@
 	}
 	s := &Server{Deps: d, ctx: ctx, checker: checker, parts: parts, login: login}
 	s.srv = &fasthttp.Server{
-		Handler:               secured(s.routes().Handler),
+		Handler:               secured(s.recovered(s.routes().Handler)),
 		ErrorHandler:          securedError(s.malformed),
 		ReadBufferSize:        maxHeaderBytes,
 		MaxRequestBodySize:    maxOpenBytes,
@@ -171,6 +172,22 @@
 	writeProblem(rc, problem(http.StatusBadRequest, "bad_request", "the request could not be read", ""))
 }
 
+// recovered keeps a fault in one page from ending the node, and all of its streams, since fasthttp does
+// not recover from panics.
+func (s *Server) recovered(next fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(rc *fasthttp.RequestCtx) {
+		defer func() {
+			if p := recover(); p != nil {
+				s.Log.Error("operators' request panicked", "panic", p, "stack", string(debug.Stack()))
+				rc.Response.Reset()
+				writeProblem(rc, problem(http.StatusInternalServerError, CodeInternal,
+					"the request could not be answered", "The log of the node has the reason."))
+			}
+		}()
+		next(rc)
+	}
+}
+
 // bodyLimit lets only those send large bodies whose key or session is valid.
 func (s *Server) bodyLimit(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
 	limit := maxOpenBytes
--- a/internal/node/admin/api_test.go
+++ b/internal/node/admin/api_test.go
@@ -133,6 +133,10 @@
 			t.Errorf("%s: status %d, want %d", path, got, want)
 		}
 	}
+	n.broken.Store(true)
+	if got := n.api("GET", admin.PathFleet, nil, nil); got != http.StatusInternalServerError {
+		t.Errorf("after a panic: status %d", got)
+	}
 }
 
 // Guards against access without the operator key, and against a key check that keeps probes out.
@@ -205,25 +209,15 @@
 		"POST /login HTTP/1.1\r\nAuthorization: Bearer " + operatorKey + "\r\nContent-Length: 20000",
 		"POST /changes/confirm HTTP/1.1\r\nCookie: " + cookie + "\r\nContent-Length: 3000000",
 	} {
-		if status := sendHead(t, n, head); status != http.StatusRequestEntityTooLarge {
-			t.Errorf("%q: status %d", head, status)
+		c, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", u.Host)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = c.Write([]byte(head + "\r\nHost: a\r\n\r\n"))
+		line, err := bufio.NewReader(c).ReadString('\n')
+		if !strings.Contains(line, " 413 ") {
+			t.Errorf("%q: answer %q, %v", head, line, err)
 		}
+		_ = c.Close()
 	}
 }
-
-// sendHead sends the head of a request without its body and returns the status of the answer.
-func sendHead(t *testing.T, n *node, head string) int {
-	t.Helper()
-	c, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", strings.TrimPrefix(n.url, "http://"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = c.Close() }()
-	_, _ = c.Write([]byte(head + "\r\nHost: a\r\n\r\n"))
-	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	_ = resp.Body.Close()
-	return resp.StatusCode
-}
--- a/internal/node/admin/pages.go
+++ b/internal/node/admin/pages.go
@@ -32,6 +32,7 @@
 	funcs := template.FuncMap{
 		"when":  func(t time.Time) string { return t.UTC().Format("2006-01-02 15:04:05 UTC") },
 		"label": label,
+		"under": func(path, prefix string) bool { return path == prefix || strings.HasPrefix(path, prefix+"/") },
 		"style": func() string { return stylePath },
 		"carry": func(token string, e any) any { return carriedEdit{Token: token, Edit: e} },
 		"dict": func(fields []field, names suggestions, action string) any {
@@ -66,8 +67,10 @@
 
 // page is what every template gets.
 type page struct {
-	Title  string
-	Node   string
+	Title string
+	Node  string
+	// Path is that of the request; it marks the part that the navigation has open.
+	Path   string
 	Author string
 	Token  string
 	Parts  []part
@@ -201,7 +204,7 @@
 }
 
 func (s *Server) render(rc *fasthttp.RequestCtx, status int, name string, p page) {
-	p.Node, p.Parts = s.Node.Status().Node, s.parts
+	p.Node, p.Parts, p.Path = s.Node.Status().Node, s.parts, string(rc.Path())
 	var buf bytes.Buffer
 	if err := templates[name].ExecuteTemplate(&buf, "layout", p); err != nil {
 		s.Log.Error("page not rendered", "page", name, "error", err)
--- a/internal/node/admin/pages_test.go
+++ b/internal/node/admin/pages_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/url"
 	"regexp"
@@ -46,6 +47,24 @@
 	if want := 1 + 1 + 3 + 3 + 3 + 12 + 1 + 6 + 1 + 10 + 1 + 1 + 1; len(pages) != want {
 		t.Errorf("%d forms, want %d", len(pages), want)
 	}
+	expectUnchanged(t, b, pages)
+	// The same with every optional field present, some at their defaults, and odd characters.
+	doc := document()
+	doc.Regions[0].IsolationPolicy = schema.RegionIsolationPolicyServeLocal
+	doc.Models[0].Adapters[0] = `a&"<b>'`
+	doc.Services[0].Routes[0].PathPrefix, doc.Services[0].Routes[0].TimeoutMs = `/"&<%20>`, 30_000
+	doc.Services[0].Backends[0].OutOfService, doc.Groups[0].OutOfService = true, true
+	doc.Accounts[0].TokensPerSecond, doc.Accounts[0].KeyHashes = 1e9, []string{}
+	doc.Limits = doc.Limits.WithDefaults()
+	doc.Targets[0].TermStartGroups, doc.Objectives[0].Quantile, doc.Objectives[0].BetweenTokensMs = 2, 0.999999, 36
+	if status, p := n.apply(1, doc); status != http.StatusOK {
+		t.Fatalf("second document: %v", p)
+	}
+	expectUnchanged(t, b, pages)
+}
+
+func expectUnchanged(t *testing.T, b *browser, pages []string) {
+	t.Helper()
 	for _, path := range pages {
 		part := strings.Split(path, "/")[2]
 		action := "/parts/" + part + "/preview"
@@ -96,9 +115,7 @@
 			preview := b.get(tt.path)
 			if tt.action != "" {
 				f := preview.form(t, tt.action)
-				for k, v := range tt.fill {
-					f[k] = v
-				}
+				maps.Copy(f, tt.fill)
 				preview = b.post(tt.action, f)
 			}
 			preview.expect(t, http.StatusOK, tt.shown...)
@@ -162,7 +179,7 @@
 		n.apply(base, doc)
 	}
 	b := n.login("Asta")
-	b.get("/parts/hosts").expect(t, http.StatusOK, "1 to 100 of 162", "from=101")
+	b.get("/parts/hosts").expect(t, http.StatusOK, "1 to 100 of 162", "from=101", `href="/parts/hosts" aria-current="page"`)
 	b.get("/parts/hosts?from=101").expect(t, http.StatusOK, "101 to 162 of 162", "spare-149", "from=1")
 	b.get("/parts/hosts?q=SPARE-14").expect(t, http.StatusOK, "1 to 10 of 10")
 	b.get("/parts/hosts?q=herning").expect(t, http.StatusOK, "1 to 4 of 4")
@@ -202,12 +219,11 @@
 	const action = "/parts/accounts/preview"
 	f := b.get("/parts/accounts/edit?id=account-00").form(t, action)
 	f.Set("action", "new_key")
-	good := f.Get("f.share")
-	f.Set("f.share", "0")
-	if hashes := b.post(action, f).form(t, action).Get("f.key_hashes"); strings.Contains(strings.TrimSpace(hashes), "\n") {
+	bad := maps.Clone(f)
+	bad.Set("f.share", "0")
+	if hashes := b.post(action, bad).form(t, action).Get("f.key_hashes"); strings.Contains(strings.TrimSpace(hashes), "\n") {
 		t.Errorf("a key that was never shown stays in the form: %q", hashes)
 	}
-	f.Set("f.share", good)
 	preview := b.post(action, f)
 	key := match(regexp.MustCompile(`<code class="key">([^<]+)</code>`), preview.body)
 	done := b.post(confirmAction, preview.form(t, confirmAction))
@@ -339,10 +355,7 @@
 	b, colleague := n.login("Asta"), n.login("Bo")
 	confirm := b.get("/parts/data_centres/switch?id=vejle").form(t, confirmAction)
 	with := func(key, value string) url.Values {
-		f := url.Values{}
-		for k, v := range confirm {
-			f[k] = v
-		}
+		f := maps.Clone(confirm)
 		f.Set(key, value)
 		return f
 	}
@@ -369,9 +382,7 @@
 	}
 	for _, tt := range tests {
 		h := map[string]string{"Content-Type": "application/x-www-form-urlencoded"}
-		for k, v := range tt.header {
-			h[k] = v
-		}
+		maps.Copy(h, tt.header)
 		a := tt.b.do("POST", confirmAction, strings.NewReader(tt.form.Encode()), h)
 		if a.status != tt.status || tt.status == 200 && a.path != "/login" {
 			t.Errorf("%s: status %d at %s, want %d", tt.name, a.status, a.path, tt.status)
--- a/internal/node/admin/site_test.go
+++ b/internal/node/admin/site_test.go
@@ -40,10 +40,18 @@
 	configs  *apply.Store
 	view     atomic.Pointer[view.View]
 	cut      atomic.Bool
+	broken   atomic.Bool
 	hold     *holdingTable
 	*admin.Local
 }
 
+func (n *node) Fleet(ctx context.Context) []admin.NodeStatus {
+	if n.broken.Load() {
+		panic("broken fleet")
+	}
+	return n.Local.Fleet(ctx)
+}
+
 func (n *node) MayCommit() error {
 	if n.cut.Load() {
 		return errors.New("hears 1 of 6 nodes")
@@ -99,10 +107,7 @@
 		t.Fatal(err)
 	}
 	accepted(e)
-	hash := ""
-	if key != "" {
-		hash = view.HashKey(key)
-	}
+	hash := map[string]string{operatorKey: view.HashKey(operatorKey)}[key]
 	ctx, cancel := context.WithCancel(t.Context())
 	srv, err := admin.New(ctx, admin.Deps{
 		Log: hclog.NewNullLogger(), Configs: n.configs, View: n.view.Load, Node: n, Metrics: metric.New().Handler(),
--- a/internal/node/tool/tool_test.go
+++ b/internal/node/tool/tool_test.go
@@ -12,7 +12,6 @@
 
 	"geraniumhollow/internal/bench/site"
 	"geraniumhollow/internal/conf/apply"
-	"geraniumhollow/internal/conf/schema"
 	"geraniumhollow/internal/conf/view"
 	"geraniumhollow/internal/core/tasks"
 	"geraniumhollow/internal/fake/store"
@@ -52,20 +51,12 @@
 	return f.Store.Commit(ctx, txn)
 }
 
-// node is what the commands of a script act on.
-type node struct {
-	table   *faultyTable
-	configs *apply.Store
-	view    atomic.Pointer[view.View]
-}
-
-func (n *node) accept(e apply.Entry) { n.view.Store(view.New(e.Version, e.Document)) }
-
 // start runs a node's operators' address and writes its document to the script's directory.
 func start(env *testscript.Env) error {
-	n := &node{table: &faultyTable{Store: store.New()}}
-	n.configs = apply.New(n.table, time.Now)
-	n.view.Store(view.New(0, &schema.Document{}))
+	tb := &faultyTable{Store: store.New()}
+	configs := apply.New(tb, time.Now)
+	var current atomic.Pointer[view.View]
+	accept := func(e apply.Entry) { current.Store(view.New(e.Version, e.Document)) }
 	ctx, cancel := context.WithCancel(context.Background())
 	g := tasks.New(ctx)
 	env.Defer(func() {
@@ -73,16 +64,16 @@
 		_ = g.Wait()
 	})
 	doc := site.Strygekurv().WithRunners(0).Document(site.Addresses{Instances: []string{"10.0.0.1:80"}})
-	e, err := n.configs.Commit(ctx, 0, "first", doc)
+	e, err := configs.Commit(ctx, 0, "first", doc)
 	if err != nil {
 		return err
 	}
-	n.accept(e)
+	accept(e)
 	reasons := reason.New(10, time.Now)
 	reasons.Add(reason.Route, "presse-lm-000", "closed", "a member is missing", reason.Name("host", "host-000-01"), reason.Int("age_ms", 3100))
 	srv, err := admin.New(ctx, admin.Deps{
-		Log: hclog.NewNullLogger(), Configs: n.configs, View: n.view.Load, Metrics: metric.New().Handler(), Reasons: reasons,
-		Node: admin.NewLocal("node-0", "vejle", n.view.Load, n.accept), KeyHash: view.HashKey(operatorKey), Now: time.Now,
+		Log: hclog.NewNullLogger(), Configs: configs, View: current.Load, Metrics: metric.New().Handler(), Reasons: reasons,
+		Node: admin.NewLocal("node-0", "vejle", current.Load, accept), KeyHash: view.HashKey(operatorKey), Now: time.Now,
 	})
 	if err != nil {
 		return err
@@ -92,7 +83,7 @@
 		return err
 	}
 	g.Go("operators", func(ctx context.Context) error { return srv.Serve(ctx, ln) })
-	env.Values["node"] = n
+	env.Values["table"] = tb
 	env.Setenv("GERANIUMHOLLOW_OPERATOR_ADDRESS", ln.Addr().String())
 	env.Setenv("GERANIUMHOLLOW_OPERATOR_KEY", operatorKey)
 	env.Setenv("GERANIUMHOLLOW_AUTHOR", "Asta")
@@ -105,14 +96,14 @@
 
 // faults lets a script change the table: down, up, lose, swallow.
 func faults(ts *testscript.TestScript, _ bool, args []string) {
-	n, _ := ts.Value("node").(*node)
+	tb, _ := ts.Value("table").(*faultyTable)
 	switch args[0] {
 	case "down", "up":
-		n.table.SetDown(args[0] == "down")
+		tb.SetDown(args[0] == "down")
 	case "lose":
-		n.table.LoseAnswers(1)
+		tb.LoseAnswers(1)
 	case "swallow":
-		n.table.swallow.Store(true)
+		tb.swallow.Store(true)
 	default:
 		ts.Fatalf("unknown fault %q", args[0])
 	}
