--- a/cmd/geraniumhollow/main.go
+++ b/cmd/geraniumhollow/main.go
@@ -19,8 +19,9 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	app := &cli.Command{
-		Name:  "geraniumhollow",
-		Usage: "serve large models whose replicas span several hosts",
+		Name:   "geraniumhollow",
+		Usage:  "serve large models whose replicas span several hosts",
+		Action: tool.Group,
 		Commands: append([]*cli.Command{
 			serve.Command(),
 			demo.Command(),
--- a/internal/node/tool/config.go
+++ b/internal/node/tool/config.go
@@ -29,7 +29,7 @@
 
 func configCommand() *cli.Command {
 	return &cli.Command{
-		Name: "config", Usage: "validate, apply and show the configuration",
+		Name: "config", Usage: "validate, apply and show the configuration", Action: Group,
 		Commands: []*cli.Command{validateCommand(), applyCommand(), showCommand(), historyCommand(), configStatusCommand()},
 	}
 }
--- a/internal/node/tool/tool.go
+++ b/internal/node/tool/tool.go
@@ -102,5 +102,27 @@
 
 // Commands returns the subcommands config, status and explain.
 func Commands() []*cli.Command {
-	return []*cli.Command{configCommand(), statusCommand(), explainCommand()}
+	list := []*cli.Command{configCommand(), statusCommand(), explainCommand()}
+	reportUsage(list)
+	return list
+}
+
+// reportUsage gives wrong flags the exit code of usage errors.
+func reportUsage(list []*cli.Command) {
+	for _, c := range list {
+		c.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error { return usagef("%v", err) }
+		reportUsage(c.Commands)
+	}
+}
+
+// Group is the action of a command that only has subcommands: it shows them, or names the one that does
+// not exist. Without it, the command line library ends the process with code 3, which is ExitInvalid.
+func Group(_ context.Context, c *cli.Command) error {
+	if c.Args().Present() {
+		return usagef("%s has no command %q", c.FullName(), c.Args().First())
+	}
+	if err := cli.ShowSubcommandHelp(c); err != nil {
+		return errors.Newf("show help: %w", err)
+	}
+	return nil
 }
