Announce a commit to half of the fleet before it is made

Hearing leaves no trace: a committer that is cut off with the table right after its commit leaves a majority that serves the old configuration.

Change: a commit is announced first (commit_notice) and needs the note of half of the fleet. A node that knows of a version or a notice above its own tells its peers in its heartbeats, and neither it nor they are in store_down.

The contract test covers a commit whose committer is cut off at once.

--- a/internal/bench/spread/mix.go
+++ b/internal/bench/spread/mix.go
@@ -53,16 +53,20 @@
 	list    []hosts.Host
 	waiting []mixEvent
 	commits []time.Time
-	// gaps counts moments at which a node in store_down lacked a change older than the bound.
-	gaps int
+	notices int
+	// restarts lets nodes restart, which forgets the notices of commits. gaps counts the steps at
+	// which a node in store_down then lacked a change older than the bound.
+	restarts bool
+	gaps     int
 }
 
 // Interleave runs one random interleaving of heartbeats, documents, reads, commits, pauses, restarts
 // and outages over three nodes' roster and watch. It returns an error marked ErrRuleBroken when a
-// version goes down in a node, or when a node is current without a change that was accepted more
-// than watch.Bound ago. The number is that of steps in which a node in store_down lacked one.
-func Interleave(draw Draw) (int, error) {
-	m := &mix{draw: draw, now: time.Unix(1_000_000, 0), commits: []time.Time{{}}}
+// version goes down in a node, or when a node serves without a change that was accepted more than
+// watch.Bound ago. With restarts, which forget the notices of commits, that may happen in store_down;
+// the number is that of steps in which it did.
+func Interleave(draw Draw, restarts bool) (int, error) {
+	m := &mix{draw: draw, restarts: restarts, now: time.Unix(1_000_000, 0), commits: []time.Time{{}}}
 	for i := range mixNodes {
 		name := fmt.Sprintf("n%d", i)
 		m.list = append(m.list, hosts.Host{Name: name, Kind: hosts.Entry, State: hosts.Live, DataCentre: "dc"})
@@ -109,16 +113,39 @@
 	case 2:
 		n.storeUp = !n.storeUp
 	case 3:
-		if m.draw(4) == 0 {
+		if m.restarts && m.draw(4) == 0 {
 			m.restart(m.index(n.name))
 		}
 	default:
-		if n.storeUp && !n.paused && n.roster.MayCommit(m.now) {
+		if n.storeUp && !n.paused && n.roster.MayCommit(m.now) && m.announce(n) {
 			m.commits = append(m.commits, m.now)
 		}
 	}
 }
 
+// announce tells a random part of the fleet of the next commit and reports whether it is made: half
+// of the fleet has noted it, and the commit does not fail. One that fails may be withdrawn.
+func (m *mix) announce(n *mixNode) bool {
+	m.notices++
+	key := fmt.Sprint(m.notices)
+	noted := 0
+	for _, other := range m.nodes {
+		if other == n || (!other.paused && m.draw(2) == 0) {
+			other.watch.Noticed(m.now, key, m.current()+1)
+			noted++
+		}
+	}
+	if 2*noted >= len(m.nodes) && m.draw(4) > 0 {
+		return true
+	}
+	for _, other := range m.nodes {
+		if m.draw(2) == 0 {
+			other.watch.Withdrawn(key)
+		}
+	}
+	return false
+}
+
 func (m *mix) restart(i int) {
 	n := m.nodes[i]
 	n.start++
@@ -141,7 +168,9 @@
 	if n.paused {
 		return
 	}
-	sends, probes := n.roster.Tick(m.now, roster.Own{Version: n.watch.Version(), Vouched: n.watch.Vouched()})
+	sends, probes := n.roster.Tick(m.now, roster.Own{
+		Version: n.watch.Version(), Vouched: n.watch.Vouched(), Next: n.watch.Next(),
+	})
 	for _, s := range sends {
 		beat := s.Beat
 		m.post(mixEvent{from: i, to: m.index(s.To), beat: &beat})
@@ -235,12 +264,13 @@
 		if n.paused || v >= due {
 			continue
 		}
-		switch n.watch.Mode(m.now, n.roster.Heard(m.now), n.roster.Size()) {
-		case watch.Current:
-			return errors.Newf("%s is current with version %d, %d is due: %w", n.name, v, due, ErrRuleBroken)
-		case watch.StoreDown:
+		mode := n.watch.Mode(m.now, n.roster.Heard(m.now), n.roster.Size(), n.roster.Next(m.now))
+		switch {
+		case mode == watch.Isolated:
+		case mode == watch.StoreDown && m.restarts:
 			m.gaps++
-		case watch.Isolated:
+		default:
+			return errors.Newf("%s is %s with version %d, %d is due: %w", n.name, mode, v, due, ErrRuleBroken)
 		}
 	}
 	return nil
--- a/internal/conf/watch/watch.go
+++ b/internal/conf/watch/watch.go
@@ -11,6 +11,7 @@
 package watch
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -28,6 +29,9 @@
 	// offerWait is how long an offered document is waited for before it is asked for: most are on
 	// their way already.
 	offerWait = 200 * time.Millisecond
+	// NoticeLimit is how long after its notice a commit may take effect. A vouch from after that
+	// shows that the commit did not happen.
+	NoticeLimit = 10 * time.Second
 	// claimMargin keeps a node out of isolation when the store goes down: its own age runs ahead of
 	// what its peers state by the time of a message, and passes Bound first.
 	claimMargin = time.Second
@@ -36,6 +40,9 @@
 // maxSources bounds the peers that are remembered as having a wanted version.
 const maxSources = 4
 
+// maxNotices bounds the announced commits that are remembered.
+const maxNotices = 64
+
 // Mode says what a node may do.
 type Mode string
 
@@ -87,12 +94,20 @@
 	reading bool
 	readAt  time.Time
 	refresh bool
+	// notices are the commits that were announced to this node and are open.
+	notices map[string]notice
 	// claimed is the youngest vouch that a peer has stated, whether or not it could be proved.
 	claimed time.Time
 }
 
+// notice is a commit that was announced.
+type notice struct {
+	version uint64
+	at      time.Time
+}
+
 // New returns a watch without a version.
-func New() *Watch { return &Watch{} }
+func New() *Watch { return &Watch{notices: make(map[string]notice)} }
 
 // Version returns the version in force, 0 for none.
 func (w *Watch) Version() uint64 { return w.version }
@@ -105,6 +120,9 @@
 
 // vouch takes the statement that the table's version was v at asOf.
 func (w *Watch) vouch(asOf time.Time, v uint64) {
+	maps.DeleteFunc(w.notices, func(_ string, n notice) bool {
+		return v < n.version && asOf.After(n.at.Add(NoticeLimit))
+	})
 	if v <= w.version {
 		if asOf.After(w.vouched) {
 			w.vouched = asOf
@@ -117,12 +135,44 @@
 	}
 }
 
-// Heard takes the version and the vouched age in a peer's heartbeat, however late it arrives.
+// Noticed notes that a node is about to commit version v; key names the notice. Until this node has
+// the version, or the notice is withdrawn, or a vouch shows that it was not committed, this node is
+// not in store_down, and tells its peers so: a commit that was announced to half of the fleet leaves
+// a trace in every majority. It reports false when there are too many notices to remember.
+func (w *Watch) Noticed(now time.Time, key string, v uint64) bool {
+	if v <= w.version {
+		return true
+	}
+	if len(w.notices) >= maxNotices {
+		return false
+	}
+	w.notices[key] = notice{version: v, at: now}
+	return true
+}
+
+// Withdrawn notes that an announced commit had no effect.
+func (w *Watch) Withdrawn(key string) { delete(w.notices, key) }
+
+// Next returns the highest version above the own one that this node knows to exist or that was
+// announced, or 0.
+func (w *Watch) Next() uint64 {
+	next := w.wanted
+	for _, n := range w.notices {
+		next = max(next, n.version)
+	}
+	if next > w.version {
+		return next
+	}
+	return 0
+}
+
+// Heard takes the version and the vouched age in a peer's heartbeat, however late it arrives. An age
+// of 0 says that the peer has no vouch.
 func (w *Watch) Heard(now time.Time, from string, v uint64, age time.Duration) {
 	if v == 0 {
 		return
 	}
-	if at := now.Add(-age); at.After(w.claimed) {
+	if at := now.Add(-age); age > 0 && at.After(w.claimed) {
 		w.claimed = at
 	}
 	w.Offered(now, from, v)
@@ -168,6 +218,7 @@
 		return false
 	}
 	w.version = v
+	maps.DeleteFunc(w.notices, func(_ string, n notice) bool { return n.version <= v })
 	if w.wanted <= v {
 		if w.wantedAsOf.After(w.vouched) {
 			w.vouched = w.wantedAsOf
@@ -211,15 +262,16 @@
 // Age returns the vouched age, very large when there is no vouch.
 func (w *Watch) Age(now time.Time) time.Duration { return now.Sub(w.vouched) }
 
-// Mode returns what the node may do while it hears so many nodes of a fleet, itself included.
-func (w *Watch) Mode(now time.Time, heard, size int) Mode {
+// Mode returns what the node may do while it hears so many nodes of a fleet, itself included, and
+// next is the highest version that one of them knows to exist or to have been announced.
+func (w *Watch) Mode(now time.Time, heard, size int, next uint64) Mode {
 	switch {
 	case w.version == 0:
 		return Isolated
 	case w.Age(now) <= Bound:
 		return Current
-	case w.wanted > w.version, now.Sub(w.claimed) <= Bound-claimMargin:
-		// A newer version exists, or the table answers a node that this one hears.
+	case max(next, w.Next()) > w.version, now.Sub(w.claimed) <= Bound-claimMargin:
+		// A newer version exists or may, or the table answers a node that this one hears.
 		return Isolated
 	case 2*heard > size:
 		return StoreDown
--- a/internal/conf/watch/watch_test.go
+++ b/internal/conf/watch/watch_test.go
@@ -9,16 +9,18 @@
 	"pgregory.net/rapid"
 )
 
-// Guards against a version that goes down, and against a node that serves as current without a
-// change that was accepted more than 4 s ago, under any order and delay of messages.
+// Guards against a version that goes down, and against a node that serves without a change that was
+// accepted more than 4 s ago, under any order and delay of messages.
 func TestInterleavings(t *testing.T) {
 	t.Parallel()
-	rapid.Check(t, func(t *rapid.T) {
-		draw := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "draw") }
-		if _, err := spread.Interleave(draw); err != nil {
-			t.Fatal(err)
-		}
-	})
+	for _, restarts := range []bool{false, true} {
+		rapid.Check(t, func(t *rapid.T) {
+			draw := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "draw") }
+			if _, err := spread.Interleave(draw, restarts); err != nil {
+				t.Fatal(err)
+			}
+		})
+	}
 }
 
 // at is a time in milliseconds after the start of a test.
@@ -54,6 +56,23 @@
 			w.Loaded(3)
 			w.VouchedBy(at(4000), 4)
 		}, 4100, 6, watch.Isolated},
+		{"a commit was announced", func(w *watch.Watch) {
+			w.Read(at(0), 3)
+			w.Loaded(3)
+			w.Noticed(at(0), "n", 4)
+		}, 4001, 6, watch.Isolated},
+		{"an announced commit was withdrawn", func(w *watch.Watch) {
+			w.Read(at(0), 3)
+			w.Loaded(3)
+			w.Noticed(at(0), "n", 4)
+			w.Withdrawn("n")
+		}, 4001, 6, watch.StoreDown},
+		{"the announced commit did not happen", func(w *watch.Watch) {
+			w.Read(at(0), 3)
+			w.Loaded(3)
+			w.Noticed(at(0), "n", 4)
+			w.Read(at(10_001), 3)
+		}, 14_002, 6, watch.StoreDown},
 		{"it helps once the version is there", func(w *watch.Watch) {
 			w.Read(at(0), 3)
 			w.Loaded(3)
@@ -66,7 +85,7 @@
 			t.Parallel()
 			w := watch.New()
 			tt.prep(w)
-			if got := w.Mode(at(tt.now), tt.heard, 6); got != tt.want {
+			if got := w.Mode(at(tt.now), tt.heard, 6, 0); got != tt.want {
 				t.Errorf("got %s, want %s", got, tt.want)
 			}
 		})
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -40,6 +40,9 @@
 	forgetAfter = 10 * time.Minute
 )
 
+// minAge is the smallest age in a heartbeat, where 0 means that there is no vouch.
+const minAge = time.Millisecond
+
 // Probers is the number of nodes that are asked whether they reach a silent one.
 const Probers = 2
 
@@ -76,11 +79,13 @@
 	Hold     time.Duration
 	Relation Relation
 	Version  uint64
-	// Age is the vouched age of the version.
+	// Age is the vouched age of the version; 0 means that the sender has no vouch.
 	Age   time.Duration
 	Drain string
 	Heard int
 	Fleet int
+	// Next is the highest version that the sender or a node behind it knows of but does not have.
+	Next uint64
 }
 
 // Own is what a node's heartbeats say of itself.
@@ -89,6 +94,8 @@
 	// Vouched is when the table last confirmed the version; zero for never.
 	Vouched time.Time
 	Drain   string
+	// Next is the highest version that the node knows of but does not have, or 0.
+	Next uint64
 }
 
 // Send is an order to send a heartbeat.
@@ -267,7 +274,7 @@
 	if sent.After(m.echoed) {
 		m.echoed = sent
 	}
-	if b.Version == 0 || b.Hold < 0 || b.Age < 0 {
+	if b.Version == 0 || b.Hold < 0 || b.Age <= 0 {
 		return time.Time{}, false
 	}
 	return sent.Add(b.Hold - b.Age), true
@@ -327,7 +334,7 @@
 		if !m.due(now, own.Vouched) {
 			continue
 		}
-		sends = append(sends, Send{To: name, Beat: m.next(now, own, rel, heard, fleet)})
+		sends = append(sends, Send{To: name, Beat: m.next(now, own, rel, heard, fleet, r.nextFor(now, own.Next, rel))})
 	}
 	return sends, probes
 }
@@ -360,20 +367,18 @@
 }
 
 // next makes the next heartbeat to a node.
-func (m *member) next(now time.Time, own Own, rel Relation, heard, fleet int) Beat {
+func (m *member) next(now time.Time, own Own, rel Relation, heard, fleet int, next uint64) Beat {
 	m.seq++
 	m.sentAt[m.seq%beatsKept] = now
 	m.lastSent = now
 	m.vouched = own.Vouched
 	m.answer = false
-	b := Beat{Seq: m.seq, Relation: rel, Version: own.Version, Drain: own.Drain}
+	b := Beat{Seq: m.seq, Relation: rel, Version: own.Version, Drain: own.Drain, Next: next}
 	if m.beat.Seq > 0 {
 		b.Echo, b.Hold = m.beat.Seq, now.Sub(m.heard)
 	}
-	if own.Vouched.IsZero() {
-		b.Version = 0
-	} else {
-		b.Age = now.Sub(own.Vouched)
+	if !own.Vouched.IsZero() {
+		b.Age = max(now.Sub(own.Vouched), minAge)
 	}
 	switch rel {
 	case Parent, Root:
@@ -468,6 +473,33 @@
 	return min(subtree, size), min(max(subtree+across, fromParent), size)
 }
 
+// Next returns the highest version that a node that this one hears knows of but does not have.
+func (r *Roster) Next(now time.Time) uint64 {
+	next := uint64(0)
+	for _, m := range r.members {
+		if m.counts(now) {
+			next = max(next, m.beat.Next)
+		}
+	}
+	return next
+}
+
+// nextFor returns the announced version to tell a neighbour: the own one, and in the tree also those
+// of the nodes behind this one as the neighbour sees it, as with the counts.
+func (r *Roster) nextFor(now time.Time, own uint64, to Relation) uint64 {
+	next := own
+	for _, m := range r.members {
+		if !m.counts(now) {
+			continue
+		}
+		// The relation in a heartbeat is what this node is to the sender.
+		if from := m.beat.Relation; from == Parent || (to == Child && (from == Child || from == Root)) {
+			next = max(next, m.beat.Next)
+		}
+	}
+	return next
+}
+
 // Heard returns the number of nodes heard in the fleet, this node included.
 func (r *Roster) Heard(now time.Time) int {
 	_, fleet := r.counts(now)
--- a/internal/node/peers/peers.go
+++ b/internal/node/peers/peers.go
@@ -89,6 +89,8 @@
 	drain  string
 	links  []string
 	mode   watch.Mode
+	// notices counts the announcements of this node.
+	notices atomic.Int64
 	// currentUntil is the end of the mode current, as time since base; it only grows.
 	base         time.Time
 	currentUntil atomic.Int64
@@ -121,6 +123,7 @@
 	peer.On(p.net, func(from peer.Peer, m *frame.ConfigDocument) { p.received(from.Node, m) })
 	peer.OnAsk(p.net, p.document)
 	peer.OnAsk(p.net, p.probe)
+	peer.OnAsk(p.net, p.noticed)
 	return p
 }
 
@@ -169,7 +172,7 @@
 		Version: p.watch.Version(),
 		Age:     p.watch.Age(now),
 		Vouched: !p.watch.Vouched().IsZero(),
-		Mode:    p.watch.Mode(now, heard, size),
+		Mode:    p.watch.Mode(now, heard, size, p.roster.Next(now)),
 		Heard:   heard,
 		Size:    size,
 		Members: p.roster.Members(),
@@ -188,7 +191,7 @@
 
 // modeNow returns the mode and logs a change. p.mu is held.
 func (p *Peers) modeNow(now time.Time) watch.Mode {
-	mode := p.watch.Mode(now, p.roster.Heard(now), p.roster.Size())
+	mode := p.watch.Mode(now, p.roster.Heard(now), p.roster.Size(), p.roster.Next(now))
 	if mode == watch.Current {
 		p.currentUntil.Store(int64(p.watch.Vouched().Add(watch.Bound).Sub(p.base)))
 	}
@@ -200,14 +203,6 @@
 	return mode
 }
 
-// MayCommit is the commit rule: it reports whether this node hears enough of the fleet to accept a
-// change of the configuration.
-func (p *Peers) MayCommit() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.roster.MayCommit(time.Now())
-}
-
 // Refresh reads the version row at once. A node that has committed a change calls it, so that the
 // change does not wait for the next read of a data centre's reader.
 func (p *Peers) Refresh() {
@@ -297,7 +292,7 @@
 func (p *Peers) tick() {
 	p.mu.Lock()
 	now := time.Now()
-	own := roster.Own{Version: p.watch.Version(), Vouched: p.watch.Vouched(), Drain: p.drain}
+	own := roster.Own{Version: p.watch.Version(), Vouched: p.watch.Vouched(), Drain: p.drain, Next: p.watch.Next()}
 	sends, probes := p.roster.Tick(now, own)
 	actions := p.watch.Tick(now, p.roster.Reader() == p.cfg.Node)
 	links := p.roster.Links()
@@ -354,7 +349,7 @@
 	_ = p.net.Send(s.To, &frame.Heartbeat{
 		Seq: b.Seq, Echo: b.Echo, HoldMs: int(b.Hold.Milliseconds()),
 		Rel: frame.HeartbeatRel(b.Relation), Ver: int(b.Version), AgeMs: ceilMs(b.Age),
-		State: b.Drain, Heard: b.Heard, Fleet: b.Fleet,
+		Next: int(b.Next), State: b.Drain, Heard: b.Heard, Fleet: b.Fleet,
 	})
 }
 
@@ -363,13 +358,13 @@
 
 // heartbeat takes a heartbeat of a peer.
 func (p *Peers) heartbeat(from peer.Peer, m *frame.Heartbeat) {
-	if m.Ver < 0 || m.AgeMs < 0 || m.HoldMs < 0 {
+	if m.Ver < 0 || m.AgeMs < 0 || m.HoldMs < 0 || m.Next < 0 {
 		return
 	}
 	b := roster.Beat{
 		Seq: m.Seq, Echo: m.Echo, Hold: time.Duration(m.HoldMs) * time.Millisecond,
 		Relation: roster.Relation(m.Rel), Version: uint64(m.Ver), Age: time.Duration(m.AgeMs) * time.Millisecond,
-		Drain: m.State, Heard: m.Heard, Fleet: m.Fleet,
+		Drain: m.State, Heard: m.Heard, Fleet: m.Fleet, Next: uint64(m.Next),
 	}
 	p.mu.Lock()
 	now := time.Now()
--- a/internal/node/serve/serve_test.go
+++ b/internal/node/serve/serve_test.go
@@ -17,7 +17,9 @@
 	"geraniumhollow/internal/conf/flags"
 	"geraniumhollow/internal/conf/watch"
 	"geraniumhollow/internal/core/tasks"
+	"geraniumhollow/internal/node/peers"
 	"geraniumhollow/internal/node/serve"
+	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 )
 
@@ -206,8 +208,9 @@
 	s.eventually(2*bound, "isolated nodes", func() bool { return !cut[0].Ready() && !cut[1].Ready() })
 	s.commit(rest)
 	for _, c := range cut {
-		if !s.refused(c, "node_isolated") || c.Peers().MayCommit() {
-			t.Errorf("%s serves while it is cut off", c.cfg.NodeName)
+		_, err := c.Peers().Announce(context.Background(), s.version+1)
+		if !s.refused(c, "node_isolated") || !errors.Is(err, peers.ErrTooFew) {
+			t.Errorf("%s serves or commits while it is cut off: %v", c.cfg.NodeName, err)
 		}
 	}
 	for _, c := range cut {
@@ -234,6 +237,39 @@
 	}
 }
 
+// Guards against a majority that goes on with the old configuration when the only node that reaches
+// the table commits a change and is cut off at once.
+func TestCommitAndCut(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t)
+	first, rest := s.nodes[0], s.nodes[1:]
+	if _, err := first.Peers().Announce(context.Background(), s.version+1); err != nil {
+		t.Fatal(err)
+	}
+	for _, n := range rest {
+		n.platform.SetDown(true)
+		s.network.CutBoth(first.cfg.NodeName, n.cfg.NodeName, true)
+	}
+	s.commit([]*running{first})
+	time.Sleep(bound)
+	for end := time.Now().Add(bound); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		for _, n := range rest {
+			if n.Ready() {
+				t.Fatalf("%s serves behind a change, mode %s", n.cfg.NodeName, n.Peers().Mode())
+			}
+		}
+	}
+	rest[0].platform.SetDown(false)
+	s.eventually(bound, "the change on all", func() bool {
+		for _, n := range rest {
+			if n.View().Version != s.version || !n.Ready() {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // Guards against a node that serves an old version, or anything, before it knows the current one.
 func TestRestart(t *testing.T) {
 	t.Parallel()
--- a/internal/wire/frame/messages.gen.go
+++ b/internal/wire/frame/messages.gen.go
@@ -2,6 +2,25 @@
 
 package frame
 
+// CommitNoted answers a CommitNotice that the sender will remember.
+type CommitNoted struct {
+	// Ver corresponds to the JSON schema field "ver".
+	Ver int `json:"ver"`
+}
+
+// CommitNotice says that the sender is about to commit a version, or that it did
+// not.
+type CommitNotice struct {
+	// Number of the notice, unique for the sender's incarnation.
+	Id int `json:"id"`
+
+	// Ver corresponds to the JSON schema field "ver".
+	Ver int `json:"ver"`
+
+	// The commit is known to have had no effect.
+	Withdrawn bool `json:"withdrawn,omitempty,omitzero"`
+}
+
 // ConfigAsk asks for the document of a version or a newer one.
 type ConfigAsk struct {
 	// Lowest version that helps.
@@ -85,7 +104,8 @@
 
 // Heartbeat is sent once a second on every link that carries membership.
 type Heartbeat struct {
-	// Milliseconds since the table vouched for the version.
+	// Milliseconds since the table vouched for the version, at least 1; 0 without a
+	// vouch.
 	AgeMs int `json:"age_ms,omitempty,omitzero"`
 
 	// Number of the last heartbeat received from the other side.
@@ -100,6 +120,9 @@
 	// Milliseconds since that heartbeat was received.
 	HoldMs int `json:"hold_ms,omitempty,omitzero"`
 
+	// Highest version that the sender or a node behind it knows of but does not have.
+	Next int `json:"next,omitempty,omitzero"`
+
 	// What the receiver is to the sender in the topology.
 	Rel HeartbeatRel `json:"rel"`
 
@@ -164,6 +187,12 @@
 
 // Messages lists every message between nodes; the type itself is not sent.
 type Messages struct {
+	// CommitNoted corresponds to the JSON schema field "commit_noted".
+	CommitNoted *CommitNoted `json:"commit_noted,omitempty,omitzero"`
+
+	// CommitNotice corresponds to the JSON schema field "commit_notice".
+	CommitNotice *CommitNotice `json:"commit_notice,omitempty,omitzero"`
+
 	// ConfigAsk corresponds to the JSON schema field "config_ask".
 	ConfigAsk *ConfigAsk `json:"config_ask,omitempty,omitzero"`
 
