--- a/internal/node/serve/operators.go
+++ b/internal/node/serve/operators.go
@@ -4,9 +4,11 @@
 	"context"
 
 	"geraniumhollow/internal/conf/apply"
+	"geraniumhollow/internal/conf/schema"
 	"geraniumhollow/internal/fleet/drain"
 	"geraniumhollow/internal/fleet/roster"
 	"geraniumhollow/internal/node/admin"
+	"geraniumhollow/internal/plat/table"
 	"geraniumhollow/internal/report/metric"
 	"github.com/cockroachdb/errors"
 )
@@ -28,7 +30,7 @@
 // serveOperators answers the operators' address until ctx ends.
 func (n *Node) serveOperators(ctx context.Context, m *metric.Set) error {
 	srv, err := admin.New(ctx, admin.Deps{
-		Log: n.log.Named("admin"), Configs: n.configs, View: n.view.Load, Node: operators{node: n},
+		Log: n.log.Named("admin"), Configs: commits{Store: n.configs, node: n}, View: n.view.Load, Node: operators{node: n},
 		Reasons: n.reasons, Metrics: m.Handler(), KeyHash: n.cfg.OperatorKeyHash, Now: n.now,
 	})
 	if err != nil {
@@ -76,14 +78,37 @@
 
 // MayCommit implements admin.Node.
 func (o operators) MayCommit() error {
-	if o.node.peers.MayCommit() {
+	if st := o.node.peers.Status(); 2*st.Heard >= st.Size {
 		return nil
 	}
 	return errMinority
 }
 
-// Accepted implements admin.Node. The version comes into force with the next read of the table, at
-// most a second later, so that a commit and a read never race to put a version in force.
+// Accepted implements admin.Node.
 func (o operators) Accepted(e apply.Entry) {
 	o.node.log.Info("change accepted", "version", e.Version, "author", e.Author)
+	o.node.peers.Refresh()
+}
+
+// commits is the configuration of the operators' address. Each commit is announced to the fleet first,
+// so that no majority goes on without it.
+type commits struct {
+	*apply.Store
+	node *Node
+}
+
+// Commit commits a document as apply.Store does.
+func (c commits) Commit(ctx context.Context, base uint64, author string, doc *schema.Document) (apply.Entry, error) {
+	notice, err := c.node.peers.Announce(ctx, base+1)
+	if err != nil {
+		return apply.Entry{}, errors.Mark(errors.Newf("announce version %d: %w", base+1, err), table.ErrUnavailable)
+	}
+	e, err := c.Store.Commit(ctx, base, author, doc)
+	if errors.IsAny(err, apply.ErrConflict, table.ErrUnavailable) {
+		notice.Withdraw()
+	}
+	if err != nil {
+		return e, errors.Newf("commit announced change: %w", err)
+	}
+	return e, nil
 }
