Relay: wait for a slow caller when a budget is full, and true outcomes

A resume that the gate refused said not_run although the request had run in part.

Change: drained is measured against the room that the log has. The outcome of a refusal comes from the record. A node without a configuration refuses with 503 instead of 401. A request that ends because its node stops says node_draining. Tests for late grants, a used up retry budget, dropped text and the number of resumes.

--- a/internal/node/caller/caller.go
+++ b/internal/node/caller/caller.go
@@ -175,7 +175,13 @@
 			writeFault(rc, "", fault.New(fault.Unauthorized, fault.NotRun, "a bearer key is required"))
 			return
 		}
-		a, ok := s.view().AccountByKey(key)
+		v := s.view()
+		if v.Version == 0 {
+			writeFault(rc, "", fault.New(fault.NodeIsolated, fault.NotRun, "the node has no configuration yet").
+				WithRetryAfter(time.Second))
+			return
+		}
+		a, ok := v.AccountByKey(key)
 		if !ok {
 			writeFault(rc, "", fault.New(fault.Unauthorized, fault.NotRun, "the bearer key is not known"))
 			return
--- a/internal/node/caller/conn.go
+++ b/internal/node/caller/conn.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"geraniumhollow/internal/core/fault"
+	"geraniumhollow/internal/node/relay"
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 )
@@ -85,9 +86,6 @@
 // watchInterval is the time between looks at the connections of waiting callers.
 const watchInterval = 250 * time.Millisecond
 
-// errClosed is the cause of a request whose caller has closed its connection.
-var errClosed = errors.New("caller closed the connection")
-
 // watch notices callers that close their connection while they wait. A write would notice it, too, but
 // whole answers and slow first tokens are written late.
 type watch struct {
@@ -132,7 +130,7 @@
 	defer w.mu.Unlock()
 	for c, cancel := range w.conns {
 		if c.peerClosed() {
-			cancel(errClosed)
+			cancel(relay.ErrCallerGone)
 		}
 	}
 }
--- a/internal/node/relay/answer.go
+++ b/internal/node/relay/answer.go
@@ -9,6 +9,9 @@
 	"github.com/cockroachdb/errors"
 )
 
+// ErrCallerGone is the cause with which a request is cancelled whose caller cannot be reached any more.
+var ErrCallerGone = errors.New("caller is gone")
+
 // Answer is an answer that is being produced. One goroutine reads it.
 type Answer struct {
 	log    *stream.Log
@@ -38,7 +41,7 @@
 // Close ends the request if its answer has not been read to its end.
 func (a *Answer) Close() {
 	if !a.last {
-		a.cancel(errCallerGone)
+		a.cancel(ErrCallerGone)
 	}
 }
 
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -118,9 +118,6 @@
 	}, nil
 }
 
-// errCallerGone is the cause of a request whose caller cannot be reached any more.
-var errCallerGone = errors.New("caller is gone")
-
 // start begins to produce the answer of a record in the background.
 func (r *Relay) start(ctx context.Context, rec *record) *Answer {
 	timeout := time.Duration(r.view().Limits.RequestTimeoutMs) * time.Millisecond
--- a/internal/node/relay/relay_test.go
+++ b/internal/node/relay/relay_test.go
@@ -216,6 +216,7 @@
 	mu       sync.Mutex
 	refuse   map[string]bool
 	instance func(server string) string
+	until    time.Time
 	asks     int
 	out      int
 }
@@ -228,7 +229,7 @@
 		return relay.Grant{}, errors.New("busy")
 	}
 	g.out++
-	gr := relay.Grant{Server: s.Name}
+	gr := relay.Grant{Server: s.Name, Until: g.until}
 	if g.instance != nil {
 		gr.Instance = g.instance(s.Name)
 	}
@@ -309,6 +310,78 @@
 	}
 }
 
+// Guards against a send after the end of a grant, whose owner may have given the room to another.
+func TestLateGrant(t *testing.T) {
+	t.Parallel()
+	g := &granter{until: time.Now().Add(-time.Millisecond)}
+	b := newBench(t, 1, model.Faults{}, schema.Limits{QueueTimeoutMs: 50}, relay.Deps{Granter: g})
+	_, _, ferr := b.relay.CompleteWhole(t.Context(), b.completion(4))
+	if ferr == nil || ferr.Outcome() != fault.NotRun || b.engines[0].Stats().Started != 0 {
+		t.Errorf("got %v and %d starts, want not_run and none", ferr, b.engines[0].Stats().Started)
+	}
+}
+
+// noRetries allows no second attempt.
+type noRetries struct{}
+
+func (noRetries) Began(relay.Work)      {}
+func (noRetries) Retry(relay.Work) bool { return false }
+
+// Guards against retries that multiply an outage when the retry budget is used up.
+func TestRetryBudget(t *testing.T) {
+	t.Parallel()
+	b := newBench(t, 2, model.Faults{CutAfterTokens: 3}, schema.Limits{}, relay.Deps{Retrier: noRetries{}})
+	_, _, ferr := b.relay.CompleteWhole(t.Context(), b.completion(answerTokens))
+	if ferr == nil || ferr.Outcome() != fault.Unknown || b.engines[1].Stats().Started != 0 {
+		t.Errorf("got %v and %d starts on the second engine", ferr, b.engines[1].Stats().Started)
+	}
+}
+
+// Guards against a second engine that goes on from a wrong text when the beginning of the answer has been
+// dropped; only the engine that has the answer may resume it.
+func TestTextDropped(t *testing.T) {
+	t.Parallel()
+	const tokens = 1500
+	want := model.Answer(prompt, tokens)
+	tests := []struct {
+		name  string
+		whole bool
+	}{
+		{"engine well", true},
+		{"engine restarts", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			b := newBench(t, 2, model.Faults{}, schema.Limits{RequestBufferBytes: 4 << 10, QueueTimeoutMs: 100}, relay.Deps{})
+			c := &collector{t: t, each: func(f stream.Frame) error {
+				if f.Offset != 1000 {
+					return nil
+				}
+				if !tt.whole {
+					b.engines[0].Restart(engine.Warm)
+				}
+				time.Sleep(100 * time.Millisecond)
+				return nil
+			}}
+			ferr := b.relay.Complete(t.Context(), b.completion(tokens), c.sink)
+			got := c.String()
+			if !strings.HasPrefix(want, got) || (got == want) != tt.whole {
+				t.Errorf("got %d of %d bytes", len(got), len(want))
+			}
+			if (ferr == nil) != tt.whole || (ferr != nil && ferr.Outcome() != fault.Unknown) {
+				t.Errorf("got %v", ferr)
+			}
+			if n := b.engines[1].Stats().Started; n != 0 {
+				t.Errorf("%d attempts on the engine that does not have the answer", n)
+			}
+			if tt.whole && b.engines[0].Stats().ResumedAlone == 0 {
+				t.Error("the engine never went on by itself")
+			}
+		})
+	}
+}
+
 // Guards against requests on a closed route that wait for a timeout instead of failing over.
 func TestAbortServer(t *testing.T) {
 	t.Parallel()
@@ -399,8 +472,10 @@
 			if most > limit+len(prompt) {
 				t.Errorf("held %d bytes, bound is %d", most, limit)
 			}
-			if s := b.engines[0].Stats(); s.Resumed == 0 {
-				t.Errorf("the attempt was never paused: %+v", s)
+			// Each pause frees at least an eighth of the bound, so more resumes mean that the relay did
+			// not wait for the caller.
+			if n := b.engines[0].Stats().Resumed; n == 0 || n > 8*len(c.String())/limit {
+				t.Errorf("%d resumes", n)
 			}
 		})
 	}
--- a/internal/node/relay/run.go
+++ b/internal/node/relay/run.go
@@ -74,7 +74,7 @@
 	}
 	leave, refusal := u.r.deps.Gate.Enter(ctx, u.r.view(), u.w)
 	if refusal != nil {
-		ferr = refusal
+		ferr = refusal.WithOutcome(u.outcome())
 		return
 	}
 	defer leave()
@@ -146,21 +146,27 @@
 	return u.barren >= maxBarren || !u.r.deps.Retrier.Retry(u.w)
 }
 
-// givenUp returns the error for the caller. Only a request of which no attempt can have started has the
-// outcome not_run.
-func (u *run) givenUp(ctx context.Context, err error) *fault.Error {
-	outcome := fault.NotRun
+// outcome returns not_run only if no attempt of any turn can have started.
+func (u *run) outcome() fault.Outcome {
 	u.rec.mu.Lock()
+	defer u.rec.mu.Unlock()
 	if u.rec.started {
-		outcome = fault.Unknown
+		return fault.Unknown
 	}
-	u.rec.mu.Unlock()
+	return fault.NotRun
+}
+
+// givenUp returns the error for the caller.
+func (u *run) givenUp(ctx context.Context, err error) *fault.Error {
+	outcome := u.outcome()
 	var refusal *fault.Error
 	switch {
 	case errors.Is(context.Cause(ctx), errTimeout):
 		return fault.New(fault.Timeout, outcome, "the request took too long").WithRetryAfter(retryAfter).WithCause(err)
+	case errors.IsAny(context.Cause(ctx), ErrCallerGone, errTakenOver):
+		return fault.New(fault.OutcomeUnknown, outcome, "the caller is gone").WithCause(err)
 	case ctx.Err() != nil:
-		return fault.New(fault.OutcomeUnknown, outcome, "the request was cancelled").WithCause(context.Cause(ctx))
+		return fault.New(fault.NodeDraining, outcome, "the node stopped").WithRetryAfter(retryAfter).WithCause(err)
 	case errors.Is(err, engine.ErrRejected):
 		return fault.New(fault.BadRequest, outcome, "the backend server refused the request as invalid").WithCause(err)
 	case errors.Is(err, stream.ErrNoRoom):
--- a/internal/route/stream/log.go
+++ b/internal/route/stream/log.go
@@ -231,7 +231,11 @@
 	return Frame{}, false, nil
 }
 
-func (l *Log) isDrained() bool { return len(l.buf)-l.pos <= l.limit/drainPart || l.read == l.next }
+// isDrained reports whether little waits for the caller, compared with the room that the log has. A
+// budget that is full can leave it less room than its limit.
+func (l *Log) isDrained() bool {
+	return len(l.buf)-l.pos <= min(l.limit, cap(l.buf))/drainPart || l.read == l.next
+}
 
 // WaitDrained waits until the caller has read nearly all of the answer so far.
 func (l *Log) WaitDrained(ctx context.Context) error {
