--- a/cmd/geraniumhollow/main.go
+++ b/cmd/geraniumhollow/main.go
@@ -25,6 +25,7 @@
 		Commands: append([]*cli.Command{
 			serve.Command(),
 			demo.Command(),
+			demo.LoadCommand(),
 			gauge.Command(),
 		}, tool.Commands()...),
 	}
--- a/internal/bench/demo/check.go
+++ b/internal/bench/demo/check.go
@@ -60,31 +60,47 @@
 // checkNodes sends a whole and a streamed completion and a plain-service call through every node.
 func checkNodes(ctx context.Context, s *System, w io.Writer) error {
 	for _, cfg := range s.Nodes {
-		if err := waitReady(ctx, s, cfg.CallerAddress); err != nil {
+		if err := waitServing(ctx, s, cfg.CallerAddress); err != nil {
 			return err
 		}
+		if err := checkCall(ctx, s, cfg.CallerAddress); err != nil {
+			return errors.Newf("%s, plain service: %w", cfg.NodeName, err)
+		}
 		for _, streamed := range []bool{false, true} {
 			if err := checkOne(ctx, s, cfg.CallerAddress, streamed); err != nil {
 				return errors.Newf("%s, streamed %v: %w", cfg.NodeName, streamed, err)
 			}
 		}
-		_, _ = fmt.Fprintf(w, "%s: whole and streamed answers are right\n", cfg.NodeName)
+		_, _ = fmt.Fprintf(w, "%s: whole, streamed and plain-service answers are right\n", cfg.NodeName)
+	}
+	return nil
+}
+
+// checkCall sends a call of the plain service.
+func checkCall(ctx context.Context, s *System, addr string) error {
+	raw, err := send(ctx, s, addr, http.MethodGet, "/v1/services/"+s.Site.Deployment.Service+"/status", nil)
+	if err != nil {
+		return err
+	}
+	if !strings.Contains(string(raw), `"path":"/status"`) {
+		return errors.Newf("got %s: %w", raw, ErrWrongAnswer)
 	}
 	return nil
 }
 
-// waitReady waits until a node knows the model.
-func waitReady(ctx context.Context, s *System, addr string) error {
+// waitServing waits until a node answers a completion. A node serves a model once it knows the load of
+// its backend servers.
+func waitServing(ctx context.Context, s *System, addr string) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	for {
-		body, err := send(ctx, s, addr, http.MethodGet, "/v1/models", nil)
-		if err == nil && strings.Contains(string(body), s.Site.Deployment.Model) {
+		err := checkOne(ctx, s, addr, false)
+		if err == nil {
 			return nil
 		}
 		select {
 		case <-ctx.Done():
-			return errors.Newf("node at %s has no configuration: %w", addr, ctx.Err())
+			return errors.Newf("node at %s does not serve: %w", addr, err)
 		case <-time.After(50 * time.Millisecond):
 		}
 	}
--- a/internal/bench/demo/control.go
+++ b/internal/bench/demo/control.go
@@ -1,19 +1,30 @@
 package demo
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
+	"net/http"
 	"slices"
 	"time"
 
 	"geraniumhollow/internal/bench/load"
 	"geraniumhollow/internal/conf/apply"
 	"geraniumhollow/internal/conf/schema"
+	"geraniumhollow/internal/node/admin"
 	"geraniumhollow/internal/plat/engine"
 	"github.com/cockroachdb/errors"
 )
 
-// commitTries bounds the tries of a configuration change that meets a conflict.
-const commitTries = 5
+// OperatorKey is the key of the demo's operators' pages.
+const OperatorKey = "demo-operator-key"
+
+// commitTries bounds the tries of a configuration change that meets a conflict, or a node that does
+// not hear enough of the fleet yet; commitPause is the time between them.
+const (
+	commitTries = 20
+	commitPause = 100 * time.Millisecond
+)
 
 // warmUp is how long a restarted stand-in engine stays cold.
 const warmUp = 3 * time.Second
@@ -32,7 +43,8 @@
 	})
 }
 
-// change commits a changed copy of the current document.
+// change applies a changed copy of the current document through the operators' address of the first
+// node that is not being stopped, as an operator would.
 func (s *System) change(ctx context.Context, f func(doc *schema.Document)) error {
 	configs := apply.New(s.Site.Platform, time.Now)
 	for range commitTries {
@@ -46,15 +58,44 @@
 		}
 		doc := *e.Document
 		f(&doc)
-		_, err = configs.Commit(ctx, version, "demo", &doc)
-		if err == nil {
-			return nil
+		status, err := s.apply(ctx, version, &doc)
+		if err != nil {
+			return err
 		}
-		if !errors.Is(err, apply.ErrConflict) {
-			return errors.Newf("commit change: %w", err)
+		switch status {
+		case http.StatusOK:
+			return nil
+		case http.StatusConflict, http.StatusServiceUnavailable:
+			time.Sleep(commitPause)
+		default:
+			return errors.Newf("change answered with status %d", status)
 		}
 	}
-	return errors.New("the configuration kept changing")
+	return errors.New("the change was not accepted")
+}
+
+// apply sends a document to the operators' address and returns the status of the answer.
+func (s *System) apply(ctx context.Context, base uint64, doc *schema.Document) (int, error) {
+	raw, err := json.Marshal(doc)
+	if err != nil {
+		return 0, errors.Newf("encode document: %w", err)
+	}
+	body, err := json.Marshal(admin.ApplyBody{Base: &base, Author: "demo", Document: raw})
+	if err != nil {
+		return 0, errors.Newf("encode change: %w", err)
+	}
+	url := "http://" + s.Nodes[0].OperatorAddress + admin.PathApply
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return 0, errors.Newf("build change: %w", err)
+	}
+	req.Header.Set("Authorization", "Bearer "+OperatorKey)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, errors.Newf("send change: %w", err)
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode, nil
 }
 
 // RestartEngine kills the engine of a runner with all of its streams; it comes back cold and gets warm
--- a/internal/bench/demo/demo.go
+++ b/internal/bench/demo/demo.go
@@ -10,6 +10,7 @@
 
 	"geraniumhollow/internal/bench/site"
 	"geraniumhollow/internal/conf/flags"
+	"geraniumhollow/internal/conf/view"
 	"geraniumhollow/internal/core/tasks"
 	"geraniumhollow/internal/node/serve"
 	"github.com/cockroachdb/errors"
@@ -96,6 +97,7 @@
 		TableAddress:    s.Site.PlatformAddress,
 		ObjectAddress:   s.Site.PlatformAddress,
 		HostsAddress:    s.Site.PlatformAddress,
+		OperatorKeyHash: view.HashKey(OperatorKey),
 		LogLevel:        "info",
 		DrainNotice:     drainNotice,
 		DrainTimeout:    drainTimeout,
@@ -122,7 +124,7 @@
 	for _, cfg := range s.Nodes {
 		_, _ = fmt.Fprintf(w, "%s in %-8s callers %s operators %s\n", cfg.NodeName, cfg.DataCentre, cfg.CallerAddress, cfg.OperatorAddress)
 	}
-	_, _ = fmt.Fprintf(w, "account key: %s\n\n", d.AccountKey(0))
+	_, _ = fmt.Fprintf(w, "account key: %s\noperator key: %s\n\n", d.AccountKey(0), OperatorKey)
 	_, _ = fmt.Fprintf(w, "curl -N http://%s/v1/completions -H 'Authorization: Bearer %s' \\\n"+
 		"  -d '{\"model\":\"%s\",\"prompt\":\"hello\",\"max_tokens\":8,\"stream\":true}'\n",
 		s.Nodes[0].CallerAddress, d.AccountKey(0), d.Model)
