Tell callers how long a key keeps its call from running again

Cause: at most once holds for 24 h, and callers have to know it.

Change: answers to calls that may not be repeated carry X-Idempotency-Retention: 86400, in seconds.

--- a/internal/node/calls/calls_test.go
+++ b/internal/node/calls/calls_test.go
@@ -90,6 +90,15 @@
 
 // do sends one call to a node and returns the status, the code and outcome of an error, and the body.
 func (s *site) do(node int, method, path, key, body string) (int, string, []byte) {
+	resp := s.serve(node, method, path, key, body)
+	var e struct {
+		Error struct{ Code, Outcome string } `json:"error"`
+	}
+	_ = json.Unmarshal(resp.Body(), &e)
+	return resp.StatusCode(), strings.Trim(e.Error.Code+" "+e.Error.Outcome, " "), resp.Body()
+}
+
+func (s *site) serve(node int, method, path, key, body string) *fasthttp.Response {
 	var req fasthttp.Request
 	req.Header.SetMethod(method)
 	req.SetRequestURI(path)
@@ -106,11 +115,7 @@
 	var rc fasthttp.RequestCtx
 	rc.Init(&req, nil, nil)
 	s.nodes[node].Serve(&rc, "r-1", schema.Account{Name: "acc"})
-	var e struct {
-		Error struct{ Code, Outcome string } `json:"error"`
-	}
-	_ = json.Unmarshal(rc.Response.Body(), &e)
-	return rc.Response.StatusCode(), strings.Trim(e.Error.Code+" "+e.Error.Outcome, " "), rc.Response.Body()
+	return &rc.Response
 }
 
 // Guards against a call that is repeated although it may have run, one that is not retried although
@@ -172,6 +177,9 @@
 	if status != http.StatusOK || string(again) != string(first) || s.runs() != 1 {
 		t.Errorf("resend: status %d, %d runs, answer %s, want %s", status, s.runs(), again, first)
 	}
+	if got := s.serve(1, "POST", "/v1/services/app/bookings", "k", "body").Header.Peek("X-Idempotency-Retention"); string(got) != "86400" {
+		t.Errorf("callers are told a retention of %q s, want 86400", got)
+	}
 	status, code, _ := s.do(1, "POST", "/v1/services/app/bookings", "k", "other")
 	if status != http.StatusUnprocessableEntity || code != "idempotency_key_reused not_run" {
 		t.Errorf("other body: got %d %q", status, code)
--- a/internal/node/calls/claimed.go
+++ b/internal/node/calls/claimed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"geraniumhollow/internal/core/fault"
@@ -46,7 +47,11 @@
 	}
 }
 
+// headerRetention tells callers for how many seconds a key keeps its call from running again.
+const headerRetention = "X-Idempotency-Retention"
+
 func reply(rc *fasthttp.RequestCtx, id string, r claim.Reply) {
+	rc.Response.Header.Set(headerRetention, strconv.Itoa(int(claim.Retention.Seconds())))
 	if r.Fault != nil {
 		caller.WriteFault(rc, id, r.Fault)
 		return
