--- a/internal/bench/runs/calls.go
+++ b/internal/bench/runs/calls.go
@@ -18,25 +18,25 @@
 
 // advanceMessage moves a call or its answer.
 func (s *claimSim) advanceMessage(x *submission) {
-	const fates = 4
-	fate := fates
+	const outcomes = 4
+	outcome := outcomes
 	if s.faults {
-		fate = s.choose(fates)
+		outcome = s.choose(outcomes)
 	}
 	m := x.msg
 	switch {
-	case m.ran && fate == 0: // The answer is lost.
+	case m.ran && outcome == 0: // The answer is lost.
 		x.msg = nil
 		s.failed(x, false)
 	case m.ran:
 		x.msg = nil
 		x.event = claim.CallEnded{Result: claim.Answered, Answer: claim.Answer{Status: 200, Body: []byte(x.id)}}
-	case fate == 0: // The server refuses the call, or cannot be reached.
+	case outcome == 0: // The server refuses the call, or cannot be reached.
 		x.msg = nil
 		s.failed(x, true)
-	case fate == 1: // The sender gives up; the call may still run.
+	case outcome == 1: // The sender gives up; the call may still run.
 		x.msg = nil
-		s.loose = append(s.loose, m)
+		s.orphans = append(s.orphans, m)
 		s.failed(x, false)
 	default:
 		m.run()
@@ -48,14 +48,14 @@
 	m.from.runs++
 }
 
-// runLoose runs or drops a call whose sender has given up.
-func (s *claimSim) runLoose() {
-	if len(s.loose) == 0 {
+// runOrphan runs or drops a call whose sender has given up.
+func (s *claimSim) runOrphan() {
+	if len(s.orphans) == 0 {
 		return
 	}
-	i := s.choose(len(s.loose))
-	m := s.loose[i]
-	s.loose = append(s.loose[:i], s.loose[i+1:]...)
+	i := s.choose(len(s.orphans))
+	m := s.orphans[i]
+	s.orphans = append(s.orphans[:i], s.orphans[i+1:]...)
 	if !m.ran && !s.choose.chance(3) {
 		m.run()
 	}
--- a/internal/bench/runs/claims.go
+++ b/internal/bench/runs/claims.go
@@ -96,9 +96,9 @@
 	table  *faultyTable[claim.Record]
 	budget *retry.Budget
 	all    []*submission
-	// loose are calls whose senders have given up and that may still run.
-	loose  []*message
-	faults bool
+	// orphans are calls whose senders have given up and that may still run.
+	orphans []*message
+	faults  bool
 }
 
 // RunClaims plays one random interleaving: nodes that die or pause between any two steps, a table with
@@ -106,7 +106,7 @@
 // any node. At the end everything works again and all that is under way ends.
 func RunClaims(choose Chooser) Claims {
 	s := &claimSim{
-		choose: choose, kinds: steepness(choose), now: time.Unix(1_000_000, 0),
+		choose: choose, kinds: stepKinds(choose), now: time.Unix(1_000_000, 0),
 		table: newFaultyTable[claim.Record](choose), budget: retry.NewBudget(), faults: true,
 	}
 	for range claimSteps {
@@ -121,8 +121,8 @@
 	for len(s.table.late) > 0 {
 		s.table.applyLate()
 	}
-	for len(s.loose) > 0 {
-		s.runLoose()
+	for len(s.orphans) > 0 {
+		s.runOrphan()
 	}
 	return s.report()
 }
@@ -140,7 +140,7 @@
 	case 3, 4:
 		s.table.applyLate()
 	case 5:
-		s.runLoose()
+		s.runOrphan()
 	case 6, 7, 8:
 		if len(s.all) < submissions {
 			s.submit()
@@ -191,7 +191,7 @@
 			s.table.abandon(x.op)
 		}
 		if x.msg != nil {
-			s.loose = append(s.loose, x.msg)
+			s.orphans = append(s.orphans, x.msg)
 		}
 	}
 }
@@ -264,22 +264,22 @@
 	}
 	o := x.op
 	x.op = nil
-	h := heardAnswer
+	h := opAnswered
 	if s.faults {
 		h = s.table.finish(o)
 	} else {
 		s.table.apply(o)
 	}
 	if o.read {
-		x.event = x.heardRow(h, o.got)
+		x.event = x.rowEvent(h, o.got)
 		return
 	}
-	x.event = x.heardWrite(h, o)
+	x.event = x.writeEvent(h, o)
 }
 
-func (x *submission) heardRow(h heard, c cell[claim.Record]) claim.Event {
+func (x *submission) rowEvent(h opResult, c cell[claim.Record]) claim.Event {
 	switch {
-	case h != heardAnswer:
+	case h != opAnswered:
 		return claim.ReadEnded{Result: claim.Failed}
 	case c.absent():
 		x.other = false
@@ -290,11 +290,11 @@
 	}
 }
 
-func (x *submission) heardWrite(h heard, o *op[claim.Record]) claim.Event {
+func (x *submission) writeEvent(h opResult, o *op[claim.Record]) claim.Event {
 	switch {
-	case h == heardNothing:
+	case h == opLost:
 		return claim.WriteEnded{Result: claim.Uncertain}
-	case h == heardRefusal:
+	case h == opRefused:
 		return claim.WriteEnded{Result: claim.Unavailable}
 	case o.conflict:
 		x.other = true
--- a/internal/bench/runs/crashes.go
+++ b/internal/bench/runs/crashes.go
@@ -65,22 +65,22 @@
 
 // job is one attempt of a request on a node.
 type job struct {
-	node    int
-	f       crash.Fingerprint
-	stage   stage
-	id      crash.RunID
-	server  int
-	life    int
-	alone   bool
-	token   string
-	counter *crash.Counter
-	action  crash.Action
-	event   crash.Event
-	op      *op[crash.Row]
+	node        int
+	f           crash.Fingerprint
+	stage       stage
+	id          crash.RunID
+	server      int
+	incarnation int
+	alone       bool
+	token       string
+	counter     *crash.Counter
+	action      crash.Action
+	event       crash.Event
+	op          *op[crash.Row]
 }
 
-// news is something that a node is about to hear.
-type news struct {
+// notice is something that a node is about to be told.
+type notice struct {
 	to     int
 	from   string
 	died   int
@@ -91,27 +91,27 @@
 type crashSim struct {
 	choose Chooser
 	kinds  int
-	// length is the average number of steps of a run.
-	length int
-	now    time.Time
-	end    time.Time
-	table  *faultyTable[crash.Row]
-	nodes  [nodes]*crash.Decider
-	// lives counts the restarts of each server.
-	lives  [servers]int
-	jobs   []*job
-	news   []news
-	counts map[crash.Fingerprint]int
-	faults bool
-	out    Crashes
+	// runSteps is the average number of steps of a run.
+	runSteps int
+	now      time.Time
+	end      time.Time
+	table    *faultyTable[crash.Row]
+	nodes    [nodes]*crash.Decider
+	// incarnations counts the restarts of each server.
+	incarnations [servers]int
+	jobs         []*job
+	notices      []notice
+	counts       map[crash.Fingerprint]int
+	faults       bool
+	out          Crashes
 }
 
 // RunCrashes plays one random interleaving of requests of which one fingerprint crashes every server
-// that runs it, on nodes that die or pause, with a faulty table and news that come late or never.
+// that runs it, on nodes that die or pause, with a faulty table and notices that come late or never.
 func RunCrashes(choose Chooser) Crashes {
 	start := time.Unix(1_000_000, 0)
 	s := &crashSim{
-		choose: choose, kinds: steepness(choose), length: []int{1, 2, 12}[choose(3)],
+		choose: choose, kinds: stepKinds(choose), runSteps: []int{1, 2, 12}[choose(3)],
 		now: start, end: start.Add(crashClock),
 		table: newFaultyTable[crash.Row](choose), counts: make(map[crash.Fingerprint]int), faults: true,
 	}
@@ -149,7 +149,7 @@
 	case 3:
 		s.table.applyLate()
 	case 4, 5:
-		s.hear()
+		s.deliverNotice()
 	case 6, 7, 8, 9:
 		s.arrive()
 	default:
@@ -178,14 +178,14 @@
 	}
 }
 
-// hear delivers or drops one piece of news.
-func (s *crashSim) hear() {
-	if len(s.news) == 0 {
+// deliverNotice delivers or drops one notice.
+func (s *crashSim) deliverNotice() {
+	if len(s.notices) == 0 {
 		return
 	}
-	i := s.choose(len(s.news))
-	n := s.news[i]
-	s.news = append(s.news[:i], s.news[i+1:]...)
+	i := s.choose(len(s.notices))
+	n := s.notices[i]
+	s.notices = append(s.notices[:i], s.notices[i+1:]...)
 	if s.choose.chance(8) {
 		return
 	}
@@ -200,7 +200,7 @@
 func (s *crashSim) share(from int, list []crash.Suspicion) {
 	for to := range nodes {
 		if to != from && len(list) > 0 {
-			s.news = append(s.news, news{to: to, from: fmt.Sprint(from), shared: list})
+			s.notices = append(s.notices, notice{to: to, from: fmt.Sprint(from), shared: list})
 		}
 	}
 }
@@ -282,9 +282,9 @@
 
 // started checks that no suspect runs beside another request of its node.
 func (s *crashSim) started(j *job) {
-	j.stage, j.life = running, s.lives[j.server]
+	j.stage, j.incarnation = running, s.incarnations[j.server]
 	for _, o := range s.jobs {
-		beside := o != j && o.stage == running && o.node == j.node && o.server == j.server && o.life == j.life
+		beside := o != j && o.stage == running && o.node == j.node && o.server == j.server && o.incarnation == j.incarnation
 		if beside && (o.alone || j.alone) {
 			s.out.NotAlone++
 		}
--- a/internal/bench/runs/jobs.go
+++ b/internal/bench/runs/jobs.go
@@ -61,20 +61,20 @@
 	}
 	o := j.op
 	j.op = nil
-	h := heardAnswer
+	h := opAnswered
 	if s.faults {
 		h = s.table.finish(o)
 	} else {
 		s.table.apply(o)
 	}
 	if o.read {
-		j.event = crash.ReadEnded{OK: h == heardAnswer, Row: o.got.value, Revision: o.got.rev}
+		j.event = crash.ReadEnded{OK: h == opAnswered, Row: o.got.value, Revision: o.got.rev}
 		return
 	}
 	switch {
-	case h == heardNothing:
+	case h == opLost:
 		j.event = crash.WriteEnded{Err: table.ErrUnknown}
-	case h == heardRefusal:
+	case h == opRefused:
 		j.event = crash.WriteEnded{Err: table.ErrUnavailable}
 	case o.conflict:
 		j.event = crash.WriteEnded{Err: table.ErrConflict}
@@ -87,7 +87,7 @@
 func (s *crashSim) run(j *job, d *crash.Decider) {
 	name := serverName(j.server)
 	switch {
-	case j.life != s.lives[j.server]:
+	case j.incarnation != s.incarnations[j.server]:
 		d.Break(s.now, j.id)
 		if s.choose.chance(2) {
 			s.share(j.node, d.Died(s.now, name))
@@ -96,15 +96,15 @@
 		if j.alone {
 			s.startCounter(j, endingCount, crash.Settle(j.token))
 		}
-	case s.faults && !s.choose.chance(s.length): // It runs on.
+	case s.faults && !s.choose.chance(s.runSteps): // It runs on.
 	case s.faults && s.choose(8) == 0:
 		d.Abandon(j.id)
 		s.giveBack(j)
 	case j.f == culprit:
-		s.lives[j.server]++
+		s.incarnations[j.server]++
 		s.out.Deaths++
 		for to := range nodes {
-			s.news = append(s.news, news{to: to, died: j.server})
+			s.notices = append(s.notices, notice{to: to, died: j.server})
 		}
 	default:
 		s.out.Completed++
--- a/internal/bench/runs/table.go
+++ b/internal/bench/runs/table.go
@@ -15,9 +15,9 @@
 	return r.IntN
 }
 
-// steepness returns the number of kinds of steps to choose from. The first few kinds are faults, so that
+// stepKinds returns the number of kinds of steps to choose from. The first few kinds are faults, so that
 // some interleavings are full of them and others hardly have any.
-func steepness(choose Chooser) int { return []int{24, 60, 150}[choose(3)] }
+func stepKinds(choose Chooser) int { return []int{24, 60, 150}[choose(3)] }
 
 // chance reports true once in n times.
 func (c Chooser) chance(n int) bool { return c(n) == 0 }
@@ -41,32 +41,32 @@
 	conflict bool
 }
 
-// heard is what the caller of a table operation hears.
-type heard int
+// opResult is what the caller of a table operation learns.
+type opResult int
 
 const (
-	heardAnswer heard = iota
-	// heardRefusal means that the operation has no effect.
-	heardRefusal
-	// heardNothing means that the answer is lost.
-	heardNothing
+	opAnswered opResult = iota
+	// opRefused means that the operation has no effect.
+	opRefused
+	// opLost means that the answer is lost.
+	opLost
 )
 
 // faultyTable is a table that may be down or slow, lose answers, and apply writes late.
 type faultyTable[R any] struct {
 	choose Chooser
-	// mostly is the inverse rate of each fault; it differs between interleavings.
-	mostly int
-	rows   map[string]cell[R]
-	rev    uint64
-	down   bool
+	// faultOdds is the inverse rate of each fault; it differs between interleavings.
+	faultOdds int
+	rows      map[string]cell[R]
+	rev       uint64
+	down      bool
 	// late are writes whose callers have heard nothing and that may still take effect.
 	late []*op[R]
 }
 
 func newFaultyTable[R any](choose Chooser) *faultyTable[R] {
-	mostly := []int{4, 10, 30}[choose(3)]
-	return &faultyTable[R]{choose: choose, mostly: mostly, rows: make(map[string]cell[R])}
+	faultOdds := []int{4, 10, 30}[choose(3)]
+	return &faultyTable[R]{choose: choose, faultOdds: faultOdds, rows: make(map[string]cell[R])}
 }
 
 // apply carries out an operation once.
@@ -91,25 +91,25 @@
 }
 
 // finish ends the wait of an operation's caller.
-func (t *faultyTable[R]) finish(o *op[R]) heard {
-	fates := t.mostly
+func (t *faultyTable[R]) finish(o *op[R]) opResult {
+	outcomes := t.faultOdds
 	if t.down {
-		fates = 2
+		outcomes = 2
 	}
 	if !o.applied {
-		switch t.choose(fates) {
+		switch t.choose(outcomes) {
 		case 0:
-			return heardRefusal
+			return opRefused
 		case 1:
 			t.abandon(o)
-			return heardNothing
+			return opLost
 		}
 	}
 	t.apply(o)
-	if t.choose.chance(t.mostly) {
-		return heardNothing
+	if t.choose.chance(t.faultOdds) {
+		return opLost
 	}
-	return heardAnswer
+	return opAnswered
 }
 
 // abandon leaves a write without a caller.
--- a/internal/route/claim/claim.go
+++ b/internal/route/claim/claim.go
@@ -74,8 +74,8 @@
 	base uint64
 	// uncertain is set while a claim write over base may still take effect.
 	uncertain bool
-	// met is set while the last thing known of the row is that another attempt may hold it.
-	met bool
+	// contended is set while the last thing known of the row is that another attempt may hold it.
+	contended bool
 	// final is the record to write over the own claim at revision own.
 	final Record
 	own   uint64
@@ -115,7 +115,7 @@
 // claim starts the write of the own claim over revision base.
 func (d *Decider) claim(now time.Time, base uint64) Action {
 	d.base = base
-	d.uncertain, d.met = false, false
+	d.uncertain, d.contended = false, false
 	d.claimBy = earlier(d.deadline, now.Add(claimTime))
 	d.wait = firstWait
 	return d.writeClaim()
@@ -149,7 +149,7 @@
 	case Written:
 		return d.confirmed(now, e.Revision)
 	case Conflict:
-		d.met = true
+		d.contended = true
 		return d.resolve(now)
 	case Unavailable:
 		if d.uncertain {
@@ -180,7 +180,7 @@
 	if d.uncertain {
 		after = fencing
 	}
-	if d.met {
+	if d.contended {
 		return d.reply(Reply{Fault: fault.New(fault.StoreUnavailable, fault.Unknown,
 			"another attempt with this idempotency key may have run").WithRetryAfter(retryAfter)}, after)
 	}
@@ -190,7 +190,7 @@
 
 // confirmed means that the own claim is in the table at revision rev.
 func (d *Decider) confirmed(now time.Time, rev uint64) Action {
-	d.own, d.uncertain, d.met = rev, false, false
+	d.own, d.uncertain, d.contended = rev, false, false
 	if !now.Before(d.deadline) {
 		d.final = d.record(Released)
 		return d.reply(Reply{Fault: fault.New(fault.Timeout, fault.NotRun,
--- a/internal/route/claim/resolve.go
+++ b/internal/route/claim/resolve.go
@@ -50,7 +50,7 @@
 		return d.free(now, e.Revision)
 	}
 	// The row has left the revision that an own write demands: that write can no longer take effect.
-	d.uncertain, d.met = false, true
+	d.uncertain, d.contended = false, true
 	switch {
 	case r.Fingerprint != d.call.Fingerprint:
 		return d.reply(Reply{Fault: fault.New(fault.IdempotencyKeyReused, fault.NotRun,
@@ -89,12 +89,12 @@
 func (d *Decider) free(now time.Time, rev uint64) Action {
 	if d.phase == following || rev != d.base {
 		if !now.Before(d.deadline) {
-			d.uncertain, d.met = false, false
+			d.uncertain, d.contended = false, false
 			return d.refuse()
 		}
 		return d.claim(now, rev)
 	}
-	d.met = false
+	d.contended = false
 	if !now.Before(d.claimBy) {
 		return d.refuse()
 	}
--- a/internal/route/crash/death.go
+++ b/internal/route/crash/death.go
@@ -15,7 +15,7 @@
 	}
 	d.nextCrash++
 	for _, f := range sets.Sorted(involved) {
-		s := d.know(now, f)
+		s := d.entry(now, f)
 		s.crashes++
 		s.open.Add(d.nextCrash)
 	}
@@ -100,18 +100,18 @@
 			s.remote.Remove(origin)
 		}
 	case Suspected:
-		s = d.know(now, x.Fingerprint)
+		s = d.entry(now, x.Fingerprint)
 		s.crashes = max(s.crashes, x.Crashes)
 		s.remote.Add(origin)
 	}
 }
 
-// know returns the entry of a fingerprint, made anew when its crashes are forgotten.
-func (d *Decider) know(now time.Time, f Fingerprint) *suspect {
+// entry returns the entry of a fingerprint, made anew when its crashes are forgotten.
+func (d *Decider) entry(now time.Time, f Fingerprint) *suspect {
 	s, ok := d.suspects[f]
 	if !ok || now.Sub(s.at) > memory {
 		if !ok {
-			d.makeRoom(now)
+			d.evict(now)
 		}
 		s = &suspect{open: sets.New[uint64](), remote: sets.New[string]()}
 		d.suspects[f] = s
@@ -120,8 +120,8 @@
 	return s
 }
 
-// makeRoom forgets old suspects when there are too many.
-func (d *Decider) makeRoom(now time.Time) {
+// evict removes old suspects when there are too many.
+func (d *Decider) evict(now time.Time) {
 	if len(d.suspects) < maxSuspects {
 		return
 	}
