Count a choice as a send from the moment it is made

Cause: requests that are picked while others wait for their grants saw none of them, so a burst followed the first request to the same server, past its memory. A send that did not reach its server was later subtracted from a report that never counted it, and a send at the very time of a report counted as reported.

Change: the picker reserves a choice until it is started, picked anew, or 2 s have passed. Sends that did not reach the server are cancelled. Only sends before a report count as reported.

--- a/internal/node/pick/pick.go
+++ b/internal/node/pick/pick.go
@@ -54,9 +54,13 @@
 	index   *prefix.Index
 	servers []view.Server // by index of the table
 	sent    map[sendKey]sentRequest
-	hits    []prefix.Hit
-	found   []choose.Hit
-	tried   []int
+	// picked holds the choice of each request that has not been started, and reserved their ends in
+	// order of time. They are bounded by the requests of reserveTime.
+	picked   map[string]sentRequest
+	reserved []reservation
+	hits     []prefix.Hit
+	found    []choose.Hit
+	tried    []int
 }
 
 var _ relay.Picker = (*Picker)(nil)
@@ -66,13 +70,24 @@
 	request, server string
 }
 
-// sentRequest is a request in flight.
+// sentRequest is a request in flight, or one that has been picked and may be sent.
 type sentRequest struct {
 	server int
+	name   string
 	id     uint64
 	hit    prefix.Hit
 }
 
+// reserveTime is how long a choice counts as a send before it is started: a grant is valid for 2 s.
+const reserveTime = 2 * time.Second
+
+// reservation is when a choice ends that has not been started.
+type reservation struct {
+	request string
+	id      uint64
+	till    time.Time
+}
+
 // New returns a picker that knows no load: it chooses a server after the first digest of it.
 func New(cfg Config) (*Picker, error) {
 	index, err := prefix.NewIndex(cfg.PrefixEntries)
@@ -85,7 +100,7 @@
 	}
 	return &Picker{
 		cfg: cfg, table: choose.NewTable(cfg.Choose, cfg.Now()), index: index, chooser: cfg.Chooser,
-		sent: make(map[sendKey]sentRequest),
+		sent: make(map[sendKey]sentRequest), picked: make(map[string]sentRequest),
 	}, nil
 }
 
@@ -95,8 +110,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sync(v)
-	now, r := p.cfg.Now(), p.request(w)
+	now := p.cfg.Now()
+	p.expire(now)
+	p.drop(w.RequestID)
+	r := p.request(w)
 	if id, ok := p.chooser.Choose(p.table, now, r); ok {
+		p.reserve(id, now, w.RequestID, r)
 		return p.servers[id], nil
 	}
 	err := fault.New(fault.NoBackend, fault.NotRun, "no backend server can take the request")
@@ -106,6 +125,53 @@
 	return view.Server{}, err.WithRetryAfter(retryAfter)
 }
 
+// reserve counts a choice as a send, so that requests which are picked before this one is started do
+// not all follow it to the same server.
+func (p *Picker) reserve(id int, now time.Time, request string, r choose.Request) {
+	s := p.send(id, now, r)
+	p.picked[request] = s
+	p.reserved = append(p.reserved, reservation{request, s.id, now.Add(reserveTime)})
+}
+
+func (p *Picker) send(id int, now time.Time, r choose.Request) sentRequest {
+	s := sentRequest{server: id, name: p.table.Name(id), id: p.table.Send(id, now, r)}
+	for _, h := range p.hits {
+		if h.Server == id {
+			s.hit = h
+		}
+	}
+	return s
+}
+
+// drop gives up the choice of a request that has not been started.
+func (p *Picker) drop(request string) {
+	if s, ok := p.picked[request]; ok {
+		delete(p.picked, request)
+		if p.same(s) {
+			p.table.Cancel(s.server, s.id)
+		}
+	}
+}
+
+// expire gives up the choices that were not started in time.
+func (p *Picker) expire(now time.Time) {
+	n := 0
+	for n < len(p.reserved) && p.reserved[n].till.Before(now) {
+		if r := p.reserved[n]; p.picked[r.request].id == r.id {
+			p.drop(r.request)
+		}
+		n++
+	}
+	p.reserved = p.reserved[n:]
+}
+
+// same reports whether the index of a send's server is still that server's: one that was removed may
+// have left it to another.
+func (p *Picker) same(s sentRequest) bool {
+	id, ok := p.table.Index(s.name)
+	return ok && id == s.server
+}
+
 // request returns the decider's form of w. It is valid until the next call.
 func (p *Picker) request(w relay.Work) choose.Request {
 	p.hits = p.index.Lookup(p.hits[:0], w.Prefix)
@@ -140,11 +206,12 @@
 	if !ok {
 		return
 	}
-	s := sentRequest{server: id, id: p.table.Send(id, p.cfg.Now(), p.request(w))}
-	for _, h := range p.hits {
-		if h.Server == id {
-			s.hit = h
-		}
+	s, ok := p.picked[w.RequestID]
+	if ok && s.server == id {
+		delete(p.picked, w.RequestID)
+	} else {
+		p.drop(w.RequestID)
+		s = p.send(id, p.cfg.Now(), p.request(w))
 	}
 	p.sent[sendKey{w.RequestID, server}] = s
 	// The server counts as having the prompt from now on, so that requests which share it and arrive
@@ -156,17 +223,19 @@
 func (p *Picker) Ended(server string, w relay.Work, r relay.Result) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	key := sendKey{w.RequestID, server}
+	key, now := sendKey{w.RequestID, server}, p.cfg.Now()
 	s, ok := p.sent[key]
 	delete(p.sent, key)
-	// A server that was removed in between may have left its index to another.
-	if id, known := p.table.Index(server); !ok || !known || id != s.server {
+	if !ok || !p.same(s) {
 		return
 	}
-	now := p.cfg.Now()
+	if r.Failed && r.Instance == "" {
+		p.table.Cancel(s.server, s.id)
+		return
+	}
+	p.table.Done(s.server, s.id, now, r.FirstToken)
 	p.table.Answer(s.server, now, r.Instance, r.State == engine.Cold)
 	p.index.Instance(s.server, r.Instance)
-	p.table.Done(s.server, s.id, now, r.FirstToken)
 	if !r.Failed && r.PromptTokens > 0 {
 		p.index.Correct(s.server, w.Prefix, s.hit, r.PromptTokens, r.CachedTokens)
 	}
--- a/internal/node/pick/pick_test.go
+++ b/internal/node/pick/pick_test.go
@@ -21,6 +21,9 @@
 
 var deployment = site.Strygekurv()
 
+// reserveTime is more than the 2 s for which a grant is valid.
+const reserveTime = 2100 * time.Millisecond
+
 // document describes n runners; change edits it.
 func document(n int, change func(*schema.Document)) *view.View {
 	doc := deployment.Document(site.Addresses{Runners: make([]string, n)})
@@ -134,6 +137,44 @@
 	}
 }
 
+// Guards against requests that are picked at the same moment and all follow the first, and against
+// choices that count for ever although they were never started.
+func TestPicksCountBeforeTheyStart(t *testing.T) {
+	t.Parallel()
+	v, now := document(2, nil), time.Now()
+	p, err := pick.New(pick.Config{
+		View: func() *view.View { return v }, Now: func() time.Time { return now }, Choose: choose.DefaultConfig(), PrefixEntries: 10,
+	})
+	if err != nil {
+		t.Fatalf("make picker: %v", err)
+	}
+	next := 0
+	fill := func() [2]int {
+		var got [2]int
+		for range 200 {
+			next++
+			w := work()
+			w.RequestID = strconv.Itoa(next)
+			if s, err := p.Pick(v, w); err == nil && s.Name == deployment.GroupName(0) {
+				got[0]++
+			} else if err == nil {
+				got[1]++
+			}
+		}
+		return got
+	}
+	p.Observe(digest(0))
+	p.Observe(digest(1))
+	first := fill()
+	if fit := 199_000 / 2_100; first != [2]int{fit, fit} {
+		t.Errorf("%v choices, but %d fit in the memory of each server", first, fit)
+	}
+	now = now.Add(reserveTime)
+	if second := fill(); second[0]+second[1] != first[0]+first[1] {
+		t.Errorf("%v choices after the earlier ones have expired, want %v", second, first)
+	}
+}
+
 // Guards against data races between requests, digests and configuration changes.
 func TestConcurrentUse(t *testing.T) {
 	t.Parallel()
--- a/internal/route/choose/table.go
+++ b/internal/route/choose/table.go
@@ -7,6 +7,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"geraniumhollow/internal/core/sets"
@@ -313,6 +314,13 @@
 	t.refresh(id)
 }
 
+// Cancel forgets a send that did not reach the server.
+func (t *Table) Cancel(id int, sent uint64) {
+	l := &t.loads[id]
+	l.sends = slices.DeleteFunc(l.sends, func(s send) bool { return s.id == sent })
+	t.refresh(id)
+}
+
 // minEstimate keeps the noise of very short answers out of the learned factor, in seconds.
 const minEstimate = 0.005
 
@@ -346,7 +354,7 @@
 	held := l.report.Held
 	for i := range l.sends {
 		s := &l.sends[i]
-		switch reported := s.at+transit <= l.madeAt; {
+		switch reported := s.at+transit < l.madeAt; {
 		case reported && s.ended != 0:
 			w.inFlight--
 			held -= s.tokens
