Count half a send of other nodes for each own send

Cause: since the trust in cached blocks follows their age, counting a whole send of another node for each own one gives away cache hits.

Change: half a send.

--- a/internal/route/choose/table.go
+++ b/internal/route/choose/table.go
@@ -41,7 +41,7 @@
 		PrefillPerToken: 100 * time.Microsecond,
 		QueuedPrompt:    1000,
 		Hold:            4 * time.Second,
-		PeerSends:       1,
+		PeerSends:       0.5,
 		ColdFactor:      4,
 		BatchFactor:     1,
 	}
