Measure the locked paths by the picks command

Cause: the figures of what requests do under a lock came from benchmarks in four packages, whose means follow the other load of the machine.

Change: `picks speed` times them with the method of the choosers, the fastest of 200 short rounds, in place of the benchmarks. Tests of admission and of the picker share more of their set-up; none checks less.

--- a/internal/bench/picks/picks.go
+++ b/internal/bench/picks/picks.go
@@ -39,10 +39,15 @@
 				Action: func(_ context.Context, cmd *cli.Command) error { return sc.compare(cmd.Root().Writer) },
 			},
 			{
-				Name:   "speed",
-				Usage:  "count decisions a second on one core and allocations of each chooser",
-				Flags:  []cli.Flag{&cli.Uint64Flag{Name: "seed", Value: 1, Destination: &sc.Seed}},
-				Action: func(_ context.Context, cmd *cli.Command) error { return sc.speed(cmd.Root().Writer) },
+				Name:  "speed",
+				Usage: "time the decisions of each chooser and what else requests do under a lock, on one core",
+				Flags: []cli.Flag{&cli.Uint64Flag{Name: "seed", Value: 1, Destination: &sc.Seed}},
+				Action: func(_ context.Context, cmd *cli.Command) error {
+					if err := sc.speed(cmd.Root().Writer); err != nil {
+						return err
+					}
+					return sc.paths(cmd.Root().Writer)
+				},
 			},
 			{
 				Name:  "admission",
--- a/internal/bench/picks/speed.go
+++ b/internal/bench/picks/speed.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"runtime"
 	"time"
@@ -11,20 +12,28 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Rounds of a speed measurement. They are short and the fastest is reported, so that other load of the
+// Rounds of a speed measurement, and calls in a round. They are short and the fastest is reported, so that other load of the
 // machine disturbs the figures little.
 const (
-	speedRounds    = 200
-	speedDecisions = 1000
+	speedRounds = 200
+	speedCalls  = 1000
 )
 
+var errNoServer = errors.New("no server was chosen")
+
 // speed prints decisions a second on one core.
 func (sc scenario) speed(w io.Writer) error {
 	_, _ = fmt.Fprint(w, "| chooser | servers | decisions/s | ns each | allocations each |\n| --- | --- | --- | --- | --- |\n")
 	for _, servers := range []int{65, 600} {
 		tab, req := speedTable(servers, rand.New(rand.NewPCG(sc.Seed, 3)))
 		for _, c := range sc.choosers() {
-			each, allocs, err := timeChooser(c.make(rand.New(rand.NewPCG(sc.Seed, 4))), tab, req)
+			chooser, now := c.make(rand.New(rand.NewPCG(sc.Seed, 4))), epoch.Add(time.Second)
+			each, allocs, err := measure(func() error {
+				if _, ok := chooser.Choose(tab, now, req); !ok {
+					return errNoServer
+				}
+				return nil
+			})
 			if err != nil {
 				return errors.Newf("time %s: %w", c.name, err)
 			}
@@ -55,21 +64,21 @@
 	return tab, req
 }
 
-func timeChooser(c choose.Chooser, tab *choose.Table, req choose.Request) (time.Duration, float64, error) {
-	now := epoch.Add(time.Second)
-	best, allocs := time.Duration(1<<62), uint64(0)
+// measure returns the time and the allocations of one call of f.
+func measure(f func() error) (time.Duration, float64, error) {
+	best, allocs := time.Duration(math.MaxInt64), uint64(0)
 	var before, after runtime.MemStats
 	for range speedRounds {
 		runtime.ReadMemStats(&before)
 		start := time.Now()
-		for range speedDecisions {
-			if _, ok := c.Choose(tab, now, req); !ok {
-				return 0, 0, errors.New("no server was chosen")
+		for range speedCalls {
+			if err := f(); err != nil {
+				return 0, 0, err
 			}
 		}
-		best = min(best, time.Since(start)/speedDecisions)
+		best = min(best, time.Since(start)/speedCalls)
 		runtime.ReadMemStats(&after)
 		allocs = after.Mallocs - before.Mallocs
 	}
-	return best, float64(allocs) / speedDecisions, nil
+	return best, float64(allocs) / speedCalls, nil
 }
--- a/internal/node/gate/gate_test.go
+++ b/internal/node/gate/gate_test.go
@@ -126,20 +126,3 @@
 		t.Errorf("%d of %d places are left", leaves, limit)
 	}
 }
-
-// BenchmarkEnter is the locked path of one request with 600 servers and no queue.
-func BenchmarkEnter(b *testing.B) {
-	v := view.New(1, deployment.Document(site.Addresses{Runners: make([]string, 600)}))
-	g := gate.New(gate.Config{View: func() *view.View { return v }, Now: time.Now, MaxReportAge: time.Hour})
-	for i := range 600 {
-		g.Observe(frame.LoadDigest{Server: deployment.GroupName(i), State: string(engine.Warm), Open: true, Cap: 200_000})
-	}
-	b.ReportAllocs()
-	b.RunParallel(func(pb *testing.PB) {
-		for i := 0; pb.Next(); i++ {
-			if leave, err := g.Enter(context.Background(), v, work(i)); err == nil {
-				leave()
-			}
-		}
-	})
-}
--- a/internal/node/pick/pick_test.go
+++ b/internal/node/pick/pick_test.go
@@ -1,6 +1,7 @@
 package pick_test
 
 import (
+	"maps"
 	"strconv"
 	"sync"
 	"testing"
@@ -34,7 +35,7 @@
 	return view.New(1, doc)
 }
 
-func newPicker(t testing.TB, v *view.View) *pick.Picker {
+func newPicker(t *testing.T, v *view.View) *pick.Picker {
 	t.Helper()
 	p, err := pick.New(pick.Config{
 		DataCentre: "herning", View: func() *view.View { return v }, Now: time.Now, Seed: 1,
@@ -52,6 +53,11 @@
 	}
 }
 
+func observeBoth(p *pick.Picker) {
+	p.Observe(digest(0))
+	p.Observe(digest(1))
+}
+
 func work() relay.Work {
 	return relay.Work{RequestID: "r", Model: deployment.Model, PromptTokens: 2000, MaxTokens: 100, Tried: sets.New[string]()}
 }
@@ -71,8 +77,7 @@
 		{name: "no digest", want: -1, code: fault.NoBackend},
 		{name: "one digest", give: func(p *pick.Picker, _ *relay.Work) { p.Observe(digest(1)) }, want: 1},
 		{name: "tried", give: func(p *pick.Picker, w *relay.Work) {
-			p.Observe(digest(0))
-			p.Observe(digest(1))
+			observeBoth(p)
 			w.Tried.Add(deployment.GroupName(0))
 		}, want: 1},
 		{
@@ -88,23 +93,20 @@
 			p.Observe(d)
 		}, want: -1, code: fault.Overloaded},
 		{name: "cache events", give: func(p *pick.Picker, w *relay.Work) {
-			p.Observe(digest(0))
-			p.Observe(digest(1))
+			observeBoth(p)
 			for i, fp := range chain {
 				p.Events(deployment.GroupName(1), "i", []engine.CacheEvent{{Seq: uint64(i + 1), Hash: fp, Stored: true}})
 			}
 			w.Prefix = chain
 		}, want: 1},
 		{name: "earlier request with the prefix", give: func(p *pick.Picker, w *relay.Work) {
-			p.Observe(digest(0))
-			p.Observe(digest(1))
+			observeBoth(p)
 			w.Prefix = chain
 			p.Started(deployment.GroupName(1), *w)
 			p.Ended(deployment.GroupName(1), *w, relay.Result{Instance: "i", State: engine.Warm, PromptTokens: 1000})
 		}, want: 1},
 		{name: "answer that shows a cold instance", give: func(p *pick.Picker, w *relay.Work) {
-			p.Observe(digest(0))
-			p.Observe(digest(1))
+			observeBoth(p)
 			p.Started(deployment.GroupName(0), *w)
 			p.Ended(deployment.GroupName(0), *w, relay.Result{Instance: "j", State: engine.Cold})
 			// The digest is of the instance before.
@@ -149,29 +151,28 @@
 		t.Fatalf("make picker: %v", err)
 	}
 	next := 0
-	fill := func() [2]int {
-		var got [2]int
+	fill := func() map[string]int {
+		got := make(map[string]int)
 		for range 200 {
 			next++
 			w := work()
 			w.RequestID = strconv.Itoa(next)
-			if s, err := p.Pick(v, w); err == nil && s.Name == deployment.GroupName(0) {
-				got[0]++
-			} else if err == nil {
-				got[1]++
+			if s, err := p.Pick(v, w); err == nil {
+				got[s.Name]++
 			}
 		}
 		return got
 	}
-	p.Observe(digest(0))
-	p.Observe(digest(1))
+	observeBoth(p)
 	first := fill()
-	if fit := 199_000 / 2_100; first != [2]int{fit, fit} {
+	fit := 199_000 / 2_100
+	want := map[string]int{deployment.GroupName(0): fit, deployment.GroupName(1): fit}
+	if !maps.Equal(first, want) {
 		t.Errorf("%v choices, but %d fit in the memory of each server", first, fit)
 	}
 	now = now.Add(reserveTime)
-	if second := fill(); second[0]+second[1] != first[0]+first[1] {
-		t.Errorf("%v choices after the earlier ones have expired, want %v", second, first)
+	if second := fill(); !maps.Equal(second, want) {
+		t.Errorf("%v choices after the earlier ones have expired, want %v", second, want)
 	}
 }
 
@@ -201,26 +202,3 @@
 	}
 	wg.Wait()
 }
-
-// BenchmarkRequest is the locked path of one request with 600 servers and a prompt of 16 blocks.
-func BenchmarkRequest(b *testing.B) {
-	v := document(600, nil)
-	p := newPicker(b, v)
-	for i := range 600 {
-		p.Observe(digest(i))
-	}
-	b.ReportAllocs()
-	b.RunParallel(func(pb *testing.PB) {
-		w := work()
-		w.Prefix = prefix.Append(nil, 0, string(make([]byte, 16*prefix.BlockBytes)))
-		for i := 0; pb.Next(); i++ {
-			w.RequestID = strconv.Itoa(i)
-			s, err := p.Pick(v, w)
-			if err != nil {
-				continue
-			}
-			p.Started(s.Name, w)
-			p.Ended(s.Name, w, relay.Result{Instance: "i", State: engine.Warm, PromptTokens: 2000, CachedTokens: 2000})
-		}
-	})
-}
--- a/internal/route/admit/admit_test.go
+++ b/internal/route/admit/admit_test.go
@@ -34,6 +34,20 @@
 	})
 }
 
+// leave ends requests a second later and returns the ones that were admitted in their places.
+func (n *node) leave(ids ...uint64) []uint64 {
+	n.now = n.now.Add(time.Second)
+	var admitted []uint64
+	for _, id := range ids {
+		for _, d := range n.Leave(n.now, id) {
+			if d.Verdict == admit.Admitted {
+				admitted = append(admitted, d.ID)
+			}
+		}
+	}
+	return admitted
+}
+
 // verdicts are the first letters of the decisions on each request: admitted, queued or refused.
 func verdicts(all [][]admit.Decision) string {
 	s := ""
@@ -110,10 +124,7 @@
 			id, _ := n.enter("a", 100, 0, time.Second)
 			ids = append(ids, id)
 		}
-		n.now = n.now.Add(time.Second)
-		for _, id := range ids {
-			n.Leave(n.now, id)
-		}
+		n.leave(ids...)
 	}
 	// The pool drains 10 requests a second, so the 10 places are full for 1 s.
 	refused, waiting := time.Duration(0), 0
@@ -181,14 +192,11 @@
 		n.Dispatch(n.now)
 	}
 	for i, id := range small {
-		n.now = n.now.Add(time.Second)
-		for _, d := range n.Leave(n.now, id) {
-			if d.ID == large && d.Verdict == admit.Admitted {
-				if i < 10 || i > 40 {
-					t.Errorf("admitted after %d others, want about 20", i)
-				}
-				return
+		if slices.Contains(n.leave(id), large) {
+			if i < 10 || i > 40 {
+				t.Errorf("admitted after %d others, want about 20", i)
 			}
+			return
 		}
 	}
 	t.Error("the large request was never admitted")
@@ -291,43 +299,29 @@
 // returns with a full queue beside another of the same share that always has requests waiting.
 func TestReturnAfterPause(t *testing.T) {
 	t.Parallel()
-	const places, service = 10, time.Second
-	n := newNode(places, 0, 1000, admit.Account{Name: "busy"}, admit.Account{Name: "back"})
-	running, back, total := []uint64{}, uint64(0), 0
+	n := newNode(10, 0, 1000, admit.Account{Name: "busy"}, admit.Account{Name: "back"})
+	var running []uint64
 	for range 400 {
 		if id, ds := n.enter("busy", 100, 0, time.Hour); ds[0].Verdict == admit.Admitted {
 			running = append(running, id)
 		}
 	}
-	turn := func() int {
-		of := 0
-		ended := running
-		running = nil
-		n.now = n.now.Add(service)
-		for _, id := range ended {
-			for _, d := range n.Leave(n.now, id) {
-				running = append(running, d.ID)
-				total++
-				if back > 0 && d.ID >= back {
-					of++
-				}
-			}
-		}
-		return of
-	}
 	for range 5 {
-		turn()
+		running = n.leave(running...)
 	}
-	for i := range 300 {
-		id, _ := n.enter("back", 100, 0, time.Hour)
-		if i == 0 {
-			back = id
-		}
+	last := n.next
+	for range 300 {
+		n.enter("back", 100, 0, time.Hour)
 	}
-	got := 0
-	total = 0
+	got, total := 0, 0
 	for range 10 {
-		got += turn()
+		running = n.leave(running...)
+		total += len(running)
+		for _, id := range running {
+			if id > last {
+				got++
+			}
+		}
 	}
 	// The limit is learned between 10 and 12.5 requests, so 2 s of half of it are 10 to 12.5 requests
 	// which go ahead. The rest is shared equally.
@@ -355,22 +349,3 @@
 		t.Errorf("limits %.0f, %.0f, %.0f; want high, low, high", normal, congested, again)
 	}
 }
-
-func BenchmarkEnterLeave(b *testing.B) {
-	n := newNode(64, 0, 1000, admit.Account{Name: "a", Share: 1}, admit.Account{Name: "b", Share: 8})
-	n.Pool("lm").Observe("s", 0, 1_000_000, start)
-	names := []string{"a", "b"}
-	for i := range 1000 {
-		n.enter(names[i%2], 100, 0, time.Hour)
-	}
-	b.ReportAllocs()
-	id := uint64(1)
-	for b.Loop() {
-		n.now = n.now.Add(time.Millisecond)
-		ds := n.Leave(n.now, id)
-		n.enter(names[id%2], 100, 0, time.Hour)
-		if len(ds) > 0 {
-			id = ds[0].ID
-		}
-	}
-}
--- a/internal/route/prefix/prefix_test.go
+++ b/internal/route/prefix/prefix_test.go
@@ -147,19 +147,3 @@
 		t.Error("the newest holder is not remembered")
 	}
 }
-
-func BenchmarkLookup(b *testing.B) {
-	x, err := prefix.NewIndex(prefix.DefaultEntries)
-	if err != nil {
-		b.Fatal(err)
-	}
-	chain := prefix.Append(nil, 0, strings.Repeat("x", 16*prefix.BlockBytes))
-	for id := range 16 {
-		x.Sent(id, chain)
-	}
-	var hits []prefix.Hit
-	b.ReportAllocs()
-	for b.Loop() {
-		hits = x.Lookup(hits[:0], chain)
-	}
-}
