Share the live list between nodes

Cause: each node read the whole live list each second.

Change: only the reader of a data centre reads the list each second; it sends a changed list on, compressed, and the tree passes it along. Heartbeats carry a hash of the list. A node reads the list itself when it has none, hears no reader, has lacked a neighbour's list for 2 s, or has not read it for a minute. The send times of heartbeats are kept for neighbours only.

The reader of a data centre still reads the whole list each second (84.5 KB/s at the target size, 10.4 KB/s today); less needs a platform interface that gives changes.

--- a/internal/bench/spread/fleet.go
+++ b/internal/bench/spread/fleet.go
@@ -53,10 +53,12 @@
 	doc     *schema.Document
 	nodes   []*fleetNode
 	version uint64
+	list    []hosts.Host
 }
 
-// startFleet starts size nodes in g, spread over the data centres of a deployment.
-func startFleet(ctx context.Context, g *tasks.Group, size, dataCentres int) (*fleet, error) {
+// startFleet starts size nodes in g, spread over data centres, with so many engine hosts on the live
+// list.
+func startFleet(ctx context.Context, g *tasks.Group, size, dataCentres, engines int) (*fleet, error) {
 	d := site.Strygekurv()
 	f := &fleet{store: store.New(), doc: document(d, d.Runners)}
 	f.configs = apply.New(f.store, time.Now)
@@ -84,6 +86,13 @@
 		f.nodes = append(f.nodes, n)
 		g.Go(n.name, func(ctx context.Context) error { return n.peers.Run(ctx, ln) })
 	}
+	for i := range engines {
+		list = append(list, hosts.Host{
+			Name: fmt.Sprintf("host-%03d-%02d", i/2, i%2), Kind: hosts.Engine, State: hosts.Live,
+			DataCentre: fmt.Sprintf("dc-%d", i%dataCentres),
+		})
+	}
+	f.list = list
 	f.store.SetHosts(list)
 	return f, f.settle(ctx)
 }
--- a/internal/bench/spread/measure.go
+++ b/internal/bench/spread/measure.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
@@ -25,6 +26,7 @@
 type options struct {
 	nodes       int
 	dataCentres int
+	engines     int
 	changes     int
 	scenario    string
 	duration    time.Duration
@@ -38,13 +40,14 @@
 		Flags: append([]cli.Flag{
 			&cli.IntFlag{Name: "nodes", Value: 6, Destination: &o.nodes, Usage: "number of nodes"},
 			&cli.IntFlag{Name: "data-centres", Value: 3, Destination: &o.dataCentres, Usage: "number of data centres"},
+			&cli.IntFlag{Name: "engine-hosts", Value: 130, Destination: &o.engines, Usage: "engine hosts on the live list"},
 		}, extra...),
 		Action: func(ctx context.Context, _ *cli.Command) error {
 			base := memory()
 			ctx, cancel := context.WithCancel(ctx)
 			defer cancel()
 			g := tasks.New(ctx)
-			f, err := startFleet(ctx, g, o.nodes, o.dataCentres)
+			f, err := startFleet(ctx, g, o.nodes, o.dataCentres, o.engines)
 			if err == nil {
 				err = run(ctx, f, base)
 			}
@@ -164,7 +167,11 @@
 	for i, n := range f.nodes {
 		before[i] = n.peers.Net().Stats()
 	}
-	reads := tableReads(f)
+	reads, lists := tableReads(f), listReads(f)
+	listing, err := json.Marshal(f.list)
+	if err != nil {
+		return errors.Newf("encode live list: %w", err)
+	}
 	cpu := cpuTime()
 	select {
 	case <-ctx.Done():
@@ -190,6 +197,9 @@
 		"links %.1f, table reads %.2f/s for each node; goroutines %d in all\n",
 		o.nodes, 100*cpu.Seconds()/seconds/size, float64(memory()-base)/size/1e3, float64(sum)/seconds/size,
 		float64(most)/seconds, float64(links)/size, float64(tableReads(f)-reads)/seconds/size, runtime.NumGoroutine())
+	perSecond := float64(listReads(f)-lists) / seconds / size
+	_, _ = fmt.Fprintf(w, "  live list: %.2f reads/s of %d B, %.0f B/s for each node\n",
+		perSecond, len(listing), perSecond*float64(len(listing)))
 	for _, k := range slices.Sorted(maps.Keys(kinds)) {
 		c := kinds[k]
 		_, _ = fmt.Fprintf(w, "  %s: %d sent since the start, %.0f B each\n", k, c.Messages, float64(c.Bytes)/float64(c.Messages))
@@ -205,6 +215,14 @@
 	return sum
 }
 
+func listReads(f *fleet) uint64 {
+	sum := uint64(0)
+	for _, n := range f.nodes {
+		sum += n.platform.Lists()
+	}
+	return sum
+}
+
 // memory returns the bytes of live heap and of stacks.
 func memory() uint64 {
 	runtime.GC()
--- a/internal/bench/spread/network.go
+++ b/internal/bench/spread/network.go
@@ -119,6 +119,7 @@
 	hosts.Lister
 	down  atomic.Bool
 	reads atomic.Uint64
+	lists atomic.Uint64
 }
 
 // NewPlatform returns a way to t and l without faults.
@@ -130,6 +131,9 @@
 // Reads returns the reads of the table so far.
 func (p *Platform) Reads() uint64 { return p.reads.Load() }
 
+// Lists returns the reads of the live list so far.
+func (p *Platform) Lists() uint64 { return p.lists.Load() }
+
 // Get implements table.Table.
 func (p *Platform) Get(ctx context.Context, key string) (table.Row, error) {
 	if p.down.Load() {
@@ -144,5 +148,6 @@
 	if p.down.Load() {
 		return nil, table.ErrUnavailable
 	}
+	p.lists.Add(1)
 	return p.Lister.List(ctx) //nolint:wrapcheck // Stands for the live list.
 }
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -123,8 +123,9 @@
 	probed  time.Time
 	probing bool
 
-	seq      int
-	sentAt   [beatsKept]time.Time
+	seq int
+	// sentAt is made with the first heartbeat: most nodes of a large fleet are no neighbours.
+	sentAt   *[beatsKept]time.Time
 	lastSent time.Time
 	vouched  time.Time
 	echoed   time.Time
@@ -282,7 +283,7 @@
 
 // sentTime returns when the own heartbeat with a number was sent.
 func (m *member) sentTime(seq int) (time.Time, bool) {
-	if seq <= 0 || seq > m.seq || seq <= m.seq-beatsKept {
+	if m.sentAt == nil || seq <= 0 || seq > m.seq || seq <= m.seq-beatsKept {
 		return time.Time{}, false
 	}
 	at := m.sentAt[seq%beatsKept]
@@ -368,6 +369,9 @@
 
 // next makes the next heartbeat to a node.
 func (m *member) next(now time.Time, own Own, rel Relation, heard, fleet int, next uint64) Beat {
+	if m.sentAt == nil {
+		m.sentAt = new([beatsKept]time.Time)
+	}
 	m.seq++
 	m.sentAt[m.seq%beatsKept] = now
 	m.lastSent = now
--- a/internal/node/peers/peers.go
+++ b/internal/node/peers/peers.go
@@ -27,6 +27,11 @@
 const (
 	tickInterval = 100 * time.Millisecond
 	listInterval = time.Second
+	// listFallback is the longest time without an own read of the list, for the case that the
+	// readers cannot read it. At the target size it costs a node about 1 KB/s.
+	listFallback = time.Minute
+	// listMismatch is how long a node waits for a list that a neighbour has and it has not.
+	listMismatch = 2 * time.Second
 	// readTimeout bounds a read of the table or the list. A read that fails after 2 s of age and
 	// this time still leaves half a second before the age passes its bound.
 	readTimeout  = 1500 * time.Millisecond
@@ -53,7 +58,8 @@
 	// Apply puts a version in force. Its calls are in ascending order of version. It must not call
 	// back into Peers.
 	Apply func(version uint64, doc *schema.Document)
-	// Listed is told of each answer of the platform's list. It may be nil.
+	// Listed is told of each change of the platform's list. It must not call back into Peers. It may
+	// be nil.
 	Listed func(list []hosts.Host)
 	// Dial makes connections to other nodes; nil for plain TCP.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
@@ -89,6 +95,7 @@
 	drain  string
 	links  []string
 	mode   watch.Mode
+	list   listing
 	// notices counts the announcements of this node.
 	notices atomic.Int64
 	// currentUntil is the end of the mode current, as time since base; it only grows.
@@ -121,6 +128,7 @@
 	peer.On(p.net, p.heartbeat)
 	peer.On(p.net, p.offered)
 	peer.On(p.net, func(from peer.Peer, m *frame.ConfigDocument) { p.received(from.Node, m) })
+	peer.On(p.net, p.listReceived)
 	peer.OnAsk(p.net, p.document)
 	peer.OnAsk(p.net, p.probe)
 	peer.OnAsk(p.net, p.noticed)
@@ -138,7 +146,7 @@
 	p.mu.Lock()
 	p.group = g
 	p.mu.Unlock()
-	g.Go("list", func(ctx context.Context) error { return every(ctx, listInterval, p.list) })
+	g.Go("list", func(ctx context.Context) error { return every(ctx, listInterval, p.pollList) })
 	g.Go("ticks", func(ctx context.Context) error {
 		return every(ctx, tickInterval, func(context.Context) { p.tick() })
 	})
@@ -268,26 +276,6 @@
 	p.mu.Unlock()
 }
 
-// list reads the platform's list. When it does not answer, the last one stays.
-func (p *Peers) list(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	list, err := p.cfg.Hosts.List(ctx)
-	if err != nil {
-		p.cfg.Log.Debug("live list not read", "error", err)
-		return
-	}
-	p.mu.Lock()
-	gone := p.roster.List(time.Now(), list)
-	p.mu.Unlock()
-	for _, node := range gone {
-		p.cfg.Log.Info("node is gone", "peer", node)
-		p.net.Drop(node)
-	}
-	p.cfg.Listed(list)
-	p.tick()
-}
-
 // tick runs the deciders and carries out what they return.
 func (p *Peers) tick() {
 	p.mu.Lock()
@@ -349,7 +337,7 @@
 	_ = p.net.Send(s.To, &frame.Heartbeat{
 		Seq: b.Seq, Echo: b.Echo, HoldMs: int(b.Hold.Milliseconds()),
 		Rel: frame.HeartbeatRel(b.Relation), Ver: int(b.Version), AgeMs: ceilMs(b.Age),
-		Next: int(b.Next), State: b.Drain, Heard: b.Heard, Fleet: b.Fleet,
+		Next: int(b.Next), List: int(p.list.hash.Load()), State: b.Drain, Heard: b.Heard, Fleet: b.Fleet,
 	})
 }
 
@@ -371,6 +359,7 @@
 	before := p.watch.Vouched()
 	asOf, proved := p.roster.Received(now, from.Node, b)
 	p.watch.Heard(now, from.Node, b.Version, b.Age)
+	p.list.compare(now, m.List)
 	if proved {
 		p.watch.VouchedBy(asOf, b.Version)
 	}
--- a/internal/wire/frame/messages.gen.go
+++ b/internal/wire/frame/messages.gen.go
@@ -120,6 +120,9 @@
 	// Milliseconds since that heartbeat was received.
 	HoldMs int `json:"hold_ms,omitempty,omitzero"`
 
+	// Hash of the live list that the sender has; 0 for none.
+	List int `json:"list,omitempty,omitzero"`
+
 	// Highest version that the sender or a node behind it knows of but does not have.
 	Next int `json:"next,omitempty,omitzero"`
 
@@ -155,6 +158,15 @@
 	Node string `json:"node"`
 }
 
+// HostList carries the platform's live list when it has changed.
+type HostList struct {
+	// Milliseconds since the list was read.
+	AgeMs int `json:"age_ms"`
+
+	// The list as JSON, compressed with zstd.
+	List []byte `json:"list"`
+}
+
 // LoadDigest is what the owner knows of a backend server.
 type LoadDigest struct {
 	// Age of the report, in milliseconds.
@@ -217,6 +229,9 @@
 	// Hello corresponds to the JSON schema field "hello".
 	Hello *Hello `json:"hello,omitempty,omitzero"`
 
+	// HostList corresponds to the JSON schema field "host_list".
+	HostList *HostList `json:"host_list,omitempty,omitzero"`
+
 	// LoadDigest corresponds to the JSON schema field "load_digest".
 	LoadDigest *LoadDigest `json:"load_digest,omitempty,omitzero"`
 
