Follow digests at once in the limit of a node

Cause: a trial of 600 requests at once through the relay and six engine stand-ins refused 14 in the first second of the node: its limit counted the servers as cold until the next computation, up to 1 s after their first digests.

Change: a digest that changes what its server bears has the limit computed anew.

Conclusion: a server that turns cold or closes also lowers the limit at once.

--- a/internal/node/gate/gate.go
+++ b/internal/node/gate/gate.go
@@ -16,8 +16,8 @@
 	"geraniumhollow/internal/wire/frame"
 )
 
-// capacityInterval is the time between computations of what the servers bear; digests arrive once a
-// second.
+// capacityInterval is the longest time between computations of what the servers bear: servers without
+// digests drop out. A digest that changes what its server bears counts at once.
 const capacityInterval = time.Second
 
 // Config shapes a gate.
@@ -188,7 +188,11 @@
 		return
 	}
 	now := g.cfg.Now()
+	before := s.bears(now, g.cfg.MaxReportAge)
 	s.digest, s.madeAt = d, now.Add(-time.Duration(d.AgeMs)*time.Millisecond)
+	if s.bears(now, g.cfg.MaxReportAge) != before {
+		g.counted = time.Time{}
+	}
 	capacity := s.Capacity.WarmTokens
 	if d.Cap > 0 {
 		capacity = d.Cap
--- a/internal/node/gate/gate_test.go
+++ b/internal/node/gate/gate_test.go
@@ -84,6 +84,34 @@
 	}
 }
 
+// Guards against a limit that stays at what servers bore before their digests changed, such as the cold
+// limits of the first second of a node.
+func TestLimitFollowsDigests(t *testing.T) {
+	t.Parallel()
+	const warm, cold = 6, 2
+	g, v := newGate(warm, nil)
+	for i, want := range []struct {
+		state engine.State
+		n     int
+	}{{engine.Cold, cold}, {engine.Warm, warm}, {engine.Cold, cold}} {
+		g.Observe(frame.LoadDigest{Server: deployment.GroupName(0), State: string(want.state), Open: true})
+		var leaves []func()
+		for j := range 2 * warm {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+			if leave, err := g.Enter(ctx, v, work(100*i+j)); err == nil {
+				leaves = append(leaves, leave)
+			}
+			cancel()
+		}
+		if len(leaves) != want.n {
+			t.Errorf("%s: %d requests admitted, want %d", want.state, len(leaves), want.n)
+		}
+		for _, leave := range leaves {
+			leave()
+		}
+	}
+}
+
 // Guards against data races, more requests in flight than the limit, and places that are lost when
 // callers leave while they are admitted.
 func TestConcurrentUse(t *testing.T) {
