Send the load through a balancer, and stop nodes of the demo with full notice

Change: the load tool asks each node's /readyz once a second and leaves out the ones that are not ready; the demo's nodes give 4 s notice in a planned stop and end at once when the whole demo ends. The time of the last work in a data centre counts from before the change was sent.

The rule for the notice was right; the tool and the demo did not follow it.

--- a/internal/bench/cost/cost.go
+++ b/internal/bench/cost/cost.go
@@ -208,7 +208,7 @@
 			Deployment: s.Deployment, Seed: uint64(start.UnixNano()), Length: length, Rate: st.Rate,
 			Profile: load.Steady, Tokens: st.Tokens,
 		}
-		res, _, err := load.Run(ctx, "cost", m, []string{n.addr}, nil, nil)
+		res, _, err := load.Run(ctx, "cost", m, load.Target{Callers: []string{n.addr}}, nil)
 		if err != nil {
 			return Sample{}, errors.Newf("run step: %w", err)
 		}
--- a/internal/bench/demo/command.go
+++ b/internal/bench/demo/command.go
@@ -80,7 +80,7 @@
 // drive runs the load against the nodes of the settings, or against the demo.
 func (s loadSettings) drive(ctx context.Context, m load.Mix) (*load.Result, error) {
 	if len(s.nodes) > 0 {
-		res, _, err := load.Run(ctx, "load", m, s.nodes, nil, nil)
+		res, _, err := load.Run(ctx, "load", m, load.Target{Callers: s.nodes}, nil)
 		if err != nil {
 			return nil, errors.Newf("drive nodes: %w", err)
 		}
--- a/internal/bench/demo/control.go
+++ b/internal/bench/demo/control.go
@@ -135,13 +135,27 @@
 	return n
 }
 
-// addresses returns where callers reach the nodes.
-func (s *System) addresses() []string {
-	out := make([]string, len(s.Nodes))
-	for i, cfg := range s.Nodes {
-		out[i] = cfg.CallerAddress
+// target returns the system as a load sees it: through a balancer that asks each node's /readyz.
+func (s *System) target() load.Target {
+	t := load.Target{Ready: s.ready, Ground: s}
+	for _, cfg := range s.Nodes {
+		t.Callers = append(t.Callers, cfg.CallerAddress)
 	}
-	return out
+	return t
+}
+
+func (s *System) ready(ctx context.Context, node int) bool {
+	url := "http://" + s.Nodes[node].OperatorAddress + "/readyz"
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
 }
 
 // lastWork returns when work last started on a backend server of a data centre.
--- a/internal/bench/demo/demo.go
+++ b/internal/bench/demo/demo.go
@@ -24,10 +24,10 @@
 // demoRunners keeps the demo light; the deployments have about 65.
 const demoRunners = 12
 
-// Times of a planned stop in the demo, which has no balancer that needs notice.
+// Times of a planned stop.
 const (
-	drainNotice  = 100 * time.Millisecond
-	drainTimeout = 5 * time.Second
+	drainNotice  = 4 * time.Second
+	drainTimeout = 30 * time.Second
 )
 
 // System is a running demo.
@@ -110,13 +110,35 @@
 	if err != nil {
 		return errors.Newf("build %s: %w", cfg.NodeName, err)
 	}
-	ctx, stop := context.WithCancel(g.Context())
+	planned, stop := context.WithCancel(context.WithoutCancel(g.Context()))
 	s.Nodes = append(s.Nodes, cfg)
 	s.stops = append(s.stops, stop)
-	g.Go(cfg.NodeName, func(context.Context) error { return n.Run(ctx) })
+	g.Go(cfg.NodeName, func(ctx context.Context) error {
+		done := make(chan struct{})
+		defer close(done)
+		defer context.AfterFunc(ctx, func() { endAtOnce(n, done) })()
+		return n.Run(planned)
+	})
 	return nil
 }
 
+// signalInterval is the time between signals to a node that has to end at once.
+const signalInterval = 20 * time.Millisecond
+
+// endAtOnce signals a node until it has ended; the second signal ends it without a planned stop.
+func endAtOnce(n *serve.Node, done <-chan struct{}) {
+	t := time.NewTicker(signalInterval)
+	defer t.Stop()
+	for {
+		n.Stop()
+		select {
+		case <-done:
+			return
+		case <-t.C:
+		}
+	}
+}
+
 // describe prints the addresses, a key and a call that works.
 func (s *System) describe(w io.Writer) {
 	d := s.Site.Deployment
--- a/internal/bench/demo/trial.go
+++ b/internal/bench/demo/trial.go
@@ -50,9 +50,9 @@
 		}
 	}
 	add("data centre out", t.DataCentreOut, func(ctx context.Context) error {
-		err := s.SetDataCentre(ctx, out, false)
+		// The time counts from before the change was sent, which is a little early.
 		outAt = time.Now()
-		return err
+		return s.SetDataCentre(ctx, out, false)
 	})
 	add("data centre back", t.DataCentreBack, func(ctx context.Context) error {
 		lastWork = s.lastWork(out)
@@ -63,7 +63,7 @@
 	add("store up", t.StoreUp, func(context.Context) error { s.SetStoreDown(false); return nil })
 	add("node stopped", t.NodeStopped, func(context.Context) error { s.StopNode(len(s.Nodes) - 1); return nil })
 
-	res, failures, err := load.Run(ctx, t.Name, t.Mix, s.addresses(), faults, s)
+	res, failures, err := load.Run(ctx, t.Name, t.Mix, s.target(), faults)
 	if err != nil {
 		return nil, errors.Newf("trial %s: %w", t.Name, err)
 	}
--- a/internal/bench/load/load.go
+++ b/internal/bench/load/load.go
@@ -31,12 +31,34 @@
 // requestTimeout bounds one request as its caller sees it.
 const requestTimeout = 60 * time.Second
 
-// Run runs the load against the nodes at addrs. ground may be nil, when the stand-ins are out of reach.
-func Run(ctx context.Context, name string, m Mix, addrs []string, faults []Fault, ground Ground) (*Result, []string, error) {
-	m.Nodes = len(addrs)
+// Target is the system that a load is sent to.
+type Target struct {
+	// Callers are where callers reach the nodes.
+	Callers []string
+	// Ready tells, as the check of the platform's load balancer does, whether a node may be sent new
+	// requests; nil for always.
+	Ready func(ctx context.Context, node int) bool
+	// Ground may be nil, when the stand-ins are out of reach.
+	Ground Ground
+}
+
+// readyInterval is the time between the balancer's checks of a node.
+const readyInterval = time.Second
+
+// Run runs the load against a target.
+func Run(ctx context.Context, name string, m Mix, target Target, faults []Fault) (*Result, []string, error) {
+	m.Nodes = len(target.Callers)
 	requests := m.Requests()
 	rec := newRecorder()
-	c := newClient(m, addrs, rec)
+	c := newClient(m, target.Callers, rec)
+	balancing, stopBalancer := context.WithCancel(ctx)
+	defer stopBalancer()
+	if target.Ready != nil {
+		tasks.New(balancing).Go("balancer", func(ctx context.Context) error {
+			c.balance(ctx, target.Ready)
+			return nil
+		})
+	}
 	g := tasks.New(ctx)
 	start := time.Now()
 	for _, f := range faults {
@@ -66,8 +88,8 @@
 		return nil, nil, errors.Newf("run load: %w", err)
 	}
 	res := rec.result(name, m, len(requests))
-	if ground != nil {
-		rec.inspect(res, requests, ground)
+	if target.Ground != nil {
+		rec.inspect(res, requests, target.Ground)
 	}
 	return res, rec.failures, nil
 }
--- a/internal/bench/load/load_test.go
+++ b/internal/bench/load/load_test.go
@@ -146,7 +146,7 @@
 func run(t *testing.T, handle fasthttp.RequestHandler) *load.Result {
 	t.Helper()
 	addr := serveNode(t, handle)
-	res, _, err := load.Run(t.Context(), "test", mix(), []string{addr, addr}, nil, ground{})
+	res, _, err := load.Run(t.Context(), "test", mix(), load.Target{Callers: []string{addr, addr}, Ground: ground{}}, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/bench/load/send.go
+++ b/internal/bench/load/send.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"geraniumhollow/internal/core/fault"
@@ -25,10 +26,12 @@
 	nodes []*conns.Pool
 	addrs []string
 	rec   *recorder
+	// out marks the nodes that the balancer leaves out.
+	out []atomic.Bool
 }
 
 func newClient(m Mix, addrs []string, rec *recorder) *client {
-	c := &client{mix: m, addrs: addrs, rec: rec}
+	c := &client{mix: m, addrs: addrs, rec: rec, out: make([]atomic.Bool, len(addrs))}
 	for _, a := range addrs {
 		c.nodes = append(c.nodes, conns.New(a, conns.Options{}))
 	}
@@ -77,12 +80,31 @@
 	return second
 }
 
-// target returns a node that takes connections, first the one that the request names, as the
-// platform's load balancer would.
+// balance asks the nodes at intervals whether they may be sent new requests.
+func (c *client) balance(ctx context.Context, ready func(ctx context.Context, node int) bool) {
+	t := time.NewTicker(readyInterval)
+	defer t.Stop()
+	for {
+		for i := range c.nodes {
+			c.out[i].Store(!ready(ctx, i))
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// post sends a request to the node that it names, or to the next one that the balancer has in and that
+// takes connections.
 func (c *client) post(ctx context.Context, node int, req *fasthttp.Request) (*conns.Response, error) {
-	var last error
+	last := errors.New("the balancer has no node")
 	for i := range c.nodes {
 		n := (node + i) % len(c.nodes)
+		if c.out[n].Load() {
+			continue
+		}
 		req.Header.SetHost(c.addrs[n])
 		resp, err := c.nodes[n].Do(ctx, req, time.Time{})
 		if err == nil {
--- a/internal/node/serve/serve.go
+++ b/internal/node/serve/serve.go
@@ -167,8 +167,9 @@
 	g.Go("operators", func(ctx context.Context) error { return n.serveOperators(ctx, n.metrics) })
 	g.Go("peers", func(ctx context.Context) error { return n.peers.Run(ctx, n.lns.Peers) })
 	g.Go("stop", func(work context.Context) error {
-		n.awaitStop(ctx, work)
-		ctl.leave(work)
+		if n.awaitStop(ctx, work) {
+			ctl.leave(work)
+		}
 		cancel()
 		return nil
 	})
--- a/internal/node/serve/stop.go
+++ b/internal/node/serve/stop.go
@@ -34,11 +34,11 @@
 }
 
 // awaitStop returns when a planned stop, which begins with the end of ctx or with Stop, has ended, or
-// when work ends.
-func (n *Node) awaitStop(ctx, work context.Context) {
+// when work ends. It reports whether the stop ran its course, without another signal.
+func (n *Node) awaitStop(ctx, work context.Context) bool {
 	select {
 	case <-work.Done():
-		return
+		return false
 	case <-ctx.Done():
 	case <-n.signals:
 	}
@@ -48,13 +48,15 @@
 	for state != drain.Stopped {
 		select {
 		case <-work.Done():
-			return
+			return false
 		case <-n.signals:
-			state = n.moveDrain(func(d *drain.Node) { d.Signal(time.Now()) })
+			n.moveDrain(func(d *drain.Node) { d.Signal(time.Now()) })
+			return false
 		case now := <-t.C:
 			state = n.moveDrain(func(d *drain.Node) { d.Tick(now, int(n.running.Load())) })
 		}
 	}
+	return true
 }
 
 // moveDrain lets the drain machine move on and tells the peers of a new state.
