Give the chooser the prefixes of a prompt; register the measuring commands

Cause: the relay did not fill in the fingerprints of a prompt, so that the prefix index had nothing to look up, and the stand-in engine named whole prompts in its cache events.

Change: the relay computes the fingerprints; the stand-in engine keeps a bounded cache of the same blocks, reports its events and the cached tokens. The measuring commands are under `geraniumhollow gauge`.

--- a/internal/bench/demo/control.go
+++ b/internal/bench/demo/control.go
@@ -189,3 +189,14 @@
 	}
 	return n
 }
+
+// cacheHits returns the share of prompt tokens that engines had in their caches.
+func (s *System) cacheHits() float64 {
+	prompt, cached := 0, 0
+	for _, e := range s.Site.Engines {
+		st := e.Stats()
+		prompt += st.PromptTokens
+		cached += st.CachedTokens
+	}
+	return float64(cached) / float64(max(1, prompt))
+}
--- a/internal/bench/demo/trial.go
+++ b/internal/bench/demo/trial.go
@@ -77,6 +77,7 @@
 		})
 	}
 	res.WriteTable(w)
+	_, _ = fmt.Fprintf(w, "  prompt tokens found in engine caches: %.0f%%\n", 100*s.cacheHits())
 	for _, f := range failures {
 		_, _ = fmt.Fprintln(w, "  "+f)
 	}
--- a/internal/bench/gauge/gauge.go
+++ b/internal/bench/gauge/gauge.go
@@ -4,6 +4,10 @@
 import (
 	"geraniumhollow/internal/bench/cost"
 	"geraniumhollow/internal/bench/order"
+	"geraniumhollow/internal/bench/picks"
+	"geraniumhollow/internal/bench/runs"
+	"geraniumhollow/internal/bench/spread"
+	"geraniumhollow/internal/bench/stall"
 	"github.com/urfave/cli/v3"
 )
 
@@ -15,6 +19,10 @@
 		Commands: []*cli.Command{
 			cost.Command(),
 			order.Command(),
+			picks.Command(),
+			runs.Command(),
+			spread.Command(),
+			stall.Command(),
 		},
 	}
 }
--- a/internal/fake/model/complete.go
+++ b/internal/fake/model/complete.go
@@ -30,7 +30,9 @@
 	number  int
 	offset  int
 	prompt  string
+	adapter string
 	tokens  int
+	cached  int
 	faults  Faults
 	started time.Time
 }
@@ -72,7 +74,7 @@
 	h := &rc.Request.Header
 	a := attempt{
 		id: string(h.Peek(engine.HeaderRequestID)), account: string(h.Peek(engine.HeaderAccount)),
-		prompt: body.Prompt, tokens: body.MaxTokens, resume: body.ResumeText, conn: rc.Conn(),
+		prompt: body.Prompt, adapter: body.Adapter, tokens: body.MaxTokens, resume: body.ResumeText, conn: rc.Conn(),
 	}
 	if a.prompt == "" {
 		a.prompt = string(body.Messages)
@@ -155,11 +157,9 @@
 		delete(e.known, e.knownIDs[0])
 		e.knownIDs = e.knownIDs[1:]
 	}
-	e.seq++
-	e.cache = append(e.cache, engine.CacheEvent{Seq: e.seq, Hash: PromptHash(a.prompt), Stored: true})
-	if len(e.cache) > maxCacheEvents {
-		e.cache = e.cache[len(e.cache)-maxCacheEvents:]
-	}
+	a.cached = e.cache.use(e.cfg.Model, e.cfg.Version, a.adapter, a.prompt)
+	e.stats.PromptTokens += len(a.prompt) / bytesPerToken
+	e.stats.CachedTokens += a.cached
 }
 
 // crash ends the instance. The engine is locked.
@@ -169,9 +169,6 @@
 	e.restart(engine.Cold)
 }
 
-// maxCacheEvents is how many cache events a report carries; older ones are lost.
-const maxCacheEvents = 64
-
 func (e *Engine) overloaded() bool {
 	if e.state == engine.Cold && e.cfg.ColdRequests > 0 && len(e.running) > e.cfg.ColdRequests {
 		return true
@@ -217,7 +214,9 @@
 			return
 		}
 	}
-	last := engine.Frame{FinishReason: "length", PromptTokens: len(a.prompt) / bytesPerToken}
+	last := engine.Frame{
+		FinishReason: "length", PromptTokens: len(a.prompt) / bytesPerToken, CachedTokens: a.cached,
+	}
 	_, _ = w.Write(append(held, a.encode(a.number, a.tokens, last)...))
 	completed = w.Flush() == nil
 }
--- a/internal/fake/model/model.go
+++ b/internal/fake/model/model.go
@@ -53,6 +53,9 @@
 	Crashes      int
 	LastStart    time.Time
 	RunsOfPrompt map[uint64]int
+	// PromptTokens are the tokens of all prompts, CachedTokens those of them that were in the cache.
+	PromptTokens int
+	CachedTokens int
 }
 
 // Engine is one model engine. It is safe for concurrent use.
@@ -71,8 +74,7 @@
 	members  []engine.Member
 	stats    Stats
 	faults   Faults
-	seq      uint64
-	cache    []engine.CacheEvent
+	cache    *blockCache
 	kill     context.CancelFunc
 	alive    context.Context
 	lagged   engine.Report
@@ -149,7 +151,7 @@
 	e.known, e.knownIDs = make(map[string]known), nil
 	e.state = state
 	e.running = make(map[string]*run)
-	e.cache = nil
+	e.cache = newBlockCache()
 	e.memory = memory{}
 	e.laggedAt = time.Time{}
 	e.members = e.members[:0]
@@ -297,7 +299,7 @@
 		Adapters:      e.cfg.Adapters,
 		Loaded:        slices.Clone(e.memory.loaded),
 		Members:       e.reportedMembers(),
-		CacheEvents:   slices.Clone(e.cache),
+		CacheEvents:   slices.Clone(e.cache.events),
 	}
 }
 
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -13,6 +13,7 @@
 	"geraniumhollow/internal/core/sets"
 	"geraniumhollow/internal/core/tasks"
 	"geraniumhollow/internal/plat/engine"
+	"geraniumhollow/internal/route/prefix"
 	"geraniumhollow/internal/route/stream"
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
@@ -141,10 +142,25 @@
 // PromptTokens estimates the tokens of a prompt of n bytes.
 func PromptTokens(n int) int { return (n + bytesPerToken - 1) / bytesPerToken }
 
-func work(c Completion) Work {
+func work(v *view.View, c Completion) Work {
+	text := c.Prompt
+	if text == "" {
+		text = string(c.Messages)
+	}
 	return Work{
 		RequestID: c.ID, Account: c.Account.Name, Priority: c.Priority, Model: c.Model, Version: c.Version,
 		Adapter: c.Adapter, PromptTokens: PromptTokens(len(c.Prompt) + len(c.Messages)),
 		MaxTokens: c.MaxTokens, Tried: sets.New[string](),
+		Prefix: prefix.Append(nil, prefix.Seed(c.Model, likelyVersion(v, c), c.Adapter), text),
+	}
+}
+
+// likelyVersion returns the version whose cached prefixes a request can use. A request that names none
+// mostly runs on the newest, which stands last in the document.
+func likelyVersion(v *view.View, c Completion) string {
+	m, ok := v.Model(c.Model)
+	if c.Version != "" || !ok || len(m.Versions) == 0 {
+		return c.Version
 	}
+	return m.Versions[len(m.Versions)-1].Name
 }
--- a/internal/node/relay/run.go
+++ b/internal/node/relay/run.go
@@ -53,7 +53,7 @@
 
 func newRun(r *Relay, rec *record) *run {
 	c := rec.completion
-	u := &run{r: r, rec: rec, log: rec.log, c: c, w: work(c)}
+	u := &run{r: r, rec: rec, log: rec.log, c: c, w: work(r.view(), c)}
 	if r.deps.Guard != nil {
 		u.fingerprint = crash.Of(c.Account.Name, c.Model, c.Prompt, c.Messages)
 	}
