Connections: drop a waiting connection that the server has closed

Cause: a request on a pooled connection that the engine had closed failed after the write, so that nothing proved that it had not run. With one engine, a restart turned the next request into an unknown outcome.

Change: a waiting connection is looked at before it is used; one with an end of stream or unread bytes is closed and the next one or a new one is taken.

Conclusion: a connection that breaks after the look still gives unknown.

--- a/internal/node/relay/relay_test.go
+++ b/internal/node/relay/relay_test.go
@@ -310,6 +310,26 @@
 	}
 }
 
+// Guards against a send on a connection that an engine has closed in the meantime: nothing has run, but
+// the relay could not prove it.
+func TestClosedConnection(t *testing.T) {
+	t.Parallel()
+	g := &granter{}
+	b := newBench(t, 1, model.Faults{}, schema.Limits{QueueTimeoutMs: 50}, relay.Deps{Granter: g})
+	old := b.engines[0].Instance()
+	g.instance = func(string) string { return old }
+	if _, _, ferr := b.relay.CompleteWhole(t.Context(), b.completion(4)); ferr != nil {
+		t.Fatalf("before the restart: %v", ferr)
+	}
+	waitFor(t, "connection returned", func() bool { return g.held() == 0 })
+	time.Sleep(50 * time.Millisecond)
+	b.engines[0].Restart(engine.Warm)
+	time.Sleep(20 * time.Millisecond)
+	if _, _, ferr := b.relay.CompleteWhole(t.Context(), b.completion(4)); ferr == nil || ferr.Outcome() != fault.NotRun {
+		t.Errorf("got %v, want not_run", ferr)
+	}
+}
+
 // Guards against a send after the end of a grant, whose owner may have given the room to another.
 func TestLateGrant(t *testing.T) {
 	t.Parallel()
--- a/internal/plat/conns/conns.go
+++ b/internal/plat/conns/conns.go
@@ -12,6 +12,7 @@
 	"net"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -188,7 +189,7 @@
 		c := p.idle[n-1]
 		p.idle[n-1] = nil
 		p.idle = p.idle[:n-1]
-		if time.Since(c.idleFrom) < p.opts.IdleTimeout {
+		if time.Since(c.idleFrom) < p.opts.IdleTimeout && c.silent() {
 			c.wrote = false
 			return c, nil
 		}
@@ -197,6 +198,29 @@
 	return nil, nil //nolint:nilnil // No waiting connection is no error.
 }
 
+// silent reports whether the server has neither closed a waiting connection nor sent bytes on it. A
+// request on a closed connection would be lost without proof that it did not run.
+func (c *Conn) silent() bool {
+	if c.br.Buffered() > 0 {
+		return false
+	}
+	sc, ok := c.nc.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	silent := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		silent = errors.Is(err, syscall.EAGAIN)
+	})
+	return silent && err == nil
+}
+
 func (p *Pool) dial(ctx context.Context) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.opts.DialTimeout)
 	defer cancel()
