--- a/internal/bench/gauge/gauge.go
+++ b/internal/bench/gauge/gauge.go
@@ -3,6 +3,7 @@
 
 import (
 	"geraniumhollow/internal/bench/cost"
+	"geraniumhollow/internal/bench/delay"
 	"geraniumhollow/internal/bench/order"
 	"geraniumhollow/internal/bench/picks"
 	"geraniumhollow/internal/bench/runs"
@@ -18,6 +19,7 @@
 		Usage: "run a measurement; docs/measurements has the results",
 		Commands: []*cli.Command{
 			cost.Command(),
+			delay.Command(),
 			order.Command(),
 			picks.Command(),
 			runs.Command(),
