--- a/internal/plan/agenda/agenda.go
+++ b/internal/plan/agenda/agenda.go
@@ -4,6 +4,8 @@
 package agenda
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -68,6 +70,8 @@
 type Agenda struct {
 	rates     Rates
 	schedules map[Key]*schedule
+	// longest is the lead if every group of every key were to start at once.
+	longest time.Duration
 }
 
 // New compiles the calendars and targets of a document. An unknown time zone, calendar or a wrong date
@@ -100,6 +104,9 @@
 		slices.SortFunc(s.bounds, time.Time.Compare)
 		s.bounds = slices.CompactFunc(s.bounds, time.Time.Equal)
 	}
+	for k := range a.schedules {
+		a.longest += a.Lead(k, a.Most(k))
+	}
 	return a, nil
 }
 
@@ -201,6 +208,26 @@
 	return s.need(at)
 }
 
+// Most returns the largest need of a key over all time.
+func (a *Agenda) Most(k Key) int {
+	s, ok := a.schedules[k]
+	if !ok {
+		return 0
+	}
+	most := s.base
+	for _, p := range s.periods {
+		most = max(most, p.groups)
+	}
+	return most
+}
+
+// Keys returns the keys that have a target, ordered by model and data centre.
+func (a *Agenda) Keys() []Key {
+	return slices.SortedFunc(maps.Keys(a.schedules), func(x, y Key) int {
+		return cmp.Or(cmp.Compare(x.Model, y.Model), cmp.Compare(x.DataCentre, y.DataCentre))
+	})
+}
+
 // Lead returns how long it takes to make more groups of a key warm: their weights pass the link of the
 // data centre, no host is faster than its own rate, and then they start cold.
 func (a *Agenda) Lead(k Key, more int) time.Duration {
@@ -216,20 +243,35 @@
 // Targets returns how many groups each key has to have warm or warming at a time.
 func (a *Agenda) Targets(now time.Time) map[Key]Target {
 	out := make(map[Key]Target, len(a.schedules))
-	for k, s := range a.schedules {
-		out[k] = a.target(k, s, now)
+	for k := range a.schedules {
+		out[k] = a.Target(k, now)
 	}
 	return out
 }
 
+// Target returns how many groups a key has to have warm or warming at a time.
+func (a *Agenda) Target(k Key, now time.Time) Target {
+	s, ok := a.schedules[k]
+	if !ok {
+		return Target{}
+	}
+	return a.target(k, s, now)
+}
+
 func (a *Agenda) target(k Key, s *schedule, now time.Time) Target {
 	t := Target{Groups: s.need(now), Cause: InPeriod}
 	if t.Groups == s.base {
 		t.Cause = Base
 	}
-	for _, b := range s.bounds {
-		if !b.After(now) {
-			continue
+	next, _ := slices.BinarySearchFunc(s.bounds, now, func(b, at time.Time) int {
+		if b.After(at) {
+			return 1
+		}
+		return -1
+	})
+	for _, b := range s.bounds[next:] {
+		if b.Sub(now) > a.longest {
+			break
 		}
 		n := s.need(b)
 		if n > t.Groups && !now.Before(b.Add(-a.lead(k, s, b, n))) {
--- a/internal/plan/form/form.go
+++ b/internal/plan/form/form.go
@@ -1,7 +1,7 @@
 // Package form is a pure decider that places groups without pinned hosts on free hosts. A group lies
 // within one fabric domain. Requests are served in the order of what callers lack most; each takes
-// the domain that loses the fewest places for larger groups, then the one with the most hosts that
-// have the weights loaded, then the tightest fit.
+// a domain that keeps spares, then the one that loses the fewest places for larger groups, then the
+// one with the most hosts that have the weights loaded, then the tightest fit.
 package form
 
 import (
@@ -54,6 +54,7 @@
 // Causes of a choice, then causes of waiting.
 const (
 	OnlyDomain    Cause = "only_domain_with_room"
+	KeepsSpares   Cause = "keeps_spares"
 	KeepsRoom     Cause = "keeps_room_for_larger_groups"
 	WeightsLoaded Cause = "weights_loaded"
 	TightestFit   Cause = "tightest_fit"
@@ -97,8 +98,9 @@
 	Sizes []int
 }
 
-// keptSpares is how many free hosts of a domain groups from other domains leave, or half of them if
-// there are fewer than twice as many. Two spares cover the loss of two hosts before a rebuild.
+// keptSpares is how many free hosts a placement leaves in a domain where another has more, and groups
+// from other domains leave in any case, or half of them if there are fewer than twice as many. Two
+// spares cover the loss of two hosts before a rebuild.
 const keptSpares = 2
 
 // Order compares requests: most lacking first, then larger, then by name.
@@ -173,18 +175,23 @@
 
 // score orders the domains for a request; smaller is better, field by field.
 type score struct {
-	roomLost int
-	unloaded int
-	left     int
+	// spareShort is how many spares the domain then lacks. It comes first because a group in a domain
+	// without a spare is down until a lost host returns.
+	spareShort int
+	roomLost   int
+	unloaded   int
+	left       int
 }
 
 func (s score) compare(o score) int {
-	return cmp.Or(cmp.Compare(s.roomLost, o.roomLost), cmp.Compare(s.unloaded, o.unloaded), cmp.Compare(s.left, o.left))
+	return cmp.Or(cmp.Compare(s.spareShort, o.spareShort), cmp.Compare(s.roomLost, o.roomLost), cmp.Compare(s.unloaded, o.unloaded), cmp.Compare(s.left, o.left))
 }
 
 // cause names the first field in which the best score beats the second.
 func (s score) cause(second score) Cause {
 	switch {
+	case s.spareShort != second.spareShort:
+		return KeepsSpares
 	case s.roomLost != second.roomLost:
 		return KeepsRoom
 	case s.unloaded != second.unloaded:
@@ -261,7 +268,12 @@
 
 func (p *pass) score(r Request, pl *pool) score {
 	free := len(pl.hosts)
-	s := score{unloaded: r.Hosts - min(r.Hosts, pl.loaded[r.Weights]), left: free - r.Hosts}
+	left := free - r.Hosts
+	s := score{
+		spareShort: max(0, keptSpares-left),
+		unloaded:   r.Hosts - min(r.Hosts, pl.loaded[r.Weights]),
+		left:       left,
+	}
 	for _, size := range p.sizes {
 		if size > r.Hosts {
 			s.roomLost += size * (free/size - (free-r.Hosts)/size)
--- a/internal/plan/form/form_test.go
+++ b/internal/plan/form/form_test.go
@@ -44,6 +44,7 @@
 	}{
 		{"keeps the place of eight", both(hosts("a", 8, 0), hosts("b", 9, 0)), 0, []int{8}, []form.Request{small}, "b", "b-00", form.KeepsRoom},
 		{"weights loaded", both(hosts("a", 4, 0), hosts("b", 9, 1)), 0, nil, []form.Request{small}, "b", "b-08", form.WeightsLoaded},
+		{"keeps spares", both(hosts("a", 2, 2), hosts("b", 3, 0)), 0, nil, []form.Request{small}, "b", "b-00", form.KeepsSpares},
 		{"tightest fit", both(hosts("a", 4, 0), hosts("b", 3, 0)), 0, nil, []form.Request{small}, "b", "b-00", form.TightestFit},
 		{"bound to domain", both(hosts("a", 1, 0), hosts("b", 9, 1)), 0, nil, []form.Request{with(func(r *form.Request) { r.Domain = "a" })}, "a", "a-00", form.OnlyDomain},
 		{"bound to data centre", both(hosts("a", 2, 0), hosts("b", 1, 0)), 0, nil, []form.Request{with(func(r *form.Request) { r.DataCentre = "x" })}, "a", "a-00", form.OnlyDomain},
--- a/internal/plan/heal/change.go
+++ b/internal/plan/heal/change.go
@@ -193,7 +193,7 @@
 // freeHosts returns the hosts of the own domain that can be given to a group now.
 func (d *Decider) freeHosts(now time.Time) []form.Host {
 	var out []form.Host
-	for _, name := range sortedKeys(d.hosts) {
+	for _, name := range d.hostNames {
 		if d.snap.Hosts[name].Row.Group != "" || d.touched.Has(HostPrefix+name) || d.state(name, now) != Usable {
 			continue
 		}
@@ -300,7 +300,7 @@
 func (d *Decider) picture() form.Input {
 	var in form.Input
 	returning := make(map[string]int)
-	for _, name := range sortedKeys(d.plan.Hosts) {
+	for _, name := range d.allHosts {
 		p := d.plan.Hosts[name]
 		row := d.snap.Hosts[name].Row
 		if !p.InService || row.Group != "" {
@@ -317,7 +317,7 @@
 	for _, name := range sortedKeys(d.plan.Domains) {
 		in.Domains = append(in.Domains, form.Domain{Name: name, DataCentre: d.plan.Domains[name], Returning: returning[name]})
 	}
-	for _, g := range sortedKeys(d.plan.Groups) {
+	for _, g := range d.groupNames {
 		p := d.plan.Groups[g]
 		in.Sizes = append(in.Sizes, p.Hosts)
 		row := d.snap.Groups[g].Row
@@ -332,10 +332,10 @@
 
 // place gives hosts to waiting groups that belong into this domain.
 func (d *Decider) place(now time.Time) {
-	in := d.picture()
-	if len(in.Requests) == 0 {
+	if !d.anyWaits() || len(d.freeHosts(now)) == 0 {
 		return
 	}
+	in := d.picture()
 	for _, c := range d.placer(in) {
 		if !c.Placed() {
 			d.note("group", c.Group, "waits", string(c.Reason.Cause))
@@ -353,6 +353,16 @@
 	}
 }
 
+// anyWaits reports whether a wanted group has no hosts.
+func (d *Decider) anyWaits() bool {
+	for _, g := range d.groupNames {
+		if d.plan.Groups[g].Wanted && len(d.snap.Groups[g].Row.Hosts) == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // stillFree reports whether hosts that the rows show as free are so in this step.
 func (d *Decider) stillFree(names []string, now time.Time) bool {
 	for _, name := range names {
@@ -379,7 +389,7 @@
 // markHosts tells the other keepers which hosts are usable and what they have loaded.
 func (d *Decider) markHosts(now time.Time) {
 	rows := make(map[string]Versioned[HostRow])
-	for _, name := range sortedKeys(d.hosts) {
+	for _, name := range d.hostNames {
 		state := d.state(name, now)
 		if state == "" || d.touched.Has(HostPrefix+name) {
 			continue
--- a/internal/plan/heal/heal.go
+++ b/internal/plan/heal/heal.go
@@ -8,6 +8,7 @@
 package heal
 
 import (
+	"reflect"
 	"slices"
 	"time"
 
@@ -154,6 +155,10 @@
 	domain string
 	plan   Plan
 	hosts  map[string]*host
+	// hostNames are the own hosts, allHosts those of every domain, both sorted like groupNames.
+	hostNames  []string
+	allHosts   []string
+	groupNames []string
 
 	snap Snapshot
 	// dirty is set while the rows may differ from the snapshot; a read that begins after needRead
@@ -174,7 +179,11 @@
 	starter  *loads.Starter
 	placer   func(form.Input) []form.Choice
 	notes    map[[2]string]Note
+	// arrival orders the groups that need loads by when they first did.
+	arrival  map[string]int
+	arrivals int
 
+	own     []string
 	touched sets.Set[string]
 	out     Actions
 }
@@ -194,14 +203,21 @@
 		set: set, domain: domain, hosts: make(map[string]*host), dirty: true,
 		pending: make(map[uint64]Commit), routes: make(map[string]Route),
 		closedAt: make(map[string]time.Time), broken: make(map[string]time.Time),
-		loading: make(map[string]load), notes: make(map[[2]string]Note),
+		loading: make(map[string]load), notes: make(map[[2]string]Note), arrival: make(map[string]int),
 		starter: loads.NewStarter(policies.Loads, set.LoadsAtOnce),
 		placer:  policies.Place,
 	}
 }
 
-// Configure puts a plan in force.
+// Configure puts a plan in force. The maps of the plan must not be changed afterwards.
 func (d *Decider) Configure(p Plan) {
+	if len(p.Hosts) > 0 && sameMap(p.Hosts, d.plan.Hosts) && sameMap(p.Domains, d.plan.Domains) {
+		// Only the groups have changed; sorting the hosts of a large fleet again would cost more than
+		// the rest of a pass.
+		d.plan = p
+		d.groupNames = sortedKeys(p.Groups)
+		return
+	}
 	d.plan = p
 	for name, h := range p.Hosts {
 		if _, ok := d.hosts[name]; !ok && h.Domain == d.domain {
@@ -213,6 +229,14 @@
 			delete(d.hosts, name)
 		}
 	}
+	d.hostNames = sortedKeys(d.hosts)
+	d.allHosts = sortedKeys(p.Hosts)
+	d.groupNames = sortedKeys(p.Groups)
+}
+
+// sameMap reports whether two maps are one.
+func sameMap[V any](a, b map[string]V) bool {
+	return reflect.ValueOf(a).UnsafePointer() == reflect.ValueOf(b).UnsafePointer()
 }
 
 // Duty says whether the keeper holds the duty now, and with which fencing number.
@@ -334,6 +358,7 @@
 func (d *Decider) Step(now time.Time) Actions {
 	d.out = Actions{}
 	d.touched = sets.New[string]()
+	d.findOwn()
 	d.observe(now)
 	d.checkRoutes(now)
 	if d.mayAct() {
@@ -350,7 +375,7 @@
 
 // observe notes hosts whose reports have ceased.
 func (d *Decider) observe(now time.Time) {
-	for _, name := range sortedKeys(d.hosts) {
+	for _, name := range d.hostNames {
 		h := d.hosts[name]
 		if h.up && now.Sub(h.obs.At) > d.set.LostAfter {
 			d.lose(h, now)
@@ -452,15 +477,17 @@
 }
 
 // ownGroups returns the groups that the rows place in the domain, by name.
-func (d *Decider) ownGroups() []string {
-	var out []string
+func (d *Decider) ownGroups() []string { return d.own }
+
+// findOwn brings ownGroups up to date with the rows.
+func (d *Decider) findOwn() {
+	d.own = d.own[:0]
 	for g, v := range d.snap.Groups {
 		if v.Row.Domain == d.domain && len(v.Row.Hosts) > 0 {
-			out = append(out, g)
+			d.own = append(d.own, g)
 		}
 	}
-	slices.Sort(out)
-	return out
+	slices.Sort(d.own)
 }
 
 // note records a reason once until it changes.
--- a/internal/plan/heal/order.go
+++ b/internal/plan/heal/order.go
@@ -18,9 +18,16 @@
 	d.settleLoads()
 	var jobs []loads.Job
 	for _, g := range d.ownGroups() {
-		if job, ok := d.orderGroup(g, len(jobs), now); ok {
-			jobs = append(jobs, job)
+		if _, ok := d.arrival[g]; !ok {
+			d.arrival[g] = d.arrivals
+			d.arrivals++
 		}
+		job, ok := d.orderGroup(g, d.arrival[g], now)
+		if !ok {
+			delete(d.arrival, g)
+			continue
+		}
+		jobs = append(jobs, job)
 	}
 	d.startLoads(jobs, now)
 	d.dropStrangers(now)
@@ -39,7 +46,10 @@
 func (d *Decider) orderGroup(g string, seq int, now time.Time) (loads.Job, bool) {
 	row := d.snap.Groups[g].Row
 	p, ok := d.plan.Groups[g]
-	if !ok || !p.Wanted || !d.waitedOut(p.ChecksFencing, now) {
+	// What the document says of the engines of a group holds where the group may run. Elsewhere it is
+	// about to be released and needs no orders.
+	allowed := ok && p.Wanted && p.allows(d.domain, d.plan.Domains[d.domain])
+	if !allowed || !d.waitedOut(p.ChecksFencing, now) {
 		return loads.Job{}, false
 	}
 	job := loads.Job{Group: g, Weight: max(p.Lack, minLack), Seq: seq}
@@ -154,7 +164,7 @@
 	if !d.waitedOut(false, now) {
 		return
 	}
-	for _, name := range sortedKeys(d.hosts) {
+	for _, name := range d.hostNames {
 		h := d.hosts[name]
 		row := d.snap.Hosts[name].Row
 		if !h.up || h.obs.Group == "" || row.Group != "" || d.pinned(name) {
