--- a/internal/fleet/drain/set.go
+++ b/internal/fleet/drain/set.go
@@ -52,6 +52,9 @@
 	return !s.servers.Has(server) && !s.dataCentres.Has(dataCentre)
 }
 
+// Home returns the only data centre that is allowed, or "" for all.
+func (s Set) Home() string { return s.home }
+
 // Draining returns the backend servers that get no new work because of themselves or their hosts.
 // The set must not be changed.
 func (s Set) Draining() sets.Set[string] { return s.servers }
--- a/internal/node/serve/build.go
+++ b/internal/node/serve/build.go
@@ -1,6 +1,8 @@
 package serve
 
 import (
+	"context"
+
 	"geraniumhollow/internal/conf/schema"
 	"geraniumhollow/internal/core/tasks"
 	"geraniumhollow/internal/node/caller"
@@ -13,11 +15,11 @@
 
 // services returns the handler of plain-service calls. Like completions, they are counted for a planned
 // stop and refused while the node drains or is isolated.
-func (n *Node) services(g *tasks.Group) caller.ServiceHandler {
+func (n *Node) services(g *tasks.Group, ctl *control) caller.ServiceHandler {
+	claims := claim.NewStore(n.parts.Table, object.New(n.cfg.ObjectAddress))
+	g.Go("sweep", func(ctx context.Context) error { return ctl.sweep(ctx, claims) })
 	h := calls.New(g, calls.Deps{
-		Log: n.log.Named("calls"), Node: n.cfg.NodeName, View: n.view.Load,
-		Claims: claim.NewStore(n.parts.Table, object.New(n.cfg.ObjectAddress)),
-		Budget: retry.NewBudget(),
+		Log: n.log.Named("calls"), Node: n.cfg.NodeName, View: n.view.Load, Claims: claims, Budget: retry.NewBudget(),
 	})
 	return func(rc *fasthttp.RequestCtx, requestID string, a schema.Account) {
 		n.running.Add(1)
--- /dev/null
+++ b/internal/node/serve/picker.go
@@ -0,0 +1,39 @@
+package serve
+
+import (
+	"geraniumhollow/internal/conf/view"
+	"geraniumhollow/internal/core/fault"
+	"geraniumhollow/internal/core/sets"
+	"geraniumhollow/internal/node/relay"
+)
+
+// allowedPicker keeps new work away from backend servers that must not get any. It looks at each
+// choice, so that a request that waits or fails over follows a change as well.
+type allowedPicker struct {
+	relay.Picker
+	node *Node
+}
+
+// Pick implements relay.Picker.
+func (p allowedPicker) Pick(v *view.View, w relay.Work) (view.Server, *fault.Error) {
+	if out := p.excluded(v, w.Model); out.Len() > 0 {
+		w.Tried = w.Tried.Union(out)
+	}
+	return p.Picker.Pick(v, w)
+}
+
+// excluded returns the backend servers of a model that must not get new work. The configuration in
+// force leaves out those of data centres and hosts that are out of service.
+func (p allowedPicker) excluded(v *view.View, model string) sets.Set[string] {
+	allowed := p.node.allowedNow()
+	if allowed.Home() == "" {
+		return allowed.Draining()
+	}
+	out := sets.New[string]()
+	for _, s := range v.Servers(model) {
+		if !allowed.Allowed(s.Name, s.DataCentre) {
+			out.Add(s.Name)
+		}
+	}
+	return out
+}
--- a/internal/node/serve/serve.go
+++ b/internal/node/serve/serve.go
@@ -162,7 +162,7 @@
 	n.control.Store(ctl)
 	ctl.run(g)
 	n.origin.Serve(g, rl)
-	srv := caller.New(g.Context(), n.log.Named("caller"), n.cfg.NodeName, n.view.Load, rl, caller.WithServices(n.services(g)))
+	srv := caller.New(g.Context(), n.log.Named("caller"), n.cfg.NodeName, n.view.Load, rl, caller.WithServices(n.services(g, ctl)))
 	g.Go("callers", func(ctx context.Context) error { return srv.Serve(ctx, n.lns.Callers) })
 	g.Go("operators", func(ctx context.Context) error { return n.serveOperators(ctx, n.metrics) })
 	g.Go("peers", func(ctx context.Context) error { return n.peers.Run(ctx, n.lns.Peers) })
@@ -201,11 +201,15 @@
 // centre is in service, and, while this node is cut off and its region's policy is serve_local, the
 // data centre is the node's own.
 func (n *Node) Allowed(server, dataCentre string) bool {
+	return n.allowedNow().Allowed(server, dataCentre)
+}
+
+func (n *Node) allowedNow() drain.Set {
 	s := *n.allowed.Load()
 	if n.peers.Mode() == watch.Isolated {
 		s = s.WithHome(n.cfg.DataCentre)
 	}
-	return s.Allowed(server, dataCentre)
+	return s
 }
 
 // Isolated reports whether new requests are refused because changes may have been accepted that the
--- a/internal/node/serve/shared.go
+++ b/internal/node/serve/shared.go
@@ -52,7 +52,7 @@
 func newControl(n *Node, g *tasks.Group, incarnation string) (*control, error) {
 	c := &control{node: n, polls: newPolls(), instances: newInstances()}
 	c.leases = lease.NewKeeper(n.log.Named("lease"), n.parts.Table, n.parts.Hosts,
-		lease.DefaultConfig(n.cfg.NodeName, incarnation, share.Duties(share.DefaultShards)))
+		lease.DefaultConfig(n.cfg.NodeName, incarnation, append(share.Duties(share.DefaultShards), sweepDuty)))
 	c.shares = share.New(
 		share.Config{Node: n.cfg.NodeName, Incarnation: incarnation, Shards: share.DefaultShards},
 		share.Deps{
@@ -94,7 +94,7 @@
 
 // deps returns the relay's parts.
 func (c *control) deps(d relay.Deps) relay.Deps {
-	d.Picker, d.Granter, d.Guard = c.picker, c.shares, c.guard
+	d.Picker, d.Granter, d.Guard = allowedPicker{Picker: c.picker, node: c.node}, c.shares, c.guard
 	d.Retrier = retrier{budget: retry.NewBudget(), now: c.node.now}
 	return d
 }
@@ -175,10 +175,8 @@
 // drain hands the shards over: nothing is granted here from now on.
 func (c *control) drain() {
 	c.leases.Drain()
-	for _, t := range c.leases.Tenures() {
-		if !t.Lost {
-			c.shares.Yield(t.Duty)
-		}
+	for _, t := range c.held() {
+		c.shares.Yield(t.Duty)
 	}
 }
 
--- a/internal/node/serve/stop.go
+++ b/internal/node/serve/stop.go
@@ -106,11 +106,6 @@
 		n.running.Add(-1)
 		return nil, err
 	}
-	for _, s := range v.Servers(w.Model) {
-		if !n.Allowed(s.Name, s.DataCentre) {
-			w.Tried.Add(s.Name)
-		}
-	}
 	if g.next == nil {
 		return func() { n.running.Add(-1) }, nil
 	}
