Count finished completions against the service-level objectives

Cause: report/burn had a recorder and an archive that nothing fed.

Errors of the caller, requests beyond the rate of an account and callers that went away are not counted. The documents of the stand-in deployments have objectives for the large accounts.

--- a/internal/bench/site/deploy.go
+++ b/internal/bench/site/deploy.go
@@ -65,6 +65,8 @@
 	serviceRequests = 256
 	largeShare      = 8
 	largeAccounts   = 3
+	// objectiveQuantile is the share of requests that must meet the latency targets.
+	objectiveQuantile = 0.95
 )
 
 // AccountName returns the name of client account i.
@@ -151,6 +153,9 @@
 		share := 1
 		if i < largeAccounts {
 			share = largeShare
+			doc.Objectives = append(doc.Objectives, schema.Objective{
+				Account: d.AccountName(i), Model: d.Model, Quantile: objectiveQuantile,
+			})
 		}
 		doc.Accounts = append(doc.Accounts, schema.Account{
 			Name: d.AccountName(i), KeyHashes: []string{view.HashKey(d.AccountKey(i))}, Share: share, Priority: 5,
--- a/internal/node/relay/attempt.go
+++ b/internal/node/relay/attempt.go
@@ -30,6 +30,7 @@
 			u.rec.revertAttempt(before)
 			res.End = Unused
 		} else {
+			u.dataCentre = s.DataCentre
 			// The attempt may still be on its way, so the answer to this cancel proves nothing.
 			u.r.cancels.send(client, u.c.ID, number, nil)
 		}
@@ -38,6 +39,7 @@
 	}
 	defer st.Close()
 	res.Instance, res.State = st.Instance, st.State
+	u.dataCentre = s.DataCentre
 	u.log.Begin(s.Name)
 	err = u.copyFrames(st, number, func(f engine.Frame) {
 		if res.FirstToken == 0 {
@@ -149,6 +151,7 @@
 		if asm.Next() > before || len(ready) > 0 {
 			seen(f)
 		}
+		u.pace.tokens(time.Now(), texts(ready))
 		for _, out := range ready {
 			if err := u.log.Append(out); err != nil {
 				return errors.Newf("hold answer: %w", err)
@@ -159,3 +162,12 @@
 		}
 	}
 }
+
+// texts returns the number of frames that are tokens.
+func texts(list []stream.Frame) int {
+	n := len(list)
+	if n > 0 && list[n-1].Finish != "" {
+		n--
+	}
+	return n
+}
--- a/internal/node/relay/deps.go
+++ b/internal/node/relay/deps.go
@@ -140,12 +140,14 @@
 	// Guard keeps requests apart that are suspected of crashing backend servers; nil keeps none.
 	Guard *guard.Guard
 	// Node is the name of this node, which request ids carry.
-	Node     string
-	Picker   Picker
-	Gate     Gate
-	Granter  Granter
-	Retrier  Retrier
-	Origin   Origin
+	Node    string
+	Picker  Picker
+	Gate    Gate
+	Granter Granter
+	Retrier Retrier
+	Origin  Origin
+	// Observer is told of requests; nil for none.
+	Observer Observer
 	Timeouts Timeouts
 }
 
@@ -165,6 +167,9 @@
 	if d.Origin == nil {
 		d.Origin = noOrigin{}
 	}
+	if d.Observer == nil {
+		d.Observer = noObserver{}
+	}
 	if d.Timeouts.FirstFrame == 0 {
 		d.Timeouts.FirstFrame = defaultFirstFrame
 	}
--- /dev/null
+++ b/internal/node/relay/observe_test.go
@@ -0,0 +1,118 @@
+package relay_test
+
+import (
+	"math"
+	"sync"
+	"testing"
+	"time"
+
+	"geraniumhollow/internal/conf/schema"
+	"geraniumhollow/internal/core/fault"
+	"geraniumhollow/internal/fake/model"
+	"geraniumhollow/internal/node/relay"
+	"geraniumhollow/internal/route/stream"
+	"github.com/cockroachdb/errors"
+)
+
+// observer keeps what it is told.
+type observer struct {
+	mu       sync.Mutex
+	finished []relay.Finished
+}
+
+func (o *observer) Finished(f relay.Finished) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.finished = append(o.finished, f)
+}
+
+func (o *observer) one(t *testing.T) relay.Finished {
+	t.Helper()
+	waitFor(t, "the end of the request", func() bool {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		return len(o.finished) > 0
+	})
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(o.finished) != 1 {
+		t.Fatalf("told %d times of one request", len(o.finished))
+	}
+	return o.finished[0]
+}
+
+// Guards against burn counts of the wrong outcome, data centre or times, and against a request that is
+// counted twice or not at all.
+func TestObserver(t *testing.T) {
+	t.Parallel()
+	for name, tt := range map[string]struct {
+		faults model.Faults
+		model  string
+		gone   bool
+		code   fault.Code
+		ran    bool
+	}{
+		"whole answer":     {ran: true},
+		"after a failover": {faults: model.Faults{CutAfterTokens: 10}, ran: true},
+		"refused":          {model: "absent", code: fault.NoBackend},
+		"caller gone":      {gone: true, code: fault.OutcomeUnknown, ran: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			o := &observer{}
+			b := newBench(t, 2, tt.faults, schema.Limits{QueueTimeoutMs: 50}, relay.Deps{Observer: o})
+			c := b.completion(answerTokens)
+			if tt.gone {
+				// Long enough that the caller goes before the engine ends.
+				c.MaxTokens = 5000
+			}
+			if tt.model != "" {
+				c.Model = tt.model
+			}
+			_ = b.relay.Complete(t.Context(), c, func(stream.Frame) error {
+				if tt.gone {
+					return errors.New("gone")
+				}
+				return nil
+			})
+			f := o.one(t)
+			if f.RequestID != c.ID || f.Code != tt.code || f.CallerGone != tt.gone || (f.DataCentre != "") != tt.ran {
+				t.Errorf("got %+v", f)
+			}
+			if tt.code == "" && (f.FirstToken <= 0 || f.FirstToken > f.Elapsed || f.BetweenTokens <= 0) {
+				t.Errorf("got times %v, %v of %v", f.FirstToken, f.BetweenTokens, f.Elapsed)
+			}
+		})
+	}
+}
+
+// Guards against a percentile that is off by more than a bucket, which decides about an objective.
+func TestPercentile(t *testing.T) {
+	t.Parallel()
+	for name, tt := range map[string]struct {
+		gaps []time.Duration
+		want time.Duration
+	}{
+		"one":        {gaps: repeat(time.Second, 1), want: time.Second},
+		"even":       {gaps: repeat(36*time.Millisecond, 100), want: 36 * time.Millisecond},
+		"rare pause": {gaps: append(repeat(20*time.Millisecond, 96), repeat(time.Second, 4)...), want: 20 * time.Millisecond},
+		"pauses":     {gaps: append(repeat(20*time.Millisecond, 94), repeat(time.Second, 6)...), want: time.Second},
+		"hour":       {gaps: repeat(time.Hour, 3), want: 32 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			got := relay.Percentile(tt.gaps)
+			if off := math.Abs(float64(got-tt.want)) / float64(tt.want); off > 1./16 {
+				t.Errorf("got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+func repeat(d time.Duration, n int) []time.Duration {
+	out := make([]time.Duration, n)
+	for i := range out {
+		out[i] = d
+	}
+	return out
+}
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -108,6 +108,9 @@
 	share := r.budget.Open(c.Account.Name, limits.AccountBufferBytes, limits.NodeBufferBytes)
 	first := len(c.Prompt) + len(c.Messages) + stream.InitialBytes
 	if !share.Start(first) && (!r.recent.forgetAnswers() || !share.Start(first)) {
+		r.deps.Observer.Finished(Finished{
+			RequestID: c.ID, Account: c.Account.Name, Model: c.Model, Code: fault.Overloaded, Outcome: fault.NotRun,
+		})
 		return nil, fault.New(fault.Overloaded, fault.NotRun, "the node holds as many bytes as it may").
 			WithRetryAfter(retryAfter)
 	}
--- a/internal/node/relay/run.go
+++ b/internal/node/relay/run.go
@@ -49,11 +49,15 @@
 	fingerprint crash.Fingerprint
 	// failures and barren count failed attempts, in all and since the last new token.
 	failures, barren int
+	// dataCentre is that of the last backend server that may have run the request.
+	dataCentre string
+	pace       pace
 }
 
 func newRun(r *Relay, rec *record) *run {
 	c := rec.completion
 	u := &run{r: r, rec: rec, log: rec.log, c: c, w: work(c)}
+	u.pace.arrived = time.Now()
 	if r.deps.Guard != nil {
 		u.fingerprint = crash.Of(c.Account.Name, c.Model, c.Prompt, c.Messages)
 	}
@@ -84,9 +88,12 @@
 	leave, refusal := u.r.deps.Gate.Enter(ctx, u.r.view(), u.w)
 	if refusal != nil {
 		ferr = refusal.WithOutcome(u.outcome())
+		u.finished(ctx, ferr)
 		return
 	}
 	defer leave()
+	// Before leave, so that a node that waits for its requests has been told of all of them.
+	defer func() { u.finished(ctx, ferr) }()
 	u.r.deps.Retrier.Began(u.w)
 	ferr = u.attempts(ctx)
 }
@@ -123,6 +130,7 @@
 		case ctx.Err() != nil:
 			return u.givenUp(ctx, err)
 		case errors.Is(err, stream.ErrFull):
+			u.pace.pause()
 			if err := u.log.WaitDrained(ctx); err != nil {
 				return u.givenUp(ctx, err)
 			}
--- /dev/null
+++ b/internal/node/serve/burn_test.go
@@ -0,0 +1,44 @@
+package serve_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"geraniumhollow/internal/report/burn"
+)
+
+// Guards against a planned stop that loses the counts since the last snapshot, and against counts of
+// requests that are the caller's own mistake.
+func TestBurnSnapshot(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t)
+	n := s.nodes[1]
+	for range 5 {
+		if status, body := s.complete(n, 20); status != http.StatusOK {
+			t.Fatalf("got %d %s", status, body)
+		}
+	}
+	s.complete(n, -1)
+	n.stop()
+	now := time.Now()
+	snaps, err := burn.Load(context.Background(), s.site.Platform.Objects(), now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rep := snaps.Report(now, s.site.Document.Objectives)
+	if rep.Nodes != 1 || len(rep.Objectives) == 0 {
+		t.Fatalf("got %+v", rep)
+	}
+	o := rep.Objectives[0]
+	if o.Account != "account-00" || o.Windows[0].Total != 5 {
+		t.Errorf("got %+v", o)
+	}
+	for _, p := range o.Parts {
+		// A busy machine can miss the times of the objective.
+		if p.Cause != burn.SlowFirst && p.Cause != burn.SlowBetween {
+			t.Errorf("got %+v", p)
+		}
+	}
+}
--- a/internal/node/serve/serve.go
+++ b/internal/node/serve/serve.go
@@ -157,6 +157,8 @@
 	deps.Node = n.cfg.NodeName
 	deps.Origin = n.origin
 	deps.Gate = &entry{node: n, next: ctl.gate}
+	burns := newBurns(n)
+	deps.Observer = burns
 	rl := relay.New(n.log.Named("relay"), n.view.Load, deps)
 	ctl.relay.Store(rl)
 	n.control.Store(ctl)
@@ -166,9 +168,11 @@
 	g.Go("callers", func(ctx context.Context) error { return srv.Serve(ctx, n.lns.Callers) })
 	g.Go("operators", func(ctx context.Context) error { return n.serveOperators(ctx, n.metrics) })
 	g.Go("peers", func(ctx context.Context) error { return n.peers.Run(ctx, n.lns.Peers) })
+	g.Go("burn snapshots", burns.run)
 	g.Go("stop", func(work context.Context) error {
 		if n.awaitStop(ctx, work) {
 			ctl.leave(work)
+			burns.write(work)
 		}
 		cancel()
 		return nil
--- a/internal/report/burn/archive.go
+++ b/internal/report/burn/archive.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"encoding/json"
-	"strings"
+	"maps"
+	"path"
+	"slices"
 	"time"
 
 	"geraniumhollow/internal/conf/schema"
+	"geraniumhollow/internal/core/tasks"
 	"geraniumhollow/internal/plat/object"
 	"github.com/cockroachdb/errors"
 )
@@ -58,38 +61,88 @@
 	return nil
 }
 
-// Read makes a report over the snapshots of all nodes. A snapshot that cannot be read is named in the
-// report.
-func Read(ctx context.Context, store object.Store, now time.Time, objectives []schema.Objective) (Report, error) {
-	writers := make(map[string][]Bucket)
-	var missing []string
+// readers bounds the snapshots that are read at the same time. A full fleet has 380 snapshots for each
+// hour, and reading them one after the other takes longer than an operator's request may.
+const readers = 16
+
+// Snapshots are the counts that all nodes have written.
+type Snapshots struct {
+	// Nodes has the buckets of each process that wrote a snapshot.
+	Nodes [][]Bucket
+	// Missing names snapshots that could not be read.
+	Missing []string
+}
+
+// Report makes a report over the snapshots.
+func (s Snapshots) Report(now time.Time, objectives []schema.Objective) Report {
+	rep := Make(now, objectives, s.Nodes)
+	rep.Missing = s.Missing
+	return rep
+}
+
+// Load reads the snapshots of the longest window. Snapshots that cannot be read before ctx ends are
+// missing.
+func Load(ctx context.Context, store object.Store, now time.Time) (Snapshots, error) {
+	var keys []string
 	first := now.UTC().Add(-SlowLong.Length).Truncate(time.Hour)
 	for hour := first; !hour.After(now); hour = hour.Add(time.Hour) {
-		prefix := keyPrefix + hour.Format(hourFormat) + "/"
-		keys, err := store.List(ctx, prefix)
+		list, err := store.List(ctx, keyPrefix+hour.Format(hourFormat)+"/")
 		if err != nil {
-			return Report{}, errors.Newf("list burn snapshots: %w", err)
+			return Snapshots{}, errors.Newf("list burn snapshots: %w", err)
 		}
-		for _, key := range keys {
-			buckets, err := readSnapshot(ctx, store, key)
-			if err != nil {
-				missing = append(missing, key)
-				continue
+		keys = append(keys, list...)
+	}
+	parts := make([][]Bucket, len(keys))
+	failed := make([]bool, len(keys))
+	g := tasks.New(ctx)
+	for i := range readers {
+		g.Go("read burn snapshots", func(ctx context.Context) error {
+			for k := i; k < len(keys); k += readers {
+				var err error
+				parts[k], err = readSnapshot(ctx, store, keys[k])
+				failed[k] = err != nil
 			}
-			writer := strings.TrimPrefix(key, prefix)
-			writers[writer] = append(writers[writer], buckets...)
+			return nil
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return Snapshots{}, err
+	}
+	return join(keys, parts, failed), nil
+}
+
+// join puts the hours of each writer together.
+func join(keys []string, parts [][]Bucket, failed []bool) Snapshots {
+	writers := make(map[string][]Bucket)
+	var s Snapshots
+	for i, key := range keys {
+		if failed[i] {
+			s.Missing = append(s.Missing, key)
+			continue
 		}
+		writer := path.Base(key)
+		writers[writer] = append(writers[writer], parts[i]...)
 	}
-	nodes := make([][]Bucket, 0, len(writers))
-	for _, b := range writers {
-		nodes = append(nodes, b)
+	for _, w := range slices.Sorted(maps.Keys(writers)) {
+		s.Nodes = append(s.Nodes, writers[w])
+	}
+	return s
+}
+
+// Read makes a report over the snapshots of all nodes. A snapshot that cannot be read is named in the
+// report.
+func Read(ctx context.Context, store object.Store, now time.Time, objectives []schema.Objective) (Report, error) {
+	s, err := Load(ctx, store, now)
+	if err != nil {
+		return Report{}, err
 	}
-	rep := Make(now, objectives, nodes)
-	rep.Missing = missing
-	return rep, nil
+	return s.Report(now, objectives), nil
 }
 
 func readSnapshot(ctx context.Context, store object.Store, key string) ([]Bucket, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, errors.Newf("read burn snapshot: %w", err)
+	}
 	raw, err := store.Get(ctx, key)
 	if err != nil {
 		return nil, errors.Newf("read burn snapshot: %w", err)
