Show the burn of the objectives by command, API and page

Cause: the counts of the nodes were in the object store, and operators had no way to read them.

Change: geraniumhollow report burn prints the report as text or JSON from /api/burn of any node; the page Burn has the table, the causes and the plot, an image of its own because pages allow no styles within them.

Conclusion: a script runs the command and a test reads the page and plot, with the object store up and down.

--- a/internal/node/admin/admin.go
+++ b/internal/node/admin/admin.go
@@ -15,6 +15,7 @@
 	"geraniumhollow/internal/conf/schema"
 	"geraniumhollow/internal/conf/view"
 	"geraniumhollow/internal/plat/table"
+	"geraniumhollow/internal/report/burn"
 	"geraniumhollow/internal/report/reason"
 	"github.com/cockroachdb/errors"
 	"github.com/fasthttp/router"
@@ -83,6 +84,8 @@
 	View    func() *view.View
 	Node    Node
 	Reasons *reason.Ring
+	// Burn reads the burn snapshots of all nodes; its context bounds the time.
+	Burn func(ctx context.Context) (burn.Snapshots, error)
 	// Metrics is the page that Prometheus reads.
 	Metrics http.Handler
 	// KeyHash is the lower-case hex SHA-256 of the operator key; without one, nothing can be read or
@@ -219,7 +222,7 @@
 func setSecurityHeaders(rc *fasthttp.RequestCtx) {
 	h := &rc.Response.Header
 	h.Set("Content-Security-Policy",
-		"default-src 'none'; style-src 'self'; form-action 'self'; frame-ancestors 'none'; base-uri 'none'")
+		"default-src 'none'; style-src 'self'; img-src 'self'; form-action 'self'; frame-ancestors 'none'; base-uri 'none'")
 	h.Set("X-Content-Type-Options", "nosniff")
 	h.Set("X-Frame-Options", "DENY")
 	h.Set("Cross-Origin-Opener-Policy", "same-origin")
--- a/internal/node/admin/api.go
+++ b/internal/node/admin/api.go
@@ -26,6 +26,7 @@
 	PathStatus   = "/api/status"
 	PathFleet    = "/api/fleet"
 	PathExplain  = "/api/explain"
+	PathBurn     = "/api/burn"
 )
 
 // Bounds of lists.
@@ -88,6 +89,7 @@
 	rt.GET(PathStatus, s.api(s.apiStatus))
 	rt.GET(PathFleet, s.api(s.apiFleet))
 	rt.GET(PathExplain, s.api(s.apiExplain))
+	rt.GET(PathBurn, s.api(s.apiBurn))
 }
 
 // api checks the operator key. Cookies do not count here, so that no page of another site can call it.
--- a/internal/node/admin/pages.go
+++ b/internal/node/admin/pages.go
@@ -26,7 +26,7 @@
 var stylePath = fmt.Sprintf("/static/style.css?v=%x", xxh3.Hash(styleSheet))
 
 // templates has one set for each page: the layout, the shared pieces and the page.
-var templates = parseTemplates("login", "setup", "start", "list", "entry", "preview", "conflict", "outcome", "message", "history", "changes", "explain")
+var templates = parseTemplates("login", "setup", "start", "list", "entry", "preview", "conflict", "outcome", "message", "history", "changes", "explain", "burn")
 
 func parseTemplates(pages ...string) map[string]*template.Template {
 	funcs := template.FuncMap{
@@ -116,6 +116,8 @@
 	rt.GET("/history/changes", s.page(s.changesPage))
 	rt.GET("/history/restore", s.page(s.restorePage))
 	rt.GET("/explain", s.page(s.explainPage))
+	rt.GET("/burn", s.page(s.burnPage))
+	rt.GET(pathPlot, s.page(s.burnPlot))
 }
 
 // page serves a page to a logged-in operator and sends everybody else to the login.
--- a/internal/node/admin/pages_test.go
+++ b/internal/node/admin/pages_test.go
@@ -434,7 +434,7 @@
 	t.Parallel()
 	n := start(t, operatorKey)
 	b := n.login(`<script>x</script>`)
-	pages := append(editPages(b), "/", "/history", "/explain?subject=%3Cscript%3E", "/history/changes?from=0&to=1",
+	pages := append(editPages(b), "/", "/history", "/explain?subject=%3Cscript%3E", "/burn", "/history/changes?from=0&to=1",
 		"/parts/hosts?q=%3Cscript%3E", "/parts/services/new", "/parts/data_centres/switch?id=vejle", "/nothing", "/parts/nothing")
 	field := regexp.MustCompile(`<(?:input type="(?:text|number|search|password|checkbox)"|select|textarea) (?:[^>]* )?id="([^"]+)"`)
 	all := regexp.MustCompile(`<(?:input type="(?:text|number|search|password|checkbox)"|select|textarea)[ >]`)
--- a/internal/node/admin/site_test.go
+++ b/internal/node/admin/site_test.go
@@ -24,6 +24,7 @@
 	"geraniumhollow/internal/fake/store"
 	"geraniumhollow/internal/node/admin"
 	"geraniumhollow/internal/plat/table"
+	"geraniumhollow/internal/report/burn"
 	"geraniumhollow/internal/report/metric"
 	"geraniumhollow/internal/report/reason"
 	"github.com/cockroachdb/errors"
@@ -93,6 +94,11 @@
 	return doc
 }
 
+// burn reads the snapshots of the platform.
+func (n *node) burn(ctx context.Context) (burn.Snapshots, error) {
+	return burn.Load(ctx, n.platform.Objects(), time.Now())
+}
+
 // start runs an operators' address with version 1 of the document.
 func start(t *testing.T, key string) *node {
 	t.Helper()
@@ -111,7 +117,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	srv, err := admin.New(ctx, admin.Deps{
 		Log: hclog.NewNullLogger(), Configs: n.configs, View: n.view.Load, Node: n, Metrics: metric.New().Handler(),
-		Reasons: reason.New(100, time.Now), KeyHash: hash, Now: time.Now,
+		Reasons: reason.New(100, time.Now), KeyHash: hash, Burn: n.burn, Now: time.Now,
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/node/serve/burn.go
+++ b/internal/node/serve/burn.go
@@ -108,3 +108,8 @@
 	}
 	b.failing = err != nil
 }
+
+// burn reads the snapshots of all nodes.
+func (n *Node) burn(ctx context.Context) (burn.Snapshots, error) {
+	return burn.Load(ctx, object.New(n.cfg.ObjectAddress), n.now())
+}
--- a/internal/node/serve/operators.go
+++ b/internal/node/serve/operators.go
@@ -31,7 +31,7 @@
 func (n *Node) serveOperators(ctx context.Context, m *metric.Set) error {
 	srv, err := admin.New(ctx, admin.Deps{
 		Log: n.log.Named("admin"), Configs: commits{Store: n.configs, node: n}, View: n.view.Load, Node: operators{node: n},
-		Reasons: n.reasons, Metrics: m.Handler(), KeyHash: n.cfg.OperatorKeyHash, Now: n.now,
+		Burn: n.burn, Reasons: n.reasons, Metrics: m.Handler(), KeyHash: n.cfg.OperatorKeyHash, Now: n.now,
 	})
 	if err != nil {
 		return errors.Newf("build operators' address: %w", err)
--- a/internal/node/tool/tool.go
+++ b/internal/node/tool/tool.go
@@ -100,9 +100,9 @@
 	}
 }
 
-// Commands returns the subcommands config, status and explain.
+// Commands returns the subcommands config, status, explain and report.
 func Commands() []*cli.Command {
-	list := []*cli.Command{configCommand(), statusCommand(), explainCommand()}
+	list := []*cli.Command{configCommand(), statusCommand(), explainCommand(), reportCommand()}
 	reportUsage(list)
 	return list
 }
--- a/internal/node/tool/tool_test.go
+++ b/internal/node/tool/tool_test.go
@@ -18,6 +18,7 @@
 	"geraniumhollow/internal/node/admin"
 	"geraniumhollow/internal/node/tool"
 	"geraniumhollow/internal/plat/table"
+	"geraniumhollow/internal/report/burn"
 	"geraniumhollow/internal/report/metric"
 	"geraniumhollow/internal/report/reason"
 	"github.com/hashicorp/go-hclog"
@@ -71,9 +72,15 @@
 	accept(e)
 	reasons := reason.New(10, time.Now)
 	reasons.Add(reason.Route, "presse-lm-000", "closed", "a member is missing", reason.Name("host", "host-000-01"), reason.Int("age_ms", 3100))
+	counts := burn.New()
+	counts.Add(time.Now(), doc.Objectives, burn.Request{Account: "account-00", Model: "presse-lm", DataCentre: "vejle", Failed: true})
+	if err := burn.NewArchive(tb.Objects(), counts, "node-1", "1").Write(ctx, time.Now()); err != nil {
+		return err
+	}
 	srv, err := admin.New(ctx, admin.Deps{
 		Log: hclog.NewNullLogger(), Configs: configs, View: current.Load, Metrics: metric.New().Handler(), Reasons: reasons,
 		Node: admin.NewLocal("node-0", "vejle", current.Load, accept), KeyHash: view.HashKey(operatorKey), Now: time.Now,
+		Burn: func(ctx context.Context) (burn.Snapshots, error) { return burn.Load(ctx, tb.Objects(), time.Now()) },
 	})
 	if err != nil {
 		return err
