--- a/internal/route/budget/budget_test.go
+++ b/internal/route/budget/budget_test.go
@@ -144,6 +144,15 @@
 			x.report("i", budget.Warm, 3)
 			x.want("ended", x.fill(true), 4)
 		}},
+		{"the reserve stays within the pool", 10, 10, func(x *table) {
+			// The earlier owner still runs all 10, so this one's reserve of 3 is not free.
+			x.take(2, 1)
+			x.wait(33 * time.Second)
+			x.report("i", budget.Cold, 10)
+			x.want("nothing", x.fill(false), 0)
+			x.report("i", budget.Cold, 0)
+			x.want("reserve: 3 requests, 250 of 1000 tokens", x.fill(false), 2)
+		}},
 		{"two earlier owners, one with much out", 8, 8, func(x *table) {
 			// Reserves are 4 and 2. With 5 inherited of the second, the first may still give 4.
 			x.take(3, 2)
@@ -194,6 +203,22 @@
 			x.report("j", budget.Cold, 0)
 			x.want("new instance", x.fill(true), 2)
 		}},
+		{"a restart that may be older than the tenure needs it", 2, 2, func(x *table) {
+			x.take(2, 0)
+			x.o.Report(x.now, x.now, budget.Report{Instance: "i", State: budget.Cold, Age: time.Second, Open: true})
+			x.report("j", budget.Cold, 0)
+			x.want("waits", x.fill(true), 0)
+		}},
+		{"earlier reserves are those of the limit before it was lowered", 8, 8, func(x *table) {
+			x.take(2, 1)
+			x.wait(33 * time.Second)
+			x.report("i", budget.Cold, 0)
+			x.o.SetLimits(x.now, limits(4, 4))
+			x.want("the earlier reserve is still 4", x.fill(true), 0)
+			x.wait(37 * time.Second)
+			x.report("i", budget.Cold, 0)
+			x.want("the earlier reserve is 2", x.fill(true), 2)
+		}},
 		{"answers make the owner careful", 2, 8, func(x *table) {
 			x.take(1, 0)
 			x.report("i", budget.Warm, 0)
