Shares act on the duties of shards only

Cause: found on reading: the shell consented to the loss of every lost duty, and yielded any duty for balance, so it would have given up duties of other kinds (configuration reader, group keeper) behind their users' backs.

Change: it looks at duties with the prefix shard/ only, and Wants takes a prefix. A test has a lost duty of another kind beside a lost shard, and checks that the shard is consented to only when nothing is out.

Conclusion: each kind of duty needs a user that calls Consent when it is lost and idle.

--- a/internal/bench/share/process.go
+++ b/internal/bench/share/process.go
@@ -115,7 +115,7 @@
 	for _, id := range slices.Sorted(maps.Keys(p.unacked)) {
 		p.deliver(p.unacked[id])
 	}
-	if d, ok := p.dec.Wants(p.host.clock()); ok {
+	if d, ok := p.dec.Wants(p.host.clock(), ""); ok {
 		if d == duty {
 			p.own.Lose()
 		}
--- a/internal/fleet/lease/decider.go
+++ b/internal/fleet/lease/decider.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"geraniumhollow/internal/plat/table"
@@ -216,15 +217,18 @@
 	return d.listAt.Sub(last) > d.cfg.Absent
 }
 
-// Wants reports that a move of this duty for balance is due, and to which node. The holder releases
-// it with Yield when it suits.
-func (d *Decider) Wants(now time.Time) (string, bool) {
+// Wants returns a held duty with the prefix whose move for balance is due. Its user releases it with
+// Yield when it suits.
+func (d *Decider) Wants(now time.Time, prefix string) (string, bool) {
 	if !d.Valid(now) || now.Before(d.moveDue) {
 		return "", false
 	}
 	live := d.live(now, d.cfg.Settle)
 	for _, t := range d.Tenures() {
-		if p := Preferred(t.Duty, live); !t.Lost && p != "" && p != d.cfg.Node {
+		if t.Lost || !strings.HasPrefix(t.Duty, prefix) {
+			continue
+		}
+		if p := Preferred(t.Duty, live); p != "" && p != d.cfg.Node {
 			d.moveDue = now.Add(d.cfg.Scan)
 			return t.Duty, true
 		}
--- a/internal/fleet/lease/lease_test.go
+++ b/internal/fleet/lease/lease_test.go
@@ -180,7 +180,7 @@
 			f.run(60*time.Second, "x", "y")
 			y, _ := f.held("y", "")
 			f.check("no move without consent", y == 0)
-			d, ok := f.procs["x"].Wants(f.now)
+			d, ok := f.procs["x"].Wants(f.now, "")
 			f.procs["x"].Yield(d, true)
 			f.run(10*time.Second, "x", "y")
 			_, ten := f.held("y", d)
--- a/internal/fleet/lease/shell.go
+++ b/internal/fleet/lease/shell.go
@@ -172,11 +172,11 @@
 	return k.dec.Holder(duty)
 }
 
-// Wants returns a duty that should move for balance, if one is due.
-func (k *Keeper) Wants() (string, bool) {
+// Wants returns a duty with the prefix that should move for balance, if one is due.
+func (k *Keeper) Wants(prefix string) (string, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.dec.Wants(time.Now())
+	return k.dec.Wants(time.Now(), prefix)
 }
 
 // Yield releases a held duty; see Decider.Yield.
--- a/internal/node/share/owner.go
+++ b/internal/node/share/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"geraniumhollow/internal/core/tasks"
@@ -75,6 +76,10 @@
 	tenures := make(map[string]budget.Tenure)
 	lost := make(map[string]bool)
 	for _, t := range s.deps.Leases.Tenures() {
+		if !strings.HasPrefix(t.Duty, dutyPrefix) {
+			// Duties of other kinds have users of their own.
+			continue
+		}
 		if t.Lost {
 			lost[t.Duty] = true
 			continue
@@ -100,7 +105,7 @@
 			s.deps.Leases.Consent(d)
 		}
 	}
-	if d, ok := s.deps.Leases.Wants(); ok {
+	if d, ok := s.deps.Leases.Wants(dutyPrefix); ok {
 		s.Yield(d)
 	}
 }
--- a/internal/node/share/share.go
+++ b/internal/node/share/share.go
@@ -64,7 +64,7 @@
 	Holds(duty string, fence uint64) bool
 	Tenures() []lease.Tenure
 	Holder(duty string) string
-	Wants() (string, bool)
+	Wants(prefix string) (string, bool)
 	Yield(duty string, clean bool)
 	Consent(duty string)
 }
--- a/internal/node/share/share_test.go
+++ b/internal/node/share/share_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -33,6 +34,8 @@
 	polls    int
 	closed   map[string]int
 	free     int
+	lost     []string // duties that every node has lost
+	consents []string
 }
 
 func (n *net) set(f func()) {
@@ -104,15 +107,26 @@
 
 func (d duties) Holds(string, uint64) bool { return d.owner() == d.self }
 func (d duties) Holder(string) string      { return d.owner() }
-func (duties) Wants() (string, bool)       { return "", false }
+func (duties) Wants(string) (string, bool) { return "", false }
 func (duties) Yield(string, bool)          {}
-func (duties) Consent(string)              {}
+
+func (d duties) Consent(duty string) {
+	d.net.set(func() { d.net.consents = append(d.net.consents, duty) })
+}
 
 func (d duties) Tenures() []lease.Tenure {
 	if d.owner() != d.self {
 		return nil
 	}
 	var out []lease.Tenure
+	d.net.set(func() {
+		for _, n := range d.net.lost {
+			out = append(out, lease.Tenure{Duty: n, Lost: true})
+		}
+	})
+	if len(out) > 0 {
+		return out
+	}
 	for _, n := range share.Duties(share.DefaultShards) {
 		out = append(out, lease.Tenure{Duty: n, Fence: 1, Clean: true})
 	}
@@ -238,6 +252,29 @@
 				t.Errorf("%d grants while all may be running", again)
 			}
 		}},
+		{"a lost shard is consented to when nothing is out, and no other duty is", func(t *testing.T, n *net, srv view.Server) {
+			duty := share.Duty(group, share.DefaultShards)
+			got := fill(t, n, srv)
+			consented := func() bool {
+				n.mu.Lock()
+				defer n.mu.Unlock()
+				if slices.Contains(n.consents, "config/dc") {
+					t.Error("consent to another kind of duty")
+				}
+				return slices.Contains(n.consents, duty)
+			}
+			n.set(func() { n.lost = []string{duty, "config/dc"} })
+			time.Sleep(300 * time.Millisecond)
+			if consented() {
+				t.Error("consent while grants are out")
+			}
+			for name, grants := range got {
+				for _, g := range grants {
+					n.nodes[name].Release(g, relay.Result{Instance: "i", State: engine.Cold})
+				}
+			}
+			eventually(t, "consent", consented)
+		}},
 		{"owner unknown or unreachable is an error at once", func(t *testing.T, n *net, srv view.Server) {
 			for _, f := range []func(){func() { n.down = true }, func() { n.noOwner = true }} {
 				n.set(f)
