--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -34,8 +34,9 @@
 	// pauseGap is the time between ticks that shows that this node itself was paused.
 	pauseGap = time.Second
 	// freshGap is how much younger a vouch must be to send a heartbeat before its time. Vouches
-	// then cross the tree in one sweep instead of waiting up to 1 s in each node.
-	freshGap = 500 * time.Millisecond
+	// then cross the tree in one sweep instead of waiting up to 1 s in each node. With 500 ms the
+	// readers of several data centres cause a fifth more traffic and save no read of the table.
+	freshGap = 800 * time.Millisecond
 	// forgetAfter is how long the end of a listing is remembered.
 	forgetAfter = 10 * time.Minute
 )
--- a/internal/node/peers/document.go
+++ b/internal/node/peers/document.go
@@ -158,8 +158,9 @@
 }
 
 // install puts a document in force if it is newer than the own one, and passes it on. A node that
-// read it from the table, or got it along the tree, sends the document; among nodes that all hear
-// each other the one that read it does that, and the others only offer it.
+// read it from the table sends the document to all neighbours, and one that got it passes it along
+// the tree; in other directions it only offers it, because the receivers have it from the node that
+// read it.
 func (p *Peers) install(version uint64, doc *schema.Document, packed []byte, from string) {
 	p.mu.Lock()
 	if !p.watch.Loaded(version) {
@@ -176,7 +177,9 @@
 			continue
 		}
 		tree := rel == roster.Parent || rel == roster.Child
-		if from == "" || tree {
+		// The other data centres have it from this one if it came from below.
+		across := rel == roster.Root && neighbours[from] == roster.Child
+		if from == "" || tree || across {
 			_ = p.net.Send(node, &frame.ConfigDocument{Ver: int(version), Doc: packed})
 			continue
 		}
--- a/internal/node/serve/serve_test.go
+++ b/internal/node/serve/serve_test.go
@@ -15,10 +15,12 @@
 	"geraniumhollow/internal/bench/spread"
 	"geraniumhollow/internal/conf/apply"
 	"geraniumhollow/internal/conf/flags"
+	"geraniumhollow/internal/conf/schema"
 	"geraniumhollow/internal/conf/watch"
 	"geraniumhollow/internal/core/tasks"
 	"geraniumhollow/internal/node/peers"
 	"geraniumhollow/internal/node/serve"
+	"geraniumhollow/internal/plat/hosts"
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 )
@@ -270,6 +272,44 @@
 	})
 }
 
+// Guards against new work for a backend server whose host is leaving, on any node, and against a
+// cut-off node that reaches beyond its data centre.
+func TestAllowed(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t)
+	d := s.site.Deployment
+	allowed := func(n *running, runner int) bool { return n.Allowed(d.GroupName(runner), d.RunnerDataCentre(runner)) }
+	list, err := s.site.Platform.List(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range list {
+		if list[i].Name == d.RunnerHosts(1)[1] {
+			list[i].State = hosts.Leaving
+		}
+	}
+	s.site.Platform.SetHosts(list)
+	s.eventually(bound, "no new work for the leaving host", func() bool {
+		for _, n := range s.nodes {
+			if !allowed(n, 0) || allowed(n, 1) || !allowed(n, 2) {
+				return false
+			}
+		}
+		return true
+	})
+	s.site.Document.Regions[0].IsolationPolicy = schema.RegionIsolationPolicyServeLocal
+	s.commit(s.nodes)
+	cut := s.nodes[0]
+	cut.platform.SetDown(true)
+	for _, n := range s.nodes[1:] {
+		s.network.CutBoth(cut.cfg.NodeName, n.cfg.NodeName, true)
+	}
+	s.eventually(2*bound, "isolation", func() bool { return cut.Peers().Mode() == watch.Isolated })
+	if !cut.Ready() || !allowed(cut, 0) || allowed(cut, 2) {
+		t.Errorf("serve_local: ready %v, own data centre %v, another %v", cut.Ready(), allowed(cut, 0), allowed(cut, 2))
+	}
+}
+
 // Guards against a node that serves an old version, or anything, before it knows the current one.
 func TestRestart(t *testing.T) {
 	t.Parallel()
