Ignore a notice that arrives after its withdrawal; test one-way partitions

Cause: a notice is an ask and its withdrawal a one-way message, so the withdrawal can be handled first; the notice then stayed open until a vouch from 10 s later, and a store outage in that time would have isolated the node.

Change: a withdrawn notice leaves its key behind, within the bound of 64. The contract test has a node whose messages are lost while it hears the others.

--- a/internal/conf/watch/watch.go
+++ b/internal/conf/watch/watch.go
@@ -100,7 +100,7 @@
 	claimed time.Time
 }
 
-// notice is a commit that was announced.
+// notice is a commit that was announced; version 0 stands for one that was withdrawn.
 type notice struct {
 	version uint64
 	at      time.Time
@@ -143,6 +143,12 @@
 	if v <= w.version {
 		return true
 	}
+	if _, ok := w.notices[key]; ok {
+		return true
+	}
+	if len(w.notices) >= maxNotices {
+		maps.DeleteFunc(w.notices, func(_ string, n notice) bool { return n.version == 0 })
+	}
 	if len(w.notices) >= maxNotices {
 		return false
 	}
@@ -150,8 +156,14 @@
 	return true
 }
 
-// Withdrawn notes that an announced commit had no effect.
-func (w *Watch) Withdrawn(key string) { delete(w.notices, key) }
+// Withdrawn notes that an announced commit had no effect. The key stays for a while, because the
+// notice may arrive after its withdrawal.
+func (w *Watch) Withdrawn(key string) {
+	delete(w.notices, key)
+	if len(w.notices) < maxNotices {
+		w.notices[key] = notice{}
+	}
+}
 
 // Next returns the highest version above the own one that this node knows to exist or that was
 // announced, or 0.
--- a/internal/conf/watch/watch_test.go
+++ b/internal/conf/watch/watch_test.go
@@ -67,6 +67,12 @@
 			w.Noticed(at(0), "n", 4)
 			w.Withdrawn("n")
 		}, 4001, 6, watch.StoreDown},
+		{"a notice that arrives after its withdrawal", func(w *watch.Watch) {
+			w.Read(at(0), 3)
+			w.Loaded(3)
+			w.Withdrawn("n")
+			w.Noticed(at(0), "n", 4)
+		}, 4001, 6, watch.StoreDown},
 		{"the announced commit did not happen", func(w *watch.Watch) {
 			w.Read(at(0), 3)
 			w.Loaded(3)
@@ -145,3 +151,26 @@
 		w.Loaded(v)
 	}
 }
+
+// Guards against notices that fill the memory, and against withdrawn ones that block later commits.
+func TestNoticesBounded(t *testing.T) {
+	t.Parallel()
+	w := watch.New()
+	w.Loaded(1)
+	for i := range 1000 {
+		key := string(rune('a' + i))
+		if !w.Noticed(at(0), key, 2) {
+			t.Fatalf("notice %d refused after withdrawals", i)
+		}
+		w.Withdrawn(key)
+	}
+	kept := 0
+	for i := range 1000 {
+		if w.Noticed(at(0), string(rune('a'+2000+i)), 2) {
+			kept++
+		}
+	}
+	if kept > 64 {
+		t.Errorf("%d open notices kept, want at most 64", kept)
+	}
+}
--- a/internal/node/serve/serve_test.go
+++ b/internal/node/serve/serve_test.go
@@ -239,6 +239,27 @@
 	}
 }
 
+// Guards against a node whose messages are lost but that still hears others: it must not commit, and
+// with the store down for it its age must not be kept young by messages that answer nothing.
+func TestOneWay(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t)
+	mute := s.nodes[0]
+	mute.platform.SetDown(true)
+	for _, n := range s.nodes[1:] {
+		s.network.Cut(mute.cfg.NodeName, n.cfg.NodeName, true)
+	}
+	s.eventually(2*bound, "isolation of the mute node", func() bool { return !mute.Ready() })
+	if _, err := mute.Peers().Announce(context.Background(), s.version+1); !errors.Is(err, peers.ErrTooFew) {
+		t.Errorf("announcement of a mute node: got %v, want ErrTooFew", err)
+	}
+	s.commit(s.nodes[1:])
+	s.network.CutBoth(mute.cfg.NodeName, s.nodes[1].cfg.NodeName, false)
+	s.eventually(2*bound, "return through one peer", func() bool {
+		return mute.Ready() && mute.View().Version == s.version
+	})
+}
+
 // Guards against a majority that goes on with the old configuration when the only node that reaches
 // the table commits a change and is cut off at once.
 func TestCommitAndCut(t *testing.T) {
