Ask every engine of a domain at once, so that hanging hosts delay none

Cause: at most 64 engines were asked at once. Where as many hosts hang, those behind them were not asked before the round ended, so that healthy groups would have closed.

Change: a round asks all engines of the domain at once.

Conclusion: a partly dark domain keeps its healthy groups.

--- a/internal/node/keep/keep.go
+++ b/internal/node/keep/keep.go
@@ -63,8 +63,8 @@
 	tableInterval = time.Second
 	tableTimeout  = 2 * time.Second
 	scanPage      = 1000
-	// maxPolls bounds the engines that are asked at once.
-	maxPolls = 64
+	// maxOrders bounds the orders that are sent at once.
+	maxOrders = 64
 )
 
 // Keeper keeps the groups of one domain.
@@ -132,20 +132,18 @@
 	k.step(time.Now())
 }
 
-// poll asks every engine of the domain at once, each within pollTimeout.
+// poll asks every engine of the domain at once, each within pollTimeout. No limit is set on how many are
+// asked at once, because hosts that hang would then keep those behind them from being asked.
 func (k *Keeper) poll(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	g := tasks.New(ctx)
-	slots := make(chan struct{}, maxPolls)
 	for _, h := range k.Document().Hosts {
 		if h.FabricDomain != k.Domain || h.Address == "" {
 			continue
 		}
 		client := k.client(h.Address)
 		g.Go("poll "+h.Name, func(ctx context.Context) error {
-			slots <- struct{}{}
-			defer func() { <-slots }()
 			asked := time.Now()
 			r, err := client.Load(ctx)
 			if err != nil {
--- a/internal/node/keep/work.go
+++ b/internal/node/keep/work.go
@@ -69,7 +69,7 @@
 // sendOrders sends orders at once. One that fails is decided again by the next steps.
 func (k *Keeper) sendOrders(ctx context.Context, orders []heal.Order) {
 	g := tasks.New(ctx)
-	slots := make(chan struct{}, maxPolls)
+	slots := make(chan struct{}, maxOrders)
 	plan := k.Document().Hosts
 	addresses := make(map[string]string, len(plan))
 	for _, h := range plan {
