Leave one spare to groups of a dark domain instead of two, with measurements

Cause: after the loss of a domain the weakest part was the reserve: groups waited beside two idle hosts of each other domain.

Change: groups from other domains leave one spare in a domain that has two.

--- a/internal/bench/plans/command.go
+++ b/internal/bench/plans/command.go
@@ -58,6 +58,7 @@
 				Flags: []cli.Flag{
 					&cli.IntFlag{Name: "seeds", Usage: "runs of each kind", Value: 3, Destination: &losses.Seeds},
 					&cli.IntFlag{Name: "loads", Usage: "loads at once of a domain; 0 is the default", Destination: &losses.Loads},
+					&cli.BoolFlag{Name: "own-start", Usage: "each policy also places the groups before the loss", Destination: &losses.OwnStart},
 					&cli.StringSliceFlag{Name: "fleet", Usage: "only these fleets", Destination: &losses.Fleets},
 					&cli.StringSliceFlag{Name: "lost", Usage: "only these extents", Destination: &losses.Extents},
 				},
--- a/internal/bench/plans/losses.go
+++ b/internal/bench/plans/losses.go
@@ -86,14 +86,14 @@
 	read map[string]uint64
 }
 
-func newSite(f Fleet, plan heal.Plan, set heal.Settings) *site {
+func newSite(f Fleet, plan heal.Plan, set heal.Settings, start func() heal.Policies) *site {
 	s := &site{world: newWorld(plan), keepers: make(map[string]*heal.Decider), open: sets.New[string](), set: set, read: make(map[string]uint64)}
 	for i := range f.Domains {
 		domain := fmt.Sprintf("domain-%02d", i)
 		s.keepers[domain] = nil
 		s.domains = append(s.domains, domain)
 	}
-	s.hire(heal.DefaultPolicies)
+	s.hire(start)
 	return s
 }
 
@@ -130,9 +130,9 @@
 	}
 }
 
-// settle forms all groups under the policies in use with loads that take no time. It then binds every
-// third group to the data centre where it runs, sets the real rates and gives the domains to keepers
-// with other policies, so that all policies start from the same placement.
+// settle forms all groups with loads that take no time. It then binds every third group to the data
+// centre where it runs, sets the real rates and gives the domains to keepers with the policies that are
+// measured.
 func (s *site) settle(f Fleet, policies func() heal.Policies) {
 	s.instant = time.Second
 	for range settleSeconds {
@@ -318,6 +318,9 @@
 	Seeds   int
 	// Loads replaces the loads at once of a domain, unless it is 0.
 	Loads int
+	// OwnStart lets each policy place the groups before the loss, too. Otherwise all start from the
+	// placement of the policies in use.
+	OwnStart bool
 }
 
 // Losses prints what losses cost under the policies in use and under the simplest, over the same
@@ -353,10 +356,14 @@
 func averageLoss(f Fleet, extent order.Extent, policies func() heal.Policies, o LossOptions) (Loss, error) {
 	set := heal.DefaultSettings()
 	set.LoadsAtOnce = cmp.Or(o.Loads, set.LoadsAtOnce)
+	start := heal.DefaultPolicies
+	if o.OwnStart {
+		start = policies
+	}
 	losses := make([]Loss, o.Seeds)
 	err := share(context.Background(), o.Seeds, func(seed int) {
 		rng := rand.New(rand.NewPCG(uint64(seed), uint64(f.Groups)))
-		s := newSite(f, f.plan(rng), set)
+		s := newSite(f, f.plan(rng), set, start)
 		s.settle(f, policies)
 		losses[seed] = s.run(s.lostHosts(extent, rng))
 	})
--- a/internal/bench/plans/pass.go
+++ b/internal/bench/plans/pass.go
@@ -22,7 +22,7 @@
 	in := placement(f)
 	timePass(w, "place_all_groups", func() { form.Place(in) })
 	rng := rand.New(rand.NewPCG(1, uint64(f.Groups)))
-	s := newSite(f, f.plan(rng), heal.DefaultSettings())
+	s := newSite(f, f.plan(rng), heal.DefaultSettings(), heal.DefaultPolicies)
 	s.settle(f, heal.DefaultPolicies)
 	k := s.keepers[s.domains[0]]
 	timePass(w, "step_nothing_to_do", func() { k.Step(s.now) })
--- a/internal/plan/form/form.go
+++ b/internal/plan/form/form.go
@@ -98,12 +98,17 @@
 	Sizes []int
 }
 
-// keptSpares is how many free hosts a placement leaves in a domain where another has more, and groups
-// from other domains leave in any case, or half of them if there are fewer than twice as many. Two
-// spares cover the loss of two hosts before a rebuild.
+// keptSpares is how many free hosts a placement leaves in a domain where another has more. Two spares
+// cover the loss of two hosts before a rebuild.
 const keptSpares = 2
 
-// Order compares requests: most lacking first, then larger, then by name.
+// lastSpares is how many free hosts groups from other domains leave in a domain that has at least
+// twice as many. Leaving two kept groups of a dark domain down beside idle hosts for longer than lost
+// hosts of other domains would have needed them.
+const lastSpares = 1
+
+// Order compares requests: most lacking first, then larger, then by name. Larger ones come first because
+// they fit in fewer places.
 func Order(a, b Request) int {
 	return cmp.Or(cmp.Compare(b.Lack, a.Lack), cmp.Compare(b.Hosts, a.Hosts), cmp.Compare(a.Group, b.Group))
 }
@@ -161,7 +166,7 @@
 	}
 	for _, pl := range p.pools {
 		slices.SortFunc(pl.hosts, func(a, b Host) int { return cmp.Compare(a.Name, b.Name) })
-		pl.floor = min(keptSpares, (len(pl.hosts)+1)/2)
+		pl.floor = min(lastSpares, len(pl.hosts)/2)
 	}
 	p.sizes = slices.Clone(in.Sizes)
 	for _, r := range in.Requests {
