Name the proof of a release in a test; wait for the news of a completion in another

TestShares released grants without saying that the attempts had ended, which frees nothing since the relay states the proof. TestLimitInUse began a run in the moment between the return of a run count and the news that the request had completed; running alone then is allowed.

Change: the first names the proof; the second waits for the news, then demands as before that the request is no longer a suspect.

--- a/internal/node/guard/guard_test.go
+++ b/internal/node/guard/guard_test.go
@@ -200,8 +200,21 @@
 		inFlight[1].Complete()
 		return nil
 	})
-	if run, ferr := f.begin(t, 0, "x", false); ferr != nil || run.Alone {
-		t.Errorf("after a run completed: %v", ferr)
+	run, ferr := f.begin(t, 0, "x", false)
+	if ferr != nil {
+		t.Fatalf("after a run completed: %v", ferr)
+	}
+	if run.Alone {
+		// The run count can be free a moment before the news of the completion has come.
+		run.NotStarted()
+		for end := time.Now().Add(5 * time.Second); f.guards[0].Suspect("x"); time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatal("still a suspect after a run completed")
+			}
+		}
+		if run, ferr = f.begin(t, 0, "x", false); ferr != nil || run.Alone {
+			t.Errorf("runs alone after a run completed: %v", ferr)
+		}
 	}
 }
 
--- a/internal/node/share/share_test.go
+++ b/internal/node/share/share_test.go
@@ -270,7 +270,7 @@
 			}
 			for name, grants := range got {
 				for _, g := range grants {
-					n.nodes[name].Release(g, relay.Result{Instance: "i", State: engine.Cold})
+					n.nodes[name].Release(g, relay.Result{End: relay.Ended, Instance: "i", State: engine.Cold})
 				}
 			}
 			eventually(t, "consent", consented)
