Fill the metrics of a node

Cause: the metrics page had series that nothing counted.

Change: the caller interface tells of the end of each request once, also of those that are refused before the relay and of streams whose caller goes away; the relay and the calls of plain services tell of each attempt. The node counts these, wraps the granter and the table, and looks up queue, buffered bytes, grants held, configuration, mode and peers when the page is read. Queue and buffered bytes are set instead of added to, and the results of grants name why there was none (busy, closed, waiting, no_owner) in place of refused and expired, which nobody could tell apart.

--- a/internal/node/caller/answer.go
+++ b/internal/node/caller/answer.go
@@ -95,6 +95,8 @@
 func (s *Server) streamed(rc *fasthttp.RequestCtx, es *events, starts ...starter) {
 	ctx, cancel := context.WithCancelCause(s.ctx)
 	es.conn, es.stall = rc.Conn(), s.timeouts.Stall
+	begun := rc.Time()
+	es.finished = func(ferr *fault.Error) { s.ended(ferr, time.Since(begun)) }
 	unwatch := s.watch.add(rc.Conn(), cancel)
 	es.closed = func() {
 		unwatch()
@@ -128,8 +130,12 @@
 	answer     *relay.Answer
 	closed     func()
 
+	// finished is told of the end of a stream that has begun.
+	finished func(ferr *fault.Error)
+
 	buf   event.Buffer
 	ended bool
+	fault *fault.Error
 }
 
 func newEvents(sh shape, c relay.Completion) *events {
@@ -168,8 +174,8 @@
 		e.ended = true
 		e.buf.Add(event.Event{Data: []byte("[DONE]")})
 	default:
-		e.ended = true
-		e.buf.Add(event.Event{Data: encode(faultBody(e.completion.ID, relay.AsFault(err)))})
+		e.ended, e.fault = true, relay.AsFault(err)
+		e.buf.Add(event.Event{Data: encode(faultBody(e.completion.ID, e.fault))})
 	}
 }
 
@@ -196,5 +202,9 @@
 func (e *events) Close() error {
 	e.answer.Close()
 	e.closed()
+	if !e.ended {
+		e.fault = fault.New(fault.OutcomeUnknown, fault.Unknown, "the caller is gone")
+	}
+	e.finished(e.fault)
 	return nil
 }
--- a/internal/node/caller/caller.go
+++ b/internal/node/caller/caller.go
@@ -66,6 +66,12 @@
 // ServiceHandler answers a call of a plain service by an authenticated account.
 type ServiceHandler func(rc *fasthttp.RequestCtx, requestID string, a schema.Account)
 
+// WithEnded calls f once for each request of a caller that has ended, after the last byte of its answer,
+// with the error that it ended with, or nil. It returns at once.
+func WithEnded(f func(err *fault.Error, d time.Duration)) Option {
+	return func(s *Server) { s.ended = f }
+}
+
 // WithServices serves the paths of plain services.
 func WithServices(h ServiceHandler) Option { return func(s *Server) { s.services = h } }
 
@@ -78,6 +84,7 @@
 	relay    *relay.Relay
 	timeouts Timeouts
 	services ServiceHandler
+	ended    func(err *fault.Error, d time.Duration)
 	watch    *watch
 	srv      *fasthttp.Server
 }
@@ -88,12 +95,13 @@
 ) *Server {
 	s := &Server{
 		ctx: ctx, log: log, node: node, view: current, relay: rl, timeouts: Timeouts{}.withDefaults(), watch: newWatch(),
+		ended: func(*fault.Error, time.Duration) {},
 	}
 	for _, o := range opts {
 		o(s)
 	}
 	s.srv = &fasthttp.Server{
-		Handler:               s.routes().Handler,
+		Handler:               s.observed(s.routes().Handler),
 		ErrorHandler:          s.receiveError,
 		HeaderReceived:        s.headerReceived,
 		ReadBufferSize:        maxHeaderBytes,
@@ -111,7 +119,7 @@
 func (s *Server) routes() *router.Router {
 	rt := router.New()
 	rt.RedirectTrailingSlash, rt.RedirectFixedPath, rt.HandleOPTIONS = false, false, false
-	rt.GET("/healthz", func(rc *fasthttp.RequestCtx) { rc.SetStatusCode(http.StatusOK) })
+	rt.GET(pathHealth, func(rc *fasthttp.RequestCtx) { rc.SetStatusCode(http.StatusOK) })
 	rt.GET("/v1/models", s.withAccount(s.models))
 	rt.POST("/v1/completions", s.withAccount(s.completion(completionShape{})))
 	rt.POST("/v1/chat/completions", s.withAccount(s.completion(chatShape{})))
@@ -132,6 +140,24 @@
 	return rt
 }
 
+// pathHealth is what the balancer asks; it is no request of a caller.
+const pathHealth = "/healthz"
+
+// faultKey is where writeFault notes the error that a request is answered with.
+type faultKey struct{}
+
+// observed tells of the end of each request. A streamed answer tells of its own end.
+func (s *Server) observed(next fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(rc *fasthttp.RequestCtx) {
+		next(rc)
+		if rc.Response.IsBodyStream() || string(rc.Path()) == pathHealth {
+			return
+		}
+		ferr, _ := rc.UserValue(faultKey{}).(*fault.Error)
+		s.ended(ferr, time.Since(rc.Time()))
+	}
+}
+
 // Serve answers callers on ln until the context of the server ends.
 func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
 	g := tasks.New(ctx)
@@ -157,7 +183,9 @@
 	if c, ok := rc.Conn().(*conn); ok {
 		c.linger.Store(true)
 	}
-	writeFault(rc, "", receiveFault(err))
+	ferr := receiveFault(err)
+	s.ended(ferr, 0)
+	writeFault(rc, "", ferr)
 }
 
 func receiveFault(err error) *fault.Error {
--- a/internal/node/calls/calls.go
+++ b/internal/node/calls/calls.go
@@ -34,6 +34,23 @@
 	View   func() *view.View
 	Claims *claim.Store
 	Budget *retry.Budget
+	// Attempted is told of each attempt that has ended; nil for nobody.
+	Attempted func(a Attempted)
+}
+
+// Attempted is what became of an attempt of a call.
+type Attempted struct {
+	RequestID string
+	Server    string
+	// Number counts the attempts of the request, from 1.
+	Number int
+	// Failed is set when the backend server gave no answer, and NotStarted with proof that it did not
+	// start the call.
+	Failed     bool
+	NotStarted bool
+	// Again is set when another attempt follows; else Reason says why not.
+	Again  bool
+	Reason retry.Reason
 }
 
 // Handler serves calls. It is safe for concurrent use.
@@ -49,6 +66,9 @@
 // New returns a handler. Calls end with the context of g; final states of claims are written in g, so
 // that waiting for g waits for them.
 func New(g *tasks.Group, d Deps) *Handler {
+	if d.Attempted == nil {
+		d.Attempted = func(Attempted) {}
+	}
 	return &Handler{deps: d, group: g, loads: newLoads(), clients: make(map[string]*plain.Client)}
 }
 
@@ -97,17 +117,22 @@
 		}
 		ans, err := h.client(s.Address).Call(ctx, c.request, c.maxAnswer)
 		h.loads.release(s)
+		a.Number++
 		if err == nil {
+			h.deps.Attempted(Attempted{RequestID: c.id, Server: s.Name, Number: a.Number})
 			return ans, nil
 		}
 		tried.Add(s.Name)
-		a.Number++
 		a.NotStarted = errors.Is(err, plain.ErrNotStarted)
 		a.Rejected = errors.Is(err, plain.ErrTooLarge)
 		a.Left = c.left(time.Now())
 		v := retry.Decide(time.Now(), a, h.deps.Budget)
 		h.deps.Log.Info("attempt failed", "request_id", c.id, "attempt", a.Number, "backend_server", s.Name,
 			"not_started", a.NotStarted, "retry", v.Retry, "reason", v.Reason, "error", err)
+		h.deps.Attempted(Attempted{
+			RequestID: c.id, Server: s.Name, Number: a.Number, Failed: true, NotStarted: a.NotStarted,
+			Again: v.Retry, Reason: v.Reason,
+		})
 		if !v.Retry {
 			return plain.Answer{}, attemptFault(ctx, v, err)
 		}
--- a/internal/node/gate/gate.go
+++ b/internal/node/gate/gate.go
@@ -166,6 +166,13 @@
 	}
 }
 
+// Waiting returns the number of requests that wait for admission.
+func (g *Gate) Waiting() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.waiters)
+}
+
 // SetNodes sets the number of nodes that are heard, this one included.
 func (g *Gate) SetNodes(n int) {
 	g.mu.Lock()
--- a/internal/node/relay/attempt.go
+++ b/internal/node/relay/attempt.go
@@ -31,6 +31,7 @@
 			res.End = Unused
 		} else {
 			u.dataCentre = s.DataCentre
+			err = errors.Mark(err, errNoStream)
 			// The attempt may still be on its way, so the answer to this cancel proves nothing.
 			u.r.cancels.send(client, u.c.ID, number, nil)
 		}
--- a/internal/node/relay/observe.go
+++ b/internal/node/relay/observe.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"geraniumhollow/internal/core/fault"
+	"geraniumhollow/internal/plat/engine"
+	"geraniumhollow/internal/route/stream"
 	"github.com/cockroachdb/errors"
 )
 
@@ -19,6 +21,8 @@
 	// Code is the error that ended the request, or "" for a whole answer.
 	Code    fault.Code
 	Outcome fault.Outcome
+	// Message is what the caller is told of the error.
+	Message string
 	// CallerGone is set when the request ended because its caller went away or resumed it elsewhere.
 	CallerGone bool
 	// FirstToken is the time from arrival to the first token, or 0 without a token.
@@ -34,12 +38,44 @@
 	// Finished is told of each completion that has ended. Answers that were delivered from memory or by
 	// the node that they began on are left out, since that has been told before or there.
 	Finished(f Finished)
+	// Attempted is told of each attempt that has ended here.
+	Attempted(a Attempted)
+}
+
+// Cause is why an attempt ended without the whole answer.
+type Cause string
+
+// Causes of the end of an attempt.
+const (
+	CauseNotStarted  Cause = "the backend server did not start it"
+	CauseNoAnswer    Cause = "the backend server did not answer"
+	CauseBroken      Cause = "the stream of the backend server broke"
+	CauseStalled     Cause = "no token came in time"
+	CauseRouteClosed Cause = "the route to the backend server closed"
+	CauseSlowCaller  Cause = "the caller reads too slowly"
+	CauseRejected    Cause = "the backend server refused the request as invalid"
+	CauseEnded       Cause = "the request ended"
+)
+
+// Attempted is what became of one attempt.
+type Attempted struct {
+	RequestID string
+	Server    string
+	// Number counts the attempts since the request began or was resumed, from 1.
+	Number int
+	// Tokens are those of the answer so far.
+	Tokens int
+	// Cause is empty when the answer is whole.
+	Cause Cause
+	// Again is set when another attempt follows if a backend server can take it.
+	Again bool
 }
 
 // noObserver ignores what it is told.
 type noObserver struct{}
 
-func (noObserver) Finished(Finished) {}
+func (noObserver) Finished(Finished)   {}
+func (noObserver) Attempted(Attempted) {}
 
 // finished tells the observer of the end of a run.
 func (u *run) finished(ctx context.Context, ferr *fault.Error) {
@@ -48,12 +84,44 @@
 		FirstToken: u.pace.first, BetweenTokens: u.pace.percentile(), Elapsed: time.Since(u.pace.arrived),
 	}
 	if ferr != nil {
-		f.Code, f.Outcome = ferr.Code(), ferr.Outcome()
+		f.Code, f.Outcome, f.Message = ferr.Code(), ferr.Outcome(), ferr.Message()
 		f.CallerGone = errors.IsAny(context.Cause(ctx), ErrCallerGone, errTakenOver)
 	}
 	u.r.deps.Observer.Finished(f)
 }
 
+// attempted tells the observer of the end of an attempt.
+func (u *run) attempted(ctx context.Context, p place, err error, last bool) {
+	u.tries++
+	u.r.deps.Observer.Attempted(Attempted{
+		RequestID: u.c.ID, Server: p.server.Name, Number: u.tries, Tokens: u.log.End(),
+		Cause: cause(ctx, err), Again: err != nil && !last,
+	})
+}
+
+func cause(ctx context.Context, err error) Cause {
+	switch {
+	case err == nil:
+		return ""
+	case errors.Is(err, stream.ErrFull):
+		return CauseSlowCaller
+	case errors.Is(err, ErrAborted):
+		return CauseRouteClosed
+	case ctx.Err() != nil:
+		return CauseEnded
+	case errors.Is(err, errStalled):
+		return CauseStalled
+	case errors.Is(err, engine.ErrRejected):
+		return CauseRejected
+	case errors.Is(err, engine.ErrNotStarted):
+		return CauseNotStarted
+	case errors.Is(err, errNoStream):
+		return CauseNoAnswer
+	default:
+		return CauseBroken
+	}
+}
+
 // Buckets of the time between tokens: steps of paceUnit up to 2*paceSteps of them, then paceSteps buckets
 // for each doubling. The width at the usual objective of 36 ms is 2 ms.
 const (
--- a/internal/node/relay/observe_test.go
+++ b/internal/node/relay/observe_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -16,8 +17,9 @@
 
 // observer keeps what it is told.
 type observer struct {
-	mu       sync.Mutex
-	finished []relay.Finished
+	mu        sync.Mutex
+	finished  []relay.Finished
+	attempted []relay.Attempted
 }
 
 func (o *observer) Finished(f relay.Finished) {
@@ -26,6 +28,12 @@
 	o.finished = append(o.finished, f)
 }
 
+func (o *observer) Attempted(a relay.Attempted) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.attempted = append(o.attempted, a)
+}
+
 func (o *observer) one(t *testing.T) relay.Finished {
 	t.Helper()
 	waitFor(t, "the end of the request", func() bool {
@@ -51,11 +59,16 @@
 		gone   bool
 		code   fault.Code
 		ran    bool
+		// causes are those of the attempts, in order.
+		causes []relay.Cause
 	}{
-		"whole answer":     {ran: true},
-		"after a failover": {faults: model.Faults{CutAfterTokens: 10}, ran: true},
+		"whole answer":     {ran: true, causes: []relay.Cause{""}},
+		"after a failover": {faults: model.Faults{CutAfterTokens: 10}, ran: true, causes: []relay.Cause{relay.CauseBroken, ""}},
+		"not started":      {faults: model.Faults{Refuse: true}, ran: true, causes: []relay.Cause{relay.CauseNotStarted, ""}},
+		"no answer":        {faults: model.Faults{Fail: true}, ran: true, causes: []relay.Cause{relay.CauseNoAnswer, ""}},
+		"stalled":          {faults: model.Faults{StallAfterTokens: 5}, ran: true, causes: []relay.Cause{relay.CauseStalled, ""}},
 		"refused":          {model: "absent", code: fault.NoBackend},
-		"caller gone":      {gone: true, code: fault.OutcomeUnknown, ran: true},
+		"caller gone":      {gone: true, code: fault.OutcomeUnknown, ran: true, causes: []relay.Cause{relay.CauseEnded}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -79,6 +92,16 @@
 			if f.RequestID != c.ID || f.Code != tt.code || f.CallerGone != tt.gone || (f.DataCentre != "") != tt.ran {
 				t.Errorf("got %+v", f)
 			}
+			causes := make([]relay.Cause, 0, len(o.attempted))
+			for i, a := range o.attempted {
+				causes = append(causes, a.Cause)
+				if a.Number != i+1 || a.Again != (i+1 < len(o.attempted)) {
+					t.Errorf("got %+v", a)
+				}
+			}
+			if !slices.Equal(causes, tt.causes) {
+				t.Errorf("got causes %q, want %q", causes, tt.causes)
+			}
 			if tt.code == "" && (f.FirstToken <= 0 || f.FirstToken > f.Elapsed || f.BetweenTokens <= 0) {
 				t.Errorf("got times %v, %v of %v", f.FirstToken, f.BetweenTokens, f.Elapsed)
 			}
--- a/internal/node/relay/run.go
+++ b/internal/node/relay/run.go
@@ -35,6 +35,7 @@
 var (
 	errTimeout   = errors.New("request timeout")
 	errStalled   = errors.New("engine sent no frame in time")
+	errNoStream  = errors.New("engine sent no answer")
 	errTakenOver = errors.New("answer is resumed on another connection")
 )
 
@@ -49,6 +50,8 @@
 	fingerprint crash.Fingerprint
 	// failures and barren count failed attempts, in all and since the last new token.
 	failures, barren int
+	// tries counts the attempts of this turn.
+	tries int
 	// dataCentre is that of the last backend server that may have run the request.
 	dataCentre string
 	pace       pace
@@ -125,17 +128,17 @@
 		}
 		before := u.log.End()
 		err := u.attempt(ctx, p)
+		last := u.isLast(ctx, before, err)
+		u.attempted(ctx, p, err, last)
 		switch {
 		case err == nil:
-		case ctx.Err() != nil:
+		case last:
 			return u.givenUp(ctx, err)
 		case errors.Is(err, stream.ErrFull):
 			u.pace.pause()
 			if err := u.log.WaitDrained(ctx); err != nil {
 				return u.givenUp(ctx, err)
 			}
-		case u.mustStop(before, err):
-			return u.givenUp(ctx, err)
 		default:
 			u.w.Tried.Add(p.server.Name)
 			u.r.log.Info("attempt failed", "request_id", u.c.ID, "backend_server", p.server.Name, "error", err)
@@ -144,6 +147,18 @@
 	return nil
 }
 
+// isLast reports whether no other attempt may follow one that started at an offset.
+func (u *run) isLast(ctx context.Context, before int, err error) bool {
+	switch {
+	case err == nil || ctx.Err() != nil:
+		return true
+	case errors.Is(err, stream.ErrFull):
+		return false
+	default:
+		return u.mustStop(before, err)
+	}
+}
+
 // mustStop counts a failed attempt that started at an offset and reports whether it is the last.
 func (u *run) mustStop(before int, err error) bool {
 	if errors.IsAny(err, engine.ErrRejected, stream.ErrNoRoom) {
--- a/internal/node/serve/burn.go
+++ b/internal/node/serve/burn.go
@@ -29,16 +29,14 @@
 	failing bool
 }
 
-var _ relay.Observer = (*burns)(nil)
-
 func newBurns(n *Node) *burns {
 	r := burn.New()
 	store := object.New(n.cfg.ObjectAddress)
 	return &burns{node: n, recorder: r, archive: burn.NewArchive(store, r, n.cfg.NodeName, n.incarnation)}
 }
 
-// Finished implements relay.Observer.
-func (b *burns) Finished(f relay.Finished) {
+// finished counts a completion.
+func (b *burns) finished(f relay.Finished) {
 	if f.CallerGone || ownMistake(f.Code) {
 		return
 	}
--- a/internal/node/serve/operators.go
+++ b/internal/node/serve/operators.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 
 	"geraniumhollow/internal/conf/apply"
 	"geraniumhollow/internal/conf/schema"
@@ -9,7 +10,6 @@
 	"geraniumhollow/internal/fleet/roster"
 	"geraniumhollow/internal/node/admin"
 	"geraniumhollow/internal/plat/table"
-	"geraniumhollow/internal/report/metric"
 	"github.com/cockroachdb/errors"
 )
 
@@ -28,10 +28,10 @@
 var _ admin.Node = operators{}
 
 // serveOperators answers the operators' address until ctx ends.
-func (n *Node) serveOperators(ctx context.Context, m *metric.Set) error {
+func (n *Node) serveOperators(ctx context.Context, metrics http.Handler) error {
 	srv, err := admin.New(ctx, admin.Deps{
 		Log: n.log.Named("admin"), Configs: commits{Store: n.configs, node: n}, View: n.view.Load, Node: operators{node: n},
-		Burn: n.burn, Reasons: n.reasons, Metrics: m.Handler(), KeyHash: n.cfg.OperatorKeyHash, Now: n.now,
+		Burn: n.burn, Reasons: n.reasons, Metrics: metrics, KeyHash: n.cfg.OperatorKeyHash, Now: n.now,
 	})
 	if err != nil {
 		return errors.Newf("build operators' address: %w", err)
--- a/internal/node/serve/serve.go
+++ b/internal/node/serve/serve.go
@@ -118,9 +118,10 @@
 		incarnation: peers.NewIncarnation(time.Now()),
 		drain:       drain.NewNode(cfg.DrainNotice, cfg.DrainTimeout),
 	}
-	n.configs = apply.New(parts.Table, n.now)
 	n.reasons = reason.New(reasonEntries, n.now)
 	n.metrics = metric.New()
+	n.parts.Table = n.metrics.Table(parts.Table)
+	n.configs = apply.New(n.parts.Table, n.now)
 	n.view.Store(view.New(0, &schema.Document{}))
 	n.allowed.Store(&drain.Set{})
 	n.peers = peers.New(peers.Config{
@@ -158,15 +159,17 @@
 	deps.Origin = n.origin
 	deps.Gate = &entry{node: n, next: ctl.gate}
 	burns := newBurns(n)
-	deps.Observer = burns
+	count := counter{set: n.metrics}
+	deps.Observer = observer{burns: burns, count: count}
 	rl := relay.New(n.log.Named("relay"), n.view.Load, deps)
 	ctl.relay.Store(rl)
 	n.control.Store(ctl)
 	ctl.run(g)
 	n.origin.Serve(g, rl)
-	srv := caller.New(g.Context(), n.log.Named("caller"), n.cfg.NodeName, n.view.Load, rl, caller.WithServices(n.services(g)))
+	srv := caller.New(g.Context(), n.log.Named("caller"), n.cfg.NodeName, n.view.Load, rl,
+		caller.WithServices(n.services(g, count)), caller.WithEnded(count.ended))
 	g.Go("callers", func(ctx context.Context) error { return srv.Serve(ctx, n.lns.Callers) })
-	g.Go("operators", func(ctx context.Context) error { return n.serveOperators(ctx, n.metrics) })
+	g.Go("operators", func(ctx context.Context) error { return n.serveOperators(ctx, n.metricsPage(ctl, rl)) })
 	g.Go("peers", func(ctx context.Context) error { return n.peers.Run(ctx, n.lns.Peers) })
 	g.Go("burn snapshots", burns.run)
 	g.Go("stop", func(work context.Context) error {
--- a/internal/node/serve/shared.go
+++ b/internal/node/serve/shared.go
@@ -42,6 +42,7 @@
 	guard  *guard.Guard
 	polls  *polls
 	relay  atomic.Pointer[relay.Relay]
+	grants *grants
 	// instances are the engine instances that the last digests named. Only the handler of digests
 	// uses it, which the shares call from one goroutine for each server.
 	instances *instances
@@ -59,6 +60,7 @@
 			Log: n.log.Named("share"), Peers: grantLinks{net: n.peers.Net()}, Leases: c.leases, View: n.view.Load,
 			Nodes: c.nodes, Load: c.load, Heard: c.heard, Closed: c.closed,
 		})
+	c.grants = &grants{next: c.shares, set: n.metrics}
 	c.gate = gate.New(gate.Config{View: n.view.Load, Now: n.now, MaxReportAge: groupReportMaxAge})
 	var err error
 	c.picker, err = pick.New(pick.Config{
@@ -94,7 +96,7 @@
 
 // deps returns the relay's parts.
 func (c *control) deps(d relay.Deps) relay.Deps {
-	d.Picker, d.Granter, d.Guard = c.picker, c.shares, c.guard
+	d.Picker, d.Granter, d.Guard = c.picker, c.grants, c.guard
 	d.Retrier = retrier{budget: retry.NewBudget(), now: c.node.now}
 	return d
 }
--- a/internal/report/metric/metric.go
+++ b/internal/report/metric/metric.go
@@ -20,7 +20,7 @@
 // Values of labels.
 var (
 	attemptResults = []string{"answered", "failed", "cancelled", "unknown"}
-	grantResults   = []string{"granted", "refused", "expired", "released"}
+	grantResults   = []string{"granted", "released", "busy", "closed", "waiting", "no_owner"}
 	modes          = []string{"current", "store_down", "isolated"}
 	peerStates     = []string{"live", "suspect", "leaving", "gone"}
 	tableCalls     = []string{"get", "scan", "commit"}
@@ -58,7 +58,7 @@
 		retries:   prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "retries_total", Help: "Attempts after the first one."}),
 		refusals:  counters("refusals_total", "Requests refused before an attempt, by error code.", "code"),
 		queue:     gauge("queue_requests", "Requests that wait for admission."),
-		buffered:  gauge("buffered_bytes", "Answer bytes held for callers."),
+		buffered:  gauge("buffered_bytes", "Bytes of prompts and answers held for callers."),
 		grants:    counters("grants_total", "Grants of shared budgets by result.", "result"),
 		granted:   gauge("grants_held", "Grants that this node holds."),
 		version:   gauge("config_version", "Configuration version in force."),
@@ -118,14 +118,15 @@
 // Retried counts an attempt after the first one.
 func (s *Set) Retried() { s.retries.Inc() }
 
-// QueueChanged adds n, which may be negative, to the requests that wait for admission.
-func (s *Set) QueueChanged(n int) { s.queue.Add(float64(n)) }
+// Queue sets the number of requests that wait for admission.
+func (s *Set) Queue(n int) { s.queue.Set(float64(n)) }
 
-// BufferedChanged adds n bytes, which may be negative, to the answer bytes held for callers.
-func (s *Set) BufferedChanged(n int) { s.buffered.Add(float64(n)) }
+// Buffered sets the bytes of prompts and answers that are held for callers.
+func (s *Set) Buffered(n int) { s.buffered.Set(float64(n)) }
 
-// GrantEnded counts what became of a grant: granted, refused, expired or released.
-func (s *Set) GrantEnded(result string) { s.grants.WithLabelValues(known(result, grantResults)).Inc() }
+// Grant counts a grant that was granted or released, or why there was none: busy, closed, waiting or
+// no_owner.
+func (s *Set) Grant(result string) { s.grants.WithLabelValues(known(result, grantResults)).Inc() }
 
 // GrantsHeld sets the number of grants that this node holds.
 func (s *Set) GrantsHeld(n int) { s.granted.Set(float64(n)) }
