--- a/internal/node/serve/build.go
+++ b/internal/node/serve/build.go
@@ -15,11 +15,12 @@
 
 // services returns the handler of plain-service calls. Like completions, they are counted for a planned
 // stop and refused while the node drains or is isolated.
-func (n *Node) services(g *tasks.Group, ctl *control) caller.ServiceHandler {
+func (n *Node) services(g *tasks.Group, ctl *control, count counter) caller.ServiceHandler {
 	claims := claim.NewStore(n.parts.Table, object.New(n.cfg.ObjectAddress))
 	g.Go("sweep", func(ctx context.Context) error { return ctl.sweep(ctx, claims) })
 	h := calls.New(g, calls.Deps{
-		Log: n.log.Named("calls"), Node: n.cfg.NodeName, View: n.view.Load, Claims: claims, Budget: retry.NewBudget(),
+		Log: n.log.Named("calls"), Node: n.cfg.NodeName, View: n.view.Load, Claims: claims,
+		Budget: retry.NewBudget(), Attempted: count.called,
 	})
 	return func(rc *fasthttp.RequestCtx, requestID string, a schema.Account) {
 		n.running.Add(1)
