Tell nodes which routes opened and closed when a duty moves

Cause: a new keeper published the list of routes that it had opened. A keeper without the duty also went on reading the table for as long as it had routes.

Change: the callback gives what opened and what closed. A new keeper closes once what is broken at its takeover, as soon as it can have heard every member. A keeper that lost the duty while the table answers forgets its routes and closes nothing.

--- a/internal/node/keep/keep.go
+++ b/internal/node/keep/keep.go
@@ -47,9 +47,10 @@
 	Dial func(addr string) Engine
 	// Document returns the document in force.
 	Document func() *schema.Document
-	// Placements takes the groups of the domain whose routes are open, whenever they change. It is not
-	// called when the duty ends: what was placed stays until another keeper places it elsewhere.
-	Placements func(domain string, list []view.Placement)
+	// Placements takes the groups of the domain whose routes opened or closed. What was opened stays
+	// until it is closed, or opened under a higher generation by any keeper; when the duty ends, nothing
+	// is closed.
+	Placements func(domain string, opened []view.Placement, closed []string)
 	Notes      Noter
 	Log        hclog.Logger
 	Settings   heal.Settings
@@ -211,7 +212,7 @@
 	k.decider.Duty(fence, held && len(k.work) == 0, now)
 	acts := k.decider.Step(now)
 	if len(acts.Opened)+len(acts.Closed) > 0 {
-		k.publish()
+		k.Placements(k.Domain, acts.Opened, acts.Closed)
 	}
 	for _, n := range acts.Notes {
 		k.Notes.Note(n.Kind, n.Subject, n.Decision, n.Reason)
@@ -221,16 +222,6 @@
 	}
 }
 
-// publish hands over the open routes of the domain.
-func (k *Keeper) publish() {
-	routes := k.decider.Routes()
-	list := make([]view.Placement, len(routes))
-	for i, r := range routes {
-		list[i] = r.Placement
-	}
-	k.Placements(k.Domain, list)
-}
-
 // readTable reads the rows and the live list.
 func (k *Keeper) readTable(ctx context.Context) {
 	if _, _, held := k.Lease.Held(); !held && !k.hasRoutes() {
@@ -245,6 +236,9 @@
 	if err == nil {
 		k.decider.Rows(snap, began)
 	}
+	if _, _, held := k.Lease.Held(); err == nil && !held {
+		k.decider.Resign()
+	}
 	k.mu.Unlock()
 	if err != nil {
 		k.Log.Warn("read rows", "domain", k.Domain, "error", err)
--- a/internal/node/keep/keep_test.go
+++ b/internal/node/keep/keep_test.go
@@ -142,10 +142,11 @@
 			return engine.New(addr, "")
 		},
 		Document: func() *schema.Document { return doc },
-		Placements: func(_ string, list []view.Placement) {
+		Placements: func(_ string, opened []view.Placement, closed []string) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
-			f.placed = list
+			f.placed = slices.DeleteFunc(f.placed, func(p view.Placement) bool { return slices.Contains(closed, p.Group) })
+			f.placed = append(f.placed, opened...)
 		},
 		Rates: agenda.Rates{LinkBytesPerSecond: 1, HostBytesPerSecond: 1},
 	})
--- a/internal/plan/heal/heal.go
+++ b/internal/plan/heal/heal.go
@@ -432,7 +432,7 @@
 			why = d.draining(g, row, now)
 		}
 		switch {
-		case open && why != "":
+		case open && why != "", why != "" && !d.judged(g, row, now):
 			d.shut(g, now, why)
 		case open:
 			d.routes[g] = Route{Placement: d.routes[g].Placement, Until: until}
@@ -446,6 +446,23 @@
 	}
 }
 
+// judged reports whether a closed route needs no further word. A new keeper closes once what an earlier
+// one may have left open, but not before it can have heard every member.
+func (d *Decider) judged(g string, row GroupRow, now time.Time) bool {
+	if !d.closedAt[g].IsZero() {
+		return true
+	}
+	return slices.ContainsFunc(row.Hosts, func(name string) bool { return d.state(name, now) == "" })
+}
+
+// Resign forgets the routes and what is on its way, without closing anything, because another keeper
+// may hold the duty. What the decider knows of its hosts stays.
+func (d *Decider) Resign() {
+	clear(d.routes)
+	clear(d.closedAt)
+	clear(d.loading)
+}
+
 func (d *Decider) shut(g string, now time.Time, why string) {
 	delete(d.routes, g)
 	d.closedAt[g] = now
--- a/internal/plan/heal/heal_test.go
+++ b/internal/plan/heal/heal_test.go
@@ -28,6 +28,7 @@
 	rev     uint64
 	lose    bool
 	orders  []heal.Order
+	closed  []string
 }
 
 // newRig has domain a with four hosts and domain b with five, and the group g of two hosts.
@@ -103,6 +104,7 @@
 		k.Committed(c.ID, result, r.rev, r.now)
 	}
 	r.orders = append(r.orders, acts.Orders...)
+	r.closed = append(r.closed, acts.Closed...)
 	for _, o := range acts.Orders {
 		e := r.engines[o.Host]
 		if o.Kind != heal.Drop && !slices.Contains(e.Loaded, o.Weights) {
@@ -266,3 +268,28 @@
 		t.Errorf("a minute after its third loss the host is %s", got)
 	}
 }
+
+// Guards against a new keeper that closes healthy routes before it has heard their members, and against
+// one that leaves open what its predecessor had open and is broken now.
+func TestTakeover(t *testing.T) {
+	t.Parallel()
+	for name, lost := range map[string]bool{"healthy": false, "broken": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(true)
+			r.run(placedSeconds)
+			next := heal.New(heal.DefaultSettings(), "a", heal.DefaultPolicies())
+			next.Configure(r.plan)
+			next.Duty(2, true, r.now)
+			if lost {
+				r.down.Add("a1")
+			}
+			r.keepers["a"] = next
+			r.closed = nil
+			r.run(10)
+			if got := len(r.closed) > 0; got != lost {
+				t.Errorf("closed %v", r.closed)
+			}
+		})
+	}
+}
