Note the decisions that operators ask about

Cause: explain had a ring, a command and a page, and nothing was noted.

Change: noted are refusals and requests given up, with code and outcome; attempts that did not give the whole answer, with why and what followed; why a route opens or closes, with the member host at its owner; why a version is in force and the mode; the holder of each shard; drain states. The shared budgets and the membership tell of these by callbacks. Ids that a caller made up are not noted, since they could hold any text. A command closes its connection: a node has 256 for operators, and a script that polls used them up within the idle timeout.

Conclusion: TestExplain runs the command against a node of six for a refused and a resumed request, a group, its shard and the configuration, for a route that a missing member closes and for a store outage, and fails when made-up ids are noted.

--- a/internal/node/caller/answer.go
+++ b/internal/node/caller/answer.go
@@ -96,7 +96,9 @@
 	ctx, cancel := context.WithCancelCause(s.ctx)
 	es.conn, es.stall = rc.Conn(), s.timeouts.Stall
 	begun := rc.Time()
-	es.finished = func(ferr *fault.Error) { s.ended(ferr, time.Since(begun)) }
+	es.finished = func(ferr *fault.Error) {
+		s.ended(Ended{RequestID: es.completion.ID, Err: ferr, Elapsed: time.Since(begun)})
+	}
 	unwatch := s.watch.add(rc.Conn(), cancel)
 	es.closed = func() {
 		unwatch()
--- a/internal/node/caller/caller.go
+++ b/internal/node/caller/caller.go
@@ -66,9 +66,18 @@
 // ServiceHandler answers a call of a plain service by an authenticated account.
 type ServiceHandler func(rc *fasthttp.RequestCtx, requestID string, a schema.Account)
 
-// WithEnded calls f once for each request of a caller that has ended, after the last byte of its answer,
-// with the error that it ended with, or nil. It returns at once.
-func WithEnded(f func(err *fault.Error, d time.Duration)) Option {
+// Ended is a request of a caller that has ended.
+type Ended struct {
+	// RequestID is empty for a request that was refused before it had one.
+	RequestID string
+	// Err is the error that it ended with, or nil.
+	Err *fault.Error
+	// Elapsed is the time from its arrival to the last byte of its answer.
+	Elapsed time.Duration
+}
+
+// WithEnded calls f once for each request of a caller that has ended. It returns at once.
+func WithEnded(f func(e Ended)) Option {
 	return func(s *Server) { s.ended = f }
 }
 
@@ -84,7 +93,7 @@
 	relay    *relay.Relay
 	timeouts Timeouts
 	services ServiceHandler
-	ended    func(err *fault.Error, d time.Duration)
+	ended    func(e Ended)
 	watch    *watch
 	srv      *fasthttp.Server
 }
@@ -95,7 +104,7 @@
 ) *Server {
 	s := &Server{
 		ctx: ctx, log: log, node: node, view: current, relay: rl, timeouts: Timeouts{}.withDefaults(), watch: newWatch(),
-		ended: func(*fault.Error, time.Duration) {},
+		ended: func(Ended) {},
 	}
 	for _, o := range opts {
 		o(s)
@@ -153,8 +162,9 @@
 		if rc.Response.IsBodyStream() || string(rc.Path()) == pathHealth {
 			return
 		}
-		ferr, _ := rc.UserValue(faultKey{}).(*fault.Error)
-		s.ended(ferr, time.Since(rc.Time()))
+		e, _ := rc.UserValue(faultKey{}).(Ended)
+		e.Elapsed = time.Since(rc.Time())
+		s.ended(e)
 	}
 }
 
@@ -184,7 +194,7 @@
 		c.linger.Store(true)
 	}
 	ferr := receiveFault(err)
-	s.ended(ferr, 0)
+	s.ended(Ended{Err: ferr})
 	writeFault(rc, "", ferr)
 }
 
--- a/internal/node/caller/shape.go
+++ b/internal/node/caller/shape.go
@@ -123,7 +123,7 @@
 	if d := e.RetryAfter(); d > 0 {
 		rc.Response.Header.Set("Retry-After", strconv.Itoa(int(math.Ceil(d.Seconds()))))
 	}
-	rc.SetUserValue(faultKey{}, e)
+	rc.SetUserValue(faultKey{}, Ended{RequestID: id, Err: e})
 	writeJSON(rc, e.Status(), faultBody(id, e))
 }
 
--- a/internal/node/peers/document.go
+++ b/internal/node/peers/document.go
@@ -171,6 +171,7 @@
 	neighbours := p.roster.Neighbours()
 	p.mu.Unlock()
 	p.cfg.Log.Info("configuration in force", "version", version, "from", from)
+	p.cfg.Installed(version, from)
 	for node, rel := range neighbours {
 		if node == from {
 			continue
--- a/internal/node/peers/peers.go
+++ b/internal/node/peers/peers.go
@@ -61,6 +61,11 @@
 	// Listed is told of each change of the platform's list. It must not call back into Peers. It may
 	// be nil.
 	Listed func(list []hosts.Host)
+	// Installed is told of each version that is in force now, and of the node that sent it, or "" for
+	// the table. ModeChanged is told of each change of the mode. They return at once and must not call
+	// back into Peers. They may be nil.
+	Installed   func(version uint64, from string)
+	ModeChanged func(from, to watch.Mode, st Status)
 	// Dial makes connections to other nodes; nil for plain TCP.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
 }
@@ -111,6 +116,12 @@
 	if cfg.Listed == nil {
 		cfg.Listed = func([]hosts.Host) {}
 	}
+	if cfg.Installed == nil {
+		cfg.Installed = func(uint64, string) {}
+	}
+	if cfg.ModeChanged == nil {
+		cfg.ModeChanged = func(watch.Mode, watch.Mode, Status) {}
+	}
 	first := rand.IntN(firstSeqRange) //nolint:gosec // No secret: it only has to differ between starts.
 	self := roster.Place{Node: cfg.Node, DataCentre: cfg.DataCentre}
 	p := &Peers{
@@ -206,6 +217,10 @@
 	if mode != p.mode {
 		p.cfg.Log.Info("mode changed", "from", p.mode, "to", mode, "version", p.watch.Version(),
 			"heard", p.roster.Heard(now), "size", p.roster.Size())
+		p.cfg.ModeChanged(p.mode, mode, Status{
+			Version: p.watch.Version(), Age: p.watch.Age(now), Vouched: !p.watch.Vouched().IsZero(), Mode: mode,
+			Heard: p.roster.Heard(now), Size: p.roster.Size(),
+		})
 		p.mode = mode
 	}
 	return mode
--- a/internal/node/relay/ids.go
+++ b/internal/node/relay/ids.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"regexp"
 	"strconv"
 	"strings"
 
@@ -53,3 +54,13 @@
 	}
 	return s[:i], s[i+len(sep):], true
 }
+
+// requestIDForm is what NewRequestID returns.
+var requestIDForm = regexp.MustCompile(`^.+-[0-9a-f]{8}-[0-9a-f]{32}$`)
+
+// OriginOf returns the node that a request id names, if the id has the form of those that nodes make. A
+// caller can send any text as an id; the node name still has to be checked.
+func OriginOf(id string) (string, bool) {
+	node, _, ok := ParseRequestID(id)
+	return node, ok && requestIDForm.MatchString(id)
+}
--- a/internal/node/relay/observe.go
+++ b/internal/node/relay/observe.go
@@ -21,8 +21,6 @@
 	// Code is the error that ended the request, or "" for a whole answer.
 	Code    fault.Code
 	Outcome fault.Outcome
-	// Message is what the caller is told of the error.
-	Message string
 	// CallerGone is set when the request ended because its caller went away or resumed it elsewhere.
 	CallerGone bool
 	// FirstToken is the time from arrival to the first token, or 0 without a token.
@@ -84,7 +82,7 @@
 		FirstToken: u.pace.first, BetweenTokens: u.pace.percentile(), Elapsed: time.Since(u.pace.arrived),
 	}
 	if ferr != nil {
-		f.Code, f.Outcome, f.Message = ferr.Code(), ferr.Outcome(), ferr.Message()
+		f.Code, f.Outcome = ferr.Code(), ferr.Outcome()
 		f.CallerGone = errors.IsAny(context.Cause(ctx), ErrCallerGone, errTakenOver)
 	}
 	u.r.deps.Observer.Finished(f)
--- a/internal/node/serve/build.go
+++ b/internal/node/serve/build.go
@@ -13,11 +13,11 @@
 
 // services returns the handler of plain-service calls. Like completions, they are counted for a planned
 // stop and refused while the node drains or is isolated.
-func (n *Node) services(g *tasks.Group, count counter) caller.ServiceHandler {
+func (n *Node) services(g *tasks.Group, obs observer) caller.ServiceHandler {
 	h := calls.New(g, calls.Deps{
 		Log: n.log.Named("calls"), Node: n.cfg.NodeName, View: n.view.Load,
 		Claims: claim.NewStore(n.parts.Table, object.New(n.cfg.ObjectAddress)),
-		Budget: retry.NewBudget(), Attempted: count.called,
+		Budget: retry.NewBudget(), Attempted: obs.called,
 	})
 	return func(rc *fasthttp.RequestCtx, requestID string, a schema.Account) {
 		n.running.Add(1)
--- a/internal/node/serve/count.go
+++ b/internal/node/serve/count.go
@@ -4,10 +4,10 @@
 	"context"
 	"net/http"
 	"sync/atomic"
-	"time"
 
 	"geraniumhollow/internal/conf/view"
 	"geraniumhollow/internal/core/fault"
+	"geraniumhollow/internal/node/caller"
 	"geraniumhollow/internal/node/calls"
 	"geraniumhollow/internal/node/relay"
 	"geraniumhollow/internal/node/share"
@@ -21,14 +21,14 @@
 }
 
 // ended counts a request of a caller. An error with outcome not_run is a refusal.
-func (c counter) ended(err *fault.Error, d time.Duration) {
-	if err == nil {
-		c.set.RequestEnded("", d)
+func (c counter) ended(e caller.Ended) {
+	if e.Err == nil {
+		c.set.RequestEnded("", e.Elapsed)
 		return
 	}
-	c.set.RequestEnded(err.Code(), d)
-	if err.Outcome() == fault.NotRun {
-		c.set.Refused(err.Code())
+	c.set.RequestEnded(e.Err.Code(), e.Elapsed)
+	if e.Err.Outcome() == fault.NotRun {
+		c.set.Refused(e.Err.Code())
 	}
 }
 
@@ -130,17 +130,3 @@
 		page.ServeHTTP(w, r)
 	})
 }
-
-// observer passes on what the relay tells.
-type observer struct {
-	burns *burns
-	count counter
-}
-
-var _ relay.Observer = observer{}
-
-// Finished implements relay.Observer.
-func (o observer) Finished(f relay.Finished) { o.burns.finished(f) }
-
-// Attempted implements relay.Observer.
-func (o observer) Attempted(a relay.Attempted) { o.count.attempted(a) }
--- a/internal/node/serve/serve.go
+++ b/internal/node/serve/serve.go
@@ -133,6 +133,8 @@
 		Log:         n.log.Named("peers"),
 		Apply:       n.apply,
 		Listed:      n.listed,
+		Installed:   n.installed,
+		ModeChanged: n.modeChanged,
 		Dial:        parts.Dial,
 	})
 	n.origin = origin.New(n.peers.Net())
@@ -159,15 +161,15 @@
 	deps.Origin = n.origin
 	deps.Gate = &entry{node: n, next: ctl.gate}
 	burns := newBurns(n)
-	count := counter{set: n.metrics}
-	deps.Observer = observer{burns: burns, count: count}
+	obs := observer{burns: burns, count: counter{set: n.metrics}, reasons: n.reasons, known: n.member}
+	deps.Observer = obs
 	rl := relay.New(n.log.Named("relay"), n.view.Load, deps)
 	ctl.relay.Store(rl)
 	n.control.Store(ctl)
 	ctl.run(g)
 	n.origin.Serve(g, rl)
 	srv := caller.New(g.Context(), n.log.Named("caller"), n.cfg.NodeName, n.view.Load, rl,
-		caller.WithServices(n.services(g, count)), caller.WithEnded(count.ended))
+		caller.WithServices(n.services(g, obs)), caller.WithEnded(obs.ended))
 	g.Go("callers", func(ctx context.Context) error { return srv.Serve(ctx, n.lns.Callers) })
 	g.Go("operators", func(ctx context.Context) error { return n.serveOperators(ctx, n.metricsPage(ctl, rl)) })
 	g.Go("peers", func(ctx context.Context) error { return n.peers.Run(ctx, n.lns.Peers) })
--- a/internal/node/serve/serve_test.go
+++ b/internal/node/serve/serve_test.go
@@ -15,6 +15,7 @@
 	"geraniumhollow/internal/bench/spread"
 	"geraniumhollow/internal/conf/apply"
 	"geraniumhollow/internal/conf/flags"
+	"geraniumhollow/internal/conf/view"
 	"geraniumhollow/internal/conf/watch"
 	"geraniumhollow/internal/core/tasks"
 	"geraniumhollow/internal/node/peers"
@@ -23,6 +24,9 @@
 	"github.com/hashicorp/go-hclog"
 )
 
+// operatorKey opens the operators' addresses.
+const operatorKey = "a test key"
+
 // bound is the time in which a change has to be in force everywhere.
 const bound = 4 * time.Second
 
@@ -82,7 +86,7 @@
 		NodeName: fmt.Sprintf("node-%d", i), DataCentre: s.site.Deployment.RunnerDataCentre(i),
 		CallerAddress: "127.0.0.1:0", OperatorAddress: "127.0.0.1:0", PeerAddress: peerAddress,
 		TableAddress: s.site.PlatformAddress, ObjectAddress: s.site.PlatformAddress, HostsAddress: s.site.PlatformAddress,
-		LogLevel: "error", DrainNotice: 300 * time.Millisecond, DrainTimeout: 10 * time.Second,
+		OperatorKeyHash: view.HashKey(operatorKey), LogLevel: "error", DrainNotice: 300 * time.Millisecond, DrainTimeout: 10 * time.Second,
 	}
 	lns, cfg, err := serve.Listen(context.Background(), cfg)
 	if err != nil {
--- a/internal/node/serve/shared.go
+++ b/internal/node/serve/shared.go
@@ -58,7 +58,7 @@
 		share.Config{Node: n.cfg.NodeName, Incarnation: incarnation, Shards: share.DefaultShards},
 		share.Deps{
 			Log: n.log.Named("share"), Peers: grantLinks{net: n.peers.Net()}, Leases: c.leases, View: n.view.Load,
-			Nodes: c.nodes, Load: c.load, Heard: c.heard, Closed: c.closed,
+			Nodes: c.nodes, Load: c.load, Heard: c.heard, Closed: c.closed, Route: n.routeChanged,
 		})
 	c.grants = &grants{next: c.shares, set: n.metrics}
 	c.gate = gate.New(gate.Config{View: n.view.Load, Now: n.now, MaxReportAge: groupReportMaxAge})
@@ -105,6 +105,7 @@
 func (c *control) run(g *tasks.Group) {
 	g.Go("leases", c.leases.Run)
 	g.Go("shared budgets", c.shares.Run)
+	g.Go("duties", c.watchDuties)
 }
 
 // nodes returns the live nodes, this one included.
--- a/internal/node/serve/stop.go
+++ b/internal/node/serve/stop.go
@@ -8,6 +8,7 @@
 	"geraniumhollow/internal/core/fault"
 	"geraniumhollow/internal/fleet/drain"
 	"geraniumhollow/internal/node/relay"
+	"geraniumhollow/internal/report/reason"
 )
 
 // drainTick is the time between looks at a node that stops.
@@ -70,6 +71,8 @@
 		if ctl := n.control.Load(); ctl != nil && before == drain.Serving {
 			ctl.drain()
 		}
+		n.reasons.Add(reason.Drain, n.cfg.NodeName, reason.Text(state), "a planned stop goes on",
+			reason.Int("running", int(n.running.Load())))
 		n.log.Info("drain state changed", "from", before, "to", state, "running", n.running.Load())
 		n.peers.SetDrain(string(state))
 	}
--- a/internal/node/share/owner.go
+++ b/internal/node/share/owner.go
@@ -157,9 +157,10 @@
 		o.polling = false
 		if err != nil {
 			s.deps.Log.Debug("poll failed", "backend_server", o.name, "error", err)
+			s.judged(o, RouteChange{Open: time.Now().Before(o.openUntil), Reason: RouteNoReport})
 			return nil
 		}
-		o.take(sent, time.Now(), r)
+		s.judged(o, o.take(sent, time.Now(), r))
 		return nil
 	})
 }
@@ -167,10 +168,11 @@
 // ageUnit is the resolution of ages in reports; the true age may be greater by up to one unit.
 const ageUnit = time.Millisecond
 
-// take applies a report. mu is held.
-func (o *owned) take(sent, now time.Time, r engine.Report) {
+// take applies a report and returns what it makes of the route. mu is held.
+func (o *owned) take(sent, now time.Time, r engine.Report) RouteChange {
 	age := time.Duration(r.AgeMs)*time.Millisecond + ageUnit
-	complete, oldest := o.complete(r)
+	c, oldest := o.judge(r)
+	complete := c.Open
 	o.report = r
 	o.made = sent.Add(-age - oldest)
 	o.openUntil = time.Time{}
@@ -180,11 +182,12 @@
 	o.owner.Report(sent, now, budget.Report{
 		Instance: r.Instance, State: stateOf(r.State), Running: r.Running + r.Waiting, Age: age, Open: complete,
 	})
+	return c
 }
 
-// complete reports whether every host of the configured group has reported the group and one
-// generation, and the age of the oldest of these reports relative to the load report.
-func (o *owned) complete(r engine.Report) (bool, time.Duration) {
+// judge opens the route when every host of the configured group has reported the group and one
+// generation. The second result is the age of the oldest of these reports relative to the load report.
+func (o *owned) judge(r engine.Report) (RouteChange, time.Duration) {
 	members := make(map[string]engine.Member, len(r.Members))
 	for _, m := range r.Members {
 		members[m.Host] = m
@@ -192,12 +195,17 @@
 	var oldest time.Duration
 	for _, h := range o.server.Hosts {
 		m, ok := members[h]
-		if !ok || m.Group != o.server.Name || m.Generation != r.Members[0].Generation {
-			return false, 0
+		switch {
+		case !ok:
+			return RouteChange{Reason: RouteMemberMissing, Host: h}, 0
+		case m.Group != o.server.Name:
+			return RouteChange{Reason: RouteOtherGroup, Host: h}, 0
+		case m.Generation != r.Members[0].Generation:
+			return RouteChange{Reason: RouteOtherGeneration, Host: h}, 0
 		}
 		oldest = max(oldest, time.Duration(m.AgeMs)*time.Millisecond)
 	}
-	return len(o.server.Hosts) > 0, oldest
+	return RouteChange{Open: len(o.server.Hosts) > 0, Reason: RouteComplete}, oldest
 }
 
 // digest describes the server as the owner knows it. mu is held.
--- a/internal/node/share/share.go
+++ b/internal/node/share/share.go
@@ -85,6 +85,8 @@
 	Heard func(d frame.LoadDigest, at time.Time)
 	// Closed is called when the route of a server that was open closes.
 	Closed func(server string)
+	// Route is told why a route opens or closes. It returns at once and must not call back.
+	Route func(c RouteChange)
 }
 
 // Config shapes a Shares.
@@ -126,6 +128,7 @@
 	report    engine.Report
 	made      time.Time // earliest time at which the oldest part of the report can have been made
 	openUntil time.Time
+	state     RouteChange // the last one that Route was told
 	polling   bool
 	pollAt    time.Time
 	digestAt  time.Time
@@ -152,6 +155,9 @@
 	if deps.Closed == nil {
 		deps.Closed = func(string) {}
 	}
+	if deps.Route == nil {
+		deps.Route = func(RouteChange) {}
+	}
 	return &Shares{
 		cfg: cfg, deps: deps, servers: make(map[string]*owned),
 		hold:    budget.NewHolder(cfg.Incarnation, budget.DefaultTTL),
--- a/internal/node/share/watch.go
+++ b/internal/node/share/watch.go
@@ -82,6 +82,13 @@
 	was := s.routes[d.Server].open
 	s.routes[d.Server] = route{openUntil: until, open: open}
 	s.holdMu.Unlock()
+	if was != open {
+		why := RouteByOwner
+		if d.Open && !open {
+			why = RouteStale
+		}
+		s.deps.Route(RouteChange{Server: d.Server, Open: open, Reason: why})
+	}
 	if was && !open {
 		s.deps.Closed(d.Server)
 	}
@@ -107,6 +114,7 @@
 	}
 	s.holdMu.Unlock()
 	for _, name := range closed {
+		s.deps.Route(RouteChange{Server: name, Reason: RouteStale})
 		s.deps.Closed(name)
 	}
 }
--- a/internal/node/tool/client.go
+++ b/internal/node/tool/client.go
@@ -39,6 +39,8 @@
 	req.SetRequestURI("http://" + c.address + path)
 	req.Header.Set("Authorization", "Bearer "+c.key)
 	req.SetBody(body)
+	// A command makes few calls, and a node has few connections for operators.
+	req.SetConnectionClose()
 	deadline := time.Now().Add(callTimeout)
 	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
 		deadline = d
