Say which metrics and burn alerts to alarm on

Cause: operators had metrics and a burn report, and no page that says which figures matter and what to do.

Conclusion: the thresholds are starting points; none has been measured.

--- a/internal/report/metric/metric_test.go
+++ b/internal/report/metric/metric_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http/httptest"
+	"os"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -11,7 +13,7 @@
 	"geraniumhollow/internal/report/metric"
 )
 
-// Guards against metrics that are not counted, and against label values from outside the fixed sets.
+// Guards against metrics that are not counted, against alarms on metrics that do not exist, and against label values from outside the fixed sets.
 func TestPage(t *testing.T) {
 	t.Parallel()
 	s := metric.New()
@@ -49,6 +51,19 @@
 			t.Errorf("the page lacks %s", want)
 		}
 	}
+	alarms, err := os.ReadFile("../../../docs/operators/alarms.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	names := regexp.MustCompile("geraniumhollow_[a-z_]+").FindAllString(string(alarms), -1)
+	for _, name := range names {
+		if !strings.Contains(page, "# TYPE "+name+" ") {
+			t.Errorf("alarms.md names %s, which the page lacks", name)
+		}
+	}
+	if len(names) == 0 {
+		t.Error("alarms.md names no metric")
+	}
 	if strings.Contains(page, "made up") || strings.Contains(page, "text of a caller") {
 		t.Error("the page has a label value from outside the fixed sets")
 	}
