--- a/internal/bench/gauge/gauge.go
+++ b/internal/bench/gauge/gauge.go
@@ -8,6 +8,7 @@
 	"geraniumhollow/internal/bench/picks"
 	"geraniumhollow/internal/bench/plans"
 	"geraniumhollow/internal/bench/runs"
+	"geraniumhollow/internal/bench/share"
 	"geraniumhollow/internal/bench/spread"
 	"geraniumhollow/internal/bench/stall"
 	"github.com/urfave/cli/v3"
@@ -25,6 +26,7 @@
 			picks.Command(),
 			plans.Command(),
 			runs.Command(),
+			share.Command(),
 			spread.Command(),
 			stall.Command(),
 		},
--- a/internal/node/serve/shared.go
+++ b/internal/node/serve/shared.go
@@ -108,17 +108,23 @@
 	g.Go("duties", c.watchDuties)
 }
 
-// nodes returns the live nodes, this one included.
+// nodes returns the nodes that the platform lists, this one included. A suspect stays in the list:
+// releases to it are tried until it hears them.
 func (c *control) nodes() []share.Node {
 	n := c.node
 	out := []share.Node{{Name: n.cfg.NodeName, DataCentre: n.cfg.DataCentre}}
 	members := n.peers.Status().Members
+	live := 1
 	for _, m := range members {
-		if m.Node != n.cfg.NodeName && m.State == roster.Live {
-			out = append(out, share.Node{Name: m.Node, DataCentre: m.DataCentre})
+		if m.Node == n.cfg.NodeName {
+			continue
+		}
+		out = append(out, share.Node{Name: m.Node, DataCentre: m.DataCentre})
+		if m.State == roster.Live {
+			live++
 		}
 	}
-	c.gate.SetNodes(len(out))
+	c.gate.SetNodes(live)
 	if c.changes.due(n.now(), members) {
 		c.leases.Rescan()
 	}
--- a/internal/node/serve/sweep.go
+++ b/internal/node/serve/sweep.go
@@ -14,20 +14,41 @@
 // read.
 const sweepInterval = time.Hour
 
+// sweepCheck is the time between looks at the duty of sweeping.
+const sweepCheck = 10 * time.Second
+
 // sweep removes old claims and crash counts while this node holds the duty, until ctx ends.
 func (c *control) sweep(ctx context.Context, claims *claim.Store) error {
-	t := time.NewTicker(sweepInterval)
+	due := c.node.now().Add(sweepInterval)
+	t := time.NewTicker(sweepCheck)
 	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-t.C:
+		}
+		c.passSweepOn()
+		if now := c.node.now(); !now.Before(due) {
 			c.sweepOnce(ctx, claims)
+			due = now.Add(sweepInterval)
 		}
 	}
 }
 
+// passSweepOn lets the duty move: two nodes that sweep at the same time do no harm, so nothing has to
+// end before.
+func (c *control) passSweepOn() {
+	for _, t := range c.leases.Tenures() {
+		if t.Duty == sweepDuty && t.Lost {
+			c.leases.Consent(sweepDuty)
+		}
+	}
+	if duty, ok := c.leases.Wants(sweepDuty); ok {
+		c.leases.Yield(duty, true)
+	}
+}
+
 func (c *control) sweepOnce(ctx context.Context, claims *claim.Store) {
 	if !c.holds(sweepDuty) {
 		return
--- a/internal/plat/conns/conns.go
+++ b/internal/plat/conns/conns.go
@@ -229,7 +229,7 @@
 func (p *Pool) dial(ctx context.Context) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.opts.DialTimeout)
 	defer cancel()
-	var d net.Dialer
+	d := net.Dialer{Control: limitUnacknowledged}
 	nc, err := d.DialContext(ctx, "tcp", p.addr)
 	if err != nil {
 		return nil, errors.Newf("dial %s: %w", p.addr, err)
