--- a/internal/node/serve/burn.go
+++ b/internal/node/serve/burn.go
@@ -21,6 +21,7 @@
 // burns counts finished requests against the objectives and writes the counts to the object store.
 type burns struct {
 	node     *Node
+	store    object.Store
 	recorder *burn.Recorder
 
 	mu      sync.Mutex
@@ -32,7 +33,7 @@
 func newBurns(n *Node) *burns {
 	r := burn.New()
 	store := object.New(n.cfg.ObjectAddress)
-	return &burns{node: n, recorder: r, archive: burn.NewArchive(store, r, n.cfg.NodeName, n.incarnation)}
+	return &burns{node: n, store: store, recorder: r, archive: burn.NewArchive(store, r, n.cfg.NodeName, n.incarnation)}
 }
 
 // finished counts a completion.
@@ -107,7 +108,7 @@
 	b.failing = err != nil
 }
 
-// burn reads the snapshots of all nodes.
-func (n *Node) burn(ctx context.Context) (burn.Snapshots, error) {
-	return burn.Load(ctx, object.New(n.cfg.ObjectAddress), n.now())
+// load reads the snapshots of all nodes.
+func (b *burns) load(ctx context.Context) (burn.Snapshots, error) {
+	return burn.Load(ctx, b.store, b.node.now())
 }
--- a/internal/node/serve/operators.go
+++ b/internal/node/serve/operators.go
@@ -28,10 +28,10 @@
 var _ admin.Node = operators{}
 
 // serveOperators answers the operators' address until ctx ends.
-func (n *Node) serveOperators(ctx context.Context, metrics http.Handler) error {
+func (n *Node) serveOperators(ctx context.Context, metrics http.Handler, b *burns) error {
 	srv, err := admin.New(ctx, admin.Deps{
 		Log: n.log.Named("admin"), Configs: commits{Store: n.configs, node: n}, View: n.view.Load, Node: operators{node: n},
-		Burn: n.burn, Reasons: n.reasons, Metrics: metrics, KeyHash: n.cfg.OperatorKeyHash, Now: n.now,
+		Burn: b.load, Reasons: n.reasons, Metrics: metrics, KeyHash: n.cfg.OperatorKeyHash, Now: n.now,
 	})
 	if err != nil {
 		return errors.Newf("build operators' address: %w", err)
--- a/internal/node/serve/serve.go
+++ b/internal/node/serve/serve.go
@@ -171,7 +171,7 @@
 	srv := caller.New(g.Context(), n.log.Named("caller"), n.cfg.NodeName, n.view.Load, rl,
 		caller.WithServices(n.services(g, obs)), caller.WithEnded(obs.ended))
 	g.Go("callers", func(ctx context.Context) error { return srv.Serve(ctx, n.lns.Callers) })
-	g.Go("operators", func(ctx context.Context) error { return n.serveOperators(ctx, n.metricsPage(ctl, rl)) })
+	g.Go("operators", func(ctx context.Context) error { return n.serveOperators(ctx, n.metricsPage(ctl, rl), burns) })
 	g.Go("peers", func(ctx context.Context) error { return n.peers.Run(ctx, n.lns.Peers) })
 	g.Go("burn snapshots", burns.run)
 	g.Go("stop", func(work context.Context) error {
