Test the burn report by its command on another node

Cause: the test of the last interval read the object store itself, so that nothing ran the way from a request to the command.

--- a/internal/node/serve/burn_test.go
+++ b/internal/node/serve/burn_test.go
@@ -1,10 +1,9 @@
 package serve_test
 
 import (
-	"context"
+	"encoding/json"
 	"net/http"
 	"testing"
-	"time"
 
 	"geraniumhollow/internal/report/burn"
 )
@@ -22,12 +21,10 @@
 	}
 	s.complete(n, -1)
 	n.stop()
-	now := time.Now()
-	snaps, err := burn.Load(context.Background(), s.site.Platform.Objects(), now)
-	if err != nil {
+	var rep burn.Report
+	if err := json.Unmarshal([]byte(s.command(s.nodes[0], "report", "burn", "--json")), &rep); err != nil {
 		t.Fatal(err)
 	}
-	rep := snaps.Report(now, s.site.Document.Objectives)
 	if rep.Nodes != 1 || len(rep.Objectives) == 0 {
 		t.Fatalf("got %+v", rep)
 	}
--- a/internal/node/serve/explain_test.go
+++ b/internal/node/serve/explain_test.go
@@ -19,12 +19,17 @@
 
 // explain runs the explain command against a node.
 func (s *system) explain(n *running, args ...string) string {
+	s.t.Helper()
+	return s.command(n, append([]string{"explain"}, args...)...)
+}
+
+// command runs a command of operators against a node.
+func (s *system) command(n *running, args ...string) string {
 	s.t.Helper()
 	var out bytes.Buffer
 	app := &cli.Command{Name: "geraniumhollow", Writer: &out, Commands: tool.Commands()}
-	args = append([]string{
-		"geraniumhollow", "explain", "--operator-address", n.cfg.OperatorAddress, "--operator-key", operatorKey,
-	}, args...)
+	args = append([]string{"geraniumhollow"}, args...)
+	args = append(args, "--operator-address", n.cfg.OperatorAddress, "--operator-key", operatorKey)
 	if err := app.Run(s.t.Context(), args); err != nil {
 		s.t.Fatal(err)
 	}
