--- a/docs/measurements/stall.sh
+++ b/docs/measurements/stall.sh
@@ -3,7 +3,7 @@
 set -eu
 bin=${1:-bin/geraniumhollow}
 tmp=$(mktemp -d)
-"$bin" stall --node 127.0.0.1:28470 --platform-file "$tmp/platform" --pid-file "$tmp/pid" &
+"$bin" gauge stall --node 127.0.0.1:28470 --platform-file "$tmp/platform" --pid-file "$tmp/pid" &
 stall=$!
 until [ -s "$tmp/platform" ]; do sleep 0.1; done
 platform=$(cat "$tmp/platform")
--- a/internal/bench/load/load.go
+++ b/internal/bench/load/load.go
@@ -63,7 +63,7 @@
 	start := time.Now()
 	for _, f := range faults {
 		g.Go("fault "+f.Name, func(ctx context.Context) error {
-			if !sleepUntil(ctx, start.Add(f.At)) {
+			if !tasks.Sleep(ctx, time.Until(start.Add(f.At))) {
 				return nil
 			}
 			return f.Do(ctx)
@@ -72,7 +72,7 @@
 	g.Go("arrivals", func(ctx context.Context) error {
 		for _, r := range requests {
 			due := start.Add(r.At)
-			if !sleepUntil(ctx, due) {
+			if !tasks.Sleep(ctx, time.Until(due)) {
 				return nil
 			}
 			g.Go("request "+strconv.Itoa(r.Index), func(ctx context.Context) error {
@@ -111,15 +111,3 @@
 		}
 	}
 }
-
-// sleepUntil waits for a moment and reports whether ctx is still alive.
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	t := time.NewTimer(time.Until(at))
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/bench/load/send.go
+++ b/internal/bench/load/send.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"geraniumhollow/internal/core/fault"
+	"geraniumhollow/internal/core/tasks"
 	"geraniumhollow/internal/fake/model"
 	"geraniumhollow/internal/fake/plain"
 	"geraniumhollow/internal/plat/conns"
@@ -82,18 +83,11 @@
 
 // balance asks the nodes at intervals whether they may be sent new requests.
 func (c *client) balance(ctx context.Context, ready func(ctx context.Context, node int) bool) {
-	t := time.NewTicker(readyInterval)
-	defer t.Stop()
-	for {
+	_ = tasks.EveryFromNow(ctx, readyInterval, func(ctx context.Context) {
 		for i := range c.nodes {
 			c.out[i].Store(!ready(ctx, i))
 		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-	}
+	})
 }
 
 // post sends a request to the node that it names, or to the next one that the balancer has in and that
--- /dev/null
+++ b/internal/core/tasks/loop_test.go
@@ -0,0 +1,50 @@
+package tasks_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"geraniumhollow/internal/core/tasks"
+)
+
+// Guards against loops that miss their interval, start at the wrong time or outlive their context.
+func TestLoops(t *testing.T) {
+	t.Parallel()
+	loops := map[string]struct {
+		run  func(context.Context, time.Duration, func(context.Context)) error
+		want int
+	}{
+		"every":          {tasks.Every, 3},
+		"every from now": {tasks.EveryFromNow, 4},
+	}
+	for name, tt := range loops {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(t.Context(), 3500*time.Millisecond)
+				defer cancel()
+				n := 0
+				if err := tt.run(ctx, time.Second, func(context.Context) { n++ }); err != nil {
+					t.Error(err)
+				}
+				if n != tt.want {
+					t.Errorf("%d calls in 3.5 s, want %d", n, tt.want)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a wait that ignores the end of its context.
+func TestSleep(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if !tasks.Sleep(ctx, 500*time.Millisecond) || tasks.Sleep(ctx, time.Minute) || tasks.Sleep(ctx, 0) {
+			t.Error("a wait did not follow its context")
+		}
+	})
+}
--- a/internal/fake/model/complete.go
+++ b/internal/fake/model/complete.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"geraniumhollow/internal/core/tasks"
 	"geraniumhollow/internal/plat/engine"
 	"geraniumhollow/internal/wire/event"
 	"github.com/valyala/fasthttp"
@@ -193,7 +194,7 @@
 func (e *Engine) stream(ctx context.Context, w *bufio.Writer, a attempt) {
 	completed := false
 	defer func() { e.finish(a, completed) }()
-	if !pause(ctx, e.cfg.FirstToken) {
+	if !tasks.Sleep(ctx, e.cfg.FirstToken) {
 		return
 	}
 	var held []byte
@@ -210,7 +211,7 @@
 			return
 		}
 		held = nil
-		if !pause(ctx, e.cfg.TokenInterval) {
+		if !tasks.Sleep(ctx, e.cfg.TokenInterval) {
 			return
 		}
 	}
@@ -268,18 +269,3 @@
 	}
 	return event.Append(nil, event.Event{ID: strconv.Itoa(number) + ":" + strconv.Itoa(offset), Data: data})
 }
-
-// pause waits for d and reports whether ctx is still alive.
-func pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/node/caller/conn.go
+++ b/internal/node/caller/conn.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"geraniumhollow/internal/core/fault"
+	"geraniumhollow/internal/core/tasks"
 	"geraniumhollow/internal/node/relay"
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
@@ -113,16 +114,7 @@
 
 // run looks at the connections until ctx ends.
 func (w *watch) run(ctx context.Context) error {
-	t := time.NewTicker(watchInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-			w.look()
-		}
-	}
+	return tasks.Every(ctx, watchInterval, func(context.Context) { w.look() })
 }
 
 func (w *watch) look() {
--- a/internal/node/guard/count.go
+++ b/internal/node/guard/count.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"time"
 
+	"geraniumhollow/internal/core/tasks"
 	"geraniumhollow/internal/plat/table"
 	"geraniumhollow/internal/route/crash"
 	"github.com/cockroachdb/errors"
@@ -89,7 +90,7 @@
 	}
 	g := r.guard
 	g.group.Go("end run count", func(ctx context.Context) error {
-		if wait > 0 && !sleep(ctx, wait) {
+		if wait > 0 && !tasks.Sleep(ctx, wait) {
 			return nil
 		}
 		if v := g.count(context.WithoutCancel(ctx), r.f, c()); v != crash.Allowed {
@@ -100,18 +101,6 @@
 	})
 }
 
-// sleep reports false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // Sweep removes run counts that have expired and returns how many it removed. One node does this at a
 // time, under a duty.
 func (g *Guard) Sweep(ctx context.Context) (int, error) {
--- a/internal/node/keep/keep.go
+++ b/internal/node/keep/keep.go
@@ -95,26 +95,12 @@
 // Run keeps the groups until ctx ends.
 func (k *Keeper) Run(ctx context.Context) error {
 	g := tasks.New(ctx)
-	g.Go("watch engines", func(ctx context.Context) error { return every(ctx, pollInterval, k.watch) })
-	g.Go("read table", func(ctx context.Context) error { return every(ctx, tableInterval, k.readTable) })
+	g.Go("watch engines", func(ctx context.Context) error { return tasks.EveryFromNow(ctx, pollInterval, k.watch) })
+	g.Go("read table", func(ctx context.Context) error { return tasks.EveryFromNow(ctx, tableInterval, k.readTable) })
 	g.Go("carry out", k.carryOut)
 	return g.Wait()
 }
 
-// every calls f until ctx ends.
-func every(ctx context.Context, interval time.Duration, f func(ctx context.Context)) error {
-	t := time.NewTicker(interval)
-	defer t.Stop()
-	for {
-		f(ctx)
-		select {
-		case <-ctx.Done():
-			return ctx.Err() //nolint:wrapcheck // The group compares it.
-		case <-t.C:
-		}
-	}
-}
-
 // active reports whether the keeper has anything to watch: it holds the duty, or the table is down,
 // so that nobody else can have taken the duty over.
 func (k *Keeper) active() bool {
--- a/internal/node/peers/peers.go
+++ b/internal/node/peers/peers.go
@@ -157,9 +157,9 @@
 	p.mu.Lock()
 	p.group = g
 	p.mu.Unlock()
-	g.Go("list", func(ctx context.Context) error { return every(ctx, listInterval, p.pollList) })
+	g.Go("list", func(ctx context.Context) error { return tasks.EveryFromNow(ctx, listInterval, p.pollList) })
 	g.Go("ticks", func(ctx context.Context) error {
-		return every(ctx, tickInterval, func(context.Context) { p.tick() })
+		return tasks.EveryFromNow(ctx, tickInterval, func(context.Context) { p.tick() })
 	})
 	if err := g.Wait(); err != nil {
 		return errors.Newf("membership: %w", err)
@@ -167,20 +167,6 @@
 	return nil
 }
 
-// every calls f at once and then at each interval until ctx ends.
-func every(ctx context.Context, d time.Duration, f func(ctx context.Context)) error {
-	t := time.NewTicker(d)
-	defer t.Stop()
-	for {
-		f(ctx)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-		}
-	}
-}
-
 // Status returns what the node knows now.
 func (p *Peers) Status() Status {
 	p.mu.Lock()
--- a/internal/node/serve/burn.go
+++ b/internal/node/serve/burn.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"geraniumhollow/internal/core/fault"
+	"geraniumhollow/internal/core/tasks"
 	"geraniumhollow/internal/node/relay"
 	"geraniumhollow/internal/plat/object"
 	"geraniumhollow/internal/report/burn"
@@ -80,16 +81,7 @@
 
 // run writes snapshots until ctx ends.
 func (b *burns) run(ctx context.Context) error {
-	t := time.NewTicker(burnInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-			b.write(ctx)
-		}
-	}
+	return tasks.Every(ctx, burnInterval, b.write)
 }
 
 // write writes a snapshot. An outage of the store is logged when it begins and when it ends.
--- a/internal/node/serve/sweep.go
+++ b/internal/node/serve/sweep.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"geraniumhollow/internal/core/tasks"
 	"geraniumhollow/internal/route/claim"
 )
 
@@ -20,20 +21,13 @@
 // sweep removes old claims and crash counts while this node holds the duty, until ctx ends.
 func (c *control) sweep(ctx context.Context, claims *claim.Store) error {
 	due := c.node.now().Add(sweepInterval)
-	t := time.NewTicker(sweepCheck)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-		}
+	return tasks.Every(ctx, sweepCheck, func(ctx context.Context) {
 		c.passSweepOn()
 		if now := c.node.now(); !now.Before(due) {
 			c.sweepOnce(ctx, claims)
 			due = now.Add(sweepInterval)
 		}
-	}
+	})
 }
 
 // passSweepOn lets the duty move: two nodes that sweep at the same time do no harm, so nothing has to
--- a/internal/node/share/watch.go
+++ b/internal/node/share/watch.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"geraniumhollow/internal/conf/view"
+	"geraniumhollow/internal/core/tasks"
 	"geraniumhollow/internal/route/budget"
 	"geraniumhollow/internal/wire/frame"
 )
@@ -132,34 +133,32 @@
 }
 
 // retryReleases sends releases again that their owners have not taken. An owner whose process has
-// ended needs none, so a node that is not live any more is given up.
+// ended needs none, so a node that is not listed any more is given up.
 func (s *Shares) retryReleases(ctx context.Context) error {
-	t := time.NewTicker(releaseRetry)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-		}
-		live := map[string]bool{s.cfg.Node: true}
-		for _, n := range s.deps.Nodes() {
-			live[n.Name] = true
-		}
-		s.holdMu.Lock()
-		due := make([]*budget.Returned, 0, len(s.back))
-		for id, r := range s.back {
-			if !live[r.Owner] {
-				delete(s.back, id)
-				continue
-			}
-			due = append(due, r)
-		}
-		s.holdMu.Unlock()
-		for _, r := range due {
+	return tasks.Every(ctx, releaseRetry, func(ctx context.Context) {
+		for _, r := range s.dueReleases() {
 			s.send(ctx, r)
 		}
+	})
+}
+
+// dueReleases returns the releases that have not been taken, and drops those that nobody needs.
+func (s *Shares) dueReleases() []*budget.Returned {
+	listed := map[string]bool{s.cfg.Node: true}
+	for _, n := range s.deps.Nodes() {
+		listed[n.Name] = true
+	}
+	s.holdMu.Lock()
+	defer s.holdMu.Unlock()
+	due := make([]*budget.Returned, 0, len(s.back))
+	for id, r := range s.back {
+		if !listed[r.Owner] {
+			delete(s.back, id)
+			continue
+		}
+		due = append(due, r)
 	}
+	return due
 }
 
 func (s *Shares) send(ctx context.Context, r *budget.Returned) {
--- a/internal/wire/peer/link.go
+++ b/internal/wire/peer/link.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"geraniumhollow/internal/core/tasks"
 	"geraniumhollow/internal/wire/frame"
 	"github.com/cenkalti/backoff/v5"
 	"github.com/cockroachdb/errors"
@@ -250,7 +251,7 @@
 	if n.cfg.Self.Node > node {
 		wait += yieldTime
 	}
-	for sleep(ctx, wait) {
+	for tasks.Sleep(ctx, wait) {
 		l, err := n.connect(ctx, node)
 		if err != nil {
 			n.cfg.Log.Debug("no link", "peer", node, "error", err)
@@ -271,18 +272,6 @@
 	}
 }
 
-// sleep waits and reports whether ctx still runs.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // run reads and writes until the link ends.
 func (l *link) run() {
 	stop := context.AfterFunc(l.ctx, func() { _ = l.ws.Close() })
