Move the stand-in of a node out of the product; start test goroutines in groups

Cause: admin.Local was product code that only tests used, and seven tests started goroutines that nobody waited for or whose errors were dropped.

Change: it is internal/fake/node now; the tests use tasks.Group and report errors.

--- a/internal/node/admin/site_test.go
+++ b/internal/node/admin/site_test.go
@@ -21,6 +21,7 @@
 	"geraniumhollow/internal/conf/schema"
 	"geraniumhollow/internal/conf/view"
 	"geraniumhollow/internal/core/tasks"
+	fake "geraniumhollow/internal/fake/node"
 	"geraniumhollow/internal/fake/store"
 	"geraniumhollow/internal/node/admin"
 	"geraniumhollow/internal/plat/table"
@@ -43,14 +44,14 @@
 	cut      atomic.Bool
 	broken   atomic.Bool
 	hold     *holdingTable
-	*admin.Local
+	*fake.Node
 }
 
 func (n *node) Fleet(ctx context.Context) []admin.NodeStatus {
 	if n.broken.Load() {
 		panic("broken fleet")
 	}
-	return n.Local.Fleet(ctx)
+	return n.Node.Fleet(ctx)
 }
 
 func (n *node) MayCommit() error {
@@ -107,7 +108,7 @@
 	n.configs = apply.New(n.hold, time.Now)
 	n.view.Store(view.New(0, &schema.Document{}))
 	accepted := func(e apply.Entry) { n.view.Store(view.New(e.Version, e.Document)) }
-	n.Local = admin.NewLocal("node-0", "vejle", n.view.Load, accepted)
+	n.Node = fake.New("node-0", "vejle", n.view.Load, accepted)
 	e, err := n.configs.Commit(t.Context(), 0, "first", document())
 	if err != nil {
 		t.Fatal(err)
--- a/internal/node/caller/caller_test.go
+++ b/internal/node/caller/caller_test.go
@@ -18,6 +18,7 @@
 	"geraniumhollow/internal/conf/schema"
 	"geraniumhollow/internal/conf/view"
 	"geraniumhollow/internal/core/fault"
+	"geraniumhollow/internal/core/tasks"
 	"geraniumhollow/internal/fake/model"
 	"geraniumhollow/internal/node/caller"
 	"geraniumhollow/internal/node/relay"
@@ -82,8 +83,14 @@
 		f.t.Fatalf("listen: %v", err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	go func() { _ = run(ctx, ln) }()
-	f.t.Cleanup(cancel)
+	g := tasks.New(ctx)
+	g.Go("server", func(ctx context.Context) error { return run(ctx, ln) })
+	f.t.Cleanup(func() {
+		cancel()
+		if err := g.Wait(); err != nil {
+			f.t.Error(err)
+		}
+	})
 	return ln.Addr().String()
 }
 
--- a/internal/node/relay/relay_test.go
+++ b/internal/node/relay/relay_test.go
@@ -12,6 +12,7 @@
 	"geraniumhollow/internal/conf/schema"
 	"geraniumhollow/internal/conf/view"
 	"geraniumhollow/internal/core/fault"
+	"geraniumhollow/internal/core/tasks"
 	"geraniumhollow/internal/fake/model"
 	"geraniumhollow/internal/node/relay"
 	"geraniumhollow/internal/plat/engine"
@@ -68,9 +69,14 @@
 		t.Fatalf("listen: %v", err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() { defer close(done); _ = e.Serve(ctx, ln) }()
-	t.Cleanup(func() { cancel(); <-done })
+	g := tasks.New(ctx)
+	g.Go("engine", func(ctx context.Context) error { return e.Serve(ctx, ln) })
+	t.Cleanup(func() {
+		cancel()
+		if err := g.Wait(); err != nil {
+			t.Error(err)
+		}
+	})
 	return ln.Addr().String()
 }
 
--- a/internal/node/serve/serve_test.go
+++ b/internal/node/serve/serve_test.go
@@ -101,11 +101,11 @@
 		s.t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- n.Run(ctx) }()
+	g := tasks.New(context.Background())
+	g.Go(cfg.NodeName, func(context.Context) error { return n.Run(ctx) })
 	return &running{Node: n, cfg: cfg, platform: p, stop: sync.OnceFunc(func() {
 		cancel()
-		if err := <-done; err != nil {
+		if err := g.Wait(); err != nil {
 			s.t.Errorf("%s: %v", cfg.NodeName, err)
 		}
 	})}
@@ -367,16 +367,17 @@
 	s := newSystem(t)
 	n := s.nodes[2]
 	answer := make(chan string, 1)
-	go func() {
+	g := tasks.New(context.Background())
+	g.Go("request", func(context.Context) error {
 		_, body := s.complete(n, 600)
 		answer <- body
-	}()
+		return nil
+	})
 	time.Sleep(100 * time.Millisecond)
-	stopped := make(chan struct{})
-	go func() {
-		defer close(stopped)
+	g.Go("stop", func(context.Context) error {
 		n.stop()
-	}()
+		return nil
+	})
 	s.eventually(time.Second, "readiness off", func() bool { return !n.Ready() })
 	for path, want := range map[string]int{"/healthz": http.StatusOK, "/readyz": http.StatusServiceUnavailable} {
 		resp, err := http.Get("http://" + n.cfg.OperatorAddress + path)
@@ -395,7 +396,9 @@
 	if body := <-answer; !strings.Contains(body, "[DONE]") {
 		t.Errorf("a running request was cut after %d bytes", len(body))
 	}
-	<-stopped
+	if err := g.Wait(); err != nil {
+		t.Error(err)
+	}
 }
 
 // Guards against a second signal that has to wait for running requests.
@@ -403,7 +406,10 @@
 	t.Parallel()
 	s := newSystem(t)
 	n := s.nodes[2]
-	go s.complete(n, 4000)
+	tasks.New(context.Background()).Go("request", func(context.Context) error {
+		s.complete(n, 4000)
+		return nil
+	})
 	time.Sleep(100 * time.Millisecond)
 	began := time.Now()
 	n.Stop()
--- a/internal/node/tool/tool_test.go
+++ b/internal/node/tool/tool_test.go
@@ -14,6 +14,7 @@
 	"geraniumhollow/internal/conf/apply"
 	"geraniumhollow/internal/conf/view"
 	"geraniumhollow/internal/core/tasks"
+	fake "geraniumhollow/internal/fake/node"
 	"geraniumhollow/internal/fake/store"
 	"geraniumhollow/internal/node/admin"
 	"geraniumhollow/internal/node/tool"
@@ -79,7 +80,7 @@
 	}
 	srv, err := admin.New(ctx, admin.Deps{
 		Log: hclog.NewNullLogger(), Configs: configs, View: current.Load, Metrics: metric.New().Handler(), Reasons: reasons,
-		Node: admin.NewLocal("node-0", "vejle", current.Load, accept), KeyHash: view.HashKey(operatorKey), Now: time.Now,
+		Node: fake.New("node-0", "vejle", current.Load, accept), KeyHash: view.HashKey(operatorKey), Now: time.Now,
 		Burn: func(ctx context.Context) (burn.Snapshots, error) { return burn.Load(ctx, tb.Objects(), time.Now()) },
 	})
 	if err != nil {
--- a/internal/wire/peer/peer_test.go
+++ b/internal/wire/peer/peer_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"geraniumhollow/internal/core/tasks"
 	"geraniumhollow/internal/wire/frame"
 	"geraniumhollow/internal/wire/peer"
 	"github.com/cockroachdb/errors"
@@ -58,11 +59,11 @@
 		},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- n.Run(ctx, ln) }()
+	g := tasks.New(ctx)
+	g.Go(name, func(ctx context.Context) error { return n.Run(ctx, ln) })
 	stop := sync.OnceFunc(func() {
 		cancel()
-		if err := <-done; err != nil {
+		if err := g.Wait(); err != nil {
 			f.t.Errorf("run %s: %v", name, err)
 		}
 	})
