Say confirmation where the code said vouch; make the stalled callers real

Cause: "vouch" is not a term of the field.

Change: confirmation and confirmed age throughout; the stand-ins of the measurement report their hosts and take every caller, and a caller counts when it has the status line of its answer. Result files of the load tool hold whole histograms.

--- a/internal/bench/load/load_test.go
+++ b/internal/bench/load/load_test.go
@@ -1,6 +1,7 @@
 package load_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -152,3 +153,26 @@
 	}
 	return res
 }
+
+// Guards against a result file that lost its distributions or cannot be compared with another.
+func TestResultFile(t *testing.T) {
+	t.Parallel()
+	res := run(t, func(rc *fasthttp.RequestCtx) { answer(rc, func(s string) string { return s }) })
+	var file bytes.Buffer
+	if err := res.WriteJSON(&file); err != nil {
+		t.Fatal(err)
+	}
+	var got load.Result
+	if err := json.Unmarshal(file.Bytes(), &got); err != nil {
+		t.Fatal(err)
+	}
+	first := got.Latency["first_token"]
+	if n := len(first.Histogram); n == 0 || first.Histogram[n-1].Ms != first.Max {
+		t.Errorf("the histogram of %d points does not end at the maximum %v", n, first.Max)
+	}
+	var table strings.Builder
+	load.CompareResults(&table, res, &got)
+	if !strings.Contains(table.String(), "first_token p95 ms") {
+		t.Errorf("the comparison lacks a row:\n%s", table.String())
+	}
+}
--- a/internal/bench/load/result.go
+++ b/internal/bench/load/result.go
@@ -66,6 +66,14 @@
 	P95 float64 `json:"p95"`
 	P99 float64 `json:"p99"`
 	Max float64 `json:"max"`
+	// Histogram is the whole distribution: the time that each quantile, in percent, does not exceed.
+	Histogram []Quantile `json:"histogram"`
+}
+
+// Quantile is one point of a distribution.
+type Quantile struct {
+	Percent float64 `json:"percent"`
+	Ms      float64 `json:"ms"`
 }
 
 // Failed reports whether any check failed.
@@ -137,7 +145,11 @@
 
 func spread(h *hdrhistogram.Histogram) Spread {
 	ms := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
-	return Spread{N: h.TotalCount(), P50: ms(50), P95: ms(95), P99: ms(99), Max: float64(h.Max()) / 1000}
+	out := Spread{N: h.TotalCount(), P50: ms(50), P95: ms(95), P99: ms(99), Max: float64(h.Max()) / 1000}
+	for _, b := range h.CumulativeDistribution() {
+		out.Histogram = append(out.Histogram, Quantile{Percent: b.Quantile, Ms: float64(b.ValueAt) / 1000})
+	}
+	return out
 }
 
 // WriteTable writes the result for a person to read.
--- a/internal/bench/spread/mix.go
+++ b/internal/bench/spread/mix.go
@@ -169,7 +169,7 @@
 		return
 	}
 	sends, probes := n.roster.Tick(m.now, roster.Own{
-		Version: n.watch.Version(), Vouched: n.watch.Vouched(), Next: n.watch.Next(),
+		Version: n.watch.Version(), Confirmed: n.watch.Confirmed(), Next: n.watch.Next(),
 	})
 	for _, s := range sends {
 		beat := s.Beat
@@ -222,7 +222,7 @@
 		asOf, proved := n.roster.Received(m.now, from.name, *e.beat)
 		n.watch.Heard(m.now, from.name, e.beat.Version, e.beat.Age)
 		if proved {
-			n.watch.VouchedBy(asOf, e.beat.Version)
+			n.watch.ConfirmedBy(asOf, e.beat.Version)
 		}
 	case e.read && e.failed:
 		n.watch.ReadFailed()
--- a/internal/bench/stall/stall.go
+++ b/internal/bench/stall/stall.go
@@ -32,7 +32,6 @@
 	settleTime  = 8 * time.Second
 	waitLimit   = 30 * time.Second
 	pollPause   = 100 * time.Millisecond
-	dialPause   = 2 * time.Millisecond
 	dialTimeout = 2 * time.Second
 	mebibyte    = 1 << 20
 )
@@ -135,7 +134,9 @@
 func start(g *tasks.Group, d site.Deployment, nodeBuffer int) (string, error) {
 	at := site.Addresses{Instances: make([]string, d.Instances)}
 	for i := range d.Runners {
-		e := model.New(model.Config{Group: d.GroupName(i), Model: d.Model, Version: "v1"}, engine.Warm)
+		e := model.New(model.Config{
+			Group: d.GroupName(i), Generation: 1, Hosts: d.RunnerHosts(i), Model: d.Model, Version: "v1",
+		}, engine.Warm)
 		addr, err := listen(g, d.GroupName(i), e.Serve)
 		if err != nil {
 			return "", err
@@ -144,6 +145,10 @@
 	}
 	doc := d.Document(at)
 	doc.Limits = schema.Limits{NodeBufferBytes: nodeBuffer, AccountBufferBytes: nodeBuffer}
+	for i := range doc.Groups {
+		// The engines must take every caller, or the node would hold some of them in its queue.
+		doc.Groups[i].Capacity = schema.Capacity{ColdRequests: engineRequests, WarmRequests: engineRequests}
+	}
 	platform := store.New()
 	addr, err := listen(g, "platform", platform.Serve)
 	if err != nil {
@@ -165,13 +170,13 @@
 	return ln.Addr().String(), nil
 }
 
-// waitNode waits for the node to know the model and returns its process id.
+// waitNode waits for the node to answer a completion and returns its process id.
 func waitNode(ctx context.Context, o options, d site.Deployment) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, waitLimit)
 	defer cancel()
 	for {
 		raw, err := os.ReadFile(o.pidFile)
-		if err == nil && knowsModel(ctx, o.node, d) {
+		if err == nil && serves(ctx, o.node, d) {
 			pid, err := strconv.Atoi(strings.TrimSpace(string(raw)))
 			if err != nil {
 				return 0, errors.Newf("read process id: %w", err)
@@ -186,8 +191,9 @@
 	}
 }
 
-func knowsModel(ctx context.Context, node string, d site.Deployment) bool {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+node+"/v1/models", nil)
+func serves(ctx context.Context, node string, d site.Deployment) bool {
+	body := fmt.Sprintf(`{"model":%q,"prompt":"a short answer","max_tokens":1}`, d.Model)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+node+"/v1/completions", strings.NewReader(body))
 	if err != nil {
 		return false
 	}
@@ -200,7 +206,16 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// stalledCaller asks for a long stream and reads nothing of it.
+// engineRequests is what each stand-in engine takes.
+const engineRequests = 4096
+
+// okStatus is what an answer begins with.
+const okStatus = "HTTP/1.1 200"
+
+// errNotServed means that a caller got no answer to stall.
+var errNotServed = errors.New("the request was not served")
+
+// stalledCaller asks for a long stream and reads nothing but the status of it.
 func stalledCaller(ctx context.Context, node string, d site.Deployment) (net.Conn, error) {
 	nc, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", node)
 	if err != nil {
@@ -216,7 +231,12 @@
 		_ = nc.Close()
 		return nil, errors.Newf("send request: %w", err)
 	}
-	time.Sleep(dialPause)
+	status := make([]byte, len(okStatus))
+	_ = nc.SetReadDeadline(time.Now().Add(waitLimit))
+	if _, err := io.ReadFull(nc, status); err != nil || string(status) != okStatus {
+		_ = nc.Close()
+		return nil, errors.Newf("answer %q, %v: %w", status, err, errNotServed)
+	}
 	return nc, nil
 }
 
--- a/internal/conf/watch/watch.go
+++ b/internal/conf/watch/watch.go
@@ -1,10 +1,10 @@
 // Package watch decides which configuration version a node has, how old the table's last word on it
 // is, and what the node may do with it.
 //
-// A vouch is the statement that the table's current version was V at the time T. As versions only go
+// A confirmation is the statement that the table's current version was V at the time T. As versions only go
 // up, nothing above V had been accepted by T, so a node whose own version is at least V knows of
-// every change that was accepted before T. The vouched age of the node is the time since the
-// youngest such T by its own clock. Vouches come from own reads, where T is when the read was sent,
+// every change that was accepted before T. The confirmation age of the node is the time since the
+// youngest such T by its own clock. Confirmations come from own reads, where T is when the read was sent,
 // and from peers, where T is the earliest time that the peer's heartbeat allows.
 //
 // A Watch is a decider and is not safe for concurrent use.
@@ -29,7 +29,7 @@
 	// offerWait is how long an offered document is waited for before it is asked for: most are on
 	// their way already.
 	offerWait = 200 * time.Millisecond
-	// NoticeLimit is how long after its notice a commit may take effect. A vouch from after that
+	// NoticeLimit is how long after its notice a commit may take effect. A confirmation from after that
 	// shows that the commit did not happen.
 	NoticeLimit = 10 * time.Second
 	// claimMargin keeps a node out of isolation when the store goes down: its own age runs ahead of
@@ -79,11 +79,11 @@
 
 // Watch is the decider of one node.
 type Watch struct {
-	version uint64
-	vouched time.Time
+	version   uint64
+	confirmed time.Time
 
 	// wanted is the highest version heard of that is above the own one, and wantedAsOf the youngest
-	// vouch that needs it.
+	// confirmation that needs it.
 	wanted     uint64
 	wantedAsOf time.Time
 	sources    []string
@@ -96,7 +96,7 @@
 	refresh bool
 	// notices are the commits that were announced to this node and are open.
 	notices map[string]notice
-	// claimed is the youngest vouch that a peer has stated, whether or not it could be proved.
+	// claimed is the youngest confirmation that a peer has stated, whether or not it could be proved.
 	claimed time.Time
 }
 
@@ -112,20 +112,20 @@
 // Version returns the version in force, 0 for none.
 func (w *Watch) Version() uint64 { return w.version }
 
-// Vouched returns when the table last confirmed the version; zero for never.
-func (w *Watch) Vouched() time.Time { return w.vouched }
+// Confirmed returns when the table last confirmed the version; zero for never.
+func (w *Watch) Confirmed() time.Time { return w.confirmed }
 
 // Wanted returns the highest version heard of that is above the own one, or 0.
 func (w *Watch) Wanted() uint64 { return w.wanted }
 
-// vouch takes the statement that the table's version was v at asOf.
-func (w *Watch) vouch(asOf time.Time, v uint64) {
+// confirm takes the statement that the table's version was v at asOf.
+func (w *Watch) confirm(asOf time.Time, v uint64) {
 	maps.DeleteFunc(w.notices, func(_ string, n notice) bool {
 		return v < n.version && asOf.After(n.at.Add(NoticeLimit))
 	})
 	if v <= w.version {
-		if asOf.After(w.vouched) {
-			w.vouched = asOf
+		if asOf.After(w.confirmed) {
+			w.confirmed = asOf
 		}
 		return
 	}
@@ -136,7 +136,7 @@
 }
 
 // Noticed notes that a node is about to commit version v; key names the notice. Until this node has
-// the version, or the notice is withdrawn, or a vouch shows that it was not committed, this node is
+// the version, or the notice is withdrawn, or a confirmation shows that it was not committed, this node is
 // not in store_down, and tells its peers so: a commit that was announced to half of the fleet leaves
 // a trace in every majority. It reports false when there are too many notices to remember.
 func (w *Watch) Noticed(now time.Time, key string, v uint64) bool {
@@ -178,8 +178,8 @@
 	return 0
 }
 
-// Heard takes the version and the vouched age in a peer's heartbeat, however late it arrives. An age
-// of 0 says that the peer has no vouch.
+// Heard takes the version and the confirmation age in a peer's heartbeat, however late it arrives. An age
+// of 0 says that the peer has no confirmation.
 func (w *Watch) Heard(now time.Time, from string, v uint64, age time.Duration) {
 	if v == 0 {
 		return
@@ -190,8 +190,8 @@
 	w.Offered(now, from, v)
 }
 
-// VouchedBy takes a proved vouch of a peer: the table's version was v at asOf.
-func (w *Watch) VouchedBy(asOf time.Time, v uint64) { w.vouch(asOf, v) }
+// ConfirmedBy takes a proved confirmation of a peer: the table's version was v at asOf.
+func (w *Watch) ConfirmedBy(asOf time.Time, v uint64) { w.confirm(asOf, v) }
 
 // Offered notes that a peer has a version.
 func (w *Watch) Offered(now time.Time, from string, v uint64) {
@@ -216,7 +216,7 @@
 // Read takes the answer to a read of the version row that was sent at asOf.
 func (w *Watch) Read(asOf time.Time, v uint64) {
 	w.reading = false
-	w.vouch(asOf, v)
+	w.confirm(asOf, v)
 }
 
 // ReadFailed notes that the table did not answer.
@@ -232,8 +232,8 @@
 	w.version = v
 	maps.DeleteFunc(w.notices, func(_ string, n notice) bool { return n.version <= v })
 	if w.wanted <= v {
-		if w.wantedAsOf.After(w.vouched) {
-			w.vouched = w.wantedAsOf
+		if w.wantedAsOf.After(w.confirmed) {
+			w.confirmed = w.wantedAsOf
 		}
 		w.wanted, w.wantedAsOf, w.sources = 0, time.Time{}, nil
 		// The next version does not wait for a retry of this one.
@@ -271,8 +271,8 @@
 	return Action{Kind: ReadDocument, Version: w.wanted}
 }
 
-// Age returns the vouched age, very large when there is no vouch.
-func (w *Watch) Age(now time.Time) time.Duration { return now.Sub(w.vouched) }
+// Age returns the confirmation age, very large when there is no confirmation.
+func (w *Watch) Age(now time.Time) time.Duration { return now.Sub(w.confirmed) }
 
 // Mode returns what the node may do while it hears so many nodes of a fleet, itself included, and
 // next is the highest version that one of them knows to exist or to have been announced.
--- a/internal/conf/watch/watch_test.go
+++ b/internal/conf/watch/watch_test.go
@@ -51,10 +51,10 @@
 			w.Loaded(3)
 			w.Heard(at(3900), "p", 3, time.Second)
 		}, 4001, 6, watch.Isolated},
-		{"a vouch for a newer version does not help", func(w *watch.Watch) {
+		{"a confirmation of a newer version does not help", func(w *watch.Watch) {
 			w.Read(at(0), 3)
 			w.Loaded(3)
-			w.VouchedBy(at(4000), 4)
+			w.ConfirmedBy(at(4000), 4)
 		}, 4100, 6, watch.Isolated},
 		{"a commit was announced", func(w *watch.Watch) {
 			w.Read(at(0), 3)
@@ -82,7 +82,7 @@
 		{"it helps once the version is there", func(w *watch.Watch) {
 			w.Read(at(0), 3)
 			w.Loaded(3)
-			w.VouchedBy(at(4000), 4)
+			w.ConfirmedBy(at(4000), 4)
 			w.Loaded(4)
 		}, 7900, 1, watch.Current},
 	}
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -33,7 +33,7 @@
 	probeInterval = time.Second
 	// pauseGap is the time between ticks that shows that this node itself was paused.
 	pauseGap = time.Second
-	// freshGap is how much younger a vouch must be to send a heartbeat before its time. Vouches
+	// freshGap is how much younger a confirmation must be to send a heartbeat before its time. Confirmations
 	// then cross the tree in one sweep instead of waiting up to 1 s in each node. With 500 ms the
 	// readers of several data centres cause a fifth more traffic and save no read of the table.
 	freshGap = 800 * time.Millisecond
@@ -41,7 +41,7 @@
 	forgetAfter = 10 * time.Minute
 )
 
-// minAge is the smallest age in a heartbeat, where 0 means that there is no vouch.
+// minAge is the smallest age in a heartbeat, where 0 means that there is no confirmation.
 const minAge = time.Millisecond
 
 // Probers is the number of nodes that are asked whether they reach a silent one.
@@ -80,7 +80,7 @@
 	Hold     time.Duration
 	Relation Relation
 	Version  uint64
-	// Age is the vouched age of the version; 0 means that the sender has no vouch.
+	// Age is the confirmation age of the version; 0 means that the sender has no confirmation.
 	Age   time.Duration
 	Drain string
 	Heard int
@@ -92,9 +92,9 @@
 // Own is what a node's heartbeats say of itself.
 type Own struct {
 	Version uint64
-	// Vouched is when the table last confirmed the version; zero for never.
-	Vouched time.Time
-	Drain   string
+	// Confirmed is when the table last confirmed the version; zero for never.
+	Confirmed time.Time
+	Drain     string
 	// Next is the highest version that the node knows of but does not have, or 0.
 	Next uint64
 }
@@ -126,11 +126,11 @@
 
 	seq int
 	// sentAt is made with the first heartbeat: most nodes of a large fleet are no neighbours.
-	sentAt   *[beatsKept]time.Time
-	lastSent time.Time
-	vouched  time.Time
-	echoed   time.Time
-	answer   bool
+	sentAt    *[beatsKept]time.Time
+	lastSent  time.Time
+	confirmed time.Time
+	echoed    time.Time
+	answer    bool
 }
 
 // Roster is the decider of one node.
@@ -320,7 +320,7 @@
 }
 
 // Tick returns the heartbeats and probes that are due. It is called several times a second, and at
-// once after a heartbeat that brought a younger vouch.
+// once after a heartbeat that brought a younger confirmation.
 func (r *Roster) Tick(now time.Time, own Own) ([]Send, []Probe) {
 	if now.Sub(r.lastTick) > pauseGap {
 		// This node was paused: the silence is its own.
@@ -333,7 +333,7 @@
 	talking := r.talkingTo(now)
 	for _, name := range slices.Sorted(maps.Keys(talking)) {
 		rel, m := talking[name], r.members[name]
-		if !m.due(now, own.Vouched) {
+		if !m.due(now, own.Confirmed) {
 			continue
 		}
 		sends = append(sends, Send{To: name, Beat: m.next(now, own, rel, heard, fleet, r.nextFor(now, own.Next, rel))})
@@ -358,13 +358,13 @@
 }
 
 // due reports whether a heartbeat has to be sent.
-func (m *member) due(now, vouched time.Time) bool {
+func (m *member) due(now, confirmed time.Time) bool {
 	since := now.Sub(m.lastSent)
 	switch {
 	case m.answer || since >= BeatInterval:
 		return true
 	default:
-		return since >= freshGap && vouched.Sub(m.vouched) >= freshGap
+		return since >= freshGap && confirmed.Sub(m.confirmed) >= freshGap
 	}
 }
 
@@ -376,14 +376,14 @@
 	m.seq++
 	m.sentAt[m.seq%beatsKept] = now
 	m.lastSent = now
-	m.vouched = own.Vouched
+	m.confirmed = own.Confirmed
 	m.answer = false
 	b := Beat{Seq: m.seq, Relation: rel, Version: own.Version, Drain: own.Drain, Next: next}
 	if m.beat.Seq > 0 {
 		b.Echo, b.Hold = m.beat.Seq, now.Sub(m.heard)
 	}
-	if !own.Vouched.IsZero() {
-		b.Age = max(now.Sub(own.Vouched), minAge)
+	if !own.Confirmed.IsZero() {
+		b.Age = max(now.Sub(own.Confirmed), minAge)
 	}
 	switch rel {
 	case Parent, Root:
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -205,7 +205,7 @@
 }
 
 // Guards against a message that was delayed and passes for a young one.
-func TestDelayedVouch(t *testing.T) {
+func TestDelayedConfirmation(t *testing.T) {
 	t.Parallel()
 	s := newScene()
 	sends, _ := s.r.Tick(at(0), roster.Own{})
@@ -215,7 +215,7 @@
 	}
 	asOf, ok := s.r.Received(at(5000), sends[0].To, beat)
 	if !ok || asOf.After(at(100)) {
-		t.Errorf("vouched at %v, %v; want 100 ms at the latest", asOf.Sub(at(0)), ok)
+		t.Errorf("confirmed at %v, %v; want 100 ms at the latest", asOf.Sub(at(0)), ok)
 	}
 }
 
--- a/internal/node/admin/change.go
+++ b/internal/node/admin/change.go
@@ -136,7 +136,7 @@
 	if err == nil {
 		return doc, nil
 	}
-	p := problem(http.StatusUnprocessableEntity, CodeInvalid, "the document has faults", "Nothing was changed. Mend every fault and send the document again.")
+	p := problem(http.StatusUnprocessableEntity, CodeInvalid, "the document has faults", "Nothing was changed. Fix every fault and send the document again.")
 	var invalid *check.InvalidError
 	if !errors.As(err, &invalid) {
 		return nil, problem(http.StatusInternalServerError, CodeInternal, err.Error(), "")
--- a/internal/node/peers/commit.go
+++ b/internal/node/peers/commit.go
@@ -86,7 +86,7 @@
 	msg := n.msg
 	msg.Withdrawn = true
 	for _, m := range members {
-		// A node that misses this forgets the notice with the next vouch after watch.NoticeLimit.
+		// A node that misses this forgets the notice with the next confirmation after watch.NoticeLimit.
 		_ = p.net.Send(m.Node, &msg)
 	}
 }
--- a/internal/node/peers/document.go
+++ b/internal/node/peers/document.go
@@ -74,7 +74,7 @@
 	p.tick()
 }
 
-// readVersion reads the version row. The vouch counts from before the read was sent.
+// readVersion reads the version row. The confirmation counts from before the read was sent.
 func (p *Peers) readVersion(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
--- a/internal/node/peers/peers.go
+++ b/internal/node/peers/peers.go
@@ -77,10 +77,10 @@
 // Status is what a node knows of the fleet and of its configuration.
 type Status struct {
 	Version uint64
-	// Age is the vouched age of the version; Vouched says whether there is one.
-	Age     time.Duration
-	Vouched bool
-	Mode    watch.Mode
+	// Age is the confirmation age of the version; Confirmed says whether there is one.
+	Age       time.Duration
+	Confirmed bool
+	Mode      watch.Mode
 	// Heard and Size are nodes of the fleet, this one included.
 	Heard   int
 	Size    int
@@ -174,13 +174,13 @@
 	now := time.Now()
 	heard, size := p.roster.Heard(now), p.roster.Size()
 	return Status{
-		Version: p.watch.Version(),
-		Age:     p.watch.Age(now),
-		Vouched: !p.watch.Vouched().IsZero(),
-		Mode:    p.watch.Mode(now, heard, size, p.roster.Next(now)),
-		Heard:   heard,
-		Size:    size,
-		Members: p.roster.Members(),
+		Version:   p.watch.Version(),
+		Age:       p.watch.Age(now),
+		Confirmed: !p.watch.Confirmed().IsZero(),
+		Mode:      p.watch.Mode(now, heard, size, p.roster.Next(now)),
+		Heard:     heard,
+		Size:      size,
+		Members:   p.roster.Members(),
 	}
 }
 
@@ -198,13 +198,13 @@
 func (p *Peers) modeNow(now time.Time) watch.Mode {
 	mode := p.watch.Mode(now, p.roster.Heard(now), p.roster.Size(), p.roster.Next(now))
 	if mode == watch.Current {
-		p.currentUntil.Store(int64(p.watch.Vouched().Add(watch.Bound).Sub(p.base)))
+		p.currentUntil.Store(int64(p.watch.Confirmed().Add(watch.Bound).Sub(p.base)))
 	}
 	if mode != p.mode {
 		p.cfg.Log.Info("mode changed", "from", p.mode, "to", mode, "version", p.watch.Version(),
 			"heard", p.roster.Heard(now), "size", p.roster.Size())
 		p.cfg.ModeChanged(p.mode, mode, Status{
-			Version: p.watch.Version(), Age: p.watch.Age(now), Vouched: !p.watch.Vouched().IsZero(), Mode: mode,
+			Version: p.watch.Version(), Age: p.watch.Age(now), Confirmed: !p.watch.Confirmed().IsZero(), Mode: mode,
 			Heard: p.roster.Heard(now), Size: p.roster.Size(),
 		})
 		p.mode = mode
@@ -281,7 +281,7 @@
 func (p *Peers) tick() {
 	p.mu.Lock()
 	now := time.Now()
-	own := roster.Own{Version: p.watch.Version(), Vouched: p.watch.Vouched(), Drain: p.drain, Next: p.watch.Next()}
+	own := roster.Own{Version: p.watch.Version(), Confirmed: p.watch.Confirmed(), Drain: p.drain, Next: p.watch.Next()}
 	sends, probes := p.roster.Tick(now, own)
 	actions := p.watch.Tick(now, p.roster.Reader() == p.cfg.Node)
 	links := p.roster.Links()
@@ -342,7 +342,7 @@
 	})
 }
 
-// ceilMs rounds up, so that a vouch never looks younger than it is.
+// ceilMs rounds up, so that a confirmation never looks younger than it is.
 func ceilMs(d time.Duration) int { return int((d + time.Millisecond - 1) / time.Millisecond) }
 
 // heartbeat takes a heartbeat of a peer.
@@ -357,14 +357,14 @@
 	}
 	p.mu.Lock()
 	now := time.Now()
-	before := p.watch.Vouched()
+	before := p.watch.Confirmed()
 	asOf, proved := p.roster.Received(now, from.Node, b)
 	p.watch.Heard(now, from.Node, b.Version, b.Age)
 	p.list.compare(now, m.List)
 	if proved {
-		p.watch.VouchedBy(asOf, b.Version)
+		p.watch.ConfirmedBy(asOf, b.Version)
 	}
-	urgent := m.Echo == 0 || p.watch.Vouched().After(before)
+	urgent := m.Echo == 0 || p.watch.Confirmed().After(before)
 	p.mu.Unlock()
 	if urgent {
 		p.tick()
--- a/internal/node/tool/config.go
+++ b/internal/node/tool/config.go
@@ -72,7 +72,7 @@
 	if err != nil {
 		return err
 	}
-	return &Error{Code: ExitInvalid, Message: fmt.Sprintf("the document has %d faults", len(list)), Help: "Mend every fault at its path and try again."}
+	return &Error{Code: ExitInvalid, Message: fmt.Sprintf("the document has %d faults", len(list)), Help: "Fix every fault at its path and try again."}
 }
 
 // readDocument reads the file that the first argument names; - is the standard input.
--- a/internal/wire/frame/messages.gen.go
+++ b/internal/wire/frame/messages.gen.go
@@ -114,8 +114,8 @@
 
 // Heartbeat is sent once a second on every link that carries membership.
 type Heartbeat struct {
-	// Milliseconds since the table vouched for the version, at least 1; 0 without a
-	// vouch.
+	// Milliseconds since the table confirmed the version, at least 1; 0 without a
+	// confirmation.
 	AgeMs int `json:"age_ms,omitempty,omitzero"`
 
 	// Number of the last heartbeat received from the other side.
