Relay: give back the text of requests that are forgotten

Cause: a request that fell out of the ring of outcomes kept its text in the byte budget until newer texts displaced it, although nothing could reach it.

Change: the text goes with the outcome. A test ends 8,392 requests and checks the count and the bytes.

Conclusion: the ring is bounded in count and bytes.

--- a/internal/node/relay/recent.go
+++ b/internal/node/relay/recent.go
@@ -109,6 +109,10 @@
 	r.bytes += rec.share.Held()
 	r.shed(limit)
 	for len(r.ended) > maxRecent {
+		// Answers are a part of the ended requests in the same order.
+		if len(r.answers) > 0 && r.answers[0].id == r.ended[0] {
+			r.dropOldest()
+		}
 		delete(r.byID, r.ended[0])
 		r.ended = r.ended[1:]
 	}
@@ -117,12 +121,17 @@
 // shed drops the texts of the oldest ended requests until the rest has at most limit bytes.
 func (r *recent) shed(limit int) {
 	for r.bytes > limit && len(r.answers) > 0 {
-		r.reduce(r.answers[0])
-		r.answers[0] = nil
-		r.answers = r.answers[1:]
+		r.dropOldest()
 	}
 }
 
+// dropOldest drops the text of the oldest ended request that has one.
+func (r *recent) dropOldest() {
+	r.reduce(r.answers[0])
+	r.answers[0] = nil
+	r.answers = r.answers[1:]
+}
+
 // forgetAnswers drops the texts of all ended requests and reports whether there were any.
 func (r *recent) forgetAnswers() bool {
 	r.mu.Lock()
--- a/internal/node/relay/relay_test.go
+++ b/internal/node/relay/relay_test.go
@@ -402,6 +402,37 @@
 	}
 }
 
+// closedGate admits nothing.
+type closedGate struct{}
+
+func (closedGate) Enter(context.Context, *view.View, relay.Work) (func(), *fault.Error) {
+	return nil, fault.New(fault.RateLimited, fault.NotRun, "closed")
+}
+
+// Guards against ended requests that pile up, and against texts that are held although their request is
+// forgotten.
+func TestRecentBounds(t *testing.T) {
+	t.Parallel()
+	const known = 8 << 10
+	b := newBench(t, 1, model.Faults{}, schema.Limits{}, relay.Deps{Gate: closedGate{}})
+	ids := make([]string, 0, known+200)
+	for range known + 200 {
+		c := b.completion(1)
+		ids = append(ids, c.ID)
+		if _, _, ferr := b.relay.CompleteWhole(t.Context(), c); ferr == nil || ferr.Code() != fault.RateLimited {
+			t.Fatalf("got %v", ferr)
+		}
+	}
+	account := b.view.Document().Accounts[0].Name
+	waitFor(t, "oldest request forgotten", func() bool { _, ok := b.relay.Status(ids[0], account); return !ok })
+	if _, ok := b.relay.Status(ids[len(ids)-1], account); !ok {
+		t.Error("the newest request is not known")
+	}
+	waitFor(t, "no more bytes held than by the known requests", func() bool {
+		return b.relay.BufferedBytes() <= known*(stream.InitialBytes+len(prompt))
+	})
+}
+
 // Guards against requests on a closed route that wait for a timeout instead of failing over.
 func TestAbortServer(t *testing.T) {
 	t.Parallel()
