Let callers of the load come back when their node ends without notice

Cause: the load tool could not tell a caller that lost a node from an answer that was lost for good.

--- a/internal/bench/demo/command.go
+++ b/internal/bench/demo/command.go
@@ -25,6 +25,7 @@
 	profile    string
 	slow       float64
 	faults     bool
+	kill       bool
 	out        string
 	compare    []string
 }
@@ -45,6 +46,7 @@
 			&cli.StringFlag{Name: "profile", Value: string(load.Steady), Usage: "steady, term_start or exam_week", Destination: &s.profile},
 			&cli.FloatFlag{Name: "slow-readers", Usage: "share of streamed answers that are read slowly", Destination: &s.slow},
 			&cli.BoolFlag{Name: "faults", Usage: "with the demo: data centre out and back, engine killed, a request that crashes engines, node stopped, store outage", Destination: &s.faults},
+			&cli.BoolFlag{Name: "kill", Usage: "with the demo: end a node without notice; callers come back", Destination: &s.kill},
 			&cli.StringFlag{Name: "out", Usage: "file for the result as JSON", Destination: &s.out},
 			&cli.StringSliceFlag{Name: "compare", Usage: "two result files to print side by side instead of a load", Destination: &s.compare},
 		},
@@ -114,11 +116,14 @@
 // trial places the faults over the length of the load.
 func (s loadSettings) trial(m load.Mix) Trial {
 	t := Trial{Name: "load", Mix: m}
+	at := func(percent int) time.Duration { return m.Length * time.Duration(percent) / 100 }
+	if s.kill {
+		t.NodeKilled = at(30)
+	}
 	if !s.faults {
 		return t
 	}
 	t.Name = "load with faults"
-	at := func(percent int) time.Duration { return m.Length * time.Duration(percent) / 100 }
 	t.EngineKilled = at(10)
 	t.DataCentreOut, t.DataCentreBack = at(20), at(40)
 	t.Crasher = at(42)
--- a/internal/bench/demo/demo.go
+++ b/internal/bench/demo/demo.go
@@ -35,8 +35,9 @@
 	Site  *site.Site
 	Nodes []flags.Settings
 
-	// stops begin the planned stop of a node.
+	// stops begin the planned stop of a node; kills end it without notice.
 	stops []context.CancelFunc
+	kills []context.CancelFunc
 }
 
 // Command returns the demo subcommand.
@@ -113,10 +114,12 @@
 	planned, stop := context.WithCancel(context.WithoutCancel(g.Context()))
 	s.Nodes = append(s.Nodes, cfg)
 	s.stops = append(s.stops, stop)
-	g.Go(cfg.NodeName, func(ctx context.Context) error {
+	alive, kill := context.WithCancel(g.Context())
+	s.kills = append(s.kills, kill)
+	g.Go(cfg.NodeName, func(context.Context) error {
 		done := make(chan struct{})
 		defer close(done)
-		defer context.AfterFunc(ctx, func() { endAtOnce(n, done) })()
+		defer context.AfterFunc(alive, func() { endAtOnce(n, done) })()
 		return n.Run(planned)
 	})
 	return nil
--- a/internal/bench/demo/trial.go
+++ b/internal/bench/demo/trial.go
@@ -37,6 +37,8 @@
 	StoreUp   time.Duration
 	// NodeStopped is when the last node begins its planned stop.
 	NodeStopped time.Duration
+	// NodeKilled is when the second node ends without notice. Callers come back then.
+	NodeKilled time.Duration
 	// Crasher is when a request that crashes every engine is sent, again and again through every node.
 	Crasher time.Duration
 }
@@ -72,6 +74,8 @@
 	add("store down", t.StoreDown, func(context.Context) error { s.SetStoreDown(true); return nil })
 	add("store up", t.StoreUp, func(context.Context) error { s.SetStoreDown(false); return nil })
 	add("crasher", t.Crasher, s.sendCrasher)
+	add("node killed", t.NodeKilled, func(context.Context) error { s.kills[1](); return nil })
+	t.Mix.Persistent = t.Mix.Persistent || t.NodeKilled > 0
 	add("node stopped", t.NodeStopped, func(context.Context) error { s.StopNode(len(s.Nodes) - 1); return nil })
 
 	res, failures, err := load.Run(ctx, t.Name, t.Mix, s.target(), faults)
--- a/internal/bench/load/mix.go
+++ b/internal/bench/load/mix.go
@@ -60,6 +60,8 @@
 	Profile Profile
 	// SlowReaders is the share of streamed requests whose caller reads slowly.
 	SlowReaders float64
+	// Persistent makes callers come back whose connection broke.
+	Persistent bool
 	// Tokens makes every request a streamed completion of this length; 0 keeps the mix.
 	Tokens int
 }
--- a/internal/bench/load/result.go
+++ b/internal/bench/load/result.go
@@ -45,7 +45,9 @@
 	Latency  map[string]Spread `json:"latency_ms"`
 	// Duplicates are bookings that ran more than once; FalseNotRun are requests that ran although
 	// the caller was told not_run.
-	Duplicates  int `json:"duplicates"`
+	Duplicates int `json:"duplicates"`
+	// Comebacks are the times that a caller came back after its connection broke.
+	Comebacks   int `json:"comebacks"`
 	FalseNotRun int `json:"false_not_run"`
 	// Checks are the bounds that were looked at, with what was seen.
 	Checks []Check `json:"checks"`
@@ -89,6 +91,8 @@
 	spreads  map[string]*hdrhistogram.Histogram
 	notRun   []Request
 	failures []string
+	// comebacks counts callers that came back.
+	comebacks int
 }
 
 func newRecorder() *recorder {
@@ -117,6 +121,12 @@
 	}
 }
 
+func (r *recorder) cameBack() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.comebacks++
+}
+
 func (r *recorder) time(name string, d time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -135,7 +145,8 @@
 	defer r.mu.Unlock()
 	res := &Result{
 		Name: name, Seed: m.Seed, Requests: n, Verdicts: maps.Clone(r.verdicts), Codes: maps.Clone(r.codes),
-		Latency: make(map[string]Spread, len(r.spreads)),
+		Comebacks: r.comebacks,
+		Latency:   make(map[string]Spread, len(r.spreads)),
 	}
 	for name, h := range r.spreads {
 		res.Latency[name] = spread(h)
@@ -158,6 +169,7 @@
 	for _, v := range []Verdict{Right, Refused, Unknown, Wrong, Cut, Lost} {
 		_, _ = fmt.Fprintf(w, "  %-18s %7d\n", v, r.Verdicts[v])
 	}
+	_, _ = fmt.Fprintf(w, "  %-18s %7d\n", "comebacks", r.Comebacks)
 	for _, c := range slices.Sorted(maps.Keys(r.Codes)) {
 		_, _ = fmt.Fprintf(w, "  code %-24s %d\n", c, r.Codes[c])
 	}
