Run the trial with nodes in processes of their own, one of them killed outright

Cause: in one process a node cannot die without a word; connections that are reset and a lease that lapses were not measured together with real load.

The start of a node process is shared with the cost measurement.

--- a/internal/bench/cost/cost.go
+++ b/internal/bench/cost/cost.go
@@ -6,7 +6,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -16,6 +15,7 @@
 
 	"geraniumhollow/internal/bench/load"
 	"geraniumhollow/internal/bench/site"
+	"geraniumhollow/internal/conf/flags"
 	"geraniumhollow/internal/core/tasks"
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
@@ -138,23 +138,14 @@
 const startTimeout = 15 * time.Second
 
 func startNode(ctx context.Context, s *site.Site) (*node, error) {
-	self, err := os.Executable()
-	if err != nil {
-		return nil, errors.Newf("find own program: %w", err)
-	}
-	addrs, err := freeAddresses(ctx, 3)
+	cmd, cfg, err := site.StartProcess(ctx, flags.Settings{
+		NodeName: "node-0", DataCentre: s.Deployment.DataCentres[0], TableAddress: s.PlatformAddress,
+		ObjectAddress: s.PlatformAddress, HostsAddress: s.PlatformAddress, LogLevel: "error",
+	})
 	if err != nil {
-		return nil, err
-	}
-	cmd := exec.CommandContext(ctx, self, "serve", "--node-name", "node-0", "--data-centre", s.Deployment.DataCentres[0],
-		"--caller-address", addrs[0], "--operator-address", addrs[1], "--peer-address", addrs[2],
-		"--table-address", s.PlatformAddress, "--object-address", s.PlatformAddress, "--hosts-address", s.PlatformAddress,
-		"--log-level", "error", "--drain-notice", "0s")
-	cmd.Stderr = os.Stderr
-	if err := cmd.Start(); err != nil {
 		return nil, errors.Newf("start node: %w", err)
 	}
-	n := &node{cmd: cmd, addr: addrs[0]}
+	n := &node{cmd: cmd, addr: cfg.CallerAddress}
 	if err := n.waitReady(ctx, s); err != nil {
 		n.stop()
 		return nil, err
@@ -162,21 +153,6 @@
 	return n, nil
 }
 
-// freeAddresses returns loopback addresses whose ports were free a moment ago.
-func freeAddresses(ctx context.Context, count int) ([]string, error) {
-	var lc net.ListenConfig
-	out := make([]string, 0, count)
-	for range count {
-		ln, err := lc.Listen(ctx, "tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, errors.Newf("find a free port: %w", err)
-		}
-		defer func() { _ = ln.Close() }()
-		out = append(out, ln.Addr().String())
-	}
-	return out, nil
-}
-
 // waitReady sends single requests until one is answered right.
 func (n *node) waitReady(ctx context.Context, s *site.Site) error {
 	deadline := time.Now().Add(startTimeout)
--- a/internal/bench/demo/command.go
+++ b/internal/bench/demo/command.go
@@ -26,6 +26,7 @@
 	slow       float64
 	faults     bool
 	kill       bool
+	processes  bool
 	out        string
 	compare    []string
 }
@@ -47,6 +48,7 @@
 			&cli.FloatFlag{Name: "slow-readers", Usage: "share of streamed answers that are read slowly", Destination: &s.slow},
 			&cli.BoolFlag{Name: "faults", Usage: "with the demo: data centre out and back, engine killed, a request that crashes engines, node stopped, store outage", Destination: &s.faults},
 			&cli.BoolFlag{Name: "kill", Usage: "with the demo: end a node without notice; callers come back", Destination: &s.kill},
+			&cli.BoolFlag{Name: "processes", Usage: "with the demo: run each node in a process of its own", Destination: &s.processes},
 			&cli.StringFlag{Name: "out", Usage: "file for the result as JSON", Destination: &s.out},
 			&cli.StringSliceFlag{Name: "compare", Usage: "two result files to print side by side instead of a load", Destination: &s.compare},
 		},
@@ -92,7 +94,11 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	g := tasks.New(ctx)
-	sys, err := Start(g, m.Deployment, hclog.NewNullLogger())
+	start := func() (*System, error) { return Start(g, m.Deployment, hclog.NewNullLogger()) }
+	if s.processes {
+		start = func() (*System, error) { return StartProcesses(g, m.Deployment) }
+	}
+	sys, err := start()
 	if err != nil {
 		return nil, errors.Newf("start demo: %w", err)
 	}
--- a/internal/bench/demo/demo.go
+++ b/internal/bench/demo/demo.go
@@ -87,14 +87,11 @@
 	return sys, nil
 }
 
-// startNode starts node i and adds it to the system.
-func (s *System) startNode(g *tasks.Group, i int, log hclog.Logger) error {
-	cfg := flags.Settings{
+// settings returns the settings of node i without its addresses.
+func (s *System) settings(i int) flags.Settings {
+	return flags.Settings{
 		NodeName:        fmt.Sprintf("node-%d", i),
 		DataCentre:      s.Site.Deployment.RunnerDataCentre(i),
-		CallerAddress:   "127.0.0.1:0",
-		OperatorAddress: "127.0.0.1:0",
-		PeerAddress:     "127.0.0.1:0",
 		TableAddress:    s.Site.PlatformAddress,
 		ObjectAddress:   s.Site.PlatformAddress,
 		HostsAddress:    s.Site.PlatformAddress,
@@ -103,6 +100,13 @@
 		DrainNotice:     drainNotice,
 		DrainTimeout:    drainTimeout,
 	}
+}
+
+// startNode starts node i and adds it to the system.
+func (s *System) startNode(g *tasks.Group, i int, log hclog.Logger) error {
+	const anyPort = "127.0.0.1:0"
+	cfg := s.settings(i)
+	cfg.CallerAddress, cfg.OperatorAddress, cfg.PeerAddress = anyPort, anyPort, anyPort
 	lns, cfg, err := serve.Listen(g.Context(), cfg)
 	if err != nil {
 		return errors.Newf("open sockets of %s: %w", cfg.NodeName, err)
