Wait for the end of the attempt in the slow caller's test

Cause: one of three whole runs at the same time failed: the engine had written its whole answer into the kernel's buffers, so that "nothing runs at the engine" was true although the relay had not paused the attempt yet.

Change: the test waits until the relay has ended the attempt, once at each of two places where more follows than the bound takes.

Conclusion: the check is stricter: the attempt must be ended twice.

--- a/internal/node/relay/relay_test.go
+++ b/internal/node/relay/relay_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -96,6 +97,14 @@
 func (firstFree) Started(string, relay.Work)             {}
 func (firstFree) Ended(string, relay.Work, relay.Result) {}
 
+// endCounter counts the ends of attempts.
+type endCounter struct {
+	firstFree
+	ended atomic.Int32
+}
+
+func (p *endCounter) Ended(string, relay.Work, relay.Result) { p.ended.Add(1) }
+
 func (b *bench) completion(tokens int) relay.Completion {
 	a := b.view.Document().Accounts[0]
 	return relay.Completion{
@@ -512,12 +521,14 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
-			b := newBench(t, 2, model.Faults{}, tt.limits, relay.Deps{})
+			picker := &endCounter{}
+			b := newBench(t, 2, model.Faults{}, tt.limits, relay.Deps{Picker: picker})
 			most := 0
 			c := &collector{t: t, each: func(f stream.Frame) error {
-				// Enough tokens follow to fill the bound both times.
+				// More tokens follow than the bound takes, so the relay must end the attempt both times.
 				if f.Offset == 300 || f.Offset == 600 {
-					waitFor(t, "attempt paused behind the caller", func() bool { return b.engines[0].Running() == 0 })
+					want := int32(f.Offset / 300)
+					waitFor(t, "attempt ended behind the caller", func() bool { return picker.ended.Load() >= want })
 				}
 				most = max(most, b.relay.BufferedBytes())
 				return nil
