Run HTTP servers through one function that always ends with its context

Its goroutine dump shows a node in TestRestart whose operators' server still accepted after the node had been stopped right after its start. Shutdown of the HTTP library does nothing until the server has taken its listener, so a context that ends before that was missed.

Conclusion: a node that is stopped while it starts ends.

--- a/internal/node/admin/admin.go
+++ b/internal/node/admin/admin.go
@@ -15,6 +15,7 @@
 	"geraniumhollow/internal/conf/check"
 	"geraniumhollow/internal/conf/schema"
 	"geraniumhollow/internal/conf/view"
+	"geraniumhollow/internal/core/httpd"
 	"geraniumhollow/internal/plat/table"
 	"geraniumhollow/internal/report/burn"
 	"geraniumhollow/internal/report/reason"
@@ -155,9 +156,7 @@
 
 // Serve answers operators on ln until ctx ends.
 func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { _ = s.srv.Shutdown() })
-	defer stop()
-	if err := s.srv.Serve(ln); err != nil {
+	if err := httpd.Serve(ctx, s.srv, ln); err != nil {
 		return errors.Newf("serve operators: %w", err)
 	}
 	return nil
--- a/internal/node/caller/caller.go
+++ b/internal/node/caller/caller.go
@@ -12,6 +12,7 @@
 	"geraniumhollow/internal/conf/schema"
 	"geraniumhollow/internal/conf/view"
 	"geraniumhollow/internal/core/fault"
+	"geraniumhollow/internal/core/httpd"
 	"geraniumhollow/internal/core/tasks"
 	"geraniumhollow/internal/node/relay"
 	"github.com/cockroachdb/errors"
@@ -172,14 +173,7 @@
 func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
 	g := tasks.New(ctx)
 	g.Go("watch callers", s.watch.run)
-	stop := context.AfterFunc(ctx, func() { _ = s.srv.Shutdown() })
-	defer stop()
-	g.Go("serve callers", func(context.Context) error {
-		if err := s.srv.Serve(&listener{Listener: ln}); err != nil {
-			return errors.Newf("serve callers: %w", err)
-		}
-		return nil
-	})
+	g.Go("serve callers", func(ctx context.Context) error { return httpd.Serve(ctx, s.srv, &listener{Listener: ln}) })
 	return g.Wait()
 }
 
--- a/internal/wire/peer/peer.go
+++ b/internal/wire/peer/peer.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"geraniumhollow/internal/core/httpd"
 	"geraniumhollow/internal/core/sets"
 	"geraniumhollow/internal/core/tasks"
 	"geraniumhollow/internal/wire/frame"
@@ -176,16 +177,10 @@
 		ReduceMemoryUsage: true,
 		Logger:            quiet{},
 	}
-	g.Go("accept", func(context.Context) error {
-		if err := srv.Serve(ln); err != nil && ctx.Err() == nil {
-			return errors.Newf("accept links: %w", err)
-		}
-		return nil
-	})
+	g.Go("accept", func(ctx context.Context) error { return httpd.Serve(ctx, srv, ln) })
 	g.Go("close", func(ctx context.Context) error {
 		<-ctx.Done()
 		n.close()
-		_ = srv.Shutdown()
 		return nil
 	})
 	// The group is shown to others only now: its first goroutine must not start while Wait begins.
