Keep one step of the modelled table in the interleavings

Cause: the simulators of claims and of crash counts each had the same step that applies a table operation or ends the wait for it.

Change: faultyTable.advance is that step.

--- a/internal/bench/runs/claims.go
+++ b/internal/bench/runs/claims.go
@@ -258,18 +258,12 @@
 
 // advanceOp applies a table operation, or ends the wait for it.
 func (s *claimSim) advanceOp(x *submission) {
-	if !x.op.applied && !s.table.down && s.choose.chance(3) {
-		s.table.apply(x.op)
+	o := x.op
+	h, ended := s.table.advance(o, s.faults)
+	if !ended {
 		return
 	}
-	o := x.op
 	x.op = nil
-	h := opAnswered
-	if s.faults {
-		h = s.table.finish(o)
-	} else {
-		s.table.apply(o)
-	}
 	if o.read {
 		x.event = x.rowEvent(h, o.got)
 		return
--- a/internal/bench/runs/jobs.go
+++ b/internal/bench/runs/jobs.go
@@ -55,18 +55,12 @@
 
 // advanceCount applies a table operation, or ends the wait for it.
 func (s *crashSim) advanceCount(j *job) {
-	if !j.op.applied && !s.table.down && s.choose.chance(3) {
-		s.table.apply(j.op)
+	o := j.op
+	h, ended := s.table.advance(o, s.faults)
+	if !ended {
 		return
 	}
-	o := j.op
 	j.op = nil
-	h := opAnswered
-	if s.faults {
-		h = s.table.finish(o)
-	} else {
-		s.table.apply(o)
-	}
 	if o.read {
 		j.event = crash.ReadEnded{OK: h == opAnswered, Row: o.got.value, Revision: o.got.rev}
 		return
--- a/internal/bench/runs/table.go
+++ b/internal/bench/runs/table.go
@@ -90,6 +90,20 @@
 	}
 }
 
+// advance applies an operation without an answer yet, or ends the wait for it and reports true. Without
+// faults the wait ends with an answer.
+func (t *faultyTable[R]) advance(o *op[R], faults bool) (opResult, bool) {
+	if !o.applied && !t.down && t.choose.chance(3) {
+		t.apply(o)
+		return opAnswered, false
+	}
+	if faults {
+		return t.finish(o), true
+	}
+	t.apply(o)
+	return opAnswered, true
+}
+
 // finish ends the wait of an operation's caller.
 func (t *faultyTable[R]) finish(o *op[R]) opResult {
 	outcomes := t.faultOdds
