--- /dev/null
+++ b/internal/fleet/duty/duty.go
@@ -0,0 +1,159 @@
+// Package duty gives one node at a time a duty, through a row of the platform's store.
+//
+// The holder renews the row. Others take the duty when they have seen the row unchanged for a lifetime.
+// A holder whose renewals fail stops before that. This does not exclude that two nodes act for a moment, as
+// a process can stand still between its check and its act: whatever the duty changes has to be guarded by
+// the fencing number that each tenure has.
+package duty
+
+import (
+	"encoding/json"
+	"time"
+
+	"geraniumhollow/internal/plat/table"
+	"github.com/cockroachdb/errors"
+)
+
+// Times of a duty.
+const (
+	// Lifetime is how long a row must be unchanged before another node takes the duty.
+	Lifetime = 1800 * time.Millisecond
+	// Renew is the time between renewals of the holder.
+	Renew = 600 * time.Millisecond
+	// Look is the time between reads of the nodes that stand by.
+	Look = 600 * time.Millisecond
+	// margin is how long before the end of the lifetime the holder stops by itself.
+	margin = 300 * time.Millisecond
+)
+
+// Row is the stored form.
+type Row struct {
+	Holder string `json:"holder"`
+	// Fence grows with each tenure.
+	Fence uint64 `json:"fence"`
+	// Beat changes with each renewal.
+	Beat uint64 `json:"beat"`
+}
+
+// Op is a call of the store that the decider wants made. Only one runs at a time.
+type Op struct {
+	// Read asks for the row; else Txn is committed.
+	Read bool
+	Txn  table.Txn
+	want Row
+	sent time.Duration
+}
+
+// Decider decides about the duty for one node. Times are readings of a clock that runs on while the host
+// is suspended. It is not safe for concurrent use.
+type Decider struct {
+	node string
+	key  string
+
+	row      Row
+	revision uint64
+	// known is set once the row has been read; changed is when it was first seen as it is.
+	known   bool
+	changed time.Duration
+	// until is when the tenure of this node ends, by its own clock; 0 for none.
+	until   time.Duration
+	next    time.Duration
+	running bool
+	yielded bool
+}
+
+// New returns a decider for a node and the key of the duty's row.
+func New(node, key string) *Decider { return &Decider{node: node, key: key} }
+
+// Holds reports whether the node has the duty, and its fencing number.
+func (d *Decider) Holds(now time.Duration) (uint64, bool) {
+	return d.row.Fence, d.until > now && d.row.Holder == d.node
+}
+
+// Holder returns the node that the last read showed as holder.
+func (d *Decider) Holder() string { return d.row.Holder }
+
+// Yield gives the duty up as soon as it is free to move; the node takes none afterwards.
+func (d *Decider) Yield() { d.yielded, d.next = true, 0 }
+
+// Next returns the call to make now, if there is one.
+func (d *Decider) Next(now time.Duration) (Op, bool) {
+	if d.running || now < d.next {
+		return Op{}, false
+	}
+	d.running = true
+	if !d.known {
+		return Op{Read: true, sent: now}, true
+	}
+	_, holds := d.Holds(now)
+	switch {
+	case holds && d.yielded:
+		return d.write(now, Row{Fence: d.row.Fence, Beat: d.row.Beat + 1})
+	case holds:
+		return d.write(now, Row{Holder: d.node, Fence: d.row.Fence, Beat: d.row.Beat + 1})
+	case !d.yielded && (d.row.Holder == "" || now-d.changed >= Lifetime):
+		return d.write(now, Row{Holder: d.node, Fence: d.row.Fence + 1, Beat: d.row.Beat + 1})
+	default:
+		return Op{Read: true, sent: now}, true
+	}
+}
+
+func (d *Decider) write(now time.Duration, r Row) (Op, bool) {
+	b, err := json.Marshal(r)
+	if err != nil {
+		// A row of plain fields always has a JSON form.
+		panic(errors.Newf("encode duty: %w", err))
+	}
+	old := table.Row{Key: d.key, Revision: d.revision}
+	return Op{Txn: table.Replace(old, b), want: r, sent: now}, true
+}
+
+// ReadDone takes the answer to a read. A missing row has revision table.Absent.
+func (d *Decider) ReadDone(now time.Duration, row table.Row, err error) {
+	d.running = false
+	d.next = now + Look
+	if err != nil && !errors.Is(err, table.ErrNotFound) {
+		return
+	}
+	r := Row{}
+	if err == nil {
+		if jerr := json.Unmarshal(row.Value, &r); jerr != nil {
+			// A row that cannot be read names no holder; taking the duty writes it anew.
+			r = Row{}
+		}
+	}
+	if !d.known || row.Revision != d.revision {
+		d.changed = now
+	}
+	d.known, d.row, d.revision = true, r, row.Revision
+	if r.Holder == d.node && d.until == 0 {
+		// Written by this process's earlier, unanswered call, or by an earlier process of the node.
+		d.next = now
+	}
+	if r.Holder == "" || now-d.changed >= Lifetime {
+		d.next = now
+	}
+}
+
+// CommitDone takes the answer to a commit.
+func (d *Decider) CommitDone(now time.Duration, op Op, revision uint64, err error) {
+	d.running = false
+	switch {
+	case err == nil:
+		d.row, d.revision, d.changed = op.want, revision, now
+		d.next = now + Renew
+		d.until = 0
+		if op.want.Holder == d.node {
+			d.until = op.sent + Lifetime - margin
+		}
+	case errors.Is(err, table.ErrUnavailable):
+		d.next = now + retryAfter
+	default:
+		// Another node was faster, or the outcome is unknown: the row tells.
+		d.known = false
+		d.next = now
+	}
+}
+
+// retryAfter is the pause after a call that the store did not answer.
+const retryAfter = 200 * time.Millisecond
--- /dev/null
+++ b/internal/fleet/mirror/mirror.go
@@ -0,0 +1,327 @@
+// Package mirror keeps a copy of a family of rows of the platform's store in memory. The copy follows
+// the store and, while the store does not serve this node, the copies of other nodes. Each copy can be
+// followed itself, so one node that the store serves is enough for all that reach it.
+package mirror
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"geraniumhollow/internal/core/tasks"
+	"geraniumhollow/internal/plat/table"
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+)
+
+// Times of a copy.
+const (
+	// wait is how long one read for changes stays open. A connection that has gone silent costs at most
+	// this and readMargin before it is noticed.
+	wait = 4 * time.Second
+	// peerWait is the same for reads from other nodes, shorter so that the store is tried again soon.
+	peerWait = time.Second
+	// readMargin is added to the wait for the deadline of a read.
+	readMargin = time.Second
+	// snapshotTimeout bounds the read of a whole family.
+	snapshotTimeout = 3 * time.Second
+	// retryMin and retryMax bound the pause after a failed read.
+	retryMin = 50 * time.Millisecond
+	retryMax = 400 * time.Millisecond
+	// storeRetry is the time between tries of the store while another node is followed.
+	storeRetry = time.Second
+)
+
+// historyRows is how many changes a copy remembers for those that follow it.
+const historyRows = 512
+
+// Update is a change of the copy.
+type Update struct {
+	// Full says that Put is everything and rows that are not in it are gone.
+	Full    bool
+	Put     []table.Row
+	Removed []string
+}
+
+// Config is what a copy is made of.
+type Config struct {
+	// Family is the family of rows, without a slash.
+	Family string
+	Store  table.Feed
+	// Peer returns another node's copy to follow while the store does not answer, or nil.
+	Peer func() table.Feed
+	// Apply is called with each change, one at a time and in order.
+	Apply func(u Update)
+	// Store is called when the store begins or ceases to answer. It may be nil.
+	Reached func(reached bool)
+	// Pause is the least time between two reads, so that changes that come together cost one call.
+	Pause time.Duration
+	Log   hclog.Logger
+}
+
+// Copy is a copy of a family. It is safe for concurrent use and implements table.Feed for other nodes.
+type Copy struct {
+	cfg Config
+
+	mu       sync.Mutex
+	rows     map[string]table.Row
+	revision uint64
+	known    bool
+	// history holds the latest changes in order; floor is the revision before the oldest of them.
+	history []change
+	floor   uint64
+	changed chan struct{}
+	reached bool
+	asOf    time.Time
+}
+
+// change is one entry of the history.
+type change struct {
+	at      uint64
+	row     table.Row
+	removed bool
+}
+
+var _ table.Feed = (*Copy)(nil)
+
+// New returns an empty copy.
+func New(cfg Config) *Copy {
+	if cfg.Reached == nil {
+		cfg.Reached = func(bool) {}
+	}
+	if cfg.Peer == nil {
+		cfg.Peer = func() table.Feed { return nil }
+	}
+	return &Copy{cfg: cfg, rows: make(map[string]table.Row), changed: make(chan struct{}), reached: true}
+}
+
+// Run follows the store until ctx ends.
+func (c *Copy) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		begun := time.Now()
+		err := c.pull(ctx, c.cfg.Store, wait)
+		c.note(ctx, err)
+		if err != nil {
+			c.followPeer(ctx)
+			tasks.Sleep(ctx, retryMin+rand.N(retryMax-retryMin))
+			continue
+		}
+		tasks.Sleep(ctx, c.cfg.Pause-time.Since(begun))
+	}
+	return nil
+}
+
+// followPeer reads from another node until it is time to try the store again.
+func (c *Copy) followPeer(ctx context.Context) {
+	until := time.Now().Add(storeRetry)
+	for ctx.Err() == nil && time.Now().Before(until) {
+		peer := c.cfg.Peer()
+		if peer == nil {
+			return
+		}
+		if err := c.pull(ctx, peer, min(peerWait, time.Until(until))); err != nil {
+			c.cfg.Log.Debug("cannot follow another node", "family", c.cfg.Family, "error", err)
+			return
+		}
+	}
+}
+
+// note tells of the beginning and the end of an outage.
+func (c *Copy) note(ctx context.Context, err error) {
+	reached := err == nil
+	c.mu.Lock()
+	was := c.reached
+	c.reached = reached
+	c.mu.Unlock()
+	if reached == was || ctx.Err() != nil {
+		return
+	}
+	if reached {
+		c.cfg.Log.Info("store answers again", "family", c.cfg.Family, "revision", c.Revision())
+	} else {
+		c.cfg.Log.Warn("store does not answer", "family", c.cfg.Family, "revision", c.Revision(), "error", err)
+	}
+	c.cfg.Reached(reached)
+}
+
+// pull makes one read from a source and applies it.
+func (c *Copy) pull(ctx context.Context, from table.Feed, wait time.Duration) error {
+	c.mu.Lock()
+	known, after := c.known, c.revision
+	c.mu.Unlock()
+	if !known {
+		return c.load(ctx, from)
+	}
+	begun := time.Now()
+	ctx2, cancel := context.WithTimeout(ctx, wait+readMargin)
+	defer cancel()
+	d, err := from.Changes(ctx2, c.cfg.Family, after, wait)
+	if errors.Is(err, table.ErrHistoryLost) {
+		c.cfg.Log.Info("history was lost, reading all rows", "family", c.cfg.Family, "revision", after)
+		return c.load(ctx, from)
+	}
+	if err != nil {
+		return errors.Newf("read changes of %s: %w", c.cfg.Family, err)
+	}
+	c.apply(d, begun)
+	return nil
+}
+
+// load reads the whole family. A state that is older than the copy is not taken.
+func (c *Copy) load(ctx context.Context, from table.Feed) error {
+	begun := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	defer cancel()
+	s, err := from.Snapshot(ctx, c.cfg.Family)
+	if err != nil {
+		return errors.Newf("read all rows of %s: %w", c.cfg.Family, err)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.known && s.Revision < c.revision {
+		return errors.Newf("rows of %s are from revision %d, older than %d: %w", c.cfg.Family, s.Revision, c.revision, table.ErrUnavailable)
+	}
+	clear(c.rows)
+	for _, r := range s.Rows {
+		c.rows[r.Key] = r
+	}
+	c.known, c.revision, c.asOf = true, s.Revision, begun
+	c.history, c.floor = c.history[:0], s.Revision
+	c.cfg.Apply(Update{Full: true, Put: s.Rows})
+	c.wake()
+	return nil
+}
+
+func (c *Copy) apply(d table.Delta, begun time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.asOf = begun
+	u := Update{}
+	for _, r := range d.Changed {
+		if old, ok := c.rows[r.Key]; ok && old.Revision >= r.Revision {
+			continue
+		}
+		c.rows[r.Key] = r
+		u.Put = append(u.Put, r)
+		c.remember(change{at: d.Revision, row: r})
+	}
+	for _, k := range d.Removed {
+		if _, ok := c.rows[k]; !ok {
+			continue
+		}
+		delete(c.rows, k)
+		u.Removed = append(u.Removed, k)
+		c.remember(change{at: d.Revision, row: table.Row{Key: k}, removed: true})
+	}
+	c.revision = max(c.revision, d.Revision)
+	if len(u.Put)+len(u.Removed) == 0 {
+		return
+	}
+	c.cfg.Apply(u)
+	c.wake()
+}
+
+// remember adds to the history. Changes of one read have one revision and are forgotten together.
+func (c *Copy) remember(x change) {
+	c.history = append(c.history, x)
+	if len(c.history) <= historyRows {
+		return
+	}
+	c.floor = c.history[historyRows/2].at
+	kept := c.history[:0]
+	for _, h := range c.history {
+		if h.at > c.floor {
+			kept = append(kept, h)
+		}
+	}
+	c.history = kept
+}
+
+// wake lets those that follow the copy look at it again. The lock must be held.
+func (c *Copy) wake() {
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// Revision returns the revision of the copy.
+func (c *Copy) Revision() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.revision
+}
+
+// AsOf returns a time at which the copy was true, zero for never.
+func (c *Copy) AsOf() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.asOf
+}
+
+// Reached reports whether the last read of the store was answered.
+func (c *Copy) Reached() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.known && c.reached
+}
+
+// Snapshot implements table.Feed.
+func (c *Copy) Snapshot(context.Context, string) (table.State, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.known {
+		return table.State{}, table.ErrUnavailable
+	}
+	s := table.State{Revision: c.revision, Rows: make([]table.Row, 0, len(c.rows))}
+	for _, r := range c.rows {
+		s.Rows = append(s.Rows, r)
+	}
+	return s, nil
+}
+
+// Changes implements table.Feed.
+func (c *Copy) Changes(ctx context.Context, _ string, after uint64, wait time.Duration) (table.Delta, error) {
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	for {
+		d, changed, err := c.since(after)
+		if err != nil || len(d.Changed)+len(d.Removed) > 0 {
+			return d, err
+		}
+		select {
+		case <-changed:
+		case <-t.C:
+			return d, nil
+		case <-ctx.Done():
+			return table.Delta{}, errors.Mark(errors.Newf("wait for changes: %w", ctx.Err()), table.ErrUnavailable)
+		}
+	}
+}
+
+// since returns the changes after a revision, and a channel that is closed at the next one.
+func (c *Copy) since(after uint64) (table.Delta, <-chan struct{}, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case !c.known:
+		return table.Delta{}, nil, table.ErrUnavailable
+	case after < c.floor:
+		return table.Delta{}, nil, table.ErrHistoryLost
+	}
+	// A follower may be ahead of this copy; it must not go back.
+	d := table.Delta{Revision: max(after, c.revision)}
+	latest := make(map[string]change)
+	for _, h := range c.history {
+		if h.at > after {
+			latest[h.row.Key] = h
+		}
+	}
+	for k, h := range latest {
+		if h.removed {
+			d.Removed = append(d.Removed, k)
+		} else {
+			d.Changed = append(d.Changed, h.row)
+		}
+	}
+	return d, c.changed, nil
+}
--- /dev/null
+++ b/internal/node/edge/edge.go
@@ -0,0 +1,238 @@
+// Package edge builds a node that relays opaque requests on a platform, and runs it.
+package edge
+
+import (
+	"context"
+	"net"
+	"os"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"geraniumhollow/internal/core/sets"
+	"geraniumhollow/internal/core/tasks"
+	"geraniumhollow/internal/fleet/index"
+	"geraniumhollow/internal/fleet/mirror"
+	"geraniumhollow/internal/node/front"
+	"geraniumhollow/internal/node/keeper"
+	"geraniumhollow/internal/node/pass"
+	"geraniumhollow/internal/node/seat"
+	"geraniumhollow/internal/plat/table"
+	"geraniumhollow/internal/route/batch"
+	"geraniumhollow/internal/route/match"
+	"geraniumhollow/internal/route/retry"
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+)
+
+// Settings are what a node is told about itself and its surroundings.
+type Settings struct {
+	Node       string
+	DataCentre string
+	IP         string
+	// CallerAddress takes connections of callers, ReadyAddress the balancer's questions.
+	CallerAddress string
+	ReadyAddress  string
+	StoreAddress  string
+	// PeerPort is for links of other nodes, MetricsPort for the metrics page, both on IP.
+	PeerPort    int
+	MetricsPort int
+	MemoryBytes int64
+	Descriptors int
+	// Grace is the time between a signal to stop and the end of the process.
+	Grace time.Duration
+	// RetryRatio and RetrySlack bound the attempts beyond the first over all nodes.
+	RetryRatio float64
+	RetrySlack float64
+	// ColdOverage and ColdSlack are the factor and the number of requests by which the rate of a cold
+	// backend server may be exceeded in a second.
+	ColdOverage float64
+	ColdSlack   float64
+	// StallTime is how long a group stands without a member before it is broken.
+	StallTime time.Duration
+}
+
+// Families are the families of rows that a node follows.
+type Families struct {
+	Servers  string
+	Operator string
+}
+
+// Wishes are what operators want.
+type Wishes struct {
+	// Document is a new configuration, or nil if it has not changed.
+	Document *match.Document
+	// Out are the data centres that get no new work.
+	Out sets.Set[string]
+}
+
+// Decoder turns rows into the product's types.
+type Decoder interface {
+	Families() Families
+	Servers(u mirror.Update) index.Change
+	// Operator returns the wishes after a change; out are the data centres that were out before.
+	Operator(u mirror.Update, out sets.Set[string]) (Wishes, bool)
+}
+
+// Config is what a node is made of.
+type Config struct {
+	Settings Settings
+	Table    table.Table
+	Feed     table.Feed
+	Codec    pass.Codec
+	Engines  keeper.Engines
+	Decoder  Decoder
+	Log      hclog.Logger
+}
+
+// Node is one node.
+type Node struct {
+	cfg     Config
+	index   *index.Index
+	table   atomic.Pointer[match.Table]
+	servers *mirror.Copy
+	wishes  *mirror.Copy
+	seats   *seat.Seats
+	front   *front.Server
+	keeper  *keeper.Keeper
+	served  atomic.Bool
+	ready   atomic.Bool
+
+	mu      sync.Mutex
+	out     sets.Set[string]
+	budgets map[string]*retry.Budget
+}
+
+// readPause is the least time between two reads of a family.
+const readPause = 20 * time.Millisecond
+
+// New returns a node that has not started.
+func New(cfg Config) *Node {
+	n := &Node{cfg: cfg, index: index.New(), out: sets.New[string](), budgets: make(map[string]*retry.Budget)}
+	fam := cfg.Decoder.Families()
+	n.servers = mirror.New(mirror.Config{
+		Family: fam.Servers, Store: cfg.Feed, Pause: readPause, Log: cfg.Log, Apply: n.applyServers, Reached: n.reached,
+	})
+	n.wishes = mirror.New(mirror.Config{Family: fam.Operator, Store: cfg.Feed, Pause: readPause, Log: cfg.Log, Apply: n.applyWishes})
+	n.seats = seat.New(seat.Config{View: n.index.View, Now: time.Now, Seed: uint64(os.Getpid()), Log: cfg.Log})
+	relay := pass.New(pass.Deps{
+		Codec: cfg.Codec, Table: n.table.Load, Seats: n.seats, Budget: n.budget, Log: cfg.Log,
+	})
+	n.front = front.New(front.Config{Handler: relay, Limits: n.limits, MaxConnections: cfg.Settings.Descriptors / 4, Log: cfg.Log})
+	n.keeper = keeper.New(keeper.Config{
+		Node: cfg.Settings.Node, Table: cfg.Table, Engines: cfg.Engines, View: n.index.View, Service: n.engineService,
+		StallTime: cfg.Settings.StallTime, Traffic: n.served.Load, Log: cfg.Log,
+	})
+	return n
+}
+
+// Run serves until ctx ends.
+func (n *Node) Run(ctx context.Context) error {
+	callers, err := front.Silence.Listen(ctx, n.cfg.Settings.CallerAddress)
+	if err != nil {
+		return errors.Newf("listen for callers: %w", err)
+	}
+	balancer, err := net.Listen("tcp", n.cfg.Settings.ReadyAddress)
+	if err != nil {
+		return errors.Newf("listen for the balancer: %w", err)
+	}
+	n.cfg.Log.Info("node started", "node", n.cfg.Settings.Node, "data_centre", n.cfg.Settings.DataCentre)
+	g := tasks.New(ctx)
+	g.Go("servers", n.servers.Run)
+	g.Go("wishes", n.wishes.Run)
+	g.Go("keeper", n.keeper.Run)
+	g.Go("callers", func(ctx context.Context) error { return n.front.Run(ctx, callers) })
+	g.Go("balancer", func(ctx context.Context) error { return n.answerBalancer(ctx, balancer) })
+	if err := g.Wait(); err != nil {
+		return errors.Newf("run: %w", err)
+	}
+	return nil
+}
+
+func (n *Node) applyServers(u mirror.Update) {
+	n.index.Apply(time.Now(), n.cfg.Decoder.Servers(u))
+	n.keeper.Wake()
+}
+
+func (n *Node) reached(reached bool) { n.index.Reached(time.Now(), reached) }
+
+func (n *Node) applyWishes(u mirror.Update) {
+	w, ok := n.cfg.Decoder.Operator(u, n.out)
+	if !ok {
+		return
+	}
+	n.out = w.Out
+	n.index.SetOut(w.Out)
+	if w.Document == nil {
+		return
+	}
+	if old := n.table.Load(); old != nil && old.Version() >= w.Document.Version {
+		return
+	}
+	n.table.Store(match.New(*w.Document))
+	n.ready.Store(true)
+	n.cfg.Log.Info("configuration in force", "version", w.Document.Version, "routes", len(w.Document.Routes),
+		"accounts", len(w.Document.Accounts))
+	n.keeper.Wake()
+}
+
+func (n *Node) limits() front.Limits {
+	t := n.table.Load()
+	if t == nil {
+		return front.Limits{}
+	}
+	l := t.Limits()
+	return front.Limits{HeaderBytes: l.HeaderBytes, BodyBytes: l.BodyBytes, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout}
+}
+
+// engineService returns the service of model engines.
+func (n *Node) engineService() (string, *batch.Engine) {
+	t := n.table.Load()
+	if t == nil {
+		return "", nil
+	}
+	for i, s := range t.Services() {
+		if s.Engine != nil && len(s.Engine.Models) > 0 {
+			return s.Name, t.Services()[i].Engine
+		}
+	}
+	return "", nil
+}
+
+// nodesShare is how many nodes share the limits of the fleet.
+const nodesShare = 9
+
+func (n *Node) budget(service string) *retry.Budget {
+	n.served.Store(true)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	b, ok := n.budgets[service]
+	if !ok {
+		b = retry.NewBudgetOf(n.cfg.Settings.RetryRatio, n.cfg.Settings.RetrySlack/nodesShare)
+		n.budgets[service] = b
+	}
+	return b
+}
+
+// answerBalancer tells the balancer whether the node takes new connections.
+func (n *Node) answerBalancer(ctx context.Context, ln net.Listener) error {
+	s := front.New(front.Config{
+		Handler: readiness{n}, Limits: func() front.Limits { return front.Limits{HeaderBytes: 2 << 10} }, Log: n.cfg.Log,
+	})
+	return s.Run(ctx, ln)
+}
+
+// readiness answers the balancer.
+type readiness struct {
+	n *Node
+}
+
+// Handle implements front.Handler.
+func (r readiness) Handle(_ context.Context, _ *front.Request, w *front.Writer) {
+	status := 503
+	if r.n.ready.Load() {
+		status = 200
+	}
+	w.Refuse(status, nil, []byte(strconv.Itoa(status)))
+}
--- /dev/null
+++ b/internal/node/keeper/keeper.go
@@ -0,0 +1,341 @@
+// Package keeper is the shell of the group decider: it holds the duty to keep the groups of a service,
+// stores the plan, and carries out orders and probes.
+package keeper
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"geraniumhollow/internal/core/clock"
+	"geraniumhollow/internal/core/tasks"
+	"geraniumhollow/internal/fleet/duty"
+	"geraniumhollow/internal/fleet/index"
+	"geraniumhollow/internal/fleet/server"
+	"geraniumhollow/internal/plan/group"
+	"geraniumhollow/internal/plat/table"
+	"geraniumhollow/internal/route/batch"
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+)
+
+// ErrGone marks an error of a probe or an order that proves that the process at the address has ended.
+var ErrGone = errors.New("no process at the address")
+
+// Engines gives orders to backend servers and asks for their state. It is safe for concurrent use.
+type Engines interface {
+	// Order returns whether the order has begun or is done.
+	Order(ctx context.Context, o group.Order) (bool, error)
+	// Report returns the state of a backend server. An error marked ErrGone is proof that it has ended.
+	Report(ctx context.Context, p group.Probe) (server.Report, error)
+}
+
+// Config is what a keeper is made of.
+type Config struct {
+	// Node names this process among all that may take the duty.
+	Node    string
+	Table   table.Table
+	Engines Engines
+	View    func() *index.View
+	// Service returns the service whose groups are kept, with its engine, or nil while there is none.
+	Service func() (string, *batch.Engine)
+	// StallTime is how long a head stands after it has lost a member before it is broken.
+	StallTime time.Duration
+	// Traffic reports whether callers have been served.
+	Traffic func() bool
+	Log     hclog.Logger
+}
+
+// Keys of the rows.
+const (
+	dutyKey    = "duty/groups"
+	planPrefix = "plan/"
+)
+
+// Times of the shell.
+const (
+	// tick is the time between steps when nothing happens.
+	tick = 100 * time.Millisecond
+	// orderTimeout and probeTimeout bound calls of backend servers.
+	orderTimeout = 600 * time.Millisecond
+	probeTimeout = 150 * time.Millisecond
+	// commitTimeout bounds a call of the store.
+	commitTimeout = time.Second
+)
+
+// Keeper keeps groups while its node has the duty.
+type Keeper struct {
+	cfg  Config
+	duty *duty.Decider
+	wake chan struct{}
+
+	mu      sync.Mutex
+	decider *group.Decider
+	// fence is that of the tenure for which the decider was made.
+	fence    uint64
+	revision uint64
+	suspects []index.Formation
+	until    time.Duration
+}
+
+// New returns a keeper that does nothing until Run.
+func New(cfg Config) *Keeper {
+	return &Keeper{cfg: cfg, duty: duty.New(cfg.Node, dutyKey), wake: make(chan struct{}, 1)}
+}
+
+// Run keeps the groups until ctx ends.
+func (k *Keeper) Run(ctx context.Context) error {
+	g := tasks.New(ctx)
+	g.Go("duty", k.keepDuty)
+	g.Go("groups", func(ctx context.Context) error {
+		k.keepGroups(ctx, g)
+		return nil
+	})
+	if err := g.Wait(); err != nil {
+		return errors.Newf("keep groups: %w", err)
+	}
+	return nil
+}
+
+// Wake has the keeper look at the servers at once.
+func (k *Keeper) Wake() {
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Suspect says that the head of a formation makes no progress.
+func (k *Keeper) Suspect(f index.Formation) {
+	k.mu.Lock()
+	k.suspects = append(k.suspects, f)
+	k.mu.Unlock()
+	k.Wake()
+}
+
+// Yield gives the duty up, for a node that stops.
+func (k *Keeper) Yield() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.duty.Yield()
+}
+
+// keepDuty renews or takes the duty.
+func (k *Keeper) keepDuty(ctx context.Context) error {
+	for tasks.Sleep(ctx, tick/2) {
+		k.mu.Lock()
+		op, ok := k.duty.Next(clock.Since())
+		k.mu.Unlock()
+		if !ok {
+			continue
+		}
+		k.callDuty(ctx, op)
+		k.Wake()
+	}
+	return nil
+}
+
+func (k *Keeper) callDuty(ctx context.Context, op duty.Op) {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	if op.Read {
+		row, err := k.cfg.Table.Get(ctx, dutyKey)
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		k.duty.ReadDone(clock.Since(), row, err)
+		return
+	}
+	rev, err := k.cfg.Table.Commit(ctx, op.Txn)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.duty.CommitDone(clock.Since(), op, rev, err)
+}
+
+// holds returns the fencing number while the node has the duty.
+func (k *Keeper) holds() (uint64, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.duty.Holds(clock.Since())
+}
+
+// keepGroups steps the decider while the node has the duty.
+func (k *Keeper) keepGroups(ctx context.Context, g *tasks.Group) {
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		case <-k.wake:
+		}
+		fence, ok := k.holds()
+		if !ok {
+			k.resign()
+			continue
+		}
+		if !k.ready(ctx, fence) {
+			continue
+		}
+		k.step(ctx, g)
+	}
+}
+
+// resign forgets the decider of a tenure that has ended.
+func (k *Keeper) resign() {
+	if k.decider == nil {
+		return
+	}
+	k.cfg.Log.Warn("lost the duty to keep groups", "fence", k.fence, "holder", k.duty.Holder())
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.decider = nil
+}
+
+// ready makes a decider for a tenure from the stored plan. The plan is written anew first, so that an
+// earlier holder cannot change it any more.
+func (k *Keeper) ready(ctx context.Context, fence uint64) bool {
+	if k.decider != nil && k.fence == fence {
+		return true
+	}
+	service, engine := k.cfg.Service()
+	if service == "" {
+		return false
+	}
+	plan, rev, err := k.takePlan(ctx, service, fence)
+	if err != nil {
+		k.cfg.Log.Warn("cannot take over the plan of groups", "fence", fence, "error", err)
+		return false
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.decider = group.New(group.Config{Service: service, Engine: engine, StallTime: k.cfg.StallTime}, plan)
+	k.fence, k.revision = fence, rev
+	k.cfg.Log.Info("took the duty to keep groups", "fence", fence, "epoch", plan.Epoch,
+		"groups", len(plan.Current), "retired", len(plan.Retired))
+	return true
+}
+
+func (k *Keeper) takePlan(ctx context.Context, service string, fence uint64) (group.Plan, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*commitTimeout)
+	defer cancel()
+	key := planPrefix + service
+	row, err := k.cfg.Table.Get(ctx, key)
+	var plan group.Plan
+	switch {
+	case errors.Is(err, table.ErrNotFound):
+		row = table.Row{Key: key}
+	case err != nil:
+		return group.Plan{}, 0, errors.Newf("read plan: %w", err)
+	default:
+		if plan, err = group.DecodePlan(row.Value); err != nil {
+			return group.Plan{}, 0, err
+		}
+	}
+	if plan.Fence > fence {
+		return group.Plan{}, 0, errors.Newf("the plan has the later fencing number %d", plan.Fence)
+	}
+	plan.Fence = fence
+	b, err := plan.Encode()
+	if err != nil {
+		return group.Plan{}, 0, err
+	}
+	rev, err := k.cfg.Table.Commit(ctx, table.Replace(row, b))
+	if err != nil {
+		return group.Plan{}, 0, errors.Newf("write plan: %w", err)
+	}
+	return plan, rev, nil
+}
+
+// step has the decider look at the servers and carries out what it wants.
+func (k *Keeper) step(ctx context.Context, g *tasks.Group) {
+	if service, engine := k.cfg.Service(); service != "" {
+		k.decider.Configure(engine)
+	}
+	k.mu.Lock()
+	if k.cfg.Traffic() {
+		k.decider.Traffic()
+	}
+	for _, f := range k.suspects {
+		k.decider.Suspect(f.Group, f.Epoch)
+	}
+	k.suspects = nil
+	now := time.Now()
+	k.decider.View(now, k.cfg.View())
+	a := k.decider.Step(now)
+	k.mu.Unlock()
+	for _, n := range a.Notes {
+		k.cfg.Log.Info("group decision", "decision", n.Decision, "group", n.Group, "epoch", n.Epoch, "server", n.Server, "reason", n.Reason)
+	}
+	for _, o := range a.Orders {
+		g.Go("order", func(ctx context.Context) error { k.order(ctx, o); return nil })
+	}
+	for _, p := range a.Probes {
+		g.Go("probe", func(ctx context.Context) error { k.probe(ctx, p); return nil })
+	}
+	if a.Commit != nil {
+		k.commit(ctx, *a.Commit)
+	}
+}
+
+// commit stores a plan. After an unknown outcome the plan is read back before anything else is done.
+func (k *Keeper) commit(ctx context.Context, p group.Plan) {
+	b, err := p.Encode()
+	if err != nil {
+		k.cfg.Log.Error("cannot encode the plan of groups", "error", err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	service, _ := k.cfg.Service()
+	rev, err := k.cfg.Table.Commit(ctx, table.Replace(table.Row{Key: planPrefix + service, Revision: k.revision}, b))
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	switch {
+	case err == nil:
+		k.revision = rev
+		k.decider.Committed()
+	case errors.Is(err, table.ErrUnavailable):
+		k.cfg.Log.Warn("cannot store the plan of groups", "error", err)
+		k.decider.CommitFailed()
+	default:
+		k.cfg.Log.Warn("plan of groups was changed, or its outcome is unknown", "error", err)
+		k.decider = nil
+	}
+	k.Wake()
+}
+
+func (k *Keeper) order(ctx context.Context, o group.Order) {
+	if _, ok := k.holds(); !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	begun := time.Now()
+	accepted, err := k.cfg.Engines.Order(ctx, o)
+	k.cfg.Log.Info("gave an order", "kind", o.Kind, "server", o.Server, "group", o.Group, "epoch", o.Epoch,
+		"model", o.Model, "accepted", accepted, "ms", time.Since(begun).Milliseconds(), "error", err)
+	k.mu.Lock()
+	if k.decider != nil && err == nil {
+		k.decider.Ordered(time.Now(), o, accepted)
+	}
+	k.mu.Unlock()
+	k.Wake()
+}
+
+func (k *Keeper) probe(ctx context.Context, p group.Probe) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	r, err := k.cfg.Engines.Report(ctx, p)
+	k.cfg.Log.Info("probed a server", "server", p.Server, "state", r.Member.State, "pace", r.Pace, "error", err)
+	k.mu.Lock()
+	if k.decider != nil {
+		if err == nil {
+			k.decider.Probed(p.Server, r)
+		} else {
+			k.decider.Missed(p.Server, errors.Is(err, ErrGone))
+		}
+	}
+	k.mu.Unlock()
+	k.Wake()
+}
--- /dev/null
+++ b/internal/node/pass/attempt.go
@@ -0,0 +1,183 @@
+package pass
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"geraniumhollow/internal/core/fault"
+	"geraniumhollow/internal/node/front"
+	"geraniumhollow/internal/plat/conns"
+	"geraniumhollow/internal/route/match"
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// maxHeldBytes bounds the body of a failure answer that is held back while another attempt may follow.
+const maxHeldBytes = 64 << 10
+
+// attempt sends the call to one backend server and passes on its answer.
+func (u *run) attempt(ctx context.Context) result {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	seat, refusal := u.r.deps.Seats.Take(ctx, u.c, u.tried, cancel)
+	if refusal != nil {
+		return result{refusal: refusal}
+	}
+	res := u.send(ctx, seat)
+	res.server = seat.Entry().ID
+	seat.Leave(res.outcome)
+	if !res.done {
+		u.tried.Add(res.server)
+	}
+	return res
+}
+
+// send makes the attempt on a seat.
+func (u *run) send(ctx context.Context, seat Seat) result {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	u.c.req.Header.CopyTo(&req.Header)
+	u.r.deps.Codec.Prepare(&req.Header, Outgoing{
+		Server: seat.Entry().ID, Account: u.c.Account, Left: time.Until(u.c.Deadline), LastEvent: u.events.last,
+	})
+	req.SetBodyRaw(u.c.req.Body)
+	u.number++
+	resp, err := seat.Conns().Exchange(ctx, conns.Exchange{
+		Request: req, HeaderBy: u.headerBy(),
+		Mine: func(h *fasthttp.ResponseHeader) bool {
+			id := u.r.deps.Codec.Answer(h).ID
+			return id == u.c.ID || id == ""
+		},
+	})
+	if err != nil {
+		return u.lost(ctx, err)
+	}
+	defer resp.Close()
+	a := u.r.deps.Codec.Answer(resp.Header)
+	seat.Answered(a)
+	if a.NotRun {
+		if _, err := io.CopyN(io.Discard, resp, maxHeldBytes); err != nil && !errors.Is(err, io.EOF) {
+			err = errors.Newf("read refusal: %w", err)
+			return result{outcome: NotRun, err: err}
+		}
+		return result{outcome: NotRun, err: errors.Newf("status %d", resp.Header.StatusCode())}
+	}
+	u.mayHaveRun = true
+	if err := resp.SetReadDeadline(u.c.Deadline); err != nil {
+		return result{outcome: Failed, err: errors.Newf("answer: %w", err)}
+	}
+	if u.heldBack(resp.Header) {
+		return u.hold(resp)
+	}
+	return u.relay(ctx, seat, resp)
+}
+
+// lost tells what an attempt without an answer proves.
+func (u *run) lost(ctx context.Context, err error) result {
+	if errors.Is(err, conns.ErrNotSent) {
+		u.number--
+		return result{outcome: NotRun, err: err}
+	}
+	u.mayHaveRun = true
+	switch cause := context.Cause(ctx); {
+	case cause == nil:
+		return result{outcome: Failed, err: err}
+	case errors.Is(cause, ErrStalled):
+		return result{outcome: Stalled, err: cause}
+	default:
+		return result{outcome: Withdrawn, refusal: fault.New(fault.Timeout, fault.Unknown, "the request ended").WithCause(cause)}
+	}
+}
+
+// heldBack reports whether an answer is a failure after which another attempt may do better.
+func (u *run) heldBack(h *fasthttp.ResponseHeader) bool {
+	return h.StatusCode() >= fasthttp.StatusInternalServerError && u.c.Route.Repeatable()
+}
+
+// hold reads a whole failure answer.
+func (u *run) hold(resp *conns.Response) result {
+	body, err := io.ReadAll(io.LimitReader(resp, maxHeldBytes))
+	if err != nil {
+		return result{outcome: Failed, err: errors.Newf("read failure answer: %w", err)}
+	}
+	return result{
+		outcome: Failed, err: errors.Newf("status %d", resp.Header.StatusCode()),
+		held: &failure{header: resp.Header, body: body},
+	}
+}
+
+// relay passes on an answer. A stream is passed on by whole events, so that it can be resumed.
+func (u *run) relay(ctx context.Context, seat Seat, resp *conns.Response) result {
+	stream := u.c.Route.Kind == match.Stream && resp.Header.StatusCode() == fasthttp.StatusOK
+	if !u.w.Begun() {
+		if stream {
+			resp.Header.SetContentLength(-1)
+		}
+		u.w.Begin(resp.Header)
+	}
+	err := u.copy(seat, resp, stream)
+	switch {
+	case err == nil:
+		return result{done: true, outcome: Served}
+	case errors.Is(err, errCaller):
+		u.w.Abort()
+		return result{done: true, outcome: Withdrawn, err: err}
+	case !stream || !u.c.Route.Resumable:
+		u.r.deps.Log.Info("broke off an answer", "request", u.c.ID, "server", seat.Entry().ID, "error", err)
+		u.w.Abort()
+		return result{done: true, outcome: u.broken(ctx), err: err}
+	default:
+		u.events.dropPart()
+		res := u.lost(ctx, err)
+		return res
+	}
+}
+
+// broken returns why an answer ended early.
+func (u *run) broken(ctx context.Context) Outcome {
+	if errors.IsAny(context.Cause(ctx), front.ErrCallerGone, context.DeadlineExceeded) {
+		return Withdrawn
+	}
+	return Failed
+}
+
+// copyBytes is how much of an answer is read at a time.
+const copyBytes = 4 << 10
+
+// copy passes on the body of an answer until its end.
+func (u *run) copy(seat Seat, resp *conns.Response, stream bool) error {
+	var buf [copyBytes]byte
+	for {
+		n, err := resp.Read(buf[:])
+		if n > 0 {
+			seat.Progress()
+			out := buf[:n]
+			if stream {
+				out = u.events.add(out)
+			}
+			if werr := u.w.Write(out); werr != nil {
+				return errors.Mark(werr, errCaller)
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return u.end(stream)
+		}
+		if err != nil {
+			return errors.Newf("read answer: %w", err)
+		}
+	}
+}
+
+// end completes an answer.
+func (u *run) end(stream bool) error {
+	if stream {
+		if err := u.w.Write(u.events.rest()); err != nil {
+			return errors.Mark(err, errCaller)
+		}
+	}
+	if err := u.w.End(); err != nil {
+		return errors.Mark(err, errCaller)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/plan/group/host.go
@@ -0,0 +1,184 @@
+package group
+
+import (
+	"time"
+
+	"geraniumhollow/internal/fleet/index"
+	"geraniumhollow/internal/fleet/server"
+)
+
+// host is what the decider believes of one backend server.
+type host struct {
+	server.Info
+	entry *index.Entry
+	// listed says that the registry has it.
+	listed bool
+	// gone is proof that the process has ended.
+	gone bool
+	// misses counts probes in a row without an answer.
+	misses int
+	// probed is when the last probe was sent; asked says that its result is awaited, suspect that one is
+	// wanted.
+	probed  time.Time
+	asked   bool
+	suspect bool
+	// orders are the latest orders, by kind.
+	orders map[Kind]sent
+	// since is when the registry was first seen to have it.
+	since time.Time
+	// pace is how many times slower than usual it works, 0 if that is not known.
+	pace float64
+}
+
+// sent is an order that has been sent.
+type sent struct {
+	order Order
+	at    time.Time
+	// done says that the server has answered.
+	done     bool
+	accepted bool
+}
+
+// lostMisses is how many probes in a row a server leaves unanswered before it counts as lost.
+const lostMisses = 2
+
+// lost reports whether the server must be taken as gone.
+func (h *host) lost() bool { return h.gone || h.misses >= lostMisses }
+
+// usable reports whether the server may be given to a group.
+func (h *host) usable() bool { return h.listed && !h.Draining && !h.gone && h.misses == 0 }
+
+// in reports whether the server says that it has a place in a formation.
+func (h *host) in(f Formation) bool { return h.Member.Of(f.Group, f.Epoch) }
+
+// View takes what the registry says.
+func (d *Decider) View(now time.Time, v *index.View) {
+	if v == d.view {
+		return
+	}
+	d.view = v
+	for id, h := range d.hosts {
+		if e, ok := v.Servers[id]; (!ok || e.Service != d.cfg.Service) && h.listed {
+			// The registry drops a server that is cut off from the store, too; a probe tells.
+			h.listed, h.suspect = false, true
+		}
+	}
+	for _, e := range v.Services[d.cfg.Service] {
+		d.list(now, e)
+	}
+}
+
+// list takes one entry of the registry.
+func (d *Decider) list(now time.Time, e *index.Entry) {
+	h, ok := d.hosts[e.ID]
+	if ok && h.entry == e && h.listed {
+		return
+	}
+	if !ok || !h.SameLife(e.Info) {
+		h = &host{orders: make(map[Kind]sent), since: now}
+		d.hosts[e.ID] = h
+	}
+	h.entry, h.Info, h.listed = e, e.Info, true
+	if e.Expired {
+		h.suspect = true
+		return
+	}
+	h.gone, h.misses = false, 0
+	if e.Member.State == server.Broken {
+		d.Suspect(e.Member.Group, e.Member.Epoch)
+	}
+}
+
+// Probed takes the answer to a probe.
+func (d *Decider) Probed(id string, r server.Report) {
+	h, ok := d.hosts[id]
+	if !ok {
+		return
+	}
+	h.asked, h.suspect = false, false
+	if !r.Born.IsZero() && !h.Born.IsZero() && !r.Born.Equal(h.Born) {
+		// Another process has the address.
+		h.gone = true
+		return
+	}
+	h.gone, h.misses, h.pace = false, 0, r.Pace
+	h.Member, h.Staged, h.Model = r.Member, r.Staged, r.Model
+}
+
+// Missed takes the failure of a probe. gone is proof that the process has ended.
+func (d *Decider) Missed(id string, gone bool) {
+	h, ok := d.hosts[id]
+	if !ok {
+		return
+	}
+	h.asked = false
+	h.misses++
+	h.gone = h.gone || gone
+}
+
+// Suspect asks for probes of the members of a formation, because its head makes no progress.
+func (d *Decider) Suspect(group string, epoch uint64) {
+	for _, f := range d.plan.Current {
+		if f.Group != group || f.Epoch != epoch {
+			continue
+		}
+		for _, id := range f.Members {
+			if h, ok := d.hosts[id]; ok {
+				h.suspect = true
+			}
+		}
+	}
+}
+
+// Times of probes.
+const (
+	// probeAgain is the pause before a server that left a probe unanswered is asked again.
+	probeAgain = 80 * time.Millisecond
+	// probeUnlisted is the time between probes of a server that the registry does not have.
+	probeUnlisted = time.Second
+)
+
+// probes returns the servers to ask for their state.
+func (d *Decider) probes(now time.Time) []Probe {
+	var out []Probe
+	for _, id := range d.sorted() {
+		h := d.hosts[id]
+		if h.asked || h.gone {
+			continue
+		}
+		since := now.Sub(h.probed)
+		unsure := h.misses > 0 && h.misses < lostMisses && since >= probeAgain
+		unlisted := !h.listed && since >= probeUnlisted
+		if !h.suspect && !unsure && !unlisted {
+			continue
+		}
+		if h.misses >= lostMisses && since < probeUnlisted {
+			continue
+		}
+		h.asked, h.suspect, h.probed = true, false, now
+		out = append(out, Probe{Server: id, Address: h.Address})
+	}
+	return out
+}
+
+// forget drops servers that have left for good.
+func (d *Decider) forget(now time.Time) {
+	for id, h := range d.hosts {
+		_, used := d.plan.Of(id)
+		if !used && !h.listed && h.lost() && now.Sub(h.probed) > forgetAfter && !d.inRetired(id) {
+			delete(d.hosts, id)
+		}
+	}
+}
+
+// forgetAfter is how long a lost server without a group is remembered.
+const forgetAfter = 10 * time.Second
+
+func (d *Decider) inRetired(id string) bool {
+	for _, f := range d.plan.Retired {
+		if f.Has(id) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/plat/conns/conns.go
+++ b/internal/plat/conns/conns.go
@@ -7,20 +7,27 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
 	"slices"
+	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
+	"geraniumhollow/internal/core/sock"
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 )
 
-// ErrNotSent marks an error of a request of which no byte was written.
-var ErrNotSent = errors.New("request not sent")
+// Errors of a request.
+var (
+	// ErrNotSent marks an error of a request of which no byte was written.
+	ErrNotSent = errors.New("request not sent")
+	// ErrTooMany means that the pool has as many connections as it may have.
+	ErrTooMany = errors.New("too many connections")
+)
 
 // Defaults of Options.
 const (
@@ -30,6 +37,11 @@
 	bufferBytes        = 4 << 10
 )
 
+// userTimeout is how long sent bytes may stay unacknowledged before the kernel gives the connection up.
+// The owner of a backend server's budget counts on a request not arriving more than 30 s after its
+// grant, so the kernel must not keep one longer than that.
+const userTimeout = 20 * time.Second
+
 // Options shape a pool. Zero values have defaults.
 type Options struct {
 	// DialTimeout bounds making a connection, hello included.
@@ -39,6 +51,10 @@
 	IdleTimeout time.Duration
 	// MaxIdle bounds the connections that wait in the pool.
 	MaxIdle int
+	// MaxOpen bounds all connections of the pool; 0 is no bound.
+	MaxOpen int
+	// Limits bound the silence of a connection.
+	Limits sock.Limits
 	// Hello checks a new connection before its first request. An error closes the connection.
 	Hello func(c *Conn) error
 }
@@ -49,7 +65,8 @@
 	br       *bufio.Reader
 	bw       *bufio.Writer
 	wrote    bool
-	idleFrom time.Time
+	uses     int
+	idleTill time.Time
 }
 
 // Pool keeps connections to one address. It is safe for concurrent use.
@@ -59,6 +76,7 @@
 
 	mu     sync.Mutex
 	idle   []*Conn
+	open   int
 	closed bool
 }
 
@@ -73,6 +91,9 @@
 	if opts.MaxIdle == 0 {
 		opts.MaxIdle = defaultMaxIdle
 	}
+	if opts.Limits == (sock.Limits{}) {
+		opts.Limits = sock.Limits{Unacknowledged: userTimeout}
+	}
 	return &Pool{addr: addr, opts: opts}
 }
 
@@ -89,23 +110,41 @@
 	once sync.Once
 }
 
-// Do sends req and returns when the headers of the answer have been read. An error that is marked
-// ErrNotSent proves that no byte of the request left; any other error leaves that open. The
-// connection is closed when ctx ends. With a non-zero sendBy, the request is not sent after that time.
+// Exchange is one request and the answer that is expected.
+type Exchange struct {
+	Request *fasthttp.Request
+	// SendBy is the time after which the request is not sent; zero for none.
+	SendBy time.Time
+	// HeaderBy is when the headers of the answer must have arrived; zero for no bound.
+	HeaderBy time.Time
+	// Mine reports whether an answer belongs to the request. Others, such as a late second answer to an
+	// earlier request, are skipped. Nil takes the first answer.
+	Mine func(h *fasthttp.ResponseHeader) bool
+}
+
+// Do sends req and returns when the headers of the answer have been read. With a non-zero sendBy, the
+// request is not sent after that time. See Exchange for errors.
 func (p *Pool) Do(ctx context.Context, req *fasthttp.Request, sendBy time.Time) (*Response, error) {
+	return p.Exchange(ctx, Exchange{Request: req, SendBy: sendBy})
+}
+
+// Exchange sends a request and returns when the headers of its answer have been read. An error that is
+// marked ErrNotSent proves that no byte of the request left; any other error leaves that open. The
+// connection is closed when ctx ends.
+func (p *Pool) Exchange(ctx context.Context, x Exchange) (*Response, error) {
 	c, err := p.take(ctx)
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotSent)
 	}
-	if !sendBy.IsZero() && time.Now().After(sendBy) {
-		p.put(c)
+	if !x.SendBy.IsZero() && time.Now().After(x.SendBy) {
+		p.put(c, p.opts.IdleTimeout)
 		return nil, errors.Mark(errors.New("too late to send"), ErrNotSent)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.nc.Close() })
-	resp, err := c.exchange(req)
+	resp, err := c.exchange(x)
 	if err != nil {
 		stop()
-		_ = c.nc.Close()
+		p.discard(c)
 		if ctxErr := ctx.Err(); ctxErr != nil {
 			err = errors.Newf("%w: %w", ctxErr, err)
 		}
@@ -117,6 +156,20 @@
 	return &Response{Header: &resp.Header, resp: resp, conn: c, pool: p, stop: stop}, nil
 }
 
+// SetReadDeadline bounds the next reads of the body; the zero time is no bound.
+func (r *Response) SetReadDeadline(t time.Time) error {
+	if err := r.conn.nc.SetReadDeadline(t); err != nil {
+		return errors.Newf("set read deadline: %w", err)
+	}
+	return nil
+}
+
+// Buffered returns how many bytes can be read without waiting for the server.
+func (r *Response) Buffered() int { return r.conn.br.Buffered() }
+
+// Reused reports whether the connection had carried an earlier request.
+func (r *Response) Reused() bool { return r.conn.uses > 1 }
+
 // Read reads the body.
 func (r *Response) Read(b []byte) (int, error) {
 	body := r.resp.BodyStream()
@@ -155,21 +208,43 @@
 	r.once.Do(func() {
 		ended := !r.stop()
 		_ = r.resp.CloseBodyStream()
-		if !r.eof || ended || r.Header.ConnectionClose() {
-			_ = r.conn.nc.Close()
+		if !r.eof || ended || r.Header.ConnectionClose() || r.Header.ContentLength() == identityLength {
+			r.pool.discard(r.conn)
 			return
 		}
-		r.pool.put(r.conn)
+		_ = r.conn.nc.SetReadDeadline(time.Time{})
+		r.pool.put(r.conn, keepFor(r.Header, r.pool.opts.IdleTimeout))
 	})
 }
 
+// identityLength is the content length of a body that ends with its connection.
+const identityLength = -2
+
+// keepMargin is how much earlier than the server a connection is given up, so that no request meets the
+// server's close on its way.
+const keepMargin = 500 * time.Millisecond
+
+// keepFor returns how long a connection may wait for its next request: less than the server announces.
+func keepFor(h *fasthttp.ResponseHeader, longest time.Duration) time.Duration {
+	_, after, ok := bytes.Cut(h.Peek(fasthttp.HeaderKeepAlive), []byte("timeout="))
+	if !ok {
+		return longest
+	}
+	seconds, _, _ := bytes.Cut(after, []byte(","))
+	n, err := strconv.Atoi(string(bytes.TrimSpace(seconds)))
+	if err != nil || n <= 0 {
+		return longest
+	}
+	return min(longest, time.Duration(n)*time.Second-keepMargin)
+}
+
 // Close closes the waiting connections; later requests fail.
 func (p *Pool) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
 	for _, c := range p.idle {
-		_ = c.nc.Close()
+		p.closeLocked(c)
 	}
 	p.idle = nil
 }
@@ -180,7 +255,13 @@
 	if err != nil || c != nil {
 		return c, err
 	}
-	return p.dial(ctx)
+	c, err = p.dial(ctx)
+	if err != nil {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.open--
+	}
+	return c, err
 }
 
 // takeIdle returns the youngest waiting connection that is still usable, or nil.
@@ -194,45 +275,31 @@
 		c := p.idle[n-1]
 		p.idle[n-1] = nil
 		p.idle = p.idle[:n-1]
-		if time.Since(c.idleFrom) < p.opts.IdleTimeout && c.silent() {
+		if time.Now().Before(c.idleTill) && c.silent() {
 			c.wrote = false
 			return c, nil
 		}
-		_ = c.nc.Close()
+		p.closeLocked(c)
 	}
+	if p.opts.MaxOpen > 0 && p.open >= p.opts.MaxOpen {
+		return nil, ErrTooMany
+	}
+	p.open++
 	return nil, nil //nolint:nilnil // No waiting connection is no error.
 }
 
 // silent reports whether the server has neither closed a waiting connection nor sent bytes on it. A
 // request on a closed connection would be lost without proof that it did not run.
 func (c *Conn) silent() bool {
-	if c.br.Buffered() > 0 {
-		return false
-	}
-	sc, ok := c.nc.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	silent := false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		silent = errors.Is(err, syscall.EAGAIN)
-	})
-	return silent && err == nil
+	return c.br.Buffered() == 0 && sock.PeerSilent(c.nc)
 }
 
 func (p *Pool) dial(ctx context.Context) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.opts.DialTimeout)
 	defer cancel()
-	d := net.Dialer{Control: limitUnacknowledged}
-	nc, err := d.DialContext(ctx, "tcp", p.addr)
+	nc, err := p.opts.Limits.Dial(ctx, p.addr)
 	if err != nil {
-		return nil, errors.Newf("dial %s: %w", p.addr, err)
+		return nil, errors.Newf("new connection: %w", err)
 	}
 	c := &Conn{nc: nc}
 	c.br = bufio.NewReaderSize(nc, bufferBytes)
@@ -252,41 +319,95 @@
 	return c, nil
 }
 
-func (p *Pool) put(c *Conn) {
+// put keeps a connection for a later request, for at most keep.
+func (p *Pool) put(c *Conn, keep time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || len(p.idle) >= p.opts.MaxIdle {
-		_ = c.nc.Close()
+	p.dropExpired()
+	if p.closed || keep <= 0 || len(p.idle) >= p.opts.MaxIdle || c.br.Buffered() > 0 {
+		p.closeLocked(c)
 		return
 	}
-	c.idleFrom = time.Now()
-	p.dropExpired()
+	c.idleTill = time.Now().Add(keep)
 	p.idle = append(p.idle, c)
 }
 
-// dropExpired closes the connections that have waited too long; the oldest come first.
+// discard closes a connection that cannot be used again.
+func (p *Pool) discard(c *Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closeLocked(c)
+}
+
+func (p *Pool) closeLocked(c *Conn) {
+	_ = c.nc.Close()
+	p.open--
+}
+
+// dropExpired closes the connections that have waited too long.
 func (p *Pool) dropExpired() {
-	n := 0
-	for n < len(p.idle) && time.Since(p.idle[n].idleFrom) >= p.opts.IdleTimeout {
-		_ = p.idle[n].nc.Close()
-		n++
-	}
-	p.idle = slices.Delete(p.idle, 0, n)
+	now := time.Now()
+	p.idle = slices.DeleteFunc(p.idle, func(c *Conn) bool {
+		expired := !now.Before(c.idleTill)
+		if expired {
+			p.closeLocked(c)
+		}
+		return expired
+	})
 }
 
 // exchange writes a request and reads the headers of its answer.
-func (c *Conn) exchange(req *fasthttp.Request) (*fasthttp.Response, error) {
-	if err := req.Write(c.bw); err != nil {
+func (c *Conn) exchange(x Exchange) (*fasthttp.Response, error) {
+	c.uses++
+	if err := x.Request.Write(c.bw); err != nil {
 		return nil, errors.Newf("write request: %w", err)
 	}
 	if err := c.bw.Flush(); err != nil {
 		return nil, errors.Newf("flush request: %w", err)
 	}
-	resp := &fasthttp.Response{StreamBody: true, SkipBody: req.Header.IsHead()}
-	if err := resp.Read(c.br); err != nil {
-		return nil, errors.Newf("read answer: %w", err)
+	if !x.HeaderBy.IsZero() {
+		if err := c.nc.SetReadDeadline(x.HeaderBy); err != nil {
+			return nil, errors.Newf("set read deadline: %w", err)
+		}
+	}
+	for range maxSkipped {
+		resp := &fasthttp.Response{StreamBody: true, SkipBody: x.Request.Header.IsHead()}
+		if err := resp.Read(c.br); err != nil {
+			return nil, errors.Newf("read answer: %w", err)
+		}
+		if x.Mine == nil || x.Mine(&resp.Header) {
+			return resp, nil
+		}
+		if err := skipBody(resp); err != nil {
+			return nil, err
+		}
+	}
+	return nil, errors.New("too many answers to other requests")
+}
+
+// Bounds of what is skipped on a connection before the answer to its request.
+const (
+	maxSkipped      = 4
+	maxSkippedBytes = 1 << 20
+)
+
+// skipBody reads past the body of an answer to another request.
+func skipBody(resp *fasthttp.Response) error {
+	if resp.Header.ContentLength() == identityLength {
+		return errors.New("an answer to another request has no end")
+	}
+	body := resp.BodyStream()
+	if body == nil {
+		return nil
+	}
+	n, err := io.CopyN(io.Discard, body, maxSkippedBytes)
+	if err == nil {
+		return errors.Newf("an answer to another request has more than %d bytes", n)
+	}
+	if !errors.Is(err, io.EOF) {
+		return errors.Newf("skip an answer to another request: %w", err)
 	}
-	return resp, nil
+	return nil
 }
 
 // Get sends a GET for a whole small body; it serves hello checks.
@@ -295,7 +416,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	req.SetRequestURI(path)
 	req.Header.SetHost(host)
-	resp, err := c.exchange(req)
+	resp, err := c.exchange(Exchange{Request: req})
 	if err != nil {
 		return nil, nil, err
 	}
--- /dev/null
+++ b/internal/plat/table/feed.go
@@ -0,0 +1,37 @@
+package table
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrHistoryLost means that the changes after a revision are no longer known; a new Snapshot is needed.
+var ErrHistoryLost = errors.New("history of changes lost")
+
+// State is the rows of one family at a revision.
+type State struct {
+	Rows []Row
+	// Revision is where Changes continues. Rows may be newer than it when they came in several parts.
+	Revision uint64
+}
+
+// Delta is what changed between two revisions.
+type Delta struct {
+	Changed []Row
+	// Removed are the keys of deleted rows.
+	Removed []string
+	// Revision is where the next Changes continues.
+	Revision uint64
+}
+
+// Feed reads a family of rows, those whose keys start with the family's name and a slash, and follows
+// its changes. Implementations are safe for concurrent use.
+type Feed interface {
+	// Snapshot returns all rows of a family, or ErrUnavailable.
+	Snapshot(ctx context.Context, family string) (State, error)
+	// Changes waits up to wait for a change after a revision and returns all that are known. It returns
+	// an empty delta when there was none, ErrHistoryLost, or ErrUnavailable.
+	Changes(ctx context.Context, family string, after uint64, wait time.Duration) (Delta, error)
+}
--- a/internal/route/retry/budget.go
+++ b/internal/route/retry/budget.go
@@ -24,15 +24,23 @@
 	retries  int
 }
 
-// Budget bounds the retries of a node: in a window of 10 s at most Share of its requests, plus Floor.
-// It is safe for concurrent use.
+// Budget bounds the retries of a node: in a window of 10 s at most a share of its requests, plus a
+// floor. It is safe for concurrent use.
 type Budget struct {
+	share float64
+	floor float64
+	began time.Time
 	mu    sync.Mutex
 	slots [slots]slot
 }
 
-// NewBudget returns a budget with nothing counted.
-func NewBudget() *Budget { return &Budget{} }
+// NewBudget returns a budget with the default share and floor.
+func NewBudget() *Budget { return NewBudgetOf(Share, Floor) }
+
+// NewBudgetOf returns a budget with nothing counted.
+func NewBudgetOf(share, floor float64) *Budget {
+	return &Budget{share: share, floor: floor}
+}
 
 // Request counts a new request.
 func (b *Budget) Request(now time.Time) {
@@ -53,7 +61,7 @@
 			retries += s.retries
 		}
 	}
-	if float64(retries+1) > Share*float64(requests)+Floor {
+	if float64(retries+1) > b.share*float64(requests)+b.floor {
 		return false
 	}
 	current.retries++
@@ -63,7 +71,11 @@
 // at returns the slot of now. A time before the newest slot counts there, so that callers that read
 // the clock before they get the lock do not clear a slot.
 func (b *Budget) at(now time.Time) *slot {
-	number := now.UnixNano() / int64(slotTime)
+	if b.began.IsZero() {
+		b.began = now
+	}
+	// Differences of times do not follow steps of the clock; the first slot has number 1.
+	number := 1 + max(0, int64(now.Sub(b.began)/slotTime))
 	s := &b.slots[number%slots]
 	if s.number < number {
 		*s = slot{number: number}
--- a/internal/route/retry/retry.go
+++ b/internal/route/retry/retry.go
@@ -3,6 +3,7 @@
 package retry
 
 import (
+	"cmp"
 	"time"
 
 	"geraniumhollow/internal/core/fault"
@@ -20,6 +21,8 @@
 type Attempt struct {
 	// Number counts the attempts of the request so far, this one included.
 	Number int
+	// MaxAttempts bounds the attempts of the request; 0 is the default.
+	MaxAttempts int
 	// NotStarted is proof that no backend server started this attempt.
 	NotStarted bool
 	// MayHaveRun is set when an earlier attempt of the request may have run.
@@ -80,7 +83,7 @@
 		return CutShort
 	case a.Left < minLeft:
 		return NoTime
-	case a.Number >= MaxAttempts:
+	case a.Number >= cmp.Or(a.MaxAttempts, MaxAttempts):
 		return Attempts
 	default:
 		return None
