Stop a node in steps: not ready, serve on, finish, exit

Change: the drain decider of the product's own mode moves the node on; each answer during the stop ends its connection; idle connections end after the balancer's notice.

--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -127,8 +127,10 @@
 	return n
 }
 
-// Run serves until ctx ends.
-func (n *Node) Run(ctx context.Context) error {
+// Run serves until a planned stop has ended, which begins when asked ends.
+func (n *Node) Run(asked context.Context) error {
+	ctx, end := context.WithCancel(context.WithoutCancel(asked))
+	defer end()
 	callers, err := front.Silence.Listen(ctx, n.cfg.Settings.CallerAddress)
 	if err != nil {
 		return errors.Newf("listen for callers: %w", err)
@@ -143,6 +145,7 @@
 	g.Go("wishes", n.wishes.Run)
 	g.Go("keeper", n.keeper.Run)
 	g.Go("callers", func(ctx context.Context) error { return n.front.Run(ctx, callers) })
+	g.Go("stop", func(ctx context.Context) error { return n.stop(ctx, asked, end) })
 	g.Go("balancer", func(ctx context.Context) error { return n.answerBalancer(ctx, balancer) })
 	if err := g.Wait(); err != nil {
 		return errors.Newf("run: %w", err)
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -170,6 +170,19 @@
 	return len(s.conns)
 }
 
+// Busy returns the number of requests that are answered.
+func (s *Server) Busy() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for c := range s.conns {
+		if c.busy.Load() {
+			n++
+		}
+	}
+	return n
+}
+
 func (s *Server) add(c *conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/plat/table/client.go
+++ b/internal/plat/table/client.go
@@ -108,14 +108,14 @@
 
 // failureKind tells a call that had no effect from one whose effect is unknown.
 func failureKind(method string, err error) error {
-	if method == fasthttp.MethodGet || NeverSent(err) {
+	if method == fasthttp.MethodGet || neverSent(err) {
 		return ErrUnavailable
 	}
 	return ErrUnknown
 }
 
-// NeverSent reports whether err proves that no byte of the request reached the service.
-func NeverSent(err error) bool {
+// neverSent reports whether err proves that no byte of the request reached the service.
+func neverSent(err error) bool {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
 		return true
