--- a/internal/fleet/server/server.go
+++ b/internal/fleet/server/server.go
@@ -58,6 +58,8 @@
 	// Model is the model that is loaded, "" for none.
 	Model  string
 	Member Member
+	// Beat changes with each renewal of the registration.
+	Beat uint64
 }
 
 // SameLife reports whether two descriptions are of the same process.
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -3,9 +3,11 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"os"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,12 +18,15 @@
 	"geraniumhollow/internal/fleet/mirror"
 	"geraniumhollow/internal/node/front"
 	"geraniumhollow/internal/node/keeper"
+	"geraniumhollow/internal/node/mesh"
 	"geraniumhollow/internal/node/pass"
 	"geraniumhollow/internal/node/seat"
+	"geraniumhollow/internal/plan/group"
 	"geraniumhollow/internal/plat/table"
 	"geraniumhollow/internal/route/batch"
 	"geraniumhollow/internal/route/match"
 	"geraniumhollow/internal/route/retry"
+	"geraniumhollow/internal/wire/frame"
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 )
@@ -35,6 +40,8 @@
 	CallerAddress string
 	ReadyAddress  string
 	StoreAddress  string
+	// Seeds are addresses for links of nodes that may be up.
+	Seeds []string
 	// PeerPort is for links of other nodes, MetricsPort for the metrics page, both on IP.
 	PeerPort    int
 	MetricsPort int
@@ -49,6 +56,8 @@
 	// backend server may be exceeded in a second.
 	ColdOverage float64
 	ColdSlack   float64
+	// BeatInterval is the time between renewals of a backend server's registration.
+	BeatInterval time.Duration
 	// StallTime is how long a group stands without a member before it is broken.
 	StallTime time.Duration
 }
@@ -93,9 +102,11 @@
 	table   atomic.Pointer[match.Table]
 	servers *mirror.Copy
 	wishes  *mirror.Copy
+	mesh    *mesh.Mesh
 	seats   *seat.Seats
 	front   *front.Server
 	keeper  *keeper.Keeper
+	group   *tasks.Group
 	served  atomic.Bool
 	ready   atomic.Bool
 
@@ -110,23 +121,107 @@
 // New returns a node that has not started.
 func New(cfg Config) *Node {
 	n := &Node{cfg: cfg, index: index.New(), out: sets.New[string](), budgets: make(map[string]*retry.Budget)}
-	fam := cfg.Decoder.Families()
-	n.servers = mirror.New(mirror.Config{
-		Family: fam.Servers, Store: cfg.Feed, Pause: readPause, Log: cfg.Log, Apply: n.applyServers, Reached: n.reached,
+	set := cfg.Settings
+	address := net.JoinHostPort(set.IP, strconv.Itoa(set.PeerPort))
+	incarnation := strconv.FormatInt(time.Now().UnixNano(), 36)
+	n.servers = n.copy(cfg.Decoder.Families().Servers, n.applyServers, n.reached)
+	n.wishes = n.copy(cfg.Decoder.Families().Operator, n.applyWishes, nil)
+	n.mesh = mesh.New(mesh.Config{
+		Address: address, DataCentre: set.DataCentre, Incarnation: incarnation, Seeds: set.Seeds,
+		Table: cfg.Table, Feed: cfg.Feed, Copies: n.copyOf, Stalled: n.takeStalled,
+		Reaches: n.reaches, Suspects: n.takeSuspects, Log: cfg.Log,
+	})
+	n.seats = seat.New(seat.Config{
+		View: n.index.View, Service: n.service, ColdAllowance: n.coldAllowance, Stalled: n.tellStalled,
+		Now: time.Now, Seed: uint64(os.Getpid()), Log: cfg.Log,
 	})
-	n.wishes = mirror.New(mirror.Config{Family: fam.Operator, Store: cfg.Feed, Pause: readPause, Log: cfg.Log, Apply: n.applyWishes})
-	n.seats = seat.New(seat.Config{View: n.index.View, Now: time.Now, Seed: uint64(os.Getpid()), Log: cfg.Log})
 	relay := pass.New(pass.Deps{
 		Codec: cfg.Codec, Table: n.table.Load, Seats: n.seats, Budget: n.budget, Log: cfg.Log,
 	})
-	n.front = front.New(front.Config{Handler: relay, Limits: n.limits, MaxConnections: cfg.Settings.Descriptors / 4, Log: cfg.Log})
+	n.front = front.New(front.Config{Handler: relay, Limits: n.limits, MaxConnections: set.Descriptors / 4, Log: cfg.Log})
 	n.keeper = keeper.New(keeper.Config{
-		Node: cfg.Settings.Node, Table: cfg.Table, Engines: cfg.Engines, View: n.index.View, Service: n.engineService,
-		StallTime: cfg.Settings.StallTime, Traffic: n.served.Load, Log: cfg.Log,
+		Node: address + "/" + incarnation, Table: cfg.Table, Engines: cfg.Engines, View: n.index.View, Service: n.engineService,
+		StallTime: set.StallTime, Traffic: n.served.Load, BeatInterval: set.BeatInterval, Beats: n.beats,
+		Witness: n.witness, Log: cfg.Log,
 	})
 	return n
 }
 
+// copy returns a copy of a family that follows other nodes while the store does not answer.
+func (n *Node) copy(family string, apply func(mirror.Update), reached func(bool)) *mirror.Copy {
+	return mirror.New(mirror.Config{
+		Family: family, Store: n.cfg.Feed, Peer: func() table.Feed { return n.mesh.Peer(family) },
+		Apply: apply, Reached: reached, Pause: readPause, Log: n.cfg.Log,
+	})
+}
+
+// copyOf returns the copy of a family that other nodes may follow.
+func (n *Node) copyOf(family string) *mirror.Copy {
+	switch fam := n.cfg.Decoder.Families(); family {
+	case fam.Servers:
+		return n.servers
+	case fam.Operator:
+		return n.wishes
+	default:
+		return nil
+	}
+}
+
+// tellStalled tells the keeper of the groups, here or on another node, that a head makes no progress.
+func (n *Node) tellStalled(f index.Formation) {
+	if n.takeStalled(f) {
+		return
+	}
+	holder, _, _ := strings.Cut(n.keeper.Holder(), "/")
+	if holder == "" {
+		return
+	}
+	n.group.Go("stall notice", func(ctx context.Context) error {
+		n.mesh.Stalled(ctx, holder, f)
+		return nil
+	})
+}
+
+// takeStalled passes a notice to the keeper of this node and reports whether it keeps the groups.
+func (n *Node) takeStalled(f index.Formation) bool {
+	if !n.keeper.Holds() {
+		return false
+	}
+	n.keeper.Suspect(f)
+	return true
+}
+
+// beats reads the registrations of all backend servers.
+func (n *Node) beats(ctx context.Context) (map[string]uint64, error) {
+	st, err := n.cfg.Feed.Snapshot(ctx, n.cfg.Decoder.Families().Servers)
+	if err != nil {
+		return nil, errors.Newf("read registrations: %w", err)
+	}
+	out := make(map[string]uint64, len(st.Rows))
+	for _, i := range n.cfg.Decoder.Servers(mirror.Update{Full: true, Put: st.Rows}).Put {
+		out[i.ID] = i.Beat
+	}
+	return out, nil
+}
+
+// reachTimeout bounds a probe for another node.
+const reachTimeout = 150 * time.Millisecond
+
+// reaches reports whether this node reaches a backend server.
+func (n *Node) reaches(ctx context.Context, server, addr string) bool {
+	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
+	defer cancel()
+	_, err := n.cfg.Engines.Report(ctx, group.Probe{Server: server, Address: addr})
+	return err == nil
+}
+
+func (n *Node) witness(ctx context.Context, p group.Probe) (asked, reached int) {
+	w := n.mesh.Witness(ctx, p.Server, p.Address)
+	return w.Asked, w.Reached
+}
+
+func (n *Node) takeSuspects(string, []frame.Suspicion) {}
+
 // Run serves until a planned stop has ended, which begins when asked ends.
 func (n *Node) Run(asked context.Context) error {
 	ctx, end := context.WithCancel(context.WithoutCancel(asked))
@@ -141,6 +236,10 @@
 	}
 	n.cfg.Log.Info("node started", "node", n.cfg.Settings.Node, "data_centre", n.cfg.Settings.DataCentre)
 	g := tasks.New(ctx)
+	n.group = g
+	g.Go("mesh", n.mesh.Run)
+	g.Go("seats", n.seats.Run)
+	g.Go("sweep", n.sweep)
 	g.Go("servers", n.servers.Run)
 	g.Go("wishes", n.wishes.Run)
 	g.Go("keeper", n.keeper.Run)
@@ -203,8 +302,45 @@
 	return "", nil
 }
 
-// nodesShare is how many nodes share the limits of the fleet.
-const nodesShare = 9
+func (n *Node) service(name string) *match.Service {
+	t := n.table.Load()
+	if t == nil {
+		return nil
+	}
+	return t.Service(name)
+}
+
+// sweepInterval is the time between looks for entries that have not come back after an outage.
+const sweepInterval = 200 * time.Millisecond
+
+// sweep drops entries that have not come back after an outage.
+func (n *Node) sweep(ctx context.Context) error {
+	return tasks.Every(ctx, sweepInterval, func(context.Context) {
+		if gone := n.index.Sweep(time.Now()); gone > 0 {
+			n.cfg.Log.Info("entries did not come back after the outage", "servers", gone)
+			n.keeper.Wake()
+		}
+	})
+}
+
+// spareNodes is how many nodes more than are registered may share the limits of the fleet: some join
+// before all others know.
+const spareNodes = 2
+
+// nodes returns the number of nodes that share the limits of the fleet.
+func (n *Node) nodes() int { return max(minNodes, n.mesh.Size()) + spareNodes }
+
+// minNodes is the size of the fleet that is assumed while fewer nodes are registered.
+const minNodes = 6
+
+// coldAllowance returns how many requests a second this node may send to a cold backend server.
+func (n *Node) coldAllowance(rate float64) int {
+	if rate <= 0 {
+		return math.MaxInt
+	}
+	all := rate*n.cfg.Settings.ColdOverage + n.cfg.Settings.ColdSlack
+	return int(all / float64(n.nodes()))
+}
 
 func (n *Node) budget(service string) *retry.Budget {
 	n.served.Store(true)
@@ -212,7 +348,7 @@
 	defer n.mu.Unlock()
 	b, ok := n.budgets[service]
 	if !ok {
-		b = retry.NewBudgetOf(n.cfg.Settings.RetryRatio, n.cfg.Settings.RetrySlack/nodesShare)
+		b = retry.NewBudgetOf(n.cfg.Settings.RetryRatio, n.cfg.Settings.RetrySlack/float64(n.nodes()))
 		n.budgets[service] = b
 	}
 	return b
--- a/internal/node/edge/stop.go
+++ b/internal/node/edge/stop.go
@@ -6,6 +6,7 @@
 
 	"geraniumhollow/internal/core/tasks"
 	"geraniumhollow/internal/fleet/drain"
+	"github.com/cockroachdb/errors"
 )
 
 // Times of a planned stop.
@@ -34,6 +35,9 @@
 	n.keeper.Yield()
 	n.front.AnswerLast()
 	n.cfg.Log.Info("stopping", "connections", n.front.Open(), "requests", n.front.Busy())
+	if err := n.leave(ctx); err != nil {
+		n.cfg.Log.Info("cannot delete the registration", "error", err)
+	}
 	finishing := false
 	for d.State() != drain.Stopped && tasks.Sleep(ctx, stopTick) {
 		d.Tick(time.Now(), n.front.Open())
@@ -46,3 +50,15 @@
 	end()
 	return nil
 }
+
+// leaveTimeout bounds the call that deletes the registration of a node.
+const leaveTimeout = 500 * time.Millisecond
+
+func (n *Node) leave(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	if err := n.mesh.Leave(ctx); err != nil {
+		return errors.Newf("leave: %w", err)
+	}
+	return nil
+}
--- a/internal/node/keeper/keeper.go
+++ b/internal/node/keeper/keeper.go
@@ -41,6 +41,13 @@
 	Service func() (string, *batch.Engine)
 	// StallTime is how long a head stands after it has lost a member before it is broken.
 	StallTime time.Duration
+	// BeatInterval is the time between renewals of a server's registration. Beats reads the renewals of all
+	// servers.
+	BeatInterval time.Duration
+	Beats        func(ctx context.Context) (map[string]uint64, error)
+	// Witness asks other nodes whether they reach a server. It returns how many answered, and how many of
+	// them reach it.
+	Witness func(ctx context.Context, p group.Probe) (asked, reached int)
 	// Traffic reports whether callers have been served.
 	Traffic func() bool
 	Log     hclog.Logger
@@ -58,7 +65,11 @@
 	tick = 100 * time.Millisecond
 	// orderTimeout and probeTimeout bound calls of backend servers.
 	orderTimeout = 600 * time.Millisecond
-	probeTimeout = 150 * time.Millisecond
+	probeTimeout = 120 * time.Millisecond
+	// beatsInterval is the time between reads of the registrations.
+	beatsInterval = 500 * time.Millisecond
+	// reportInterval is the time between log lines that count the groups.
+	reportInterval = 2 * time.Second
 	// commitTimeout bounds a call of the store.
 	commitTimeout = time.Second
 )
@@ -75,7 +86,7 @@
 	fence    uint64
 	revision uint64
 	suspects []index.Formation
-	until    time.Duration
+	reported time.Time
 }
 
 // New returns a keeper that does nothing until Run.
@@ -87,6 +98,7 @@
 func (k *Keeper) Run(ctx context.Context) error {
 	g := tasks.New(ctx)
 	g.Go("duty", k.keepDuty)
+	g.Go("beats", func(ctx context.Context) error { return tasks.Every(ctx, beatsInterval, k.readBeats) })
 	g.Go("groups", func(ctx context.Context) error {
 		k.keepGroups(ctx, g)
 		return nil
@@ -113,6 +125,19 @@
 	k.Wake()
 }
 
+// Holds reports whether this node keeps the groups.
+func (k *Keeper) Holds() bool {
+	_, ok := k.holds()
+	return ok
+}
+
+// Holder returns the node that keeps the groups, as far as is known.
+func (k *Keeper) Holder() string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.duty.Holder()
+}
+
 // Yield gives the duty up, for a node that stops.
 func (k *Keeper) Yield() {
 	k.mu.Lock()
@@ -209,7 +234,9 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.decider = group.New(group.Config{Service: service, Engine: engine, StallTime: k.cfg.StallTime}, plan)
+	k.decider = group.New(group.Config{
+		Service: service, Engine: engine, StallTime: k.cfg.StallTime, BeatInterval: k.cfg.BeatInterval,
+	}, plan)
 	k.fence, k.revision = fence, rev
 	k.cfg.Log.Info("took the duty to keep groups", "fence", fence, "epoch", plan.Epoch,
 		"groups", len(plan.Current), "retired", len(plan.Retired))
@@ -263,6 +290,7 @@
 	now := time.Now()
 	k.decider.View(now, k.cfg.View())
 	a := k.decider.Step(now)
+	k.report(now)
 	k.mu.Unlock()
 	for _, n := range a.Notes {
 		k.cfg.Log.Info("group decision", "decision", n.Decision, "group", n.Group, "epoch", n.Epoch, "server", n.Server, "reason", n.Reason)
@@ -273,11 +301,24 @@
 	for _, p := range a.Probes {
 		g.Go("probe", func(ctx context.Context) error { k.probe(ctx, p); return nil })
 	}
+	for _, p := range a.Witness {
+		g.Go("witness", func(ctx context.Context) error { k.witness(ctx, p); return nil })
+	}
 	if a.Commit != nil {
 		k.commit(ctx, *a.Commit)
 	}
 }
 
+// report logs what stands, now and then. The lock must be held.
+func (k *Keeper) report(now time.Time) {
+	if now.Sub(k.reported) < reportInterval {
+		return
+	}
+	k.reported = now
+	c := k.decider.Census()
+	k.cfg.Log.Info("groups", "open", c.Open, "planned", c.Planned, "retired", c.Retired, "free", c.Free, "lost", c.Lost)
+}
+
 // commit stores a plan. After an unknown outcome the plan is read back before anything else is done.
 func (k *Keeper) commit(ctx context.Context, p group.Plan) {
 	b, err := p.Encode()
@@ -331,7 +372,7 @@
 	k.mu.Lock()
 	if k.decider != nil {
 		if err == nil {
-			k.decider.Probed(p.Server, r)
+			k.decider.Probed(time.Now(), p.Server, r)
 		} else {
 			k.decider.Missed(p.Server, errors.Is(err, ErrGone))
 		}
@@ -339,3 +380,34 @@
 	k.mu.Unlock()
 	k.Wake()
 }
+
+// readBeats reads the registrations of all servers while the node has the duty.
+func (k *Keeper) readBeats(ctx context.Context) {
+	if _, ok := k.holds(); !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, beatsInterval)
+	defer cancel()
+	begun := time.Now()
+	beats, err := k.cfg.Beats(ctx)
+	if err != nil {
+		k.cfg.Log.Debug("cannot read registrations", "error", err)
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.decider != nil {
+		k.decider.Beats(begun, beats)
+	}
+}
+
+func (k *Keeper) witness(ctx context.Context, p group.Probe) {
+	asked, reached := k.cfg.Witness(ctx, p)
+	k.cfg.Log.Info("asked other nodes about a server", "server", p.Server, "asked", asked, "reached", reached)
+	k.mu.Lock()
+	if k.decider != nil {
+		k.decider.Witnessed(p.Server, asked, reached)
+	}
+	k.mu.Unlock()
+	k.Wake()
+}
--- /dev/null
+++ b/internal/node/mesh/mesh.go
@@ -0,0 +1,399 @@
+// Package mesh links the nodes of a platform: it finds them through rows of the store, lets them follow
+// each other's copies of rows while the store does not serve some of them, and carries notices.
+//
+// A node is named by the address of its links, so that one that the store does not serve can ask the
+// nodes that its settings name.
+package mesh
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"maps"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"geraniumhollow/internal/core/sets"
+	"geraniumhollow/internal/core/sock"
+	"geraniumhollow/internal/core/tasks"
+	"geraniumhollow/internal/fleet/index"
+	"geraniumhollow/internal/fleet/mirror"
+	"geraniumhollow/internal/plat/table"
+	"geraniumhollow/internal/wire/frame"
+	"geraniumhollow/internal/wire/peer"
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+	"github.com/zeebo/xxh3"
+)
+
+// Family is the family of rows in which nodes register.
+const Family = "nodes"
+
+// Bounds of the links that a node keeps.
+const (
+	// allLinks is the size of a fleet up to which each node links to all others.
+	allLinks = 12
+	// fewLinks is how many links a node keeps in a larger fleet.
+	fewLinks = 4
+)
+
+// Times of the mesh.
+const (
+	// noticeTimeout bounds the delivery of a notice.
+	noticeTimeout = 400 * time.Millisecond
+	// registerRetry is the pause between tries to register.
+	registerRetry = 700 * time.Millisecond
+	// dialTimeout bounds a new link.
+	dialTimeout = 500 * time.Millisecond
+)
+
+// silence ends links whose other side has gone silent.
+var silence = sock.Limits{Unacknowledged: 1500 * time.Millisecond, KeepAlive: time.Second}
+
+// Row is what a node stores of itself.
+type Row struct {
+	Incarnation string `json:"inc"`
+	DataCentre  string `json:"data_centre"`
+}
+
+// Config is what a mesh is made of.
+type Config struct {
+	// Address is where this node's links are accepted, and its name.
+	Address     string
+	DataCentre  string
+	Incarnation string
+	// Seeds are addresses of nodes that may be up.
+	Seeds []string
+	Table table.Table
+	Feed  table.Feed
+	// Copies are the copies that other nodes may follow, by family.
+	Copies func(family string) *mirror.Copy
+	// Stalled takes notices of groups whose head makes no progress, and reports whether this node keeps
+	// the groups.
+	Stalled func(f index.Formation) bool
+	// Reaches reports whether this node reaches a backend server.
+	Reaches func(ctx context.Context, server, addr string) bool
+	// Suspects takes what other nodes found out of requests that may crash backend servers.
+	Suspects func(from string, list []frame.Suspicion)
+	Log      hclog.Logger
+}
+
+// Mesh is the links of one node. It is safe for concurrent use.
+type Mesh struct {
+	cfg   Config
+	net   *peer.Net
+	nodes *mirror.Copy
+
+	mu      sync.Mutex
+	members map[string]Row
+	turn    int
+}
+
+// New returns a mesh that has not started.
+func New(cfg Config) *Mesh {
+	m := &Mesh{cfg: cfg, members: make(map[string]Row)}
+	m.net = peer.New(peer.Config{
+		Self:    peer.Peer{Node: cfg.Address, Incarnation: cfg.Incarnation, DataCentre: cfg.DataCentre},
+		Log:     cfg.Log,
+		Resolve: func(node string) (string, bool) { return node, true },
+		Accept:  func(peer.Peer) bool { return true },
+		Dial:    dial,
+	})
+	m.nodes = mirror.New(mirror.Config{
+		Family: Family, Store: cfg.Feed, Peer: func() table.Feed { return m.Peer(Family) }, Apply: m.apply,
+		Pause: registerRetry, Log: cfg.Log,
+	})
+	peer.OnAsk(m.net, m.follow)
+	peer.OnAsk(m.net, func(_ context.Context, _ peer.Peer, n *frame.StallNotice) *frame.StallNoted {
+		return &frame.StallNoted{Keeper: cfg.Stalled(index.Formation{Group: n.Group, Epoch: uint64(n.Epoch)})}
+	})
+	peer.OnAsk(m.net, func(ctx context.Context, _ peer.Peer, a *frame.ServerAsk) *frame.ServerReply {
+		return &frame.ServerReply{Reached: cfg.Reaches(ctx, a.Server, a.Addr)}
+	})
+	peer.On(m.net, func(from peer.Peer, s *frame.SuspectRequest) { cfg.Suspects(from.Node, s.List) })
+	m.want()
+	return m
+}
+
+func dial(ctx context.Context, addr string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	return silence.Dial(ctx, addr)
+}
+
+// Run keeps the links until ctx ends.
+func (m *Mesh) Run(ctx context.Context) error {
+	ln, err := silence.Listen(ctx, m.cfg.Address)
+	if err != nil {
+		return errors.Newf("listen for other nodes: %w", err)
+	}
+	g := tasks.New(ctx)
+	g.Go("links", func(ctx context.Context) error { return m.net.Run(ctx, ln) })
+	g.Go("members", m.nodes.Run)
+	g.Go("register", m.register)
+	if err := g.Wait(); err != nil {
+		return errors.Newf("mesh: %w", err)
+	}
+	return nil
+}
+
+// register writes the row of this node.
+func (m *Mesh) register(ctx context.Context) error {
+	b, err := json.Marshal(Row{Incarnation: m.cfg.Incarnation, DataCentre: m.cfg.DataCentre})
+	if err != nil {
+		return errors.Newf("encode registration: %w", err)
+	}
+	txn := table.Txn{Puts: []table.Put{{Key: Family + "/" + m.cfg.Address, Value: b}}}
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, registerRetry)
+		_, err := m.cfg.Table.Commit(callCtx, txn)
+		cancel()
+		if err == nil {
+			return nil
+		}
+		m.cfg.Log.Info("cannot register", "error", err)
+		if !tasks.Sleep(ctx, registerRetry) {
+			return nil
+		}
+	}
+}
+
+// Leave deletes the row of this node, which stops.
+func (m *Mesh) Leave(ctx context.Context) error {
+	if _, err := m.cfg.Table.Commit(ctx, table.Txn{Deletes: []string{Family + "/" + m.cfg.Address}}); err != nil {
+		return errors.Newf("delete registration: %w", err)
+	}
+	return nil
+}
+
+// apply takes a change of the registered nodes.
+func (m *Mesh) apply(u mirror.Update) {
+	m.mu.Lock()
+	if u.Full {
+		clear(m.members)
+	}
+	for _, r := range u.Put {
+		var row Row
+		if err := json.Unmarshal(r.Value, &row); err != nil {
+			m.cfg.Log.Warn("registration cannot be read", "key", r.Key, "error", err)
+			continue
+		}
+		m.members[strings.TrimPrefix(r.Key, Family+"/")] = row
+	}
+	for _, k := range u.Removed {
+		delete(m.members, strings.TrimPrefix(k, Family+"/"))
+	}
+	n := len(m.members)
+	m.mu.Unlock()
+	m.cfg.Log.Info("nodes changed", "nodes", n)
+	m.want()
+}
+
+// Size returns the number of registered nodes.
+func (m *Mesh) Size() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.members)
+}
+
+// want keeps links to all nodes of a small fleet, or to a few of a large one: those to which the hash of
+// the pair is highest, so that links spread evenly.
+func (m *Mesh) want() {
+	m.mu.Lock()
+	list := slices.Collect(maps.Keys(m.members))
+	m.mu.Unlock()
+	if len(list) == 0 {
+		list = slices.Clone(m.cfg.Seeds)
+	}
+	list = slices.DeleteFunc(list, func(n string) bool { return n == m.cfg.Address })
+	if len(list) > allLinks {
+		slices.SortFunc(list, func(a, b string) int {
+			return cmp.Compare(xxh3.HashString(m.cfg.Address+b), xxh3.HashString(m.cfg.Address+a))
+		})
+		list = list[:fewLinks]
+	}
+	m.net.Want("mesh", list)
+}
+
+// linked returns the wanted nodes to which there is a link, starting with another one at each call.
+func (m *Mesh) linked() []string {
+	m.mu.Lock()
+	names := slices.Sorted(maps.Keys(m.members))
+	m.turn++
+	turn := m.turn
+	m.mu.Unlock()
+	all := sets.New(names...)
+	for _, s := range m.cfg.Seeds {
+		if all.Add(s) {
+			names = append(names, s)
+		}
+	}
+	var out []string
+	for _, n := range names {
+		if _, ok := m.net.Peer(n); ok && n != m.cfg.Address {
+			out = append(out, n)
+		}
+	}
+	if len(out) > 1 {
+		k := turn % len(out)
+		out = slices.Concat(out[k:], out[:k])
+	}
+	return out
+}
+
+// Peer returns another node's copy of a family, or nil when there is no link.
+func (m *Mesh) Peer(family string) table.Feed {
+	list := m.linked()
+	if len(list) == 0 {
+		return nil
+	}
+	return remote{m: m, node: list[0], family: family}
+}
+
+// Stalled tells the node that keeps the groups of a head that makes no progress. holder is that node, as
+// far as is known.
+func (m *Mesh) Stalled(ctx context.Context, holder string, f index.Formation) {
+	ctx, cancel := context.WithTimeout(ctx, noticeTimeout)
+	defer cancel()
+	if _, err := m.net.Ask(ctx, holder, &frame.StallNotice{Group: f.Group, Epoch: int(f.Epoch)}); err != nil {
+		m.cfg.Log.Info("cannot tell the keeper of a stalled group", "keeper", holder, "group", f.Group, "error", err)
+	}
+}
+
+// witnesses is how many other nodes are asked whether they reach a backend server.
+const witnesses = 3
+
+// Witness is what other nodes say of a backend server.
+type Witness struct {
+	// Asked is how many nodes answered, Reached how many of them reach the server.
+	Asked   int
+	Reached int
+}
+
+// Witness asks other nodes whether they reach a backend server.
+func (m *Mesh) Witness(ctx context.Context, server, addr string) Witness {
+	ctx, cancel := context.WithTimeout(ctx, noticeTimeout)
+	defer cancel()
+	list := m.linked()
+	list = list[:min(len(list), witnesses)]
+	g := tasks.New(ctx)
+	var mu sync.Mutex
+	var w Witness
+	for _, node := range list {
+		g.Go("witness", func(ctx context.Context) error {
+			msg, err := m.net.Ask(ctx, node, &frame.ServerAsk{Server: server, Addr: addr})
+			reply, ok := msg.(*frame.ServerReply)
+			if err != nil || !ok {
+				m.cfg.Log.Info("another node does not say whether it reaches a server", "node", node, "server", server, "error", err)
+				return nil
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			w.Asked++
+			if reply.Reached {
+				w.Reached++
+			}
+			return nil
+		})
+	}
+	if err := g.Wait(); err != nil {
+		m.cfg.Log.Warn("cannot ask other nodes", "error", err)
+	}
+	return w
+}
+
+// Suspect tells the linked nodes of requests that may crash backend servers.
+func (m *Mesh) Suspect(list []frame.Suspicion) {
+	for _, n := range m.linked() {
+		if err := m.net.Send(n, &frame.SuspectRequest{List: list}); err != nil {
+			m.cfg.Log.Info("cannot pass on suspicions", "node", n, "error", err)
+		}
+	}
+}
+
+// follow answers a node that follows a copy of this one.
+func (m *Mesh) follow(ctx context.Context, _ peer.Peer, a *frame.FollowAsk) *frame.FollowReply {
+	c := m.cfg.Copies(a.Family)
+	if a.Family == Family {
+		c = m.nodes
+	}
+	if c == nil {
+		return nil
+	}
+	if a.After == 0 {
+		s, err := c.Snapshot(ctx, a.Family)
+		if err != nil {
+			return &frame.FollowReply{Status: frame.FollowReplyStatusUnavailable}
+		}
+		return &frame.FollowReply{Status: frame.FollowReplyStatusRows, Rev: int(s.Revision), Rows: encodeRows(s.Rows)}
+	}
+	d, err := c.Changes(ctx, a.Family, uint64(a.After), time.Duration(a.WaitMs)*time.Millisecond)
+	switch {
+	case errors.Is(err, table.ErrHistoryLost):
+		return &frame.FollowReply{Status: frame.FollowReplyStatusHistoryLost}
+	case err != nil:
+		return &frame.FollowReply{Status: frame.FollowReplyStatusUnavailable}
+	}
+	return &frame.FollowReply{Status: frame.FollowReplyStatusRows, Rev: int(d.Revision), Rows: encodeRows(d.Changed), Gone: d.Removed}
+}
+
+func encodeRows(rows []table.Row) []frame.FollowRow {
+	out := make([]frame.FollowRow, 0, len(rows))
+	for _, r := range rows {
+		out = append(out, frame.FollowRow{Key: r.Key, Value: r.Value, Rev: int(r.Revision)})
+	}
+	return out
+}
+
+// remote is another node's copy of a family. It implements table.Feed.
+type remote struct {
+	m      *Mesh
+	node   string
+	family string
+}
+
+// Snapshot implements table.Feed.
+func (r remote) Snapshot(ctx context.Context, family string) (table.State, error) {
+	reply, err := r.ask(ctx, &frame.FollowAsk{Family: family})
+	if err != nil {
+		return table.State{}, err
+	}
+	return table.State{Rows: decodeRows(reply.Rows), Revision: uint64(reply.Rev)}, nil
+}
+
+// Changes implements table.Feed.
+func (r remote) Changes(ctx context.Context, family string, after uint64, wait time.Duration) (table.Delta, error) {
+	reply, err := r.ask(ctx, &frame.FollowAsk{Family: family, After: int(after), WaitMs: int(wait.Milliseconds())})
+	if err != nil {
+		return table.Delta{}, err
+	}
+	return table.Delta{Changed: decodeRows(reply.Rows), Removed: reply.Gone, Revision: uint64(reply.Rev)}, nil
+}
+
+func (r remote) ask(ctx context.Context, a *frame.FollowAsk) (*frame.FollowReply, error) {
+	msg, err := r.m.net.Ask(ctx, r.node, a)
+	if err != nil {
+		return nil, errors.Mark(errors.Newf("follow %s: %w", r.node, err), table.ErrUnavailable)
+	}
+	reply, ok := msg.(*frame.FollowReply)
+	switch {
+	case !ok:
+		return nil, errors.Mark(errors.Newf("%s answered with %T", r.node, msg), table.ErrUnavailable)
+	case reply.Status == frame.FollowReplyStatusHistoryLost:
+		return nil, table.ErrHistoryLost
+	case reply.Status != frame.FollowReplyStatusRows:
+		return nil, errors.Mark(errors.Newf("%s has no copy", r.node), table.ErrUnavailable)
+	}
+	return reply, nil
+}
+
+func decodeRows(rows []frame.FollowRow) []table.Row {
+	out := make([]table.Row, 0, len(rows))
+	for _, w := range rows {
+		out = append(out, table.Row{Key: w.Key, Value: w.Value, Revision: uint64(w.Rev)})
+	}
+	return out
+}
--- a/internal/node/pass/call.go
+++ b/internal/node/pass/call.go
@@ -83,6 +83,14 @@
 	req *front.Request
 }
 
+// returnedShare is the part of a route's timeout below which a caller that still waits has been here before.
+const returnedShare = 0.95
+
+// Returned reports whether the caller seems to have come back: it waits for less than the route allows.
+func (c *Call) Returned() bool {
+	return c.Patience > 0 && float64(c.Patience) < returnedShare*float64(c.Route.Timeout)
+}
+
 // Key returns what the call asks for.
 func (c *Call) key() index.Key { return index.Key{Service: c.Service.Name, Model: c.Model} }
 
--- a/internal/node/seat/seat.go
+++ b/internal/node/seat/seat.go
@@ -1,5 +1,6 @@
-// Package seat gives calls places at backend servers. It keeps what the decider of route/choose needs:
-// the servers of the registry, the load that their answers tell, and the node's own requests.
+// Package seat gives calls places at backend servers. It keeps what the deciders of route/choose and
+// route/stall need: the servers of the registry, the load that their answers tell, and the node's own
+// requests.
 package seat
 
 import (
@@ -10,55 +11,63 @@
 
 	"geraniumhollow/internal/core/fault"
 	"geraniumhollow/internal/core/sets"
-	"geraniumhollow/internal/core/sock"
+	"geraniumhollow/internal/core/tasks"
 	"geraniumhollow/internal/fleet/index"
 	"geraniumhollow/internal/node/pass"
-	"geraniumhollow/internal/plat/conns"
+	"geraniumhollow/internal/route/batch"
 	"geraniumhollow/internal/route/choose"
+	"geraniumhollow/internal/route/match"
+	"geraniumhollow/internal/route/stall"
 	"github.com/hashicorp/go-hclog"
 )
 
-// Connections to backend servers.
-var serverSilence = sock.Limits{Unacknowledged: 2 * time.Second, KeepAlive: time.Second}
-
-const (
-	// dialTimeout bounds a new connection to a backend server.
-	dialTimeout = 300 * time.Millisecond
-	// idleTimeout is how long an unused connection is kept where the server does not say.
-	idleTimeout = 4 * time.Second
-)
-
-// retryNoServer is when a caller may come back for whom no backend server is open.
-const retryNoServer = 400 * time.Millisecond
-
 // Config is what seats are made of.
 type Config struct {
 	View func() *index.View
-	Now  func() time.Time
-	Seed uint64
-	Log  hclog.Logger
+	// Service returns a service of the configuration in force, or nil.
+	Service func(name string) *match.Service
+	// ColdAllowance returns how many requests a second this node may send to a cold server that bears
+	// rate requests a second.
+	ColdAllowance func(rate float64) int
+	// Stalled is told of the formation of a head that makes no progress. It must not block.
+	Stalled func(f index.Formation)
+	Now     func() time.Time
+	Seed    uint64
+	Log     hclog.Logger
 }
 
-// Seats implements pass.Seats.
+// Seats implements pass.Seats. It is safe for concurrent use.
 type Seats struct {
 	cfg Config
 
 	mu      sync.Mutex
 	table   *choose.Table
 	chooser choose.Chooser
+	watch   *stall.Watch
 	view    *index.View
 	servers map[string]*server
-	tried   []int
+	barred  []int
 }
 
 var _ pass.Seats = (*Seats)(nil)
 
-// server is what the seats keep of one backend server.
-type server struct {
-	entry *index.Entry
-	conns *conns.Pool
-	id    int
-}
+// maxReportAge is the age of a load report past which a server is not chosen. Servers tell their load with
+// each answer, so one that gets no requests has an old report, which says that it is free.
+const maxReportAge = time.Hour
+
+// Waits of calls without a place.
+const (
+	// retryNoServer is when a caller may come back for whom no backend server is open: a group that has
+	// lost a member is open again after about two seconds.
+	retryNoServer = 1500 * time.Millisecond
+	// minRetry and maxRetry bound when a caller may come back for whom all backend servers are busy.
+	minRetry = 300 * time.Millisecond
+	maxRetry = 2 * time.Second
+	// waitStep is the time between looks for a place.
+	waitStep = 20 * time.Millisecond
+	// waitShare is the part of the objective that a call may wait for a place.
+	waitShare = 0.5
+)
 
 // New returns seats without servers.
 func New(cfg Config) *Seats {
@@ -68,42 +77,83 @@
 	return &Seats{
 		cfg: cfg, table: choose.NewTable(shape, cfg.Now()),
 		chooser: choose.NewShortest(rnd, choose.DefaultWindow()),
+		watch:   stall.New(stall.DefaultConfig()),
 		servers: make(map[string]*server),
 	}
 }
 
-// maxReportAge is the age of a load report past which a server is not chosen. Servers tell their load with
-// each answer, so one that gets no requests has an old report, which says that it is free.
-const maxReportAge = time.Hour
+// Run looks for servers that make no progress until ctx ends.
+func (s *Seats) Run(ctx context.Context) error {
+	return tasks.Every(ctx, checkInterval, func(context.Context) { s.check() })
+}
 
 // Take implements pass.Seats.
-func (s *Seats) Take(_ context.Context, c *pass.Call, tried sets.Set[string], _ context.CancelCauseFunc) (pass.Seat, *fault.Error) {
+func (s *Seats) Take(ctx context.Context, c *pass.Call, tried sets.Set[string], cancel context.CancelCauseFunc) (pass.Seat, *fault.Error) {
+	until := s.cfg.Now().Add(time.Duration(waitShare * float64(c.Route.Objective)))
+	for {
+		t, wait, refusal := s.try(c, tried, cancel)
+		if t != nil {
+			return t, nil
+		}
+		if !wait || !s.cfg.Now().Before(until) || !tasks.Sleep(ctx, waitStep) {
+			return nil, refusal
+		}
+	}
+}
+
+// try gives a place if there is one. wait says that there may be one soon.
+func (s *Seats) try(c *pass.Call, tried sets.Set[string], cancel context.CancelCauseFunc) (place *seat, wait bool, refusal *fault.Error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.cfg.Now()
 	s.sync(now)
-	r := s.request(c, tried)
+	wait = s.bar(now, c, tried)
+	r := choose.Request{
+		Model: what(c.Service.Name, c.Model), PromptTokens: c.Prompt, AnswerTokens: c.MaxAnswer, Tried: s.barred,
+	}
 	id, ok := s.chooser.Choose(s.table, now, r)
 	if !ok {
-		return nil, fault.New(fault.NoBackend, fault.NotRun, "no backend server is open for the request").WithRetryAfter(retryNoServer)
+		return nil, wait, fault.New(fault.NoBackend, fault.NotRun, "no backend server is open for the request").WithRetryAfter(retryNoServer)
+	}
+	if est, ok := s.table.Estimate(id, now, r); ok && c.Route.Kind == match.Stream {
+		if over := est + now.Sub(c.Arrived) - c.Route.Objective; over > 0 && len(tried) == 0 && !c.Returned() {
+			return nil, false, fault.New(fault.Overloaded, fault.NotRun, "all backend servers are busy").
+				WithRetryAfter(min(max(over, minRetry), maxRetry))
+		}
 	}
 	sv := s.servers[s.table.Name(id)]
-	return &seat{s: s, server: sv, sent: s.table.Send(id, now, r), at: now}, nil
+	sv.sends.Add(now)
+	s.watch.Trial(now, sv.entry.ID)
+	t := &seat{s: s, server: sv, sent: s.table.Send(id, now, r), at: now, cancel: cancel, repeatable: c.Route.Repeatable()}
+	sv.seats[t] = struct{}{}
+	return t, false, nil
 }
 
-// request describes a call to the chooser.
-func (s *Seats) request(c *pass.Call, tried sets.Set[string]) choose.Request {
-	s.tried = s.tried[:0]
+// bar collects the servers that must not be chosen now, and reports whether one of them may be soon.
+func (s *Seats) bar(now time.Time, c *pass.Call, tried sets.Set[string]) bool {
+	s.barred = s.barred[:0]
+	soon := false
 	for name := range tried {
 		if id, ok := s.table.Index(name); ok {
-			s.tried = append(s.tried, id)
+			s.barred = append(s.barred, id)
 		}
 	}
-	return choose.Request{
-		Model: c.Service.Name + "/" + c.Model, PromptTokens: c.Prompt, AnswerTokens: c.MaxAnswer, Tried: s.tried,
+	for name, sv := range s.servers {
+		if tried.Has(name) || sv.entry.Service != c.Service.Name {
+			continue
+		}
+		full := sv.cold(now) && sv.sends.Count(now) >= s.cfg.ColdAllowance(c.Service.ColdRate)
+		if full || s.watch.Stalled(now, name) {
+			s.barred = append(s.barred, sv.id)
+			soon = soon || full
+		}
 	}
+	return soon
 }
 
+// what names what a server offers to the chooser.
+func what(service, model string) string { return service + "/" + model }
+
 // sync takes a new view of the registry.
 func (s *Seats) sync(now time.Time) {
 	v := s.cfg.View()
@@ -115,7 +165,7 @@
 	for key, groups := range v.Open {
 		for _, g := range groups {
 			if v.Usable(g.Head) {
-				s.put(now, g.Head, key.Service+"/"+key.Model)
+				s.put(now, g.Head, s.spec(key))
 				present.Add(g.Head.ID)
 			}
 		}
@@ -123,81 +173,91 @@
 	for name, list := range v.Services {
 		for _, e := range list {
 			if e.Domain == "" && v.Usable(e) {
-				s.put(now, e, name+"/")
+				s.put(now, e, choose.Spec{Model: what(name, "")})
 				present.Add(e.ID)
 			}
 		}
 	}
 	for id, sv := range s.servers {
-		if !present.Has(id) {
-			s.table.Remove(id)
-			sv.conns.Close()
-			delete(s.servers, id)
+		if present.Has(id) {
+			continue
+		}
+		s.drop(id, sv)
+		if _, ok := v.Servers[id]; !ok {
+			sv.withdraw()
 		}
 	}
 }
 
+// spec describes the groups of a model.
+func (s *Seats) spec(k index.Key) choose.Spec {
+	out := choose.Spec{Model: what(k.Service, k.Model)}
+	svc := s.cfg.Service(k.Service)
+	if svc == nil || svc.Engine == nil || svc.Engine.ReadRate <= 0 {
+		return out
+	}
+	e := svc.Engine
+	m, ok := e.Model(k.Model)
+	if !ok {
+		m = batch.Model{Pace: 1}
+	}
+	out.PrefillPerToken = time.Duration(m.Pace / e.ReadRate * float64(time.Second))
+	step := e.StepTime(e.Slots, e.Slots*(e.UsualPrompt+e.UsualAnswer/2))
+	out.Hold = time.Duration(m.Pace * float64(e.UsualAnswer) * float64(step))
+	return out
+}
+
 // put adds a server or takes what changed of it.
-func (s *Seats) put(now time.Time, e *index.Entry, what string) {
+func (s *Seats) put(now time.Time, e *index.Entry, spec choose.Spec) {
 	sv, ok := s.servers[e.ID]
-	if ok && (!sv.entry.SameLife(e.Info) || sv.entry.Address != e.Address) {
-		s.table.Remove(e.ID)
-		sv.conns.Close()
+	if ok && (!sv.entry.SameLife(e.Info) || sv.entry.Address != e.Address || sv.entry.Member.Epoch != e.Member.Epoch) {
+		s.drop(e.ID, sv)
 		ok = false
 	}
 	if !ok {
-		sv = &server{conns: conns.New(e.Address, conns.Options{
-			DialTimeout: dialTimeout, IdleTimeout: idleTimeout, Limits: serverSilence,
-		})}
+		sv = newServer(e)
 		s.servers[e.ID] = sv
 	}
 	sv.entry = e
-	sv.id = s.table.Put(choose.Spec{Name: e.ID, Model: what, WarmRequests: e.Slots, ColdRequests: e.Slots})
+	spec.Name, spec.WarmRequests, spec.ColdRequests = e.ID, e.Slots, e.Slots
+	sv.id = s.table.Put(spec)
 	if !ok {
 		s.table.Observe(sv.id, choose.Report{Instance: e.ID, Open: true, MadeAt: now})
 	}
 }
 
-// seat implements pass.Seat.
-type seat struct {
-	s      *Seats
-	server *server
-	sent   uint64
-	at     time.Time
-	first  time.Duration
+// drop forgets a server. Requests that it still runs keep their connections.
+func (s *Seats) drop(id string, sv *server) {
+	s.table.Remove(id)
+	s.watch.Forget(id)
+	sv.gone = true
+	sv.conns.Close()
+	delete(s.servers, id)
 }
 
-// Entry implements pass.Seat.
-func (t *seat) Entry() *index.Entry { return t.server.entry }
-
-// Conns implements pass.Seat.
-func (t *seat) Conns() *conns.Pool { return t.server.conns }
-
-// Progress implements pass.Seat.
-func (t *seat) Progress() {
-	if t.first == 0 {
-		t.first = t.s.cfg.Now().Sub(t.at)
+// check ends the attempts at servers that make no progress, where they may be made again elsewhere.
+func (s *Seats) check() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.cfg.Now()
+	for name, sv := range s.servers {
+		if sv.unanswered(now, s.watch.Silence(name)) && !s.watch.Stalled(now, name) {
+			s.watch.Mark(now, name)
+			s.stalled(now, sv, "no_answer")
+		}
 	}
-}
-
-// Answered implements pass.Seat.
-func (t *seat) Answered(a pass.Answer) {
-	if !a.HasLoad {
-		return
+	for _, name := range s.watch.Check(now) {
+		if sv, ok := s.servers[name]; ok {
+			s.stalled(now, sv, "streams_silent")
+		}
 	}
-	t.s.mu.Lock()
-	defer t.s.mu.Unlock()
-	t.s.table.Observe(t.server.id, choose.Report{
-		Instance: t.server.entry.ID, Open: true, Running: a.Load.Running, Waiting: a.Load.Waiting, MadeAt: t.s.cfg.Now(),
-	})
 }
 
-// Leave implements pass.Seat.
-func (t *seat) Leave(o pass.Outcome) {
-	t.s.mu.Lock()
-	defer t.s.mu.Unlock()
-	if o != pass.Served {
-		t.first = 0
+// stalled withdraws the attempts at a server and tells of its group.
+func (s *Seats) stalled(now time.Time, sv *server, why string) {
+	s.cfg.Log.Warn("server makes no progress", "server", sv.entry.ID, "reason", why, "withdrawn", sv.withdraw(), "running", len(sv.seats),
+		"silent_ms", now.Sub(sv.progress).Milliseconds())
+	if m := sv.entry.Member; m.Some() {
+		s.cfg.Stalled(index.Formation{Group: m.Group, Epoch: m.Epoch})
 	}
-	t.s.table.Done(t.server.id, t.sent, t.s.cfg.Now(), t.first)
 }
--- a/internal/plan/group/decider.go
+++ b/internal/plan/group/decider.go
@@ -59,7 +59,9 @@
 	Commit *Plan
 	Orders []Order
 	Probes []Probe
-	Notes  []Note
+	// Witness are servers to ask other nodes about.
+	Witness []Probe
+	Notes   []Note
 }
 
 // Config shapes a decider.
@@ -69,6 +71,8 @@
 	Engine  *batch.Engine
 	// StallTime is how long a head stands after it has lost a member before it is broken.
 	StallTime time.Duration
+	// BeatInterval is the time between renewals of a server's registration.
+	BeatInterval time.Duration
 }
 
 // Times of orders.
@@ -93,6 +97,10 @@
 	// traffic says that callers have been served, from when on loads are rationed.
 	traffic bool
 	closing map[index.Formation]time.Time
+	// trouble is when a formation was first seen to need a change.
+	trouble map[index.Formation]time.Time
+	// beatsAt is when the registrations were read last.
+	beatsAt time.Time
 }
 
 // New returns a decider that goes on from a stored plan.
@@ -100,6 +108,7 @@
 	return &Decider{
 		cfg: cfg, plan: plan, hosts: make(map[string]*host),
 		short: make(map[index.Formation]time.Time), closing: make(map[index.Formation]time.Time),
+		trouble: make(map[index.Formation]time.Time),
 	}
 }
 
@@ -132,10 +141,42 @@
 	}
 	a.Orders = d.orders(now)
 	a.Probes = d.probes(now)
+	a.Witness = d.witness(now)
 	a.Notes, d.notes = d.notes, nil
 	return a
 }
 
+// Census counts the groups of the plan.
+type Census struct {
+	// Open and Planned count groups by model.
+	Open    map[string]int
+	Planned map[string]int
+	Retired int
+	// Free counts usable servers without a group, Lost those that do not answer.
+	Free int
+	Lost int
+}
+
+// Census returns what stands now.
+func (d *Decider) Census() Census {
+	c := Census{Open: make(map[string]int), Planned: make(map[string]int), Retired: len(d.plan.Retired)}
+	for _, f := range d.plan.Current {
+		c.Planned[f.Model]++
+		if h := d.hosts[f.Head()]; h != nil && h.in(f) && h.Member.State == server.Open {
+			c.Open[f.Model]++
+		}
+	}
+	for id, h := range d.hosts {
+		if _, used := d.plan.Of(id); !used && h.usable() && h.Domain != "" {
+			c.Free++
+		}
+		if h.lost() {
+			c.Lost++
+		}
+	}
+	return c
+}
+
 func (d *Decider) note(decision string, f Formation, server, reason string) {
 	d.notes = append(d.notes, Note{Decision: decision, Group: f.Group, Epoch: f.Epoch, Server: server, Reason: reason})
 }
@@ -209,7 +250,7 @@
 // released reports whether the head of a retired formation is known not to serve.
 func (d *Decider) released(now time.Time, f Formation) bool {
 	head := d.hosts[f.Head()]
-	if head == nil || head.gone {
+	if head == nil || d.dead(now, head) {
 		return true
 	}
 	if !head.lost() {
--- a/internal/plan/group/host.go
+++ b/internal/plan/group/host.go
@@ -22,6 +22,14 @@
 	probed  time.Time
 	asked   bool
 	suspect bool
+	// confirmed is when the server answered a probe last.
+	confirmed time.Time
+	// beat is the last renewal of its registration, beatAt when it was first seen.
+	beat   uint64
+	beatAt time.Time
+	// unseen says that other nodes do not reach it either; witnessed is when they were asked.
+	unseen    bool
+	witnessed time.Time
 	// orders are the latest orders, by kind.
 	orders map[Kind]sent
 	// since is when the registry was first seen to have it.
@@ -90,7 +98,7 @@
 }
 
 // Probed takes the answer to a probe.
-func (d *Decider) Probed(id string, r server.Report) {
+func (d *Decider) Probed(now time.Time, id string, r server.Report) {
 	h, ok := d.hosts[id]
 	if !ok {
 		return
@@ -101,7 +109,8 @@
 		h.gone = true
 		return
 	}
-	h.gone, h.misses, h.pace = false, 0, r.Pace
+	h.gone, h.misses, h.unseen, h.pace = false, 0, false, r.Pace
+	h.confirmed = now
 	h.Member, h.Staged, h.Model = r.Member, r.Staged, r.Model
 }
 
@@ -116,6 +125,68 @@
 	h.gone = h.gone || gone
 }
 
+// Times of registrations.
+const (
+	// beatFactor is how many intervals between renewals a server may be silent.
+	beatFactor = 1.3
+	// beatsAge is the age past which a read of the registrations proves no silence.
+	beatsAge = 1200 * time.Millisecond
+)
+
+// Beats takes a read of all registrations, which was sent at a time. A server that does not renew its
+// registration is probed.
+func (d *Decider) Beats(now time.Time, beats map[string]uint64) {
+	d.beatsAt = now
+	for id, h := range d.hosts {
+		b, ok := beats[id]
+		if ok && (b != h.beat || h.beatAt.IsZero()) {
+			h.beat, h.beatAt = b, now
+		}
+		if d.silent(now, h) && now.Sub(h.probed) >= probeUnlisted {
+			h.suspect = true
+		}
+	}
+}
+
+// silent reports whether a server has not renewed its registration for longer than an interval.
+func (d *Decider) silent(now time.Time, h *host) bool {
+	return now.Sub(d.beatsAt) < beatsAge && !h.beatAt.IsZero() &&
+		now.Sub(h.beatAt) >= time.Duration(beatFactor*float64(d.cfg.BeatInterval))
+}
+
+// Witnessed takes what other nodes say of a server: asked of them answered, and reached of these reach it.
+func (d *Decider) Witnessed(id string, asked, reached int) {
+	if h, ok := d.hosts[id]; ok && h.lost() {
+		h.unseen = asked >= minWitnesses && reached == 0
+	}
+}
+
+// minWitnesses is how many other nodes must fail to reach a server that this node does not reach.
+const minWitnesses = 2
+
+// dead reports whether a lost server has certainly ended: its process is gone, or neither this node nor
+// others reach it and it does not renew its registration.
+func (d *Decider) dead(now time.Time, h *host) bool {
+	return h.gone || (h.lost() && h.unseen && d.silent(now, h))
+}
+
+// witness returns the lost heads of retired formations to ask other nodes about.
+func (d *Decider) witness(now time.Time) []Probe {
+	var out []Probe
+	for _, f := range d.plan.Retired {
+		h := d.hosts[f.Head()]
+		if h == nil || !h.lost() || h.gone || h.unseen || now.Sub(h.witnessed) < witnessAgain {
+			continue
+		}
+		h.witnessed = now
+		out = append(out, Probe{Server: h.ID, Address: h.Address})
+	}
+	return out
+}
+
+// witnessAgain is the time between questions to other nodes about a server.
+const witnessAgain = 400 * time.Millisecond
+
 // Suspect asks for probes of the members of a formation, because its head makes no progress.
 func (d *Decider) Suspect(group string, epoch uint64) {
 	for _, f := range d.plan.Current {
@@ -133,7 +204,7 @@
 // Times of probes.
 const (
 	// probeAgain is the pause before a server that left a probe unanswered is asked again.
-	probeAgain = 80 * time.Millisecond
+	probeAgain = 50 * time.Millisecond
 	// probeUnlisted is the time between probes of a server that the registry does not have.
 	probeUnlisted = time.Second
 )
--- a/internal/plan/group/place.go
+++ b/internal/plan/group/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -48,6 +49,10 @@
 		f := p.Current[i]
 		kept, why := d.keepers(now, f)
 		if why == "" {
+			delete(d.trouble, f.key())
+			continue
+		}
+		if !d.checked(now, f) {
 			continue
 		}
 		changed = true
@@ -68,6 +73,34 @@
 	return changed
 }
 
+// checkTime bounds the wait for the answers of a domain's servers before a group is changed.
+const checkTime = 600 * time.Millisecond
+
+// checked asks all servers of a domain for a sign of life when one of its groups needs a change, and reports
+// whether they have answered. What took one member may have taken others, and a group that is formed
+// anew with a dead member is lost time.
+func (d *Decider) checked(now time.Time, f Formation) bool {
+	since, ok := d.trouble[f.key()]
+	if !ok {
+		d.trouble[f.key()] = now
+		for _, h := range d.hosts {
+			if h.Domain == f.Domain && !h.lost() {
+				h.suspect = true
+			}
+		}
+		return false
+	}
+	if now.Sub(since) >= checkTime {
+		return true
+	}
+	for _, h := range d.hosts {
+		if h.Domain == f.Domain && !h.lost() && h.confirmed.Before(since) {
+			return false
+		}
+	}
+	return true
+}
+
 // windDown is how long a group with a leaving member may finish its requests.
 const windDown = 1500 * time.Millisecond
 
@@ -179,8 +212,23 @@
 	slices.SortStableFunc(list, func(a, b *host) int { return cmp.Compare(rank(a), rank(b)) })
 }
 
+// Spares of a domain. Two cover the loss of a member of either of two models while another load runs.
+const (
+	minSpares  = 2
+	spareShare = 0.1
+)
+
 // spares returns how many servers of a domain are kept without a group.
-func spares(size int) int { return max(2, size/10) }
+func spares(size int) int { return max(minSpares, int(spareShare*float64(size))) }
+
+// groupShare is the part of all servers that is expected to be in groups: the rest are spares, and what
+// groups leave over in their domains.
+const groupShare = 0.82
+
+// wanted returns how many groups a model should have of so many servers.
+func wanted(m batch.Model, total int) int {
+	return int(math.Round(m.Share * float64(total) * groupShare / float64(m.Hosts)))
+}
 
 // place forms new groups of free servers, of the model that lacks most first.
 func (d *Decider) place(now time.Time, p *Plan) bool {
@@ -223,9 +271,10 @@
 	for _, n := range sizes {
 		total += n
 	}
-	used := make(map[string]int)
+	used, groups := make(map[string]int), make(map[string]int)
 	for _, f := range p.Current {
 		used[f.Model] += len(f.Members)
+		groups[f.Model]++
 	}
 	models := slices.Clone(d.cfg.Engine.Models)
 	slices.SortStableFunc(models, func(a, b batch.Model) int {
@@ -233,11 +282,16 @@
 	})
 	for _, m := range models {
 		best, room := "", -1
+		short := groups[m.Name] < wanted(m, total)
 		for domain, n := range sizes {
 			if arriving.Has(domain) {
 				continue
 			}
-			left := len(d.free(p, domain)) - m.Hosts - spares(n)
+			left := len(d.free(p, domain)) - m.Hosts
+			if !short {
+				// A model with its share of groups takes no spares.
+				left -= spares(n)
+			}
 			if left > room || (left == room && left >= 0 && domain < best) {
 				best, room = domain, left
 			}
--- a/internal/plat/conns/conns.go
+++ b/internal/plat/conns/conns.go
@@ -146,7 +146,7 @@
 		stop()
 		p.discard(c)
 		if ctxErr := ctx.Err(); ctxErr != nil {
-			err = errors.Newf("%w: %w", ctxErr, err)
+			err = errors.Mark(errors.Newf("%v: %w", ctxErr, err), ctxErr)
 		}
 		if !c.wrote {
 			return nil, errors.Mark(err, ErrNotSent)
--- a/internal/route/choose/table.go
+++ b/internal/route/choose/table.go
@@ -6,6 +6,7 @@
 package choose
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -60,6 +61,10 @@
 	WarmRequests int
 	// WarmTokens bounds the tokens held, unless a report names a capacity; 0 is no bound.
 	WarmTokens int
+	// PrefillPerToken is the time to process one prompt token; 0 takes that of the table.
+	PrefillPerToken time.Duration
+	// Hold is how long a request occupies its place; 0 takes what the table has learned.
+	Hold time.Duration
 }
 
 // Report is a load report of a backend server.
@@ -283,7 +288,7 @@
 	}
 	l.sends = append(l.sends, send{
 		id: t.nextID, at: at, tokens: r.PromptTokens + r.AnswerTokens,
-		prefill:  float64(left) * t.cfg.PrefillPerToken.Seconds(),
+		prefill:  float64(left) * cmp.Or(l.spec.PrefillPerToken, t.cfg.PrefillPerToken).Seconds(),
 		estimate: t.rows[id].cost(at, float64(left), math.Inf(1)),
 	})
 	t.queued += queuedStep * (float64(left) - t.queued)
@@ -348,7 +353,7 @@
 		limit, slow = l.spec.ColdRequests, l.slow*t.cfg.ColdFactor
 	}
 	transit := int64(l.spec.Distance)
-	prefill := t.cfg.PrefillPerToken.Seconds() * slow
+	prefill := cmp.Or(l.spec.PrefillPerToken, t.cfg.PrefillPerToken).Seconds() * slow
 	w := row{madeAt: l.madeAt, inFlight: l.report.Running + l.report.Waiting}
 	w.busyUntil = l.madeAt + nanos(float64(l.report.Waiting)*t.queued*prefill)
 	held := l.report.Held
@@ -372,7 +377,7 @@
 		w.fill = part
 		w.perToken *= 1 + t.cfg.BatchFactor*min(1, part)
 		if part > 1 {
-			w.fixed += (part - 1) * t.hold * slow
+			w.fixed += (part - 1) * cmp.Or(l.spec.Hold.Seconds(), t.hold) * slow
 		}
 	}
 	w.room = math.MaxInt
--- a/internal/wire/frame/messages.gen.go
+++ b/internal/wire/frame/messages.gen.go
@@ -43,6 +43,51 @@
 	Ver int `json:"ver"`
 }
 
+// FollowAsk asks for the changes of a family of rows, or for all its rows.
+type FollowAsk struct {
+	// Revision that the sender has; 0 asks for all rows.
+	After int `json:"after"`
+
+	// Family of rows of the platform's store.
+	Family string `json:"family"`
+
+	// Milliseconds to wait for a change.
+	WaitMs int `json:"wait_ms,omitempty,omitzero"`
+}
+
+// FollowReply answers a FollowAsk.
+type FollowReply struct {
+	// Keys of rows that were deleted.
+	Gone []string `json:"gone,omitempty,omitzero"`
+
+	// Revision where the next ask continues.
+	Rev int `json:"rev,omitempty,omitzero"`
+
+	// Rows that were written.
+	Rows []FollowRow `json:"rows,omitempty,omitzero"`
+
+	// Status corresponds to the JSON schema field "status".
+	Status FollowReplyStatus `json:"status"`
+}
+
+type FollowReplyStatus string
+
+const FollowReplyStatusHistoryLost FollowReplyStatus = "history_lost"
+const FollowReplyStatusRows FollowReplyStatus = "rows"
+const FollowReplyStatusUnavailable FollowReplyStatus = "unavailable"
+
+// FollowRow is a row of the platform's store.
+type FollowRow struct {
+	// Key with its family.
+	Key string `json:"key"`
+
+	// Revision of the row.
+	Rev int `json:"rev"`
+
+	// Value as it is stored.
+	Value []byte `json:"value"`
+}
+
 // GrantAsk asks the owner of a shard for the right to send one request.
 type GrantAsk struct {
 	// Number of the grant, unique for the incarnation that the link's hello named.
@@ -227,6 +272,12 @@
 	// ConfigOffer corresponds to the JSON schema field "config_offer".
 	ConfigOffer *ConfigOffer `json:"config_offer,omitempty,omitzero"`
 
+	// FollowAsk corresponds to the JSON schema field "follow_ask".
+	FollowAsk *FollowAsk `json:"follow_ask,omitempty,omitzero"`
+
+	// FollowReply corresponds to the JSON schema field "follow_reply".
+	FollowReply *FollowReply `json:"follow_reply,omitempty,omitzero"`
+
 	// GrantAsk corresponds to the JSON schema field "grant_ask".
 	GrantAsk *GrantAsk `json:"grant_ask,omitempty,omitzero"`
 
@@ -263,6 +314,18 @@
 	// ProbeReply corresponds to the JSON schema field "probe_reply".
 	ProbeReply *ProbeReply `json:"probe_reply,omitempty,omitzero"`
 
+	// ServerAsk corresponds to the JSON schema field "server_ask".
+	ServerAsk *ServerAsk `json:"server_ask,omitempty,omitzero"`
+
+	// ServerReply corresponds to the JSON schema field "server_reply".
+	ServerReply *ServerReply `json:"server_reply,omitempty,omitzero"`
+
+	// StallNoted corresponds to the JSON schema field "stall_noted".
+	StallNoted *StallNoted `json:"stall_noted,omitempty,omitzero"`
+
+	// StallNotice corresponds to the JSON schema field "stall_notice".
+	StallNotice *StallNotice `json:"stall_notice,omitempty,omitzero"`
+
 	// StreamAsk corresponds to the JSON schema field "stream_ask".
 	StreamAsk *StreamAsk `json:"stream_ask,omitempty,omitzero"`
 
@@ -318,6 +381,38 @@
 	Heard bool `json:"heard"`
 }
 
+// ServerAsk asks whether the receiver reaches a backend server that the sender
+// does not reach.
+type ServerAsk struct {
+	// IP and port of the backend server.
+	Addr string `json:"addr"`
+
+	// ID of the backend server.
+	Server string `json:"server"`
+}
+
+// ServerReply answers a ServerAsk.
+type ServerReply struct {
+	// Whether the backend server answered.
+	Reached bool `json:"reached"`
+}
+
+// StallNoted answers a StallNotice.
+type StallNoted struct {
+	// Whether the receiver keeps the groups.
+	Keeper bool `json:"keeper"`
+}
+
+// StallNotice tells the keeper of groups that the head of a group makes no
+// progress.
+type StallNotice struct {
+	// Epoch of the formation.
+	Epoch int `json:"epoch"`
+
+	// Name of the group.
+	Group string `json:"group"`
+}
+
 // StreamAsk asks the node that a request began on for the rest of its answer.
 type StreamAsk struct {
 	// Client account that asks.
