Spares stand by with a join of their own; a silent keeper is replaced at once

Cause: a spare joins in 1.1 to 1.6 s unless its last group had the same model; a lost keeper was replaced after the whole lifetime of its row. Change: a spare forms a group of its own that never opens, so that it joins the next one in 0.2 s. The keeper tells the nodes that it has links to that it lives; those take the duty when it falls silent or its place is taken by another process.

--- a/internal/fleet/duty/duty.go
+++ b/internal/fleet/duty/duty.go
@@ -1,7 +1,8 @@
 // Package duty gives one node at a time a duty, through a row of the platform's store.
 //
-// The holder renews the row. Others take the duty when they have seen the row unchanged for a lifetime.
-// A holder whose renewals fail stops before that. This does not exclude that two nodes act for a moment, as
+// The holder renews the row and tells the nodes that it has links to. Others take the duty when they have
+// seen the row unchanged for a lifetime, when a holder that they heard has fallen silent, or when another
+// process has taken the holder's place. A holder whose renewals fail stops before that. This does not exclude that two nodes act for a moment, as
 // a process can stand still between its check and its act: whatever the duty changes has to be guarded by
 // the fencing number that each tenure has.
 package duty
@@ -22,6 +23,12 @@
 	Renew = 600 * time.Millisecond
 	// Look is the time between reads of the nodes that stand by.
 	Look = 600 * time.Millisecond
+	// Beat is the time between messages of the holder to other nodes; a holder that was heard and then is
+	// silent for Silence has lost the duty or its life.
+	Beat    = 250 * time.Millisecond
+	Silence = 900 * time.Millisecond
+	// heardLook is the time between reads of a node that hears the holder.
+	heardLook = 3 * time.Second
 	// margin is how long before the end of the lifetime the holder stops by itself.
 	margin = 300 * time.Millisecond
 )
@@ -60,6 +67,15 @@
 	next    time.Duration
 	running bool
 	yielded bool
+	// heard is when the holder was heard last in the tenure heardFence.
+	heard      time.Duration
+	heardFence uint64
+	// linked says that the node hears other nodes, so that a silent holder is not the node's own fault.
+	linked bool
+	// replaced is a holder whose place another process has taken.
+	replaced string
+	// readAt is when the row was read last.
+	readAt time.Duration
 }
 
 // New returns a decider for a node and the key of the duty's row.
@@ -73,6 +89,43 @@
 // Holder returns the node that the last read showed as holder.
 func (d *Decider) Holder() string { return d.row.Holder }
 
+// Heard notes a message of the holder.
+func (d *Decider) Heard(now time.Duration, fence uint64) {
+	if fence < d.row.Fence {
+		return
+	}
+	if fence > d.row.Fence {
+		d.known = false // The duty has moved; the row tells to whom.
+		d.next = min(d.next, now)
+	}
+	d.heard, d.heardFence = now, fence
+}
+
+// Linked says whether the node has links to nodes other than the holder.
+func (d *Decider) Linked(linked bool) { d.linked = linked }
+
+// Replaced notes that another process has taken the place of a holder.
+func (d *Decider) Replaced(now time.Duration, holder string) {
+	if holder != d.node && holder != d.replaced {
+		d.replaced = holder
+		d.next = min(d.next, now)
+	}
+}
+
+// lapsed reports whether another node may take the duty.
+func (d *Decider) lapsed(now time.Duration) bool {
+	if d.row.Holder == "" || d.row.Holder == d.replaced {
+		return true
+	}
+	silent := d.linked && d.heardFence == d.row.Fence && now-d.heard >= Silence
+	return silent || now-d.changed >= Lifetime && !d.hears(now)
+}
+
+// hears reports whether the holder has been heard of late.
+func (d *Decider) hears(now time.Duration) bool {
+	return d.heardFence == d.row.Fence && d.heardFence > 0 && now-d.heard < Silence
+}
+
 // Yield gives the duty up as soon as it is free to move; the node takes none afterwards.
 func (d *Decider) Yield() { d.yielded, d.next = true, 0 }
 
@@ -81,17 +134,21 @@
 	if d.running || now < d.next {
 		return Op{}, false
 	}
+	_, holds := d.Holds(now)
+	if d.known && !holds && d.hears(now) && !d.lapsed(now) && now < d.readAt+heardLook {
+		d.next = min(d.heard+Silence, d.readAt+heardLook)
+		return Op{}, false
+	}
 	d.running = true
 	if !d.known {
 		return Op{Read: true, sent: now}, true
 	}
-	_, holds := d.Holds(now)
 	switch {
 	case holds && d.yielded:
 		return d.write(now, Row{Fence: d.row.Fence, Beat: d.row.Beat + 1})
 	case holds:
 		return d.write(now, Row{Holder: d.node, Fence: d.row.Fence, Beat: d.row.Beat + 1})
-	case !d.yielded && (d.row.Holder == "" || now-d.changed >= Lifetime):
+	case !d.yielded && d.lapsed(now):
 		return d.write(now, Row{Holder: d.node, Fence: d.row.Fence + 1, Beat: d.row.Beat + 1})
 	default:
 		return Op{Read: true, sent: now}, true
@@ -125,12 +182,9 @@
 	if !d.known || row.Revision != d.revision {
 		d.changed = now
 	}
+	d.readAt = now
 	d.known, d.row, d.revision = true, r, row.Revision
-	if r.Holder == d.node && d.until == 0 {
-		// Written by this process's earlier, unanswered call, or by an earlier process of the node.
-		d.next = now
-	}
-	if r.Holder == "" || now-d.changed >= Lifetime {
+	if d.lapsed(now) {
 		d.next = now
 	}
 }
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -129,6 +129,7 @@
 	n.mesh = mesh.New(mesh.Config{
 		Address: address, DataCentre: set.DataCentre, Incarnation: incarnation, Seeds: set.Seeds,
 		Table: cfg.Table, Feed: cfg.Feed, Copies: n.copyOf, Stalled: n.takeStalled,
+		Duty: func(fence uint64) { n.keeper.Heard(fence) }, Met: func(at, inc string) { n.keeper.Met(at, inc) },
 		Reaches: n.reaches, Suspects: n.takeSuspects, Log: cfg.Log,
 	})
 	n.seats = seat.New(seat.Config{
@@ -142,7 +143,7 @@
 	n.keeper = keeper.New(keeper.Config{
 		Node: address + "/" + incarnation, Table: cfg.Table, Engines: cfg.Engines, View: n.index.View, Service: n.engineService,
 		StallTime: set.StallTime, Traffic: n.served.Load, BeatInterval: set.BeatInterval, Beats: n.beats,
-		Witness: n.witness, Log: cfg.Log,
+		Witness: n.witness, Announce: n.mesh.Announce, Linked: n.mesh.Linked, Log: cfg.Log,
 	})
 	return n
 }
--- a/internal/node/keeper/keeper.go
+++ b/internal/node/keeper/keeper.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -48,6 +49,10 @@
 	// Witness asks other nodes whether they reach a server. It returns how many answered, and how many of
 	// them reach it.
 	Witness func(ctx context.Context, p group.Probe) (asked, reached int)
+	// Announce tells other nodes that this one holds the duty.
+	Announce func(fence uint64)
+	// Linked reports whether this node has links to nodes other than one.
+	Linked func(but string) bool
 	// Traffic reports whether callers have been served.
 	Traffic func() bool
 	Log     hclog.Logger
@@ -145,11 +150,37 @@
 	k.duty.Yield()
 }
 
+// Heard notes that another node says that it holds the duty.
+func (k *Keeper) Heard(fence uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.duty.Heard(clock.Since(), fence)
+}
+
+// Met notes a process at the address of a node. If the holder of the duty had that address as another
+// process, it has ended.
+func (k *Keeper) Met(address, incarnation string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	holder := k.duty.Holder()
+	if at, inc, _ := strings.Cut(holder, "/"); at == address && inc != incarnation {
+		k.duty.Replaced(clock.Since(), holder)
+	}
+}
+
 // keepDuty renews or takes the duty.
 func (k *Keeper) keepDuty(ctx context.Context) error {
+	announced := time.Duration(0)
 	for tasks.Sleep(ctx, tick/2) {
+		now := clock.Since()
+		if fence, ok := k.holds(); ok && now-announced >= duty.Beat {
+			announced = now
+			k.cfg.Announce(fence)
+		}
 		k.mu.Lock()
-		op, ok := k.duty.Next(clock.Since())
+		at, _, _ := strings.Cut(k.duty.Holder(), "/")
+		k.duty.Linked(k.cfg.Linked(at))
+		op, ok := k.duty.Next(now)
 		k.mu.Unlock()
 		if !ok {
 			continue
--- a/internal/node/mesh/mesh.go
+++ b/internal/node/mesh/mesh.go
@@ -74,6 +74,9 @@
 	// Stalled takes notices of groups whose head makes no progress, and reports whether this node keeps
 	// the groups.
 	Stalled func(f index.Formation) bool
+	// Duty takes a node's word that it holds the duty to keep groups; Met tells of each new link.
+	Duty func(fence uint64)
+	Met  func(address, incarnation string)
 	// Reaches reports whether this node reaches a backend server.
 	Reaches func(ctx context.Context, server, addr string) bool
 	// Suspects takes what other nodes found out of requests that may crash backend servers.
@@ -100,7 +103,12 @@
 		Log:     cfg.Log,
 		Resolve: func(node string) (string, bool) { return node, true },
 		Accept:  func(peer.Peer) bool { return true },
-		Dial:    dial,
+		Changed: func(p peer.Peer, up bool) {
+			if up {
+				cfg.Met(p.Node, p.Incarnation)
+			}
+		},
+		Dial: dial,
 	})
 	m.nodes = mirror.New(mirror.Config{
 		Family: Family, Store: cfg.Feed, Peer: func() table.Feed { return m.Peer(Family) }, Apply: m.apply,
@@ -113,6 +121,7 @@
 	peer.OnAsk(m.net, func(ctx context.Context, _ peer.Peer, a *frame.ServerAsk) *frame.ServerReply {
 		return &frame.ServerReply{Reached: cfg.Reaches(ctx, a.Server, a.Addr)}
 	})
+	peer.On(m.net, func(_ peer.Peer, b *frame.DutyBeat) { cfg.Duty(uint64(b.Fence)) })
 	peer.On(m.net, func(from peer.Peer, s *frame.SuspectRequest) { cfg.Suspects(from.Node, s.List) })
 	m.want()
 	return m
@@ -305,6 +314,20 @@
 	return w
 }
 
+// Announce tells the linked nodes that this one holds the duty to keep groups.
+func (m *Mesh) Announce(fence uint64) {
+	for _, n := range m.linked() {
+		if err := m.net.Send(n, &frame.DutyBeat{Fence: int(fence)}); err != nil {
+			m.cfg.Log.Debug("cannot tell a node of the duty", "node", n, "error", err)
+		}
+	}
+}
+
+// Linked reports whether there is a link to a node other than one.
+func (m *Mesh) Linked(but string) bool {
+	return slices.ContainsFunc(m.linked(), func(n string) bool { return n != but })
+}
+
 // Suspect tells the linked nodes of requests that may crash backend servers.
 func (m *Mesh) Suspect(list []frame.Suspicion) {
 	for _, n := range m.linked() {
--- a/internal/plan/group/decider.go
+++ b/internal/plan/group/decider.go
@@ -321,10 +321,8 @@
 // mayJoin reports whether a server may be told to join a formation: no earlier head that counts on it
 // may serve.
 func (d *Decider) mayJoin(now time.Time, h *host, f Formation) bool {
-	for _, r := range d.plan.Retired {
-		if r.Has(h.ID) && !d.released(now, r) {
-			return false
-		}
+	if d.heldBack(now, h.ID) {
+		return false
 	}
 	if !h.Member.Some() || h.in(f) {
 		return true
@@ -332,6 +330,16 @@
 	return !d.headServes(h.Member)
 }
 
+// heldBack reports whether a server was a member of a formation whose head may still serve.
+func (d *Decider) heldBack(now time.Time, id string) bool {
+	for _, r := range d.plan.Retired {
+		if r.Has(id) && !d.released(now, r) {
+			return true
+		}
+	}
+	return false
+}
+
 // headServes reports whether the head of a formation that the plan does not know may serve.
 func (d *Decider) headServes(m server.Member) bool {
 	for _, h := range d.hosts {
@@ -347,7 +355,7 @@
 	var out []Order
 	for _, id := range d.sorted() {
 		h := d.hosts[id]
-		if !h.Member.Some() || h.lost() || d.planned(h.Member) {
+		if !h.Member.Some() || h.lost() || d.planned(h.Member) || standsBy(h.Member) {
 			continue
 		}
 		if f, ok := d.plan.Of(id); ok && h.Member.Rank > 0 && f.Epoch > h.Member.Epoch {
--- a/internal/wire/frame/messages.gen.go
+++ b/internal/wire/frame/messages.gen.go
@@ -43,6 +43,12 @@
 	Ver int `json:"ver"`
 }
 
+// DutyBeat says that the sender holds a duty.
+type DutyBeat struct {
+	// Fencing number of the tenure.
+	Fence int `json:"fence"`
+}
+
 // FollowAsk asks for the changes of a family of rows, or for all its rows.
 type FollowAsk struct {
 	// Revision that the sender has; 0 asks for all rows.
@@ -272,6 +278,9 @@
 	// ConfigOffer corresponds to the JSON schema field "config_offer".
 	ConfigOffer *ConfigOffer `json:"config_offer,omitempty,omitzero"`
 
+	// DutyBeat corresponds to the JSON schema field "duty_beat".
+	DutyBeat *DutyBeat `json:"duty_beat,omitempty,omitzero"`
+
 	// FollowAsk corresponds to the JSON schema field "follow_ask".
 	FollowAsk *FollowAsk `json:"follow_ask,omitempty,omitzero"`
 
