Follow rows from node to node; one node of a data centre reads the store

Change: nodes follow the tree that the roster gives (all follow the first of their data centre in a small fleet); a copy whose upstream fails follows the store, and any other node while the store fails.

--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -1,6 +1,7 @@
-// Package mirror keeps a copy of a family of rows of the platform's store in memory. The copy follows
-// the store and, while the store does not serve this node, the copies of other nodes. Each copy can be
-// followed itself, so one node that the store serves is enough for all that reach it.
+// Package mirror keeps a copy of a family of rows of the platform's store in memory. A few nodes follow
+// the store itself; the others follow the copies of those, so that the store's work does not grow with the
+// number of nodes. A copy whose upstream fails follows the store, and while the store does not serve its
+// node, any other node that it serves.
 package mirror
 
 import (
@@ -29,8 +30,10 @@
 	// retryMin and retryMax bound the pause after a failed read.
 	retryMin = 50 * time.Millisecond
 	retryMax = 400 * time.Millisecond
-	// storeRetry is the time between tries of the store while another node is followed.
+	// storeRetry is the time between tries of the store while another node is followed for want of it.
 	storeRetry = time.Second
+	// distrust is how long an upstream that failed is not followed.
+	distrust = 800 * time.Millisecond
 )
 
 // historyRows is how many changes a copy remembers for those that follow it.
@@ -49,11 +52,13 @@
 	// Family is the family of rows, without a slash.
 	Family string
 	Store  table.Feed
+	// Upstream returns the copy of the node that this one follows, or nil if it follows the store.
+	Upstream func() table.Feed
 	// Peer returns another node's copy to follow while the store does not answer, or nil.
 	Peer func() table.Feed
 	// Apply is called with each change, one at a time and in order.
 	Apply func(u Update)
-	// Store is called when the store begins or ceases to answer. It may be nil.
+	// Reached is called when the copy begins or ceases to be kept up to date. It may be nil.
 	Reached func(reached bool)
 	// Pause is the least time between two reads, so that changes that come together cost one call.
 	Pause time.Duration
@@ -73,7 +78,6 @@
 	floor   uint64
 	changed chan struct{}
 	reached bool
-	asOf    time.Time
 }
 
 // change is one entry of the history.
@@ -93,38 +97,65 @@
 	if cfg.Peer == nil {
 		cfg.Peer = func() table.Feed { return nil }
 	}
+	if cfg.Upstream == nil {
+		cfg.Upstream = cfg.Peer
+	}
 	return &Copy{cfg: cfg, rows: make(map[string]table.Row), changed: make(chan struct{}), reached: true}
 }
 
-// Run follows the store until ctx ends.
+// Run keeps the copy up to date until ctx ends.
 func (c *Copy) Run(ctx context.Context) error {
+	var distrusted time.Time
 	for ctx.Err() == nil {
 		begun := time.Now()
-		err := c.pull(ctx, c.cfg.Store, wait)
-		c.note(ctx, err)
-		if err != nil {
-			c.followPeer(ctx)
-			tasks.Sleep(ctx, retryMin+rand.N(retryMax-retryMin))
-			continue
+		if up := c.cfg.Upstream(); up != nil && begun.After(distrusted) {
+			err := c.pull(ctx, up, peerWait)
+			if err == nil {
+				c.note(ctx, nil)
+				tasks.Sleep(ctx, c.cfg.Pause-time.Since(begun))
+				continue
+			}
+			distrusted = time.Now().Add(distrust)
+			c.cfg.Log.Debug("upstream does not answer", "family", c.cfg.Family, "error", err)
 		}
-		tasks.Sleep(ctx, c.cfg.Pause-time.Since(begun))
+		c.followStore(ctx, begun)
 	}
 	return nil
 }
 
-// followPeer reads from another node until it is time to try the store again.
-func (c *Copy) followPeer(ctx context.Context) {
+// followStore reads once from the store, or for a while from another node if the store does not answer.
+func (c *Copy) followStore(ctx context.Context, begun time.Time) {
+	err := c.pull(ctx, c.cfg.Store, wait)
+	if err == nil {
+		c.note(ctx, nil)
+		tasks.Sleep(ctx, c.cfg.Pause-time.Since(begun))
+		return
+	}
+	if !c.followPeer(ctx) {
+		c.note(ctx, err)
+	}
+	tasks.Sleep(ctx, retryMin+rand.N(retryMax-retryMin))
+}
+
+// followPeer reads from other nodes until it is time to try the store again, and reports whether one of
+// them answered.
+func (c *Copy) followPeer(ctx context.Context) bool {
 	until := time.Now().Add(storeRetry)
+	answered := false
 	for ctx.Err() == nil && time.Now().Before(until) {
 		peer := c.cfg.Peer()
 		if peer == nil {
-			return
+			return answered
 		}
 		if err := c.pull(ctx, peer, min(peerWait, time.Until(until))); err != nil {
 			c.cfg.Log.Debug("cannot follow another node", "family", c.cfg.Family, "error", err)
-			return
+			tasks.Sleep(ctx, retryMin)
+			continue
 		}
+		answered = true
+		c.note(ctx, nil)
 	}
+	return answered
 }
 
 // note tells of the beginning and the end of an outage.
@@ -138,9 +169,9 @@
 		return
 	}
 	if reached {
-		c.cfg.Log.Info("store answers again", "family", c.cfg.Family, "revision", c.Revision())
+		c.cfg.Log.Info("rows are kept up to date again", "family", c.cfg.Family, "revision", c.Revision())
 	} else {
-		c.cfg.Log.Warn("store does not answer", "family", c.cfg.Family, "revision", c.Revision(), "error", err)
+		c.cfg.Log.Warn("rows are not kept up to date", "family", c.cfg.Family, "revision", c.Revision(), "error", err)
 	}
 	c.cfg.Reached(reached)
 }
@@ -153,10 +184,9 @@
 	if !known {
 		return c.load(ctx, from)
 	}
-	begun := time.Now()
-	ctx2, cancel := context.WithTimeout(ctx, wait+readMargin)
+	callCtx, cancel := context.WithTimeout(ctx, wait+readMargin)
 	defer cancel()
-	d, err := from.Changes(ctx2, c.cfg.Family, after, wait)
+	d, err := from.Changes(callCtx, c.cfg.Family, after, wait)
 	if errors.Is(err, table.ErrHistoryLost) {
 		c.cfg.Log.Info("history was lost, reading all rows", "family", c.cfg.Family, "revision", after)
 		return c.load(ctx, from)
@@ -164,13 +194,12 @@
 	if err != nil {
 		return errors.Newf("read changes of %s: %w", c.cfg.Family, err)
 	}
-	c.apply(d, begun)
+	c.apply(d)
 	return nil
 }
 
 // load reads the whole family. A state that is older than the copy is not taken.
 func (c *Copy) load(ctx context.Context, from table.Feed) error {
-	begun := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
 	s, err := from.Snapshot(ctx, c.cfg.Family)
@@ -186,17 +215,16 @@
 	for _, r := range s.Rows {
 		c.rows[r.Key] = r
 	}
-	c.known, c.revision, c.asOf = true, s.Revision, begun
+	c.known, c.revision = true, s.Revision
 	c.history, c.floor = c.history[:0], s.Revision
 	c.cfg.Apply(Update{Full: true, Put: s.Rows})
 	c.wake()
 	return nil
 }
 
-func (c *Copy) apply(d table.Delta, begun time.Time) {
+func (c *Copy) apply(d table.Delta) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.asOf = begun
 	u := Update{}
 	for _, r := range d.Changed {
 		if old, ok := c.rows[r.Key]; ok && old.Revision >= r.Revision {
@@ -251,14 +279,7 @@
 	return c.revision
 }
 
-// AsOf returns a time at which the copy was true, zero for never.
-func (c *Copy) AsOf() time.Time {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.asOf
-}
-
-// Reached reports whether the last read of the store was answered.
+// Reached reports whether the copy is kept up to date.
 func (c *Copy) Reached() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -269,7 +290,7 @@
 func (c *Copy) Snapshot(context.Context, string) (table.State, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.known {
+	if !c.known || !c.reached {
 		return table.State{}, table.ErrUnavailable
 	}
 	s := table.State{Revision: c.revision, Rows: make([]table.Row, 0, len(c.rows))}
@@ -291,7 +312,9 @@
 		select {
 		case <-changed:
 		case <-t.C:
-			return d, nil
+			// The copy may have ceased to be kept up to date meanwhile.
+			d, _, err := c.since(after)
+			return d, err
 		case <-ctx.Done():
 			return table.Delta{}, errors.Mark(errors.Newf("wait for changes: %w", ctx.Err()), table.ErrUnavailable)
 		}
@@ -303,7 +326,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case !c.known:
+	case !c.known || !c.reached:
 		return table.Delta{}, nil, table.ErrUnavailable
 	case after < c.floor:
 		return table.Delta{}, nil, table.ErrHistoryLost
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -40,8 +40,6 @@
 	CallerAddress string
 	ReadyAddress  string
 	StoreAddress  string
-	// Seeds are addresses for links of nodes that may be up.
-	Seeds []string
 	// PeerPort is for links of other nodes, MetricsPort for the metrics page, both on IP.
 	PeerPort    int
 	MetricsPort int
@@ -127,7 +125,7 @@
 	n.servers = n.copy(cfg.Decoder.Families().Servers, n.applyServers, n.reached)
 	n.wishes = n.copy(cfg.Decoder.Families().Operator, n.applyWishes, nil)
 	n.mesh = mesh.New(mesh.Config{
-		Address: address, DataCentre: set.DataCentre, Incarnation: incarnation, Seeds: set.Seeds,
+		Address: address, DataCentre: set.DataCentre, Incarnation: incarnation,
 		Table: cfg.Table, Feed: cfg.Feed, Copies: n.copyOf, Stalled: n.takeStalled,
 		Duty: func(fence uint64) { n.keeper.Heard(fence) }, Met: func(at, inc string) { n.keeper.Met(at, inc) },
 		Reaches: n.reaches, Suspects: n.takeSuspects, Log: cfg.Log,
@@ -151,7 +149,8 @@
 // copy returns a copy of a family that follows other nodes while the store does not answer.
 func (n *Node) copy(family string, apply func(mirror.Update), reached func(bool)) *mirror.Copy {
 	return mirror.New(mirror.Config{
-		Family: family, Store: n.cfg.Feed, Peer: func() table.Feed { return n.mesh.Peer(family) },
+		Family: family, Store: n.cfg.Feed,
+		Upstream: func() table.Feed { return n.mesh.Upstream(family) }, Peer: func() table.Feed { return n.mesh.Peer(family) },
 		Apply: apply, Reached: reached, Pause: readPause, Log: n.cfg.Log,
 	})
 }
--- a/internal/node/mesh/mesh.go
+++ b/internal/node/mesh/mesh.go
@@ -1,8 +1,7 @@
 // Package mesh links the nodes of a platform: it finds them through rows of the store, lets them follow
 // each other's copies of rows while the store does not serve some of them, and carries notices.
 //
-// A node is named by the address of its links, so that one that the store does not serve can ask the
-// nodes that its settings name.
+// A node is named by the address of its links.
 package mesh
 
 import (
@@ -21,25 +20,17 @@
 	"geraniumhollow/internal/core/tasks"
 	"geraniumhollow/internal/fleet/index"
 	"geraniumhollow/internal/fleet/mirror"
+	"geraniumhollow/internal/fleet/roster"
 	"geraniumhollow/internal/plat/table"
 	"geraniumhollow/internal/wire/frame"
 	"geraniumhollow/internal/wire/peer"
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
-	"github.com/zeebo/xxh3"
 )
 
 // Family is the family of rows in which nodes register.
 const Family = "nodes"
 
-// Bounds of the links that a node keeps.
-const (
-	// allLinks is the size of a fleet up to which each node links to all others.
-	allLinks = 12
-	// fewLinks is how many links a node keeps in a larger fleet.
-	fewLinks = 4
-)
-
 // Times of the mesh.
 const (
 	// noticeTimeout bounds the delivery of a notice.
@@ -48,6 +39,10 @@
 	registerRetry = 700 * time.Millisecond
 	// dialTimeout bounds a new link.
 	dialTimeout = 500 * time.Millisecond
+	// outAfter is how long a wanted link may be missing before its node is left out of the topology.
+	outAfter = 1200 * time.Millisecond
+	// lookInterval is the time between looks for nodes to leave out.
+	lookInterval = 400 * time.Millisecond
 )
 
 // silence ends links whose other side has gone silent.
@@ -65,10 +60,8 @@
 	Address     string
 	DataCentre  string
 	Incarnation string
-	// Seeds are addresses of nodes that may be up.
-	Seeds []string
-	Table table.Table
-	Feed  table.Feed
+	Table       table.Table
+	Feed        table.Feed
 	// Copies are the copies that other nodes may follow, by family.
 	Copies func(family string) *mirror.Copy
 	// Stalled takes notices of groups whose head makes no progress, and reports whether this node keeps
@@ -93,25 +86,31 @@
 	mu      sync.Mutex
 	members map[string]Row
 	turn    int
+	topo    *roster.Topology
+	// wanted is since when links have been wanted that do not exist; out are nodes that are left out.
+	wanted map[string]time.Time
+	out    sets.Set[string]
+	// upstream is the node whose copies this one follows, "" for the store.
+	upstream string
 }
 
 // New returns a mesh that has not started.
 func New(cfg Config) *Mesh {
-	m := &Mesh{cfg: cfg, members: make(map[string]Row)}
+	m := &Mesh{
+		cfg: cfg, members: make(map[string]Row), topo: roster.NewTopology(nil),
+		wanted: make(map[string]time.Time), out: sets.New[string](),
+	}
 	m.net = peer.New(peer.Config{
 		Self:    peer.Peer{Node: cfg.Address, Incarnation: cfg.Incarnation, DataCentre: cfg.DataCentre},
 		Log:     cfg.Log,
 		Resolve: func(node string) (string, bool) { return node, true },
 		Accept:  func(peer.Peer) bool { return true },
-		Changed: func(p peer.Peer, up bool) {
-			if up {
-				cfg.Met(p.Node, p.Incarnation)
-			}
-		},
-		Dial: dial,
+		Changed: m.changed,
+		Dial:    dial,
 	})
 	m.nodes = mirror.New(mirror.Config{
-		Family: Family, Store: cfg.Feed, Peer: func() table.Feed { return m.Peer(Family) }, Apply: m.apply,
+		Family: Family, Store: cfg.Feed, Apply: m.apply,
+		Upstream: func() table.Feed { return m.Upstream(Family) }, Peer: func() table.Feed { return m.Peer(Family) },
 		Pause: registerRetry, Log: cfg.Log,
 	})
 	peer.OnAsk(m.net, m.follow)
@@ -123,7 +122,6 @@
 	})
 	peer.On(m.net, func(_ peer.Peer, b *frame.DutyBeat) { cfg.Duty(uint64(b.Fence)) })
 	peer.On(m.net, func(from peer.Peer, s *frame.SuspectRequest) { cfg.Suspects(from.Node, s.List) })
-	m.want()
 	return m
 }
 
@@ -143,6 +141,9 @@
 	g.Go("links", func(ctx context.Context) error { return m.net.Run(ctx, ln) })
 	g.Go("members", m.nodes.Run)
 	g.Go("register", m.register)
+	g.Go("topology", func(ctx context.Context) error {
+		return tasks.Every(ctx, lookInterval, func(context.Context) { m.arrange() })
+	})
 	if err := g.Wait(); err != nil {
 		return errors.Newf("mesh: %w", err)
 	}
@@ -195,10 +196,21 @@
 	for _, k := range u.Removed {
 		delete(m.members, strings.TrimPrefix(k, Family+"/"))
 	}
+	places := make([]roster.Place, 0, len(m.members))
+	for node, row := range m.members {
+		places = append(places, roster.Place{Node: node, DataCentre: row.DataCentre})
+	}
+	m.topo = roster.NewTopology(places)
+	for node := range m.wanted {
+		if _, ok := m.members[node]; !ok {
+			delete(m.wanted, node)
+			m.out.Remove(node)
+		}
+	}
 	n := len(m.members)
 	m.mu.Unlock()
 	m.cfg.Log.Info("nodes changed", "nodes", n)
-	m.want()
+	m.arrange()
 }
 
 // Size returns the number of registered nodes.
@@ -208,46 +220,91 @@
 	return len(m.members)
 }
 
-// want keeps links to all nodes of a small fleet, or to a few of a large one: those to which the hash of
-// the pair is highest, so that links spread evenly.
-func (m *Mesh) want() {
+// changed takes the beginning or the end of a link.
+func (m *Mesh) changed(p peer.Peer, up bool) {
+	if up {
+		m.cfg.Met(p.Node, p.Incarnation)
+	}
+	m.arrange()
+}
+
+// arrange leaves out nodes to which there is no link, and keeps the links of the topology without them.
+func (m *Mesh) arrange() {
 	m.mu.Lock()
-	list := slices.Collect(maps.Keys(m.members))
-	m.mu.Unlock()
-	if len(list) == 0 {
-		list = slices.Clone(m.cfg.Seeds)
+	defer m.mu.Unlock()
+	now := time.Now()
+	for node := range m.out {
+		if _, ok := m.net.Peer(node); ok {
+			m.out.Remove(node)
+		}
 	}
-	list = slices.DeleteFunc(list, func(n string) bool { return n == m.cfg.Address })
-	if len(list) > allLinks {
-		slices.SortFunc(list, func(a, b string) int {
-			return cmp.Compare(xxh3.HashString(m.cfg.Address+b), xxh3.HashString(m.cfg.Address+a))
-		})
-		list = list[:fewLinks]
+	for node, since := range m.wanted {
+		if _, ok := m.net.Peer(node); ok {
+			delete(m.wanted, node)
+		} else if now.Sub(since) >= outAfter {
+			m.out.Add(node)
+		}
+	}
+	neighbours := m.topo.Neighbours(m.cfg.Address, m.out)
+	want := slices.Collect(maps.Keys(neighbours))
+	for _, node := range want {
+		if _, ok := m.net.Peer(node); !ok {
+			if _, waits := m.wanted[node]; !waits {
+				m.wanted[node] = now
+			}
+		}
 	}
-	m.net.Want("mesh", list)
+	m.follows(neighbours)
+	// Nodes that are left out are tried on, so that they are found when they are back.
+	m.net.Want("mesh", append(want, sets.Sorted(m.out)...))
 }
 
-// linked returns the wanted nodes to which there is a link, starting with another one at each call.
-func (m *Mesh) linked() []string {
+// follows finds the node whose copies this one follows. The lock must be held.
+func (m *Mesh) follows(neighbours map[string]roster.Relation) {
+	up := ""
+	for node, rel := range neighbours {
+		if rel == roster.Parent {
+			up = node
+		}
+	}
+	if root := m.topo.RootOf(m.cfg.DataCentre, m.out); up == "" && root != m.cfg.Address {
+		if _, ok := neighbours[root]; ok {
+			up = root
+		}
+	}
+	if up != m.upstream {
+		m.upstream = up
+		m.cfg.Log.Info("follows another source of rows", "node", cmp.Or(up, "store"), "left_out", len(m.out))
+	}
+}
+
+// Upstream returns the copy of a family that this node follows, or nil if it follows the store.
+func (m *Mesh) Upstream(family string) table.Feed {
 	m.mu.Lock()
-	names := slices.Sorted(maps.Keys(m.members))
-	m.turn++
-	turn := m.turn
+	up := m.upstream
 	m.mu.Unlock()
-	all := sets.New(names...)
-	for _, s := range m.cfg.Seeds {
-		if all.Add(s) {
-			names = append(names, s)
-		}
+	if up == "" {
+		return nil
 	}
+	if _, ok := m.net.Peer(up); !ok {
+		return nil
+	}
+	return remote{m: m, node: up, family: family}
+}
+
+// linked returns the nodes to which there is a link, starting with another one at each call.
+func (m *Mesh) linked() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	var out []string
-	for _, n := range names {
+	for _, n := range slices.Sorted(maps.Keys(m.members)) {
 		if _, ok := m.net.Peer(n); ok && n != m.cfg.Address {
 			out = append(out, n)
 		}
 	}
+	m.turn++
 	if len(out) > 1 {
-		k := turn % len(out)
+		k := m.turn % len(out)
 		out = slices.Concat(out[k:], out[:k])
 	}
 	return out
