Tell nodes of new revisions, and read the store each second

Change: a node that has a new revision of what operators want says so to its neighbours, which read it from there; reads of the store wait 1 s.

--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -18,13 +18,12 @@
 
 // Times of a copy.
 const (
-	// wait is how long one read for changes stays open. A connection that has gone silent costs at most
-	// this and readMargin before it is noticed.
-	wait = 4 * time.Second
+	// defaultWait is how long one read for changes stays open where the configuration does not say.
+	defaultWait = 4 * time.Second
 	// peerWait is the same for reads from other nodes, shorter so that the store is tried again soon.
 	peerWait = time.Second
-	// readMargin is added to the wait for the deadline of a read.
-	readMargin = time.Second
+	// readMargin is added to the wait for the deadline of a read. It covers a store that is slow.
+	readMargin = 350 * time.Millisecond
 	// snapshotTimeout bounds the read of a whole family.
 	snapshotTimeout = 3 * time.Second
 	// retryMin and retryMax bound the pause after a failed read.
@@ -32,6 +31,8 @@
 	retryMax = 400 * time.Millisecond
 	// storeRetry is the time between tries of the store while another node is followed for want of it.
 	storeRetry = time.Second
+	// hintDelay is how long a revision that another node has may take to come from the copy's own source.
+	hintDelay = 80 * time.Millisecond
 	// distrust is how long an upstream that failed is not followed.
 	distrust = 800 * time.Millisecond
 )
@@ -60,6 +61,12 @@
 	Apply func(u Update)
 	// Reached is called when the copy begins or ceases to be kept up to date. It may be nil.
 	Reached func(reached bool)
+	// Advanced is called with each new revision, so that other nodes hear of it. It must not block. It may be
+	// nil.
+	Advanced func(revision uint64)
+	// Wait is how long one read of the store stays open, 0 for a default. A source that has gone silent is
+	// noticed after this time and a margin, so it bounds how old the copy may be without its node knowing.
+	Wait time.Duration
 	// Pause is the least time between two reads, so that changes that come together cost one call.
 	Pause time.Duration
 	Log   hclog.Logger
@@ -78,6 +85,13 @@
 	floor   uint64
 	changed chan struct{}
 	reached bool
+	hints   chan hint
+}
+
+// hint is another node's word that it has a revision.
+type hint struct {
+	revision uint64
+	from     table.Feed
 }
 
 // change is one entry of the history.
@@ -94,17 +108,64 @@
 	if cfg.Reached == nil {
 		cfg.Reached = func(bool) {}
 	}
+	if cfg.Wait == 0 {
+		cfg.Wait = defaultWait
+	}
 	if cfg.Peer == nil {
 		cfg.Peer = func() table.Feed { return nil }
 	}
+	if cfg.Advanced == nil {
+		cfg.Advanced = func(uint64) {}
+	}
 	if cfg.Upstream == nil {
 		cfg.Upstream = cfg.Peer
 	}
-	return &Copy{cfg: cfg, rows: make(map[string]table.Row), changed: make(chan struct{}), reached: true}
+	return &Copy{cfg: cfg, rows: make(map[string]table.Row), changed: make(chan struct{}), reached: true, hints: make(chan hint, 1)}
 }
 
 // Run keeps the copy up to date until ctx ends.
 func (c *Copy) Run(ctx context.Context) error {
+	g := tasks.New(ctx)
+	g.Go("follow", c.follow)
+	g.Go("catch up", c.catchUp)
+	if err := g.Wait(); err != nil {
+		return errors.Newf("copy of %s: %w", c.cfg.Family, err)
+	}
+	return nil
+}
+
+// Hint says that another node has a revision. If the copy does not reach it by itself soon, it is read from
+// that node: the source of this copy may have gone silent.
+func (c *Copy) Hint(revision uint64, from table.Feed) {
+	select {
+	case c.hints <- hint{revision: revision, from: from}:
+	default:
+	}
+}
+
+// catchUp follows hints until ctx ends.
+func (c *Copy) catchUp(ctx context.Context) error {
+	for {
+		var h hint
+		select {
+		case <-ctx.Done():
+			return nil
+		case h = <-c.hints:
+		}
+		if !tasks.Sleep(ctx, hintDelay) {
+			return nil
+		}
+		if c.Revision() >= h.revision {
+			continue
+		}
+		if err := c.pull(ctx, h.from, 0); err != nil {
+			c.cfg.Log.Info("cannot catch up with another node", "family", c.cfg.Family, "revision", h.revision, "error", err)
+		}
+	}
+}
+
+// follow reads from the source of the copy until ctx ends.
+func (c *Copy) follow(ctx context.Context) error {
 	var distrusted time.Time
 	for ctx.Err() == nil {
 		begun := time.Now()
@@ -125,7 +186,7 @@
 
 // followStore reads once from the store, or for a while from another node if the store does not answer.
 func (c *Copy) followStore(ctx context.Context, begun time.Time) {
-	err := c.pull(ctx, c.cfg.Store, wait)
+	err := c.pull(ctx, c.cfg.Store, c.cfg.Wait)
 	if err == nil {
 		c.note(ctx, nil)
 		tasks.Sleep(ctx, c.cfg.Pause-time.Since(begun))
@@ -194,7 +255,7 @@
 	if err != nil {
 		return errors.Newf("read changes of %s: %w", c.cfg.Family, err)
 	}
-	c.apply(d)
+	c.apply(d, after)
 	return nil
 }
 
@@ -222,9 +283,14 @@
 	return nil
 }
 
-func (c *Copy) apply(d table.Delta) {
+// apply takes what changed after a revision. Two reads may be answered at the same time: one that is not
+// newer than the copy says nothing, and one that is holds the last state of each row that changed.
+func (c *Copy) apply(d table.Delta, after uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.revision != after && d.Revision <= c.revision {
+		return
+	}
 	u := Update{}
 	for _, r := range d.Changed {
 		if old, ok := c.rows[r.Key]; ok && old.Revision >= r.Revision {
@@ -247,6 +313,7 @@
 		return
 	}
 	c.cfg.Apply(u)
+	c.cfg.Advanced(c.revision)
 	c.wake()
 }
 
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -113,8 +113,15 @@
 	budgets map[string]*retry.Budget
 }
 
-// readPause is the least time between two reads of a family.
-const readPause = 20 * time.Millisecond
+// Times of the copies of rows.
+const (
+	// readPause is the least time between two reads of a family.
+	readPause = 20 * time.Millisecond
+	// readWait is how long a read of the store waits for changes. Configurations and leaving servers have to be
+	// known within 2 s, also when the store ceases to answer, or drops its history and with it the answers
+	// that are waited for.
+	readWait = time.Second
+)
 
 // New returns a node that has not started.
 func New(cfg Config) *Node {
@@ -148,11 +155,16 @@
 
 // copy returns a copy of a family that follows other nodes while the store does not answer.
 func (n *Node) copy(family string, apply func(mirror.Update), reached func(bool)) *mirror.Copy {
-	return mirror.New(mirror.Config{
+	cfg := mirror.Config{
 		Family: family, Store: n.cfg.Feed,
 		Upstream: func() table.Feed { return n.mesh.Upstream(family) }, Peer: func() table.Feed { return n.mesh.Peer(family) },
-		Apply: apply, Reached: reached, Pause: readPause, Log: n.cfg.Log,
-	})
+		Apply: apply, Reached: reached, Wait: readWait, Pause: readPause, Log: n.cfg.Log,
+	}
+	if family == n.cfg.Decoder.Families().Operator {
+		// What operators want is rare and has a bound; nodes tell each other of it.
+		cfg.Advanced = func(revision uint64) { n.mesh.Hint(family, revision) }
+	}
+	return mirror.New(cfg)
 }
 
 // copyOf returns the copy of a family that other nodes may follow.
--- a/internal/node/mesh/mesh.go
+++ b/internal/node/mesh/mesh.go
@@ -120,6 +120,11 @@
 	peer.OnAsk(m.net, func(ctx context.Context, _ peer.Peer, a *frame.ServerAsk) *frame.ServerReply {
 		return &frame.ServerReply{Reached: cfg.Reaches(ctx, a.Server, a.Addr)}
 	})
+	peer.On(m.net, func(from peer.Peer, h *frame.RowHint) {
+		if c := cfg.Copies(h.Family); c != nil {
+			c.Hint(uint64(h.Rev), remote{m: m, node: from.Node, family: h.Family})
+		}
+	})
 	peer.On(m.net, func(_ peer.Peer, b *frame.DutyBeat) { cfg.Duty(uint64(b.Fence)) })
 	peer.On(m.net, func(from peer.Peer, s *frame.SuspectRequest) { cfg.Suspects(from.Node, s.List) })
 	return m
@@ -371,6 +376,15 @@
 	return w
 }
 
+// Hint tells the linked nodes that this one has a revision of a family.
+func (m *Mesh) Hint(family string, revision uint64) {
+	for _, n := range m.linked() {
+		if err := m.net.Send(n, &frame.RowHint{Family: family, Rev: int(revision)}); err != nil {
+			m.cfg.Log.Debug("cannot tell a node of a revision", "node", n, "error", err)
+		}
+	}
+}
+
 // Announce tells the linked nodes that this one holds the duty to keep groups.
 func (m *Mesh) Announce(fence uint64) {
 	for _, n := range m.linked() {
--- a/internal/plan/group/host.go
+++ b/internal/plan/group/host.go
@@ -207,6 +207,10 @@
 	probeAgain = 50 * time.Millisecond
 	// probeUnlisted is the time between probes of a server that the registry does not have.
 	probeUnlisted = time.Second
+	// probeLost is the longest time between probes of a lost server; maxDoublings is how often the time
+	// between them doubles.
+	probeLost    = 8 * time.Second
+	maxDoublings = 3
 )
 
 // probes returns the servers to ask for their state.
@@ -217,13 +221,7 @@
 		if h.asked || h.gone {
 			continue
 		}
-		since := now.Sub(h.probed)
-		unsure := h.misses > 0 && h.misses < lostMisses && since >= probeAgain
-		unlisted := !h.listed && since >= probeUnlisted
-		if !h.suspect && !unsure && !unlisted {
-			continue
-		}
-		if h.misses >= lostMisses && since < probeUnlisted {
+		if !h.due(now) {
 			continue
 		}
 		h.asked, h.suspect, h.probed = true, false, now
@@ -232,6 +230,22 @@
 	return out
 }
 
+// due reports whether a server is to be probed now.
+func (h *host) due(now time.Time) bool {
+	since := now.Sub(h.probed)
+	switch {
+	case h.misses >= lostMisses:
+		// A lost server is asked less and less often; it is listed anew when it is back.
+		return since >= min(probeUnlisted<<min(h.misses-lostMisses, maxDoublings), probeLost)
+	case h.misses > 0:
+		return since >= probeAgain
+	case h.suspect:
+		return true
+	default:
+		return !h.listed && since >= probeUnlisted
+	}
+}
+
 // forget drops servers that have left for good.
 func (d *Decider) forget(now time.Time) {
 	for id, h := range d.hosts {
--- a/internal/plan/group/place.go
+++ b/internal/plan/group/place.go
@@ -32,7 +32,7 @@
 			return false
 		}
 		for _, id := range f.Members {
-			if h := d.hosts[id]; h != nil && !h.gone && h.in(f) {
+			if h := d.hosts[id]; h != nil && !d.dead(now, h) && h.in(f) {
 				return false
 			}
 		}
--- a/internal/wire/frame/messages.gen.go
+++ b/internal/wire/frame/messages.gen.go
@@ -323,6 +323,9 @@
 	// ProbeReply corresponds to the JSON schema field "probe_reply".
 	ProbeReply *ProbeReply `json:"probe_reply,omitempty,omitzero"`
 
+	// RowHint corresponds to the JSON schema field "row_hint".
+	RowHint *RowHint `json:"row_hint,omitempty,omitzero"`
+
 	// ServerAsk corresponds to the JSON schema field "server_ask".
 	ServerAsk *ServerAsk `json:"server_ask,omitempty,omitzero"`
 
@@ -390,6 +393,15 @@
 	Heard bool `json:"heard"`
 }
 
+// RowHint says that the sender has rows of a family as of a revision.
+type RowHint struct {
+	// Family of rows of the platform's store.
+	Family string `json:"family"`
+
+	// Revision that the sender has.
+	Rev int `json:"rev"`
+}
+
 // ServerAsk asks whether the receiver reaches a backend server that the sender
 // does not reach.
 type ServerAsk struct {
