--- a/internal/node/edge/stop.go
+++ b/internal/node/edge/stop.go
@@ -28,10 +28,10 @@
 		return nil
 	case <-asked.Done():
 	}
-	d := drain.NewNode(stopNotice, n.cfg.Settings.Grace-stopNotice-stopReserve)
+	d := drain.NewNode(stopNotice, n.settings.Load().Grace-stopNotice-stopReserve)
 	begun := time.Now()
 	d.Signal(begun)
-	n.ready.Store(false)
+	n.stopping.Store(true)
 	n.keeper.Yield()
 	n.front.AnswerLast()
 	n.cfg.Log.Info("stopping", "connections", n.front.Open(), "requests", n.front.Busy())
--- a/internal/node/keeper/keeper.go
+++ b/internal/node/keeper/keeper.go
@@ -15,6 +15,7 @@
 	"geraniumhollow/internal/fleet/server"
 	"geraniumhollow/internal/plan/group"
 	"geraniumhollow/internal/plat/table"
+	"geraniumhollow/internal/report/metric"
 	"geraniumhollow/internal/route/batch"
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
@@ -55,6 +56,7 @@
 	Linked func(but string) bool
 	// Traffic reports whether callers have been served.
 	Traffic func() bool
+	Metrics *metric.Set
 	Log     hclog.Logger
 }
 
@@ -347,9 +349,20 @@
 	}
 	k.reported = now
 	c := k.decider.Census()
+	k.cfg.Metrics.Groups(map[string]int{
+		"open": total(c.Open), "planned": total(c.Planned), "retired": c.Retired, "free": c.Free, "lost": c.Lost,
+	})
 	k.cfg.Log.Info("groups", "open", c.Open, "planned", c.Planned, "retired", c.Retired, "free", c.Free, "lost", c.Lost)
 }
 
+func total(counts map[string]int) int {
+	sum := 0
+	for _, n := range counts {
+		sum += n
+	}
+	return sum
+}
+
 // commit stores a plan. After an unknown outcome the plan is read back before anything else is done.
 func (k *Keeper) commit(ctx context.Context, p group.Plan) {
 	b, err := p.Encode()
@@ -385,6 +398,7 @@
 	defer cancel()
 	begun := time.Now()
 	accepted, err := k.cfg.Engines.Order(ctx, o)
+	k.cfg.Metrics.Order(string(o.Kind), orderResult(accepted, err))
 	k.cfg.Log.Info("gave an order", "kind", o.Kind, "server", o.Server, "group", o.Group, "epoch", o.Epoch,
 		"model", o.Model, "accepted", accepted, "ms", time.Since(begun).Milliseconds(), "error", err)
 	k.mu.Lock()
@@ -395,6 +409,18 @@
 	k.Wake()
 }
 
+// orderResult names how an order ended.
+func orderResult(accepted bool, err error) string {
+	switch {
+	case err != nil:
+		return "failed"
+	case accepted:
+		return "accepted"
+	default:
+		return "rejected"
+	}
+}
+
 func (k *Keeper) probe(ctx context.Context, p group.Probe) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
--- a/internal/node/pass/attempt.go
+++ b/internal/node/pass/attempt.go
@@ -24,15 +24,34 @@
 	if refusal != nil {
 		return result{refusal: refusal}
 	}
+	f := printOf(u.c)
+	run := u.r.deps.Crashes.begin(f, seat.Entry().ID)
+	begun := time.Now()
 	res := u.send(ctx, seat)
 	res.server = seat.Entry().ID
+	u.r.deps.Crashes.end(run, f, seat.Entry(), res.outcome, res.held == nil)
 	seat.Leave(res.outcome)
 	if !res.done {
 		u.tried.Add(res.server)
 	}
+	u.note(seat.Facts(), res, time.Since(begun))
 	return res
 }
 
+// note logs an attempt with what decided it.
+func (u *run) note(f Facts, res result, d time.Duration) {
+	u.r.deps.Metrics.AttemptEnded(attemptLabels[res.outcome])
+	u.r.deps.Log.Info("attempt ended", "request", u.c.ID, "route", u.c.Route.Name, "attempt", u.number, "server", res.server,
+		"group", f.Group, "epoch", f.Epoch, "estimate_ms", f.Estimate.Milliseconds(), "load_age_ms", f.LoadAge.Milliseconds(),
+		"running", f.Running, "waiting", f.Waiting, "outcome", res.outcome, "first_ms", f.First.Milliseconds(),
+		"events", u.events.count, "ms", d.Milliseconds(), "error", res.err)
+}
+
+// attemptLabels are the outcomes of attempts in metrics.
+var attemptLabels = map[Outcome]string{
+	Served: "answered", NotRun: "failed", Failed: "failed", Stalled: "failed", Withdrawn: "cancelled",
+}
+
 // send makes the attempt on a seat.
 func (u *run) send(ctx context.Context, seat Seat) result {
 	req := fasthttp.AcquireRequest()
@@ -122,11 +141,10 @@
 		return result{done: true, outcome: Served}
 	case errors.Is(err, errCaller):
 		u.w.Abort()
-		return result{done: true, outcome: Withdrawn, err: err}
+		return result{done: true, aborted: true, outcome: Withdrawn, err: err}
 	case !stream || !u.c.Route.Resumable:
-		u.r.deps.Log.Info("broke off an answer", "request", u.c.ID, "server", seat.Entry().ID, "error", err)
 		u.w.Abort()
-		return result{done: true, outcome: u.broken(ctx), err: err}
+		return result{done: true, aborted: true, outcome: u.broken(ctx), err: err}
 	default:
 		u.events.dropPart()
 		res := u.lost(ctx, err)
@@ -152,6 +170,7 @@
 		n, err := resp.Read(buf[:])
 		if n > 0 {
 			seat.Progress()
+			u.firstBytes()
 			out := buf[:n]
 			if stream {
 				out = u.events.add(out)
@@ -169,6 +188,14 @@
 	}
 }
 
+// firstBytes notes the time to the first bytes of the answer.
+func (u *run) firstBytes() {
+	if !u.answered {
+		u.answered = true
+		u.r.deps.Metrics.FirstEvent(time.Since(u.c.Arrived))
+	}
+}
+
 // end completes an answer.
 func (u *run) end(stream bool) error {
 	if stream {
--- a/internal/node/pass/pass.go
+++ b/internal/node/pass/pass.go
@@ -16,8 +16,10 @@
 	"geraniumhollow/internal/fleet/index"
 	"geraniumhollow/internal/node/front"
 	"geraniumhollow/internal/plat/conns"
+	"geraniumhollow/internal/report/metric"
 	"geraniumhollow/internal/route/match"
 	"geraniumhollow/internal/route/retry"
+	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 	"github.com/valyala/fasthttp"
 )
@@ -34,6 +36,22 @@
 	Answered(a Answer)
 	// Leave gives the place back.
 	Leave(o Outcome)
+	// Facts returns what the choice of the server was based on, and what came of it.
+	Facts() Facts
+}
+
+// Facts are what a place was chosen by.
+type Facts struct {
+	Group string
+	Epoch uint64
+	// Estimate is the time to the first bytes that was expected.
+	Estimate time.Duration
+	// Running and Waiting are the requests at the server as it last said, LoadAge is how old that was.
+	Running int
+	Waiting int
+	LoadAge time.Duration
+	// First is the time to the first bytes, 0 for none.
+	First time.Duration
 }
 
 // Outcome is how an attempt ended.
@@ -64,11 +82,13 @@
 type Deps struct {
 	Codec Codec
 	// Table returns the configuration in force, or nil before there is one.
-	Table func() *match.Table
-	Seats Seats
+	Table   func() *match.Table
+	Seats   Seats
+	Crashes *Crashes
 	// Budget bounds the attempts beyond the first of each request, by service.
-	Budget func(service string) *retry.Budget
-	Log    hclog.Logger
+	Budget  func(service string) *retry.Budget
+	Metrics *metric.Set
+	Log     hclog.Logger
 }
 
 // Relay serves calls. It implements front.Handler.
@@ -85,7 +105,12 @@
 func (r *Relay) Handle(ctx context.Context, req *front.Request, w *front.Writer) {
 	c, refusal := r.call(req)
 	if refusal != nil {
-		r.refuse(w, "", refusal)
+		r.refuse(w, c, refusal)
+		return
+	}
+	if refused, n := r.deps.Crashes.Refused(printOf(c)); refused {
+		r.refuse(w, c, fault.New(fault.Overloaded, fault.NotRun, "the request has crashed backend servers").
+			WithRetryAfter(retryCrash).WithCause(errors.Newf("%d servers died while they ran it", n)))
 		return
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
@@ -97,29 +122,33 @@
 const (
 	// retryUnready is for a node that has no configuration yet.
 	retryUnready = 500 * time.Millisecond
+	// retryCrash is for a request that crashes backend servers: others must not suffer from its returns.
+	retryCrash = 30 * time.Second
 	// defaultPatience is for requests that do not say how long they wait, on routes without a timeout.
 	defaultPatience = 10 * time.Second
 )
 
-// call finds the route and the account of a request.
+// call finds the route and the account of a request. With an error, the call holds what is known of it.
 func (r *Relay) call(req *front.Request) (*Call, *fault.Error) {
+	c := &Call{Arrived: req.Arrived, req: req}
 	t := r.deps.Table()
 	if t == nil {
-		return nil, fault.New(fault.NodeIsolated, fault.NotRun, "the node has no configuration yet").WithRetryAfter(retryUnready)
+		return c, fault.New(fault.NodeIsolated, fault.NotRun, "the node has no configuration yet").WithRetryAfter(retryUnready)
 	}
 	m, err := r.deps.Codec.Meta(req.Header)
 	if err != nil {
-		return nil, fault.New(fault.BadRequest, fault.NotRun, "a header is missing or malformed").WithCause(err)
+		return c, fault.New(fault.BadRequest, fault.NotRun, "a header is missing or malformed").WithCause(err)
 	}
+	c.Meta = m
 	route := t.Route(string(req.Header.Host()), pathOf(req.Header.RequestURI()))
 	if route == nil {
-		return nil, fault.New(fault.NotFound, fault.NotRun, "no route for this host and path")
+		return c, fault.New(fault.NotFound, fault.NotRun, "no route for this host and path")
 	}
-	c := &Call{Meta: m, Route: route, Priority: route.Priority, Arrived: req.Arrived, req: req}
+	c.Route, c.Priority = route, route.Priority
 	if t.HasAccounts() && !route.Public {
 		a := t.Account(m.Key)
 		if a == nil {
-			return nil, fault.New(fault.Unauthorized, fault.NotRun, "the key is not known")
+			return c, fault.New(fault.Unauthorized, fault.NotRun, "the key is not known")
 		}
 		c.Account = a.Name
 		if a.HasPriority {
@@ -128,7 +157,7 @@
 	}
 	c.Service = t.Service(route.Target(rand.Float64()))
 	if c.Service == nil {
-		return nil, fault.New(fault.NoBackend, fault.NotRun, "the route leads to no service").WithRetryAfter(retryUnready)
+		return c, fault.New(fault.NoBackend, fault.NotRun, "the route leads to no service").WithRetryAfter(retryUnready)
 	}
 	c.Deadline = deadline(c)
 	c.Fingerprint = fingerprint(c.Account, req)
@@ -147,9 +176,20 @@
 }
 
 // refuse answers with an error of the node's own.
-func (r *Relay) refuse(w *front.Writer, id string, ferr *fault.Error) {
-	r.deps.Log.Info("refused a request", "request", id, "code", ferr.Code(), "outcome", ferr.Outcome(),
-		"retry_after_ms", ferr.RetryAfter().Milliseconds(), "reason", ferr)
+func (r *Relay) refuse(w *front.Writer, c *Call, ferr *fault.Error) {
+	d := time.Since(c.Arrived)
+	r.deps.Metrics.Refused(ferr.Code())
+	r.deps.Metrics.RequestEnded(ferr.Code(), d)
+	route, version := "", uint64(0)
+	if c.Route != nil {
+		route = c.Route.Name
+	}
+	if t := r.deps.Table(); t != nil {
+		version = t.Version()
+	}
+	r.deps.Log.Info("refused a request", "request", c.ID, "route", route, "code", ferr.Code(), "outcome", ferr.Outcome(),
+		"retry_after_ms", ferr.RetryAfter().Milliseconds(), "returned", c.Route != nil && c.Returned(), "config", version,
+		"ms", d.Milliseconds(), "reason", ferr)
 	w.Refuse(ferr.Status(), func(h *fasthttp.ResponseHeader) {
 		if after := ferr.RetryAfter(); after > 0 {
 			h.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
--- a/internal/node/pass/serve.go
+++ b/internal/node/pass/serve.go
@@ -32,7 +32,9 @@
 	number int
 	// mayHaveRun is set once an attempt may have run.
 	mayHaveRun bool
-	events     events
+	// answered is set once bytes of an answer have arrived.
+	answered bool
+	events   events
 }
 
 // serve makes attempts until one has succeeded or none may follow.
@@ -44,7 +46,11 @@
 	for {
 		res := u.attempt(ctx)
 		if res.done {
-			r.deps.Log.Debug("answered a request", "request", c.ID, "attempts", u.number, "ms", time.Since(c.Arrived).Milliseconds())
+			code := fault.Code("")
+			if res.aborted {
+				code = fault.BackendFailed
+			}
+			r.deps.Metrics.RequestEnded(code, time.Since(c.Arrived))
 			return
 		}
 		if res.refusal != nil {
@@ -52,12 +58,14 @@
 			return
 		}
 		v := retry.Decide(time.Now(), u.facts(res), budget)
-		r.deps.Log.Info("attempt failed", "request", c.ID, "server", res.server, "attempt", u.number,
-			"outcome", res.outcome, "retry", v.Retry, "reason", v.Reason, "error", res.err)
-		if !v.Retry {
-			u.fail(ctx, res, v)
-			return
+		r.deps.Log.Info("decided on another attempt", "request", c.ID, "attempt", u.number, "retry", v.Retry, "reason", v.Reason,
+			"not_run", res.outcome == NotRun, "left_ms", time.Until(c.Deadline).Milliseconds())
+		if v.Retry {
+			r.deps.Metrics.Retried()
+			continue
 		}
+		u.fail(ctx, res, v)
+		return
 	}
 }
 
@@ -77,7 +85,9 @@
 
 // result is what became of an attempt.
 type result struct {
-	done    bool
+	done bool
+	// aborted says that the caller's answer is incomplete.
+	aborted bool
 	refusal *fault.Error
 	outcome Outcome
 	server  string
@@ -118,21 +128,27 @@
 func (u *run) giveUp(ctx context.Context, ferr *fault.Error) {
 	switch {
 	case u.w.Begun():
-		u.r.deps.Log.Info("broke off an answer", "request", u.c.ID, "events", u.events.count, "reason", ferr)
+		u.gone("broke off an answer", ferr.Code(), ferr)
 		u.w.Abort()
 	case errors.Is(context.Cause(ctx), front.ErrCallerGone):
-		u.r.deps.Log.Info("caller left", "request", u.c.ID, "attempts", u.number,
-			"ms", time.Since(u.c.Arrived).Milliseconds())
+		u.gone("caller left", fault.Timeout, ferr)
 		u.w.Abort()
 	case u.mayHaveRun && ctx.Err() != nil:
-		u.r.refuse(u.w, u.c.ID, fault.New(fault.Timeout, fault.Unknown, "the time is up").WithCause(ferr))
+		u.r.refuse(u.w, u.c, fault.New(fault.Timeout, fault.Unknown, "the time is up").WithCause(ferr))
 	case u.mayHaveRun:
-		u.r.refuse(u.w, u.c.ID, fault.New(fault.BackendFailed, fault.Unknown, "the backend server failed").WithCause(ferr))
+		u.r.refuse(u.w, u.c, fault.New(fault.BackendFailed, fault.Unknown, "the backend server failed").WithCause(ferr))
 	default:
-		u.r.refuse(u.w, u.c.ID, ferr)
+		u.r.refuse(u.w, u.c, ferr)
 	}
 }
 
+// gone notes a request whose caller gets no whole answer.
+func (u *run) gone(what string, code fault.Code, why error) {
+	d := time.Since(u.c.Arrived)
+	u.r.deps.Metrics.RequestEnded(code, d)
+	u.r.deps.Log.Info(what, "request", u.c.ID, "attempts", u.number, "events", u.events.count, "ms", d.Milliseconds(), "reason", why)
+}
+
 func (u *run) noteWrite(err error) {
 	if err != nil {
 		u.r.deps.Log.Info("cannot write to the caller", "request", u.c.ID, "error", err)
--- a/internal/node/seat/seat.go
+++ b/internal/node/seat/seat.go
@@ -14,6 +14,7 @@
 	"geraniumhollow/internal/core/tasks"
 	"geraniumhollow/internal/fleet/index"
 	"geraniumhollow/internal/node/pass"
+	"geraniumhollow/internal/report/metric"
 	"geraniumhollow/internal/route/batch"
 	"geraniumhollow/internal/route/choose"
 	"geraniumhollow/internal/route/match"
@@ -33,6 +34,7 @@
 	Stalled func(f index.Formation)
 	Now     func() time.Time
 	Seed    uint64
+	Metrics *metric.Set
 	Log     hclog.Logger
 }
 
@@ -115,7 +117,8 @@
 	if !ok {
 		return nil, wait, fault.New(fault.NoBackend, fault.NotRun, "no backend server is open for the request").WithRetryAfter(retryNoServer)
 	}
-	if est, ok := s.table.Estimate(id, now, r); ok && c.Route.Kind == match.Stream {
+	est, _ := s.table.Estimate(id, now, r)
+	if c.Route.Kind == match.Stream {
 		if over := est + now.Sub(c.Arrived) - c.Route.Objective; over > 0 && len(tried) == 0 && !c.Returned() {
 			return nil, false, fault.New(fault.Overloaded, fault.NotRun, "all backend servers are busy").
 				WithRetryAfter(min(max(over, minRetry), maxRetry))
@@ -124,7 +127,7 @@
 	sv := s.servers[s.table.Name(id)]
 	sv.sends.Add(now)
 	s.watch.Trial(now, sv.entry.ID)
-	t := &seat{s: s, server: sv, sent: s.table.Send(id, now, r), at: now, cancel: cancel, repeatable: c.Route.Repeatable()}
+	t := &seat{facts: sv.facts(now, est), s: s, server: sv, sent: s.table.Send(id, now, r), at: now, cancel: cancel, repeatable: c.Route.Repeatable()}
 	sv.seats[t] = struct{}{}
 	return t, false, nil
 }
@@ -255,6 +258,7 @@
 
 // stalled withdraws the attempts at a server and tells of its group.
 func (s *Seats) stalled(now time.Time, sv *server, why string) {
+	s.cfg.Metrics.Stalled(why)
 	s.cfg.Log.Warn("server makes no progress", "server", sv.entry.ID, "reason", why, "withdrawn", sv.withdraw(), "running", len(sv.seats),
 		"silent_ms", now.Sub(sv.progress).Milliseconds())
 	if m := sv.entry.Member; m.Some() {
--- a/internal/node/seat/server.go
+++ b/internal/node/seat/server.go
@@ -40,6 +40,9 @@
 	gone  bool
 	sends *window.Counter
 	seats map[*seat]struct{}
+	// load is what the server last said of its load, at loadAt.
+	load   pass.Load
+	loadAt time.Time
 	// progress is when bytes of any answer came last.
 	progress time.Time
 }
@@ -57,6 +60,18 @@
 
 func (sv *server) cold(now time.Time) bool { return now.Before(sv.entry.ColdUntil) }
 
+// facts returns what a choice of the server is based on.
+func (sv *server) facts(now time.Time, estimate time.Duration) pass.Facts {
+	f := pass.Facts{
+		Group: sv.entry.Member.Group, Epoch: sv.entry.Member.Epoch, Estimate: estimate,
+		Running: sv.load.Running, Waiting: sv.load.Waiting,
+	}
+	if !sv.loadAt.IsZero() {
+		f.LoadAge = now.Sub(sv.loadAt)
+	}
+	return f
+}
+
 // withdraw ends the attempts that may be made again elsewhere and returns how many.
 func (sv *server) withdraw() int {
 	n := 0
@@ -93,6 +108,7 @@
 	stream     stall.ID
 	cancel     context.CancelCauseFunc
 	repeatable bool
+	facts      pass.Facts
 }
 
 // Entry implements pass.Seat.
@@ -129,8 +145,9 @@
 	if t.server.gone {
 		return
 	}
+	t.server.load, t.server.loadAt = a.Load, t.s.cfg.Now()
 	t.s.table.Observe(t.server.id, choose.Report{
-		Instance: t.server.entry.ID, Open: true, Running: a.Load.Running, Waiting: a.Load.Waiting, MadeAt: t.s.cfg.Now(),
+		Instance: t.server.entry.ID, Open: true, Running: a.Load.Running, Waiting: a.Load.Waiting, MadeAt: t.server.loadAt,
 	})
 }
 
@@ -151,3 +168,11 @@
 	}
 	t.s.table.Done(t.server.id, t.sent, t.s.cfg.Now(), first)
 }
+
+// Facts implements pass.Seat.
+func (t *seat) Facts() pass.Facts {
+	t.s.mu.Lock()
+	defer t.s.mu.Unlock()
+	t.facts.First = t.first
+	return t.facts
+}
--- a/internal/plan/group/place.go
+++ b/internal/plan/group/place.go
@@ -309,4 +309,3 @@
 
 // lack is how many servers a model has less than its share of the work asks for.
 func lack(m batch.Model, used, total int) float64 { return m.Share*float64(total) - float64(used) }
-
--- a/internal/report/metric/metric.go
+++ b/internal/report/metric/metric.go
@@ -22,9 +22,13 @@
 	attemptResults = []string{"answered", "failed", "cancelled", "unknown"}
 	grantResults   = []string{"granted", "released", "busy", "closed", "waiting", "no_owner"}
 	modes          = []string{"current", "store_down", "isolated"}
+	stallReasons   = []string{"no_answer", "streams_silent"}
+	orderKinds     = []string{"join", "open", "close", "leave", "stage"}
+	orderResults   = []string{"accepted", "rejected", "failed"}
+	groupStates    = []string{"open", "planned", "retired", "free", "lost"}
 	peerStates     = []string{"live", "suspect", "leaving", "gone"}
-	tableCalls     = []string{"get", "scan", "commit"}
-	tableResults   = []string{"ok", "not_found", "conflict", "unavailable", "unknown"}
+	tableCalls     = []string{"get", "scan", "commit", "snapshot", "changes"}
+	tableResults   = []string{"ok", "not_found", "conflict", "history_lost", "unavailable", "unknown"}
 )
 
 // Set is the metrics of one node on a registry of its own. It is safe for concurrent use.
@@ -46,6 +50,10 @@
 	peers     *prometheus.GaugeVec
 	tableUses *prometheus.CounterVec
 	tableTime *prometheus.HistogramVec
+	first     prometheus.Histogram
+	stalls    *prometheus.CounterVec
+	orders    *prometheus.CounterVec
+	groups    *prometheus.GaugeVec
 }
 
 // New returns the metrics of one node.
@@ -69,9 +77,13 @@
 		tableTime: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "table_call_seconds", Help: "Time of a call of the table.", Buckets: prometheus.DefBuckets,
 		}, []string{"call"}),
+		first:  histogram("first_event_seconds", "Time from the request to the first bytes of its answer."),
+		stalls: counters("stalls_total", "Backend servers found to make no progress, by what showed it.", "reason"),
+		orders: counters("orders_total", "Orders to backend servers by kind and result.", "kind", "result"),
+		groups: gauges("groups", "Serving groups by state, on the node that keeps them.", "state"),
 	}
 	s.registry.MustRegister(s.requests, s.duration, s.attempts, s.retries, s.refusals, s.queue, s.buffered, s.grants,
-		s.granted, s.version, s.age, s.mode, s.peers, s.tableUses, s.tableTime)
+		s.granted, s.version, s.age, s.mode, s.peers, s.tableUses, s.tableTime, s.first, s.stalls, s.orders, s.groups)
 	return s
 }
 
@@ -154,6 +166,29 @@
 	s.tableTime.WithLabelValues(call).Observe(d.Seconds())
 }
 
+// FirstEvent notes the time to the first bytes of an answer.
+func (s *Set) FirstEvent(d time.Duration) { s.first.Observe(d.Seconds()) }
+
+// Stalled counts a backend server that makes no progress: no_answer or streams_silent.
+func (s *Set) Stalled(reason string) { s.stalls.WithLabelValues(known(reason, stallReasons)).Inc() }
+
+// Order counts an order to a backend server; result is accepted, rejected or failed.
+func (s *Set) Order(kind, result string) {
+	s.orders.WithLabelValues(known(kind, orderKinds), known(result, orderResults)).Inc()
+}
+
+// Groups sets the number of groups that are open, planned or retired, and of servers that are free or lost.
+func (s *Set) Groups(counts map[string]int) {
+	for _, state := range groupStates {
+		s.groups.WithLabelValues(state).Set(float64(counts[state]))
+	}
+}
+
+// Func registers a gauge whose value is read when it is asked for.
+func (s *Set) Func(name, help string, value func() float64) {
+	s.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, value))
+}
+
 // known returns v if it is in the set, and other if not.
 func known(v string, set []string) string {
 	if slices.Contains(set, v) {
--- a/internal/report/metric/table.go
+++ b/internal/report/metric/table.go
@@ -51,9 +51,44 @@
 		return "not_found"
 	case errors.Is(err, table.ErrConflict):
 		return "conflict"
+	case errors.Is(err, table.ErrHistoryLost):
+		return "history_lost"
 	case errors.Is(err, table.ErrUnavailable):
 		return "unavailable"
 	default:
 		return "unknown"
 	}
 }
+
+// feeding is a table whose changes can be followed.
+type feeding interface {
+	table.Table
+	table.Feed
+}
+
+// Store counts the calls of another table and feed.
+type Store struct {
+	*Table
+	next table.Feed
+}
+
+var _ table.Feed = (*Store)(nil)
+
+// Store returns next with its calls counted.
+func (s *Set) Store(next feeding) *Store { return &Store{Table: s.Table(next), next: next} }
+
+// Snapshot implements table.Feed.
+func (t *Store) Snapshot(ctx context.Context, family string) (table.State, error) {
+	start := time.Now()
+	st, err := t.next.Snapshot(ctx, family)
+	t.set.TableCalled("snapshot", tableResult(err), time.Since(start))
+	return st, err
+}
+
+// Changes implements table.Feed. The time of the call contains the wait for a change.
+func (t *Store) Changes(ctx context.Context, family string, after uint64, wait time.Duration) (table.Delta, error) {
+	start := time.Now()
+	d, err := t.next.Changes(ctx, family, after, wait)
+	t.set.TableCalled("changes", tableResult(err), time.Since(start))
+	return d, err
+}
--- a/internal/route/retry/budget.go
+++ b/internal/route/retry/budget.go
@@ -42,6 +42,13 @@
 	return &Budget{share: share, floor: floor}
 }
 
+// Resize changes the share and the floor.
+func (b *Budget) Resize(share, floor float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.share, b.floor = share, floor
+}
+
 // Request counts a new request.
 func (b *Budget) Request(now time.Time) {
 	b.mu.Lock()
