Keep groups with one decider; prove its two rules by interleavings

Cause: the keeper of formed groups in the product (plan/heal, node/keep) was run by no node and knows orders that the engines here do not have; beside it stood a second one. Ruled out: an adapter from its rows to these orders: its rules rest on a lease's time and a row per host. Change: plan/group is the only decider of groups; it places with plan/form. gauge plans interleave plays two keepers, one of them paused or replaced, against orders that are lost, late or not answered. It found, each mended: a new keeper took an unlisted head for gone; a head's own join passed by its leave; a silent registration was judged by the time of the look instead of the read; a member known to nobody counted as free.

--- a/internal/bench/plans/school.go
+++ b/internal/bench/plans/school.go
@@ -12,6 +12,12 @@
 	"github.com/cockroachdb/errors"
 )
 
+// Rates of weight loads of the modelled year, in bytes a second.
+const (
+	uplinkRate = 12.5e9
+	hostRate   = 2.5e9
+)
+
 // schoolCalendars are three modelled countries: their periods overlap, and their days start at
 // different hours.
 func schoolCalendars() []schema.Calendar {
--- a/internal/node/keeper/keeper.go
+++ b/internal/node/keeper/keeper.go
@@ -26,8 +26,9 @@
 
 // Engines gives orders to backend servers and asks for their state. It is safe for concurrent use.
 type Engines interface {
-	// Order returns whether the order has begun or is done.
-	Order(ctx context.Context, o group.Order) (bool, error)
+	// Order gives an order. It returns group.Unknown with each error that leaves open whether the order is
+	// carried out, and group.Rejected with one that proves that it is not.
+	Order(ctx context.Context, o group.Order) (group.Outcome, error)
 	// Report returns the state of a backend server. An error marked ErrGone is proof that it has ended.
 	Report(ctx context.Context, p group.Probe) (server.Report, error)
 }
@@ -295,7 +296,7 @@
 	if plan.Fence > fence {
 		return group.Plan{}, 0, errors.Newf("the plan has the later fencing number %d", plan.Fence)
 	}
-	plan.Fence = fence
+	plan.Fence, plan.Inherited = fence, plan.Epoch
 	b, err := plan.Encode()
 	if err != nil {
 		return group.Plan{}, 0, err
@@ -326,7 +327,7 @@
 	k.report(now)
 	k.mu.Unlock()
 	for _, n := range a.Notes {
-		k.cfg.Log.Info("group decision", "decision", n.Decision, "group", n.Group, "epoch", n.Epoch, "server", n.Server, "reason", n.Reason)
+		k.cfg.Log.Info("group decision", "decision", n.Decision, "group", n.Group, "epoch", n.Epoch, "reason", n.Reason)
 	}
 	for _, o := range a.Orders {
 		g.Go("order", func(ctx context.Context) error { k.order(ctx, o); return nil })
@@ -397,30 +398,18 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	begun := time.Now()
-	accepted, err := k.cfg.Engines.Order(ctx, o)
-	k.cfg.Metrics.Order(string(o.Kind), orderResult(accepted, err))
+	outcome, err := k.cfg.Engines.Order(ctx, o)
+	k.cfg.Metrics.Order(string(o.Kind), string(outcome))
 	k.cfg.Log.Info("gave an order", "kind", o.Kind, "server", o.Server, "group", o.Group, "epoch", o.Epoch,
-		"model", o.Model, "accepted", accepted, "ms", time.Since(begun).Milliseconds(), "error", err)
+		"model", o.Model, "outcome", outcome, "ms", time.Since(begun).Milliseconds(), "error", err)
 	k.mu.Lock()
-	if k.decider != nil && err == nil {
-		k.decider.Ordered(time.Now(), o, accepted)
+	if k.decider != nil {
+		k.decider.Ordered(time.Now(), o, outcome)
 	}
 	k.mu.Unlock()
 	k.Wake()
 }
 
-// orderResult names how an order ended.
-func orderResult(accepted bool, err error) string {
-	switch {
-	case err != nil:
-		return "failed"
-	case accepted:
-		return "accepted"
-	default:
-		return "rejected"
-	}
-}
-
 func (k *Keeper) probe(ctx context.Context, p group.Probe) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
--- a/internal/plan/group/plan.go
+++ b/internal/plan/group/plan.go
@@ -29,6 +29,9 @@
 	Domain  string `json:"domain"`
 	// Members are IDs of backend servers, the head first.
 	Members []string `json:"members"`
+	// Addresses are those of the members. A keeper that takes over asks there for members that the registry
+	// does not have.
+	Addresses []string `json:"addresses"`
 }
 
 // Head returns the ID of the head.
@@ -41,8 +44,9 @@
 type Plan struct {
 	// Fence is the fencing number of the keeper that wrote the plan.
 	Fence uint64 `json:"fence"`
-	// Epoch is the highest epoch that has been used.
-	Epoch uint64 `json:"epoch"`
+	// Epoch is the highest epoch that has been used, Inherited the highest that an earlier keeper used.
+	Epoch     uint64 `json:"epoch"`
+	Inherited uint64 `json:"inherited"`
 	// Names counts the groups that have been named.
 	Names int `json:"names"`
 	// Current holds the formations that should be.
--- a/internal/plan/group/spare.go
+++ b/internal/plan/group/spare.go
@@ -18,12 +18,12 @@
 // standsBy reports whether a membership is that of a spare alone.
 func standsBy(m server.Member) bool { return strings.HasPrefix(m.Group, standbyPrefix) }
 
-// stage gives the orders that make spares ready.
-func (d *Decider) stage(now time.Time) []Order {
-	var out []Order
+// prepare gives the orders that make spares ready.
+func (d *Decider) prepare(now time.Time) []Order {
 	domains := make(map[string][]*host)
 	for _, id := range d.sorted() {
 		h := d.hosts[id]
+		h.settleDoubts(now)
 		if _, used := d.plan.Of(id); used || !h.usable() || h.Domain == "" || d.heldBack(now, id) {
 			continue
 		}
@@ -31,14 +31,15 @@
 			domains[h.Domain] = append(domains[h.Domain], h)
 		}
 	}
+	var out []Order
 	for domain, list := range domains {
-		out = append(out, d.stageDomain(now, domain, list)...)
+		out = append(out, d.prepareDomain(now, domain, list)...)
 	}
 	return out
 }
 
-// stageDomain spreads the models of a domain's groups over its spares, by the members that may be lost.
-func (d *Decider) stageDomain(now time.Time, domain string, list []*host) []Order {
+// prepareDomain spreads the models of a domain's groups over its spares, by the members that may be lost.
+func (d *Decider) prepareDomain(now time.Time, domain string, spares []*host) []Order {
 	members := make(map[string]int)
 	for _, f := range d.plan.Current {
 		if f.Domain == domain {
@@ -47,31 +48,30 @@
 	}
 	var out []Order
 	held := make(map[string]int)
-	for {
-		model := nextStaged(d.cfg.Engine.Models, members, held)
-		if model == "" || len(list) == 0 {
+	for len(spares) > 0 {
+		model := nextSpare(d.cfg.Engine.Models, members, held)
+		if model == "" {
 			return out
 		}
 		held[model]++
-		sortFor(list, model)
-		out = append(out, d.prepare(now, list[0], model)...)
-		list = list[1:]
+		d.sortFor(now, spares, model)
+		out = append(out, d.ready(now, spares[0], model)...)
+		spares = spares[1:]
 	}
+	return out
 }
 
-// prepare gives the next order that makes a spare ready for a model.
-func (d *Decider) prepare(now time.Time, h *host, model string) []Order {
+// ready gives the next order that makes a spare ready for a model.
+func (d *Decider) ready(now time.Time, h *host, model string) []Order {
 	switch {
-	case h.Model == model:
+	case h.Model == model || h.Member.State == server.Joining:
 		return nil
 	case !h.HasStaged(model):
-		o, ok := h.orders[Stage]
-		loading := ok && o.order.Model == model && (!o.done || o.accepted) && now.Sub(o.at) < d.stagingTime(model)
-		if loading || h.Member.State == server.Joining || !d.mayLoad(now, h) {
+		if d.loading(now, h) != "" || d.refusedStage(now, h) || !d.mayLoad(now, h) {
 			return nil
 		}
 		return d.give(now, h, Order{Kind: Stage, Model: model})
-	case h.Member.State == server.Joining || d.settling(now, h):
+	case d.settling(now, h.Domain):
 		return nil
 	default:
 		return d.give(now, h, Order{
@@ -80,24 +80,44 @@
 	}
 }
 
-// settling reports whether the domain of a server still fills up, so that it may soon be in a group.
-func (d *Decider) settling(now time.Time, h *host) bool {
-	for _, o := range d.hosts {
-		if o.Domain == h.Domain && now.Sub(o.since) < settle {
+// loading returns the model whose weights a server was told to load and does not hold yet, or "".
+func (d *Decider) loading(now time.Time, h *host) string {
+	o, ok := h.orders[Stage]
+	if !ok || o.outcome == Rejected || h.HasStaged(o.order.Model) {
+		return ""
+	}
+	m, _ := d.cfg.Engine.Model(o.order.Model)
+	if now.Sub(o.at) >= 2*m.Load+orderRepeat {
+		return ""
+	}
+	return o.order.Model
+}
+
+// refusedStage reports whether a server has refused to load weights of late: it is busy with another load.
+func (d *Decider) refusedStage(now time.Time, h *host) bool {
+	o, ok := h.orders[Stage]
+	return ok && o.outcome == Rejected && now.Sub(o.at) < stageAgain
+}
+
+// stageAgain is the pause after a server has refused to load weights.
+const stageAgain = 3 * time.Second
+
+// settling reports whether a domain still fills up, so that its free servers may soon be in a group.
+func (d *Decider) settling(now time.Time, domain string) bool {
+	for _, h := range d.hosts {
+		if h.Domain == domain && now.Sub(h.since) < settle {
 			return true
 		}
 	}
 	return false
 }
 
-// stagingTime is how long a load may take before it is ordered again.
-func (d *Decider) stagingTime(model string) time.Duration {
-	m, _ := d.cfg.Engine.Model(model)
-	return 2*m.Load + orderRepeat
-}
+// uncovered is added for a model without a spare, so that it comes before one that has a spare and as many
+// members for each.
+const uncovered = 0.5
 
-// nextStaged returns the model with most members for each spare that is ready for it.
-func nextStaged(models []batch.Model, members, held map[string]int) string {
+// nextSpare returns the model with most members for each spare that is ready for it, or "".
+func nextSpare(models []batch.Model, members, held map[string]int) string {
 	best, most := "", 0.0
 	for _, m := range models {
 		score := float64(members[m.Name]) / float64(held[m.Name]+1)
@@ -111,6 +131,28 @@
 	return best
 }
 
-// uncovered is added for a model without a spare, so that it comes before one that has a spare and as many
-// members for each.
-const uncovered = 0.5
+// Bounds of weight loads.
+const (
+	// loadWindow is the time over which the platform counts loads.
+	loadWindow = 5 * time.Second
+	// loadShare is the part of the platform's rate that the keeper uses. The rest covers loads that an
+	// earlier keeper, or an order that was carried out late, began in the same window.
+	loadShare = 0.8
+)
+
+// mayLoad reports whether a server may be told to load weights now, and counts the load.
+func (d *Decider) mayLoad(now time.Time, h *host) bool {
+	for _, k := range []Kind{Join, Stage} {
+		if o, ok := h.orders[k]; ok && now.Sub(o.at) < orderRepeat {
+			return false
+		}
+	}
+	if !d.traffic {
+		return true
+	}
+	if limit := int(d.cfg.Engine.LoadsPerSecond * loadWindow.Seconds() * loadShare); d.loads.Count(now) >= limit {
+		return false
+	}
+	d.loads.Add(now)
+	return true
+}
--- a/internal/report/metric/metric.go
+++ b/internal/report/metric/metric.go
@@ -24,7 +24,7 @@
 	modes          = []string{"current", "store_down", "isolated"}
 	stallReasons   = []string{"no_answer", "streams_silent"}
 	orderKinds     = []string{"join", "open", "close", "leave", "stage"}
-	orderResults   = []string{"accepted", "rejected", "failed"}
+	orderResults   = []string{"accepted", "rejected", "unknown"}
 	groupStates    = []string{"open", "planned", "retired", "free", "lost"}
 	peerStates     = []string{"live", "suspect", "leaving", "gone"}
 	tableCalls     = []string{"get", "scan", "commit", "snapshot", "changes"}
@@ -172,7 +172,7 @@
 // Stalled counts a backend server that makes no progress: no_answer or streams_silent.
 func (s *Set) Stalled(reason string) { s.stalls.WithLabelValues(known(reason, stallReasons)).Inc() }
 
-// Order counts an order to a backend server; result is accepted, rejected or failed.
+// Order counts an order to a backend server; result is accepted, rejected or unknown.
 func (s *Set) Order(kind, result string) {
 	s.orders.WithLabelValues(known(kind, orderKinds), known(result, orderResults)).Inc()
 }
