Take a server for stalled after 0.2 s without an event

Cause: callers whose first event is due after 0.25 s were late on each lost group: its streams were silent for 0.3 s before they were withdrawn. Change: 0.2 s from three streams on, 0.25 s with two, 0.3 s with one; four passes instead of five.

--- a/internal/route/stall/stall.go
+++ b/internal/route/stall/stall.go
@@ -15,18 +15,19 @@
 	Silence time.Duration
 	// Passes is the same in multiples of the time between events that the server has shown.
 	Passes float64
-	// Single multiplies the silence for a server with one stream: one lost packet can silence it.
-	Single float64
+	// Few multiplies the silence for a server with one stream, or with two: passes that read long prompts,
+	// or one lost packet, can silence them.
+	Few [2]float64
 	// Hold is how long a stalled server gets no new work unless it makes progress. It doubles with each
 	// stall that follows without progress between them, up to MaxHold.
 	Hold    time.Duration
 	MaxHold time.Duration
 }
 
-// DefaultConfig returns the shape in use. Passes with full batches take up to a tenth of a second, and
-// callers take a pause of a fifth of a second or more for late.
+// DefaultConfig returns the shape in use. Engines that work give three streams or more an event within 0.2 s,
+// and callers whose first event is due after 0.25 s are still served in time elsewhere after that.
 func DefaultConfig() Config {
-	return Config{Silence: 300 * time.Millisecond, Passes: 5, Single: 1.4, Hold: 1200 * time.Millisecond, MaxHold: 6 * time.Second}
+	return Config{Silence: 200 * time.Millisecond, Passes: 4, Few: [2]float64{1.5, 1.25}, Hold: 1200 * time.Millisecond, MaxHold: 6 * time.Second}
 }
 
 // ID names a stream.
@@ -138,8 +139,8 @@
 
 func (w *Watch) limit(e *entry) time.Duration {
 	limit := max(w.cfg.Silence, time.Duration(w.cfg.Passes*float64(e.gap)))
-	if len(e.streams) <= 1 {
-		limit = time.Duration(w.cfg.Single * float64(limit))
+	if n := max(1, len(e.streams)); n <= len(w.cfg.Few) {
+		limit = time.Duration(w.cfg.Few[n-1] * float64(limit))
 	}
 	return limit
 }
