--- a/internal/node/front/conn.go
+++ b/internal/node/front/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -88,6 +89,9 @@
 	if err := m.req.Header.Read(c.br); err != nil {
 		return headerStatus(err), errors.Newf("read header: %w", err)
 	}
+	if twoLengths(&m.req.Header) {
+		return fasthttp.StatusBadRequest, errors.New("a request with a length and chunks")
+	}
 	m.req.Header.SetNoDefaultContentType(true)
 	if err := c.nc.SetReadDeadline(time.Now().Add(l.IdleTimeout)); err != nil {
 		return 0, errors.Newf("set deadline: %w", err)
@@ -112,6 +116,18 @@
 	return 0, nil
 }
 
+// twoLengths reports whether a header says in two ways where its body ends. Hops that take different ones see
+// different requests.
+func twoLengths(h *fasthttp.RequestHeader) bool {
+	chunks, length := false, false
+	for line := range bytes.Lines(h.RawHeaders()) {
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		chunks = chunks || bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding))
+		length = length || bytes.EqualFold(name, []byte(fasthttp.HeaderContentLength))
+	}
+	return chunks && length
+}
+
 func headerStatus(err error) int {
 	var small *fasthttp.ErrSmallBuffer
 	switch {
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -86,10 +86,14 @@
 
 // Server serves the callers of a node. It is safe for concurrent use.
 type Server struct {
-	cfg      Config
+	cfg Config
+	// last says that each connection ends with its next answer, draining that those without a request end
+	// at once.
+	last     atomic.Bool
 	draining atomic.Bool
 
 	mu    sync.Mutex
+	ln    net.Listener
 	conns map[*conn]struct{}
 }
 
@@ -100,12 +104,15 @@
 
 // Run accepts connections on ln until ctx ends. It returns when all connections have ended.
 func (s *Server) Run(ctx context.Context, ln net.Listener) error {
+	s.mu.Lock()
+	s.ln = ln
+	s.mu.Unlock()
 	g := tasks.New(ctx)
 	g.Go("accept", func(ctx context.Context) error { return s.accept(ctx, g, ln) })
 	g.Go("close", func(ctx context.Context) error {
 		<-ctx.Done()
 		s.closeAll()
-		if err := ln.Close(); err != nil {
+		if err := ln.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
 			return errors.Newf("close listener: %w", err)
 		}
 		return nil
@@ -122,7 +129,7 @@
 func (s *Server) accept(ctx context.Context, g *tasks.Group, ln net.Listener) error {
 	for {
 		nc, err := ln.Accept()
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 			if err == nil {
 				_ = nc.Close()
 			}
@@ -147,11 +154,16 @@
 	}
 }
 
-// Drain makes each connection end after the answer that it waits for, and ends those that wait for none.
+// Drain accepts no more connections, makes each connection end after the answer that it waits for, and ends
+// those that wait for none.
 func (s *Server) Drain() {
+	s.last.Store(true)
 	s.draining.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.ln != nil {
+		_ = s.ln.Close()
+	}
 	for c := range s.conns {
 		if !c.busy.Load() {
 			// The reader of the connection wakes up and finds that the server drains.
@@ -161,7 +173,7 @@
 }
 
 // AnswerLast makes each connection end after its next answer, without ending those that wait for none.
-func (s *Server) AnswerLast() { s.draining.Store(true) }
+func (s *Server) AnswerLast() { s.last.Store(true) }
 
 // Open returns the number of open connections.
 func (s *Server) Open() int {
--- a/internal/node/front/writer.go
+++ b/internal/node/front/writer.go
@@ -34,7 +34,7 @@
 // number of bytes, or unknown if it is negative. The header leaves with the first bytes of the body.
 func (w *Writer) Begin(h *fasthttp.ResponseHeader) {
 	w.begun = true
-	w.last = w.last || w.c.srv.draining.Load()
+	w.last = w.last || w.c.srv.last.Load()
 	h.SetNoDefaultContentType(true)
 	h.Del(fasthttp.HeaderKeepAlive)
 	h.ResetConnectionClose()
--- a/internal/node/pass/attempt.go
+++ b/internal/node/pass/attempt.go
@@ -171,16 +171,12 @@
 		if n > 0 {
 			seat.Progress()
 			u.firstBytes()
-			out := buf[:n]
-			if stream {
-				out = u.events.add(out)
-			}
-			if werr := u.w.Write(out); werr != nil {
-				return errors.Mark(werr, errCaller)
+			if err := u.pass(buf[:n], stream); err != nil {
+				return err
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return u.end(stream)
+			return u.end(resp, stream)
 		}
 		if err != nil {
 			return errors.Newf("read answer: %w", err)
@@ -196,8 +192,23 @@
 	}
 }
 
-// end completes an answer.
-func (u *run) end(stream bool) error {
+// pass writes bytes of an answer to the caller: of a stream, only whole events that the caller lacks.
+func (u *run) pass(b []byte, stream bool) error {
+	out, gap := b, error(nil)
+	if stream {
+		out, gap = u.events.add(b)
+	}
+	if err := u.w.Write(out); err != nil {
+		return errors.Mark(err, errCaller)
+	}
+	return gap
+}
+
+// end completes an answer. A stream without a length that ends within an event has broken off.
+func (u *run) end(resp *conns.Response, stream bool) error {
+	if stream && len(u.events.rest()) > 0 && resp.Endless() {
+		return errors.New("stream ended within an event")
+	}
 	if stream {
 		if err := u.w.Write(u.events.rest()); err != nil {
 			return errors.Mark(err, errCaller)
--- a/internal/node/pass/event.go
+++ b/internal/node/pass/event.go
@@ -1,12 +1,23 @@
 package pass
 
-import "bytes"
+import (
+	"bytes"
+	"strconv"
 
-// events cuts the bytes of a stream into whole events and remembers the id of the last one.
+	"github.com/cockroachdb/errors"
+)
+
+// errGap means that a stream skips events: it is not the one that is being answered, or lost a part.
+var errGap = errors.New("stream skips events")
+
+// events cuts the bytes of a stream into whole events and checks that none is missing or comes twice.
 type events struct {
 	// last is the id of the last whole event, or what the caller asked to go on from.
-	last  string
-	count int
+	last string
+	// number is last as a number, valid if numbered is set.
+	number   uint64
+	numbered bool
+	count    int
 	// out holds the bytes that add returned last; part those of an event that is not whole yet.
 	out  []byte
 	part []byte
@@ -17,33 +28,66 @@
 	blankEnd = []byte("\n\n")
 )
 
-// add takes bytes of the stream and returns those of all events that are whole now. The result is valid
-// until the next call.
-func (e *events) add(b []byte) []byte {
+// from makes the events go on after the one with an id.
+func (e *events) from(id string) {
+	e.last = id
+	n, err := strconv.ParseUint(id, 10, 64)
+	e.number, e.numbered = n, err == nil
+}
+
+// add takes bytes of the stream and returns those of all events that are whole now, without those that the
+// caller has. The result is valid until the next call. With an error, it holds the events before it.
+func (e *events) add(b []byte) ([]byte, error) {
 	e.part = append(e.part, b...)
-	end := bytes.LastIndex(e.part, blankEnd)
-	if end < 0 {
-		return nil
-	}
-	end += len(blankEnd)
-	e.out = append(e.out[:0], e.part[:end]...)
-	e.part = append(e.part[:0], e.part[end:]...)
-	for rest := e.out; len(rest) > 0; {
-		event, after, _ := bytes.Cut(rest, blankEnd)
-		e.note(event)
-		rest = after
+	e.out = e.out[:0]
+	rest := e.part
+	for {
+		end := bytes.Index(rest, blankEnd)
+		if end < 0 {
+			break
+		}
+		event := rest[:end+len(blankEnd)]
+		fresh, err := e.take(event)
+		if err != nil {
+			return e.out, err
+		}
+		if fresh {
+			e.out = append(e.out, event...)
+		}
+		rest = rest[len(event):]
 	}
-	return e.out
+	e.part = append(e.part[:0], rest...)
+	return e.out, nil
 }
 
-// note remembers the id of an event.
-func (e *events) note(event []byte) {
+// take checks the id of an event and reports whether the caller lacks it.
+func (e *events) take(event []byte) (bool, error) {
+	id, ok := eventID(event)
+	if !ok {
+		e.count++
+		return true, nil
+	}
+	n, err := strconv.ParseUint(id, 10, 64)
+	if err == nil && e.numbered {
+		switch {
+		case n <= e.number:
+			return false, nil
+		case n > e.number+1:
+			return false, errors.Newf("event %d after %d: %w", n, e.number, errGap)
+		}
+	}
+	e.from(id)
 	e.count++
+	return true, nil
+}
+
+func eventID(event []byte) (string, bool) {
 	for line := range bytes.Lines(event) {
 		if id, ok := bytes.CutPrefix(line, idField); ok {
-			e.last = string(bytes.TrimSpace(id))
+			return string(bytes.TrimSpace(id)), true
 		}
 	}
+	return "", false
 }
 
 // rest returns the bytes after the last whole event.
--- a/internal/node/pass/serve.go
+++ b/internal/node/pass/serve.go
@@ -40,7 +40,9 @@
 // serve makes attempts until one has succeeded or none may follow.
 func (r *Relay) serve(ctx context.Context, c *Call, w *front.Writer) {
 	u := &run{r: r, c: c, w: w, tried: sets.New[string]()}
-	u.events.last = c.LastEvent
+	if c.LastEvent != "" {
+		u.events.from(c.LastEvent)
+	}
 	budget := r.deps.Budget(c.Service.Name)
 	budget.Request(time.Now())
 	for {
--- a/internal/node/seat/seat.go
+++ b/internal/node/seat/seat.go
@@ -111,7 +111,7 @@
 	s.sync(now)
 	wait = s.bar(now, c, tried)
 	r := choose.Request{
-		Model: what(c.Service.Name, c.Model), PromptTokens: c.Prompt, AnswerTokens: c.MaxAnswer, Tried: s.barred,
+		Model: offer(c), PromptTokens: c.Prompt, AnswerTokens: c.MaxAnswer, Tried: s.barred,
 	}
 	id, ok := s.chooser.Choose(s.table, now, r)
 	if !ok {
@@ -127,7 +127,7 @@
 	sv := s.servers[s.table.Name(id)]
 	sv.sends.Add(now)
 	s.watch.Trial(now, sv.entry.ID)
-	t := &seat{facts: sv.facts(now, est), s: s, server: sv, sent: s.table.Send(id, now, r), at: now, cancel: cancel, repeatable: c.Route.Repeatable()}
+	t := &seat{facts: sv.facts(now, est), s: s, server: sv, entry: sv.entry, sent: s.table.Send(id, now, r), at: now, cancel: cancel, repeatable: c.Route.Repeatable()}
 	sv.seats[t] = struct{}{}
 	return t, false, nil
 }
@@ -154,6 +154,14 @@
 	return soon
 }
 
+// offer names what a call needs. The servers of a plain service are equal, whatever model a call names.
+func offer(c *pass.Call) string {
+	if c.Service.Engine == nil {
+		return what(c.Service.Name, "")
+	}
+	return what(c.Service.Name, c.Model)
+}
+
 // what names what a server offers to the chooser.
 func what(service, model string) string { return service + "/" + model }
 
--- a/internal/node/seat/server.go
+++ b/internal/node/seat/server.go
@@ -101,8 +101,10 @@
 type seat struct {
 	s      *Seats
 	server *server
-	sent   uint64
-	at     time.Time
+	// entry is the server as it was chosen.
+	entry *index.Entry
+	sent  uint64
+	at    time.Time
 	// first is the time to the first bytes of the answer, 0 before them.
 	first      time.Duration
 	stream     stall.ID
@@ -112,7 +114,7 @@
 }
 
 // Entry implements pass.Seat.
-func (t *seat) Entry() *index.Entry { return t.server.entry }
+func (t *seat) Entry() *index.Entry { return t.entry }
 
 // Conns implements pass.Seat.
 func (t *seat) Conns() *conns.Pool { return t.server.conns }
@@ -123,15 +125,15 @@
 	defer t.s.mu.Unlock()
 	now := t.s.cfg.Now()
 	t.server.progress = now
-	watched := t.server.entry.Member.Some() && !t.server.gone
+	watched := t.entry.Member.Some() && !t.server.gone
 	switch {
 	case t.first == 0:
 		t.first = max(1, now.Sub(t.at))
 		if watched {
-			t.stream = t.s.watch.Begin(now, t.server.entry.ID)
+			t.stream = t.s.watch.Begin(now, t.entry.ID)
 		}
 	case watched:
-		t.s.watch.Progress(now, t.server.entry.ID, t.stream)
+		t.s.watch.Progress(now, t.entry.ID, t.stream)
 	}
 }
 
@@ -147,7 +149,7 @@
 	}
 	t.server.load, t.server.loadAt = a.Load, t.s.cfg.Now()
 	t.s.table.Observe(t.server.id, choose.Report{
-		Instance: t.server.entry.ID, Open: true, Running: a.Load.Running, Waiting: a.Load.Waiting, MadeAt: t.server.loadAt,
+		Instance: t.entry.ID, Open: true, Running: a.Load.Running, Waiting: a.Load.Waiting, MadeAt: t.server.loadAt,
 	})
 }
 
@@ -157,7 +159,7 @@
 	defer t.s.mu.Unlock()
 	delete(t.server.seats, t)
 	if t.stream != 0 {
-		t.s.watch.End(t.server.entry.ID, t.stream)
+		t.s.watch.End(t.entry.ID, t.stream)
 	}
 	if t.server.gone {
 		return
--- a/internal/plat/conns/conns.go
+++ b/internal/plat/conns/conns.go
@@ -106,8 +106,10 @@
 	conn *Conn
 	pool *Pool
 	stop func() bool
-	eof  bool
-	once sync.Once
+	// endless is read from the headers as they came; callers may change them.
+	endless bool
+	eof     bool
+	once    sync.Once
 }
 
 // Exchange is one request and the answer that is expected.
@@ -153,7 +155,9 @@
 		}
 		return nil, err
 	}
-	return &Response{Header: &resp.Header, resp: resp, conn: c, pool: p, stop: stop}, nil
+	return &Response{
+		Header: &resp.Header, resp: resp, conn: c, pool: p, stop: stop, endless: resp.Header.ContentLength() == identityLength,
+	}, nil
 }
 
 // SetReadDeadline bounds the next reads of the body; the zero time is no bound.
@@ -167,6 +171,9 @@
 // Buffered returns how many bytes can be read without waiting for the server.
 func (r *Response) Buffered() int { return r.conn.br.Buffered() }
 
+// Endless reports whether the body ends with the connection, so that its end proves nothing.
+func (r *Response) Endless() bool { return r.endless }
+
 // Reused reports whether the connection had carried an earlier request.
 func (r *Response) Reused() bool { return r.conn.uses > 1 }
 
@@ -208,7 +215,7 @@
 	r.once.Do(func() {
 		ended := !r.stop()
 		_ = r.resp.CloseBodyStream()
-		if !r.eof || ended || r.Header.ConnectionClose() || r.Header.ContentLength() == identityLength {
+		if !r.eof || ended || r.Header.ConnectionClose() || r.endless {
 			r.pool.discard(r.conn)
 			return
 		}
