A repeated read of the registry does not revive a lost server

Cause: the decider counted every entry of a full read as a sign of life and forgot the missed probes of a dead server, so a read from scratch (a watch refused with 410) delayed the healing of its group by a probe cycle per read. Change: only an entry that says something new of the server resets its misses.

--- /dev/null
+++ b/internal/fleet/mirror/mirror_test.go
@@ -0,0 +1,331 @@
+package mirror_test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"geraniumhollow/internal/fleet/mirror"
+	"geraniumhollow/internal/plat/table"
+	"github.com/hashicorp/go-hclog"
+	"pgregory.net/rapid"
+)
+
+// source is a feed that can be made to fail.
+type source struct {
+	mu      sync.Mutex
+	rows    map[string]table.Row
+	log     []table.Row // rows without a value are removals
+	rev     uint64
+	floor   uint64
+	away    bool
+	silent  bool
+	changed chan struct{}
+	calls   int
+}
+
+func newSource() *source {
+	return &source{rows: make(map[string]table.Row), changed: make(chan struct{})}
+}
+
+func (s *source) put(key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev++
+	r := table.Row{Key: key, Value: []byte(value), Revision: s.rev}
+	s.rows[key] = r
+	s.add(r)
+}
+
+func (s *source) remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev++
+	delete(s.rows, key)
+	s.add(table.Row{Key: key, Revision: s.rev})
+}
+
+func (s *source) add(r table.Row) {
+	s.log = append(s.log, r)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *source) set(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+}
+
+func (s *source) Snapshot(ctx context.Context, _ string) (table.State, error) {
+	if err := s.fault(ctx); err != nil {
+		return table.State{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := table.State{Revision: s.rev}
+	for _, r := range s.rows {
+		st.Rows = append(st.Rows, r)
+	}
+	return st, nil
+}
+
+func (s *source) fault(ctx context.Context) error {
+	s.mu.Lock()
+	s.calls++
+	away, silent := s.away, s.silent
+	s.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return table.ErrUnavailable
+	}
+	if away {
+		return table.ErrUnavailable
+	}
+	return nil
+}
+
+func (s *source) Changes(ctx context.Context, _ string, after uint64, wait time.Duration) (table.Delta, error) {
+	if err := s.fault(ctx); err != nil {
+		return table.Delta{}, err
+	}
+	end := time.After(wait)
+	for {
+		s.mu.Lock()
+		if after < s.floor {
+			s.mu.Unlock()
+			return table.Delta{}, table.ErrHistoryLost
+		}
+		d := table.Delta{Revision: s.rev}
+		last := make(map[string]table.Row)
+		for _, r := range s.log {
+			if r.Revision > after {
+				last[r.Key] = r
+			}
+		}
+		for k, r := range last {
+			if r.Value == nil {
+				d.Removed = append(d.Removed, k)
+			} else {
+				d.Changed = append(d.Changed, r)
+			}
+		}
+		changed := s.changed
+		s.mu.Unlock()
+		if len(last) > 0 {
+			return d, nil
+		}
+		select {
+		case <-changed:
+		case <-end:
+			return d, nil
+		case <-ctx.Done():
+			return table.Delta{}, table.ErrUnavailable
+		}
+	}
+}
+
+// reader collects what a copy tells.
+type reader struct {
+	mu      sync.Mutex
+	rows    map[string]string
+	reached []bool
+}
+
+func newReader() *reader { return &reader{rows: make(map[string]string)} }
+
+func (r *reader) apply(u mirror.Update) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if u.Full {
+		clear(r.rows)
+	}
+	for _, row := range u.Put {
+		r.rows[row.Key] = string(row.Value)
+	}
+	for _, k := range u.Removed {
+		delete(r.rows, k)
+	}
+}
+
+func (r *reader) get(key string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rows[key]
+}
+
+// follow starts a copy and returns it with its reader; it ends with the test.
+func follow(t *testing.T, ctx context.Context, cfg mirror.Config) (*mirror.Copy, *reader) {
+	t.Helper()
+	r := newReader()
+	cfg.Family, cfg.Apply, cfg.Log = "op", r.apply, hclog.NewNullLogger()
+	cfg.Reached = func(ok bool) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.reached = append(r.reached, ok)
+	}
+	c := mirror.New(cfg)
+	go func() {
+		if err := c.Run(ctx); err != nil {
+			t.Error(err)
+		}
+	}()
+	return c, r
+}
+
+// bubble runs a test with a clock of its own and a context that ends before it.
+func bubble(t *testing.T, f func(t *testing.T, ctx context.Context)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		f(t, ctx)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against changes that do not arrive, and a dropped history after which they stop.
+func TestFollowsStore(t *testing.T) {
+	t.Parallel()
+	bubble(t, func(t *testing.T, ctx context.Context) {
+		s := newSource()
+		s.put("op/config", "1")
+		_, r := follow(t, ctx, mirror.Config{Store: s, Wait: time.Second})
+		time.Sleep(10 * time.Millisecond)
+		s.put("op/config", "2")
+		time.Sleep(10 * time.Millisecond)
+		if got := r.get("op/config"); got != "2" {
+			t.Errorf("got %q after a change", got)
+		}
+		s.set(func() { s.floor, s.log = s.rev+1, nil; s.rev += 2 })
+		s.put("op/config", "3")
+		time.Sleep(2 * time.Second)
+		if got := r.get("op/config"); got != "3" {
+			t.Errorf("got %q after the history was dropped", got)
+		}
+	})
+}
+
+// Guards against a node that the store refuses, or leaves without an answer, and that does not learn of a change from
+// others within two seconds.
+func TestFollowsPeerDuringOutage(t *testing.T) {
+	t.Parallel()
+	for _, silent := range []bool{false, true} {
+		bubble(t, func(t *testing.T, ctx context.Context) {
+			s, own := newSource(), newSource()
+			s.put("op/config", "1")
+			own.put("op/config", "1")
+			other, _ := follow(t, ctx, mirror.Config{Store: s, Wait: time.Second})
+			_, r := follow(t, ctx, mirror.Config{Store: own, Wait: time.Second, Peer: func() table.Feed { return other }})
+			time.Sleep(5 * time.Second)
+			own.set(func() { own.away, own.silent = !silent, silent })
+			s.put("op/config", "2")
+			time.Sleep(2 * time.Second)
+			if got := r.get("op/config"); got != "2" {
+				t.Errorf("silent %v: got %q two seconds after the change", silent, got)
+			}
+		})
+	}
+}
+
+// Guards against followers that read the store although their upstream answers, and that go on with one that
+// does not.
+func TestUpstream(t *testing.T) {
+	t.Parallel()
+	bubble(t, func(t *testing.T, ctx context.Context) {
+		s, direct := newSource(), newSource()
+		s.put("op/config", "1")
+		first, _ := follow(t, ctx, mirror.Config{Store: s, Wait: time.Second})
+		time.Sleep(10 * time.Millisecond)
+		_, r := follow(t, ctx, mirror.Config{Store: direct, Wait: time.Second, Upstream: func() table.Feed { return first }})
+		time.Sleep(10 * time.Second)
+		if direct.calls > 0 || r.get("op/config") != "1" {
+			t.Errorf("the follower read the store %d times and has %q", direct.calls, r.get("op/config"))
+		}
+		// The upstream's own source fails, and nobody else helps it.
+		s.set(func() { s.away = true })
+		direct.set(func() { direct.rows, direct.rev = maps.Clone(s.rows), s.rev })
+		time.Sleep(3 * time.Second)
+		direct.put("op/config", "2")
+		time.Sleep(2 * time.Second)
+		if got := r.get("op/config"); got != "2" {
+			t.Errorf("got %q after the upstream failed", got)
+		}
+	})
+}
+
+// Guards against a hint that is not followed while the copy's own source hears nothing.
+func TestHint(t *testing.T) {
+	t.Parallel()
+	bubble(t, func(t *testing.T, ctx context.Context) {
+		s, own := newSource(), newSource()
+		s.put("op/config", "1")
+		own.put("op/config", "1")
+		other, _ := follow(t, ctx, mirror.Config{Store: s, Wait: time.Second})
+		c, r := follow(t, ctx, mirror.Config{Store: own, Wait: 30 * time.Second})
+		time.Sleep(time.Second)
+		s.put("op/config", "2")
+		time.Sleep(time.Millisecond)
+		c.Hint(2, other)
+		time.Sleep(200 * time.Millisecond)
+		if got := r.get("op/config"); got != "2" {
+			t.Errorf("got %q after a hint", got)
+		}
+	})
+}
+
+// Guards against an outage that is not told, or told of while others help.
+func TestReached(t *testing.T) {
+	t.Parallel()
+	bubble(t, func(t *testing.T, ctx context.Context) {
+		s := newSource()
+		s.put("op/config", "1")
+		_, r := follow(t, ctx, mirror.Config{Store: s, Wait: time.Second})
+		time.Sleep(time.Second)
+		s.set(func() { s.away = true })
+		time.Sleep(3 * time.Second)
+		s.set(func() { s.away = false })
+		time.Sleep(3 * time.Second)
+		if got := fmt.Sprint(r.reached); got != "[false true]" {
+			t.Errorf("told %s, want the outage and its end", got)
+		}
+	})
+}
+
+// Guards against a follower that ends with other rows than the store, whatever is removed and written again while
+// it reads.
+func TestCopiesAgree(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(rt *rapid.T) {
+		s := newSource()
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			first, _ := follow(t, ctx, mirror.Config{Store: s, Wait: time.Second})
+			_, r := follow(t, ctx, mirror.Config{Store: newSource(), Wait: time.Second, Upstream: func() table.Feed { return first }})
+			for range rapid.IntRange(1, 40).Draw(rt, "changes") {
+				key := fmt.Sprintf("op/%d", rapid.IntRange(0, 3).Draw(rt, "key"))
+				if rapid.Bool().Draw(rt, "remove") {
+					s.remove(key)
+				} else {
+					s.put(key, fmt.Sprint(s.rev))
+				}
+				time.Sleep(time.Duration(rapid.IntRange(0, 30).Draw(rt, "ms")) * time.Millisecond)
+			}
+			time.Sleep(3 * time.Second)
+			for k, row := range s.rows {
+				if r.get(k) != string(row.Value) {
+					rt.Errorf("%s is %q, want %q", k, r.get(k), row.Value)
+				}
+			}
+			if len(r.rows) != len(s.rows) {
+				rt.Errorf("%d rows, want %d", len(r.rows), len(s.rows))
+			}
+			cancel()
+			synctest.Wait()
+		})
+	})
+}
--- a/internal/fleet/server/server.go
+++ b/internal/fleet/server/server.go
@@ -65,6 +65,13 @@
 // SameLife reports whether two descriptions are of the same process.
 func (i Info) SameLife(o Info) bool { return i.ID == o.ID && i.Born.Equal(o.Born) }
 
+// Same reports whether two descriptions say the same of the same process. The number of renewals and the
+// time left until the server is warm are left out: they change while nothing else does.
+func (i Info) Same(o Info) bool {
+	return i.SameLife(o) && i.Service == o.Service && i.Address == o.Address && i.Draining == o.Draining &&
+		i.Model == o.Model && i.Member == o.Member && slices.Equal(i.Staged, o.Staged)
+}
+
 // HasStaged reports whether the host of the server holds the weights of a model.
 func (i Info) HasStaged(model string) bool { return slices.Contains(i.Staged, model) }
 
--- /dev/null
+++ b/internal/plan/group/group_test.go
@@ -0,0 +1,285 @@
+package group_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"geraniumhollow/internal/fleet/index"
+	"geraniumhollow/internal/fleet/server"
+	"geraniumhollow/internal/plan/group"
+	"geraniumhollow/internal/route/batch"
+)
+
+// engine has groups of two of one model.
+func engine() *batch.Engine {
+	return &batch.Engine{
+		Models:         []batch.Model{{Name: "m", Hosts: 2, Pace: 1, Share: 1, Load: 10 * time.Second, Warm: time.Second}},
+		LoadsPerSecond: 1, LoadsAtOnce: 8, StagedModels: 1,
+	}
+}
+
+// table plays one decider against servers that do as they are told.
+type play struct {
+	t       *testing.T
+	d       *group.Decider
+	now     time.Time
+	view    *index.Index
+	servers map[string]server.Info
+	// silent servers answer neither orders nor probes; unlisted ones are not in the registry.
+	silent   map[string]bool
+	unlisted map[string]bool
+	// beats stop for servers in it.
+	still  map[string]bool
+	beat   uint64
+	orders []string
+}
+
+func newPlay(t *testing.T, n int) *play {
+	t.Helper()
+	p := &play{
+		t: t, now: time.Unix(1000, 0), view: index.New(), servers: make(map[string]server.Info),
+		silent: make(map[string]bool), unlisted: make(map[string]bool), still: make(map[string]bool),
+	}
+	p.d = group.New(group.Config{Service: "llm", Engine: engine(), StallTime: 5 * time.Second, BeatInterval: time.Second}, group.Plan{})
+	for i := range n {
+		p.add(fmt.Sprintf("s%d", i))
+	}
+	return p
+}
+
+func (p *play) add(id string) {
+	p.servers[id] = server.Info{ID: id, Service: "llm", Address: id, Domain: "d", DataCentre: "dc", Born: p.now, Staged: []string{"m"}}
+}
+
+// run steps the decider for a time.
+func (p *play) run(d time.Duration) {
+	p.t.Helper()
+	for end := p.now.Add(d); p.now.Before(end); p.now = p.now.Add(50 * time.Millisecond) {
+		p.step()
+	}
+}
+
+func (p *play) step() {
+	c := index.Change{Full: true}
+	beats := make(map[string]uint64)
+	p.beat++
+	for id, i := range p.servers {
+		if !p.unlisted[id] {
+			c.Put = append(c.Put, i)
+		}
+		beats[id] = p.beat
+		if p.still[id] {
+			beats[id] = 1
+		}
+	}
+	p.view.Apply(p.now, c)
+	p.d.View(p.now, p.view.View())
+	p.d.Beats(p.now, beats)
+	a := p.d.Step(p.now)
+	if a.Commit != nil {
+		p.d.Committed()
+	}
+	for _, o := range a.Orders {
+		p.orders = append(p.orders, fmt.Sprintf("%s %s/%d %s", o.Kind, o.Group, o.Epoch, o.Server))
+		p.d.Ordered(p.now, o, p.obey(o))
+	}
+	for _, q := range a.Probes {
+		if i, ok := p.servers[q.Server]; ok && !p.silent[q.Server] {
+			p.d.Probed(p.now, q.Server, server.Report{Info: i, Pace: 1})
+		} else {
+			p.d.Missed(q.Server, false)
+		}
+	}
+	for _, q := range a.Witness {
+		p.d.Witnessed(q.Server, 3, 0)
+	}
+}
+
+// obey carries out an order at once.
+func (p *play) obey(o group.Order) group.Outcome {
+	i, ok := p.servers[o.Server]
+	if !ok || p.silent[o.Server] {
+		return group.Unknown
+	}
+	switch o.Kind {
+	case group.Join:
+		i.Member = server.Member{Group: o.Group, Epoch: o.Epoch, Rank: slices.Index(o.Members, o.Server), State: server.Ready}
+		i.Model, i.Staged = o.Model, []string{o.Model}
+	case group.Open:
+		i.Member.State = server.Open
+	case group.Close:
+		i.Member.State = server.Ready
+	case group.Leave:
+		i.Member = server.Member{}
+	case group.Stage:
+		i.Staged = []string{o.Model}
+	}
+	p.servers[o.Server] = i
+	return group.Accepted
+}
+
+// open returns the formations whose head is open, by group.
+func (p *play) open() map[string]group.Formation {
+	out := make(map[string]group.Formation)
+	for _, f := range p.d.Plan().Current {
+		if i := p.servers[f.Head()]; i.Member.Of(f.Group, f.Epoch) && i.Member.State == server.Open {
+			out[f.Group] = f
+		}
+	}
+	return out
+}
+
+// Guards against servers that stay without groups, and groups that take every spare.
+func TestForms(t *testing.T) {
+	t.Parallel()
+	p := newPlay(t, 5)
+	p.run(3 * time.Second)
+	if open := p.open(); len(open) != 2 {
+		t.Errorf("%d groups are open of five servers, want two and a spare: %v", len(open), p.orders)
+	}
+	if n := p.d.Census().Free; n != 1 {
+		t.Errorf("%d servers are free, want one", n)
+	}
+}
+
+// Guards against a lost member whose group is not formed anew, or only after the registry drops it.
+func TestReplacesLostMember(t *testing.T) {
+	t.Parallel()
+	for rank, name := range []string{"head", "member"} {
+		p := newPlay(t, 5)
+		p.run(3 * time.Second)
+		f := p.open()["g1"]
+		lost := f.Members[rank]
+		p.silent[lost], p.still[lost] = true, true
+		p.d.Suspect(f.Group, f.Epoch)
+		p.run(3 * time.Second)
+		g, ok := p.open()["g1"]
+		if !ok || g.Has(lost) || g.Epoch <= f.Epoch {
+			t.Errorf("%s lost: the group is %+v, open %v", name, g, ok)
+		}
+	}
+}
+
+// Guards against members of a head that cannot be reached but lives, which are joined elsewhere while it may
+// serve.
+func TestWaitsForCutHead(t *testing.T) {
+	t.Parallel()
+	p := newPlay(t, 5)
+	p.run(3 * time.Second)
+	f := p.open()["g1"]
+	head, other := f.Head(), f.Members[1]
+	p.silent[head] = true
+	p.d.Suspect(f.Group, f.Epoch)
+	cut := p.now
+	for p.servers[other].Member.Epoch == f.Epoch || !p.servers[other].Member.Some() {
+		p.run(50 * time.Millisecond)
+		if p.now.Sub(cut) > 20*time.Second {
+			t.Fatal("the other member is never used again")
+		}
+	}
+	if waited := p.now.Sub(cut); waited < 5*time.Second {
+		t.Errorf("the other member joined elsewhere after %v, while the head may serve for 5 s", waited)
+	}
+}
+
+// Guards against a group that goes on with a head that the registry does not have, and one that is broken up
+// because it does not have a member.
+func TestUnlisted(t *testing.T) {
+	t.Parallel()
+	p := newPlay(t, 5)
+	p.run(3 * time.Second)
+	f := p.open()["g1"]
+	p.unlisted[f.Members[1]] = true
+	p.run(5 * time.Second)
+	if g := p.open()["g1"]; g.Epoch != f.Epoch {
+		t.Errorf("the group was formed anew as %+v because of an unlisted member that answers", g)
+	}
+	p.unlisted[f.Members[1]] = false
+	p.unlisted[f.Head()] = true
+	p.run(5 * time.Second)
+	if g := p.open()["g1"]; g.Head() == f.Head() {
+		t.Error("a head that is not listed stays the head")
+	}
+}
+
+// Guards against a leaving member that is cut at once, or that stays.
+func TestDrainingMember(t *testing.T) {
+	t.Parallel()
+	p := newPlay(t, 5)
+	p.run(3 * time.Second)
+	f := p.open()["g1"]
+	i := p.servers[f.Members[1]]
+	i.Draining = true
+	p.servers[f.Members[1]] = i
+	p.run(200 * time.Millisecond)
+	if !slices.Contains(p.orders, fmt.Sprintf("close g1/%d %s", f.Epoch, f.Head())) {
+		t.Errorf("the group was not closed first: %v", p.orders)
+	}
+	p.run(4 * time.Second)
+	if g, ok := p.open()["g1"]; !ok || g.Has(f.Members[1]) {
+		t.Errorf("the group is %+v, open %v", g, ok)
+	}
+}
+
+// Guards against a new keeper that forms again what stands.
+func TestAdopts(t *testing.T) {
+	t.Parallel()
+	p := newPlay(t, 5)
+	p.run(3 * time.Second)
+	before := p.d.Plan()
+	p.orders = nil
+	plan := before.Clone()
+	plan.Inherited = plan.Epoch
+	p.d = group.New(group.Config{Service: "llm", Engine: engine(), StallTime: 5 * time.Second, BeatInterval: time.Second}, plan)
+	p.run(5 * time.Second)
+	if len(p.orders) > 0 {
+		t.Errorf("the new keeper gave orders: %v", p.orders)
+	}
+}
+
+// Guards against loads beyond the rate once callers are served.
+func TestLoadRate(t *testing.T) {
+	t.Parallel()
+	p := newPlay(t, 40)
+	for id, i := range p.servers {
+		i.Staged = nil
+		p.servers[id] = i
+	}
+	p.d.Traffic()
+	p.run(5 * time.Second)
+	loads := 0
+	for _, o := range p.orders {
+		var kind string
+		if _, err := fmt.Sscan(o, &kind); err != nil {
+			t.Fatal(err)
+		}
+		if kind == "join" || kind == "stage" {
+			loads++
+		}
+	}
+	if limit := 5 * engine().LoadsPerSecond; float64(loads) > limit {
+		t.Errorf("%d loads in 5 s, limit %v", loads, limit)
+	}
+}
+
+// Guards against a stored plan that cannot be read back.
+func TestPlanCoding(t *testing.T) {
+	t.Parallel()
+	p := newPlay(t, 5)
+	p.run(3 * time.Second)
+	b, err := p.d.Plan().Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := group.DecodePlan(b)
+	if err != nil || len(got.Current) != 2 || got.Epoch != p.d.Plan().Epoch || len(got.Current[0].Addresses) != 2 {
+		t.Errorf("got %+v, %v", got, err)
+	}
+	for _, bad := range []string{"", "[]", `{"current":[{"group":"g"}]}`} {
+		if p, err := group.DecodePlan([]byte(bad)); err == nil {
+			t.Errorf("%q gave %+v", bad, p)
+		}
+	}
+}
--- a/internal/plan/group/host.go
+++ b/internal/plan/group/host.go
@@ -100,12 +100,17 @@
 		h = newHost(now)
 		d.hosts[e.ID] = h
 	}
+	news := !h.listed || h.entry.Expired || !h.Same(e.Info)
 	h.entry, h.Info, h.listed = e, e.Info, true
 	h.take(e.Info)
 	if e.Expired {
 		h.suspect = true
 		return
 	}
+	if !news {
+		// A repeated read of the registry proves no life.
+		return
+	}
 	h.gone, h.misses = false, 0
 	if e.Member.State == server.Broken {
 		d.Suspect(e.Member.Group, e.Member.Epoch)
--- /dev/null
+++ b/internal/route/match/match_test.go
@@ -0,0 +1,52 @@
+package match_test
+
+import (
+	"fmt"
+	"testing"
+
+	"geraniumhollow/internal/route/match"
+)
+
+func ExampleTable_Route() {
+	t := match.New(match.Document{Routes: []match.Route{
+		{Name: "short", Host: "a.example", Prefix: "/x/"},
+		{Name: "long", Host: "a.example", Prefix: "/x/y/"},
+	}})
+	fmt.Println(t.Route("a.example", "/x/y/z").Name, t.Route("A.Example", "/x/z").Name, t.Route("a.example", "/z") == nil)
+	// Output: long short true
+}
+
+// Guards against weights that are not kept to, and a target without weight that gets requests.
+func TestTarget(t *testing.T) {
+	t.Parallel()
+	r := match.Route{Targets: []match.Target{{Service: "a", Weight: 90}, {Service: "none", Weight: 0}, {Service: "b", Weight: 10}}}
+	count := make(map[string]int)
+	for i := range 1000 {
+		count[r.Target(float64(i)/1000)]++
+	}
+	if count["a"] != 900 || count["b"] != 100 || len(count) != 2 {
+		t.Errorf("of 1000 requests went %v", count)
+	}
+	if got := (&match.Route{}).Target(0.5); got != "" {
+		t.Errorf("a route without targets leads to %q", got)
+	}
+}
+
+// Guards against a request that may run once and is repeated.
+func TestRepeatable(t *testing.T) {
+	t.Parallel()
+	for _, tt := range []struct {
+		route match.Route
+		want  bool
+	}{
+		{match.Route{Kind: match.Idempotent}, true},
+		{match.Route{Kind: match.Once}, false},
+		{match.Route{Kind: match.Once, Resumable: true}, false},
+		{match.Route{Kind: match.Stream}, false},
+		{match.Route{Kind: match.Stream, Resumable: true}, true},
+	} {
+		if got := tt.route.Repeatable(); got != tt.want {
+			t.Errorf("%+v is repeatable: %v", tt.route, got)
+		}
+	}
+}
