--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 	$(TOOL) golangci-lint run ./...
 
 fmt:
-	$(TOOL) gofumpt -w cmd internal
+	$(TOOL) gofumpt -w cmd internal platform
 	$(TOOL) golangci-lint fmt ./...
 
 generate:
--- a/internal/bench/plans/chaos.go
+++ b/internal/bench/plans/chaos.go
@@ -1,3 +1,5 @@
+// Package plans measures the planning of groups: interleavings of two keepers against a modelled fleet, and
+// weight loads over a modelled school year.
 package plans
 
 import (
@@ -80,7 +82,7 @@
 // Interleave runs one interleaving of keepers and faults.
 func Interleave(src Source, o Options) Outcome {
 	c := &chaos{world: newWorld(), src: src, isolate: o.Isolate}
-	c.world.trace = o.Trace
+	c.trace = o.Trace
 	for range keepers {
 		c.keepers = append(c.keepers, &keeper{})
 	}
@@ -144,7 +146,7 @@
 		return
 	}
 	fault := c.src.IntN(4)
-	c.log("%s: fault %d", e.id, fault)
+	c.logf("%s: fault %d", e.id, fault)
 	switch fault {
 	case 0, 1:
 		e.alive = false
@@ -171,12 +173,12 @@
 	if c.plan.revision > 0 {
 		var err error
 		if p, err = group.DecodePlan(c.plan.plan); err != nil {
-			c.fail("stored plan: %v", err)
+			c.failf("stored plan: %v", err)
 			return
 		}
 	}
 	c.fence++
-	c.log("keeper %d takes over, fence %d", slices.Index(c.keepers, k), c.fence)
+	c.logf("keeper %d takes over, fence %d", slices.Index(c.keepers, k), c.fence)
 	p.Fence, p.Inherited = c.fence, p.Epoch
 	if !c.store(p) {
 		return
@@ -191,7 +193,7 @@
 func (c *chaos) store(p group.Plan) bool {
 	b, err := p.Encode()
 	if err != nil {
-		c.fail("encode plan: %v", err)
+		c.failf("encode plan: %v", err)
 		return false
 	}
 	c.plan.plan = b
@@ -213,13 +215,17 @@
 		k.beats = c.now.Add(500 * time.Millisecond)
 	}
 	k.decider.View(c.now, k.view.View())
-	a := k.decider.Step(c.now)
+	c.act(k, k.decider.Step(c.now))
+}
+
+// act carries out what a keeper has decided.
+func (c *chaos) act(k *keeper, a group.Actions) {
 	for _, n := range a.Notes {
-		c.log("keeper %d: %s %s/%d %s", slices.Index(c.keepers, k), n.Decision, n.Group, n.Epoch, n.Reason)
+		c.logf("keeper %d: %s %s/%d %s", slices.Index(c.keepers, k), n.Decision, n.Group, n.Epoch, n.Reason)
 	}
 	for _, o := range a.Orders {
 		out := c.deliver(o)
-		c.log("keeper %d: %s %s/%d to %s: %s", slices.Index(c.keepers, k), o.Kind, o.Group, o.Epoch, o.Server, out)
+		c.logf("keeper %d: %s %s/%d to %s: %s", slices.Index(c.keepers, k), o.Kind, o.Group, o.Epoch, o.Server, out)
 		k.decider.Ordered(c.now, o, out)
 	}
 	for _, p := range a.Probes {
--- a/internal/bench/plans/world.go
+++ b/internal/bench/plans/world.go
@@ -82,8 +82,8 @@
 	trace  io.Writer
 }
 
-// log writes a line of the trace.
-func (w *world) log(format string, args ...any) {
+// logf writes a line of the trace.
+func (w *world) logf(format string, args ...any) {
 	if w.trace != nil {
 		_, _ = fmt.Fprintf(w.trace, "%6.2f %s\n", w.now.Sub(worldStart).Seconds(), fmt.Sprintf(format, args...))
 	}
@@ -183,11 +183,11 @@
 func (w *world) checkOpen(head *engine) {
 	w.opened++
 	head.openAt = time.Time{}
-	w.log("%s opens %s/%d", head.id, head.group, head.epoch)
+	w.logf("%s opens %s/%d", head.id, head.group, head.epoch)
 	f := head.formation()
 	for _, id := range head.members {
 		if !w.ready[f][id] {
-			w.fail("%s opened %s/%d, in which %s has never been ready", head.id, head.group, head.epoch, id)
+			w.failf("%s opened %s/%d, in which %s has never been ready", head.id, head.group, head.epoch, id)
 		}
 	}
 }
@@ -202,11 +202,11 @@
 		return
 	}
 	if head.state == server.Open || head.state == server.Closing {
-		w.fail("%s joined %s/%d while %s serves %s/%d", e.id, o.Group, o.Epoch, head.id, e.group, e.epoch)
+		w.failf("%s joined %s/%d while %s serves %s/%d", e.id, o.Group, o.Epoch, head.id, e.group, e.epoch)
 	}
 }
 
-func (w *world) fail(format string, args ...any) {
+func (w *world) failf(format string, args ...any) {
 	if w.fault == "" {
 		w.fault = fmt.Sprintf(format, args...)
 	}
@@ -218,19 +218,13 @@
 	if e == nil || !e.alive {
 		return group.Unknown
 	}
-	w.log("%s carries out %s %s/%d", e.id, o.Kind, o.Group, o.Epoch)
+	w.logf("%s carries out %s %s/%d", e.id, o.Kind, o.Group, o.Epoch)
 	in := e.group == o.Group && e.epoch == o.Epoch
 	switch o.Kind {
 	case group.Join:
 		return w.join(e, o)
 	case group.Open:
-		if !in || e.state != server.Ready {
-			return outcomeIf(in && e.state == server.Open)
-		}
-		if e.openAt.IsZero() {
-			e.openAt = w.now.Add(openTime)
-		}
-		return group.Accepted
+		return w.open(e, in)
 	case group.Close:
 		if in && e.state == server.Open {
 			e.state, e.openAt = server.Ready, time.Time{}
@@ -247,6 +241,17 @@
 	}
 }
 
+// open begins to open a head that is ready.
+func (w *world) open(e *engine, in bool) group.Outcome {
+	if !in || e.state != server.Ready {
+		return outcomeIf(in && e.state == server.Open)
+	}
+	if e.openAt.IsZero() {
+		e.openAt = w.now.Add(openTime)
+	}
+	return group.Accepted
+}
+
 func outcomeIf(ok bool) group.Outcome {
 	if ok {
 		return group.Accepted
--- a/internal/core/logbuf/logbuf_test.go
+++ b/internal/core/logbuf/logbuf_test.go
@@ -24,7 +24,7 @@
 	return s.got.Write(b)
 }
 
-func run(t *testing.T, w *logbuf.Writer) (stop func()) {
+func run(t *testing.T, w *logbuf.Writer) func() {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
--- a/internal/fleet/duty/duty.go
+++ b/internal/fleet/duty/duty.go
@@ -126,6 +126,11 @@
 	return d.heardFence == d.row.Fence && d.heardFence > 0 && now-d.heard < Silence
 }
 
+// assured reports whether the row need not be read, because its holder was heard and the row read of late.
+func (d *Decider) assured(now time.Duration) bool {
+	return d.known && d.hears(now) && !d.lapsed(now) && now < d.readAt+heardLook
+}
+
 // Yield gives the duty up as soon as it is free to move; the node takes none afterwards.
 func (d *Decider) Yield() { d.yielded, d.next = true, 0 }
 
@@ -135,7 +140,7 @@
 		return Op{}, false
 	}
 	_, holds := d.Holds(now)
-	if d.known && !holds && d.hears(now) && !d.lapsed(now) && now < d.readAt+heardLook {
+	if !holds && d.assured(now) {
 		d.next = min(d.heard+Silence, d.readAt+heardLook)
 		return Op{}, false
 	}
--- a/internal/fleet/duty/duty_test.go
+++ b/internal/fleet/duty/duty_test.go
@@ -22,9 +22,6 @@
 type node struct {
 	d      *duty.Decider
 	paused time.Duration
-	// op is a call under way, answered at a time.
-	op    *duty.Op
-	until time.Duration
 }
 
 // run has a node make its calls against the row; lost says that answers of commits are lost.
--- a/internal/fleet/mirror/mirror_test.go
+++ b/internal/fleet/mirror/mirror_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -61,6 +62,30 @@
 	change()
 }
 
+func (s *source) called() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+func (s *source) all() map[string]string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]string)
+	for k, r := range s.rows {
+		out[k] = string(r.Value)
+	}
+	return out
+}
+
+// copyFrom takes the rows of another source.
+func (s *source) copyFrom(o *source) {
+	o.mu.Lock()
+	rows, rev := maps.Clone(o.rows), o.rev
+	o.mu.Unlock()
+	s.set(func() { s.rows, s.rev = rows, rev })
+}
+
 func (s *source) Snapshot(ctx context.Context, _ string) (table.State, error) {
 	if err := s.fault(ctx); err != nil {
 		return table.State{}, err
@@ -152,6 +177,19 @@
 	}
 }
 
+// reach returns what the copy told of the reach of the store.
+func (r *reader) reach() []bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.reached)
+}
+
+func (r *reader) all() map[string]string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.rows)
+}
+
 func (r *reader) get(key string) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -159,7 +197,7 @@
 }
 
 // follow starts a copy and returns it with its reader; it ends with the test.
-func follow(t *testing.T, ctx context.Context, cfg mirror.Config) (*mirror.Copy, *reader) {
+func follow(ctx context.Context, t *testing.T, cfg mirror.Config) (*mirror.Copy, *reader) {
 	t.Helper()
 	r := newReader()
 	cfg.Family, cfg.Apply, cfg.Log = "op", r.apply, hclog.NewNullLogger()
@@ -194,7 +232,7 @@
 	bubble(t, func(t *testing.T, ctx context.Context) {
 		s := newSource()
 		s.put("op/config", "1")
-		_, r := follow(t, ctx, mirror.Config{Store: s, Wait: time.Second})
+		_, r := follow(ctx, t, mirror.Config{Store: s, Wait: time.Second})
 		time.Sleep(10 * time.Millisecond)
 		s.put("op/config", "2")
 		time.Sleep(10 * time.Millisecond)
@@ -219,8 +257,8 @@
 			s, own := newSource(), newSource()
 			s.put("op/config", "1")
 			own.put("op/config", "1")
-			other, _ := follow(t, ctx, mirror.Config{Store: s, Wait: time.Second})
-			_, r := follow(t, ctx, mirror.Config{Store: own, Wait: time.Second, Peer: func() table.Feed { return other }})
+			other, _ := follow(ctx, t, mirror.Config{Store: s, Wait: time.Second})
+			_, r := follow(ctx, t, mirror.Config{Store: own, Wait: time.Second, Peer: func() table.Feed { return other }})
 			time.Sleep(5 * time.Second)
 			own.set(func() { own.away, own.silent = !silent, silent })
 			s.put("op/config", "2")
@@ -239,16 +277,16 @@
 	bubble(t, func(t *testing.T, ctx context.Context) {
 		s, direct := newSource(), newSource()
 		s.put("op/config", "1")
-		first, _ := follow(t, ctx, mirror.Config{Store: s, Wait: time.Second})
+		first, _ := follow(ctx, t, mirror.Config{Store: s, Wait: time.Second})
 		time.Sleep(10 * time.Millisecond)
-		_, r := follow(t, ctx, mirror.Config{Store: direct, Wait: time.Second, Upstream: func() table.Feed { return first }})
+		_, r := follow(ctx, t, mirror.Config{Store: direct, Wait: time.Second, Upstream: func() table.Feed { return first }})
 		time.Sleep(10 * time.Second)
-		if direct.calls > 0 || r.get("op/config") != "1" {
-			t.Errorf("the follower read the store %d times and has %q", direct.calls, r.get("op/config"))
+		if n := direct.called(); n > 0 || r.get("op/config") != "1" {
+			t.Errorf("the follower read the store %d times and has %q", n, r.get("op/config"))
 		}
 		// The upstream's own source fails, and nobody else helps it.
 		s.set(func() { s.away = true })
-		direct.set(func() { direct.rows, direct.rev = maps.Clone(s.rows), s.rev })
+		direct.copyFrom(s)
 		time.Sleep(3 * time.Second)
 		direct.put("op/config", "2")
 		time.Sleep(2 * time.Second)
@@ -265,8 +303,8 @@
 		s, own := newSource(), newSource()
 		s.put("op/config", "1")
 		own.put("op/config", "1")
-		other, _ := follow(t, ctx, mirror.Config{Store: s, Wait: time.Second})
-		c, r := follow(t, ctx, mirror.Config{Store: own, Wait: 30 * time.Second})
+		other, _ := follow(ctx, t, mirror.Config{Store: s, Wait: time.Second})
+		c, r := follow(ctx, t, mirror.Config{Store: own, Wait: 30 * time.Second})
 		time.Sleep(time.Second)
 		s.put("op/config", "2")
 		time.Sleep(time.Millisecond)
@@ -284,13 +322,13 @@
 	bubble(t, func(t *testing.T, ctx context.Context) {
 		s := newSource()
 		s.put("op/config", "1")
-		_, r := follow(t, ctx, mirror.Config{Store: s, Wait: time.Second})
+		_, r := follow(ctx, t, mirror.Config{Store: s, Wait: time.Second})
 		time.Sleep(time.Second)
 		s.set(func() { s.away = true })
 		time.Sleep(3 * time.Second)
 		s.set(func() { s.away = false })
 		time.Sleep(3 * time.Second)
-		if got := fmt.Sprint(r.reached); got != "[false true]" {
+		if got := fmt.Sprint(r.reach()); got != "[false true]" {
 			t.Errorf("told %s, want the outage and its end", got)
 		}
 	})
@@ -304,25 +342,20 @@
 		s := newSource()
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(context.Background())
-			first, _ := follow(t, ctx, mirror.Config{Store: s, Wait: time.Second})
-			_, r := follow(t, ctx, mirror.Config{Store: newSource(), Wait: time.Second, Upstream: func() table.Feed { return first }})
-			for range rapid.IntRange(1, 40).Draw(rt, "changes") {
+			first, _ := follow(ctx, t, mirror.Config{Store: s, Wait: time.Second})
+			_, r := follow(ctx, t, mirror.Config{Store: newSource(), Wait: time.Second, Upstream: func() table.Feed { return first }})
+			for i := range rapid.IntRange(1, 40).Draw(rt, "changes") {
 				key := fmt.Sprintf("op/%d", rapid.IntRange(0, 3).Draw(rt, "key"))
 				if rapid.Bool().Draw(rt, "remove") {
 					s.remove(key)
 				} else {
-					s.put(key, fmt.Sprint(s.rev))
+					s.put(key, fmt.Sprint(i))
 				}
 				time.Sleep(time.Duration(rapid.IntRange(0, 30).Draw(rt, "ms")) * time.Millisecond)
 			}
 			time.Sleep(3 * time.Second)
-			for k, row := range s.rows {
-				if r.get(k) != string(row.Value) {
-					rt.Errorf("%s is %q, want %q", k, r.get(k), row.Value)
-				}
-			}
-			if len(r.rows) != len(s.rows) {
-				rt.Errorf("%d rows, want %d", len(r.rows), len(s.rows))
+			if got, want := r.all(), s.all(); !maps.Equal(got, want) {
+				rt.Errorf("got %v, want %v", got, want)
 			}
 			cancel()
 			synctest.Wait()
--- a/internal/node/edge/peers.go
+++ b/internal/node/edge/peers.go
@@ -48,8 +48,8 @@
 	return err == nil
 }
 
-// witness asks other nodes whether they reach a backend server.
-func (n *Node) witness(ctx context.Context, p group.Probe) (asked, reached int) {
+// witness asks other nodes whether they reach a backend server: how many were asked, how many do.
+func (n *Node) witness(ctx context.Context, p group.Probe) (int, int) {
 	w := n.mesh.Witness(ctx, p.Server, p.Address)
 	return w.Asked, w.Reached
 }
--- a/internal/node/pass/call.go
+++ b/internal/node/pass/call.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"time"
 
-	"geraniumhollow/internal/fleet/index"
 	"geraniumhollow/internal/node/front"
 	"geraniumhollow/internal/route/match"
 	"github.com/valyala/fasthttp"
@@ -91,9 +90,6 @@
 	return c.Patience > 0 && float64(c.Patience) < returnedShare*float64(c.Route.Timeout)
 }
 
-// Key returns what the call asks for.
-func (c *Call) key() index.Key { return index.Key{Service: c.Service.Name, Model: c.Model} }
-
 // fingerprint hashes what makes two requests the same work.
 func fingerprint(account string, r *front.Request) uint64 {
 	h := xxh3.New()
--- a/internal/node/seat/seat.go
+++ b/internal/node/seat/seat.go
@@ -103,13 +103,13 @@
 	}
 }
 
-// try gives a place if there is one. wait says that there may be one soon.
-func (s *Seats) try(c *pass.Call, tried sets.Set[string], cancel context.CancelCauseFunc) (place *seat, wait bool, refusal *fault.Error) {
+// try gives a place if there is one. If not, it reports whether there may be one soon, or how to refuse.
+func (s *Seats) try(c *pass.Call, tried sets.Set[string], cancel context.CancelCauseFunc) (*seat, bool, *fault.Error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.cfg.Now()
 	s.sync(now)
-	wait = s.bar(now, c, tried)
+	wait := s.bar(now, c, tried)
 	r := choose.Request{
 		Model: offer(c), PromptTokens: c.Prompt, AnswerTokens: c.MaxAnswer, Tried: s.barred,
 	}
--- a/internal/plan/group/change.go
+++ b/internal/plan/group/change.go
@@ -76,29 +76,20 @@
 func (d *Decider) keepers(now time.Time, f Formation) ([]string, string) {
 	var kept []string
 	why := ""
-	for i, id := range f.Members {
-		h := d.hosts[id]
-		reason := ""
-		switch {
-		case h == nil || h.lost():
-			reason = "member_lost"
-		case i == 0 && !h.listed:
-			reason = "head_not_listed"
-		case h.Draining:
-			reason = "member_draining"
-		case h.slow() && d.replaceable(f):
-			reason = "member_slow"
-		case d.fellOut(h, f):
-			why = "member_left"
-		}
-		if reason == "member_draining" || reason == "member_slow" {
-			if !d.wound(now, f, reason) {
-				reason = ""
-			}
-		}
-		if reason == "" {
+	for _, id := range f.Members {
+		switch reason := d.unfit(f, id); reason {
+		case "":
 			kept = append(kept, id)
-		} else {
+			if d.fellOut(d.hosts[id], f) {
+				why = "member_left"
+			}
+		case memberDraining, memberSlow:
+			if d.wound(now, f, reason) {
+				why = reason
+			} else {
+				kept = append(kept, id)
+			}
+		default:
 			why = reason
 		}
 	}
@@ -108,6 +99,29 @@
 	return kept, why
 }
 
+// Reasons to replace a member that still serves, so that its group is closed first.
+const (
+	memberDraining = "member_draining"
+	memberSlow     = "member_slow"
+)
+
+// unfit returns why a member has to be replaced, "" if it can stay.
+func (d *Decider) unfit(f Formation, id string) string {
+	h := d.hosts[id]
+	switch {
+	case h == nil || h.lost():
+		return "member_lost"
+	case id == f.Head() && !h.listed:
+		return "head_not_listed"
+	case h.Draining:
+		return memberDraining
+	case h.slow() && d.replaceable(f):
+		return memberSlow
+	default:
+		return ""
+	}
+}
+
 // replaceable reports whether a spare is ready to take the place of a member.
 func (d *Decider) replaceable(f Formation) bool {
 	return slices.ContainsFunc(d.free(&d.plan, f.Domain), func(h *host) bool { return h.Model == f.Model })
--- a/internal/plan/group/spare.go
+++ b/internal/plan/group/spare.go
@@ -1,6 +1,8 @@
 package group
 
 import (
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -31,9 +33,9 @@
 			domains[h.Domain] = append(domains[h.Domain], h)
 		}
 	}
-	var out []Order
-	for domain, list := range domains {
-		out = append(out, d.prepareDomain(now, domain, list)...)
+	out := make([]Order, 0, len(domains))
+	for _, domain := range slices.Sorted(maps.Keys(domains)) {
+		out = append(out, d.prepareDomain(now, domain, domains[domain])...)
 	}
 	return out
 }
@@ -46,7 +48,7 @@
 			members[f.Model] += len(f.Members)
 		}
 	}
-	var out []Order
+	out := make([]Order, 0, len(spares))
 	held := make(map[string]int)
 	for len(spares) > 0 {
 		model := nextSpare(d.cfg.Engine.Models, members, held)
--- a/internal/route/stall/stall_test.go
+++ b/internal/route/stall/stall_test.go
@@ -13,7 +13,7 @@
 func watch(streams int) (*stall.Watch, []stall.ID, time.Time) {
 	w := stall.New(stall.DefaultConfig())
 	now := time.Unix(1000, 0)
-	var ids []stall.ID
+	ids := make([]stall.ID, 0, streams)
 	for range streams {
 		ids = append(ids, w.Begin(now, server))
 	}
