A stopping node hands its shards over in two parts

Cause: a node that began to stop yielded all its shards at once. Ruled out: a shorter wait of the next holder; it covers grants that are in flight. Change: each model keeps at least half of its servers until the first part has new holders, 6 s later.

--- a/internal/fleet/drain/drain_test.go
+++ b/internal/fleet/drain/drain_test.go
@@ -1,12 +1,14 @@
 package drain_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"geraniumhollow/internal/conf/schema"
 	"geraniumhollow/internal/fleet/drain"
 	"geraniumhollow/internal/plat/hosts"
+	"pgregory.net/rapid"
 )
 
 // Guards against a stop that cuts requests, refuses too early, or never ends.
@@ -93,3 +95,38 @@
 		t.Error("a host that returns is still left out")
 	}
 }
+
+// Guards against a stopping node that takes all servers of a model out of use at the same time.
+func TestHalves(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(rt *rapid.T) {
+		models := rapid.SliceOfN(rapid.SliceOfN(rapid.SampledFrom([]string{"a", "b", "c"}), 0, 3), 0, 64).Draw(rt, "models")
+		duties := make([]drain.Duty, len(models))
+		of := make(map[string][]string)
+		for i, m := range models {
+			duties[i] = drain.Duty{Name: fmt.Sprint(i), Models: m}
+			of[duties[i].Name] = m
+		}
+		first, second := drain.Halves(duties)
+		if len(first)+len(second) != len(duties) {
+			rt.Fatalf("%d and %d of %d duties", len(first), len(second), len(duties))
+		}
+		servers := func(names []string, model string) int {
+			n := 0
+			for _, d := range names {
+				for _, m := range of[d] {
+					if m == model {
+						n++
+					}
+				}
+			}
+			return n
+		}
+		for _, m := range []string{"a", "b", "c"} {
+			// One duty can hold up to three servers of a model.
+			if moved, kept := servers(first, m), servers(second, m); moved > kept+2 || moved > 0 && kept == 0 {
+				rt.Errorf("model %s: %d servers move at once, %d stay", m, moved, kept)
+			}
+		}
+	})
+}
--- a/internal/node/serve/shared.go
+++ b/internal/node/serve/shared.go
@@ -7,6 +7,7 @@
 
 	"geraniumhollow/internal/conf/view"
 	"geraniumhollow/internal/core/tasks"
+	"geraniumhollow/internal/fleet/drain"
 	"geraniumhollow/internal/fleet/lease"
 	"geraniumhollow/internal/fleet/roster"
 	"geraniumhollow/internal/node/gate"
@@ -29,6 +30,10 @@
 // leaveTimeout bounds the wait for the end of a stopping node's lease.
 const leaveTimeout = 3 * time.Second
 
+// handoverTime is how long the next holder of a shard takes until it grants: it sees the yield within a
+// second, waits out the grants of the old one (budget.DefaultSpread) and needs a load report (1 s).
+const handoverTime = 6 * time.Second
+
 // errUnexpectedReply means that a peer answered an ask with another kind of message.
 var errUnexpectedReply = errors.New("unexpected kind of reply")
 
@@ -47,6 +52,8 @@
 	// uses it, which the shares call from one goroutine for each server.
 	instances *instances
 	changes   changes
+	// drained is when the stop of this node began to hand shards over. Only the goroutine of the stop uses it.
+	drained time.Time
 }
 
 // newControl builds the parts that decide requests. They start with run.
@@ -181,17 +188,43 @@
 	return out
 }
 
-// drain hands the shards over: nothing is granted here from now on.
+// drain hands the first half of the shards over: nothing is granted under them here from now on.
 func (c *control) drain() {
 	c.leases.Drain()
-	for _, t := range c.held() {
-		c.shares.Yield(t.Duty)
+	c.drained = c.node.now()
+	first, _ := drain.Halves(c.duties())
+	for _, d := range first {
+		c.shares.Yield(d)
 	}
 }
 
-// leave ends the lease, so that the duties of this node move without waiting for its lapse.
+// duties returns the duties that this node holds, with the backend servers that depend on them.
+func (c *control) duties() []drain.Duty {
+	models := make(map[string][]string)
+	v := c.node.view.Load()
+	for _, m := range v.Document().Models {
+		for _, s := range v.Servers(m.Name) {
+			d := share.Duty(s.Name, share.DefaultShards)
+			models[d] = append(models[d], m.Name)
+		}
+	}
+	held := c.held()
+	out := make([]drain.Duty, 0, len(held))
+	for _, t := range held {
+		out = append(out, drain.Duty{Name: t.Duty, Models: models[t.Duty]})
+	}
+	return out
+}
+
+// leave ends the lease, so that the duties of this node move without waiting for its lapse. The shards that
+// are left move once the ones handed over before are in use again.
 func (c *control) leave(ctx context.Context) {
-	c.drain()
+	if len(c.held()) > 0 {
+		tasks.Sleep(ctx, c.drained.Add(handoverTime).Sub(c.node.now()))
+	}
+	for _, t := range c.held() {
+		c.shares.Yield(t.Duty)
+	}
 	deadline := time.NewTimer(leaveTimeout)
 	defer deadline.Stop()
 	t := time.NewTicker(drainTick)
