Nodes that the store fails hear of changes from others; false stalls end

Cause: a group that had just opened was sent prompts by all nodes at once. An engine gives all its streams their events at the end of a pass, and a pass that reads prompts takes up to 0.29 s here, so 0.2 s without an event was taken for a stall, the attempts were withdrawn and the next server stalled in the same way. Causes: a read of the store that was cut once sent the node to follow another one, which knew no more, for a second; a node that learnt of a change by reading all rows did not tell the others; changes of servers were not told at all; a node whose store refuses it could follow a node that follows itself. The keeper tried to store its plan again without a pause, and kept the duty until its lifetime ended. Ruled out: longer waits of reads (the bound is 2 s); a fixed silence of 0.3 s for stalls (later by 0.1 s where no prompt waits, too short on slower engines). Tests: TestReading, TestOneCallCut, TestTellsOfFullRead, TestFailing, TestTakeover; the mirror's fail without the change.

--- a/internal/fleet/duty/duty.go
+++ b/internal/fleet/duty/duty.go
@@ -72,6 +72,10 @@
 	heardFence uint64
 	// linked says that the node hears other nodes, so that a silent holder is not the node's own fault.
 	linked bool
+	// failing says that the store does not take renewals of this node's tenure; offered is the tenure of
+	// another node of which that is so.
+	failing bool
+	offered uint64
 	// replaced is a holder whose place another process has taken.
 	replaced string
 	// readAt is when the row was read last.
@@ -101,6 +105,18 @@
 	d.heard, d.heardFence = now, fence
 }
 
+// Offered notes that the store does not take the renewals of a holder: whoever the store serves should take
+// the duty.
+func (d *Decider) Offered(now time.Duration, fence uint64) {
+	d.Heard(now, fence)
+	if d.offered != fence && fence >= d.row.Fence {
+		d.offered, d.next = fence, min(d.next, now)
+	}
+}
+
+// Failing reports whether the store does not take the renewals of this node's tenure.
+func (d *Decider) Failing() bool { return d.failing }
+
 // Linked says whether the node has links to nodes other than the holder.
 func (d *Decider) Linked(linked bool) { d.linked = linked }
 
@@ -114,7 +130,7 @@
 
 // lapsed reports whether another node may take the duty.
 func (d *Decider) lapsed(now time.Duration) bool {
-	if d.row.Holder == "" || d.row.Holder == d.replaced {
+	if d.row.Holder == "" || d.row.Holder == d.replaced || d.row.Holder != d.node && d.offered == d.row.Fence {
 		return true
 	}
 	silent := d.linked && d.heardFence == d.row.Fence && now-d.heard >= Silence
@@ -201,15 +217,18 @@
 	case err == nil:
 		d.row, d.revision, d.changed = op.want, revision, now
 		d.next = now + Renew
-		d.until = 0
+		d.until, d.failing = 0, false
 		if op.want.Holder == d.node {
 			d.until = op.sent + Lifetime - margin
 		}
-	case errors.Is(err, table.ErrUnavailable):
+	case errors.Is(err, table.ErrUnavailable) && op.want.Fence == d.row.Fence:
+		d.failing = true
 		d.next = now + retryAfter
+	case errors.Is(err, table.ErrUnavailable):
+		d.next = now + Look
 	default:
 		// Another node was faster, or the outcome is unknown: the row tells.
-		d.known = false
+		d.known, d.failing = false, false
 		d.next = now
 	}
 }
--- a/internal/fleet/duty/duty_test.go
+++ b/internal/fleet/duty/duty_test.go
@@ -80,8 +80,9 @@
 		loss   func(b *duty.Decider, now time.Duration)
 		within time.Duration
 	}{
-		"not heard": {func(*duty.Decider, time.Duration) {}, duty.Lifetime + duty.Look + 2*step},
-		"replaced":  {func(b *duty.Decider, now time.Duration) { b.Replaced(now, "a") }, 3 * step},
+		"not heard":            {func(*duty.Decider, time.Duration) {}, duty.Lifetime + duty.Look + 2*step},
+		"replaced":             {func(b *duty.Decider, now time.Duration) { b.Replaced(now, "a") }, 3 * step},
+		"refused by the store": {func(b *duty.Decider, now time.Duration) { b.Offered(now, 1) }, 3 * step},
 		"silent": {func(b *duty.Decider, now time.Duration) {
 			b.Linked(true)
 			b.Heard(now, 1)
@@ -118,6 +119,35 @@
 	}
 }
 
+// Guards against a holder that the store refuses and that tells nobody.
+func TestFailing(t *testing.T) {
+	t.Parallel()
+	var r row
+	a := &node{d: duty.New("a", key)}
+	now := time.Second
+	for ; now < 3*time.Second; now += step {
+		r.run(a, now, false)
+	}
+	if a.d.Failing() {
+		t.Error("renewals fail while the store takes them")
+	}
+	refused := now
+	for ; now < refused+duty.Renew+step && !a.d.Failing(); now += step {
+		if op, ok := a.d.Next(now); ok {
+			a.d.CommitDone(now, op, 0, table.ErrUnavailable)
+		}
+	}
+	if !a.d.Failing() {
+		t.Error("a refused renewal is not told")
+	}
+	for ; now < refused+2*time.Second; now += step {
+		r.run(a, now, false)
+	}
+	if a.d.Failing() {
+		t.Error("renewals fail after the store took one")
+	}
+}
+
 // Guards against a planned stop after which nobody keeps the duty.
 func TestYield(t *testing.T) {
 	t.Parallel()
--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -187,6 +187,11 @@
 // followStore reads once from the store, or for a while from another node if the store does not answer.
 func (c *Copy) followStore(ctx context.Context, begun time.Time) {
 	err := c.pull(ctx, c.cfg.Store, c.cfg.Wait)
+	if err != nil && time.Since(begun) < c.cfg.Wait {
+		// One call was cut or refused; the next one shows whether the store serves this node.
+		tasks.Sleep(ctx, retryMin)
+		err = c.pull(ctx, c.cfg.Store, c.cfg.Wait)
+	}
 	if err == nil {
 		c.note(ctx, nil)
 		tasks.Sleep(ctx, c.cfg.Pause-time.Since(begun))
@@ -279,6 +284,7 @@
 	c.known, c.revision = true, s.Revision
 	c.history, c.floor = c.history[:0], s.Revision
 	c.cfg.Apply(Update{Full: true, Put: s.Rows})
+	c.cfg.Advanced(c.revision)
 	c.wake()
 	return nil
 }
--- a/internal/fleet/mirror/mirror_test.go
+++ b/internal/fleet/mirror/mirror_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,6 +26,7 @@
 	floor   uint64
 	away    bool
 	silent  bool
+	cut     int // calls to refuse
 	changed chan struct{}
 	calls   int
 }
@@ -102,7 +104,8 @@
 func (s *source) fault(ctx context.Context) error {
 	s.mu.Lock()
 	s.calls++
-	away, silent := s.away, s.silent
+	away, silent := s.away || s.cut > 0, s.silent
+	s.cut = max(0, s.cut-1)
 	s.mu.Unlock()
 	if silent {
 		<-ctx.Done()
@@ -270,6 +273,48 @@
 	}
 }
 
+// Guards against a reader of the store that follows a node which knows no more for as long as it answers,
+// because one call of the store was cut.
+func TestOneCallCut(t *testing.T) {
+	t.Parallel()
+	bubble(t, func(t *testing.T, ctx context.Context) {
+		s, other := newSource(), newSource()
+		s.put("op/config", "1")
+		other.put("op/config", "1")
+		behind, _ := follow(ctx, t, mirror.Config{Store: other, Wait: time.Second})
+		_, r := follow(ctx, t, mirror.Config{
+			Store: s, Wait: time.Second, Peer: func() table.Feed { return behind }, Upstream: func() table.Feed { return nil },
+		})
+		time.Sleep(1500 * time.Millisecond)
+		s.set(func() { s.cut = 1 })
+		time.Sleep(700 * time.Millisecond)
+		s.put("op/config", "2")
+		time.Sleep(100 * time.Millisecond)
+		if got := r.get("op/config"); got != "2" {
+			t.Errorf("got %q 0.1 s after the change", got)
+		}
+	})
+}
+
+// Guards against nodes that are not told of a revision which a node learns by reading all rows.
+func TestTellsOfFullRead(t *testing.T) {
+	t.Parallel()
+	bubble(t, func(t *testing.T, ctx context.Context) {
+		s := newSource()
+		s.put("op/config", "1")
+		var told atomic.Uint64
+		_, r := follow(ctx, t, mirror.Config{Store: s, Wait: time.Second, Advanced: told.Store})
+		time.Sleep(100 * time.Millisecond)
+		// The change is not in the history that the next read asks for.
+		s.set(func() { s.rows["op/config"] = table.Row{Key: "op/config", Value: []byte("2"), Revision: 9} })
+		s.set(func() { s.floor, s.log, s.rev = 9, nil, 9 })
+		time.Sleep(2 * time.Second)
+		if r.get("op/config") != "2" || told.Load() != 9 {
+			t.Errorf("has %q, told of revision %d", r.get("op/config"), told.Load())
+		}
+	})
+}
+
 // Guards against followers that read the store although their upstream answers, and that go on with one that
 // does not.
 func TestUpstream(t *testing.T) {
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -70,11 +70,11 @@
 	n.mesh = mesh.New(mesh.Config{
 		Address: address, DataCentre: set.DataCentre, Incarnation: incarnation,
 		Table: n.store, Feed: n.store, Copies: n.copyOf, Stalled: n.takeStalled,
-		Duty: func(fence uint64) { n.keeper.Heard(fence) }, Met: func(at, inc string) { n.keeper.Met(at, inc) },
+		Duty: func(fence uint64, failing bool) { n.keeper.Heard(fence, failing) }, Met: func(at, inc string) { n.keeper.Met(at, inc) },
 		Reaches: n.reaches, Suspects: n.takeSuspects, Log: cfg.Log,
 	})
 	n.seats = seat.New(seat.Config{
-		View: n.index.View, Service: n.service, ColdAllowance: n.coldAllowance, Stalled: n.tellStalled,
+		View: n.index.View, Service: n.service, ColdAllowance: n.coldAllowance, Nodes: n.mesh.Size, Stalled: n.tellStalled,
 		Now: time.Now, Seed: uint64(os.Getpid()), Metrics: cfg.Metrics, Log: cfg.Log,
 	})
 	n.crashes = pass.NewCrashes(pass.CrashDeps{
--- a/internal/node/edge/rows.go
+++ b/internal/node/edge/rows.go
@@ -26,16 +26,12 @@
 
 // copy returns a copy of a family that follows other nodes or the store.
 func (n *Node) copy(family string, apply func(mirror.Update), reached func(bool)) *mirror.Copy {
-	cfg := mirror.Config{
+	return mirror.New(mirror.Config{
 		Family: family, Store: n.store,
 		Upstream: func() table.Feed { return n.mesh.Upstream(family) }, Peer: func() table.Feed { return n.mesh.Peer(family) },
 		Apply: apply, Reached: reached, Wait: readWait, Pause: readPause, Log: n.cfg.Log,
-	}
-	if family == n.cfg.Decoder.Families().Operator {
-		// What operators want is rare and has a bound; nodes tell each other of it.
-		cfg.Advanced = func(revision uint64) { n.mesh.Hint(family, revision) }
-	}
-	return mirror.New(cfg)
+		Advanced: func(revision uint64) { n.mesh.Hint(family, revision) },
+	})
 }
 
 // copyOf returns the copy of a family that other nodes may follow.
--- a/internal/node/keeper/keeper.go
+++ b/internal/node/keeper/keeper.go
@@ -51,8 +51,8 @@
 	// Witness asks other nodes whether they reach a server. It returns how many answered, and how many of
 	// them reach it.
 	Witness func(ctx context.Context, p group.Probe) (asked, reached int)
-	// Announce tells other nodes that this one holds the duty.
-	Announce func(fence uint64)
+	// Announce tells other nodes that this one holds the duty, and whether the store does not take its renewals.
+	Announce func(fence uint64, failing bool)
 	// Linked reports whether this node has links to nodes other than one.
 	Linked func(but string) bool
 	// Traffic reports whether callers have been served.
@@ -80,6 +80,8 @@
 	reportInterval = 2 * time.Second
 	// commitTimeout bounds a call of the store.
 	commitTimeout = time.Second
+	// storePause is the pause after a plan that the store did not take.
+	storePause = 150 * time.Millisecond
 )
 
 // Keeper keeps groups while its node has the duty.
@@ -93,8 +95,11 @@
 	// fence is that of the tenure for which the decider was made.
 	fence    uint64
 	revision uint64
-	suspects []index.Formation
-	reported time.Time
+	// storeAgain is when the plan may be stored again after the store did not take it. Only the goroutine
+	// that keeps groups uses it.
+	storeAgain time.Time
+	suspects   []index.Formation
+	reported   time.Time
 }
 
 // New returns a keeper that does nothing until Run.
@@ -153,11 +158,15 @@
 	k.duty.Yield()
 }
 
-// Heard notes that another node says that it holds the duty.
-func (k *Keeper) Heard(fence uint64) {
+// Heard notes that another node says that it holds the duty, and whether the store does not take its renewals.
+func (k *Keeper) Heard(fence uint64, failing bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.duty.Heard(clock.Since(), fence)
+	if failing {
+		k.duty.Offered(clock.Since(), fence)
+	} else {
+		k.duty.Heard(clock.Since(), fence)
+	}
 }
 
 // Met notes a process at the address of a node. If the holder of the duty had that address as another
@@ -178,7 +187,7 @@
 		now := clock.Since()
 		if fence, ok := k.holds(); ok && now-announced >= duty.Beat {
 			announced = now
-			k.cfg.Announce(fence)
+			k.cfg.Announce(fence, k.failing())
 		}
 		k.mu.Lock()
 		at, _, _ := strings.Cut(k.duty.Holder(), "/")
@@ -210,6 +219,12 @@
 	k.duty.CommitDone(clock.Since(), op, rev, err)
 }
 
+func (k *Keeper) failing() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.duty.Failing()
+}
+
 // holds returns the fencing number while the node has the duty.
 func (k *Keeper) holds() (uint64, bool) {
 	k.mu.Lock()
@@ -233,7 +248,7 @@
 			k.resign()
 			continue
 		}
-		if !k.ready(ctx, fence) {
+		if time.Now().Before(k.storeAgain) || !k.ready(ctx, fence) {
 			continue
 		}
 		k.step(ctx, g)
@@ -264,6 +279,7 @@
 	plan, rev, err := k.takePlan(ctx, service, fence)
 	if err != nil {
 		k.cfg.Log.Warn("cannot take over the plan of groups", "fence", fence, "error", err)
+		k.storeAgain = time.Now().Add(storePause)
 		return false
 	}
 	k.mu.Lock()
@@ -384,6 +400,7 @@
 	case errors.Is(err, table.ErrUnavailable):
 		k.cfg.Log.Warn("cannot store the plan of groups", "error", err)
 		k.decider.CommitFailed()
+		k.storeAgain = time.Now().Add(storePause)
 	default:
 		k.cfg.Log.Warn("plan of groups was changed, or its outcome is unknown", "error", err)
 		k.decider = nil
--- a/internal/node/mesh/mesh.go
+++ b/internal/node/mesh/mesh.go
@@ -68,7 +68,8 @@
 	// the groups.
 	Stalled func(f index.Formation) bool
 	// Duty takes a node's word that it holds the duty to keep groups; Met tells of each new link.
-	Duty func(fence uint64)
+	// failing says that the store does not take that node's renewals.
+	Duty func(fence uint64, failing bool)
 	Met  func(address, incarnation string)
 	// Reaches reports whether this node reaches a backend server.
 	Reaches func(ctx context.Context, server, addr string) bool
@@ -125,7 +126,7 @@
 			c.Hint(uint64(h.Rev), remote{m: m, node: from.Node, family: h.Family})
 		}
 	})
-	peer.On(m.net, func(_ peer.Peer, b *frame.DutyBeat) { cfg.Duty(uint64(b.Fence)) })
+	peer.On(m.net, func(_ peer.Peer, b *frame.DutyBeat) { cfg.Duty(uint64(b.Fence), b.Failing) })
 	peer.On(m.net, func(from peer.Peer, s *frame.SuspectRequest) { cfg.Suspects(from.Node, s.List) })
 	return m
 }
@@ -315,13 +316,17 @@
 	return out
 }
 
-// Peer returns another node's copy of a family, or nil when there is no link.
+// Peer returns another node's copy of a family, or nil when there is no link. Nodes of other data centres go
+// first: those of the own one may follow this node.
 func (m *Mesh) Peer(family string) table.Feed {
 	list := m.linked()
 	if len(list) == 0 {
 		return nil
 	}
-	return remote{m: m, node: list[0], family: family}
+	m.mu.Lock()
+	far := slices.IndexFunc(list, func(n string) bool { return m.members[n].DataCentre != m.cfg.DataCentre })
+	m.mu.Unlock()
+	return remote{m: m, node: list[max(0, far)], family: family}
 }
 
 // Stalled tells the node that keeps the groups of a head that makes no progress. holder is that node, as
@@ -385,10 +390,11 @@
 	}
 }
 
-// Announce tells the linked nodes that this one holds the duty to keep groups.
-func (m *Mesh) Announce(fence uint64) {
+// Announce tells the linked nodes that this one holds the duty to keep groups, and whether the store does not
+// take its renewals.
+func (m *Mesh) Announce(fence uint64, failing bool) {
 	for _, n := range m.linked() {
-		if err := m.net.Send(n, &frame.DutyBeat{Fence: int(fence)}); err != nil {
+		if err := m.net.Send(n, &frame.DutyBeat{Fence: int(fence), Failing: failing}); err != nil {
 			m.cfg.Log.Debug("cannot tell a node of the duty", "node", n, "error", err)
 		}
 	}
--- a/internal/node/seat/seat.go
+++ b/internal/node/seat/seat.go
@@ -30,6 +30,8 @@
 	// ColdAllowance returns how many requests a second this node may send to a cold server that bears
 	// rate requests a second.
 	ColdAllowance func(rate float64) int
+	// Nodes returns how many nodes send to the same servers.
+	Nodes func() int
 	// Stalled is told of the formation of a head that makes no progress. It must not block.
 	Stalled func(f index.Formation)
 	Now     func() time.Time
@@ -127,7 +129,7 @@
 	sv := s.servers[s.table.Name(id)]
 	sv.sends.Add(now)
 	s.watch.Trial(now, sv.entry.ID)
-	t := &seat{facts: sv.facts(now, est), s: s, server: sv, entry: sv.entry, sent: s.table.Send(id, now, r), at: now, cancel: cancel, repeatable: c.Route.Repeatable()}
+	t := &seat{facts: sv.facts(now, est), s: s, server: sv, entry: sv.entry, sent: s.table.Send(id, now, r), at: now, prompt: c.Prompt, wait: est, cancel: cancel, repeatable: c.Route.Repeatable()}
 	sv.seats[t] = struct{}{}
 	return t, false, nil
 }
@@ -252,18 +254,46 @@
 	defer s.mu.Unlock()
 	now := s.cfg.Now()
 	for name, sv := range s.servers {
-		if sv.unanswered(now, s.watch.Silence(name)) && !s.watch.Stalled(now, name) {
+		if sv.unanswered(now, s.watch.Silence(name, s.passTime(sv))) && !s.watch.Stalled(now, name) {
 			s.watch.Mark(now, name)
 			s.stalled(now, sv, "no_answer")
 		}
 	}
-	for _, name := range s.watch.Check(now) {
+	pass := func(name string) time.Duration {
+		if sv, ok := s.servers[name]; ok {
+			return s.passTime(sv)
+		}
+		return 0
+	}
+	for _, name := range s.watch.Check(now, pass) {
 		if sv, ok := s.servers[name]; ok {
 			s.stalled(now, sv, "streams_silent")
 		}
 	}
 }
 
+// passTime returns how long a pass of a server may take. The prompts that other nodes have sent are not known;
+// they are taken to be like this node's own.
+func (s *Seats) passTime(sv *server) time.Duration {
+	svc := s.cfg.Service(sv.entry.Service)
+	if svc == nil || svc.Engine == nil {
+		return 0
+	}
+	e := svc.Engine
+	pace := 1.0
+	if m, ok := e.Model(sv.entry.Model); ok {
+		pace = m.Pace
+	}
+	prompts := 0
+	for t := range sv.seats {
+		if t.first == 0 {
+			prompts += t.prompt
+		}
+	}
+	pass := e.PassTime(e.Slots, e.Slots*(e.UsualPrompt+e.UsualAnswer/2), prompts*s.cfg.Nodes())
+	return time.Duration(pace * float64(pass))
+}
+
 // stalled withdraws the attempts at a server and tells of its group.
 func (s *Seats) stalled(now time.Time, sv *server, why string) {
 	s.cfg.Metrics.Stalled(why)
--- a/internal/node/seat/server.go
+++ b/internal/node/seat/server.go
@@ -84,13 +84,14 @@
 	return n
 }
 
-// unanswered reports whether a head has left all its requests without a first byte for too long.
+// unanswered reports whether a head has left all its requests without a first byte for too long. A request
+// may have to wait for a place, which the estimate of its wait covers.
 func (sv *server) unanswered(now time.Time, silence time.Duration) bool {
 	if !sv.entry.Member.Some() || now.Sub(sv.progress) < firstFactor*silence {
 		return false
 	}
 	for t := range sv.seats {
-		if t.first == 0 && now.Sub(t.at) >= firstFactor*silence {
+		if t.first == 0 && now.Sub(t.at) >= firstFactor*(silence+t.wait) {
 			return true
 		}
 	}
@@ -105,6 +106,9 @@
 	entry *index.Entry
 	sent  uint64
 	at    time.Time
+	// prompt is how many tokens the server has to read, wait how long the first bytes were expected to take.
+	prompt int
+	wait   time.Duration
 	// first is the time to the first bytes of the answer, 0 before them.
 	first      time.Duration
 	stream     stall.ID
--- a/internal/route/batch/batch.go
+++ b/internal/route/batch/batch.go
@@ -70,6 +70,17 @@
 	return e.Step + time.Duration(writing)*e.PerRequest + time.Duration(float64(tokens)/1000*float64(e.PerThousand))
 }
 
+// PassTime returns the time of one pass of a group with pace 1 that writes for a number of requests, which hold
+// a number of tokens together, and that has prompts to read. Each request gets its next event at the end of a
+// pass.
+func (e *Engine) PassTime(writing, tokens, prompts int) time.Duration {
+	read := prompts
+	if e.Chunk > 0 {
+		read = min(prompts, e.Stride*e.Chunk)
+	}
+	return time.Duration(e.Stride)*e.StepTime(writing, tokens) + e.ReadTime(read)
+}
+
 // ReadTime returns the time to read a prompt on a group with pace 1.
 func (e *Engine) ReadTime(prompt int) time.Duration {
 	if e.ReadRate <= 0 {
--- a/internal/route/stall/stall.go
+++ b/internal/route/stall/stall.go
@@ -15,19 +15,25 @@
 	Silence time.Duration
 	// Passes is the same in multiples of the time between events that the server has shown.
 	Passes float64
-	// Few multiplies the silence for a server with one stream, or with two: passes that read long prompts,
-	// or one lost packet, can silence them.
+	// Few multiplies the silence for a server with one stream, or with two: one lost packet can silence
+	// them.
 	Few [2]float64
+	// Slack is how much longer than a pass of the server a silence must last.
+	Slack time.Duration
 	// Hold is how long a stalled server gets no new work unless it makes progress. It doubles with each
 	// stall that follows without progress between them, up to MaxHold.
 	Hold    time.Duration
 	MaxHold time.Duration
 }
 
-// DefaultConfig returns the shape in use. Engines that work give three streams or more an event within 0.2 s,
-// and callers whose first event is due after 0.25 s are still served in time elsewhere after that.
+// DefaultConfig returns the shape in use. Engines that have no prompts to read give three streams or more an event
+// within 0.2 s, and callers whose first event is due after 0.25 s are still served in time elsewhere after
+// that. The slack covers the way over the network and the time between checks.
 func DefaultConfig() Config {
-	return Config{Silence: 200 * time.Millisecond, Passes: 4, Few: [2]float64{1.5, 1.25}, Hold: 1200 * time.Millisecond, MaxHold: 6 * time.Second}
+	return Config{
+		Silence: 200 * time.Millisecond, Passes: 4, Few: [2]float64{1.5, 1.25}, Slack: 100 * time.Millisecond,
+		Hold: 1200 * time.Millisecond, MaxHold: 6 * time.Second,
+	}
 }
 
 // ID names a stream.
@@ -95,11 +101,12 @@
 // Forget removes a server.
 func (w *Watch) Forget(server string) { delete(w.servers, server) }
 
-// Check returns the servers that have begun to stall.
-func (w *Watch) Check(now time.Time) []string {
+// Check returns the servers that have begun to stall. pass returns how long a pass of a server may take with
+// the prompts that it has to read, 0 if that is not known.
+func (w *Watch) Check(now time.Time, pass func(server string) time.Duration) []string {
 	var out []string
 	for name, e := range w.servers {
-		if e.stalled || len(e.streams) == 0 || now.Sub(e.last) < w.limit(e) {
+		if e.stalled || len(e.streams) == 0 || now.Sub(e.last) < w.limit(e) || now.Sub(e.last) < pass(name)+w.cfg.Slack {
 			continue
 		}
 		w.stall(now, e)
@@ -134,8 +141,10 @@
 
 func (e *entry) progress(now time.Time) { e.last, e.stalled, e.hold = now, false, 0 }
 
-// Silence returns how long a server may be silent.
-func (w *Watch) Silence(server string) time.Duration { return w.limit(w.entry(server)) }
+// Silence returns how long a server may be silent whose passes take up to a time.
+func (w *Watch) Silence(server string, pass time.Duration) time.Duration {
+	return max(w.limit(w.entry(server)), pass+w.cfg.Slack)
+}
 
 func (w *Watch) limit(e *entry) time.Duration {
 	limit := max(w.cfg.Silence, time.Duration(w.cfg.Passes*float64(e.gap)))
--- a/internal/route/stall/stall_test.go
+++ b/internal/route/stall/stall_test.go
@@ -26,6 +26,23 @@
 	return w, ids, now
 }
 
+// short is the pass of a server without prompts to read.
+func short(string) time.Duration { return 50 * time.Millisecond }
+
+// Guards against a server that reads prompts and is taken for one that stands still. The streams of one server
+// get their events together, at the end of each pass.
+func TestReading(t *testing.T) {
+	t.Parallel()
+	w, _, now := watch(8)
+	reading := func(string) time.Duration { return 290 * time.Millisecond }
+	if got := w.Check(now.Add(380*time.Millisecond), reading); len(got) > 0 {
+		t.Error("stalled during a pass of 290 ms")
+	}
+	if got := w.Check(now.Add(400*time.Millisecond), reading); len(got) != 1 {
+		t.Error("not stalled after a pass of 290 ms")
+	}
+}
+
 // Guards against a server without progress that is noticed late, and one that works and is given up.
 func TestSilence(t *testing.T) {
 	t.Parallel()
@@ -34,13 +51,13 @@
 		after   time.Duration
 	}{{1, 300 * time.Millisecond}, {2, 250 * time.Millisecond}, {8, 200 * time.Millisecond}} {
 		w, _, now := watch(tt.streams)
-		if got := w.Check(now.Add(tt.after - time.Millisecond)); len(got) > 0 {
+		if got := w.Check(now.Add(tt.after-time.Millisecond), short); len(got) > 0 {
 			t.Errorf("%d streams: stalled before %v", tt.streams, tt.after)
 		}
-		if got := w.Check(now.Add(tt.after)); len(got) != 1 || !w.Stalled(now.Add(tt.after), server) {
+		if got := w.Check(now.Add(tt.after), short); len(got) != 1 || !w.Stalled(now.Add(tt.after), server) {
 			t.Errorf("%d streams: not stalled after %v", tt.streams, tt.after)
 		}
-		if got := w.Check(now.Add(tt.after + 10*time.Millisecond)); len(got) > 0 {
+		if got := w.Check(now.Add(tt.after+10*time.Millisecond), short); len(got) > 0 {
 			t.Errorf("%d streams: reported twice", tt.streams)
 		}
 	}
@@ -58,10 +75,10 @@
 			w.Progress(now, server, id)
 		}
 	}
-	if got := w.Check(now.Add(600 * time.Millisecond)); len(got) > 0 {
+	if got := w.Check(now.Add(600*time.Millisecond), short); len(got) > 0 {
 		t.Error("a server with passes of 180 ms is stalled after 600 ms")
 	}
-	if got := w.Check(now.Add(time.Second)); len(got) == 0 {
+	if got := w.Check(now.Add(time.Second), short); len(got) == 0 {
 		t.Error("it is not stalled after a second")
 	}
 }
@@ -71,7 +88,7 @@
 	t.Parallel()
 	w, ids, now := watch(3)
 	now = now.Add(time.Second)
-	w.Check(now)
+	w.Check(now, short)
 	hold := stall.DefaultConfig().Hold
 	if !w.Stalled(now.Add(hold-time.Millisecond), server) || w.Stalled(now.Add(hold), server) {
 		t.Error("the hold does not last as long as it should")
@@ -98,7 +115,7 @@
 	for _, id := range ids {
 		w.End(server, id)
 	}
-	if got := w.Check(now.Add(time.Minute)); len(got) > 0 {
+	if got := w.Check(now.Add(time.Minute), short); len(got) > 0 {
 		t.Error("a server without streams is stalled")
 	}
 }
--- a/internal/wire/frame/messages.gen.go
+++ b/internal/wire/frame/messages.gen.go
@@ -45,6 +45,10 @@
 
 // DutyBeat says that the sender holds a duty.
 type DutyBeat struct {
+	// The store does not take the sender's renewals; a node that the store serves
+	// should take the duty.
+	Failing bool `json:"failing"`
+
 	// Fencing number of the tenure.
 	Fence int `json:"fence"`
 }
