--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -20,6 +20,7 @@
 	"geraniumhollow/internal/node/pass"
 	"geraniumhollow/internal/node/seat"
 	"geraniumhollow/internal/route/match"
+	"geraniumhollow/internal/route/quota"
 	"geraniumhollow/internal/route/retry"
 	"github.com/cockroachdb/errors"
 )
@@ -42,6 +43,8 @@
 	group    *tasks.Group
 	// served is set once a caller has been served.
 	served   atomic.Bool
+	address  string
+	split    atomic.Pointer[quota.Split]
 	stopping atomic.Bool
 
 	mu      sync.Mutex
@@ -64,12 +67,14 @@
 	n.moved = newMovable(cfg.Store, set.StoreAddress)
 	n.store = cfg.Metrics.Store(n.moved)
 	address := net.JoinHostPort(set.IP, strconv.Itoa(set.PeerPort))
+	n.address = address
+	n.splitAmong(nil)
 	incarnation := strconv.FormatInt(time.Now().UnixNano(), 36)
 	n.servers = n.copy(cfg.Decoder.Families().Servers, n.applyServers, n.reached)
 	n.wishes = n.copy(cfg.Decoder.Families().Operator, n.applyWishes, nil)
 	n.mesh = mesh.New(mesh.Config{
 		Address: address, DataCentre: set.DataCentre, Incarnation: incarnation,
-		Table: n.store, Feed: n.store, Copies: n.copyOf, Stalled: n.takeStalled,
+		Table: n.store, Feed: n.store, Copies: n.copyOf, Members: n.splitAmong, Stalled: n.takeStalled,
 		Duty: func(fence uint64, failing bool) { n.keeper.Heard(fence, failing) }, Met: func(at, inc string) { n.keeper.Met(at, inc) },
 		Reaches: n.reaches, Suspects: n.takeSuspects, Log: cfg.Log,
 	})
--- a/internal/node/edge/limits.go
+++ b/internal/node/edge/limits.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"geraniumhollow/internal/node/front"
+	"geraniumhollow/internal/route/quota"
 	"geraniumhollow/internal/route/retry"
 )
 
@@ -16,14 +17,16 @@
 	spareNodes = 2
 )
 
-// nodes returns the number of nodes that share the limits of the fleet.
-func (n *Node) nodes() int { return max(minNodes, n.mesh.Size()) + spareNodes }
+// splitAmong splits the limits of the fleet among the registered nodes.
+func (n *Node) splitAmong(nodes []string) {
+	n.split.Store(quota.New(n.address, nodes, max(0, minNodes-len(nodes))+spareNodes))
+}
 
 // budget returns the budget of attempts beyond the first at a service.
 func (n *Node) budget(service string) *retry.Budget {
 	n.served.Store(true)
 	set := n.settings.Load()
-	floor := set.RetrySlack / float64(n.nodes())
+	floor := n.split.Load().Fraction(set.RetrySlack)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	b, ok := n.budgets[service]
@@ -35,13 +38,14 @@
 	return b
 }
 
-// coldAllowance returns how many requests a second this node may send to a cold backend server.
-func (n *Node) coldAllowance(rate float64) int {
+// coldAllowance returns how many requests a second this node may send to a cold backend server that bears rate
+// requests a second.
+func (n *Node) coldAllowance(server string, rate float64) int {
 	if rate <= 0 {
 		return math.MaxInt
 	}
 	set := n.settings.Load()
-	return int((rate*set.ColdOverage + set.ColdSlack) / float64(n.nodes()))
+	return n.split.Load().Whole(int(rate*set.ColdOverage+set.ColdSlack), server)
 }
 
 // limits returns what callers may send.
--- a/internal/node/mesh/mesh.go
+++ b/internal/node/mesh/mesh.go
@@ -64,6 +64,8 @@
 	Feed        table.Feed
 	// Copies are the copies that other nodes may follow, by family.
 	Copies func(family string) *mirror.Copy
+	// Members is told of the registered nodes when they change.
+	Members func(nodes []string)
 	// Stalled takes notices of groups whose head makes no progress, and reports whether this node keeps
 	// the groups.
 	Stalled func(f index.Formation) bool
@@ -213,9 +215,10 @@
 			m.out.Remove(node)
 		}
 	}
-	n := len(m.members)
+	nodes := slices.Sorted(maps.Keys(m.members))
 	m.mu.Unlock()
-	m.cfg.Log.Info("nodes changed", "nodes", n)
+	m.cfg.Members(nodes)
+	m.cfg.Log.Info("nodes changed", "nodes", len(nodes))
 	m.arrange()
 }
 
--- a/internal/node/pass/export_test.go
+++ b/internal/node/pass/export_test.go
@@ -1,5 +1,10 @@
 package pass
 
+import (
+	"geraniumhollow/internal/fleet/index"
+	"geraniumhollow/internal/route/crash"
+)
+
 // Events is the cutter of streams, for its tests.
 type Events struct{ e events }
 
@@ -17,3 +22,11 @@
 
 // ErrGap is the error of a stream that skips events.
 var ErrGap = errGap
+
+// Begin and End note a run for tests of the suspicion.
+func (k *Crashes) Begin(f crash.Fingerprint, server string) crash.RunID { return k.begin(f, server) }
+
+// End notes how a run ended.
+func (k *Crashes) End(id crash.RunID, f crash.Fingerprint, e *index.Entry, o Outcome, broke bool) {
+	k.end(id, f, e, o, broke)
+}
--- a/internal/node/seat/seat.go
+++ b/internal/node/seat/seat.go
@@ -29,7 +29,7 @@
 	Service func(name string) *match.Service
 	// ColdAllowance returns how many requests a second this node may send to a cold server that bears
 	// rate requests a second.
-	ColdAllowance func(rate float64) int
+	ColdAllowance func(server string, rate float64) int
 	// Nodes returns how many nodes send to the same servers.
 	Nodes func() int
 	// Stalled is told of the formation of a head that makes no progress. It must not block.
@@ -147,7 +147,7 @@
 		if tried.Has(name) || sv.entry.Service != c.Service.Name {
 			continue
 		}
-		full := sv.cold(now) && sv.sends.Count(now) >= s.cfg.ColdAllowance(c.Service.ColdRate)
+		full := sv.cold(now) && sv.sends.Count(now) >= s.cfg.ColdAllowance(name, c.Service.ColdRate)
 		if full || s.watch.Stalled(now, name) {
 			s.barred = append(s.barred, sv.id)
 			soon = soon || full
--- a/internal/node/share/grant.go
+++ b/internal/node/share/grant.go
@@ -10,6 +10,7 @@
 	"geraniumhollow/internal/node/relay"
 	"geraniumhollow/internal/plat/engine"
 	"geraniumhollow/internal/route/budget"
+	"geraniumhollow/internal/route/quota"
 	"geraniumhollow/internal/wire/frame"
 	"github.com/cockroachdb/errors"
 	"github.com/zeebo/xxh3"
@@ -168,19 +169,11 @@
 }
 
 func fixedShare(srv view.Server, self string, nodes []Node) int {
-	n := max(1, len(nodes))
-	share, rest := srv.Capacity.WarmRequests/n, srv.Capacity.WarmRequests%n
-	own := weight(self, srv.Name)
-	before := 0
-	for _, node := range nodes {
-		if w := weight(node.Name, srv.Name); w > own || w == own && node.Name < self {
-			before++
-		}
-	}
-	if before < rest {
-		share++
+	names := make([]string, 0, len(nodes))
+	for _, n := range nodes {
+		names = append(names, n.Name)
 	}
-	return share
+	return quota.New(self, names, 0).Whole(srv.Capacity.WarmRequests, srv.Name)
 }
 
 func weight(node, server string) uint64 { return xxh3.HashString(node + "\x00" + server) }
--- /dev/null
+++ b/internal/route/quota/quota_test.go
@@ -0,0 +1,159 @@
+package quota_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"geraniumhollow/internal/core/window"
+	"geraniumhollow/internal/route/quota"
+	"geraniumhollow/internal/route/retry"
+	"pgregory.net/rapid"
+)
+
+func names(n int) []string {
+	out := make([]string, n)
+	for i := range out {
+		out[i] = fmt.Sprintf("10.0.%d.%d:7220", i/250, i%250)
+	}
+	return out
+}
+
+// Guards against parts that add up to more than the limit, or that leave most of it unused on a large fleet.
+func TestParts(t *testing.T) {
+	t.Parallel()
+	for _, n := range []int{1, 2, 6, 30, 100, 300, 1000} {
+		for _, limit := range []int{0, 1, 5, 59, 360, 10_000} {
+			nodes, sum := names(n), 0
+			for _, self := range nodes {
+				sum += quota.New(self, nodes, 2).Whole(limit, "server")
+			}
+			if sum > limit {
+				t.Errorf("%d nodes, limit %d: parts add up to %d", n, limit, sum)
+			}
+			// Two parts are kept for nodes that are not known.
+			if least := limit - 2*(limit/(n+2)+1); sum < least {
+				t.Errorf("%d nodes, limit %d: parts add up to %d, want %d or more", n, limit, sum, least)
+			}
+		}
+	}
+}
+
+// Guards against a limit that is exceeded while up to two nodes join that not all others know yet, or while some
+// nodes are cut off and go on with what they knew.
+func TestDisagreement(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(rt *rapid.T) {
+		rnd := rand.New(rand.NewPCG(1, rapid.Uint64().Draw(rt, "seed")))
+		n := rapid.SampledFrom([]int{4, 6, 24, 60, 300}).Draw(rt, "nodes")
+		joining := rapid.IntRange(0, 2).Draw(rt, "joining")
+		limit := rapid.IntRange(0, 400).Draw(rt, "limit")
+		all := names(n + joining)
+		sum := 0
+		for i, self := range all {
+			known := slices.Clone(all[:n])
+			for _, late := range all[n:] {
+				if i >= n || rnd.IntN(2) == 0 {
+					known = append(known, late)
+				}
+			}
+			if i >= n {
+				known = all
+			}
+			sum += quota.New(self, known, 2).Whole(limit, "server")
+		}
+		// Nodes that know fewer others have parts that are larger by one at most, or rank further ahead.
+		if over := sum - limit; over > joining {
+			rt.Errorf("%d nodes, %d joining, limit %d: parts add up to %d", n, joining, limit, sum)
+		}
+	})
+}
+
+// Guards against the same nodes that get the rest of every limit.
+func TestSpread(t *testing.T) {
+	t.Parallel()
+	nodes := names(60)
+	uses := make(map[string]int)
+	for i := range 200 {
+		for _, self := range nodes {
+			uses[self] += quota.New(self, nodes, 2).Whole(10, fmt.Sprint("server", i))
+		}
+	}
+	for _, self := range nodes {
+		// 2,000 uses over 60 nodes: 33 each.
+		if uses[self] < 10 || uses[self] > 70 {
+			t.Errorf("%s has %d of 2000 parts", self, uses[self])
+		}
+	}
+}
+
+// Guards against nodes that send more to a cold server in any second than it bears, whatever the order of their
+// requests, and however many nodes there are.
+func TestColdSecond(t *testing.T) {
+	t.Parallel()
+	const limit, coldTime = 59, 3 * time.Second
+	for _, n := range []int{6, 60, 300} {
+		rnd := rand.New(rand.NewPCG(uint64(n), 2))
+		nodes := names(n)
+		var sent []time.Duration
+		counters := make([]*window.Counter, n)
+		parts := make([]int, n)
+		for i, self := range nodes {
+			counters[i] = window.New(time.Second)
+			parts[i] = quota.New(self, nodes, 2).Whole(limit, "server")
+		}
+		start := time.Unix(1000, 0)
+		for at := time.Duration(0); at < coldTime; at += time.Millisecond {
+			for range 1 + n/10 {
+				i := rnd.IntN(n)
+				if now := start.Add(at); counters[i].Count(now) < parts[i] {
+					counters[i].Add(now)
+					sent = append(sent, at)
+				}
+			}
+		}
+		from := 0
+		for to := range sent {
+			for sent[to]-sent[from] >= time.Second {
+				from++
+			}
+			if got := to - from + 1; got > limit {
+				t.Fatalf("%d nodes: %d requests in the second before %v, limit %d", n, got, sent[to], limit)
+			}
+		}
+		if len(sent) < limit {
+			t.Errorf("%d nodes: %d requests in %v, the limit allows %d a second", n, len(sent), coldTime, limit)
+		}
+	}
+}
+
+// Guards against retries of all nodes together beyond their share of the requests, while nodes are cut off from each
+// other and the requests are spread unevenly.
+func TestRetries(t *testing.T) {
+	t.Parallel()
+	const share, slack, span = 0.2, 10.0, 10 * time.Second
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.SampledFrom([]int{2, 6, 60, 300}).Draw(rt, "nodes")
+		rnd := rand.New(rand.NewPCG(3, rapid.Uint64().Draw(rt, "seed")))
+		nodes := names(n)
+		budgets := make([]*retry.Budget, n)
+		for i, self := range nodes {
+			budgets[i] = retry.NewBudgetOf(share, quota.New(self, nodes, 2).Fraction(slack))
+		}
+		start, requests, retries := time.Unix(1000, 0), 0, 0
+		for at := time.Duration(0); at < span; at += 2 * time.Millisecond {
+			i := int(float64(n) * rnd.Float64() * rnd.Float64())
+			budgets[i].Request(start.Add(at))
+			requests++
+			// Every request fails and is retried if it may be.
+			if budgets[i].Take(start.Add(at)) {
+				retries++
+			}
+		}
+		if most := share*float64(requests) + slack; float64(retries) > most {
+			rt.Errorf("%d retries of %d requests, want at most %.0f", retries, requests, most)
+		}
+	})
+}
