A node that lost the store is not followed; the newest hint is kept

Cause, read off the code after the trace showed the readers of two of three data centres without the store: a reader without the store followed another node and was followed on, so two nodes could wait for each other; and of two hints in a row the later one was dropped while the earlier one was followed. Ruled out: the bound of reads (1 s), as all nodes of the data centre were late alike. Change: a copy that comes from another node for want of the store is not followed, and says so at once; followers read the store themselves. The newest hint is kept. Tests: TestUpstreamLosesStore and TestHintsInARow fail without the change. The links are split into files for following and telling.

--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -85,7 +85,12 @@
 	floor   uint64
 	changed chan struct{}
 	reached bool
-	hints   chan hint
+	// second says that the copy is kept up to date from another node for want of the store, so that no one
+	// should follow it.
+	second bool
+	// hinted is the newest word of another node; news tells of it.
+	hinted hint
+	news   chan struct{}
 }
 
 // hint is another node's word that it has a revision.
@@ -120,7 +125,7 @@
 	if cfg.Upstream == nil {
 		cfg.Upstream = cfg.Peer
 	}
-	return &Copy{cfg: cfg, rows: make(map[string]table.Row), changed: make(chan struct{}), reached: true, hints: make(chan hint, 1)}
+	return &Copy{cfg: cfg, rows: make(map[string]table.Row), changed: make(chan struct{}), reached: true, news: make(chan struct{}, 1)}
 }
 
 // Run keeps the copy up to date until ctx ends.
@@ -137,8 +142,13 @@
 // Hint says that another node has a revision. If the copy does not reach it by itself soon, it is read from
 // that node: the source of this copy may have gone silent.
 func (c *Copy) Hint(revision uint64, from table.Feed) {
+	c.mu.Lock()
+	if revision > c.hinted.revision {
+		c.hinted = hint{revision: revision, from: from}
+	}
+	c.mu.Unlock()
 	select {
-	case c.hints <- hint{revision: revision, from: from}:
+	case c.news <- struct{}{}:
 	default:
 	}
 }
@@ -146,16 +156,18 @@
 // catchUp follows hints until ctx ends.
 func (c *Copy) catchUp(ctx context.Context) error {
 	for {
-		var h hint
 		select {
 		case <-ctx.Done():
 			return nil
-		case h = <-c.hints:
+		case <-c.news:
 		}
 		if !tasks.Sleep(ctx, hintDelay) {
 			return nil
 		}
-		if c.Revision() >= h.revision {
+		c.mu.Lock()
+		h, behind := c.hinted, c.revision < c.hinted.revision
+		c.mu.Unlock()
+		if !behind {
 			continue
 		}
 		if err := c.pull(ctx, h.from, 0); err != nil {
@@ -172,6 +184,7 @@
 		if up := c.cfg.Upstream(); up != nil && begun.After(distrusted) {
 			err := c.pull(ctx, up, peerWait)
 			if err == nil {
+				c.setSecond(false)
 				c.note(ctx, nil)
 				tasks.Sleep(ctx, c.cfg.Pause-time.Since(begun))
 				continue
@@ -193,10 +206,12 @@
 		err = c.pull(ctx, c.cfg.Store, c.cfg.Wait)
 	}
 	if err == nil {
+		c.setSecond(false)
 		c.note(ctx, nil)
 		tasks.Sleep(ctx, c.cfg.Pause-time.Since(begun))
 		return
 	}
+	c.setSecond(true)
 	if !c.followPeer(ctx) {
 		c.note(ctx, err)
 	}
@@ -224,6 +239,17 @@
 	return answered
 }
 
+// setSecond notes whether the copy is kept up to date from another node for want of the store. Those that follow
+// it learn of it at once.
+func (c *Copy) setSecond(second bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.second != second {
+		c.second = second
+		c.wake()
+	}
+}
+
 // note tells of the beginning and the end of an outage.
 func (c *Copy) note(ctx context.Context, err error) {
 	reached := err == nil
@@ -363,7 +389,7 @@
 func (c *Copy) Snapshot(context.Context, string) (table.State, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.known || !c.reached {
+	if !c.known {
 		return table.State{}, table.ErrUnavailable
 	}
 	s := table.State{Revision: c.revision, Rows: make([]table.Row, 0, len(c.rows))}
@@ -373,12 +399,13 @@
 	return s, nil
 }
 
-// Changes implements table.Feed.
+// Changes implements table.Feed. A copy that does not come from the store cannot be followed, or two copies could
+// follow each other and never learn of a change; one look at it, without a wait, is answered.
 func (c *Copy) Changes(ctx context.Context, _ string, after uint64, wait time.Duration) (table.Delta, error) {
 	t := time.NewTimer(wait)
 	defer t.Stop()
 	for {
-		d, changed, err := c.since(after)
+		d, changed, err := c.since(after, wait > 0)
 		if err != nil || len(d.Changed)+len(d.Removed) > 0 {
 			return d, err
 		}
@@ -386,7 +413,7 @@
 		case <-changed:
 		case <-t.C:
 			// The copy may have ceased to be kept up to date meanwhile.
-			d, _, err := c.since(after)
+			d, _, err := c.since(after, wait > 0)
 			return d, err
 		case <-ctx.Done():
 			return table.Delta{}, errors.Mark(errors.Newf("wait for changes: %w", ctx.Err()), table.ErrUnavailable)
@@ -395,11 +422,11 @@
 }
 
 // since returns the changes after a revision, and a channel that is closed at the next one.
-func (c *Copy) since(after uint64) (table.Delta, <-chan struct{}, error) {
+func (c *Copy) since(after uint64, follows bool) (table.Delta, <-chan struct{}, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case !c.known || !c.reached:
+	case !c.known || follows && (c.second || !c.reached):
 		return table.Delta{}, nil, table.ErrUnavailable
 	case after < c.floor:
 		return table.Delta{}, nil, table.ErrHistoryLost
--- a/internal/fleet/mirror/mirror_test.go
+++ b/internal/fleet/mirror/mirror_test.go
@@ -296,6 +296,68 @@
 	})
 }
 
+// Guards against nodes that follow a node which has lost the store and follows others itself, although the store
+// serves them.
+func TestUpstreamLosesStore(t *testing.T) {
+	t.Parallel()
+	bubble(t, func(t *testing.T, ctx context.Context) {
+		s, own, stale := newSource(), newSource(), newSource()
+		for _, x := range []*source{s, own, stale} {
+			x.put("op/config", "1")
+		}
+		behind, _ := follow(ctx, t, mirror.Config{Store: stale, Wait: time.Second})
+		up, _ := follow(ctx, t, mirror.Config{
+			Store: own, Wait: time.Second, Peer: func() table.Feed { return behind }, Upstream: func() table.Feed { return nil },
+		})
+		_, r := follow(ctx, t, mirror.Config{Store: s, Wait: time.Second, Upstream: func() table.Feed { return up }})
+		time.Sleep(3 * time.Second)
+		own.set(func() { own.away = true })
+		// The upstream is refused at the end of its read, after a second at most.
+		time.Sleep(1200 * time.Millisecond)
+		s.put("op/config", "2")
+		time.Sleep(100 * time.Millisecond)
+		if got := r.get("op/config"); got != "2" {
+			t.Errorf("got %q 0.1 s after the change", got)
+		}
+	})
+}
+
+// Guards against a hint that is dropped because an earlier one is being followed.
+func TestHintsInARow(t *testing.T) {
+	t.Parallel()
+	bubble(t, func(t *testing.T, ctx context.Context) {
+		s, other := newSource(), newSource()
+		s.put("op/config", "1")
+		other.put("op/config", "1")
+		c, r := follow(ctx, t, mirror.Config{Store: s, Wait: time.Second})
+		time.Sleep(100 * time.Millisecond)
+		for i := 2; i < 6; i++ {
+			other.put("op/config", fmt.Sprint(i))
+			// Hints of one revision stay queued while the one before is followed.
+			c.Hint(uint64(i), frozen{other, i})
+		}
+		time.Sleep(300 * time.Millisecond)
+		if got := r.get("op/config"); got != "5" {
+			t.Errorf("got %q, the last hint was of 5", got)
+		}
+	})
+}
+
+// frozen is a source as it was when it had a number of changes.
+type frozen struct {
+	*source
+	changes int
+}
+
+func (f frozen) Changes(ctx context.Context, family string, after uint64, wait time.Duration) (table.Delta, error) {
+	d, err := f.source.Changes(ctx, family, after, wait)
+	d.Revision = min(d.Revision, uint64(f.changes))
+	for i, r := range d.Changed {
+		d.Changed[i] = f.log[min(int(r.Revision), f.changes)-1]
+	}
+	return d, err
+}
+
 // Guards against nodes that are not told of a revision which a node learns by reading all rows.
 func TestTellsOfFullRead(t *testing.T) {
 	t.Parallel()
--- /dev/null
+++ b/internal/node/mesh/follow.go
@@ -0,0 +1,123 @@
+package mesh
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"geraniumhollow/internal/plat/table"
+	"geraniumhollow/internal/wire/frame"
+	"geraniumhollow/internal/wire/peer"
+	"github.com/cockroachdb/errors"
+)
+
+// Upstream returns the copy of a family that this node follows, or nil if it follows the store.
+func (m *Mesh) Upstream(family string) table.Feed {
+	m.mu.Lock()
+	up := m.upstream
+	m.mu.Unlock()
+	if up == "" {
+		return nil
+	}
+	if _, ok := m.net.Peer(up); !ok {
+		return nil
+	}
+	return remote{m: m, node: up, family: family}
+}
+
+// Peer returns another node's copy of a family, or nil when there is no link. Nodes of other data centres go
+// first: those of the own one may follow this node.
+func (m *Mesh) Peer(family string) table.Feed {
+	list := m.linked()
+	if len(list) == 0 {
+		return nil
+	}
+	m.mu.Lock()
+	far := slices.IndexFunc(list, func(n string) bool { return m.members[n].DataCentre != m.cfg.DataCentre })
+	m.mu.Unlock()
+	return remote{m: m, node: list[max(0, far)], family: family}
+}
+
+// follow answers a node that follows a copy of this one.
+func (m *Mesh) follow(ctx context.Context, _ peer.Peer, a *frame.FollowAsk) *frame.FollowReply {
+	c := m.cfg.Copies(a.Family)
+	if a.Family == Family {
+		c = m.nodes
+	}
+	if c == nil {
+		return nil
+	}
+	if a.After == 0 {
+		s, err := c.Snapshot(ctx, a.Family)
+		if err != nil {
+			return &frame.FollowReply{Status: frame.FollowReplyStatusUnavailable}
+		}
+		return &frame.FollowReply{Status: frame.FollowReplyStatusRows, Rev: int(s.Revision), Rows: encodeRows(s.Rows)}
+	}
+	d, err := c.Changes(ctx, a.Family, uint64(a.After), time.Duration(a.WaitMs)*time.Millisecond)
+	switch {
+	case errors.Is(err, table.ErrHistoryLost):
+		return &frame.FollowReply{Status: frame.FollowReplyStatusHistoryLost}
+	case err != nil:
+		return &frame.FollowReply{Status: frame.FollowReplyStatusUnavailable}
+	}
+	return &frame.FollowReply{Status: frame.FollowReplyStatusRows, Rev: int(d.Revision), Rows: encodeRows(d.Changed), Gone: d.Removed}
+}
+
+func encodeRows(rows []table.Row) []frame.FollowRow {
+	out := make([]frame.FollowRow, 0, len(rows))
+	for _, r := range rows {
+		out = append(out, frame.FollowRow{Key: r.Key, Value: r.Value, Rev: int(r.Revision)})
+	}
+	return out
+}
+
+// remote is another node's copy of a family. It implements table.Feed.
+type remote struct {
+	m      *Mesh
+	node   string
+	family string
+}
+
+// Snapshot implements table.Feed.
+func (r remote) Snapshot(ctx context.Context, family string) (table.State, error) {
+	reply, err := r.ask(ctx, &frame.FollowAsk{Family: family})
+	if err != nil {
+		return table.State{}, err
+	}
+	return table.State{Rows: decodeRows(reply.Rows), Revision: uint64(reply.Rev)}, nil
+}
+
+// Changes implements table.Feed.
+func (r remote) Changes(ctx context.Context, family string, after uint64, wait time.Duration) (table.Delta, error) {
+	reply, err := r.ask(ctx, &frame.FollowAsk{Family: family, After: int(after), WaitMs: int(wait.Milliseconds())})
+	if err != nil {
+		return table.Delta{}, err
+	}
+	return table.Delta{Changed: decodeRows(reply.Rows), Removed: reply.Gone, Revision: uint64(reply.Rev)}, nil
+}
+
+func (r remote) ask(ctx context.Context, a *frame.FollowAsk) (*frame.FollowReply, error) {
+	msg, err := r.m.net.Ask(ctx, r.node, a)
+	if err != nil {
+		return nil, errors.Mark(errors.Newf("follow %s: %w", r.node, err), table.ErrUnavailable)
+	}
+	reply, ok := msg.(*frame.FollowReply)
+	switch {
+	case !ok:
+		return nil, errors.Mark(errors.Newf("%s answered with %T", r.node, msg), table.ErrUnavailable)
+	case reply.Status == frame.FollowReplyStatusHistoryLost:
+		return nil, table.ErrHistoryLost
+	case reply.Status != frame.FollowReplyStatusRows:
+		return nil, errors.Mark(errors.Newf("%s has no copy", r.node), table.ErrUnavailable)
+	}
+	return reply, nil
+}
+
+func decodeRows(rows []frame.FollowRow) []table.Row {
+	out := make([]table.Row, 0, len(rows))
+	for _, w := range rows {
+		out = append(out, table.Row{Key: w.Key, Value: w.Value, Revision: uint64(w.Rev)})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/node/mesh/tell.go
@@ -0,0 +1,96 @@
+package mesh
+
+import (
+	"context"
+	"slices"
+	"sync"
+
+	"geraniumhollow/internal/core/tasks"
+	"geraniumhollow/internal/fleet/index"
+	"geraniumhollow/internal/wire/frame"
+)
+
+// Stalled tells the node that keeps the groups of a head that makes no progress. holder is that node, as
+// far as is known.
+func (m *Mesh) Stalled(ctx context.Context, holder string, f index.Formation) {
+	ctx, cancel := context.WithTimeout(ctx, noticeTimeout)
+	defer cancel()
+	if _, err := m.net.Ask(ctx, holder, &frame.StallNotice{Group: f.Group, Epoch: int(f.Epoch)}); err != nil {
+		m.cfg.Log.Info("cannot tell the keeper of a stalled group", "keeper", holder, "group", f.Group, "error", err)
+	}
+}
+
+// witnesses is how many other nodes are asked whether they reach a backend server.
+const witnesses = 3
+
+// Witness is what other nodes say of a backend server.
+type Witness struct {
+	// Asked is how many nodes answered, Reached how many of them reach the server.
+	Asked   int
+	Reached int
+}
+
+// Witness asks other nodes whether they reach a backend server.
+func (m *Mesh) Witness(ctx context.Context, server, addr string) Witness {
+	ctx, cancel := context.WithTimeout(ctx, noticeTimeout)
+	defer cancel()
+	list := m.linked()
+	list = list[:min(len(list), witnesses)]
+	g := tasks.New(ctx)
+	var mu sync.Mutex
+	var w Witness
+	for _, node := range list {
+		g.Go("witness", func(ctx context.Context) error {
+			msg, err := m.net.Ask(ctx, node, &frame.ServerAsk{Server: server, Addr: addr})
+			reply, ok := msg.(*frame.ServerReply)
+			if err != nil || !ok {
+				m.cfg.Log.Info("another node does not say whether it reaches a server", "node", node, "server", server, "error", err)
+				return nil
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			w.Asked++
+			if reply.Reached {
+				w.Reached++
+			}
+			return nil
+		})
+	}
+	if err := g.Wait(); err != nil {
+		m.cfg.Log.Warn("cannot ask other nodes", "error", err)
+	}
+	return w
+}
+
+// Hint tells the linked nodes that this one has a revision of a family.
+func (m *Mesh) Hint(family string, revision uint64) {
+	for _, n := range m.linked() {
+		if err := m.net.Send(n, &frame.RowHint{Family: family, Rev: int(revision)}); err != nil {
+			m.cfg.Log.Debug("cannot tell a node of a revision", "node", n, "error", err)
+		}
+	}
+}
+
+// Announce tells the linked nodes that this one holds the duty to keep groups, and whether the store does not
+// take its renewals.
+func (m *Mesh) Announce(fence uint64, failing bool) {
+	for _, n := range m.linked() {
+		if err := m.net.Send(n, &frame.DutyBeat{Fence: int(fence), Failing: failing}); err != nil {
+			m.cfg.Log.Debug("cannot tell a node of the duty", "node", n, "error", err)
+		}
+	}
+}
+
+// Linked reports whether there is a link to a node other than one.
+func (m *Mesh) Linked(but string) bool {
+	return slices.ContainsFunc(m.linked(), func(n string) bool { return n != but })
+}
+
+// Suspect tells the linked nodes of requests that may crash backend servers.
+func (m *Mesh) Suspect(list []frame.Suspicion) {
+	for _, n := range m.linked() {
+		if err := m.net.Send(n, &frame.SuspectRequest{List: list}); err != nil {
+			m.cfg.Log.Info("cannot pass on suspicions", "node", n, "error", err)
+		}
+	}
+}
