Do not rush to a group that has just opened

A table learned the time to first token that all servers share as the slowness of each of them, so a new server looked five times faster than the others; and nothing was assumed of the other nodes' sends, which rush there alike. Change: the common part is learned by model; each own send since the last report counts as one of every node. TestNewServer plays six nodes and a server that begins to serve; it fails without the change (20 of 20 requests go there).

--- a/internal/node/seat/seat.go
+++ b/internal/node/seat/seat.go
@@ -59,6 +59,9 @@
 // each answer, so one that gets no requests has an old report, which says that it is free.
 const maxReportAge = time.Hour
 
+// firstStep is the weight of each first token in what is learned of a model: some dozens of them count.
+const firstStep = 0.03
+
 // Waits of calls without a place.
 const (
 	// retryNoServer is when a caller may come back for whom no backend server is open: a group that has
@@ -77,6 +80,7 @@
 func New(cfg Config) *Seats {
 	shape := choose.DefaultConfig()
 	shape.MaxReportAge = maxReportAge
+	shape.FirstStep = firstStep
 	rnd := rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Now().UnixNano())))
 	return &Seats{
 		cfg: cfg, table: choose.NewTable(shape, cfg.Now()),
@@ -174,6 +178,7 @@
 		return
 	}
 	s.view = v
+	s.table.SetPeerSends(float64(max(0, s.cfg.Nodes()-1)))
 	present := sets.New[string]()
 	for key, groups := range v.Open {
 		for _, g := range groups {
--- a/internal/node/seat/seat_test.go
+++ b/internal/node/seat/seat_test.go
@@ -145,6 +145,7 @@
 	t.Parallel()
 	bubble(t, func(t *testing.T, ctx context.Context, run func(*bed)) {
 		b := newBed(engine(), 6)
+		b.route.Objective = 2 * time.Second
 		run(b)
 		b.put("a")
 		s1, cause, _ := b.take(ctx)
--- a/internal/route/choose/choose_test.go
+++ b/internal/route/choose/choose_test.go
@@ -259,3 +259,75 @@
 		}
 	}
 }
+
+// Guards against nodes that all send to a server which has just begun to serve: nothing is known of its load, and what
+// is learned of the others makes them look slower.
+func TestNewServer(t *testing.T) {
+	t.Parallel()
+	const nodes, servers, perSecond = 6, 6, 60
+	cfg := choose.DefaultConfig()
+	cfg.PrefillPerToken, cfg.MaxReportAge, cfg.FirstStep, cfg.PeerSends = 18*time.Microsecond, time.Hour, 0.03, nodes-1
+	now := time.Unix(1000, 0)
+	tables, pick := make([]*choose.Table, nodes), make([]choose.Chooser, nodes)
+	for i := range tables {
+		tables[i] = choose.NewTable(cfg, now)
+		pick[i] = choose.NewShortest(rand.New(rand.NewPCG(uint64(i), 1)), choose.DefaultWindow())
+	}
+	put := func(s int) {
+		name := fmt.Sprint("s", s)
+		for _, tab := range tables {
+			id := tab.Put(choose.Spec{Name: name, Model: "m", WarmRequests: 26, Hold: 2 * time.Second})
+			tab.Observe(id, choose.Report{Instance: name, Open: true, MadeAt: now})
+		}
+	}
+	for s := range servers - 1 {
+		put(s)
+	}
+	req := choose.Request{Model: "m", PromptTokens: 1600, AnswerTokens: 170}
+	running := make(map[int]int)
+	type end struct {
+		node, id int
+		sent     uint64
+		at       time.Time
+		told     bool
+		done     bool
+	}
+	var ends []end
+	newcomer := 0
+	const before, after = 10 * perSecond, perSecond / 5
+	for i := range before + after {
+		now = now.Add(time.Second / perSecond)
+		if i == before {
+			put(servers - 1)
+		}
+		// The first token comes after 180 ms and tells the load; the last one comes after 1 s.
+		for k := range ends {
+			e := &ends[k]
+			if !e.told && now.Sub(e.at) >= 180*time.Millisecond {
+				e.told = true
+				tables[e.node].Observe(e.id, choose.Report{
+					Instance: tables[e.node].Name(e.id), Open: true, Running: running[e.id], MadeAt: now,
+				})
+			}
+			if !e.done && now.Sub(e.at) >= time.Second {
+				e.done = true
+				running[e.id]--
+				tables[e.node].Done(e.id, e.sent, now, 180*time.Millisecond)
+			}
+		}
+		n := i % nodes
+		id, ok := pick[n].Choose(tables[n], now, req)
+		if !ok {
+			t.Fatal("no server")
+		}
+		if tables[n].Name(id) == fmt.Sprint("s", servers-1) {
+			newcomer++
+		}
+		running[id]++
+		ends = append(ends, end{node: n, id: id, sent: tables[n].Send(id, now, req), at: now})
+	}
+	// Its part of 0.2 s is 2 requests. It reads a prompt in 29 ms, so 6 of them would keep it busy all the time.
+	if newcomer == 0 || newcomer > 6 {
+		t.Errorf("%d of %d requests went to the new server", newcomer, after)
+	}
+}
--- a/internal/route/choose/table.go
+++ b/internal/route/choose/table.go
@@ -27,6 +27,9 @@
 	// PeerSends is how many sends of other nodes are assumed for each own send since the report. Nodes
 	// have like requests and like reports, so what attracts the sends of one attracts those of others.
 	PeerSends float64
+	// FirstStep is the weight of each observed first token in the time that a model's servers need for it beyond
+	// prefill, which is the same for all of them; 0 learns none.
+	FirstStep float64
 	// Hold is how long a request is assumed to occupy its place until ends have been observed.
 	Hold time.Duration
 	// ColdFactor is how many times slower than a warm instance a cold one is assumed to be.
@@ -154,6 +157,8 @@
 	rows   []row
 	marks  []int32 // per decision: expected hit in tokens, or tried
 	lists  map[wish][]int32
+	// firsts are the learned times to the first token beyond prefill, in seconds, by model.
+	firsts map[string]float64
 }
 
 // wish selects the servers that can run a request at all.
@@ -166,10 +171,13 @@
 	return &Table{
 		cfg: cfg, epoch: now, maxAge: int64(cfg.MaxReportAge), hold: cfg.Hold.Seconds(),
 		queued: float64(cfg.QueuedPrompt),
-		ids:    make(map[string]int), lists: make(map[wish][]int32),
+		ids:    make(map[string]int), lists: make(map[wish][]int32), firsts: make(map[string]float64),
 	}
 }
 
+// SetPeerSends replaces Config.PeerSends, when the number of nodes has changed.
+func (t *Table) SetPeerSends(sends float64) { t.cfg.PeerSends = sends }
+
 // Put adds a server or replaces its specification, and returns its index. The index stays until the
 // server is removed. A new server is not chosen before its first report.
 func (t *Table) Put(s Spec) int {
@@ -307,6 +315,7 @@
 		}
 		s.ended = t.clock(now)
 		if firstToken > 0 {
+			t.learnFirst(l.spec.Model, firstToken.Seconds()-s.estimate)
 			ratio := min(max(firstToken.Seconds()/max(s.estimate, minEstimate), slowMin), slowMax)
 			l.slow = min(max(l.slow*math.Pow(ratio, slowStep), slowMin), slowMax)
 			t.hold += holdStep * (float64(s.ended-s.at)/float64(time.Second) - t.hold)
@@ -319,6 +328,13 @@
 	t.refresh(id)
 }
 
+// learnFirst takes by how much a first token was later than estimated.
+func (t *Table) learnFirst(model string, late float64) {
+	if t.cfg.FirstStep > 0 {
+		t.firsts[model] = max(0, t.firsts[model]+t.cfg.FirstStep*late)
+	}
+}
+
 // Cancel forgets a send that did not reach the server.
 func (t *Table) Cancel(id int, sent uint64) {
 	l := &t.loads[id]
@@ -357,6 +373,7 @@
 	w := row{madeAt: l.madeAt, inFlight: l.report.Running + l.report.Waiting}
 	w.busyUntil = l.madeAt + nanos(float64(l.report.Waiting)*t.queued*prefill)
 	held := l.report.Held
+	unreported := 0
 	for i := range l.sends {
 		s := &l.sends[i]
 		switch reported := s.at+transit < l.madeAt; {
@@ -364,13 +381,17 @@
 			w.inFlight--
 			held -= s.tokens
 		case !reported && s.ended == 0:
-			w.inFlight++
+			unreported++
 			held += s.tokens
 			w.busyUntil = max(w.busyUntil, s.at+transit) + nanos(s.prefill*slow*(1+t.cfg.PeerSends))
 		}
 	}
+	w.inFlight += unreported
+	if t.cfg.FirstStep > 0 {
+		w.inFlight += int(float64(unreported) * t.cfg.PeerSends)
+	}
 	w.inFlight, held = max(0, w.inFlight), max(0, held)
-	w.fixed = 2 * l.spec.Distance.Seconds()
+	w.fixed = 2*l.spec.Distance.Seconds() + t.firsts[l.spec.Model]
 	w.perToken = prefill
 	if limit > 0 {
 		part := float64(w.inFlight+1) / float64(limit)
