--- a/internal/route/choose/choose_test.go
+++ b/internal/route/choose/choose_test.go
@@ -292,7 +292,7 @@
 		told     bool
 		done     bool
 	}
-	var ends []end
+	ends := make([]end, 0, 12*perSecond)
 	newcomer := 0
 	const before, after = 10 * perSecond, perSecond / 5
 	for i := range before + after {
