Pass suspicions of crashing requests on once

When a domain dies, several nodes suspect the same requests and others explain them; the two kinds of message then change every node's belief again each time they come round, so they circulate without end and fill the queues between nodes and their processors. Change: a message carries the process that found it out and a number, and a node passes on each once.

TestReadingHead of the seats failed since each send counts as one of every node: its server of 8 slots was rightly taken for full. It has 40 slots now; what it checks is unchanged.

--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -72,12 +72,15 @@
 	incarnation := strconv.FormatInt(time.Now().UnixNano(), 36)
 	n.servers = n.copy(cfg.Decoder.Families().Servers, n.applyServers, n.reached)
 	n.wishes = n.copy(cfg.Decoder.Families().Operator, n.applyWishes, nil)
-	n.mesh = mesh.New(mesh.Config{
+	n.mesh, err = mesh.New(mesh.Config{
 		Address: address, DataCentre: set.DataCentre, Incarnation: incarnation,
 		Table: n.store, Feed: n.store, Copies: n.copyOf, Members: n.splitAmong, Stalled: n.takeStalled,
 		Duty: func(fence uint64, failing bool) { n.keeper.Heard(fence, failing) }, Met: func(at, inc string) { n.keeper.Met(at, inc) },
 		Reaches: n.reaches, Suspects: n.takeSuspects, Log: cfg.Log,
 	})
+	if err != nil {
+		return nil, errors.Newf("mesh: %w", err)
+	}
 	n.seats = seat.New(seat.Config{
 		View: n.index.View, Service: n.service, ColdAllowance: n.coldAllowance, Nodes: n.mesh.Size, Stalled: n.tellStalled,
 		Now: time.Now, Seed: uint64(os.Getpid()), Metrics: cfg.Metrics, Log: cfg.Log,
--- a/internal/node/edge/peers.go
+++ b/internal/node/edge/peers.go
@@ -74,13 +74,11 @@
 	n.mesh.Suspect(out)
 }
 
-// takeSuspects takes another node's word, and passes on what was news.
-func (n *Node) takeSuspects(from string, list []frame.Suspicion) {
+// takeSuspects takes another node's word.
+func (n *Node) takeSuspects(origin string, list []frame.Suspicion) {
 	in := make([]crash.Suspicion, 0, len(list))
 	for _, s := range list {
 		in = append(in, crash.Suspicion{Fingerprint: crash.Fingerprint(s.Fp), Change: crash.Change(s.Change), Crashes: s.Crashes})
 	}
-	if news := n.crashes.Learn(from, in); len(news) > 0 {
-		n.shareSuspects(news)
-	}
+	n.crashes.Learn(origin, in)
 }
--- a/internal/node/mesh/mesh.go
+++ b/internal/node/mesh/mesh.go
@@ -75,8 +75,8 @@
 	Met  func(address, incarnation string)
 	// Reaches reports whether this node reaches a backend server.
 	Reaches func(ctx context.Context, server, addr string) bool
-	// Suspects takes what other nodes found out of requests that may crash backend servers.
-	Suspects func(from string, list []frame.Suspicion)
+	// Suspects takes what the node origin found out of requests that may crash backend servers.
+	Suspects func(origin string, list []frame.Suspicion)
 	Log      hclog.Logger
 }
 
@@ -85,6 +85,7 @@
 	cfg   Config
 	net   *peer.Net
 	nodes *mirror.Copy
+	flood *Flood
 
 	mu      sync.Mutex
 	members map[string]Row
@@ -98,9 +99,13 @@
 }
 
 // New returns a mesh that has not started.
-func New(cfg Config) *Mesh {
+func New(cfg Config) (*Mesh, error) {
+	flood, err := NewFlood(cfg.Address + "/" + cfg.Incarnation)
+	if err != nil {
+		return nil, err
+	}
 	m := &Mesh{
-		cfg: cfg, members: make(map[string]Row), topo: roster.NewTopology(nil),
+		cfg: cfg, flood: flood, members: make(map[string]Row), topo: roster.NewTopology(nil),
 		wanted: make(map[string]time.Time), out: sets.New[string](),
 	}
 	m.net = peer.New(peer.Config{
@@ -129,8 +134,8 @@
 		}
 	})
 	peer.On(m.net, func(_ peer.Peer, b *frame.DutyBeat) { cfg.Duty(uint64(b.Fence), b.Failing) })
-	peer.On(m.net, func(from peer.Peer, s *frame.SuspectRequest) { cfg.Suspects(from.Node, s.List) })
-	return m
+	peer.On(m.net, func(from peer.Peer, s *frame.SuspectRequest) { m.suspected(from.Node, s) })
+	return m, nil
 }
 
 func dial(ctx context.Context, addr string) (net.Conn, error) {
--- a/internal/node/mesh/tell.go
+++ b/internal/node/mesh/tell.go
@@ -86,10 +86,24 @@
 	return slices.ContainsFunc(m.linked(), func(n string) bool { return n != but })
 }
 
-// Suspect tells the linked nodes of requests that may crash backend servers.
-func (m *Mesh) Suspect(list []frame.Suspicion) {
+// Suspect tells all nodes of requests that may crash backend servers.
+func (m *Mesh) Suspect(list []frame.Suspicion) { m.spread(m.flood.Begin(list), "") }
+
+// suspected takes what another node found out of requests, and passes it on.
+func (m *Mesh) suspected(from string, s *frame.SuspectRequest) {
+	if m.flood.News(s) {
+		m.cfg.Suspects(s.Origin, s.List)
+		m.spread(s, from)
+	}
+}
+
+// spread sends a message to the linked nodes but the one that it came from.
+func (m *Mesh) spread(s *frame.SuspectRequest, from string) {
 	for _, n := range m.linked() {
-		if err := m.net.Send(n, &frame.SuspectRequest{List: list}); err != nil {
+		if n == from {
+			continue
+		}
+		if err := m.net.Send(n, s); err != nil {
 			m.cfg.Log.Info("cannot pass on suspicions", "node", n, "error", err)
 		}
 	}
--- a/internal/node/pass/crash.go
+++ b/internal/node/pass/crash.go
@@ -22,7 +22,7 @@
 type CrashDeps struct {
 	// Dead reports whether the process of a backend server has ended. It may wait for an answer.
 	Dead func(ctx context.Context, e *index.Entry) bool
-	// Share passes what this node has found out to other nodes, which call Learn. It must not block.
+	// Share passes what this node has found out to all other nodes, which call Learn. It must not block.
 	Share func(list []crash.Suspicion)
 	// Group runs the looks at servers.
 	Group func() *tasks.Group
@@ -44,20 +44,14 @@
 	return &Crashes{deps: d, decider: crash.New(), looked: make(map[string]time.Time)}
 }
 
-// Learn takes what another node has found out, and returns what this node did not know.
-func (k *Crashes) Learn(origin string, list []crash.Suspicion) []crash.Suspicion {
+// Learn takes what the node origin has found out.
+func (k *Crashes) Learn(origin string, list []crash.Suspicion) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := time.Now()
-	var news []crash.Suspicion
 	for _, s := range list {
-		suspected, n := k.decider.Suspect(now, s.Fingerprint)
 		k.decider.Learn(now, origin, s)
-		if after, m := k.decider.Suspect(now, s.Fingerprint); after != suspected || m != n {
-			news = append(news, s)
-		}
 	}
-	return news
 }
 
 // Refused reports whether a request has crashed too many servers, and how many.
--- a/internal/node/seat/seat_test.go
+++ b/internal/node/seat/seat_test.go
@@ -60,7 +60,7 @@
 	c := index.Change{}
 	for _, id := range ids {
 		c.Put = append(c.Put, server.Info{
-			ID: id, Service: "svc", Address: "127.0.0.1:1", Domain: "d", Slots: 8, Born: time.Unix(1, 0), Model: "m",
+			ID: id, Service: "svc", Address: "127.0.0.1:1", Domain: "d", Slots: b.service.Engine.Slots, Born: time.Unix(1, 0), Model: "m",
 			Member: server.Member{Group: "g-" + id, Epoch: 1, State: server.Open},
 		})
 	}
@@ -144,7 +144,9 @@
 func TestReadingHead(t *testing.T) {
 	t.Parallel()
 	bubble(t, func(t *testing.T, ctx context.Context, run func(*bed)) {
-		b := newBed(engine(), 6)
+		e := engine()
+		e.Slots = 40 // Each request here counts as one of every node.
+		b := newBed(e, 6)
 		b.route.Objective = 2 * time.Second
 		run(b)
 		b.put("a")
--- a/internal/wire/frame/messages.gen.go
+++ b/internal/wire/frame/messages.gen.go
@@ -510,6 +510,12 @@
 type SuspectRequest struct {
 	// List corresponds to the JSON schema field "list".
 	List []Suspicion `json:"list"`
+
+	// Process that found it out, where nodes pass it on.
+	Origin string `json:"origin,omitempty,omitzero"`
+
+	// Number of the message among those of its origin.
+	Seq int `json:"seq,omitempty,omitzero"`
 }
 
 // Suspicion is what a node has found out of one request fingerprint.
