Open waiting groups with servers that hold the weights

Loads beyond the engine's number slow each other down, so that none ends early; spares loaded another model just before they were placed; and each of several groups waited for one load, while together they had the members of a whole group. Servers that came back with their weights stayed free beside a group that waited for a load. Change: loads at the same time are bounded by the engine's number, those of spares by half of it; spares are not told to load while a domain fills up; members that have to load are exchanged for free servers, or members of other waiting groups, that hold the weights, where a group can then open at once. Three tests play a server that comes back with weights, two groups that lack a member each, and forty cold servers; each fails without its part of the change.

--- a/internal/plan/group/change.go
+++ b/internal/plan/group/change.go
@@ -19,7 +19,8 @@
 func (d *Decider) replan(now time.Time, p *Plan) bool {
 	dropped := d.drop(now, p)
 	repaired := d.repair(now, p)
-	return d.place(now, p) || dropped || repaired
+	swapped := d.swap(now, p)
+	return d.place(now, p) || dropped || repaired || swapped
 }
 
 // drop removes retired formations that no longer hold anything back.
--- a/internal/plan/group/group_test.go
+++ b/internal/plan/group/group_test.go
@@ -34,6 +34,9 @@
 	still  map[string]bool
 	beat   uint64
 	orders []string
+	// loaded is when loads of weights that take their time end.
+	loaded map[string]time.Time
+	slow   bool
 }
 
 func newPlay(t *testing.T, n int) *play {
@@ -41,6 +44,7 @@
 	p := &play{
 		t: t, now: time.Unix(1000, 0), view: index.New(), servers: make(map[string]server.Info),
 		silent: make(map[string]bool), unlisted: make(map[string]bool), still: make(map[string]bool),
+		loaded: make(map[string]time.Time),
 	}
 	p.d = group.New(group.Config{Service: "llm", Engine: engine(), StallTime: 5 * time.Second, BeatInterval: time.Second}, group.Plan{})
 	for i := range n {
@@ -65,6 +69,7 @@
 	c := index.Change{Full: true}
 	beats := make(map[string]uint64)
 	p.beat++
+	p.endLoads()
 	for id, i := range p.servers {
 		if !p.unlisted[id] {
 			c.Put = append(c.Put, i)
@@ -106,6 +111,11 @@
 	switch o.Kind {
 	case group.Join:
 		i.Member = server.Member{Group: o.Group, Epoch: o.Epoch, Rank: slices.Index(o.Members, o.Server), State: server.Ready}
+		if p.slow && !i.HasStaged(o.Model) {
+			i.Member.State = server.Joining
+			p.startLoad(o.Server)
+			break
+		}
 		i.Model, i.Staged = o.Model, []string{o.Model}
 	case group.Open:
 		i.Member.State = server.Open
@@ -114,12 +124,49 @@
 	case group.Leave:
 		i.Member = server.Member{}
 	case group.Stage:
+		if p.slow {
+			p.startLoad(o.Server)
+			break
+		}
 		i.Staged = []string{o.Model}
 	}
 	p.servers[o.Server] = i
 	return group.Accepted
 }
 
+// startLoad begins a load of the only model.
+func (p *play) startLoad(id string) {
+	if _, ok := p.loaded[id]; !ok {
+		p.loaded[id] = p.now.Add(engine().Models[0].Load)
+	}
+}
+
+func (p *play) endLoads() {
+	for id, at := range p.loaded {
+		i, ok := p.servers[id]
+		if !ok || p.now.Before(at) {
+			continue
+		}
+		delete(p.loaded, id)
+		i.Staged = []string{"m"}
+		if i.Member.State == server.Joining {
+			i.Member.State, i.Model = server.Ready, "m"
+		}
+		p.servers[id] = i
+	}
+}
+
+// lose ends servers at once, and has cold ones take their places in the registry.
+func (p *play) lose(ids ...string) {
+	for _, id := range ids {
+		delete(p.servers, id)
+		p.add("cold-" + id)
+		i := p.servers["cold-"+id]
+		i.Staged = nil
+		p.servers["cold-"+id] = i
+	}
+}
+
 // open returns the formations whose head is open, by group.
 func (p *play) open() map[string]group.Formation {
 	out := make(map[string]group.Formation)
@@ -264,6 +311,77 @@
 	}
 }
 
+// Guards against a group that waits for a load while a server that holds its weights is free.
+func TestServerWithWeightsReturns(t *testing.T) {
+	t.Parallel()
+	p := newPlay(t, 3)
+	p.slow = true
+	p.run(3 * time.Second)
+	p.d.Traffic()
+	f := p.open()["g1"]
+	for id := range p.servers {
+		if !f.Has(id) {
+			delete(p.servers, id)
+		}
+	}
+	p.lose(f.Members[1])
+	p.run(4 * time.Second)
+	if len(p.open()) > 0 {
+		t.Fatalf("the group opened although one of its members loads weights: %v", p.orders)
+	}
+	p.add("back")
+	p.run(1500 * time.Millisecond)
+	if g, ok := p.open()["g1"]; !ok || !g.Has("back") {
+		t.Errorf("the group waits for the load: %v", p.orders)
+	}
+}
+
+// Guards against two groups that both wait for a load while one of them could serve with the members of both.
+func TestWaitingGroupsShareMembers(t *testing.T) {
+	t.Parallel()
+	p := newPlay(t, 4)
+	p.slow = true
+	p.run(3 * time.Second)
+	p.d.Traffic()
+	open := p.open()
+	if len(open) != 2 {
+		t.Fatalf("%d groups are open of four servers, want two", len(open))
+	}
+	p.lose(open["g1"].Members[1], open["g2"].Members[0])
+	p.run(3 * time.Second)
+	if n := len(p.open()); n != 1 {
+		t.Errorf("%d groups are open 3 s after each lost a member, want one: %v", n, p.orders)
+	}
+	p.run(12 * time.Second)
+	if n := len(p.open()); n != 2 {
+		t.Errorf("%d groups are open after the loads, want two: %v", n, p.orders)
+	}
+}
+
+// Guards against loads that slow each other down because more run at the same time than the engine bears.
+func TestLoadsAtOnce(t *testing.T) {
+	t.Parallel()
+	p := newPlay(t, 40)
+	p.slow = true
+	e := engine()
+	e.LoadsPerSecond = 10
+	p.d.Configure(e)
+	for id, i := range p.servers {
+		i.Staged = nil
+		p.servers[id] = i
+	}
+	p.d.Traffic()
+	for range 30 {
+		p.run(time.Second)
+		if n, most := len(p.loaded), e.LoadsAtOnce; n > most {
+			t.Fatalf("%d loads at the same time, limit %d", n, most)
+		}
+	}
+	if n := len(p.open()); n < 4 {
+		t.Errorf("%d groups are open after 30 s, want four or more", n)
+	}
+}
+
 // Guards against a stored plan that cannot be read back.
 func TestPlanCoding(t *testing.T) {
 	t.Parallel()
--- a/internal/plan/group/order.go
+++ b/internal/plan/group/order.go
@@ -223,7 +223,7 @@
 		case h.in(f) && h.Member.State != server.Joining:
 			ready++
 		case h.in(f):
-		case d.mayJoin(now, h, f) && (h.HasStaged(f.Model) || d.mayLoad(now, h)):
+		case d.mayJoin(now, h, f) && (h.HasStaged(f.Model) || d.mayLoad(now, h, groupLoads)):
 			out = append(out, d.give(now, h, Order{Kind: Join, Group: f.Group, Epoch: f.Epoch, Model: f.Model, Members: f.Members})...)
 		}
 	}
--- a/internal/plan/group/spare.go
+++ b/internal/plan/group/spare.go
@@ -66,15 +66,13 @@
 // ready gives the next order that makes a spare ready for a model.
 func (d *Decider) ready(now time.Time, h *host, model string) []Order {
 	switch {
-	case h.Model == model || h.Member.State == server.Joining:
+	case h.Model == model || h.Member.State == server.Joining || d.settling(now, h.Domain):
 		return nil
 	case !h.HasStaged(model):
-		if d.loading(now, h) != "" || d.refusedStage(now, h) || !d.mayLoad(now, h) {
+		if d.loading(now, h) != "" || d.refusedStage(now, h) || !d.mayLoad(now, h, spareLoads) {
 			return nil
 		}
 		return d.give(now, h, Order{Kind: Stage, Model: model})
-	case d.settling(now, h.Domain):
-		return nil
 	default:
 		return d.give(now, h, Order{
 			Kind: Join, Group: standbyPrefix + h.ID, Epoch: d.plan.Epoch, Model: model, Members: []string{h.ID},
@@ -142,8 +140,16 @@
 	loadShare = 0.8
 )
 
-// mayLoad reports whether a server may be told to load weights now, and counts the load.
-func (d *Decider) mayLoad(now time.Time, h *host) bool {
+// Parts of the loads that may run at the same time. Loads beyond the engine's number slow each other down, so that
+// no group is ready before all of them have ended; those of spares leave room for groups that lack a member.
+const (
+	groupLoads = 1.0
+	spareLoads = 0.5
+)
+
+// mayLoad reports whether a server may be told to load weights now, and counts the load. part is the part of the
+// loads at the same time up to which it may begin.
+func (d *Decider) mayLoad(now time.Time, h *host, part float64) bool {
 	for _, k := range []Kind{Join, Stage} {
 		if o, ok := h.orders[k]; ok && now.Sub(o.at) < orderRepeat {
 			return false
@@ -155,6 +161,30 @@
 	if limit := int(d.cfg.Engine.LoadsPerSecond * loadWindow.Seconds() * loadShare); d.loads.Count(now) >= limit {
 		return false
 	}
+	if most := d.cfg.Engine.LoadsAtOnce; most > 0 && float64(d.loadsNow(now, h)) >= part*float64(most) {
+		return false
+	}
 	d.loads.Add(now)
 	return true
 }
+
+// loadsNow counts the servers but one that load weights.
+func (d *Decider) loadsNow(now time.Time, but *host) int {
+	n := 0
+	for _, h := range d.hosts {
+		if h != but && !h.lost() && (d.loading(now, h) != "" || d.joinLoads(now, h)) {
+			n++
+		}
+	}
+	return n
+}
+
+// joinLoads reports whether a server loads weights in order to join a group.
+func (d *Decider) joinLoads(now time.Time, h *host) bool {
+	o, ok := h.orders[Join]
+	if !ok || o.outcome == Rejected || h.HasStaged(o.order.Model) || h.Model == o.order.Model {
+		return false
+	}
+	m, _ := d.cfg.Engine.Model(o.order.Model)
+	return now.Sub(o.at) < 2*m.Load+orderRepeat
+}
