Leave the price of a server's last places out of estimates

Cause: the chooser adds one second to the cost of a server that is over nine tenths full, to keep its last places for urgent requests. The same figure was compared with the objective, so callers were refused as soon as the best server was that full. Ruled out: an error of the learned first token; estimates below 0.4 s are right within a half. Change: Table.Estimate is without that price; the choice is as before. TestEstimateOfNearlyFullServer fails without it.

--- a/internal/route/choose/choose_test.go
+++ b/internal/route/choose/choose_test.go
@@ -331,3 +331,18 @@
 		t.Errorf("%d of %d requests went to the new server", newcomer, after)
 	}
 }
+
+// Guards against callers that are refused because a server is nearly full: an estimate that contained the price of
+// its last places, one second, was above every objective, although the first token came after 0.25 s.
+func TestEstimateOfNearlyFullServer(t *testing.T) {
+	t.Parallel()
+	tab := choose.NewTable(choose.DefaultConfig(), start)
+	id := tab.Put(choose.Spec{Name: "s", Model: "lm", WarmRequests: 26, PrefillPerToken: 18 * time.Microsecond, Hold: 2 * time.Second})
+	req := choose.Request{Model: "lm", PromptTokens: 1000, AnswerTokens: 170}
+	for running := range 26 {
+		tab.Observe(id, choose.Report{Instance: "s", Open: true, Running: running, MadeAt: start})
+		if got, ok := tab.Estimate(id, start, req); !ok || got > 100*time.Millisecond {
+			t.Errorf("%d of 26 places taken: the first token of 1,000 is expected after %v (%v), want 100 ms or less", running, got, ok)
+		}
+	}
+}
--- a/internal/route/choose/table.go
+++ b/internal/route/choose/table.go
@@ -345,7 +345,8 @@
 // minEstimate keeps the noise of very short answers out of the learned factor, in seconds.
 const minEstimate = 0.005
 
-// Estimate returns the expected time to first token on a server, and false when it may not be chosen.
+// Estimate returns the expected time to first token on a server, and false when it may not be chosen. It leaves
+// out what keeps the last places of a server for requests of higher priority, which is no time.
 func (t *Table) Estimate(id int, now time.Time, r Request) (time.Duration, bool) {
 	at := t.clock(now)
 	t.mark(r)
@@ -354,7 +355,7 @@
 		return 0, false
 	}
 	left := max(0, r.PromptTokens-int(t.marks[id]))
-	return time.Duration(t.rows[id].cost(at, float64(left), fillLimit(r.Priority)) * float64(time.Second)), true
+	return time.Duration(t.rows[id].cost(at, float64(left), math.Inf(1)) * float64(time.Second)), true
 }
 
 // refresh computes the row of a server.
