Pass the duty holder's word on, so that nodes need not read its row

Nodes are linked in a tree, and the holder of the duty told only those linked to it; the others read the row each 600 ms. Ruled out: rows of servers and configuration, which go down the tree already. Change: a node passes a new word of the holder on, by its number in the tenure; who hears it reads the row each 15 s. Silence lets only nodes with a link of their own to the holder take the duty at once; others read the row and wait for its lifetime, counted from when the holder was last heard. Only linked nodes try when the holder's renewals fail. TestRelayed fails without it.

--- a/internal/fleet/duty/duty.go
+++ b/internal/fleet/duty/duty.go
@@ -27,8 +27,9 @@
 	// silent for Silence has lost the duty or its life.
 	Beat    = 250 * time.Millisecond
 	Silence = 900 * time.Millisecond
-	// heardLook is the time between reads of a node that hears the holder.
-	heardLook = 3 * time.Second
+	// heardLook is the time between reads of a node that hears the holder. The holder's word is as good as the row,
+	// so a read is only needed in case that messages between nodes fail in a way that is not foreseen.
+	heardLook = 15 * time.Second
 	// margin is how long before the end of the lifetime the holder stops by itself.
 	margin = 300 * time.Millisecond
 )
@@ -70,6 +71,9 @@
 	// heard is when the holder was heard last in the tenure heardFence.
 	heard      time.Duration
 	heardFence uint64
+	// met is the tenure whose holder was heard over a link of its own. Only then is silence a sign of its end: a node
+	// that passed the word on may have ended as well.
+	met uint64
 	// linked says that the node hears other nodes, so that a silent holder is not the node's own fault.
 	linked bool
 	// failing says that the store does not take renewals of this node's tenure; offered is the tenure of
@@ -93,8 +97,14 @@
 // Holder returns the node that the last read showed as holder.
 func (d *Decider) Holder() string { return d.row.Holder }
 
-// Heard notes a message of the holder.
+// Heard notes a message of the holder, which came over a link to it.
 func (d *Decider) Heard(now time.Duration, fence uint64) {
+	d.Relayed(now, fence)
+	d.met = max(d.met, fence)
+}
+
+// Relayed notes a message of the holder that another node has passed on.
+func (d *Decider) Relayed(now time.Duration, fence uint64) {
 	if fence < d.row.Fence {
 		return
 	}
@@ -133,8 +143,12 @@
 	if d.row.Holder == "" || d.row.Holder == d.replaced || d.row.Holder != d.node && d.offered == d.row.Fence {
 		return true
 	}
-	silent := d.linked && d.heardFence == d.row.Fence && now-d.heard >= Silence
-	return silent || now-d.changed >= Lifetime && !d.hears(now)
+	silent := d.linked && d.met == d.row.Fence && d.heardFence == d.met && now-d.heard >= Silence
+	seen := d.changed
+	if d.heardFence == d.row.Fence {
+		seen = max(seen, d.heard)
+	}
+	return silent || now-seen >= Lifetime
 }
 
 // hears reports whether the holder has been heard of late.
--- a/internal/fleet/duty/duty_test.go
+++ b/internal/fleet/duty/duty_test.go
@@ -87,6 +87,10 @@
 			b.Linked(true)
 			b.Heard(now, 1)
 		}, duty.Silence + 3*step},
+		"silent over another node": {func(b *duty.Decider, now time.Duration) {
+			b.Linked(true)
+			b.Relayed(now, 1)
+		}, duty.Silence + duty.Lifetime + duty.Look + 3*step},
 	}
 	for name, tt := range tests {
 		var r row
@@ -119,6 +123,38 @@
 	}
 }
 
+// Guards against reads of the row by each of many nodes that hear the holder through others, and against one that takes
+// the duty because the node that passed the word on has ended.
+func TestRelayed(t *testing.T) {
+	t.Parallel()
+	var r row
+	a, b := &node{d: duty.New("a", key)}, &node{d: duty.New("b", key)}
+	reads := 0
+	const heard, all = 20 * time.Second, 25 * time.Second
+	for now := time.Second; now < all; now += step {
+		r.run(a, now, false)
+		if _, held := a.d.Holds(now); !held {
+			continue
+		}
+		b.d.Linked(true)
+		if now < heard && now%duty.Beat == 0 {
+			b.d.Relayed(now, 1)
+		}
+		if op, ok := b.d.Next(now); ok {
+			if !op.Read {
+				t.Fatalf("at %v: the duty is taken from a holder that renews it", now)
+			}
+			if now < heard {
+				reads++
+			}
+			b.d.ReadDone(now, table.Row{Key: key, Value: r.value, Revision: r.revision}, nil)
+		}
+	}
+	if reads > 3 {
+		t.Errorf("%d reads in 20 s of a node that hears the holder, want 3 or fewer", reads)
+	}
+}
+
 // Guards against a holder that the store refuses and that tells nobody.
 func TestFailing(t *testing.T) {
 	t.Parallel()
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -75,7 +75,7 @@
 	n.mesh, err = mesh.New(mesh.Config{
 		Address: address, DataCentre: set.DataCentre, Incarnation: incarnation,
 		Table: n.store, Feed: n.store, Copies: n.copyOf, Members: n.splitAmong, Stalled: n.takeStalled,
-		Duty: func(fence uint64, failing bool) { n.keeper.Heard(fence, failing) }, Met: func(at, inc string) { n.keeper.Met(at, inc) },
+		Duty: n.heardDuty, Met: func(at, inc string) { n.keeper.Met(at, inc) },
 		Reaches: n.reaches, Suspects: n.takeSuspects, Log: cfg.Log,
 	})
 	if err != nil {
--- a/internal/node/edge/peers.go
+++ b/internal/node/edge/peers.go
@@ -65,6 +65,19 @@
 	return !r.Born.IsZero() && !e.Born.IsZero() && !r.Born.Equal(e.Born)
 }
 
+// heardDuty takes a holder's word. Only nodes with a link to a holder whose renewals fail try to take the duty, so that
+// not all of them call the store at once.
+func (n *Node) heardDuty(fence uint64, failing, relayed bool) {
+	switch {
+	case relayed:
+		n.keeper.Relayed(fence)
+	case failing:
+		n.keeper.Offered(fence)
+	default:
+		n.keeper.Heard(fence)
+	}
+}
+
 // shareSuspects tells other nodes of requests that may crash backend servers.
 func (n *Node) shareSuspects(list []crash.Suspicion) {
 	out := make([]frame.Suspicion, 0, len(list))
--- a/internal/node/keeper/keeper.go
+++ b/internal/node/keeper/keeper.go
@@ -158,15 +158,25 @@
 	k.duty.Yield()
 }
 
-// Heard notes that another node says that it holds the duty, and whether the store does not take its renewals.
-func (k *Keeper) Heard(fence uint64, failing bool) {
+// Heard notes that another node, to which there is a link, says that it holds the duty.
+func (k *Keeper) Heard(fence uint64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if failing {
-		k.duty.Offered(clock.Since(), fence)
-	} else {
-		k.duty.Heard(clock.Since(), fence)
-	}
+	k.duty.Heard(clock.Since(), fence)
+}
+
+// Relayed notes that another node has passed on the holder's word.
+func (k *Keeper) Relayed(fence uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.duty.Relayed(clock.Since(), fence)
+}
+
+// Offered notes that the store does not take the renewals of a holder, to which there is a link.
+func (k *Keeper) Offered(fence uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.duty.Offered(clock.Since(), fence)
 }
 
 // Met notes a process at the address of a node. If the holder of the duty had that address as another
--- a/internal/node/mesh/mesh.go
+++ b/internal/node/mesh/mesh.go
@@ -70,8 +70,8 @@
 	// the groups.
 	Stalled func(f index.Formation) bool
 	// Duty takes a node's word that it holds the duty to keep groups; Met tells of each new link.
-	// failing says that the store does not take that node's renewals.
-	Duty func(fence uint64, failing bool)
+	// failing says that the store does not take that node's renewals, relayed that another node passed the word on.
+	Duty func(fence uint64, failing, relayed bool)
 	Met  func(address, incarnation string)
 	// Reaches reports whether this node reaches a backend server.
 	Reaches func(ctx context.Context, server, addr string) bool
@@ -96,6 +96,9 @@
 	out    sets.Set[string]
 	// upstream is the node whose copies this one follows, "" for the store.
 	upstream string
+	// beats counts this node's words as holder of the duty; beat is the newest word of any holder.
+	beats int
+	beat  frame.DutyBeat
 }
 
 // New returns a mesh that has not started.
@@ -133,7 +136,7 @@
 			c.Hint(uint64(h.Rev), remote{m: m, node: from.Node, family: h.Family})
 		}
 	})
-	peer.On(m.net, func(_ peer.Peer, b *frame.DutyBeat) { cfg.Duty(uint64(b.Fence), b.Failing) })
+	peer.On(m.net, func(from peer.Peer, b *frame.DutyBeat) { m.heard(from.Node, b) })
 	peer.On(m.net, func(from peer.Peer, s *frame.SuspectRequest) { m.suspected(from.Node, s) })
 	return m, nil
 }
--- a/internal/node/mesh/tell.go
+++ b/internal/node/mesh/tell.go
@@ -71,16 +71,45 @@
 	}
 }
 
-// Announce tells the linked nodes that this one holds the duty to keep groups, and whether the store does not
-// take its renewals.
+// Announce tells all nodes that this one holds the duty to keep groups, and whether the store does not take its
+// renewals.
 func (m *Mesh) Announce(fence uint64, failing bool) {
+	m.mu.Lock()
+	m.beats++
+	b := &frame.DutyBeat{Fence: int(fence), Failing: failing, Seq: m.beats}
+	m.beat = *b
+	m.mu.Unlock()
+	m.announce(b, "")
+}
+
+// announce sends a holder's word to the linked nodes but the one that it came from.
+func (m *Mesh) announce(b *frame.DutyBeat, from string) {
 	for _, n := range m.linked() {
-		if err := m.net.Send(n, &frame.DutyBeat{Fence: int(fence), Failing: failing}); err != nil {
+		if n == from {
+			continue
+		}
+		if err := m.net.Send(n, b); err != nil {
 			m.cfg.Log.Debug("cannot tell a node of the duty", "node", n, "error", err)
 		}
 	}
 }
 
+// heard takes a holder's word, and passes it on if it is new.
+func (m *Mesh) heard(from string, b *frame.DutyBeat) {
+	m.mu.Lock()
+	news := b.Fence > m.beat.Fence || b.Fence == m.beat.Fence && b.Seq > m.beat.Seq
+	if news {
+		m.beat = *b
+	}
+	m.mu.Unlock()
+	if news || !b.Relayed {
+		m.cfg.Duty(uint64(b.Fence), b.Failing, b.Relayed)
+	}
+	if news {
+		m.announce(&frame.DutyBeat{Fence: b.Fence, Failing: b.Failing, Seq: b.Seq, Relayed: true}, from)
+	}
+}
+
 // Linked reports whether there is a link to a node other than one.
 func (m *Mesh) Linked(but string) bool {
 	return slices.ContainsFunc(m.linked(), func(n string) bool { return n != but })
--- a/internal/wire/frame/messages.gen.go
+++ b/internal/wire/frame/messages.gen.go
@@ -43,14 +43,20 @@
 	Ver int `json:"ver"`
 }
 
-// DutyBeat says that the sender holds a duty.
+// DutyBeat says that a node holds a duty.
 type DutyBeat struct {
-	// The store does not take the sender's renewals; a node that the store serves
+	// The store does not take the holder's renewals; a node that the store serves
 	// should take the duty.
 	Failing bool `json:"failing"`
 
 	// Fencing number of the tenure.
 	Fence int `json:"fence"`
+
+	// The sender passes on the holder's word.
+	Relayed bool `json:"relayed,omitempty,omitzero"`
+
+	// Number of the message in the tenure.
+	Seq int `json:"seq,omitempty,omitzero"`
 }
 
 // FollowAsk asks for the changes of a family of rows, or for all its rows.
