Move a group that waits for weights to a domain that holds them

Ruled out: the number of groups planned (it follows the servers that are left). Change: where the lacking members of a group cannot be exchanged in its domain, the group is formed of free servers of another domain that hold its weights, if there are enough. TestMovesToDomainWithWeights fails without it.

--- a/internal/plan/group/group_test.go
+++ b/internal/plan/group/group_test.go
@@ -336,6 +336,34 @@
 	}
 }
 
+// Guards against a group that waits for a load while another domain has a whole group of free servers with its weights.
+func TestMovesToDomainWithWeights(t *testing.T) {
+	t.Parallel()
+	p := newPlay(t, 2)
+	p.slow = true
+	e := engine()
+	e.Models[0].Share = 0.65 // One group of two servers, and of four.
+	p.d.Configure(e)
+	p.run(3 * time.Second)
+	p.d.Traffic()
+	f, ok := p.open()["g1"]
+	if !ok {
+		t.Fatalf("no group is open: %v", p.orders)
+	}
+	p.lose(f.Members[1])
+	p.run(4 * time.Second)
+	for _, id := range []string{"far-0", "far-1"} {
+		p.add(id)
+		i := p.servers[id]
+		i.Domain = "far"
+		p.servers[id] = i
+	}
+	p.run(1500 * time.Millisecond)
+	if g, ok := p.open()["g1"]; !ok || g.Domain != "far" {
+		t.Errorf("the group waits for the load: %+v, %v", p.d.Plan().Current, p.orders)
+	}
+}
+
 // Guards against two groups that both wait for a load while one of them could serve with the members of both.
 func TestWaitingGroupsShareMembers(t *testing.T) {
 	t.Parallel()
--- a/internal/plan/group/swap.go
+++ b/internal/plan/group/swap.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -9,8 +10,9 @@
 )
 
 // A load of weights takes ten times as long as a forming. Groups that wait for one are opened sooner by servers
-// that hold the weights: free ones that have come back, and members of other groups that wait as well. Two
-// groups that lack one member each become one that serves and one that lacks two.
+// that hold the weights: free ones that have come back, also those of another domain if they are enough for the whole
+// group, and members of other groups that wait as well. Two groups that lack one member each become one that serves
+// and one that lacks two.
 
 // loadMostlyDone is the part of a load from which on its group rather waits for it.
 const loadMostlyDone = 0.5
@@ -25,17 +27,9 @@
 	for len(waiting) > 0 {
 		f := &p.Current[waiting[0]]
 		waiting = waiting[1:]
-		lacks := d.lacks(*f)
-		givers := d.givers(now, p, *f, waiting, len(lacks))
-		if givers == nil {
+		if !d.exchangeLacking(now, p, f, waiting) && !d.move(now, p, f) {
 			continue
 		}
-		for i, g := range givers {
-			if g.from >= 0 {
-				d.exchange(&p.Current[g.from], g.id, lacks[i])
-			}
-			d.exchange(f, lacks[i], g.id)
-		}
 		renewed := d.renew(p)
 		waiting = slices.DeleteFunc(waiting, func(i int) bool { return slices.Contains(renewed, i) })
 		changed = true
@@ -43,6 +37,49 @@
 	return changed
 }
 
+// exchangeLacking replaces the members of a formation that lack its weights, and reports whether it did.
+func (d *Decider) exchangeLacking(now time.Time, p *Plan, f *Formation, waiting []int) bool {
+	lacks := d.lacks(*f)
+	givers := d.givers(now, p, *f, waiting, len(lacks))
+	if givers == nil {
+		return false
+	}
+	for i, g := range givers {
+		if g.from >= 0 {
+			d.exchange(&p.Current[g.from], g.id, lacks[i])
+		}
+		d.exchange(f, lacks[i], g.id)
+	}
+	return true
+}
+
+// move forms a group in another domain that has enough free servers with its weights, and reports whether it did.
+// A domain that was out of reach comes back with them.
+func (d *Decider) move(now time.Time, p *Plan, f *Formation) bool {
+	domains := make(map[string]struct{})
+	for _, h := range d.hosts {
+		domains[h.Domain] = struct{}{}
+	}
+	delete(domains, f.Domain)
+	var best []*host
+	for _, domain := range slices.Sorted(maps.Keys(domains)) {
+		free := slices.DeleteFunc(d.free(p, domain), func(h *host) bool { return !h.holds(f.Model) })
+		if domain != "" && len(free) >= len(f.Members) && len(free) > len(best) {
+			best = free
+		}
+	}
+	if best == nil {
+		return false
+	}
+	d.sortFor(now, best, f.Model)
+	f.Domain, f.Members = best[0].Domain, make([]string, len(f.Members))
+	for i := range f.Members {
+		f.Members[i] = best[i].ID
+	}
+	f.Addresses = d.addresses(f.Members)
+	return true
+}
+
 // waiting returns the indices of formations that wait for a load of weights, those that lack fewest first.
 func (d *Decider) waiting(now time.Time, p *Plan) []int {
 	var out []int
