Do not take servers for lost because the keeper's node has no time

Change: at most 24 probes run at the same time, and a server that misses its second probe while servers of other domains miss theirs has two more. TestKeeperWithoutTime fails without the further probes.

--- a/internal/node/keeper/keeper.go
+++ b/internal/node/keeper/keeper.go
@@ -74,6 +74,9 @@
 	// orderTimeout and probeTimeout bound calls of backend servers.
 	orderTimeout = 600 * time.Millisecond
 	probeTimeout = 120 * time.Millisecond
+	// maxProbes bounds the probes at the same time. When a domain is in doubt all of its servers are asked, and a
+	// node with a fifth of a core handles about two answers in a millisecond: more of them would run out of time.
+	maxProbes = 24
 	// beatsInterval is the time between reads of the registrations.
 	beatsInterval = 500 * time.Millisecond
 	// reportInterval is the time between log lines that count the groups.
@@ -89,6 +92,8 @@
 	cfg  Config
 	duty *duty.Decider
 	wake chan struct{}
+	// probes holds a place for each probe that runs.
+	probes chan struct{}
 
 	mu      sync.Mutex
 	decider *group.Decider
@@ -104,7 +109,7 @@
 
 // New returns a keeper that does nothing until Run.
 func New(cfg Config) *Keeper {
-	return &Keeper{cfg: cfg, duty: duty.New(cfg.Node, dutyKey), wake: make(chan struct{}, 1)}
+	return &Keeper{cfg: cfg, duty: duty.New(cfg.Node, dutyKey), wake: make(chan struct{}, 1), probes: make(chan struct{}, maxProbes)}
 }
 
 // Run keeps the groups until ctx ends.
@@ -438,6 +443,12 @@
 }
 
 func (k *Keeper) probe(ctx context.Context, p group.Probe) {
+	select {
+	case k.probes <- struct{}{}:
+		defer func() { <-k.probes }()
+	case <-ctx.Done():
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	r, err := k.cfg.Engines.Report(ctx, p)
--- a/internal/plan/group/group_test.go
+++ b/internal/plan/group/group_test.go
@@ -364,6 +364,57 @@
 	}
 }
 
+// Guards against groups that are formed anew because the keeper's node had no time for the answers to its probes: servers
+// of several domains seemed to be silent. One that stays silent is lost all the same, and so are two domains.
+func TestKeeperWithoutTime(t *testing.T) {
+	t.Parallel()
+	for name, tt := range map[string]struct {
+		blind time.Duration
+		stay  bool
+	}{"for three probes": {150 * time.Millisecond, true}, "for good": {time.Hour, false}} {
+		p := newPlay(t, 2)
+		for i := range 6 {
+			id := fmt.Sprint("t", i)
+			p.add(id)
+			s := p.servers[id]
+			s.Domain = "e"
+			p.servers[id] = s
+		}
+		p.run(3 * time.Second)
+		before := p.open()
+		blind := make([]string, 0, 4)
+		domains := make(map[string]bool)
+		for _, f := range before {
+			if !domains[f.Domain] {
+				domains[f.Domain] = true
+				blind = append(blind, f.Members...)
+				p.d.Suspect(f.Group, f.Epoch)
+			}
+		}
+		if len(domains) != 2 {
+			t.Fatalf("groups are open in %v, want two domains", domains)
+		}
+		for _, id := range blind {
+			p.silent[id] = true
+		}
+		p.run(min(tt.blind, 2500*time.Millisecond))
+		lost := p.d.Census().Lost
+		for _, id := range blind {
+			p.silent[id] = !tt.stay
+		}
+		p.run(2 * time.Second)
+		same := 0
+		for g, f := range p.open() {
+			if before[g].Epoch == f.Epoch {
+				same++
+			}
+		}
+		if stay := same == len(before) && lost == 0; stay != tt.stay {
+			t.Errorf("no answers (%s) from %v: %d lost, %d of %d groups as before", name, blind, lost, same, len(before))
+		}
+	}
+}
+
 // Guards against two groups that both wait for a load while one of them could serve with the members of both.
 func TestWaitingGroupsShareMembers(t *testing.T) {
 	t.Parallel()
--- a/internal/plan/group/host.go
+++ b/internal/plan/group/host.go
@@ -22,6 +22,8 @@
 	// misses counts probes in a row without an answer; confirmed is when one was answered last.
 	misses    int
 	confirmed time.Time
+	// excused counts misses that did not count, see Decider.Missed.
+	excused int
 	// probed is when the last probe was sent; asked says that its result is awaited, suspect that one is
 	// wanted.
 	probed  time.Time
@@ -111,7 +113,7 @@
 		// A repeated read of the registry proves no life.
 		return
 	}
-	h.gone, h.misses = false, 0
+	h.gone, h.misses, h.excused = false, 0, 0
 	if e.Member.State == server.Broken {
 		d.Suspect(e.Member.Group, e.Member.Epoch)
 	}
--- a/internal/plan/group/probe.go
+++ b/internal/plan/group/probe.go
@@ -67,7 +67,7 @@
 	if h.Born.IsZero() {
 		h.Born = r.Born
 	}
-	h.gone, h.misses, h.unseen, h.pace = false, 0, false, r.Pace
+	h.gone, h.misses, h.excused, h.unseen, h.pace = false, 0, 0, false, r.Pace
 	h.confirmed = now
 	h.take(r.Info)
 }
@@ -79,10 +79,31 @@
 		return
 	}
 	h.asked = false
+	if !gone && h.misses == lostMisses-1 && h.excused < maxExcused && d.othersMiss(h) {
+		h.excused++
+		return
+	}
 	h.misses++
 	h.gone = h.gone || gone
 }
 
+// maxExcused is how many more probes a server may miss while servers of other domains miss theirs as well: then the
+// fault may be this node's own, which had no processor time for the answers.
+const maxExcused = 2
+
+// missTogether is the time within which misses of several servers may have the same cause.
+const missTogether = time.Second
+
+// othersMiss reports whether servers of other domains are in doubt too.
+func (d *Decider) othersMiss(h *host) bool {
+	for _, o := range d.hosts {
+		if o.Domain != h.Domain && o.misses == lostMisses-1 && !o.gone && h.probed.Sub(o.probed).Abs() < missTogether {
+			return true
+		}
+	}
+	return false
+}
+
 // Times of registrations.
 const (
 	// beatFactor is how many intervals between renewals a server may be silent.
