--- a/internal/node/mesh/mesh.go
+++ b/internal/node/mesh/mesh.go
@@ -105,7 +105,7 @@
 func New(cfg Config) (*Mesh, error) {
 	flood, err := NewFlood(cfg.Address + "/" + cfg.Incarnation)
 	if err != nil {
-		return nil, err
+		return nil, errors.Newf("new mesh: %w", err)
 	}
 	m := &Mesh{
 		cfg: cfg, flood: flood, members: make(map[string]Row), topo: roster.NewTopology(nil),
--- a/internal/plan/group/swap.go
+++ b/internal/plan/group/swap.go
@@ -2,10 +2,10 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
+	"geraniumhollow/internal/core/sets"
 	"geraniumhollow/internal/fleet/server"
 )
 
@@ -56,13 +56,13 @@
 // move forms a group in another domain that has enough free servers with its weights, and reports whether it did.
 // A domain that was out of reach comes back with them.
 func (d *Decider) move(now time.Time, p *Plan, f *Formation) bool {
-	domains := make(map[string]struct{})
+	domains := sets.New[string]()
 	for _, h := range d.hosts {
-		domains[h.Domain] = struct{}{}
+		domains.Add(h.Domain)
 	}
-	delete(domains, f.Domain)
+	domains.Remove(f.Domain)
 	var best []*host
-	for _, domain := range slices.Sorted(maps.Keys(domains)) {
+	for _, domain := range sets.Sorted(domains) {
 		free := slices.DeleteFunc(d.free(p, domain), func(h *host) bool { return !h.holds(f.Model) })
 		if domain != "" && len(free) >= len(f.Members) && len(free) > len(best) {
 			best = free
