Count a cut head's time without a member anew when the member is back

An earlier keeper's orders, carried out late, brought the member of a cut head back and opened the head; the present keeper still counted from the first loss and joined the member elsewhere while the head served. Change: the time runs only while a member is missing. TestMemberOfCutHeadReturns fails without it.

--- a/internal/plan/group/group_test.go
+++ b/internal/plan/group/group_test.go
@@ -231,6 +231,32 @@
 	}
 }
 
+// Guards against a head that counts as broken although an order of an earlier keeper, which was carried out late, has
+// brought its member back since (interleaving of seed 20266734).
+func TestMemberOfCutHeadReturns(t *testing.T) {
+	t.Parallel()
+	p := newPlay(t, 5)
+	p.run(3 * time.Second)
+	f := p.open()["g1"]
+	head, other := f.Head(), f.Members[1]
+	p.silent[head] = true
+	p.d.Suspect(f.Group, f.Epoch)
+	p.run(4 * time.Second)
+	i := p.servers[other]
+	i.Member = server.Member{Group: f.Group, Epoch: f.Epoch, Rank: 1, State: server.Ready}
+	p.servers[other] = i
+	back := p.now
+	for p.servers[other].Member.Epoch == f.Epoch || !p.servers[other].Member.Some() {
+		p.run(50 * time.Millisecond)
+		if p.now.Sub(back) > 20*time.Second {
+			t.Fatal("the other member is never used again")
+		}
+	}
+	if waited := p.now.Sub(back); waited < 5*time.Second {
+		t.Errorf("the member joined elsewhere %v after it had been back, while the head may serve for 5 s", waited)
+	}
+}
+
 // Guards against a group that goes on with a head that the registry does not have, and one that is broken up
 // because it does not have a member.
 func TestUnlisted(t *testing.T) {
--- a/internal/plan/group/order.go
+++ b/internal/plan/group/order.go
@@ -175,6 +175,8 @@
 		}
 		return now.Sub(since) >= d.cfg.StallTime+stallMargin
 	}
+	// An order of an earlier keeper that is carried out late may bring a member back, and the head goes on.
+	delete(d.short, f.key())
 	return false
 }
 
