Let servers that leave the registry finish their answers

Ruled out: the configuration change beside it; the refusal of calls without time (left_ms is over 6,000). Change: requests at a server that has left the registry go on, and are withdrawn when it is silent for as long as a pass may take.

--- a/internal/node/seat/seat.go
+++ b/internal/node/seat/seat.go
@@ -50,7 +50,9 @@
 	watch   *stall.Watch
 	view    *index.View
 	servers map[string]*server
-	barred  []int
+	// departed are servers that the registry has no more, while they run requests of this node.
+	departed map[*server]time.Time
+	barred   []int
 }
 
 var _ pass.Seats = (*Seats)(nil)
@@ -86,7 +88,7 @@
 		cfg: cfg, table: choose.NewTable(shape, cfg.Now()),
 		chooser: choose.NewShortest(rnd, choose.DefaultWindow()),
 		watch:   stall.New(stall.DefaultConfig()),
-		servers: make(map[string]*server),
+		servers: make(map[string]*server), departed: make(map[*server]time.Time),
 	}
 }
 
@@ -216,8 +218,9 @@
 			continue
 		}
 		s.drop(id, sv)
-		if _, ok := v.Servers[id]; !ok {
-			sv.withdraw()
+		if _, ok := v.Servers[id]; !ok && len(sv.seats) > 0 {
+			// A server that leaves as planned may finish its answers after it has left the registry.
+			s.departed[sv] = now
 		}
 	}
 }
@@ -279,6 +282,21 @@
 			s.stalled(now, sv, "no_answer")
 		}
 	}
+	for sv, since := range s.departed {
+		last := since
+		if sv.progress.After(last) {
+			last = sv.progress
+		}
+		switch {
+		case len(sv.seats) == 0:
+			delete(s.departed, sv)
+			s.watch.Forget(sv.entry.ID)
+		case now.Sub(last) >= s.watch.Silence(sv.entry.ID, s.passTime(sv)):
+			delete(s.departed, sv)
+			s.watch.Forget(sv.entry.ID)
+			s.stalled(now, sv, "departed")
+		}
+	}
 	pass := func(name string) time.Duration {
 		if sv, ok := s.servers[name]; ok {
 			return s.passTime(sv)
