Read the duty's holder under the lock when a tenure ends

The keeper logged the holder without the lock while the renewals write it from another goroutine. Found by reading; the race detector does not hit the window (8 runs). The package had no test of its own: TestLosesDutyWithStore now plays a store that goes away and comes back. It passes before and after this change.

--- a/internal/node/keeper/keeper.go
+++ b/internal/node/keeper/keeper.go
@@ -275,7 +275,7 @@
 	if k.decider == nil {
 		return
 	}
-	k.cfg.Log.Warn("lost the duty to keep groups", "fence", k.fence, "holder", k.duty.Holder())
+	k.cfg.Log.Warn("lost the duty to keep groups", "fence", k.fence, "holder", k.Holder())
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.decider = nil
--- /dev/null
+++ b/internal/node/keeper/keeper_test.go
@@ -0,0 +1,70 @@
+package keeper_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"geraniumhollow/internal/core/tasks"
+	"geraniumhollow/internal/fake/store"
+	"geraniumhollow/internal/fleet/index"
+	"geraniumhollow/internal/fleet/server"
+	"geraniumhollow/internal/node/keeper"
+	"geraniumhollow/internal/plan/group"
+	"geraniumhollow/internal/report/metric"
+	"geraniumhollow/internal/route/batch"
+	"github.com/hashicorp/go-hclog"
+)
+
+// noEngines reaches no backend server.
+type noEngines struct{}
+
+var errNone = errors.New("no backend server")
+
+func (noEngines) Order(context.Context, group.Order) (group.Outcome, error) {
+	return group.Unknown, errNone
+}
+
+func (noEngines) Report(context.Context, group.Probe) (server.Report, error) {
+	return server.Report{}, errNone
+}
+
+// Guards against a keeper that goes on without the duty, or does not take it again.
+func TestLosesDutyWithStore(t *testing.T) {
+	t.Parallel()
+	table, registry := store.New(), index.New()
+	k := keeper.New(keeper.Config{
+		Node: "a/1", Table: table, Engines: noEngines{}, View: registry.View,
+		Service:   func() (string, *batch.Engine) { return "llm", &batch.Engine{} },
+		StallTime: time.Second, BeatInterval: time.Second,
+		Beats:    func(context.Context) (map[string]uint64, error) { return nil, nil },
+		Witness:  func(context.Context, group.Probe) (int, int) { return 0, 0 },
+		Announce: func(uint64, bool) {}, Linked: func(string) bool { return false }, Traffic: func() bool { return false },
+		Metrics: metric.New(), Log: hclog.NewNullLogger(),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	g := tasks.New(ctx)
+	g.Go("keeper", k.Run)
+	t.Cleanup(func() {
+		cancel()
+		if err := g.Wait(); err != nil {
+			t.Error(err)
+		}
+	})
+	await := func(holds bool) {
+		t.Helper()
+		for end := time.Now().Add(10 * time.Second); k.Holds() != holds; time.Sleep(20 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("the keeper holds the duty: %v, for 10 s", !holds)
+			}
+		}
+	}
+	await(true)
+	time.Sleep(300 * time.Millisecond) // It reads the plan.
+	table.SetDown(true)
+	await(false)
+	time.Sleep(300 * time.Millisecond) // It resigns.
+	table.SetDown(false)
+	await(true)
+}
