Let one piece of code serve where the adapter's work had copies

- Suspicions are put into messages and taken out of them in route/crash for both modes.
- The mesh sends to its linked nodes in one loop instead of three.
- The limits of connections between hosts stood three times; they are sock.Local.
- A server's holding of weights, the free servers that hold them, and how long a load may run are asked in one place each; a sort of keys that the standard library has is gone.
- The two refusals of a busy service share their time to come back; the check of servers that left the registry is a function of its own; both ends of a read in a mirror share theirs.
- Two tests of cut heads share their set-up and wait; their assertions are unchanged.

Looked at and left: the five timed calls of report/metric (a shared wrapper reads worse), the decoding of bodies in the two stand-ins, constant blocks and generated code of the same shape.

--- a/internal/core/sock/sock.go
+++ b/internal/core/sock/sock.go
@@ -23,6 +23,10 @@
 	KeepAlive time.Duration
 }
 
+// Local are the limits of connections between hosts of the platform, whose round trips take a few milliseconds: a peer
+// that is silent for so long has ended or cannot be reached.
+var Local = Limits{Unacknowledged: 1500 * time.Millisecond, KeepAlive: time.Second}
+
 // Dial makes a connection to addr, an IP and port.
 func (l Limits) Dial(ctx context.Context, addr string) (net.Conn, error) {
 	d := net.Dialer{Control: l.control, KeepAliveConfig: l.keepAlive()}
--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -184,9 +184,7 @@
 		if up := c.cfg.Upstream(); up != nil && begun.After(distrusted) {
 			err := c.pull(ctx, up, peerWait)
 			if err == nil {
-				c.setSecond(false)
-				c.note(ctx, nil)
-				tasks.Sleep(ctx, c.cfg.Pause-time.Since(begun))
+				c.kept(ctx, begun)
 				continue
 			}
 			distrusted = time.Now().Add(distrust)
@@ -206,9 +204,7 @@
 		err = c.pull(ctx, c.cfg.Store, c.cfg.Wait)
 	}
 	if err == nil {
-		c.setSecond(false)
-		c.note(ctx, nil)
-		tasks.Sleep(ctx, c.cfg.Pause-time.Since(begun))
+		c.kept(ctx, begun)
 		return
 	}
 	c.setSecond(true)
@@ -218,6 +214,13 @@
 	tasks.Sleep(ctx, retryMin+rand.N(retryMax-retryMin))
 }
 
+// kept notes that a read of the copy's own source, which began at a time, was answered, and waits for the next one.
+func (c *Copy) kept(ctx context.Context, begun time.Time) {
+	c.setSecond(false)
+	c.note(ctx, nil)
+	tasks.Sleep(ctx, c.cfg.Pause-time.Since(begun))
+}
+
 // followPeer reads from other nodes until it is time to try the store again, and reports whether one of
 // them answered.
 func (c *Copy) followPeer(ctx context.Context) bool {
--- a/internal/node/edge/peers.go
+++ b/internal/node/edge/peers.go
@@ -80,18 +80,10 @@
 
 // shareSuspects tells other nodes of requests that may crash backend servers.
 func (n *Node) shareSuspects(list []crash.Suspicion) {
-	out := make([]frame.Suspicion, 0, len(list))
-	for _, s := range list {
-		out = append(out, frame.Suspicion{Fp: string(s.Fingerprint), Change: string(s.Change), Crashes: s.Crashes})
-	}
-	n.mesh.Suspect(out)
+	n.mesh.Suspect(crash.Frames(list))
 }
 
 // takeSuspects takes another node's word.
 func (n *Node) takeSuspects(origin string, list []frame.Suspicion) {
-	in := make([]crash.Suspicion, 0, len(list))
-	for _, s := range list {
-		in = append(in, crash.Suspicion{Fingerprint: crash.Fingerprint(s.Fp), Change: crash.Change(s.Change), Crashes: s.Crashes})
-	}
-	n.crashes.Learn(origin, in)
+	n.crashes.Learn(origin, crash.FromFrames(list))
 }
--- a/internal/node/edge/rows.go
+++ b/internal/node/edge/rows.go
@@ -118,9 +118,9 @@
 	if t == nil {
 		return "", nil
 	}
-	for i, s := range t.Services() {
+	for _, s := range t.Services() {
 		if s.Engine != nil && len(s.Engine.Models) > 0 {
-			return s.Name, t.Services()[i].Engine
+			return s.Name, s.Engine
 		}
 	}
 	return "", nil
--- a/internal/node/mesh/mesh.go
+++ b/internal/node/mesh/mesh.go
@@ -45,9 +45,6 @@
 	lookInterval = 400 * time.Millisecond
 )
 
-// silence ends links whose other side has gone silent.
-var silence = sock.Limits{Unacknowledged: 1500 * time.Millisecond, KeepAlive: time.Second}
-
 // Row is what a node stores of itself.
 type Row struct {
 	Incarnation string `json:"inc"`
@@ -144,12 +141,12 @@
 func dial(ctx context.Context, addr string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	return silence.Dial(ctx, addr)
+	return sock.Local.Dial(ctx, addr)
 }
 
 // Run keeps the links until ctx ends.
 func (m *Mesh) Run(ctx context.Context) error {
-	ln, err := silence.Listen(ctx, m.cfg.Address)
+	ln, err := sock.Local.Listen(ctx, m.cfg.Address)
 	if err != nil {
 		return errors.Newf("listen for other nodes: %w", err)
 	}
--- a/internal/node/mesh/tell.go
+++ b/internal/node/mesh/tell.go
@@ -62,15 +62,25 @@
 	return w
 }
 
-// Hint tells the linked nodes that this one has a revision of a family.
-func (m *Mesh) Hint(family string, revision uint64) {
+// tell sends a message to the linked nodes but one, and calls failed with each that does not take it.
+func (m *Mesh) tell(msg any, but string, failed func(node string, err error)) {
 	for _, n := range m.linked() {
-		if err := m.net.Send(n, &frame.RowHint{Family: family, Rev: int(revision)}); err != nil {
-			m.cfg.Log.Debug("cannot tell a node of a revision", "node", n, "error", err)
+		if n == but {
+			continue
+		}
+		if err := m.net.Send(n, msg); err != nil {
+			failed(n, err)
 		}
 	}
 }
 
+// Hint tells the linked nodes that this one has a revision of a family.
+func (m *Mesh) Hint(family string, revision uint64) {
+	m.tell(&frame.RowHint{Family: family, Rev: int(revision)}, "", func(n string, err error) {
+		m.cfg.Log.Debug("cannot tell a node of a revision", "node", n, "error", err)
+	})
+}
+
 // Announce tells all nodes that this one holds the duty to keep groups, and whether the store does not take its
 // renewals.
 func (m *Mesh) Announce(fence uint64, failing bool) {
@@ -84,14 +94,9 @@
 
 // announce sends a holder's word to the linked nodes but the one that it came from.
 func (m *Mesh) announce(b *frame.DutyBeat, from string) {
-	for _, n := range m.linked() {
-		if n == from {
-			continue
-		}
-		if err := m.net.Send(n, b); err != nil {
-			m.cfg.Log.Debug("cannot tell a node of the duty", "node", n, "error", err)
-		}
-	}
+	m.tell(b, from, func(n string, err error) {
+		m.cfg.Log.Debug("cannot tell a node of the duty", "node", n, "error", err)
+	})
 }
 
 // heard takes a holder's word, and passes it on if it is new.
@@ -128,12 +133,7 @@
 
 // spread sends a message to the linked nodes but the one that it came from.
 func (m *Mesh) spread(s *frame.SuspectRequest, from string) {
-	for _, n := range m.linked() {
-		if n == from {
-			continue
-		}
-		if err := m.net.Send(n, s); err != nil {
-			m.cfg.Log.Info("cannot pass on suspicions", "node", n, "error", err)
-		}
-	}
+	m.tell(s, from, func(n string, err error) {
+		m.cfg.Log.Info("cannot pass on suspicions", "node", n, "error", err)
+	})
 }
--- a/internal/node/seat/seat.go
+++ b/internal/node/seat/seat.go
@@ -144,13 +144,15 @@
 	if c.Route.Kind != match.Stream {
 		return nil
 	}
-	if over := now.Add(estimate).Sub(c.Deadline); over > 0 {
-		return fault.New(fault.Overloaded, fault.NotRun, "no backend server can answer in the time left").
-			WithRetryAfter(min(max(over, minRetry), maxRetry))
+	refuse := func(why string, late time.Duration) *fault.Error {
+		return fault.New(fault.Overloaded, fault.NotRun, why).WithRetryAfter(min(max(late, minRetry), maxRetry))
 	}
-	if over := estimate + now.Sub(c.Arrived) - c.Route.Objective; over > 0 && !again && !c.Returned() {
-		return fault.New(fault.Overloaded, fault.NotRun, "all backend servers are busy").
-			WithRetryAfter(min(max(over, minRetry), maxRetry))
+	begins := now.Add(estimate)
+	if late := begins.Sub(c.Deadline); late > 0 {
+		return refuse("no backend server can answer in the time left", late)
+	}
+	if late := begins.Sub(c.Arrived.Add(c.Route.Objective)); late > 0 && !again && !c.Returned() {
+		return refuse("all backend servers are busy", late)
 	}
 	return nil
 }
@@ -282,21 +284,7 @@
 			s.stalled(now, sv, "no_answer")
 		}
 	}
-	for sv, since := range s.departed {
-		last := since
-		if sv.progress.After(last) {
-			last = sv.progress
-		}
-		switch {
-		case len(sv.seats) == 0:
-			delete(s.departed, sv)
-			s.watch.Forget(sv.entry.ID)
-		case now.Sub(last) >= s.watch.Silence(sv.entry.ID, s.passTime(sv)):
-			delete(s.departed, sv)
-			s.watch.Forget(sv.entry.ID)
-			s.stalled(now, sv, "departed")
-		}
-	}
+	s.checkDeparted(now)
 	pass := func(name string) time.Duration {
 		if sv, ok := s.servers[name]; ok {
 			return s.passTime(sv)
@@ -310,6 +298,21 @@
 	}
 }
 
+// checkDeparted ends the attempts at servers that have left the registry and make no progress any more.
+func (s *Seats) checkDeparted(now time.Time) {
+	for sv, since := range s.departed {
+		silent := min(now.Sub(since), now.Sub(sv.progress)) >= s.watch.Silence(sv.entry.ID, s.passTime(sv))
+		if len(sv.seats) > 0 && !silent {
+			continue
+		}
+		delete(s.departed, sv)
+		s.watch.Forget(sv.entry.ID)
+		if len(sv.seats) > 0 {
+			s.stalled(now, sv, "departed")
+		}
+	}
+}
+
 // passTime returns how long a pass of a server may take. The prompts that other nodes have sent are not known;
 // they are taken to be like this node's own.
 func (s *Seats) passTime(sv *server) time.Duration {
--- a/internal/node/seat/server.go
+++ b/internal/node/seat/server.go
@@ -13,9 +13,6 @@
 	"geraniumhollow/internal/route/stall"
 )
 
-// serverSilence ends connections to backend servers that have gone silent.
-var serverSilence = sock.Limits{Unacknowledged: 1500 * time.Millisecond, KeepAlive: time.Second}
-
 // Times of backend servers.
 const (
 	// dialTimeout bounds a new connection to a backend server.
@@ -51,7 +48,7 @@
 	return &server{
 		entry: e,
 		conns: conns.New(e.Address, conns.Options{
-			DialTimeout: dialTimeout, IdleTimeout: idleTimeout, Limits: serverSilence,
+			DialTimeout: dialTimeout, IdleTimeout: idleTimeout, Limits: sock.Local,
 		}),
 		sends: window.New(coldSpan),
 		seats: make(map[*seat]struct{}),
--- a/internal/node/serve/shared.go
+++ b/internal/node/serve/shared.go
@@ -98,7 +98,7 @@
 		return &frame.GrantReleased{Ok: true}
 	})
 	peer.On(net, func(_ peer.Peer, m *frame.LoadDigest) { c.shares.HandleDigest(*m) })
-	peer.On(net, func(from peer.Peer, m *frame.SuspectRequest) { c.guard.Learn(from.Node, suspicions(m)) })
+	peer.On(net, func(from peer.Peer, m *frame.SuspectRequest) { c.guard.Learn(from.Node, crash.FromFrames(m.List)) })
 }
 
 // deps returns the relay's parts.
@@ -166,10 +166,7 @@
 }
 
 func (c *control) shareSuspicions(list []crash.Suspicion) {
-	m := &frame.SuspectRequest{}
-	for _, s := range list {
-		m.List = append(m.List, frame.Suspicion{Fp: string(s.Fingerprint), Change: string(s.Change), Crashes: s.Crashes})
-	}
+	m := &frame.SuspectRequest{List: crash.Frames(list)}
 	for _, n := range c.nodes() {
 		if n.Name != c.node.cfg.NodeName {
 			// A node that misses it learns from its own crashes; the fleet's limit is in the table.
@@ -178,16 +175,6 @@
 	}
 }
 
-func suspicions(m *frame.SuspectRequest) []crash.Suspicion {
-	out := make([]crash.Suspicion, 0, len(m.List))
-	for _, s := range m.List {
-		out = append(out, crash.Suspicion{
-			Fingerprint: crash.Fingerprint(s.Fp), Change: crash.Change(s.Change), Crashes: s.Crashes,
-		})
-	}
-	return out
-}
-
 // drain hands the first half of the shards over: nothing is granted under them here from now on.
 func (c *control) drain() {
 	c.leases.Drain()
--- a/internal/plan/group/group_test.go
+++ b/internal/plan/group/group_test.go
@@ -209,6 +209,25 @@
 	}
 }
 
+// cutHead leaves the keeper without answers of a head, which it is told makes no progress.
+func (p *play) cutHead(f group.Formation) {
+	p.silent[f.Head()] = true
+	p.d.Suspect(f.Group, f.Epoch)
+}
+
+// untilElsewhere runs until a member of a formation has joined another one, and returns how long that took.
+func (p *play) untilElsewhere(id string, f group.Formation) time.Duration {
+	p.t.Helper()
+	began := p.now
+	for p.servers[id].Member.Epoch == f.Epoch || !p.servers[id].Member.Some() {
+		p.run(50 * time.Millisecond)
+		if p.now.Sub(began) > 20*time.Second {
+			p.t.Fatal("the other member is never used again")
+		}
+	}
+	return p.now.Sub(began)
+}
+
 // Guards against members of a head that cannot be reached but lives, which are joined elsewhere while it may
 // serve.
 func TestWaitsForCutHead(t *testing.T) {
@@ -216,17 +235,9 @@
 	p := newPlay(t, 5)
 	p.run(3 * time.Second)
 	f := p.open()["g1"]
-	head, other := f.Head(), f.Members[1]
-	p.silent[head] = true
-	p.d.Suspect(f.Group, f.Epoch)
-	cut := p.now
-	for p.servers[other].Member.Epoch == f.Epoch || !p.servers[other].Member.Some() {
-		p.run(50 * time.Millisecond)
-		if p.now.Sub(cut) > 20*time.Second {
-			t.Fatal("the other member is never used again")
-		}
-	}
-	if waited := p.now.Sub(cut); waited < 5*time.Second {
+	other := f.Members[1]
+	p.cutHead(f)
+	if waited := p.untilElsewhere(other, f); waited < 5*time.Second {
 		t.Errorf("the other member joined elsewhere after %v, while the head may serve for 5 s", waited)
 	}
 }
@@ -238,21 +249,13 @@
 	p := newPlay(t, 5)
 	p.run(3 * time.Second)
 	f := p.open()["g1"]
-	head, other := f.Head(), f.Members[1]
-	p.silent[head] = true
-	p.d.Suspect(f.Group, f.Epoch)
+	other := f.Members[1]
+	p.cutHead(f)
 	p.run(4 * time.Second)
 	i := p.servers[other]
 	i.Member = server.Member{Group: f.Group, Epoch: f.Epoch, Rank: 1, State: server.Ready}
 	p.servers[other] = i
-	back := p.now
-	for p.servers[other].Member.Epoch == f.Epoch || !p.servers[other].Member.Some() {
-		p.run(50 * time.Millisecond)
-		if p.now.Sub(back) > 20*time.Second {
-			t.Fatal("the other member is never used again")
-		}
-	}
-	if waited := p.now.Sub(back); waited < 5*time.Second {
+	if waited := p.untilElsewhere(other, f); waited < 5*time.Second {
 		t.Errorf("the member joined elsewhere %v after it had been back, while the head may serve for 5 s", waited)
 	}
 }
--- a/internal/plan/group/host.go
+++ b/internal/plan/group/host.go
@@ -65,6 +65,9 @@
 
 func (h *host) slow() bool { return h.pace >= slowPace }
 
+// holds reports whether the server can join a group of a model without a load.
+func (h *host) holds(model string) bool { return h.Model == model || h.HasStaged(model) }
+
 // in reports whether the server says that it has a place in a formation.
 func (h *host) in(f Formation) bool { return h.Member.Of(f.Group, f.Epoch) }
 
--- a/internal/plan/group/place.go
+++ b/internal/plan/group/place.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"strconv"
@@ -39,6 +40,13 @@
 	return out
 }
 
+// holders returns the free servers of a domain that hold the weights of a model, those that join soonest first.
+func (d *Decider) holders(now time.Time, p *Plan, domain, model string) []*host {
+	out := slices.DeleteFunc(d.free(p, domain), func(h *host) bool { return !h.holds(model) })
+	d.sortFor(now, out, model)
+	return out
+}
+
 // sortFor puts servers first that can join a group of the model soonest.
 func (d *Decider) sortFor(now time.Time, list []*host, model string) {
 	rank := func(h *host) int {
@@ -109,7 +117,7 @@
 			arriving.Add(h.Domain)
 		}
 	}
-	for _, domain := range sortedKeys(centres) {
+	for _, domain := range slices.Sorted(maps.Keys(centres)) {
 		in.Domains = append(in.Domains, form.Domain{Name: domain, DataCentre: centres[domain]})
 		for _, h := range d.free(p, domain) {
 			in.Hosts = append(in.Hosts, form.Host{Name: h.ID, Domain: domain, Accelerators: 1, Loaded: weights(h)})
@@ -119,15 +127,6 @@
 	return in, arriving
 }
 
-func sortedKeys(m map[string]string) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
-
 // weights returns what a server has loaded, in the terms of placing.
 func weights(h *host) []form.Weights {
 	out := make([]form.Weights, 0, len(h.Staged))
--- a/internal/plan/group/spare.go
+++ b/internal/plan/group/spare.go
@@ -83,16 +83,18 @@
 // loading returns the model whose weights a server was told to load and does not hold yet, or "".
 func (d *Decider) loading(now time.Time, h *host) string {
 	o, ok := h.orders[Stage]
-	if !ok || o.outcome == Rejected || h.HasStaged(o.order.Model) {
-		return ""
-	}
-	m, _ := d.cfg.Engine.Model(o.order.Model)
-	if now.Sub(o.at) >= 2*m.Load+orderRepeat {
+	if !ok || h.HasStaged(o.order.Model) || !d.mayRun(now, o) {
 		return ""
 	}
 	return o.order.Model
 }
 
+// mayRun reports whether a load that an order has begun may still run.
+func (d *Decider) mayRun(now time.Time, o sent) bool {
+	m, _ := d.cfg.Engine.Model(o.order.Model)
+	return o.outcome != Rejected && now.Sub(o.at) < 2*m.Load+orderRepeat
+}
+
 // refusedStage reports whether a server has refused to load weights of late: it is busy with another load.
 func (d *Decider) refusedStage(now time.Time, h *host) bool {
 	o, ok := h.orders[Stage]
@@ -182,9 +184,5 @@
 // joinLoads reports whether a server loads weights in order to join a group.
 func (d *Decider) joinLoads(now time.Time, h *host) bool {
 	o, ok := h.orders[Join]
-	if !ok || o.outcome == Rejected || h.HasStaged(o.order.Model) || h.Model == o.order.Model {
-		return false
-	}
-	m, _ := d.cfg.Engine.Model(o.order.Model)
-	return now.Sub(o.at) < 2*m.Load+orderRepeat
+	return ok && !h.holds(o.order.Model) && d.mayRun(now, o)
 }
--- a/internal/plan/group/swap.go
+++ b/internal/plan/group/swap.go
@@ -63,7 +63,7 @@
 	domains.Remove(f.Domain)
 	var best []*host
 	for _, domain := range sets.Sorted(domains) {
-		free := slices.DeleteFunc(d.free(p, domain), func(h *host) bool { return !h.holds(f.Model) })
+		free := d.holders(now, p, domain, f.Model)
 		if domain != "" && len(free) >= len(f.Members) && len(free) > len(best) {
 			best = free
 		}
@@ -71,7 +71,6 @@
 	if best == nil {
 		return false
 	}
-	d.sortFor(now, best, f.Model)
 	f.Domain, f.Members = best[0].Domain, make([]string, len(f.Members))
 	for i := range f.Members {
 		f.Members[i] = best[i].ID
@@ -108,9 +107,6 @@
 	return out
 }
 
-// holds reports whether a server can join a group of a model without a load.
-func (h *host) holds(model string) bool { return h.Model == model || h.HasStaged(model) }
-
 // soonLoaded reports whether all loads that a formation waits for are mostly done.
 func (d *Decider) soonLoaded(now time.Time, f Formation) bool {
 	m, _ := d.cfg.Engine.Model(f.Model)
@@ -140,12 +136,8 @@
 // then members of the formations that wait longest.
 func (d *Decider) givers(now time.Time, p *Plan, f Formation, waiting []int, n int) []giver {
 	out := make([]giver, 0, n)
-	free := d.free(p, f.Domain)
-	d.sortFor(now, free, f.Model)
-	for _, h := range free {
-		if h.holds(f.Model) {
-			out = append(out, giver{id: h.ID, from: -1})
-		}
+	for _, h := range d.holders(now, p, f.Domain, f.Model) {
+		out = append(out, giver{id: h.ID, from: -1})
 	}
 	for _, i := range slices.Backward(waiting) {
 		o := p.Current[i]
--- /dev/null
+++ b/internal/route/crash/frames.go
@@ -0,0 +1,21 @@
+package crash
+
+import "geraniumhollow/internal/wire/frame"
+
+// Frames returns suspicions as nodes send them to each other.
+func Frames(list []Suspicion) []frame.Suspicion {
+	out := make([]frame.Suspicion, 0, len(list))
+	for _, s := range list {
+		out = append(out, frame.Suspicion{Fp: string(s.Fingerprint), Change: string(s.Change), Crashes: s.Crashes})
+	}
+	return out
+}
+
+// FromFrames returns the suspicions that another node has sent.
+func FromFrames(list []frame.Suspicion) []Suspicion {
+	out := make([]Suspicion, 0, len(list))
+	for _, s := range list {
+		out = append(out, Suspicion{Fingerprint: Fingerprint(s.Fp), Change: Change(s.Change), Crashes: s.Crashes})
+	}
+	return out
+}
