--- a/internal/node/keeper/keeper_test.go
+++ b/internal/node/keeper/keeper_test.go
@@ -38,7 +38,7 @@
 		Node: "a/1", Table: table, Engines: noEngines{}, View: registry.View,
 		Service:   func() (string, *batch.Engine) { return "llm", &batch.Engine{} },
 		StallTime: time.Second, BeatInterval: time.Second,
-		Beats:    func(context.Context) (map[string]uint64, error) { return nil, nil },
+		Beats:    func(context.Context) (map[string]uint64, error) { return map[string]uint64{}, nil },
 		Witness:  func(context.Context, group.Probe) (int, int) { return 0, 0 },
 		Announce: func(uint64, bool) {}, Linked: func(string) bool { return false }, Traffic: func() bool { return false },
 		Metrics: metric.New(), Log: hclog.NewNullLogger(),
