Model the end of a keeper's tenure in the interleavings

Two gaps in the product that the traces pointed to are closed: orders that an earlier keeper gives in the rest of its tenure count for that long after the takeover (TestEarlierKeeperStillActs: 13.05 s before, 14.5 s wanted), and an order is given only in the tenure that decided on it.

--- a/internal/bench/plans/chaos.go
+++ b/internal/bench/plans/chaos.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"geraniumhollow/internal/fleet/duty"
 	"geraniumhollow/internal/fleet/index"
 	"geraniumhollow/internal/fleet/server"
 	"geraniumhollow/internal/plan/group"
@@ -46,6 +47,10 @@
 	// revision is that of the plan as this keeper knows it.
 	revision uint64
 	paused   time.Time
+	// until is when its tenure ends by its own clock, which runs on while it is paused; renews is when it next
+	// renews its row.
+	until  time.Time
+	renews time.Time
 	// reads are when it next reads the registry and the renewals.
 	reads time.Time
 	beats time.Time
@@ -66,8 +71,10 @@
 	keepers []*keeper
 	plan    row
 	fence   uint64
-	heals   []func()
-	healAt  []time.Time
+	// holder is the keeper that the row of the duty names.
+	holder *keeper
+	heals  []func()
+	healAt []time.Time
 }
 
 // Options shape an interleaving.
@@ -93,6 +100,7 @@
 		if c.now.Sub(end.Add(-chaosTime)) > quiet {
 			c.disturb()
 		}
+		c.succeed()
 		for _, k := range c.keepers {
 			c.step(k)
 		}
@@ -164,7 +172,18 @@
 	}
 }
 
-// takeOver gives a keeper the duty; the others do not know before their next commit.
+// succeed has a keeper take the duty some time after the last tenure has ended.
+func (c *chaos) succeed() {
+	if c.now.Before(c.holder.until) || !c.chance(10) {
+		return
+	}
+	if k := c.keepers[c.src.IntN(keepers)]; !c.now.Before(k.paused) {
+		c.takeOver(k)
+	}
+}
+
+// takeOver gives a keeper the duty. An earlier holder does not know before its next commit, or the end of its
+// tenure.
 func (c *chaos) takeOver(k *keeper) {
 	if c.now.Before(c.plan.away) {
 		return
@@ -183,6 +202,8 @@
 	if !c.store(p) {
 		return
 	}
+	c.holder = k
+	k.until, k.renews = c.now.Add(duty.Tenure), c.now.Add(duty.Renew)
 	k.revision = c.plan.revision
 	k.view, k.reads, k.beats = index.New(), time.Time{}, time.Time{}
 	k.decider = group.New(group.Config{
@@ -203,7 +224,7 @@
 
 // step lets a keeper read, decide and act.
 func (c *chaos) step(k *keeper) {
-	if k.decider == nil || c.now.Before(k.paused) {
+	if k.decider == nil || c.now.Before(k.paused) || !c.keeps(k) {
 		return
 	}
 	if !c.now.Before(k.reads) && !c.now.Before(c.plan.away) {
@@ -218,6 +239,22 @@
 	c.act(k, k.decider.Step(c.now))
 }
 
+// keeps renews the row of a holder and reports whether its tenure lasts.
+func (c *chaos) keeps(k *keeper) bool {
+	if !c.now.Before(k.until) {
+		c.logf("keeper %d: tenure ends", slices.Index(c.keepers, k))
+		k.decider = nil
+		return false
+	}
+	if !c.now.Before(k.renews) {
+		k.renews = c.now.Add(duty.Renew)
+		if c.holder == k && !c.now.Before(c.plan.away) && !c.chance(20) {
+			k.until = c.now.Add(duty.Tenure)
+		}
+	}
+	return true
+}
+
 // act carries out what a keeper has decided.
 func (c *chaos) act(k *keeper, a group.Actions) {
 	for _, n := range a.Notes {
--- a/internal/fleet/duty/duty.go
+++ b/internal/fleet/duty/duty.go
@@ -2,9 +2,9 @@
 //
 // The holder renews the row and tells the nodes that it has links to. Others take the duty when they have
 // seen the row unchanged for a lifetime, when a holder that they heard has fallen silent, or when another
-// process has taken the holder's place. A holder whose renewals fail stops before that. This does not exclude that two nodes act for a moment, as
-// a process can stand still between its check and its act: whatever the duty changes has to be guarded by
-// the fencing number that each tenure has.
+// process has taken the holder's place. A holder whose renewals fail stops before that. Two nodes can act at the
+// same time for up to Tenure, and a process can stand still between its check and its act: whatever the duty
+// changes has to be guarded by the fencing number that each tenure has.
 package duty
 
 import (
@@ -30,8 +30,9 @@
 	// heardLook is the time between reads of a node that hears the holder. The holder's word is as good as the row,
 	// so a read is only needed in case that messages between nodes fail in a way that is not foreseen.
 	heardLook = 15 * time.Second
-	// margin is how long before the end of the lifetime the holder stops by itself.
-	margin = 300 * time.Millisecond
+	// Tenure is how long a holder acts after it sent the last renewal that was stored. It ends before Lifetime, so
+	// that clocks may differ by the rest.
+	Tenure = Lifetime - 300*time.Millisecond
 )
 
 // Row is the stored form.
@@ -233,7 +234,7 @@
 		d.next = now + Renew
 		d.until, d.failing = 0, false
 		if op.want.Holder == d.node {
-			d.until = op.sent + Lifetime - margin
+			d.until = op.sent + Tenure
 		}
 	case errors.Is(err, table.ErrUnavailable) && op.want.Fence == d.row.Fence:
 		d.failing = true
--- a/internal/fleet/duty/duty_test.go
+++ b/internal/fleet/duty/duty_test.go
@@ -116,9 +116,9 @@
 		if now-lost > tt.within {
 			t.Errorf("%s: taken over after %v, want within %v", name, now-lost, tt.within)
 		}
-		// The first holder may not know yet; it stops by itself before the lifetime of its last renewal ends.
-		if _, held := a.d.Holds(lost + duty.Lifetime); held {
-			t.Errorf("%s: the first holder believes that it holds the duty after its lifetime", name)
+		// The first holder may not know yet; its last renewal was sent before it was lost.
+		if _, held := a.d.Holds(lost + duty.Tenure); held {
+			t.Errorf("%s: the first holder believes that it holds the duty after its tenure", name)
 		}
 	}
 }
--- a/internal/node/keeper/keeper.go
+++ b/internal/node/keeper/keeper.go
@@ -360,8 +360,9 @@
 	for _, n := range a.Notes {
 		k.cfg.Log.Info("group decision", "decision", n.Decision, "group", n.Group, "epoch", n.Epoch, "reason", n.Reason)
 	}
+	fence := k.fence
 	for _, o := range a.Orders {
-		g.Go("order", func(ctx context.Context) error { k.order(ctx, o); return nil })
+		g.Go("order", func(ctx context.Context) error { k.order(ctx, fence, o); return nil })
 	}
 	for _, p := range a.Probes {
 		g.Go("probe", func(ctx context.Context) error { k.probe(ctx, p); return nil })
@@ -423,8 +424,9 @@
 	k.Wake()
 }
 
-func (k *Keeper) order(ctx context.Context, o group.Order) {
-	if _, ok := k.holds(); !ok {
+// order gives an order that the decider of a tenure wants, unless that tenure has ended.
+func (k *Keeper) order(ctx context.Context, fence uint64, o group.Order) {
+	if now, ok := k.holds(); !ok || now != fence {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
--- a/internal/plan/group/group_test.go
+++ b/internal/plan/group/group_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"geraniumhollow/internal/fleet/duty"
 	"geraniumhollow/internal/fleet/index"
 	"geraniumhollow/internal/fleet/server"
 	"geraniumhollow/internal/plan/group"
@@ -30,6 +31,8 @@
 	// silent servers answer neither orders nor probes; unlisted ones are not in the registry.
 	silent   map[string]bool
 	unlisted map[string]bool
+	// pace is that of servers which are slower than usual.
+	pace map[string]float64
 	// beats stop for servers in it.
 	still  map[string]bool
 	beat   uint64
@@ -44,7 +47,7 @@
 	p := &play{
 		t: t, now: time.Unix(1000, 0), view: index.New(), servers: make(map[string]server.Info),
 		silent: make(map[string]bool), unlisted: make(map[string]bool), still: make(map[string]bool),
-		loaded: make(map[string]time.Time),
+		loaded: make(map[string]time.Time), pace: make(map[string]float64),
 	}
 	p.d = group.New(group.Config{Service: "llm", Engine: engine(), StallTime: 5 * time.Second, BeatInterval: time.Second}, group.Plan{})
 	for i := range n {
@@ -92,7 +95,7 @@
 	}
 	for _, q := range a.Probes {
 		if i, ok := p.servers[q.Server]; ok && !p.silent[q.Server] {
-			p.d.Probed(p.now, q.Server, server.Report{Info: i, Pace: 1})
+			p.d.Probed(p.now, q.Server, server.Report{Info: i, Pace: max(1, p.pace[q.Server])})
 		} else {
 			p.d.Missed(q.Server, false)
 		}
@@ -242,6 +245,26 @@
 	}
 }
 
+// Guards against a member of a head that has left its formation which is used elsewhere while an order of the earlier
+// keeper, given in the rest of its tenure and carried out late, can make the head serve again.
+func TestEarlierKeeperStillActs(t *testing.T) {
+	t.Parallel()
+	const longestDelay = 12 * time.Second
+	p := newPlay(t, 3)
+	f := group.Formation{
+		Group: "g1", Epoch: 3, Model: "m", Service: "llm", Domain: "d", Members: []string{"s0", "s1"}, Addresses: []string{"s0", "s1"},
+	}
+	p.d = group.New(group.Config{Service: "llm", Engine: engine(), StallTime: 5 * time.Second, BeatInterval: time.Second},
+		group.Plan{Epoch: f.Epoch, Inherited: f.Epoch, Retired: []group.Formation{f}})
+	head := p.servers[f.Head()]
+	head.Draining = true // It joins no other formation, which would keep it from this one.
+	p.servers[f.Head()] = head
+	if waited := p.untilElsewhere("s1", f); waited < longestDelay+duty.Tenure {
+		t.Errorf("the member joined elsewhere after %v, while orders of the earlier keeper may come for %v",
+			waited, longestDelay+duty.Tenure)
+	}
+}
+
 // Guards against a head that counts as broken although an order of an earlier keeper, which was carried out late, has
 // brought its member back since (interleaving of seed 20266734).
 func TestMemberOfCutHeadReturns(t *testing.T) {
--- a/internal/plan/group/order.go
+++ b/internal/plan/group/order.go
@@ -4,6 +4,7 @@
 	"maps"
 	"time"
 
+	"geraniumhollow/internal/fleet/duty"
 	"geraniumhollow/internal/fleet/server"
 )
 
@@ -61,6 +62,9 @@
 	orderRepeat = 700 * time.Millisecond
 	// lateOrder is how long after it was sent an order without an answer may still be carried out.
 	lateOrder = 13 * time.Second
+	// inheritedOrder is the same for orders of an earlier keeper, which may have given them for the rest of its
+	// tenure after this one took over.
+	inheritedOrder = lateOrder + duty.Tenure
 	// stallMargin is added to the stall time of an engine before its head counts as broken.
 	stallMargin = 500 * time.Millisecond
 )
@@ -153,7 +157,7 @@
 		return false
 	}
 	at, ok := h.doubtful[f.Epoch]
-	if !ok && now.Sub(d.began) < lateOrder && f.Epoch <= d.plan.Inherited {
+	if !ok && now.Sub(d.began) < inheritedOrder && f.Epoch <= d.plan.Inherited {
 		// Orders of an earlier keeper are not known.
 		return true
 	}
