Let estimates of idle servers fall, and late outliers weigh less

Cause: a head that was full when it last answered kept that estimate until another request went there, and the lateness learned of a model followed single answers that were seconds late.

Change: the wait for a place falls with the age of the report; what was learned halves each 0.5 s without answers and takes at most 0.1 s of a sample; the factor of a slow server returns to 1 without reports. The learning has its own file.

--- a/internal/node/seat/seat.go
+++ b/internal/node/seat/seat.go
@@ -94,7 +94,14 @@
 
 // Run looks for servers that make no progress until ctx ends.
 func (s *Seats) Run(ctx context.Context) error {
-	return tasks.Every(ctx, checkInterval, func(context.Context) { s.check() })
+	g := tasks.New(ctx)
+	g.Go("check", func(ctx context.Context) error {
+		return tasks.Every(ctx, checkInterval, func(context.Context) { s.check() })
+	})
+	g.Go("settle", func(ctx context.Context) error {
+		return tasks.Every(ctx, choose.SettleInterval, func(context.Context) { s.settle() })
+	})
+	return g.Wait()
 }
 
 // Take implements pass.Seats.
@@ -273,6 +280,13 @@
 	delete(s.servers, id)
 }
 
+// settle lets what was learned of idle servers fade.
+func (s *Seats) settle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Settle(s.cfg.Now())
+}
+
 // check ends the attempts at servers that make no progress, where they may be made again elsewhere.
 func (s *Seats) check() {
 	s.mu.Lock()
--- a/internal/route/choose/choose_test.go
+++ b/internal/route/choose/choose_test.go
@@ -346,3 +346,79 @@
 		}
 	}
 }
+
+// learning returns a table that learns first tokens, with one server.
+func learning() (*choose.Table, int) {
+	cfg := choose.DefaultConfig()
+	cfg.FirstStep, cfg.MaxReportAge = 0.03, time.Hour
+	tab := choose.NewTable(cfg, start)
+	id := tab.Put(spec("a"))
+	tab.Observe(id, report())
+	return tab, id
+}
+
+// answer notes a request that got its first token after a time, and returns when.
+func answer(tab *choose.Table, id int, now time.Time, first time.Duration) time.Time {
+	sent := tab.Send(id, now, request())
+	now = now.Add(first)
+	tab.Done(id, sent, now, first)
+	return now
+}
+
+// Guards against an estimate that stays high because of itself: requests are refused, so that no answer tells that the
+// server is free again (trial on strygekurv trouble-1: half of the requests refused for 15 s by idle servers).
+func TestEstimateOfIdleServer(t *testing.T) {
+	t.Parallel()
+	const limit = 400 * time.Millisecond
+	idle, _ := learning()
+	usual, _ := idle.Estimate(0, start.Add(time.Second), request())
+	tests := map[string]func(tab *choose.Table, id int) time.Time{
+		"full at the last report": func(tab *choose.Table, id int) time.Time {
+			r := report()
+			r.Running, r.Waiting = 64, 20
+			tab.Observe(id, r)
+			return r.MadeAt
+		},
+		"late first tokens": func(tab *choose.Table, id int) time.Time {
+			now := start.Add(time.Second)
+			for range 400 {
+				now = answer(tab, id, now, 2*time.Second)
+			}
+			return now
+		},
+	}
+	for name, load := range tests {
+		tab, id := learning()
+		now := load(tab, id)
+		if est, ok := tab.Estimate(id, now, request()); !ok || est < limit {
+			t.Errorf("%s: the estimate is %v, %v", name, est, ok)
+		}
+		for range 6 {
+			now = now.Add(choose.SettleInterval)
+			tab.Settle(now)
+		}
+		if est, ok := tab.Estimate(id, now, request()); !ok || est > usual+limit/4 {
+			t.Errorf("%s: the estimate is still %v after 6 s without requests, usually %v", name, est, usual)
+		}
+	}
+}
+
+// Guards against a few answers of servers that stood, seconds late, which have requests refused that others would
+// answer in time.
+func TestFewLateAnswers(t *testing.T) {
+	t.Parallel()
+	tab, id := learning()
+	now := start.Add(time.Second)
+	usual, _ := tab.Estimate(id, now, request())
+	for i := range 200 {
+		first := usual
+		if i%10 == 0 {
+			first = 5 * time.Second
+		}
+		now = answer(tab, id, now, first)
+	}
+	tab.Observe(id, func() choose.Report { r := report(); r.MadeAt = now; return r }())
+	if est, _ := tab.Estimate(id, now, request()); est > usual+100*time.Millisecond {
+		t.Errorf("the estimate rose from %v to %v by one late answer in ten", usual, est)
+	}
+}
--- a/internal/route/choose/table.go
+++ b/internal/route/choose/table.go
@@ -109,6 +109,7 @@
 type row struct {
 	madeAt    int64 // clock of the table in ns; never for a closed route
 	busyUntil int64 // when the prefill queue is expected to be empty
+	placeAt   int64 // when a place is expected to be free
 	fixed     float64
 	perToken  float64
 	fill      float64 // part of the limits in use, by requests or tokens, whichever is more
@@ -157,8 +158,8 @@
 	rows   []row
 	marks  []int32 // per decision: expected hit in tokens, or tried
 	lists  map[wish][]int32
-	// firsts are the learned times to the first token beyond prefill, in seconds, by model.
-	firsts map[string]float64
+	// firsts are the learned times to the first token beyond prefill, by model.
+	firsts map[string]learned
 }
 
 // wish selects the servers that can run a request at all.
@@ -171,7 +172,7 @@
 	return &Table{
 		cfg: cfg, epoch: now, maxAge: int64(cfg.MaxReportAge), hold: cfg.Hold.Seconds(),
 		queued: float64(cfg.QueuedPrompt),
-		ids:    make(map[string]int), lists: make(map[wish][]int32), firsts: make(map[string]float64),
+		ids:    make(map[string]int), lists: make(map[wish][]int32), firsts: make(map[string]learned),
 	}
 }
 
@@ -266,20 +267,6 @@
 	return true
 }
 
-// Learning rates: a step towards each observed first token, and a return to 1 with each report.
-const (
-	slowStep   = 0.08
-	slowReturn = 0.98
-	holdStep   = 0.02
-	queuedStep = 0.02
-)
-
-// Bounds of the learned factor.
-const (
-	slowMin = 0.25
-	slowMax = 16
-)
-
 // Send notes that the node sent a request and returns an id for Done.
 func (t *Table) Send(id int, now time.Time, r Request) uint64 {
 	at := t.clock(now)
@@ -297,7 +284,7 @@
 	l.sends = append(l.sends, send{
 		id: t.nextID, at: at, tokens: r.PromptTokens + r.AnswerTokens,
 		prefill:  float64(left) * cmp.Or(l.spec.PrefillPerToken, t.cfg.PrefillPerToken).Seconds(),
-		estimate: t.rows[id].cost(at, float64(left), math.Inf(1)),
+		estimate: t.rows[id].cost(at, float64(left), math.Inf(1)) + t.firsts[l.spec.Model].now(at),
 	})
 	t.queued += queuedStep * (float64(left) - t.queued)
 	t.refresh(id)
@@ -315,7 +302,7 @@
 		}
 		s.ended = t.clock(now)
 		if firstToken > 0 {
-			t.learnFirst(l.spec.Model, firstToken.Seconds()-s.estimate)
+			t.learnFirst(l.spec.Model, s.ended, firstToken.Seconds()-s.estimate)
 			ratio := min(max(firstToken.Seconds()/max(s.estimate, minEstimate), slowMin), slowMax)
 			l.slow = min(max(l.slow*math.Pow(ratio, slowStep), slowMin), slowMax)
 			t.hold += holdStep * (float64(s.ended-s.at)/float64(time.Second) - t.hold)
@@ -328,13 +315,6 @@
 	t.refresh(id)
 }
 
-// learnFirst takes by how much a first token was later than estimated.
-func (t *Table) learnFirst(model string, late float64) {
-	if t.cfg.FirstStep > 0 {
-		t.firsts[model] = max(0, t.firsts[model]+t.cfg.FirstStep*late)
-	}
-}
-
 // Cancel forgets a send that did not reach the server.
 func (t *Table) Cancel(id int, sent uint64) {
 	l := &t.loads[id]
@@ -342,9 +322,6 @@
 	t.refresh(id)
 }
 
-// minEstimate keeps the noise of very short answers out of the learned factor, in seconds.
-const minEstimate = 0.005
-
 // Estimate returns the expected time to first token on a server, and false when it may not be chosen. It leaves
 // out what keeps the last places of a server for requests of higher priority, which is no time.
 func (t *Table) Estimate(id int, now time.Time, r Request) (time.Duration, bool) {
@@ -355,7 +332,8 @@
 		return 0, false
 	}
 	left := max(0, r.PromptTokens-int(t.marks[id]))
-	return time.Duration(t.rows[id].cost(at, float64(left), math.Inf(1)) * float64(time.Second)), true
+	seconds := t.rows[id].cost(at, float64(left), math.Inf(1)) + t.firsts[t.loads[id].spec.Model].now(at)
+	return time.Duration(seconds * float64(time.Second)), true
 }
 
 // refresh computes the row of a server.
@@ -392,14 +370,14 @@
 		w.inFlight += int(float64(unreported) * t.cfg.PeerSends)
 	}
 	w.inFlight, held = max(0, w.inFlight), max(0, held)
-	w.fixed = 2*l.spec.Distance.Seconds() + t.firsts[l.spec.Model]
+	w.fixed = 2 * l.spec.Distance.Seconds()
 	w.perToken = prefill
 	if limit > 0 {
 		part := float64(w.inFlight+1) / float64(limit)
 		w.fill = part
 		w.perToken *= 1 + t.cfg.BatchFactor*min(1, part)
 		if part > 1 {
-			w.fixed += (part - 1) * cmp.Or(l.spec.Hold.Seconds(), t.hold) * slow
+			w.placeAt = l.madeAt + nanos((part-1)*cmp.Or(l.spec.Hold.Seconds(), t.hold)*slow)
 		}
 	}
 	w.room = math.MaxInt
@@ -426,6 +404,9 @@
 	if wait := w.busyUntil - at; wait > 0 {
 		c += float64(wait) * 1e-9
 	}
+	if wait := w.placeAt - at; wait > 0 {
+		c += float64(wait) * 1e-9
+	}
 	if w.fill > limit {
 		c += reservedCost
 	}
