--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 KNOWN_RED := $(shell sed -n 's/^test: *//p' KNOWN-RED.txt | paste -sd'|')
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$',)
 
-.PHONY: build test lint fmt generate check-generated demo demo-check clean
+.PHONY: build test soak lint fmt generate check-generated demo demo-check clean
 
 build:
 	$(GO) build -o $(BIN) ./cmd/geraniumhollow
@@ -17,6 +17,12 @@
 	@test -z "$(KNOWN_RED)" || { echo "passing over known failures:"; cat KNOWN-RED.txt; }
 	$(GO) test -race -shuffle=on $(SKIP) ./...
 
+# Runs nodes as processes under random faults; see docs/OPERATIONS.md.
+SEEDS ?= 50
+FIRST ?= 1
+soak:
+	$(GO) test ./platform/soak -count=1 -timeout 2h -v -run TestSoak -args -seeds $(SEEDS) -first $(FIRST) | grep -v '^=== '
+
 lint:
 	$(GO) vet ./...
 	$(TOOL) golangci-lint run ./...
