Let refusals, not time, end a learned lateness

Change: each refusal that rests on the estimate takes 5% of what was learned, whatever the rate of requests; the first samples of a model count most.

Tried and reverted: nodes telling each other the loads that servers tell, each 0.15 s over the tree.

--- a/internal/node/seat/seat.go
+++ b/internal/node/seat/seat.go
@@ -134,6 +134,7 @@
 	}
 	est, _ := s.table.Estimate(id, now, r)
 	if refusal := busy(now, c, est, len(tried) > 0); refusal != nil {
+		s.table.Refused(r.Model)
 		return nil, false, refusal
 	}
 	sv := s.servers[s.table.Name(id)]
--- a/internal/route/choose/learn.go
+++ b/internal/route/choose/learn.go
@@ -5,31 +5,20 @@
 	"time"
 )
 
-// learned is a time in seconds, of which the last sample was taken at a clock of the table.
+// learned is a time in seconds, and the samples that it was learned from.
 type learned struct {
-	value float64
-	at    int64
+	value   float64
+	samples int
 }
 
-// Fading of what was learned: while a model's servers answer nothing, as requests are refused because of it, it halves
-// with each fadeHalf after fadeAfter.
-const (
-	fadeAfter = 500 * time.Millisecond
-	fadeHalf  = 500 * time.Millisecond
-)
-
 // lateReach bounds the part of a sample that counts, in seconds. What is learned then follows the middle of the
 // samples; the few that had to wait for a server which stood are seconds late and would make the rest be refused.
 const lateReach = 0.1
 
-// now returns the value at a clock.
-func (l learned) now(at int64) float64 {
-	idle := time.Duration(at-l.at) - fadeAfter
-	if idle <= 0 || l.value == 0 {
-		return l.value
-	}
-	return l.value * math.Exp2(-idle.Seconds()/fadeHalf.Seconds())
-}
+// refusedPart is what is left of a learned time after a request was refused. No answer tells that the servers are free
+// again when all requests are refused, so that refusals have to end by themselves; if they are right, the answers to the
+// requests that are let in teach the time anew.
+const refusedPart = 0.95
 
 // Learning rates: a step towards each observed first token, and a return to 1 with each report.
 const (
@@ -45,13 +34,23 @@
 	slowMax = 16
 )
 
-// learnFirst takes by how much a first token was later than estimated.
-func (t *Table) learnFirst(model string, at int64, late float64) {
+// learnFirst takes by how much a first token was later than estimated. The first samples count most.
+func (t *Table) learnFirst(model string, late float64) {
 	if t.cfg.FirstStep == 0 {
 		return
 	}
-	step := t.cfg.FirstStep * min(max(late, -lateReach), lateReach)
-	t.firsts[model] = learned{value: max(0, t.firsts[model].now(at)+step), at: at}
+	l := t.firsts[model]
+	l.samples++
+	step := max(t.cfg.FirstStep, 1/float64(l.samples))
+	l.value = max(0, l.value+step*min(max(late, -lateReach), lateReach))
+	t.firsts[model] = l
+}
+
+// Refused notes that a request for a model was refused because of the estimate.
+func (t *Table) Refused(model string) {
+	l := t.firsts[model]
+	l.value *= refusedPart
+	t.firsts[model] = l
 }
 
 // Settle moves what was learned of servers that told nothing for a while towards the usual, so that they are tried
--- a/internal/route/choose/table.go
+++ b/internal/route/choose/table.go
@@ -284,7 +284,7 @@
 	l.sends = append(l.sends, send{
 		id: t.nextID, at: at, tokens: r.PromptTokens + r.AnswerTokens,
 		prefill:  float64(left) * cmp.Or(l.spec.PrefillPerToken, t.cfg.PrefillPerToken).Seconds(),
-		estimate: t.rows[id].cost(at, float64(left), math.Inf(1)) + t.firsts[l.spec.Model].now(at),
+		estimate: t.rows[id].cost(at, float64(left), math.Inf(1)) + t.firsts[l.spec.Model].value,
 	})
 	t.queued += queuedStep * (float64(left) - t.queued)
 	t.refresh(id)
@@ -302,7 +302,7 @@
 		}
 		s.ended = t.clock(now)
 		if firstToken > 0 {
-			t.learnFirst(l.spec.Model, s.ended, firstToken.Seconds()-s.estimate)
+			t.learnFirst(l.spec.Model, firstToken.Seconds()-s.estimate)
 			ratio := min(max(firstToken.Seconds()/max(s.estimate, minEstimate), slowMin), slowMax)
 			l.slow = min(max(l.slow*math.Pow(ratio, slowStep), slowMin), slowMax)
 			t.hold += holdStep * (float64(s.ended-s.at)/float64(time.Second) - t.hold)
@@ -332,7 +332,7 @@
 		return 0, false
 	}
 	left := max(0, r.PromptTokens-int(t.marks[id]))
-	seconds := t.rows[id].cost(at, float64(left), math.Inf(1)) + t.firsts[t.loads[id].spec.Model].now(at)
+	seconds := t.rows[id].cost(at, float64(left), math.Inf(1)) + t.firsts[t.loads[id].spec.Model].value
 	return time.Duration(seconds * float64(time.Second)), true
 }
 
