--- /dev/null
+++ b/internal/node/keeper/carry.go
@@ -0,0 +1,112 @@
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"geraniumhollow/internal/plan/group"
+	"geraniumhollow/internal/plat/table"
+	"github.com/cockroachdb/errors"
+)
+
+// commit stores a plan. After an unknown outcome the plan is read back before anything else is done.
+func (k *Keeper) commit(ctx context.Context, p group.Plan) {
+	b, err := p.Encode()
+	if err != nil {
+		k.cfg.Log.Error("cannot encode the plan of groups", "error", err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	service, _ := k.cfg.Service()
+	rev, err := k.cfg.Table.Commit(ctx, table.Replace(table.Row{Key: planPrefix + service, Revision: k.revision}, b))
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	switch {
+	case err == nil:
+		k.revision = rev
+		k.decider.Committed()
+	case errors.Is(err, table.ErrUnavailable):
+		k.cfg.Log.Warn("cannot store the plan of groups", "error", err)
+		k.decider.CommitFailed()
+		k.storeAgain = time.Now().Add(storePause)
+	default:
+		k.cfg.Log.Warn("plan of groups was changed, or its outcome is unknown", "error", err)
+		k.decider = nil
+	}
+	k.Wake()
+}
+
+// order gives an order that the decider of a tenure wants, unless that tenure has ended.
+func (k *Keeper) order(ctx context.Context, fence uint64, o group.Order) {
+	if now, ok := k.holds(); !ok || now != fence {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	begun := time.Now()
+	outcome, err := k.cfg.Engines.Order(ctx, o)
+	k.cfg.Metrics.Order(string(o.Kind), string(outcome))
+	k.cfg.Log.Info("gave an order", "kind", o.Kind, "server", o.Server, "group", o.Group, "epoch", o.Epoch,
+		"model", o.Model, "outcome", outcome, "ms", time.Since(begun).Milliseconds(), "error", err)
+	k.mu.Lock()
+	if k.decider != nil {
+		k.decider.Ordered(time.Now(), o, outcome)
+	}
+	k.mu.Unlock()
+	k.Wake()
+}
+
+func (k *Keeper) probe(ctx context.Context, p group.Probe) {
+	select {
+	case k.probes <- struct{}{}:
+		defer func() { <-k.probes }()
+	case <-ctx.Done():
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	r, err := k.cfg.Engines.Report(ctx, p)
+	k.cfg.Log.Info("probed a server", "server", p.Server, "state", r.Member.State, "pace", r.Pace, "error", err)
+	k.mu.Lock()
+	if k.decider != nil {
+		if err == nil {
+			k.decider.Probed(time.Now(), p.Server, r)
+		} else {
+			k.decider.Missed(p.Server, errors.Is(err, ErrGone))
+		}
+	}
+	k.mu.Unlock()
+	k.Wake()
+}
+
+// readBeats reads the registrations of all servers while the node has the duty.
+func (k *Keeper) readBeats(ctx context.Context) {
+	if _, ok := k.holds(); !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, beatsInterval)
+	defer cancel()
+	begun := time.Now()
+	beats, err := k.cfg.Beats(ctx)
+	if err != nil {
+		k.cfg.Log.Debug("cannot read registrations", "error", err)
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.decider != nil {
+		k.decider.Beats(begun, beats)
+	}
+}
+
+func (k *Keeper) witness(ctx context.Context, p group.Probe) {
+	asked, reached := k.cfg.Witness(ctx, p)
+	k.cfg.Log.Info("asked other nodes about a server", "server", p.Server, "asked", asked, "reached", reached)
+	k.mu.Lock()
+	if k.decider != nil {
+		k.decider.Witnessed(p.Server, asked, reached)
+	}
+	k.mu.Unlock()
+	k.Wake()
+}
