Give repeated set-up of the group and mirror tests one place

Deciders were made from the same four settings at four places, servers changed by three lines at nine, and a copy that reads a store beside a node that knows no more was set up twice. Assertions are as they were.

--- a/internal/fleet/mirror/mirror_test.go
+++ b/internal/fleet/mirror/mirror_test.go
@@ -273,18 +273,25 @@
 	}
 }
 
+// readsStore follows a store, beside another node that has a store of its own and whose copy knows no more.
+func readsStore(ctx context.Context, t *testing.T) (*source, *reader) {
+	t.Helper()
+	s, other := newSource(), newSource()
+	s.put("op/config", "1")
+	other.put("op/config", "1")
+	behind, _ := follow(ctx, t, mirror.Config{Store: other, Wait: time.Second})
+	_, r := follow(ctx, t, mirror.Config{
+		Store: s, Wait: time.Second, Peer: func() table.Feed { return behind }, Upstream: func() table.Feed { return nil },
+	})
+	return s, r
+}
+
 // Guards against a reader of the store that follows a node which knows no more for as long as it answers,
 // because one call of the store was cut.
 func TestOneCallCut(t *testing.T) {
 	t.Parallel()
 	bubble(t, func(t *testing.T, ctx context.Context) {
-		s, other := newSource(), newSource()
-		s.put("op/config", "1")
-		other.put("op/config", "1")
-		behind, _ := follow(ctx, t, mirror.Config{Store: other, Wait: time.Second})
-		_, r := follow(ctx, t, mirror.Config{
-			Store: s, Wait: time.Second, Peer: func() table.Feed { return behind }, Upstream: func() table.Feed { return nil },
-		})
+		s, r := readsStore(ctx, t)
 		time.Sleep(1500 * time.Millisecond)
 		s.set(func() { s.cut = 1 })
 		time.Sleep(700 * time.Millisecond)
@@ -301,13 +308,7 @@
 func TestCallsWhileStoreIsAway(t *testing.T) {
 	t.Parallel()
 	bubble(t, func(t *testing.T, ctx context.Context) {
-		s, other := newSource(), newSource()
-		s.put("op/config", "1")
-		other.put("op/config", "1")
-		ahead, _ := follow(ctx, t, mirror.Config{Store: other, Wait: time.Second})
-		follow(ctx, t, mirror.Config{
-			Store: s, Wait: time.Second, Peer: func() table.Feed { return ahead }, Upstream: func() table.Feed { return nil },
-		})
+		s, _ := readsStore(ctx, t)
 		time.Sleep(1500 * time.Millisecond)
 		s.set(func() { s.away = true })
 		time.Sleep(2 * time.Second)
--- a/internal/plan/group/group_test.go
+++ b/internal/plan/group/group_test.go
@@ -49,13 +49,35 @@
 		silent: make(map[string]bool), unlisted: make(map[string]bool), still: make(map[string]bool),
 		loaded: make(map[string]time.Time), pace: make(map[string]float64),
 	}
-	p.d = group.New(group.Config{Service: "llm", Engine: engine(), StallTime: 5 * time.Second, BeatInterval: time.Second}, group.Plan{})
+	p.d = decide(engine(), group.Plan{})
 	for i := range n {
 		p.add(fmt.Sprintf("s%d", i))
 	}
 	return p
 }
 
+// decide returns a decider that goes on from a plan.
+func decide(e *batch.Engine, plan group.Plan) *group.Decider {
+	return group.New(group.Config{Service: "llm", Engine: e, StallTime: 5 * time.Second, BeatInterval: time.Second}, plan)
+}
+
+// change changes what a server says of itself.
+func (p *play) change(id string, f func(*server.Info)) {
+	i := p.servers[id]
+	f(&i)
+	p.servers[id] = i
+}
+
+func drains(i *server.Info) { i.Draining = true }
+
+// addCold adds servers that hold no weights.
+func (p *play) addCold(ids ...string) {
+	for _, id := range ids {
+		p.add(id)
+		p.change(id, func(i *server.Info) { i.Staged = nil })
+	}
+}
+
 func (p *play) add(id string) {
 	p.servers[id] = server.Info{ID: id, Service: "llm", Address: id, Domain: "d", DataCentre: "dc", Born: p.now, Staged: []string{"m"}}
 }
@@ -176,10 +198,7 @@
 func (p *play) lose(ids ...string) {
 	for _, id := range ids {
 		delete(p.servers, id)
-		p.add("cold-" + id)
-		i := p.servers["cold-"+id]
-		i.Staged = nil
-		p.servers["cold-"+id] = i
+		p.addCold("cold-" + id)
 	}
 }
 
@@ -267,11 +286,9 @@
 	f := group.Formation{
 		Group: "g1", Epoch: 3, Model: "m", Service: "llm", Domain: "d", Members: []string{"s0", "s1"}, Addresses: []string{"s0", "s1"},
 	}
-	p.d = group.New(group.Config{Service: "llm", Engine: engine(), StallTime: 5 * time.Second, BeatInterval: time.Second},
-		group.Plan{Epoch: f.Epoch, Inherited: f.Epoch, Retired: []group.Formation{f}})
-	head := p.servers[f.Head()]
-	head.Draining = true // It joins no other formation, which would keep it from this one.
-	p.servers[f.Head()] = head
+	p.d = decide(engine(), group.Plan{Epoch: f.Epoch, Inherited: f.Epoch, Retired: []group.Formation{f}})
+	// The head joins no other formation, which would keep it from this one.
+	p.change(f.Head(), drains)
 	if waited := p.untilElsewhere("s1", f); waited < longestDelay+duty.Tenure {
 		t.Errorf("the member joined elsewhere after %v, while orders of the earlier keeper may come for %v",
 			waited, longestDelay+duty.Tenure)
@@ -288,9 +305,9 @@
 	other := f.Members[1]
 	p.cutHead(f)
 	p.run(4 * time.Second)
-	i := p.servers[other]
-	i.Member = server.Member{Group: f.Group, Epoch: f.Epoch, Rank: 1, State: server.Ready}
-	p.servers[other] = i
+	p.change(other, func(i *server.Info) {
+		i.Member = server.Member{Group: f.Group, Epoch: f.Epoch, Rank: 1, State: server.Ready}
+	})
 	if waited := p.untilElsewhere(other, f); waited < 5*time.Second {
 		t.Errorf("the member joined elsewhere %v after it had been back, while the head may serve for 5 s", waited)
 	}
@@ -322,9 +339,7 @@
 	p := newPlay(t, 5)
 	p.run(3 * time.Second)
 	f := p.open()["g1"]
-	i := p.servers[f.Members[1]]
-	i.Draining = true
-	p.servers[f.Members[1]] = i
+	p.change(f.Members[1], drains)
 	p.run(200 * time.Millisecond)
 	if !slices.Contains(p.orders, fmt.Sprintf("close g1/%d %s", f.Epoch, f.Head())) {
 		t.Errorf("the group was not closed first: %v", p.orders)
@@ -344,15 +359,10 @@
 	p.run(3 * time.Second)
 	p.d.Traffic()
 	p.slow = true
-	p.add("cold")
-	i := p.servers["cold"]
-	i.Staged = nil
-	p.servers["cold"] = i
+	p.addCold("cold")
 	p.run(2 * time.Second)
 	f := p.open()["g1"]
-	i = p.servers[f.Members[1]]
-	i.Draining = true
-	p.servers[f.Members[1]] = i
+	p.change(f.Members[1], drains)
 	p.run(5 * time.Second)
 	if g, ok := p.open()["g1"]; !ok || g.Epoch != f.Epoch {
 		t.Errorf("the group is %+v, open %v, while its leaving member is there", g, ok)
@@ -374,17 +384,12 @@
 	p := newPlay(t, 4)
 	e := engine()
 	e.LoadsAtOnce = 1
-	p.d = group.New(group.Config{Service: "llm", Engine: e, StallTime: 5 * time.Second, BeatInterval: time.Second}, group.Plan{})
+	p.d = decide(e, group.Plan{})
 	p.run(3 * time.Second)
 	p.d.Traffic()
 	p.slow = true
 	p.orders = nil
-	for _, id := range []string{"cold1", "cold2"} {
-		p.add(id)
-		i := p.servers[id]
-		i.Staged = nil
-		p.servers[id] = i
-	}
+	p.addCold("cold1", "cold2")
 	p.run(2 * time.Second)
 	if len(p.orders) != 1 {
 		t.Fatalf("one load at a time is left to spares: %v", p.orders)
@@ -431,7 +436,7 @@
 	p.orders = nil
 	plan := before.Clone()
 	plan.Inherited = plan.Epoch
-	p.d = group.New(group.Config{Service: "llm", Engine: engine(), StallTime: 5 * time.Second, BeatInterval: time.Second}, plan)
+	p.d = decide(engine(), plan)
 	p.run(5 * time.Second)
 	if len(p.orders) > 0 {
 		t.Errorf("the new keeper gave orders: %v", p.orders)
@@ -443,12 +448,7 @@
 	t.Parallel()
 	p := newPlay(t, 2)
 	p.run(3 * time.Second)
-	for _, id := range []string{"s2", "s3", "s4"} {
-		p.add(id)
-		i := p.servers[id]
-		i.Staged = nil
-		p.servers[id] = i
-	}
+	p.addCold("s2", "s3", "s4")
 	p.run(3 * time.Second)
 	if len(p.open()) != 2 {
 		t.Errorf("two groups are wanted of five servers: %v", p.orders)
@@ -459,9 +459,8 @@
 func TestLoadRate(t *testing.T) {
 	t.Parallel()
 	p := newPlay(t, 40)
-	for id, i := range p.servers {
-		i.Staged = nil
-		p.servers[id] = i
+	for id := range p.servers {
+		p.change(id, func(i *server.Info) { i.Staged = nil })
 	}
 	p.d.Traffic()
 	p.run(5 * time.Second)
@@ -523,9 +522,7 @@
 	p.run(4 * time.Second)
 	for _, id := range []string{"far-0", "far-1"} {
 		p.add(id)
-		i := p.servers[id]
-		i.Domain = "far"
-		p.servers[id] = i
+		p.change(id, func(i *server.Info) { i.Domain = "far" })
 	}
 	p.run(1500 * time.Millisecond)
 	if g, ok := p.open()["g1"]; !ok || g.Domain != "far" {
@@ -614,9 +611,8 @@
 	e := engine()
 	e.LoadsPerSecond = 10
 	p.d.Configure(e)
-	for id, i := range p.servers {
-		i.Staged = nil
-		p.servers[id] = i
+	for id := range p.servers {
+		p.change(id, func(i *server.Info) { i.Staged = nil })
 	}
 	p.d.Traffic()
 	for range 30 {
