Heed servers that say that they leave, or want no requests for a time

Ruled out: keeping it in the record of a server. That record ends with each change of the server's group and with each lapse of its registration, and the answer's word has to outlive both. Change: seats keep notices by process (ID and start), which bar a server for good or until the time is up. A caller for whom all servers are barred is told when the first comes free, and waits only if that is in time.

--- a/internal/node/pass/call.go
+++ b/internal/node/pass/call.go
@@ -50,6 +50,10 @@
 	Signed bool
 	// NotRun is the server's statement that it did not start the request.
 	NotRun bool
+	// Leaving servers finish what they have and want no new work.
+	Leaving bool
+	// RetryAfter is how long a server that turned the request away wants nothing from this node; 0 if it does not say.
+	RetryAfter time.Duration
 	// Load is present where HasLoad is set.
 	Load    Load
 	HasLoad bool
--- a/internal/node/seat/seat.go
+++ b/internal/node/seat/seat.go
@@ -52,6 +52,7 @@
 	servers map[string]*server
 	// departed are servers that the registry has no more, while they run requests of this node.
 	departed map[*server]time.Time
+	notices  notices
 	barred   []int
 }
 
@@ -88,7 +89,7 @@
 		cfg: cfg, table: choose.NewTable(shape, cfg.Now()),
 		chooser: choose.NewShortest(rnd, choose.DefaultWindow()),
 		watch:   stall.New(stall.DefaultConfig()),
-		servers: make(map[string]*server), departed: make(map[*server]time.Time),
+		servers: make(map[string]*server), departed: make(map[*server]time.Time), notices: make(notices),
 	}
 }
 
@@ -108,41 +109,46 @@
 func (s *Seats) Take(ctx context.Context, c *pass.Call, tried sets.Set[string], cancel context.CancelCauseFunc) (pass.Seat, *fault.Error) {
 	until := s.cfg.Now().Add(time.Duration(waitShare * float64(c.Route.Objective)))
 	for {
-		t, wait, refusal := s.try(c, tried, cancel)
+		t, free, refusal := s.try(c, tried, cancel)
 		if t != nil {
 			return t, nil
 		}
-		if !wait || !s.cfg.Now().Before(until) || !tasks.Sleep(ctx, waitStep) {
+		if free.IsZero() || free.After(until) || !s.cfg.Now().Before(until) || !tasks.Sleep(ctx, waitStep) {
 			return nil, refusal
 		}
 	}
 }
 
-// try gives a place if there is one. If not, it reports whether there may be one soon, or how to refuse.
-func (s *Seats) try(c *pass.Call, tried sets.Set[string], cancel context.CancelCauseFunc) (*seat, bool, *fault.Error) {
+// try gives a place if there is one. If not, it returns when there may be one, zero if that is not known, and how to
+// refuse.
+func (s *Seats) try(c *pass.Call, tried sets.Set[string], cancel context.CancelCauseFunc) (*seat, time.Time, *fault.Error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.cfg.Now()
 	s.sync(now)
-	wait := s.bar(now, c, tried)
+	free := s.bar(now, c, tried)
 	r := choose.Request{
 		Model: offer(c), PromptTokens: c.Prompt, AnswerTokens: c.MaxAnswer, Tried: s.barred,
 	}
 	id, ok := s.chooser.Choose(s.table, now, r)
 	if !ok {
-		return nil, wait, fault.New(fault.NoBackend, fault.NotRun, "no backend server is open for the request").WithRetryAfter(retryNoServer)
+		after := retryNoServer
+		if !free.IsZero() {
+			after = min(max(free.Sub(now), minRetry), maxRetry)
+		}
+		return nil, free, fault.New(fault.NoBackend, fault.NotRun, "no backend server is open for the request").WithRetryAfter(after)
 	}
 	est, _ := s.table.Estimate(id, now, r)
 	if refusal := busy(now, c, est, len(tried) > 0); refusal != nil {
 		s.table.Refused(r.Model)
-		return nil, false, refusal
+		return nil, time.Time{}, refusal
 	}
 	sv := s.servers[s.table.Name(id)]
 	sv.sends.Add(now)
 	s.watch.Trial(now, sv.entry.ID)
 	t := &seat{facts: sv.facts(now, est), s: s, server: sv, entry: sv.entry, sent: s.table.Send(id, now, r), at: now, prompt: c.Prompt, wait: est, cancel: cancel, repeatable: c.Route.Repeatable()}
 	sv.seats[t] = struct{}{}
-	return t, false, nil
+	return t, time.Time{}, nil
 }
 
 // busy returns the refusal of a call whose answer the best server would begin too late, or nil. A call that is
@@ -165,26 +171,48 @@
 	return nil
 }
 
-// bar collects the servers that must not be chosen now, and reports whether one of them may be soon.
-func (s *Seats) bar(now time.Time, c *pass.Call, tried sets.Set[string]) bool {
+// bar collects the servers that must not be chosen now, and returns when the first of them may be, zero if that is not
+// known.
+func (s *Seats) bar(now time.Time, c *pass.Call, tried sets.Set[string]) time.Time {
 	s.barred = s.barred[:0]
-	soon := false
 	for name := range tried {
 		if id, ok := s.table.Index(name); ok {
 			s.barred = append(s.barred, id)
 		}
 	}
+	var free time.Time
 	for name, sv := range s.servers {
 		if tried.Has(name) || sv.entry.Service != c.Service.Name {
 			continue
 		}
-		full := sv.cold(now) && sv.sends.Count(now) >= s.cfg.ColdAllowance(name, c.Service.ColdRate)
-		if full || s.watch.Stalled(now, name) {
-			s.barred = append(s.barred, sv.id)
-			soon = soon || full
+		barred, at := s.bars(now, sv, c.Service)
+		if !barred {
+			continue
+		}
+		s.barred = append(s.barred, sv.id)
+		if !at.IsZero() && (free.IsZero() || at.Before(free)) {
+			free = at
 		}
 	}
-	return soon
+	return free
+}
+
+// bars reports whether a server must not be chosen now, and when it may be, zero if that is not known.
+func (s *Seats) bars(now time.Time, sv *server, svc *match.Service) (bool, time.Time) {
+	if forbidden, until := s.notices.forbids(now, sv.entry); forbidden {
+		return true, until
+	}
+	if s.watch.Stalled(now, sv.entry.ID) {
+		return true, time.Time{}
+	}
+	if !sv.cold(now) {
+		return false, time.Time{}
+	}
+	room := sv.entry.ColdUntil
+	if limit := s.cfg.ColdAllowance(sv.entry.ID, svc.ColdRate); limit > 0 {
+		room = sv.sends.Room(now, limit)
+	}
+	return room.After(now), room
 }
 
 // offer names what a call needs. The servers of a plain service are equal, whatever model a call names.
@@ -205,6 +233,7 @@
 		return
 	}
 	s.view = v
+	s.notices.forget(now, v)
 	s.table.SetPeerSends(float64(max(0, s.cfg.Nodes()-1)))
 	present := sets.New[string]()
 	for key, groups := range v.Open {
--- a/internal/node/seat/server.go
+++ b/internal/node/seat/server.go
@@ -140,15 +140,14 @@
 
 // Answered implements pass.Seat.
 func (t *seat) Answered(a pass.Answer) {
-	if !a.HasLoad {
-		return
-	}
 	t.s.mu.Lock()
 	defer t.s.mu.Unlock()
-	if t.server.gone {
+	now := t.s.cfg.Now()
+	t.s.notices.take(now, t.entry, a)
+	if !a.HasLoad || t.server.gone {
 		return
 	}
-	t.server.load, t.server.loadAt = a.Load, t.s.cfg.Now()
+	t.server.load, t.server.loadAt = a.Load, now
 	t.s.table.Observe(t.server.id, choose.Report{
 		Instance: t.entry.ID, Open: true, Running: a.Load.Running, Waiting: a.Load.Waiting, MadeAt: t.server.loadAt,
 	})
