--- a/internal/fleet/duty/duty.go
+++ b/internal/fleet/duty/duty.go
@@ -13,6 +13,7 @@
 
 	"geraniumhollow/internal/plat/table"
 	"github.com/cockroachdb/errors"
+	"github.com/zeebo/xxh3"
 )
 
 // Times of a duty.
@@ -30,6 +31,9 @@
 	// heardLook is the time between reads of a node that hears the holder. The holder's word is as good as the row,
 	// so a read is only needed in case that messages between nodes fail in a way that is not foreseen.
 	heardLook = 15 * time.Second
+	// Reserve is the least time for which a node that does not stand by leaves the duty to others. It is many times what
+	// the nodes that stand by need.
+	Reserve = 6 * time.Second
 	// Tenure is how long a holder acts after it sent the last renewal that was stored. It ends before Lifetime, so
 	// that clocks may differ by the rest.
 	Tenure = Lifetime - 300*time.Millisecond
@@ -87,18 +91,48 @@
 	readAt time.Duration
 	// refused counts the tries in a row to take the duty that the store did not answer.
 	refused int
+	// reserve is how long the node leaves the duty to others while none of them is heard, 0 for a node that stands by.
+	// quietSince is when it began to hear nobody.
+	reserve    time.Duration
+	quietSince time.Duration
+	// told is the holder as other nodes say, in the tenure toldFence.
+	told      string
+	toldFence uint64
 }
 
-// New returns a decider for a node and the key of the duty's row.
+// New returns a decider for a node and the key of the duty's row. The node stands by.
 func New(node, key string) *Decider { return &Decider{node: node, key: key} }
 
+// StandBy says whether the node is among those that take the duty as soon as it is free. Few nodes should be, as each of
+// them reads the row; another node takes the duty only after it has heard no holder for a long time.
+func (d *Decider) StandBy(now time.Duration, stands bool) {
+	switch {
+	case stands && d.reserve > 0:
+		d.reserve, d.next = 0, min(d.next, now)
+	case !stands && d.reserve == 0:
+		d.reserve, d.quietSince = Reserve+time.Duration(xxh3.HashString(d.node)%uint64(Reserve)), now
+	}
+}
+
+// Told notes the holder of a tenure, as other nodes say.
+func (d *Decider) Told(fence uint64, holder string) {
+	if fence >= d.toldFence {
+		d.told, d.toldFence = holder, fence
+	}
+}
+
 // Holds reports whether the node has the duty, and its fencing number.
 func (d *Decider) Holds(now time.Duration) (uint64, bool) {
 	return d.row.Fence, d.until > now && d.row.Holder == d.node
 }
 
-// Holder returns the node that the last read showed as holder.
-func (d *Decider) Holder() string { return d.row.Holder }
+// Holder returns the node that holds the duty, as the last read showed or other nodes say, whichever is newer.
+func (d *Decider) Holder() string {
+	if d.toldFence > d.row.Fence {
+		return d.told
+	}
+	return d.row.Holder
+}
 
 // Heard notes a message of the holder, which came over a link to it.
 func (d *Decider) Heard(now time.Duration, fence uint64) {
@@ -173,6 +207,10 @@
 		return Op{}, false
 	}
 	_, holds := d.Holds(now)
+	if free := max(d.heard, d.quietSince) + d.reserve; !holds && d.reserve > 0 && now < free {
+		d.next = free
+		return Op{}, false
+	}
 	if !holds && d.assured(now) {
 		d.next = min(d.heard+Silence, d.readAt+heardLook)
 		return Op{}, false
@@ -207,6 +245,10 @@
 func (d *Decider) ReadDone(now time.Duration, row table.Row, err error) {
 	d.running = false
 	d.next = now + Look
+	if d.reserve > 0 {
+		// The second read shows whether the holder renews the row.
+		d.next = now + Lifetime + Look
+	}
 	d.refused = 0
 	if err != nil && !errors.Is(err, table.ErrNotFound) {
 		return
@@ -245,7 +287,7 @@
 		d.next = now + retryAfter
 	case errors.Is(err, table.ErrUnavailable):
 		// All nodes try to take the duty while the store is away, and any of them may have it.
-		d.next = now + Look<<min(d.refused, maxDoublings)
+		d.next = now + max(Look<<min(d.refused, maxDoublings), d.reserve)
 		d.refused++
 	default:
 		// Another node was faster, or the outcome is unknown: the row tells.
--- a/internal/fleet/duty/duty_test.go
+++ b/internal/fleet/duty/duty_test.go
@@ -263,3 +263,39 @@
 		}
 	})
 }
+
+// Guards against a duty that every node of a large fleet reads and tries to take, one that a node without the right to
+// stand by never takes, and a holder whose name only those know that read the row.
+func TestReserve(t *testing.T) {
+	t.Parallel()
+	var r row
+	a, b := &node{d: duty.New("a", key)}, &node{d: duty.New("b", key)}
+	now := time.Second
+	b.d.StandBy(now, false)
+	const lost = 20 * time.Second
+	for ; now < lost; now += step {
+		r.run(a, now, false)
+		if fence, held := a.d.Holds(now); held && now%duty.Beat == 0 {
+			b.d.Relayed(now, fence)
+			b.d.Told(fence, "a")
+		}
+		if op, ok := b.d.Next(now); ok {
+			t.Fatalf("at %v: a node that does not stand by calls the store (read %v)", now, op.Read)
+		}
+	}
+	if got := b.d.Holder(); got != "a" {
+		t.Errorf("the holder is %q, want the one that was told", got)
+	}
+	for ; now < lost+3*duty.Reserve; now += step {
+		r.run(b, now, false)
+		if _, held := b.d.Holds(now); held {
+			break
+		}
+	}
+	if _, held := b.d.Holds(now); !held {
+		t.Errorf("nobody has taken the duty %v after its holder was lost", now-lost)
+	}
+	if now < lost+duty.Reserve {
+		t.Errorf("taken %v after the last word, want the nodes that stand by to have %v", now-lost, duty.Reserve)
+	}
+}
--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -1,12 +1,15 @@
-// Package mirror keeps a copy of a family of rows of the platform's store in memory. A few nodes follow
-// the store itself; the others follow the copies of those, so that the store's work does not grow with the
-// number of nodes. A copy whose upstream fails follows the store, and while the store does not serve its
-// node, any other node that it serves.
+// Package mirror keeps a copy of a family of rows of the platform's store in memory. One node reads the store, and the
+// others follow its copy or the copies of those that follow it, so that the store's work does not grow with the number
+// of nodes. A copy whose origin fails follows any other node, and reads the store if it finds none. A copy that the
+// store does not serve follows any other node as well.
+//
+// Rows carry the names of the copies through which they came. A copy follows none that got its rows from it, so copies
+// never follow each other in a circle in which no change would arrive.
 package mirror
 
 import (
 	"context"
-	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,10 +23,13 @@
 const (
 	// defaultWait is how long one read for changes stays open where the configuration does not say.
 	defaultWait = 4 * time.Second
-	// peerWait is the same for reads from other nodes, shorter so that the store is tried again soon.
-	peerWait = time.Second
+	// peerWait is the same for reads from other nodes. A node that has gone silent is noticed after this time and
+	// peerMargin.
+	peerWait = 700 * time.Millisecond
 	// readMargin is added to the wait for the deadline of a read. It covers a store that is slow.
-	readMargin = 350 * time.Millisecond
+	readMargin = 600 * time.Millisecond
+	// peerMargin is the same for reads from other nodes.
+	peerMargin = 350 * time.Millisecond
 	// snapshotTimeout bounds the read of a whole family.
 	snapshotTimeout = 3 * time.Second
 	// retryMin and retryMax bound the pause after a failed read.
@@ -33,12 +39,20 @@
 	storeRetry = time.Second
 	// hintDelay is how long a revision that another node has may take to come from the copy's own source.
 	hintDelay = 80 * time.Millisecond
-	// distrust is how long an upstream that failed is not followed.
+	// distrust is how long an origin that failed is not followed.
 	distrust = 800 * time.Millisecond
+	// withoutMax is how long a copy may be without a source before it counts as not kept up to date.
+	withoutMax = time.Second
+	// backoffMin and backoffMax bound the time between reads of the store by a copy that should follow a node.
+	backoffMin = 500 * time.Millisecond
+	backoffMax = 8 * time.Second
 )
 
+// peerTries is how many other nodes a copy asks in a row before it counts as without a source.
+const peerTries = 3
+
 // historyRows is how many changes a copy remembers for those that follow it.
-const historyRows = 512
+const historyRows = 4096
 
 // Update is a change of the copy.
 type Update struct {
@@ -53,10 +67,15 @@
 	// Family is the family of rows, without a slash.
 	Family string
 	Store  table.Feed
-	// Upstream returns the copy of the node that this one follows, or nil if it follows the store.
-	Upstream func() table.Feed
-	// Peer returns another node's copy to follow while the store does not answer, or nil.
+	// Self names the copy to those that follow it.
+	Self string
+	// Origin returns where the copy reads. Nil is the store.
+	Origin func() Origin
+	// Peer returns another node's copy, another one at each call, to follow while the origin does not answer, or nil.
 	Peer func() table.Feed
+	// Patience returns how long a copy that is to follow a node goes without any before it reads the store. upstream
+	// says that its node answers, but has no source either. Nil is no time.
+	Patience func(upstream bool) time.Duration
 	// Apply is called with each change, one at a time and in order.
 	Apply func(u Update)
 	// Reached is called when the copy begins or ceases to be kept up to date. It may be nil.
@@ -72,6 +91,15 @@
 	Log   hclog.Logger
 }
 
+// Origin is where a copy reads: the store, or the copy of a node, which is nil while none is known.
+type Origin struct {
+	Store bool
+	Node  table.Feed
+}
+
+// ErrNoSource marks the refusal of a copy that is not kept up to date itself. It is also marked ErrUnavailable.
+var ErrNoSource = errors.New("copy has no source")
+
 // Copy is a copy of a family. It is safe for concurrent use and implements table.Feed for other nodes.
 type Copy struct {
 	cfg Config
@@ -85,9 +113,12 @@
 	floor   uint64
 	changed chan struct{}
 	reached bool
-	// second says that the copy is kept up to date from another node for want of the store, so that no one
-	// should follow it.
-	second bool
+	// via names the copies through which the rows come, the nearest first.
+	via []string
+	// helped says that the copy reads another node for want of the store. adrift says that its source has failed and it
+	// has found no other one yet, so that nobody should follow it.
+	helped bool
+	adrift bool
 	// hinted is the newest word of another node; news tells of it.
 	hinted hint
 	news   chan struct{}
@@ -122,8 +153,11 @@
 	if cfg.Advanced == nil {
 		cfg.Advanced = func(uint64) {}
 	}
-	if cfg.Upstream == nil {
-		cfg.Upstream = cfg.Peer
+	if cfg.Origin == nil {
+		cfg.Origin = func() Origin { return Origin{Store: true} }
+	}
+	if cfg.Patience == nil {
+		cfg.Patience = func(bool) time.Duration { return 0 }
 	}
 	return &Copy{cfg: cfg, rows: make(map[string]table.Row), changed: make(chan struct{}), reached: true, news: make(chan struct{}, 1)}
 }
@@ -170,123 +204,25 @@
 		if !behind {
 			continue
 		}
-		if err := c.pull(ctx, h.from, 0); err != nil {
+		if _, err := c.pull(ctx, h.from, 0); err != nil {
 			c.cfg.Log.Info("cannot catch up with another node", "family", c.cfg.Family, "revision", h.revision, "error", err)
 		}
 	}
 }
 
-// follow reads from the source of the copy until ctx ends.
-func (c *Copy) follow(ctx context.Context) error {
-	var distrusted time.Time
-	for ctx.Err() == nil {
-		begun := time.Now()
-		if up := c.cfg.Upstream(); up != nil && begun.After(distrusted) {
-			err := c.pull(ctx, up, peerWait)
-			if err == nil {
-				c.kept(ctx, begun)
-				continue
-			}
-			distrusted = time.Now().Add(distrust)
-			c.cfg.Log.Debug("upstream does not answer", "family", c.cfg.Family, "error", err)
-		}
-		c.followStore(ctx, begun)
-	}
-	return nil
-}
-
-// followStore reads once from the store, or for a while from another node if the store does not answer.
-func (c *Copy) followStore(ctx context.Context, begun time.Time) {
-	err := c.pull(ctx, c.cfg.Store, c.cfg.Wait)
-	if err != nil && time.Since(begun) < c.cfg.Wait && !c.troubled() {
-		// One call was cut or refused; the next one shows whether the store serves this node.
-		tasks.Sleep(ctx, retryMin)
-		err = c.pull(ctx, c.cfg.Store, c.cfg.Wait)
-	}
-	if err == nil {
-		c.kept(ctx, begun)
-		return
-	}
-	c.setSecond(true)
-	if !c.followPeer(ctx) {
-		c.note(ctx, err)
-	}
-	tasks.Sleep(ctx, retryMin+rand.N(retryMax-retryMin))
-}
-
-// troubled reports whether the store is known not to serve this node.
-func (c *Copy) troubled() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.second || !c.reached
-}
-
-// kept notes that a read of the copy's own source, which began at a time, was answered, and waits for the next one.
-func (c *Copy) kept(ctx context.Context, begun time.Time) {
-	c.setSecond(false)
-	c.note(ctx, nil)
-	tasks.Sleep(ctx, c.cfg.Pause-time.Since(begun))
-}
-
-// followPeer reads from other nodes until it is time to try the store again, and reports whether one of
-// them answered.
-func (c *Copy) followPeer(ctx context.Context) bool {
-	until := time.Now().Add(storeRetry)
-	answered := false
-	for ctx.Err() == nil && time.Now().Before(until) {
-		peer := c.cfg.Peer()
-		if peer == nil {
-			return answered
-		}
-		if err := c.pull(ctx, peer, min(peerWait, time.Until(until))); err != nil {
-			c.cfg.Log.Debug("cannot follow another node", "family", c.cfg.Family, "error", err)
-			tasks.Sleep(ctx, retryMin)
-			continue
-		}
-		answered = true
-		c.note(ctx, nil)
-	}
-	return answered
-}
-
-// setSecond notes whether the copy is kept up to date from another node for want of the store. Those that follow
-// it learn of it at once.
-func (c *Copy) setSecond(second bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.second != second {
-		c.second = second
-		c.wake()
+// pull makes one read from a source and applies it. It returns the copies through which the rows came.
+func (c *Copy) pull(ctx context.Context, from table.Feed, wait time.Duration) ([]string, error) {
+	margin := peerMargin
+	if from == c.cfg.Store {
+		margin = readMargin
 	}
-}
-
-// note tells of the beginning and the end of an outage.
-func (c *Copy) note(ctx context.Context, err error) {
-	reached := err == nil
-	c.mu.Lock()
-	was := c.reached
-	c.reached = reached
-	c.mu.Unlock()
-	if reached == was || ctx.Err() != nil {
-		return
-	}
-	if reached {
-		c.cfg.Log.Info("rows are kept up to date again", "family", c.cfg.Family, "revision", c.Revision())
-	} else {
-		c.cfg.Log.Warn("rows are not kept up to date", "family", c.cfg.Family, "revision", c.Revision(), "error", err)
-	}
-	c.cfg.Reached(reached)
-}
-
-// pull makes one read from a source and applies it.
-func (c *Copy) pull(ctx context.Context, from table.Feed, wait time.Duration) error {
 	c.mu.Lock()
 	known, after := c.known, c.revision
 	c.mu.Unlock()
 	if !known {
 		return c.load(ctx, from)
 	}
-	callCtx, cancel := context.WithTimeout(ctx, wait+readMargin)
+	callCtx, cancel := context.WithTimeout(ctx, wait+margin)
 	defer cancel()
 	d, err := from.Changes(callCtx, c.cfg.Family, after, wait)
 	if errors.Is(err, table.ErrHistoryLost) {
@@ -294,24 +230,24 @@
 		return c.load(ctx, from)
 	}
 	if err != nil {
-		return errors.Newf("read changes of %s: %w", c.cfg.Family, err)
+		return nil, errors.Newf("read changes of %s: %w", c.cfg.Family, err)
 	}
 	c.apply(d, after)
-	return nil
+	return d.Via, nil
 }
 
 // load reads the whole family. A state that is older than the copy is not taken.
-func (c *Copy) load(ctx context.Context, from table.Feed) error {
+func (c *Copy) load(ctx context.Context, from table.Feed) ([]string, error) {
 	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
 	s, err := from.Snapshot(ctx, c.cfg.Family)
 	if err != nil {
-		return errors.Newf("read all rows of %s: %w", c.cfg.Family, err)
+		return nil, errors.Newf("read all rows of %s: %w", c.cfg.Family, err)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.known && s.Revision < c.revision {
-		return errors.Newf("rows of %s are from revision %d, older than %d: %w", c.cfg.Family, s.Revision, c.revision, table.ErrUnavailable)
+		return nil, errors.Newf("rows of %s are from revision %d, older than %d: %w", c.cfg.Family, s.Revision, c.revision, table.ErrUnavailable)
 	}
 	clear(c.rows)
 	for _, r := range s.Rows {
@@ -322,7 +258,7 @@
 	c.cfg.Apply(Update{Full: true, Put: s.Rows})
 	c.cfg.Advanced(c.revision)
 	c.wake()
-	return nil
+	return s.Via, nil
 }
 
 // apply takes what changed after a revision. Two reads may be answered at the same time: one that is not
@@ -381,6 +317,16 @@
 	c.changed = make(chan struct{})
 }
 
+// ComesThrough reports whether the rows come through a copy.
+func (c *Copy) ComesThrough(name string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Contains(c.via, name)
+}
+
+// chain returns the copies through which those that follow this one get their rows. The lock must be held.
+func (c *Copy) chain() []string { return append([]string{c.cfg.Self}, c.via...) }
+
 // Revision returns the revision of the copy.
 func (c *Copy) Revision() uint64 {
 	c.mu.Lock()
@@ -400,17 +346,17 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.known {
-		return table.State{}, table.ErrUnavailable
+		return table.State{}, errors.Mark(table.ErrUnavailable, ErrNoSource)
 	}
-	s := table.State{Revision: c.revision, Rows: make([]table.Row, 0, len(c.rows))}
+	s := table.State{Revision: c.revision, Rows: make([]table.Row, 0, len(c.rows)), Via: c.chain()}
 	for _, r := range c.rows {
 		s.Rows = append(s.Rows, r)
 	}
 	return s, nil
 }
 
-// Changes implements table.Feed. A copy that does not come from the store cannot be followed, or two copies could
-// follow each other and never learn of a change; one look at it, without a wait, is answered.
+// Changes implements table.Feed. A copy that is not kept up to date cannot be followed; one look at it, without a wait,
+// is answered.
 func (c *Copy) Changes(ctx context.Context, _ string, after uint64, wait time.Duration) (table.Delta, error) {
 	t := time.NewTimer(wait)
 	defer t.Stop()
@@ -436,13 +382,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case !c.known || follows && (c.second || !c.reached):
-		return table.Delta{}, nil, table.ErrUnavailable
+	case !c.known || follows && (c.adrift || !c.reached):
+		return table.Delta{}, nil, errors.Mark(table.ErrUnavailable, ErrNoSource)
 	case after < c.floor:
 		return table.Delta{}, nil, table.ErrHistoryLost
 	}
 	// A follower may be ahead of this copy; it must not go back.
-	d := table.Delta{Revision: max(after, c.revision)}
+	d := table.Delta{Revision: max(after, c.revision), Via: c.chain()}
 	latest := make(map[string]change)
 	for _, h := range c.history {
 		if h.at > after {
--- a/internal/fleet/mirror/mirror_test.go
+++ b/internal/fleet/mirror/mirror_test.go
@@ -199,11 +199,20 @@
 	return r.rows[key]
 }
 
+// copies counts the copies, which need names of their own.
+var copies atomic.Int64
+
+// of returns an origin that is a node's copy.
+func of(node table.Feed) func() mirror.Origin {
+	return func() mirror.Origin { return mirror.Origin{Node: node} }
+}
+
 // follow starts a copy and returns it with its reader; it ends with the test.
 func follow(ctx context.Context, t *testing.T, cfg mirror.Config) (*mirror.Copy, *reader) {
 	t.Helper()
 	r := newReader()
 	cfg.Family, cfg.Apply, cfg.Log = "op", r.apply, hclog.NewNullLogger()
+	cfg.Self = fmt.Sprintf("copy-%d", copies.Add(1))
 	cfg.Reached = func(ok bool) {
 		r.mu.Lock()
 		defer r.mu.Unlock()
@@ -251,6 +260,9 @@
 	})
 }
 
+// readWait is how long nodes wait for changes in one read of the store.
+const readWait = 500 * time.Millisecond
+
 // Guards against a node that the store refuses, or leaves without an answer, and that does not learn of a change from
 // others within two seconds.
 func TestFollowsPeerDuringOutage(t *testing.T) {
@@ -261,7 +273,7 @@
 			s.put("op/config", "1")
 			own.put("op/config", "1")
 			other, _ := follow(ctx, t, mirror.Config{Store: s, Wait: time.Second})
-			_, r := follow(ctx, t, mirror.Config{Store: own, Wait: time.Second, Peer: func() table.Feed { return other }})
+			_, r := follow(ctx, t, mirror.Config{Store: own, Wait: readWait, Peer: func() table.Feed { return other }})
 			time.Sleep(5 * time.Second)
 			own.set(func() { own.away, own.silent = !silent, silent })
 			s.put("op/config", "2")
@@ -281,7 +293,7 @@
 	other.put("op/config", "1")
 	behind, _ := follow(ctx, t, mirror.Config{Store: other, Wait: time.Second})
 	_, r := follow(ctx, t, mirror.Config{
-		Store: s, Wait: time.Second, Peer: func() table.Feed { return behind }, Upstream: func() table.Feed { return nil },
+		Store: s, Wait: time.Second, Peer: func() table.Feed { return behind },
 	})
 	return s, r
 }
@@ -320,28 +332,76 @@
 	})
 }
 
-// Guards against nodes that follow a node which has lost the store and follows others itself, although the store
-// serves them.
+// Guards against nodes that follow each other in a circle, or one that has no source, after the one that reads the store
+// has lost it, although the store serves another of them.
 func TestUpstreamLosesStore(t *testing.T) {
 	t.Parallel()
 	bubble(t, func(t *testing.T, ctx context.Context) {
-		s, own, stale := newSource(), newSource(), newSource()
-		for _, x := range []*source{s, own, stale} {
-			x.put("op/config", "1")
-		}
-		behind, _ := follow(ctx, t, mirror.Config{Store: stale, Wait: time.Second})
-		up, _ := follow(ctx, t, mirror.Config{
-			Store: own, Wait: time.Second, Peer: func() table.Feed { return behind }, Upstream: func() table.Feed { return nil },
-		})
-		_, r := follow(ctx, t, mirror.Config{Store: s, Wait: time.Second, Upstream: func() table.Feed { return up }})
+		s, own := newSource(), newSource()
+		s.put("op/config", "1")
+		own.put("op/config", "1")
+		var low *mirror.Copy
+		up, above := follow(ctx, t, mirror.Config{Store: own, Wait: time.Second, Peer: func() table.Feed { return low }})
+		low, below := follow(ctx, t, mirror.Config{Store: s, Wait: time.Second, Origin: of(up)})
 		time.Sleep(3 * time.Second)
 		own.set(func() { own.away = true })
-		// The upstream is refused at the end of its read, after a second at most.
+		// The node above is refused at the end of its read, after a second at most.
 		time.Sleep(1200 * time.Millisecond)
 		s.put("op/config", "2")
 		time.Sleep(100 * time.Millisecond)
+		if got := below.get("op/config"); got != "2" {
+			t.Errorf("the lower node has %q 0.1 s after the change", got)
+		}
+		time.Sleep(time.Second)
+		if got := above.get("op/config"); got != "2" {
+			t.Errorf("the upper node has %q 1.1 s after the change", got)
+		}
+	})
+}
+
+// Guards against followers that read the store, all at once, because the node above them was lost for a moment or has no
+// source itself, and against ones that never read it.
+func TestPatience(t *testing.T) {
+	t.Parallel()
+	bubble(t, func(t *testing.T, ctx context.Context) {
+		s, direct := newSource(), newSource()
+		s.put("op/config", "1")
+		first, _ := follow(ctx, t, mirror.Config{Store: s, Wait: time.Second})
+		var gone atomic.Bool
+		_, r := follow(ctx, t, mirror.Config{
+			Store: direct, Wait: time.Second,
+			Origin: func() mirror.Origin {
+				if gone.Load() {
+					return mirror.Origin{}
+				}
+				return mirror.Origin{Node: first}
+			},
+			Patience: func(upstream bool) time.Duration {
+				if upstream {
+					return 6 * time.Second
+				}
+				return 2 * time.Second
+			},
+		})
+		time.Sleep(3 * time.Second)
+		gone.Store(true)
+		time.Sleep(2 * time.Second) // The last read of the lost node took a part of it.
+		gone.Store(false)
+		time.Sleep(time.Second)
+		s.set(func() { s.away = true })
+		time.Sleep(6 * time.Second)
+		if n := direct.called(); n > 0 {
+			t.Errorf("%d reads of the store", n)
+		}
+		s.set(func() { s.away = false })
+		time.Sleep(2 * time.Second)
+		gone.Store(true)
+		direct.copyFrom(s)
+		time.Sleep(4 * time.Second)
+		direct.put("op/config", "2")
+		time.Sleep(100 * time.Millisecond)
 		if got := r.get("op/config"); got != "2" {
-			t.Errorf("got %q 0.1 s after the change", got)
+			t.Errorf("has %q 4 s after its node was lost", got)
 		}
 	})
 }
@@ -410,7 +470,7 @@
 		s.put("op/config", "1")
 		first, _ := follow(ctx, t, mirror.Config{Store: s, Wait: time.Second})
 		time.Sleep(10 * time.Millisecond)
-		_, r := follow(ctx, t, mirror.Config{Store: direct, Wait: time.Second, Upstream: func() table.Feed { return first }})
+		_, r := follow(ctx, t, mirror.Config{Store: direct, Wait: time.Second, Origin: of(first)})
 		time.Sleep(10 * time.Second)
 		if n := direct.called(); n > 0 || r.get("op/config") != "1" {
 			t.Errorf("the follower read the store %d times and has %q", n, r.get("op/config"))
@@ -474,7 +534,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(context.Background())
 			first, _ := follow(ctx, t, mirror.Config{Store: s, Wait: time.Second})
-			_, r := follow(ctx, t, mirror.Config{Store: newSource(), Wait: time.Second, Upstream: func() table.Feed { return first }})
+			_, r := follow(ctx, t, mirror.Config{Store: newSource(), Wait: time.Second, Origin: of(first)})
 			for i := range rapid.IntRange(1, 40).Draw(rt, "changes") {
 				key := fmt.Sprintf("op/%d", rapid.IntRange(0, 3).Draw(rt, "key"))
 				if rapid.Bool().Draw(rt, "remove") {
--- a/internal/fleet/roster/topology.go
+++ b/internal/fleet/roster/topology.go
@@ -41,15 +41,24 @@
 type Place struct {
 	Node       string
 	DataCentre string
+	// Capacity orders the nodes: those with more of it have the work of passing things on.
+	Capacity float64
 }
 
 // Topology holds the fleet in tree order. It is immutable.
 type Topology struct {
 	mesh  bool
 	nodes []string
-	// order has the nodes of each data centre by the order of their hashed names.
+	// order has the nodes of each data centre, those with most capacity first, and then by their hashed names.
 	order map[string][]string
 	home  map[string]string
+	keys  map[string]key
+}
+
+// key is what a node is ordered by.
+type key struct {
+	capacity float64
+	hash     uint64
 }
 
 // NewTopology returns the topology of a fleet.
@@ -58,23 +67,42 @@
 		mesh:  len(places) <= MeshLimit,
 		order: make(map[string][]string),
 		home:  make(map[string]string, len(places)),
+		keys:  make(map[string]key, len(places)),
 	}
 	for _, p := range places {
 		t.nodes = append(t.nodes, p.Node)
 		t.order[p.DataCentre] = append(t.order[p.DataCentre], p.Node)
 		t.home[p.Node] = p.DataCentre
+		t.keys[p.Node] = key{capacity: p.Capacity, hash: xxh3.HashString(p.Node)}
 	}
 	for _, nodes := range t.order {
-		slices.SortFunc(nodes, func(a, b string) int {
-			if c := cmp.Compare(xxh3.HashString(a), xxh3.HashString(b)); c != 0 {
-				return c
-			}
-			return cmp.Compare(a, b)
-		})
+		slices.SortFunc(nodes, t.compare)
 	}
 	return t
 }
 
+func (t *Topology) compare(a, b string) int {
+	x, y := t.keys[a], t.keys[b]
+	return cmp.Or(cmp.Compare(y.capacity, x.capacity), cmp.Compare(x.hash, y.hash), cmp.Compare(a, b))
+}
+
+// First returns the first of the roots of all data centres, without the nodes in out, or "".
+func (t *Topology) First(out sets.Set[string]) string {
+	first := ""
+	for dc := range t.order {
+		if r := t.RootOf(dc, out); r != "" && (first == "" || t.compare(r, first) < 0) {
+			first = r
+		}
+	}
+	return first
+}
+
+// Has reports whether a node belongs to the fleet.
+func (t *Topology) Has(node string) bool {
+	_, ok := t.home[node]
+	return ok
+}
+
 // RootOf returns the first node of a data centre that is not in out, or "".
 func (t *Topology) RootOf(dataCentre string, out sets.Set[string]) string {
 	for _, n := range t.order[dataCentre] {
--- a/internal/node/edge/config.go
+++ b/internal/node/edge/config.go
@@ -26,6 +26,12 @@
 	// PeerPort is for links of other nodes, on IP.
 	PeerPort    int
 	Descriptors int
+	// Capacity is the processor time of the host, in cores.
+	Capacity float64
+	// FirstStart says that the whole system starts, for the first time.
+	FirstStart bool
+	// ChangeTime is how long a change of the configuration or of a backend server may take to be known.
+	ChangeTime time.Duration
 	// Grace is the time between a signal to stop and the end of the process.
 	Grace time.Duration
 	// RetryRatio and RetrySlack bound the attempts beyond the first over all nodes.
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -73,8 +73,9 @@
 	n.servers = n.copy(cfg.Decoder.Families().Servers, n.applyServers, n.reached)
 	n.wishes = n.copy(cfg.Decoder.Families().Operator, n.applyWishes, nil)
 	n.mesh, err = mesh.New(mesh.Config{
-		Address: address, DataCentre: set.DataCentre, Incarnation: incarnation,
-		Table: n.store, Feed: n.store, Copies: n.copyOf, Members: n.splitAmong, Stalled: n.takeStalled,
+		Address: address, DataCentre: set.DataCentre, Incarnation: incarnation, Capacity: set.Capacity,
+		Gather: gatherTime(set.FirstStart), Patience: max(0, set.ChangeTime-readTime),
+		Table: n.store, Feed: n.store, Copies: n.copyOf, Members: n.splitAmong, Stalled: n.takeStalled, Keeper: n.keeperAddress,
 		Duty: n.heardDuty, Met: func(at, inc string) { n.keeper.Met(at, inc) },
 		Reaches: n.reaches, Suspects: n.takeSuspects, Log: cfg.Log,
 	})
@@ -82,7 +83,7 @@
 		return nil, errors.Newf("mesh: %w", err)
 	}
 	n.seats = seat.New(seat.Config{
-		View: n.index.View, Service: n.service, ColdAllowance: n.coldAllowance, Nodes: n.mesh.Size, Stalled: n.tellStalled,
+		View: n.index.View, Service: n.service, ColdAllowance: n.coldAllowance, Nodes: n.mesh.Size, Stalled: n.mesh.Stalled,
 		Now: time.Now, Seed: uint64(os.Getpid()), Metrics: cfg.Metrics, Log: cfg.Log,
 	})
 	n.crashes = pass.NewCrashes(pass.CrashDeps{
@@ -98,7 +99,7 @@
 	n.keeper = keeper.New(keeper.Config{
 		Node: address + "/" + incarnation, Table: n.store, Engines: cfg.Engines, View: n.index.View, Service: n.engineService,
 		StallTime: set.StallTime, BeatInterval: set.BeatInterval, Beats: n.beats, Traffic: n.served.Load,
-		Witness: n.witness, Announce: n.mesh.Announce, Linked: n.mesh.Linked, Metrics: cfg.Metrics, Log: cfg.Log,
+		Witness: n.witness, Announce: n.mesh.Announce, Linked: n.mesh.Linked, StandsBy: n.mesh.Leads, Metrics: cfg.Metrics, Log: cfg.Log,
 	})
 	cfg.Metrics.Func("caller_connections", "Open connections of callers.", func() float64 { return float64(n.front.Open()) })
 	return n, nil
--- a/internal/node/edge/peers.go
+++ b/internal/node/edge/peers.go
@@ -7,6 +7,7 @@
 
 	"geraniumhollow/internal/fleet/index"
 	"geraniumhollow/internal/node/keeper"
+	"geraniumhollow/internal/node/mesh"
 	"geraniumhollow/internal/plan/group"
 	"geraniumhollow/internal/route/crash"
 	"geraniumhollow/internal/wire/frame"
@@ -16,21 +17,6 @@
 // reachTimeout bounds a look at a backend server.
 const reachTimeout = 150 * time.Millisecond
 
-// tellStalled tells the keeper of the groups, here or on another node, that a head makes no progress.
-func (n *Node) tellStalled(f index.Formation) {
-	if n.takeStalled(f) {
-		return
-	}
-	holder, _, _ := strings.Cut(n.keeper.Holder(), "/")
-	if holder == "" {
-		return
-	}
-	n.group.Go("stall notice", func(ctx context.Context) error {
-		n.mesh.Stalled(ctx, holder, f)
-		return nil
-	})
-}
-
 // takeStalled passes a notice to the keeper of this node and reports whether it keeps the groups.
 func (n *Node) takeStalled(f index.Formation) bool {
 	if !n.keeper.Holds() {
@@ -65,17 +51,13 @@
 	return !r.Born.IsZero() && !e.Born.IsZero() && !r.Born.Equal(e.Born)
 }
 
-// heardDuty takes a holder's word. Only nodes with a link to a holder whose renewals fail try to take the duty, so that
-// not all of them call the store at once.
-func (n *Node) heardDuty(fence uint64, failing, relayed bool) {
-	switch {
-	case relayed:
-		n.keeper.Relayed(fence)
-	case failing:
-		n.keeper.Offered(fence)
-	default:
-		n.keeper.Heard(fence)
-	}
+// heardDuty takes a holder's word.
+func (n *Node) heardDuty(w mesh.Word) { n.keeper.Heard(keeper.Word(w)) }
+
+// keeperAddress returns the address of the node that keeps the groups, "" if it is not known.
+func (n *Node) keeperAddress() string {
+	address, _, _ := strings.Cut(n.keeper.Holder(), "/")
+	return address
 }
 
 // shareSuspects tells other nodes of requests that may crash backend servers.
--- a/internal/node/edge/rows.go
+++ b/internal/node/edge/rows.go
@@ -14,21 +14,34 @@
 
 // Times of the copies of rows.
 const (
-	// readPause is the least time between two reads of a family.
-	readPause = 20 * time.Millisecond
+	// readPause is the least time between two reads of a family from the store, so that changes that come together cost
+	// one call.
+	readPause = 100 * time.Millisecond
 	// readWait is how long a read of the store waits for changes. Configurations and leaving servers have to be
 	// known within 2 s, also when the store ceases to answer, or drops its history and with it the answers
 	// that are waited for.
-	readWait = time.Second
+	readWait = 500 * time.Millisecond
+	// readTime is how long it takes at most to find a source silent and to read the store.
+	readTime = 2 * time.Second
+	// gather is how long the nodes of a system that starts for the first time wait for each other.
+	gather = 500 * time.Millisecond
 	// sweepInterval is the time between looks for entries that have not come back after an outage.
 	sweepInterval = 200 * time.Millisecond
 )
 
+// gatherTime returns how long a node waits for others before it reads their list.
+func gatherTime(first bool) time.Duration {
+	if first {
+		return gather
+	}
+	return 0
+}
+
 // copy returns a copy of a family that follows other nodes or the store.
 func (n *Node) copy(family string, apply func(mirror.Update), reached func(bool)) *mirror.Copy {
 	return mirror.New(mirror.Config{
-		Family: family, Store: n.store,
-		Upstream: func() table.Feed { return n.mesh.Upstream(family) }, Peer: func() table.Feed { return n.mesh.Peer(family) },
+		Family: family, Self: n.address, Store: n.store, Patience: func(upstream bool) time.Duration { return n.mesh.Patience(upstream) },
+		Origin: func() mirror.Origin { return n.mesh.Origin(family) }, Peer: func() table.Feed { return n.mesh.Peer(family) },
 		Apply: apply, Reached: reached, Wait: readWait, Pause: readPause, Log: n.cfg.Log,
 		Advanced: func(revision uint64) { n.mesh.Hint(family, revision) },
 	})
--- a/internal/node/keeper/duty.go
+++ b/internal/node/keeper/duty.go
@@ -30,25 +30,30 @@
 	k.duty.Yield()
 }
 
-// Heard notes that another node, to which there is a link, says that it holds the duty.
-func (k *Keeper) Heard(fence uint64) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.duty.Heard(clock.Since(), fence)
-}
-
-// Relayed notes that another node has passed on the holder's word.
-func (k *Keeper) Relayed(fence uint64) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.duty.Relayed(clock.Since(), fence)
+// Word is what another node says of the duty.
+type Word struct {
+	Fence  uint64
+	Holder string
+	// Failing says that the store does not take the holder's renewals, Relayed that another node has passed the word on.
+	Failing bool
+	Relayed bool
 }
 
-// Offered notes that the store does not take the renewals of a holder, to which there is a link.
-func (k *Keeper) Offered(fence uint64) {
+// Heard takes a holder's word.
+func (k *Keeper) Heard(w Word) {
+	stands := k.cfg.StandsBy()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.duty.Offered(clock.Since(), fence)
+	now := clock.Since()
+	k.duty.Told(w.Fence, w.Holder)
+	switch {
+	case w.Failing && stands:
+		k.duty.Offered(now, w.Fence)
+	case w.Relayed:
+		k.duty.Relayed(now, w.Fence)
+	default:
+		k.duty.Heard(now, w.Fence)
+	}
 }
 
 // Met notes a process at the address of a node. If the holder of the duty had that address as another
@@ -65,8 +70,13 @@
 // keepDuty renews or takes the duty.
 func (k *Keeper) keepDuty(ctx context.Context) error {
 	announced := time.Duration(0)
-	for tasks.Sleep(ctx, tick/2) {
+	for pause := tick / 2; tasks.Sleep(ctx, pause); {
 		now := clock.Since()
+		stands := k.cfg.StandsBy()
+		pause = idleTick
+		if stands || k.Holds() {
+			pause = tick / 2
+		}
 		if fence, ok := k.holds(); ok && now-announced >= duty.Beat {
 			announced = now
 			k.cfg.Announce(fence, k.failing())
@@ -74,6 +84,7 @@
 		k.mu.Lock()
 		at, _, _ := strings.Cut(k.duty.Holder(), "/")
 		k.duty.Linked(k.cfg.Linked(at))
+		k.duty.StandBy(now, stands)
 		op, ok := k.duty.Next(now)
 		k.mu.Unlock()
 		if !ok {
--- a/internal/node/keeper/keeper.go
+++ b/internal/node/keeper/keeper.go
@@ -51,6 +51,8 @@
 	Witness func(ctx context.Context, p group.Probe) (asked, reached int)
 	// Announce tells other nodes that this one holds the duty, and whether the store does not take its renewals.
 	Announce func(fence uint64, failing bool)
+	// StandsBy reports whether this node takes the duty as soon as it is free.
+	StandsBy func() bool
 	// Linked reports whether this node has links to nodes other than one.
 	Linked func(but string) bool
 	// Traffic reports whether callers have been served.
@@ -69,6 +71,9 @@
 const (
 	// tick is the time between steps when nothing happens.
 	tick = 100 * time.Millisecond
+	// idleTick is the same for a node that neither has the duty nor stands by. Many nodes with little processor time do
+	// nothing most of the time.
+	idleTick = 500 * time.Millisecond
 	// orderTimeout and probeTimeout bound calls of backend servers.
 	orderTimeout = 600 * time.Millisecond
 	probeTimeout = 120 * time.Millisecond
@@ -76,7 +81,7 @@
 	// node with a fifth of a core handles about two answers in a millisecond: more of them would run out of time.
 	maxProbes = 24
 	// beatsInterval is the time between reads of the registrations.
-	beatsInterval = 500 * time.Millisecond
+	beatsInterval = time.Second
 	// reportInterval is the time between log lines that count the groups.
 	reportInterval = 2 * time.Second
 	// commitTimeout bounds a call of the store.
@@ -143,7 +148,7 @@
 
 // keepGroups steps the decider while the node has the duty.
 func (k *Keeper) keepGroups(ctx context.Context, g *tasks.Group) {
-	t := time.NewTicker(tick)
+	t := time.NewTimer(tick)
 	defer t.Stop()
 	for {
 		select {
@@ -154,9 +159,11 @@
 		}
 		fence, ok := k.holds()
 		if !ok {
+			t.Reset(idleTick)
 			k.resign()
 			continue
 		}
+		t.Reset(tick)
 		if time.Now().Before(k.storeAgain) || !k.ready(ctx, fence) {
 			continue
 		}
--- a/internal/node/keeper/keeper_test.go
+++ b/internal/node/keeper/keeper_test.go
@@ -40,7 +40,8 @@
 		StallTime: time.Second, BeatInterval: time.Second,
 		Beats:    func(context.Context) (map[string]uint64, error) { return map[string]uint64{}, nil },
 		Witness:  func(context.Context, group.Probe) (int, int) { return 0, 0 },
-		Announce: func(uint64, bool) {}, Linked: func(string) bool { return false }, Traffic: func() bool { return false },
+		Announce: func(uint64, bool) {}, Linked: func(string) bool { return false },
+		StandsBy: func() bool { return true }, Traffic: func() bool { return false },
 		Metrics: metric.New(), Log: hclog.NewNullLogger(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/node/mesh/follow.go
+++ b/internal/node/mesh/follow.go
@@ -5,26 +5,13 @@
 	"slices"
 	"time"
 
+	"geraniumhollow/internal/fleet/mirror"
 	"geraniumhollow/internal/plat/table"
 	"geraniumhollow/internal/wire/frame"
 	"geraniumhollow/internal/wire/peer"
 	"github.com/cockroachdb/errors"
 )
 
-// Upstream returns the copy of a family that this node follows, or nil if it follows the store.
-func (m *Mesh) Upstream(family string) table.Feed {
-	m.mu.Lock()
-	up := m.upstream
-	m.mu.Unlock()
-	if up == "" {
-		return nil
-	}
-	if _, ok := m.net.Peer(up); !ok {
-		return nil
-	}
-	return remote{m: m, node: up, family: family}
-}
-
 // Peer returns another node's copy of a family, or nil when there is no link. Nodes of other data centres go
 // first: those of the own one may follow this node.
 func (m *Mesh) Peer(family string) table.Feed {
@@ -39,7 +26,7 @@
 }
 
 // follow answers a node that follows a copy of this one.
-func (m *Mesh) follow(ctx context.Context, _ peer.Peer, a *frame.FollowAsk) *frame.FollowReply {
+func (m *Mesh) follow(ctx context.Context, from peer.Peer, a *frame.FollowAsk) *frame.FollowReply {
 	c := m.cfg.Copies(a.Family)
 	if a.Family == Family {
 		c = m.nodes
@@ -47,12 +34,16 @@
 	if c == nil {
 		return nil
 	}
+	if a.WaitMs > 0 && c.ComesThrough(from.Node) {
+		// The asker's own rows would come back to it, after a wait.
+		return &frame.FollowReply{Status: frame.FollowReplyStatusUnavailable}
+	}
 	if a.After == 0 {
 		s, err := c.Snapshot(ctx, a.Family)
 		if err != nil {
 			return &frame.FollowReply{Status: frame.FollowReplyStatusUnavailable}
 		}
-		return &frame.FollowReply{Status: frame.FollowReplyStatusRows, Rev: int(s.Revision), Rows: encodeRows(s.Rows)}
+		return &frame.FollowReply{Status: frame.FollowReplyStatusRows, Rev: int(s.Revision), Rows: encodeRows(s.Rows), Via: s.Via}
 	}
 	d, err := c.Changes(ctx, a.Family, uint64(a.After), time.Duration(a.WaitMs)*time.Millisecond)
 	switch {
@@ -61,7 +52,9 @@
 	case err != nil:
 		return &frame.FollowReply{Status: frame.FollowReplyStatusUnavailable}
 	}
-	return &frame.FollowReply{Status: frame.FollowReplyStatusRows, Rev: int(d.Revision), Rows: encodeRows(d.Changed), Gone: d.Removed}
+	return &frame.FollowReply{
+		Status: frame.FollowReplyStatusRows, Rev: int(d.Revision), Rows: encodeRows(d.Changed), Gone: d.Removed, Via: d.Via,
+	}
 }
 
 func encodeRows(rows []table.Row) []frame.FollowRow {
@@ -85,7 +78,7 @@
 	if err != nil {
 		return table.State{}, err
 	}
-	return table.State{Rows: decodeRows(reply.Rows), Revision: uint64(reply.Rev)}, nil
+	return table.State{Rows: decodeRows(reply.Rows), Revision: uint64(reply.Rev), Via: reply.Via}, nil
 }
 
 // Changes implements table.Feed.
@@ -94,7 +87,7 @@
 	if err != nil {
 		return table.Delta{}, err
 	}
-	return table.Delta{Changed: decodeRows(reply.Rows), Removed: reply.Gone, Revision: uint64(reply.Rev)}, nil
+	return table.Delta{Changed: decodeRows(reply.Rows), Removed: reply.Gone, Revision: uint64(reply.Rev), Via: reply.Via}, nil
 }
 
 func (r remote) ask(ctx context.Context, a *frame.FollowAsk) (*frame.FollowReply, error) {
@@ -109,7 +102,7 @@
 	case reply.Status == frame.FollowReplyStatusHistoryLost:
 		return nil, table.ErrHistoryLost
 	case reply.Status != frame.FollowReplyStatusRows:
-		return nil, errors.Mark(errors.Newf("%s has no copy", r.node), table.ErrUnavailable)
+		return nil, errors.Mark(errors.Mark(errors.Newf("%s has no source", r.node), table.ErrUnavailable), mirror.ErrNoSource)
 	}
 	return reply, nil
 }
--- a/internal/node/mesh/mesh.go
+++ b/internal/node/mesh/mesh.go
@@ -5,7 +5,6 @@
 package mesh
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"maps"
@@ -26,6 +25,7 @@
 	"geraniumhollow/internal/wire/peer"
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
+	lru "github.com/hashicorp/golang-lru/v2"
 )
 
 // Family is the family of rows in which nodes register.
@@ -49,6 +49,8 @@
 type Row struct {
 	Incarnation string `json:"inc"`
 	DataCentre  string `json:"data_centre"`
+	// Capacity is the processor time that the node has, in cores.
+	Capacity float64 `json:"capacity"`
 }
 
 // Config is what a mesh is made of.
@@ -57,18 +59,24 @@
 	Address     string
 	DataCentre  string
 	Incarnation string
-	Table       table.Table
-	Feed        table.Feed
+	// Capacity is the processor time of this node, in cores.
+	Capacity float64
+	// Gather is how long the node waits before it reads the list of nodes, because all of them start at the same time.
+	Gather time.Duration
+	// Patience is how long the node goes without another one to follow before it reads the store itself.
+	Patience time.Duration
+	Table    table.Table
+	Feed     table.Feed
 	// Copies are the copies that other nodes may follow, by family.
 	Copies func(family string) *mirror.Copy
 	// Members is told of the registered nodes when they change.
 	Members func(nodes []string)
 	// Stalled takes notices of groups whose head makes no progress, and reports whether this node keeps
-	// the groups.
+	// the groups. Keeper returns the address of the node that does, "" if it is not known.
 	Stalled func(f index.Formation) bool
-	// Duty takes a node's word that it holds the duty to keep groups; Met tells of each new link.
-	// failing says that the store does not take that node's renewals, relayed that another node passed the word on.
-	Duty func(fence uint64, failing, relayed bool)
+	Keeper  func() string
+	// Duty takes a holder's word that it has the duty to keep groups; Met tells of each new link.
+	Duty func(w Word)
 	Met  func(address, incarnation string)
 	// Reaches reports whether this node reaches a backend server.
 	Reaches func(ctx context.Context, server, addr string) bool
@@ -91,11 +99,15 @@
 	// wanted is since when links have been wanted that do not exist; out are nodes that are left out.
 	wanted map[string]time.Time
 	out    sets.Set[string]
-	// upstream is the node whose copies this one follows, "" for the store.
-	upstream string
-	// beats counts this node's words as holder of the duty; beat is the newest word of any holder.
-	beats int
-	beat  frame.DutyBeat
+	// place is where this node stands among the others.
+	place place
+	// beats counts this node's words as holder of the duty; beat is the newest word of any holder, relayed when one was
+	// passed on to the children.
+	beats   int
+	beat    frame.DutyBeat
+	relayed time.Time
+	// notices are the stalled groups of which the keeper was told, and when.
+	notices *lru.Cache[index.Formation, time.Time]
 }
 
 // New returns a mesh that has not started.
@@ -104,9 +116,13 @@
 	if err != nil {
 		return nil, errors.Newf("new mesh: %w", err)
 	}
+	notices, err := lru.New[index.Formation, time.Time](maxNotices)
+	if err != nil {
+		return nil, errors.Newf("new mesh: %w", err)
+	}
 	m := &Mesh{
 		cfg: cfg, flood: flood, members: make(map[string]Row), topo: roster.NewTopology(nil),
-		wanted: make(map[string]time.Time), out: sets.New[string](),
+		wanted: make(map[string]time.Time), out: sets.New[string](), notices: notices,
 	}
 	m.net = peer.New(peer.Config{
 		Self:    peer.Peer{Node: cfg.Address, Incarnation: cfg.Incarnation, DataCentre: cfg.DataCentre},
@@ -117,13 +133,18 @@
 		Dial:    dial,
 	})
 	m.nodes = mirror.New(mirror.Config{
-		Family: Family, Store: cfg.Feed, Apply: m.apply,
-		Upstream: func() table.Feed { return m.Upstream(Family) }, Peer: func() table.Feed { return m.Peer(Family) },
-		Pause: registerRetry, Log: cfg.Log,
+		Family: Family, Self: cfg.Address, Store: cfg.Feed, Apply: m.apply, Patience: m.Patience,
+		Origin: func() mirror.Origin {
+			if m.Size() == 0 {
+				return mirror.Origin{Store: true}
+			}
+			return m.Origin(Family)
+		},
+		Peer: func() table.Feed { return m.Peer(Family) }, Pause: registerRetry, Log: cfg.Log,
 	})
 	peer.OnAsk(m.net, m.follow)
-	peer.OnAsk(m.net, func(_ context.Context, _ peer.Peer, n *frame.StallNotice) *frame.StallNoted {
-		return &frame.StallNoted{Keeper: cfg.Stalled(index.Formation{Group: n.Group, Epoch: uint64(n.Epoch)})}
+	peer.On(m.net, func(_ peer.Peer, n *frame.StallNotice) {
+		m.Stalled(index.Formation{Group: n.Group, Epoch: uint64(n.Epoch)})
 	})
 	peer.OnAsk(m.net, func(ctx context.Context, _ peer.Peer, a *frame.ServerAsk) *frame.ServerReply {
 		return &frame.ServerReply{Reached: cfg.Reaches(ctx, a.Server, a.Addr)}
@@ -133,7 +154,7 @@
 			c.Hint(uint64(h.Rev), remote{m: m, node: from.Node, family: h.Family})
 		}
 	})
-	peer.On(m.net, func(from peer.Peer, b *frame.DutyBeat) { m.heard(from.Node, b) })
+	peer.On(m.net, func(from peer.Peer, b *frame.DutyBeat) { m.heard(from, b) })
 	peer.On(m.net, func(from peer.Peer, s *frame.SuspectRequest) { m.suspected(from.Node, s) })
 	return m, nil
 }
@@ -152,8 +173,7 @@
 	}
 	g := tasks.New(ctx)
 	g.Go("links", func(ctx context.Context) error { return m.net.Run(ctx, ln) })
-	g.Go("members", m.nodes.Run)
-	g.Go("register", m.register)
+	g.Go("members", m.join)
 	g.Go("topology", func(ctx context.Context) error {
 		return tasks.Every(ctx, lookInterval, func(context.Context) { m.arrange() })
 	})
@@ -163,25 +183,41 @@
 	return nil
 }
 
-// register writes the row of this node.
-func (m *Mesh) register(ctx context.Context) error {
-	b, err := json.Marshal(Row{Incarnation: m.cfg.Incarnation, DataCentre: m.cfg.DataCentre})
+// join registers this node and follows the list of nodes until ctx ends. A node that is in the list has a place in the
+// topology; one that reads the list after the others have joined need not read it again.
+func (m *Mesh) join(ctx context.Context) error {
+	b, err := json.Marshal(Row{Incarnation: m.cfg.Incarnation, DataCentre: m.cfg.DataCentre, Capacity: m.cfg.Capacity})
 	if err != nil {
 		return errors.Newf("encode registration: %w", err)
 	}
 	txn := table.Txn{Puts: []table.Put{{Key: Family + "/" + m.cfg.Address, Value: b}}}
-	for {
-		callCtx, cancel := context.WithTimeout(ctx, registerRetry)
-		_, err := m.cfg.Table.Commit(callCtx, txn)
-		cancel()
-		if err == nil {
-			return nil
+	registered := m.register(ctx, txn)
+	if !tasks.Sleep(ctx, m.cfg.Gather) {
+		return nil
+	}
+	g := tasks.New(ctx)
+	g.Go("list", m.nodes.Run)
+	g.Go("register", func(ctx context.Context) error {
+		for !registered && tasks.Sleep(ctx, registerRetry) {
+			registered = m.register(ctx, txn)
 		}
+		return nil
+	})
+	if err := g.Wait(); err != nil {
+		return errors.Newf("join: %w", err)
+	}
+	return nil
+}
+
+// register writes the row of this node and reports whether it did.
+func (m *Mesh) register(ctx context.Context, txn table.Txn) bool {
+	ctx, cancel := context.WithTimeout(ctx, registerRetry)
+	defer cancel()
+	if _, err := m.cfg.Table.Commit(ctx, txn); err != nil {
 		m.cfg.Log.Info("cannot register", "error", err)
-		if !tasks.Sleep(ctx, registerRetry) {
-			return nil
-		}
+		return false
 	}
+	return true
 }
 
 // Leave deletes the row of this node, which stops.
@@ -211,7 +247,7 @@
 	}
 	places := make([]roster.Place, 0, len(m.members))
 	for node, row := range m.members {
-		places = append(places, roster.Place{Node: node, DataCentre: row.DataCentre})
+		places = append(places, roster.Place{Node: node, DataCentre: row.DataCentre, Capacity: row.Capacity})
 	}
 	m.topo = roster.NewTopology(places)
 	for node := range m.wanted {
@@ -268,30 +304,11 @@
 			}
 		}
 	}
-	m.follows(neighbours)
+	m.settle(neighbours)
 	// Nodes that are left out are tried on, so that they are found when they are back.
 	m.net.Want("mesh", append(want, sets.Sorted(m.out)...))
 }
 
-// follows finds the node whose copies this one follows. The lock must be held.
-func (m *Mesh) follows(neighbours map[string]roster.Relation) {
-	up := ""
-	for node, rel := range neighbours {
-		if rel == roster.Parent {
-			up = node
-		}
-	}
-	if root := m.topo.RootOf(m.cfg.DataCentre, m.out); up == "" && root != m.cfg.Address {
-		if _, ok := neighbours[root]; ok {
-			up = root
-		}
-	}
-	if up != m.upstream {
-		m.upstream = up
-		m.cfg.Log.Info("follows another source of rows", "node", cmp.Or(up, "store"), "left_out", len(m.out))
-	}
-}
-
 // linked returns the nodes to which there is a link, starting with another one at each call.
 func (m *Mesh) linked() []string {
 	m.mu.Lock()
--- a/internal/node/mesh/tell.go
+++ b/internal/node/mesh/tell.go
@@ -4,20 +4,49 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
+	"geraniumhollow/internal/core/sets"
 	"geraniumhollow/internal/core/tasks"
 	"geraniumhollow/internal/fleet/index"
 	"geraniumhollow/internal/wire/frame"
+	"geraniumhollow/internal/wire/peer"
 )
 
-// Stalled tells the node that keeps the groups of a head that makes no progress. holder is that node, as
-// far as is known.
-func (m *Mesh) Stalled(ctx context.Context, holder string, f index.Formation) {
-	ctx, cancel := context.WithTimeout(ctx, noticeTimeout)
-	defer cancel()
-	if _, err := m.net.Ask(ctx, holder, &frame.StallNotice{Group: f.Group, Epoch: int(f.Epoch)}); err != nil {
-		m.cfg.Log.Info("cannot tell the keeper of a stalled group", "keeper", holder, "group", f.Group, "error", err)
+// Bounds of notices of stalled groups. All nodes that send to a group notice its stall, within a short time.
+const (
+	// maxNotices bounds the groups that are remembered.
+	maxNotices = 256
+	// noticeAgain is the time within which a notice of the same group is not passed on again.
+	noticeAgain = 300 * time.Millisecond
+)
+
+// Stalled tells the node that keeps the groups of a head that makes no progress. The notice goes up the tree, where nodes
+// pass on the first one of each group; a link of each node to the keeper would cost the keeper most of its time.
+func (m *Mesh) Stalled(f index.Formation) {
+	if m.cfg.Stalled(f) {
+		return
+	}
+	now := time.Now()
+	if told, ok := m.notices.Get(f); ok && now.Sub(told) < noticeAgain {
+		return
+	}
+	m.notices.Add(f, now)
+	notice := &frame.StallNotice{Group: f.Group, Epoch: int(f.Epoch)}
+	if err := m.net.Send(m.towardsKeeper(), notice); err != nil {
+		m.cfg.Log.Info("cannot tell the keeper of a stalled group", "group", f.Group, "error", err)
+	}
+}
+
+// towardsKeeper returns the node to which notices for the keeper go.
+func (m *Mesh) towardsKeeper() string {
+	keeper := m.cfg.Keeper()
+	if _, ok := m.net.Peer(keeper); ok {
+		return keeper
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.place.upstream
 }
 
 // witnesses is how many other nodes are asked whether they reach a backend server.
@@ -74,45 +103,86 @@
 	}
 }
 
-// Hint tells the linked nodes that this one has a revision of a family.
+// Hint tells the linked nodes that this one has a revision of a family. Nodes below this one follow its copy.
 func (m *Mesh) Hint(family string, revision uint64) {
-	m.tell(&frame.RowHint{Family: family, Rev: int(revision)}, "", func(n string, err error) {
-		m.cfg.Log.Debug("cannot tell a node of a revision", "node", n, "error", err)
-	})
+	m.mu.Lock()
+	children := m.place.children
+	m.mu.Unlock()
+	for _, n := range m.linked() {
+		if children.Has(n) {
+			continue
+		}
+		if err := m.net.Send(n, &frame.RowHint{Family: family, Rev: int(revision)}); err != nil {
+			m.cfg.Log.Debug("cannot tell a node of a revision", "node", n, "error", err)
+		}
+	}
 }
 
-// Announce tells all nodes that this one holds the duty to keep groups, and whether the store does not take its
-// renewals.
+// Word is a node's word that it holds the duty to keep groups.
+type Word struct {
+	Fence  uint64
+	Holder string
+	// Failing says that the store does not take the holder's renewals.
+	Failing bool
+	// Relayed says that another node has passed the word on.
+	Relayed bool
+}
+
+// Announce tells all nodes that this one holds the duty, and whether the store does not take its renewals.
 func (m *Mesh) Announce(fence uint64, failing bool) {
 	m.mu.Lock()
 	m.beats++
-	b := &frame.DutyBeat{Fence: int(fence), Failing: failing, Seq: m.beats}
-	m.beat = *b
+	b := &frame.DutyBeat{Fence: int(fence), Failing: failing, Seq: m.beats, Holder: m.cfg.Address + "/" + m.cfg.Incarnation}
 	m.mu.Unlock()
-	m.announce(b, "")
+	m.announce(b, m.news(b), "")
 }
 
-// announce sends a holder's word to the linked nodes but the one that it came from.
-func (m *Mesh) announce(b *frame.DutyBeat, from string) {
-	m.tell(b, from, func(n string, err error) {
-		m.cfg.Log.Debug("cannot tell a node of the duty", "node", n, "error", err)
-	})
+// relayInterval is the time between words of the same tenure that are passed on down the tree. Only nodes that lead their
+// data centre take the duty; the others need to know who holds it.
+const relayInterval = 2 * time.Second
+
+// news notes a holder's word, and returns the nodes below this one if it is due to tell them.
+func (m *Mesh) news(b *frame.DutyBeat) sets.Set[string] {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	moved := b.Fence > m.beat.Fence
+	m.beat = *b
+	if now := time.Now(); moved || now.Sub(m.relayed) >= relayInterval {
+		m.relayed = now
+		return m.place.children
+	}
+	return nil
 }
 
-// heard takes a holder's word, and passes it on if it is new.
-func (m *Mesh) heard(from string, b *frame.DutyBeat) {
+// announce sends a holder's word to the linked nodes but the one that it came from. Of the nodes below this one, only
+// those in due get it.
+func (m *Mesh) announce(b *frame.DutyBeat, due sets.Set[string], from string) {
 	m.mu.Lock()
-	news := b.Fence > m.beat.Fence || b.Fence == m.beat.Fence && b.Seq > m.beat.Seq
-	if news {
-		m.beat = *b
+	children := m.place.children
+	m.mu.Unlock()
+	for _, n := range m.linked() {
+		if n == from || children.Has(n) && !due.Has(n) {
+			continue
+		}
+		if err := m.net.Send(n, b); err != nil {
+			m.cfg.Log.Debug("cannot tell a node of the duty", "node", n, "error", err)
+		}
 	}
+}
+
+// heard takes a holder's word, and passes it on if it is new.
+func (m *Mesh) heard(from peer.Peer, b *frame.DutyBeat) {
+	m.mu.Lock()
+	fresh := b.Fence > m.beat.Fence || b.Fence == m.beat.Fence && b.Seq > m.beat.Seq
 	m.mu.Unlock()
-	if news || !b.Relayed {
-		m.cfg.Duty(uint64(b.Fence), b.Failing, b.Relayed)
+	if fresh || !b.Relayed {
+		m.cfg.Duty(Word{Fence: uint64(b.Fence), Holder: b.Holder, Failing: b.Failing, Relayed: b.Relayed})
 	}
-	if news {
-		m.announce(&frame.DutyBeat{Fence: b.Fence, Failing: b.Failing, Seq: b.Seq, Relayed: true}, from)
+	if !fresh {
+		return
 	}
+	due := m.news(b)
+	m.announce(&frame.DutyBeat{Fence: b.Fence, Failing: b.Failing, Seq: b.Seq, Holder: b.Holder, Relayed: true}, due, from.Node)
 }
 
 // Linked reports whether there is a link to a node other than one.
--- a/internal/plat/table/feed.go
+++ b/internal/plat/table/feed.go
@@ -15,6 +15,8 @@
 	Rows []Row
 	// Revision is where Changes continues. Rows may be newer than it when they came in several parts.
 	Revision uint64
+	// Via names the copies through which the rows came, the nearest first; empty from the store itself.
+	Via []string
 }
 
 // Delta is what changed between two revisions.
@@ -24,6 +26,8 @@
 	Removed []string
 	// Revision is where the next Changes continues.
 	Revision uint64
+	// Via names the copies through which the changes came, as in State.
+	Via []string
 }
 
 // Feed reads a family of rows, those whose keys start with the family's name and a slash, and follows
--- a/internal/wire/frame/messages.gen.go
+++ b/internal/wire/frame/messages.gen.go
@@ -52,6 +52,9 @@
 	// Fencing number of the tenure.
 	Fence int `json:"fence"`
 
+	// Process that holds the duty.
+	Holder string `json:"holder,omitempty,omitzero"`
+
 	// The sender passes on the holder's word.
 	Relayed bool `json:"relayed,omitempty,omitzero"`
 
@@ -84,6 +87,10 @@
 
 	// Status corresponds to the JSON schema field "status".
 	Status FollowReplyStatus `json:"status"`
+
+	// Nodes through which the rows come, the sender first, the one that reads the
+	// store last.
+	Via []string `json:"via,omitempty,omitzero"`
 }
 
 type FollowReplyStatus string
@@ -342,9 +349,6 @@
 	// ServerReply corresponds to the JSON schema field "server_reply".
 	ServerReply *ServerReply `json:"server_reply,omitempty,omitzero"`
 
-	// StallNoted corresponds to the JSON schema field "stall_noted".
-	StallNoted *StallNoted `json:"stall_noted,omitempty,omitzero"`
-
 	// StallNotice corresponds to the JSON schema field "stall_notice".
 	StallNotice *StallNotice `json:"stall_notice,omitempty,omitzero"`
 
@@ -428,14 +432,8 @@
 	Reached bool `json:"reached"`
 }
 
-// StallNoted answers a StallNotice.
-type StallNoted struct {
-	// Whether the receiver keeps the groups.
-	Keeper bool `json:"keeper"`
-}
-
 // StallNotice tells the keeper of groups that the head of a group makes no
-// progress.
+// progress. Nodes pass it on towards the keeper.
 type StallNotice struct {
 	// Epoch of the formation.
 	Epoch int `json:"epoch"`
