--- a/internal/fleet/duty/duty.go
+++ b/internal/fleet/duty/duty.go
@@ -198,6 +198,18 @@
 	return d.known && d.hears(now) && !d.lapsed(now) && now < d.readAt+heardLook
 }
 
+// rest returns until when a node that does not hold the duty need not call the store.
+func (d *Decider) rest(now time.Duration) time.Duration {
+	switch {
+	case d.reserve > 0:
+		return max(d.heard, d.quietSince) + d.reserve
+	case d.assured(now):
+		return min(d.heard+Silence, d.readAt+heardLook)
+	default:
+		return now
+	}
+}
+
 // Yield gives the duty up as soon as it is free to move; the node takes none afterwards.
 func (d *Decider) Yield() { d.yielded, d.next = true, 0 }
 
@@ -207,12 +219,8 @@
 		return Op{}, false
 	}
 	_, holds := d.Holds(now)
-	if free := max(d.heard, d.quietSince) + d.reserve; !holds && d.reserve > 0 && now < free {
-		d.next = free
-		return Op{}, false
-	}
-	if !holds && d.assured(now) {
-		d.next = min(d.heard+Silence, d.readAt+heardLook)
+	if until := d.rest(now); !holds && until > now {
+		d.next = until
 		return Op{}, false
 	}
 	d.running = true
--- a/internal/fleet/roster/place_test.go
+++ b/internal/fleet/roster/place_test.go
@@ -11,8 +11,9 @@
 // Guards against small nodes that pass on what large ones could, and against two first nodes.
 func TestCapacityOrder(t *testing.T) {
 	t.Parallel()
-	var places []roster.Place
-	for i := range 120 {
+	const nodes = 120
+	places := make([]roster.Place, 0, nodes)
+	for i := range nodes {
 		p := roster.Place{Node: fmt.Sprintf("n%d", i), DataCentre: fmt.Sprintf("dc%d", i%3), Capacity: 0.2}
 		if i < 9 {
 			p.Capacity = 0.8
--- a/internal/node/mesh/place.go
+++ b/internal/node/mesh/place.go
@@ -26,10 +26,10 @@
 func (m *Mesh) settle(neighbours map[string]roster.Relation) {
 	p := place{children: sets.New[string]()}
 	for node, rel := range neighbours {
-		switch rel {
-		case roster.Parent:
+		if rel == roster.Parent {
 			p.upstream = node
-		case roster.Child:
+		}
+		if rel == roster.Child {
 			p.children.Add(node)
 		}
 	}
