Bound events, refusals and interim answers that have no end

Cause: a server in trouble may send bytes without end. An event of a stream without an end was held until the caller's deadline, and searched from its start with each piece: 8 s at 20 Mbit/s are 20 MB a request, and most of a small node's processor time. A refusal's body could hold up the next attempt until the deadline, an interim answer (1xx) could be passed on as the final one, and a failure's body was cut at 64 KB and passed on as whole. Ruled out, by the same test on the earlier code: heads without end, fast or a byte now and then, end with the bound of the buffer or with the time for headers, and another server serves the request. Change: an event is at most 256 KB, a refusal is read for 100 ms, interim answers are skipped up to four times, and a longer failure is not passed on.

--- a/internal/node/pass/attempt.go
+++ b/internal/node/pass/attempt.go
@@ -76,8 +76,7 @@
 	a := u.r.deps.Codec.Answer(resp.Header)
 	seat.Answered(a)
 	if a.NotRun {
-		if _, err := io.CopyN(io.Discard, resp, maxHeldBytes); err != nil && !errors.Is(err, io.EOF) {
-			err = errors.Newf("read refusal: %w", err)
+		if err := readRefusal(resp); err != nil {
 			return result{outcome: NotRun, err: err}
 		}
 		return result{outcome: NotRun, err: errors.Newf("status %d", resp.Header.StatusCode())}
@@ -92,6 +91,20 @@
 	return u.relay(ctx, seat, resp)
 }
 
+// refusalTime bounds the read of a refusal's body, which is only read so that the connection can be kept.
+const refusalTime = 100 * time.Millisecond
+
+// readRefusal reads the body of a refusal, up to a bound.
+func readRefusal(resp *conns.Response) error {
+	if err := resp.SetReadDeadline(time.Now().Add(refusalTime)); err != nil {
+		return errors.Newf("refusal: %w", err)
+	}
+	if _, err := io.CopyN(io.Discard, resp, maxHeldBytes); err != nil && !errors.Is(err, io.EOF) {
+		return errors.Newf("read refusal: %w", err)
+	}
+	return nil
+}
+
 // lost tells what an attempt without an answer proves.
 func (u *run) lost(ctx context.Context, err error) result {
 	if errors.Is(err, conns.ErrNotSent) {
@@ -116,10 +129,13 @@
 
 // hold reads a whole failure answer.
 func (u *run) hold(resp *conns.Response) result {
-	body, err := io.ReadAll(io.LimitReader(resp, maxHeldBytes))
+	body, err := io.ReadAll(io.LimitReader(resp, maxHeldBytes+1))
 	if err != nil {
 		return result{outcome: Failed, err: errors.Newf("read failure answer: %w", err)}
 	}
+	if len(body) > maxHeldBytes {
+		return result{outcome: Failed, err: errors.Newf("failure answer has more than %d bytes", maxHeldBytes)}
+	}
 	return result{
 		outcome: Failed, err: errors.Newf("status %d", resp.Header.StatusCode()),
 		held: &failure{header: resp.Header, body: body},
--- a/internal/node/pass/event.go
+++ b/internal/node/pass/event.go
@@ -7,6 +7,12 @@
 	"github.com/cockroachdb/errors"
 )
 
+// maxEventBytes bounds one event. A server whose bytes hold no end of an event is not writing any.
+const maxEventBytes = 256 << 10
+
+// errTooLong means that the bytes of a stream hold no event.
+var errTooLong = errors.New("event has no end")
+
 // errGap means that a stream skips events: it is not the one that is being answered, or lost a part.
 var errGap = errors.New("stream skips events")
 
@@ -38,14 +44,18 @@
 // add takes bytes of the stream and returns those of all events that are whole now, without those that the
 // caller has. The result is valid until the next call. With an error, it holds the events before it.
 func (e *events) add(b []byte) ([]byte, error) {
+	// The part that was there holds no end, but its last byte may begin one.
+	searched := max(0, len(e.part)-1)
 	e.part = append(e.part, b...)
 	e.out = e.out[:0]
 	rest := e.part
 	for {
-		end := bytes.Index(rest, blankEnd)
+		end := bytes.Index(rest[searched:], blankEnd)
 		if end < 0 {
 			break
 		}
+		end += searched
+		searched = 0
 		event := rest[:end+len(blankEnd)]
 		fresh, err := e.take(event)
 		if err != nil {
@@ -57,6 +67,9 @@
 		rest = rest[len(event):]
 	}
 	e.part = append(e.part[:0], rest...)
+	if len(e.part) > maxEventBytes {
+		return e.out, errors.Newf("%d bytes: %w", len(e.part), errTooLong)
+	}
 	return e.out, nil
 }
 
--- a/internal/node/pass/event_test.go
+++ b/internal/node/pass/event_test.go
@@ -79,3 +79,19 @@
 		t.Errorf("got %q, last %q, %v", out, e.Last(), err)
 	}
 }
+
+// Guards against a node whose memory, or processor time, goes to bytes of a stream that hold no end of an event.
+func TestEventWithoutEnd(t *testing.T) {
+	t.Parallel()
+	// bound is what a node may hold of one event.
+	const bound = 1 << 20
+	var e pass.Events
+	piece, held := strings.Repeat("data: x\n", 512), 0
+	for held < bound {
+		held += len(piece)
+		if _, err := e.Add(piece); err != nil {
+			return
+		}
+	}
+	t.Errorf("%d bytes without an end are held", held)
+}
--- a/internal/plat/conns/conns.go
+++ b/internal/plat/conns/conns.go
@@ -382,6 +382,9 @@
 		if err := resp.Read(c.br); err != nil {
 			return nil, errors.Newf("read answer: %w", err)
 		}
+		if interim(resp) {
+			continue
+		}
 		if x.Mine == nil || x.Mine(&resp.Header) {
 			return resp, nil
 		}
@@ -389,9 +392,12 @@
 			return nil, err
 		}
 	}
-	return nil, errors.New("too many answers to other requests")
+	return nil, errors.New("too many interim answers, or answers to other requests")
 }
 
+// interim reports whether an answer only says that another one follows. It has no body.
+func interim(resp *fasthttp.Response) bool { return resp.StatusCode() < fasthttp.StatusOK }
+
 // Bounds of what is skipped on a connection before the answer to its request.
 const (
 	maxSkipped      = 4
