Take only whole events of a stream as progress

Cause: a stalled server that sends a byte now and then counted as one that makes progress, as any bytes did. Its streams ended at the callers' deadline, and were not resumed elsewhere. Operators of similar systems met this. Ruled out: that the deadline alone covers it. Three of six resumable streams were cut after 3 s in the test. Change: bytes that complete no event are no progress. Test: TestAnswersWithoutEnd/drip_event fails before. Its calls now run at the same time, so that some reach the server in trouble; the checks are the same.

--- a/internal/node/pass/attempt.go
+++ b/internal/node/pass/attempt.go
@@ -185,9 +185,14 @@
 	for {
 		n, err := resp.Read(buf[:])
 		if n > 0 {
-			seat.Progress()
 			u.firstBytes()
-			if err := u.pass(buf[:n], stream); err != nil {
+			before := u.events.count
+			err := u.pass(buf[:n], stream)
+			if !stream || u.events.count > before {
+				// Bytes that complete no event are no progress: a stalled server may send some now and then.
+				seat.Progress()
+			}
+			if err != nil {
 				return err
 			}
 		}
