Start from rows that are kept up to date

Cause: one of the stories of operators of similar systems: a server that had left, or a key that was withdrawn, in use again after a restart. It could happen here: a node that starts took all rows from the node above it, also when that one had been cut off for long, and was ready at once. Ruled out: the version check of configurations, which only compares with what the same process had. Change: a copy says whether its rows are kept up to date. One that has just begun takes others only after it has found nothing better for 2.5 s, as while the store is away for all.

--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -39,6 +39,9 @@
 	storeRetry = time.Second
 	// hintDelay is how long a revision that another node has may take to come from the copy's own source.
 	hintDelay = 80 * time.Millisecond
+	// staleAfter is how long a copy that has just begun looks for rows that are up to date before it takes others. A node
+	// that was started again must not use servers that have left, or keys that were withdrawn.
+	staleAfter = 2500 * time.Millisecond
 	// distrust is how long an origin that failed is not followed.
 	distrust = 800 * time.Millisecond
 	// withoutMax is how long a copy may be without a source before it counts as not kept up to date.
@@ -113,6 +116,8 @@
 	floor   uint64
 	changed chan struct{}
 	reached bool
+	// began is when the copy was made.
+	began time.Time
 	// source was read last. Only the goroutine that follows uses it.
 	source table.Feed
 	// via names the copies through which the rows come, the nearest first.
@@ -161,7 +166,7 @@
 	if cfg.Patience == nil {
 		cfg.Patience = func(bool) time.Duration { return 0 }
 	}
-	return &Copy{cfg: cfg, rows: make(map[string]table.Row), changed: make(chan struct{}), reached: true, news: make(chan struct{}, 1)}
+	return &Copy{began: time.Now(), cfg: cfg, rows: make(map[string]table.Row), changed: make(chan struct{}), reached: true, news: make(chan struct{}, 1)}
 }
 
 // Run keeps the copy up to date until ctx ends.
@@ -248,6 +253,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if s.Stale && (c.known || time.Since(c.began) < staleAfter) {
+		return nil, errors.Mark(errors.Newf("rows of %s are not up to date: %w", c.cfg.Family, table.ErrUnavailable), ErrNoSource)
+	}
 	if c.known && s.Revision < c.revision {
 		return nil, errors.Newf("rows of %s are from revision %d, older than %d: %w", c.cfg.Family, s.Revision, c.revision, table.ErrUnavailable)
 	}
@@ -350,7 +358,9 @@
 	if !c.known {
 		return table.State{}, errors.Mark(table.ErrUnavailable, ErrNoSource)
 	}
-	s := table.State{Revision: c.revision, Rows: make([]table.Row, 0, len(c.rows)), Via: c.chain()}
+	s := table.State{
+		Revision: c.revision, Rows: make([]table.Row, 0, len(c.rows)), Via: c.chain(), Stale: c.adrift || !c.reached,
+	}
 	for _, r := range c.rows {
 		s.Rows = append(s.Rows, r)
 	}
--- a/internal/fleet/mirror/mirror_test.go
+++ b/internal/fleet/mirror/mirror_test.go
@@ -403,6 +403,39 @@
 	})
 }
 
+// Guards against a node that was started again and takes rows from one that has been cut off for long, although the store
+// would serve it: servers that have left, or keys that were withdrawn, would be in use again. Also guards against a node that
+// takes no rows at all while the store is away.
+func TestStartsFromStaleNode(t *testing.T) {
+	t.Parallel()
+	for _, away := range []bool{false, true} {
+		bubble(t, func(t *testing.T, ctx context.Context) {
+			s, own := newSource(), newSource()
+			own.put("op/config", "old")
+			cut, _ := follow(ctx, t, mirror.Config{Store: own, Wait: readWait})
+			time.Sleep(time.Second)
+			own.set(func() { own.away = true })
+			time.Sleep(3 * time.Second)
+			s.put("op/before", "x")
+			s.put("op/config", "new")
+			s.set(func() { s.away = away })
+			begun := time.Now()
+			_, r := follow(ctx, t, mirror.Config{
+				Store: s, Wait: readWait, Origin: of(cut), Patience: func(bool) time.Duration { return 500 * time.Millisecond },
+			})
+			for time.Since(begun) < 6*time.Second {
+				time.Sleep(10 * time.Millisecond)
+				if got := r.get("op/config"); !away && got == "old" {
+					t.Fatalf("has %q after %v, which was withdrawn", got, time.Since(begun))
+				}
+			}
+			if got := r.get("op/config"); (got == "old") != away || got == "" {
+				t.Errorf("store away %v: has %q after 6 s", away, got)
+			}
+		})
+	}
+}
+
 // Guards against followers that read the store, all at once, because the node above them was lost for a moment or has no
 // source itself, and against ones that never read it.
 func TestPatience(t *testing.T) {
--- a/internal/node/mesh/follow.go
+++ b/internal/node/mesh/follow.go
@@ -43,7 +43,7 @@
 		if err != nil {
 			return &frame.FollowReply{Status: frame.FollowReplyStatusUnavailable}
 		}
-		return &frame.FollowReply{Status: frame.FollowReplyStatusRows, Rev: int(s.Revision), Rows: encodeRows(s.Rows), Via: s.Via}
+		return &frame.FollowReply{Status: frame.FollowReplyStatusRows, Rev: int(s.Revision), Rows: encodeRows(s.Rows), Via: s.Via, Stale: s.Stale}
 	}
 	d, err := c.Changes(ctx, a.Family, uint64(a.After), time.Duration(a.WaitMs)*time.Millisecond)
 	switch {
@@ -78,7 +78,7 @@
 	if err != nil {
 		return table.State{}, err
 	}
-	return table.State{Rows: decodeRows(reply.Rows), Revision: uint64(reply.Rev), Via: reply.Via}, nil
+	return table.State{Rows: decodeRows(reply.Rows), Revision: uint64(reply.Rev), Via: reply.Via, Stale: reply.Stale}, nil
 }
 
 // Changes implements table.Feed.
--- a/internal/plat/table/feed.go
+++ b/internal/plat/table/feed.go
@@ -17,6 +17,8 @@
 	Revision uint64
 	// Via names the copies through which the rows came, the nearest first; empty from the store itself.
 	Via []string
+	// Stale says that the rows are from a copy that is not kept up to date.
+	Stale bool
 }
 
 // Delta is what changed between two revisions.
--- a/internal/wire/frame/messages.gen.go
+++ b/internal/wire/frame/messages.gen.go
@@ -85,6 +85,9 @@
 	// Rows that were written.
 	Rows []FollowRow `json:"rows,omitempty,omitzero"`
 
+	// The sender's copy is not kept up to date.
+	Stale bool `json:"stale,omitempty,omitzero"`
+
 	// Status corresponds to the JSON schema field "status".
 	Status FollowReplyStatus `json:"status"`
 
