Do not take a server for full because this node has just sent to it

Cause: for each own request since a server's last word, a node assumed one of each other node. In a fleet of 295 that makes 294, more than any server's places, so each server to which a node had just sent was full to it, and with few servers of a model callers were refused while there was room. Change: at most five requests of other nodes are assumed for each own one, as in the fleets of six nodes. Test: TestLargeFleetHasRoom fails before at 73 and 295 nodes.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 KNOWN_RED := $(shell sed -n 's/^test: *//p' KNOWN-RED.txt | paste -sd'|')
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$',)
 
-.PHONY: build test soak lint fmt generate check-generated demo demo-check clean
+.PHONY: build test soak regress lint fmt generate check-generated demo demo-check clean
 
 build:
 	$(GO) build -o $(BIN) ./cmd/geraniumhollow
@@ -23,6 +23,14 @@
 soak:
 	$(GO) test ./platform/soak -count=1 -timeout 2h -v -run TestSoak -args -seeds $(SEEDS) -first $(FIRST) | grep -v '^=== '
 
+# Plays the standard days of the largest deployments with the users' bench. BENCH is its program, SITES are site files.
+# A full-size day takes minutes and up to 5 GB.
+JOBS ?= 2
+WHY ?= regression run
+regress:
+	@test -n "$(BENCH)" -a -n "$(SITES)" || { echo "usage: make regress BENCH=<program> SITES='<site files>'"; exit 2; }
+	for s in $(SITES); do $(BENCH) score $$s --jobs $(JOBS) --why "$(WHY)" || exit 1; done
+
 lint:
 	$(GO) vet ./...
 	$(TOOL) golangci-lint run ./...
--- a/internal/node/seat/seat.go
+++ b/internal/node/seat/seat.go
@@ -62,6 +62,11 @@
 // each answer, so one that gets no requests has an old report, which says that it is free.
 const maxReportAge = time.Hour
 
+// maxPeerSends is the most sends of other nodes that are assumed for each own one. In a small fleet all nodes know the same
+// loads and choose alike. In a large one each node knows the load of a server from its own few requests, at other times
+// than the rest, and a server is not full because this node has just sent to it.
+const maxPeerSends = 5
+
 // firstStep is the weight of each first token in what is learned of a model: some dozens of them count.
 const firstStep = 0.03
 
@@ -234,7 +239,7 @@
 	}
 	s.view = v
 	s.notices.forget(now, v)
-	s.table.SetPeerSends(float64(max(0, s.cfg.Nodes()-1)))
+	s.table.SetPeerSends(float64(min(max(0, s.cfg.Nodes()-1), maxPeerSends)))
 	present := sets.New[string]()
 	for key, groups := range v.Open {
 		for _, g := range groups {
--- a/internal/node/seat/seat_test.go
+++ b/internal/node/seat/seat_test.go
@@ -327,3 +327,20 @@
 		}
 	})
 }
+
+// Guards against a node of a large fleet that takes each server to which it has sent one request for full, and refuses
+// callers while there is room.
+func TestLargeFleetHasRoom(t *testing.T) {
+	t.Parallel()
+	for _, nodes := range []int{6, 73, 295} {
+		bubble(t, func(t *testing.T, ctx context.Context, _ func(*bed)) {
+			b := newBed(engine(), nodes)
+			b.put("a", "b", "c")
+			for i := range 4 {
+				if _, _, refusal := b.take(ctx); refusal != nil {
+					t.Errorf("%d nodes: request %d of 4 at three servers of 8 places was refused: %v", nodes, i+1, refusal)
+				}
+			}
+		})
+	}
+}
