Compress large rows between nodes

Ruled out: nodes that lost their upstream (none logged), the store (the reader had it at once). Change: values of 2 KB and more are compressed between nodes (S2, from a library that the product already uses). Tests: TestRowsAreSmallOnTheWire, TestPackedBounds.

--- a/internal/node/mesh/follow.go
+++ b/internal/node/mesh/follow.go
@@ -43,7 +43,7 @@
 		if err != nil {
 			return &frame.FollowReply{Status: frame.FollowReplyStatusUnavailable}
 		}
-		return &frame.FollowReply{Status: frame.FollowReplyStatusRows, Rev: int(s.Revision), Rows: encodeRows(s.Rows), Via: s.Via, Stale: s.Stale}
+		return &frame.FollowReply{Status: frame.FollowReplyStatusRows, Rev: int(s.Revision), Rows: EncodeRows(s.Rows), Via: s.Via, Stale: s.Stale}
 	}
 	d, err := c.Changes(ctx, a.Family, uint64(a.After), time.Duration(a.WaitMs)*time.Millisecond)
 	switch {
@@ -53,18 +53,10 @@
 		return &frame.FollowReply{Status: frame.FollowReplyStatusUnavailable}
 	}
 	return &frame.FollowReply{
-		Status: frame.FollowReplyStatusRows, Rev: int(d.Revision), Rows: encodeRows(d.Changed), Gone: d.Removed, Via: d.Via,
+		Status: frame.FollowReplyStatusRows, Rev: int(d.Revision), Rows: EncodeRows(d.Changed), Gone: d.Removed, Via: d.Via,
 	}
 }
 
-func encodeRows(rows []table.Row) []frame.FollowRow {
-	out := make([]frame.FollowRow, 0, len(rows))
-	for _, r := range rows {
-		out = append(out, frame.FollowRow{Key: r.Key, Value: r.Value, Rev: int(r.Revision)})
-	}
-	return out
-}
-
 // remote is another node's copy of a family. It implements table.Feed.
 type remote struct {
 	m      *Mesh
@@ -78,7 +70,11 @@
 	if err != nil {
 		return table.State{}, err
 	}
-	return table.State{Rows: decodeRows(reply.Rows), Revision: uint64(reply.Rev), Via: reply.Via, Stale: reply.Stale}, nil
+	rows, err := DecodeRows(reply.Rows)
+	if err != nil {
+		return table.State{}, errors.Mark(errors.Newf("rows from %s: %w", r.node, err), table.ErrUnavailable)
+	}
+	return table.State{Rows: rows, Revision: uint64(reply.Rev), Via: reply.Via, Stale: reply.Stale}, nil
 }
 
 // Changes implements table.Feed.
@@ -87,7 +83,11 @@
 	if err != nil {
 		return table.Delta{}, err
 	}
-	return table.Delta{Changed: decodeRows(reply.Rows), Removed: reply.Gone, Revision: uint64(reply.Rev), Via: reply.Via}, nil
+	rows, err := DecodeRows(reply.Rows)
+	if err != nil {
+		return table.Delta{}, errors.Mark(errors.Newf("rows from %s: %w", r.node, err), table.ErrUnavailable)
+	}
+	return table.Delta{Changed: rows, Removed: reply.Gone, Revision: uint64(reply.Rev), Via: reply.Via}, nil
 }
 
 func (r remote) ask(ctx context.Context, a *frame.FollowAsk) (*frame.FollowReply, error) {
@@ -106,11 +106,3 @@
 	}
 	return reply, nil
 }
-
-func decodeRows(rows []frame.FollowRow) []table.Row {
-	out := make([]table.Row, 0, len(rows))
-	for _, w := range rows {
-		out = append(out, table.Row{Key: w.Key, Value: w.Value, Revision: uint64(w.Rev)})
-	}
-	return out
-}
--- /dev/null
+++ b/internal/node/mesh/rows_test.go
@@ -0,0 +1,51 @@
+package mesh_test
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"geraniumhollow/internal/node/mesh"
+	"geraniumhollow/internal/plat/table"
+	"geraniumhollow/internal/wire/frame"
+)
+
+// Guards against a large configuration that nodes with narrow links pass on so slowly that reads of it time out (strygekurv
+// grown, hunted day: 1,610 routes were known 3.4 s late), and against values that change on the way.
+func TestRowsAreSmallOnTheWire(t *testing.T) {
+	t.Parallel()
+	var config bytes.Buffer
+	for i := range 1610 {
+		fmt.Fprintf(&config, `{"Name":"r-%x","Host":"h%x.example","Prefix":"/p%x/q/","Service":"presse-lm","Kind":"idempotent","TimeoutMs":8000,`+
+			`"MaxAttempts":2,"TargetLatencyMs":300,"Priority":1},`, i*7919, i*104729%9973, i*31)
+	}
+	rows := []table.Row{
+		{Key: "op/config", Value: config.Bytes(), Revision: 7}, {Key: "op/evacuate/x", Value: []byte("{}"), Revision: 3}, {Key: "op/empty", Revision: 1},
+	}
+	wire := mesh.EncodeRows(rows)
+	// Eight nodes are to have it from one with 20 Mbit/s in a quarter of a second.
+	if most := 20_000_000 / 8 / 4 / 8; len(wire[0].Value) > most {
+		t.Errorf("%d bytes are sent for a configuration of %d, want at most %d", len(wire[0].Value), config.Len(), most)
+	}
+	got, err := mesh.DecodeRows(wire)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, r := range got {
+		if r.Key != rows[i].Key || r.Revision != rows[i].Revision || !bytes.Equal(r.Value, rows[i].Value) {
+			t.Errorf("row %s came as %s, revision %d, %d bytes", rows[i].Key, r.Key, r.Revision, len(r.Value))
+		}
+	}
+}
+
+// Guards against a node that runs out of memory for a value that another one has packed.
+func TestPackedBounds(t *testing.T) {
+	t.Parallel()
+	for name, value := range map[string][]byte{
+		"huge": {0xff, 0xff, 0xff, 0xff, 0x0f, 0}, "cut": {0x80, 0x01, 0}, "empty": nil,
+	} {
+		if rows, err := mesh.DecodeRows([]frame.FollowRow{{Key: "op/x", Value: value, Packed: true}}); err == nil {
+			t.Errorf("%s gave %d bytes", name, len(rows[0].Value))
+		}
+	}
+}
--- a/internal/wire/frame/messages.gen.go
+++ b/internal/wire/frame/messages.gen.go
@@ -107,10 +107,13 @@
 	// Key with its family.
 	Key string `json:"key"`
 
+	// The value is compressed as an S2 block.
+	Packed bool `json:"packed,omitempty,omitzero"`
+
 	// Revision of the row.
 	Rev int `json:"rev"`
 
-	// Value as it is stored.
+	// Value as it is stored, or packed.
 	Value []byte `json:"value"`
 }
 
