Leave one copy of what this change wrote twice

Found on reading the whole change once more; behaviour stays as it is: - the word of the duty's holder was a type of the mesh and again one of the keeper: duty.Word serves both - hints and the holder's word had loops of their own beside Mesh.tell, which now takes the nodes that want a message - what concerns a whole plan was copied field by field into its stored form: Plan embeds it as Head - the step of a stored plan was carried out by the interleavings and by a test: Rows.Apply - answers of other nodes were decoded and marked in two places: remote.ask returns the rows - a server's record told twice that the lookup is out of date: recordOf; state that was asked for twice in a row - Topology.Has was never called No check of a test has changed; one literal names the embedded field.

--- a/internal/bench/plans/chaos.go
+++ b/internal/bench/plans/chaos.go
@@ -224,13 +224,7 @@
 // write carries out one step of a change of the plan.
 func (c *chaos) write(step group.Step) {
 	c.plan.revision++
-	for name, value := range step {
-		if value == nil {
-			delete(c.plan.rows, name)
-		} else {
-			c.plan.rows[name] = value
-		}
-	}
+	c.plan.rows.Apply(step)
 }
 
 // smallStep makes changes of several domains take several transactions.
--- a/internal/fleet/duty/duty.go
+++ b/internal/fleet/duty/duty.go
@@ -48,6 +48,16 @@
 	Beat uint64 `json:"beat"`
 }
 
+// Word is what a node says of the holder of the duty.
+type Word struct {
+	Fence  uint64
+	Holder string
+	// Failing says that the store does not take the holder's renewals.
+	Failing bool
+	// Relayed says that another node than the holder passes the word on.
+	Relayed bool
+}
+
 // Op is a call of the store that the decider wants made. Only one runs at a time.
 type Op struct {
 	// Read asks for the row; else Txn is committed.
@@ -294,7 +304,7 @@
 		d.failing = true
 		d.next = now + retryAfter
 	case errors.Is(err, table.ErrUnavailable):
-		// All nodes try to take the duty while the store is away, and any of them may have it.
+		// All nodes that stand by try to take the duty while the store is away, and any of them may have it.
 		d.next = now + max(Look<<min(d.refused, maxDoublings), d.reserve)
 		d.refused++
 	default:
--- a/internal/fleet/mirror/source.go
+++ b/internal/fleet/mirror/source.go
@@ -51,11 +51,11 @@
 			return
 		}
 		s.lacks = errors.Is(err, ErrNoSource)
-		s.distrusted = time.Now().Add(distrust)
+		pause := distrust
 		if s.lacks {
-			// It may find a source at any moment.
-			s.distrusted = time.Now().Add(retryMax)
+			pause = retryMax // It may find a source at any moment.
 		}
+		s.distrusted = time.Now().Add(pause)
 		c.cfg.Log.Debug("the node that is followed does not answer", "family", c.cfg.Family, "error", err)
 	}
 	if c.followPeer(ctx) {
@@ -99,12 +99,12 @@
 // node helps, the store is only looked at, so that a silent one does not keep the copy from the rows that the node has.
 func (c *Copy) followStore(ctx context.Context) {
 	begun := time.Now()
-	wait := c.cfg.Wait
-	if c.troubled() {
+	troubled, wait := c.troubled(), c.cfg.Wait
+	if troubled {
 		wait = look
 	}
 	err := c.pullFrom(ctx, c.cfg.Store, wait)
-	if err != nil && time.Since(begun) < wait && !c.troubled() {
+	if err != nil && time.Since(begun) < wait && !troubled {
 		// One call was cut or refused; the next one shows whether the store serves this node.
 		tasks.Sleep(ctx, retryMin)
 		err = c.pullFrom(ctx, c.cfg.Store, wait)
--- a/internal/fleet/roster/topology.go
+++ b/internal/fleet/roster/topology.go
@@ -97,12 +97,6 @@
 	return first
 }
 
-// Has reports whether a node belongs to the fleet.
-func (t *Topology) Has(node string) bool {
-	_, ok := t.home[node]
-	return ok
-}
-
 // RootOf returns the first node of a data centre that is not in out, or "".
 func (t *Topology) RootOf(dataCentre string, out sets.Set[string]) string {
 	for _, n := range t.order[dataCentre] {
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -12,6 +12,7 @@
 
 	"geraniumhollow/internal/core/sets"
 	"geraniumhollow/internal/core/tasks"
+	"geraniumhollow/internal/fleet/duty"
 	"geraniumhollow/internal/fleet/index"
 	"geraniumhollow/internal/fleet/mirror"
 	"geraniumhollow/internal/node/front"
@@ -78,7 +79,7 @@
 		Address: address, DataCentre: set.DataCentre, Incarnation: incarnation, Capacity: set.Capacity,
 		Gather: gatherTime(set.FirstStart), Patience: max(0, set.ChangeTime-readTime),
 		Table: n.store, Feed: n.store, Copies: n.copyOf, Members: n.splitAmong, Stalled: n.takeStalled, Keeper: n.keeperAddress,
-		Duty: n.heardDuty, Met: func(at, inc string) { n.keeper.Met(at, inc) },
+		Duty: func(w duty.Word) { n.keeper.Heard(w) }, Met: func(at, inc string) { n.keeper.Met(at, inc) },
 		Reaches: n.reaches, Suspects: n.takeSuspects, Log: cfg.Log,
 	})
 	if err != nil {
--- a/internal/node/edge/peers.go
+++ b/internal/node/edge/peers.go
@@ -7,7 +7,6 @@
 
 	"geraniumhollow/internal/fleet/index"
 	"geraniumhollow/internal/node/keeper"
-	"geraniumhollow/internal/node/mesh"
 	"geraniumhollow/internal/plan/group"
 	"geraniumhollow/internal/route/crash"
 	"geraniumhollow/internal/wire/frame"
@@ -51,9 +50,6 @@
 	return !r.Born.IsZero() && !e.Born.IsZero() && !r.Born.Equal(e.Born)
 }
 
-// heardDuty takes a holder's word.
-func (n *Node) heardDuty(w mesh.Word) { n.keeper.Heard(keeper.Word(w)) }
-
 // keeperAddress returns the address of the node that keeps the groups, "" if it is not known.
 func (n *Node) keeperAddress() string {
 	address, _, _ := strings.Cut(n.keeper.Holder(), "/")
--- a/internal/node/keeper/duty.go
+++ b/internal/node/keeper/duty.go
@@ -30,17 +30,8 @@
 	k.duty.Yield()
 }
 
-// Word is what another node says of the duty.
-type Word struct {
-	Fence  uint64
-	Holder string
-	// Failing says that the store does not take the holder's renewals, Relayed that another node has passed the word on.
-	Failing bool
-	Relayed bool
-}
-
 // Heard takes a holder's word.
-func (k *Keeper) Heard(w Word) {
+func (k *Keeper) Heard(w duty.Word) {
 	stands := k.cfg.StandsBy()
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -73,11 +64,12 @@
 	for pause := tick / 2; tasks.Sleep(ctx, pause); {
 		now := clock.Since()
 		stands := k.cfg.StandsBy()
+		fence, holds := k.holds()
 		pause = idleTick
-		if stands || k.Holds() {
+		if stands || holds {
 			pause = tick / 2
 		}
-		if fence, ok := k.holds(); ok && now-announced >= duty.Beat {
+		if holds && now-announced >= duty.Beat {
 			announced = now
 			k.cfg.Announce(fence, k.failing())
 		}
--- a/internal/node/mesh/follow.go
+++ b/internal/node/mesh/follow.go
@@ -66,43 +66,40 @@
 
 // Snapshot implements table.Feed.
 func (r remote) Snapshot(ctx context.Context, family string) (table.State, error) {
-	reply, err := r.ask(ctx, &frame.FollowAsk{Family: family})
+	reply, rows, err := r.ask(ctx, &frame.FollowAsk{Family: family})
 	if err != nil {
 		return table.State{}, err
 	}
-	rows, err := DecodeRows(reply.Rows)
-	if err != nil {
-		return table.State{}, errors.Mark(errors.Newf("rows from %s: %w", r.node, err), table.ErrUnavailable)
-	}
 	return table.State{Rows: rows, Revision: uint64(reply.Rev), Via: reply.Via, Stale: reply.Stale}, nil
 }
 
 // Changes implements table.Feed.
 func (r remote) Changes(ctx context.Context, family string, after uint64, wait time.Duration) (table.Delta, error) {
-	reply, err := r.ask(ctx, &frame.FollowAsk{Family: family, After: int(after), WaitMs: int(wait.Milliseconds())})
+	reply, rows, err := r.ask(ctx, &frame.FollowAsk{Family: family, After: int(after), WaitMs: int(wait.Milliseconds())})
 	if err != nil {
 		return table.Delta{}, err
 	}
-	rows, err := DecodeRows(reply.Rows)
-	if err != nil {
-		return table.Delta{}, errors.Mark(errors.Newf("rows from %s: %w", r.node, err), table.ErrUnavailable)
-	}
 	return table.Delta{Changed: rows, Removed: reply.Gone, Revision: uint64(reply.Rev), Via: reply.Via}, nil
 }
 
-func (r remote) ask(ctx context.Context, a *frame.FollowAsk) (*frame.FollowReply, error) {
+// ask returns the answer of the node, and the rows in it.
+func (r remote) ask(ctx context.Context, a *frame.FollowAsk) (*frame.FollowReply, []table.Row, error) {
 	msg, err := r.m.net.Ask(ctx, r.node, a)
 	if err != nil {
-		return nil, errors.Mark(errors.Newf("follow %s: %w", r.node, err), table.ErrUnavailable)
+		return nil, nil, errors.Mark(errors.Newf("follow %s: %w", r.node, err), table.ErrUnavailable)
 	}
 	reply, ok := msg.(*frame.FollowReply)
 	switch {
 	case !ok:
-		return nil, errors.Mark(errors.Newf("%s answered with %T", r.node, msg), table.ErrUnavailable)
+		return nil, nil, errors.Mark(errors.Newf("%s answered with %T", r.node, msg), table.ErrUnavailable)
 	case reply.Status == frame.FollowReplyStatusHistoryLost:
-		return nil, table.ErrHistoryLost
+		return nil, nil, table.ErrHistoryLost
 	case reply.Status != frame.FollowReplyStatusRows:
-		return nil, errors.Mark(errors.Mark(errors.Newf("%s has no source", r.node), table.ErrUnavailable), mirror.ErrNoSource)
+		return nil, nil, errors.Mark(errors.Mark(errors.Newf("%s has no source", r.node), table.ErrUnavailable), mirror.ErrNoSource)
+	}
+	rows, err := DecodeRows(reply.Rows)
+	if err != nil {
+		return nil, nil, errors.Mark(errors.Newf("rows from %s: %w", r.node, err), table.ErrUnavailable)
 	}
-	return reply, nil
+	return reply, rows, nil
 }
--- a/internal/node/mesh/mesh.go
+++ b/internal/node/mesh/mesh.go
@@ -17,6 +17,7 @@
 	"geraniumhollow/internal/core/sets"
 	"geraniumhollow/internal/core/sock"
 	"geraniumhollow/internal/core/tasks"
+	"geraniumhollow/internal/fleet/duty"
 	"geraniumhollow/internal/fleet/index"
 	"geraniumhollow/internal/fleet/mirror"
 	"geraniumhollow/internal/fleet/roster"
@@ -33,7 +34,7 @@
 
 // Times of the mesh.
 const (
-	// noticeTimeout bounds the delivery of a notice.
+	// noticeTimeout bounds a question to other nodes.
 	noticeTimeout = 400 * time.Millisecond
 	// registerRetry is the pause between tries to register.
 	registerRetry = 700 * time.Millisecond
@@ -76,7 +77,7 @@
 	Stalled func(f index.Formation) bool
 	Keeper  func() string
 	// Duty takes a holder's word that it has the duty to keep groups; Met tells of each new link.
-	Duty func(w Word)
+	Duty func(w duty.Word)
 	Met  func(address, incarnation string)
 	// Reaches reports whether this node reaches a backend server.
 	Reaches func(ctx context.Context, server, addr string) bool
--- a/internal/node/mesh/tell.go
+++ b/internal/node/mesh/tell.go
@@ -8,6 +8,7 @@
 
 	"geraniumhollow/internal/core/sets"
 	"geraniumhollow/internal/core/tasks"
+	"geraniumhollow/internal/fleet/duty"
 	"geraniumhollow/internal/fleet/index"
 	"geraniumhollow/internal/wire/frame"
 	"geraniumhollow/internal/wire/peer"
@@ -91,10 +92,10 @@
 	return w
 }
 
-// tell sends a message to the linked nodes but one, and calls failed with each that does not take it.
-func (m *Mesh) tell(msg any, but string, failed func(node string, err error)) {
+// tell sends a message to the linked nodes that want accepts, and calls failed with each that does not take it.
+func (m *Mesh) tell(msg any, want func(node string) bool, failed func(node string, err error)) {
 	for _, n := range m.linked() {
-		if n == but {
+		if !want(n) {
 			continue
 		}
 		if err := m.net.Send(n, msg); err != nil {
@@ -103,29 +104,19 @@
 	}
 }
 
-// Hint tells the linked nodes that this one has a revision of a family. Nodes below this one follow its copy.
-func (m *Mesh) Hint(family string, revision uint64) {
+// children returns the nodes below this one.
+func (m *Mesh) children() sets.Set[string] {
 	m.mu.Lock()
-	children := m.place.children
-	m.mu.Unlock()
-	for _, n := range m.linked() {
-		if children.Has(n) {
-			continue
-		}
-		if err := m.net.Send(n, &frame.RowHint{Family: family, Rev: int(revision)}); err != nil {
-			m.cfg.Log.Debug("cannot tell a node of a revision", "node", n, "error", err)
-		}
-	}
+	defer m.mu.Unlock()
+	return m.place.children
 }
 
-// Word is a node's word that it holds the duty to keep groups.
-type Word struct {
-	Fence  uint64
-	Holder string
-	// Failing says that the store does not take the holder's renewals.
-	Failing bool
-	// Relayed says that another node has passed the word on.
-	Relayed bool
+// Hint tells the linked nodes that this one has a revision of a family. Nodes below this one follow its copy.
+func (m *Mesh) Hint(family string, revision uint64) {
+	children := m.children()
+	m.tell(&frame.RowHint{Family: family, Rev: int(revision)}, func(n string) bool { return !children.Has(n) }, func(n string, err error) {
+		m.cfg.Log.Debug("cannot tell a node of a revision", "node", n, "error", err)
+	})
 }
 
 // Announce tells all nodes that this one holds the duty, and whether the store does not take its renewals.
@@ -157,17 +148,11 @@
 // announce sends a holder's word to the linked nodes but the one that it came from. Of the nodes below this one, only
 // those in due get it.
 func (m *Mesh) announce(b *frame.DutyBeat, due sets.Set[string], from string) {
-	m.mu.Lock()
-	children := m.place.children
-	m.mu.Unlock()
-	for _, n := range m.linked() {
-		if n == from || children.Has(n) && !due.Has(n) {
-			continue
-		}
-		if err := m.net.Send(n, b); err != nil {
-			m.cfg.Log.Debug("cannot tell a node of the duty", "node", n, "error", err)
-		}
-	}
+	children := m.children()
+	want := func(n string) bool { return n != from && (!children.Has(n) || due.Has(n)) }
+	m.tell(b, want, func(n string, err error) {
+		m.cfg.Log.Debug("cannot tell a node of the duty", "node", n, "error", err)
+	})
 }
 
 // heard takes a holder's word, and passes it on if it is new.
@@ -176,7 +161,7 @@
 	fresh := b.Fence > m.beat.Fence || b.Fence == m.beat.Fence && b.Seq > m.beat.Seq
 	m.mu.Unlock()
 	if fresh || !b.Relayed {
-		m.cfg.Duty(Word{Fence: uint64(b.Fence), Holder: b.Holder, Failing: b.Failing, Relayed: b.Relayed})
+		m.cfg.Duty(duty.Word{Fence: uint64(b.Fence), Holder: b.Holder, Failing: b.Failing, Relayed: b.Relayed})
 	}
 	if !fresh {
 		return
@@ -203,7 +188,7 @@
 
 // spread sends a message to the linked nodes but the one that it came from.
 func (m *Mesh) spread(s *frame.SuspectRequest, from string) {
-	m.tell(s, from, func(n string, err error) {
+	m.tell(s, func(n string) bool { return n != from }, func(n string, err error) {
 		m.cfg.Log.Info("cannot pass on suspicions", "node", n, "error", err)
 	})
 }
--- a/internal/plan/group/group_test.go
+++ b/internal/plan/group/group_test.go
@@ -293,7 +293,7 @@
 	f := group.Formation{
 		Group: "g1", Epoch: 3, Model: "m", Service: "llm", Domain: "d", Members: []string{"s0", "s1"}, Addresses: []string{"s0", "s1"},
 	}
-	p.d = decide(engine(), group.Plan{Epoch: f.Epoch, Inherited: f.Epoch, Retired: []group.Formation{f}})
+	p.d = decide(engine(), group.Plan{Head: group.Head{Epoch: f.Epoch, Inherited: f.Epoch}, Retired: []group.Formation{f}})
 	// The head joins no other formation, which would keep it from this one.
 	p.change(f.Head(), drains)
 	if waited := p.untilElsewhere("s1", f); waited < longestDelay+duty.Tenure {
--- a/internal/plan/group/host.go
+++ b/internal/plan/group/host.go
@@ -100,18 +100,10 @@
 
 // list takes one entry of the registry.
 func (d *Decider) list(now time.Time, e *index.Entry) {
-	h, ok := d.hosts[e.ID]
-	if ok && h.entry == e && h.listed {
+	if h, ok := d.hosts[e.ID]; ok && h.entry == e && h.listed {
 		return
 	}
-	if !ok || !h.SameLife(e.Info) {
-		h = newHost(now)
-		d.hosts[e.ID] = h
-		d.moved()
-	} else if e.Draining && !h.Draining && h.listed {
-		h.leaves = now
-	}
-	d.settleIn(h, e)
+	h := d.recordOf(now, e)
 	news := !h.listed || h.entry.Expired || !h.Same(e.Info)
 	h.entry, h.Info, h.listed = e, e.Info, true
 	h.take(e.Info)
@@ -129,11 +121,22 @@
 	}
 }
 
-// settleIn notes the domain of a server that is listed.
-func (d *Decider) settleIn(h *host, e *index.Entry) {
+// recordOf returns the record of a listed server, a new one for a process that was not known.
+func (d *Decider) recordOf(now time.Time, e *index.Entry) *host {
+	h, ok := d.hosts[e.ID]
+	if !ok || !h.SameLife(e.Info) {
+		h = newHost(now)
+		d.hosts[e.ID] = h
+		d.moved()
+		return h
+	}
+	if e.Draining && !h.Draining && h.listed {
+		h.leaves = now
+	}
 	if h.Domain != e.Domain {
 		d.moved()
 	}
+	return h
 }
 
 // Suspect asks for probes of the members of a formation, because its head makes no progress or is slow.
--- a/internal/plan/group/plan.go
+++ b/internal/plan/group/plan.go
@@ -35,15 +35,21 @@
 // Has reports whether a server is a member.
 func (f Formation) Has(id string) bool { return slices.Contains(f.Members, id) }
 
-// Plan is what the keeper has decided. It is stored before any order that follows from it is sent.
-type Plan struct {
+// Head is what concerns the whole of a plan.
+type Head struct {
 	// Fence is the fencing number of the keeper that wrote the plan.
-	Fence uint64
+	Fence uint64 `json:"fence"`
 	// Epoch is the highest epoch that has been used, Inherited the highest that an earlier keeper used.
-	Epoch     uint64
-	Inherited uint64
+	Epoch     uint64 `json:"epoch"`
+	Inherited uint64 `json:"inherited"`
 	// Names counts the groups that have been named.
-	Names int
+	Names int `json:"names"`
+}
+
+// Plan is what the keeper has decided. It is stored before any order that follows from it is sent.
+type Plan struct {
+	Head
+
 	// Current holds the formations that should be.
 	Current []Formation
 	// Retired holds earlier formations whose head may still serve.
--- a/internal/plan/group/rows.go
+++ b/internal/plan/group/rows.go
@@ -11,14 +11,6 @@
 // HeadRow is the name of the row that each change of a plan writes. Those that change a plan make that depend on it.
 const HeadRow = ""
 
-// headRow is the stored form of what concerns the whole plan.
-type headRow struct {
-	Fence     uint64 `json:"fence"`
-	Epoch     uint64 `json:"epoch"`
-	Inherited uint64 `json:"inherited"`
-	Names     int    `json:"names"`
-}
-
 // domainRow is the stored form of the formations of a domain. Its size does not grow with the fleet.
 type domainRow struct {
 	Current []Formation `json:"current,omitempty"`
@@ -47,7 +39,7 @@
 		in(f).Retired = append(in(f).Retired, f)
 	}
 	out := make(Rows, len(domains)+1)
-	b, err := json.Marshal(headRow{Fence: p.Fence, Epoch: p.Epoch, Inherited: p.Inherited, Names: p.Names})
+	b, err := json.Marshal(p.Head)
 	if err != nil {
 		return nil, errors.Newf("encode plan: %w", err)
 	}
@@ -65,11 +57,9 @@
 	var p Plan
 	for _, name := range slices.Sorted(maps.Keys(r)) {
 		if name == HeadRow {
-			var h headRow
-			if err := json.Unmarshal(r[name], &h); err != nil {
+			if err := json.Unmarshal(r[name], &p.Head); err != nil {
 				return Plan{}, errors.Newf("decode plan: %w", err)
 			}
-			p.Fence, p.Epoch, p.Inherited, p.Names = h.Fence, h.Epoch, h.Inherited, h.Names
 			continue
 		}
 		var d domainRow
@@ -97,6 +87,17 @@
 // value is deleted.
 type Step map[string][]byte
 
+// Apply carries out a step.
+func (r Rows) Apply(s Step) {
+	for name, value := range s {
+		if value == nil {
+			delete(r, name)
+		} else {
+			r[name] = value
+		}
+	}
+}
+
 // Steps returns the change from the rows that are stored to these, in steps of so many rows that a transaction can hold
 // them. Each has the head row. What is stored after any of them is a plan as well.
 func (r Rows) Steps(stored Rows, limit int) []Step {
--- a/internal/plan/group/rows_test.go
+++ b/internal/plan/group/rows_test.go
@@ -99,12 +99,7 @@
 	for _, most := range []int{2, group.MaxStepRows} {
 		rows := maps.Clone(stored)
 		for _, step := range rowsOf(t, next).Steps(stored, most) {
-			for name, value := range step {
-				rows[name] = value
-				if value == nil {
-					delete(rows, name)
-				}
-			}
+			rows.Apply(step)
 			if _, err := rows.Plan(); err != nil {
 				t.Errorf("steps of %d: after one of them: %v", most, err)
 			}
