--- a/internal/node/seat/notice_test.go
+++ b/internal/node/seat/notice_test.go
@@ -10,15 +10,22 @@
 	"geraniumhollow/internal/node/pass"
 )
 
-// serve gives calls to servers until some have been chosen n times in all, and returns how often each was.
+// place gives a call a place, or ends the test.
+func (b *bed) place(ctx context.Context, t *testing.T) pass.Seat {
+	t.Helper()
+	s, _, refusal := b.take(ctx)
+	if refusal != nil {
+		t.Fatal(refusal)
+	}
+	return s
+}
+
+// serve serves n calls and returns how many each server got.
 func (b *bed) serve(ctx context.Context, t *testing.T, n int) map[string]int {
 	t.Helper()
 	out := make(map[string]int)
 	for range n {
-		s, _, refusal := b.take(ctx)
-		if refusal != nil {
-			t.Fatal(refusal)
-		}
+		s := b.place(ctx, t)
 		out[s.Entry().ID]++
 		s.Leave(pass.Served)
 	}
@@ -32,10 +39,7 @@
 	bubble(t, func(t *testing.T, ctx context.Context, _ func(*bed)) {
 		b := newBed(engine(), 1)
 		b.put("a")
-		s, _, refusal := b.take(ctx)
-		if refusal != nil {
-			t.Fatal(refusal)
-		}
+		s := b.place(ctx, t)
 		b.put("b")
 		s.Answered(pass.Answer{Leaving: true})
 		s.Leave(pass.Served)
@@ -67,14 +71,11 @@
 	bubble(t, func(t *testing.T, ctx context.Context, _ func(*bed)) {
 		b := newBed(engine(), 1)
 		b.put("a")
-		s, _, refusal := b.take(ctx)
-		if refusal != nil {
-			t.Fatal(refusal)
-		}
+		s := b.place(ctx, t)
 		s.Answered(pass.Answer{NotRun: true, RetryAfter: time.Second})
 		s.Leave(pass.NotRun)
 		begun := time.Now()
-		_, _, refusal = b.take(ctx)
+		_, _, refusal := b.take(ctx)
 		if refusal == nil || time.Since(begun) > 0 || refusal.RetryAfter() != time.Second {
 			t.Errorf("refusal %v after %v, to come back after %v; want one at once with 1 s", refusal, time.Since(begun), refusal.RetryAfter())
 		}
--- a/internal/node/seat/seat_test.go
+++ b/internal/node/seat/seat_test.go
@@ -367,21 +367,14 @@
 				b.put(string(rune('a' + k)))
 			}
 			for range 40 { // The node has heard of most heads that half of their places are taken.
-				s, _, refusal := b.take(ctx)
-				if refusal != nil {
-					t.Fatal(refusal)
-				}
+				s := b.place(ctx, t)
 				time.Sleep(80 * time.Millisecond)
 				s.Progress()
 				s.Answered(pass.Answer{HasLoad: true, Load: pass.Load{Running: 4, Slots: 8}})
 				s.Leave(pass.Served)
 			}
 			b.put("new")
-			s, _, refusal := b.take(ctx)
-			if refusal != nil {
-				t.Fatal(refusal)
-			}
-			if s.Entry().ID == "new" {
+			if b.place(ctx, t).Entry().ID == "new" {
 				rushed++
 			}
 		}
