Give revisions of the table an era

A revision is a pair of an era and a number, compared in that order, so that the compiler shows each place that takes numbers for rising: copies of rows and their hints, conditions of writes, claims, leases and the plan. Messages between nodes carry the era beside the revision.

--- a/internal/bench/runs/table.go
+++ b/internal/bench/runs/table.go
@@ -25,14 +25,14 @@
 // cell is a row with its revision.
 type cell[R any] struct {
 	value R
-	rev   uint64
+	rev   table.Revision
 }
 
 // op is one call of the table that is under way.
 type op[R any] struct {
 	key    string
 	read   bool
-	base   uint64
+	base   table.Revision
 	value  R
 	remove bool
 
@@ -58,7 +58,7 @@
 	// faultOdds is the inverse rate of each fault; it differs between interleavings.
 	faultOdds int
 	rows      map[string]cell[R]
-	rev       uint64
+	rev       table.Revision
 	down      bool
 	// late are writes whose callers have heard nothing and that may still take effect.
 	late []*op[R]
@@ -84,7 +84,7 @@
 	case o.remove:
 		delete(t.rows, o.key)
 	default:
-		t.rev++
+		t.rev.Number++
 		o.got = cell[R]{value: o.value, rev: t.rev}
 		t.rows[o.key] = o.got
 	}
--- a/internal/conf/apply/apply_test.go
+++ b/internal/conf/apply/apply_test.go
@@ -25,9 +25,9 @@
 	pending *table.Txn
 }
 
-func (d *delayedTable) Commit(_ context.Context, txn table.Txn) (uint64, error) {
+func (d *delayedTable) Commit(_ context.Context, txn table.Txn) (table.Revision, error) {
 	d.pending = &txn
-	return 0, table.ErrUnknown
+	return table.Absent, table.ErrUnknown
 }
 
 // Guards against a wrong result of Commit after a conflict or a table failure: an accepted change must be
--- a/internal/fake/store/store.go
+++ b/internal/fake/store/store.go
@@ -25,7 +25,7 @@
 // Store is the whole platform in memory. It is safe for concurrent use.
 type Store struct {
 	mu       sync.Mutex
-	revision uint64
+	revision table.Revision
 	rows     map[string]table.Row
 	objects  map[string][]byte
 	hosts    []hosts.Host
@@ -138,18 +138,18 @@
 }
 
 // Commit implements table.Table.
-func (s *Store) Commit(ctx context.Context, txn table.Txn) (uint64, error) {
+func (s *Store) Commit(ctx context.Context, txn table.Txn) (table.Revision, error) {
 	if err := s.begin(ctx); err != nil {
-		return 0, err
+		return table.Absent, err
 	}
 	defer s.mu.Unlock()
 	s.counts.Writes++
 	for _, c := range txn.Conditions {
 		if s.rows[c.Key].Revision != c.Revision {
-			return 0, table.ErrConflict
+			return table.Absent, table.ErrConflict
 		}
 	}
-	s.revision++
+	s.revision.Number++
 	for _, p := range txn.Puts {
 		s.rows[p.Key] = table.Row{Key: p.Key, Value: slices.Clone(p.Value), Revision: s.revision}
 	}
@@ -158,7 +158,7 @@
 	}
 	if s.loseAnswers > 0 {
 		s.loseAnswers--
-		return 0, table.ErrUnknown
+		return table.Absent, table.ErrUnknown
 	}
 	return s.revision, nil
 }
--- a/internal/fleet/duty/duty.go
+++ b/internal/fleet/duty/duty.go
@@ -77,7 +77,7 @@
 	key  string
 
 	row      Row
-	revision uint64
+	revision table.Revision
 	// rowKnown is cleared when the stored row may differ from row. It is then read before the next write.
 	// rowChangedAt is when this revision of the row was first observed.
 	rowKnown     bool
@@ -298,7 +298,7 @@
 }
 
 // CommitDone processes the result of a commit.
-func (d *Decider) CommitDone(now time.Duration, op Op, revision uint64, err error) {
+func (d *Decider) CommitDone(now time.Duration, op Op, revision table.Revision, err error) {
 	d.callInProgress = false
 	switch {
 	case err == nil:
--- a/internal/fleet/duty/duty_test.go
+++ b/internal/fleet/duty/duty_test.go
@@ -15,7 +15,7 @@
 // storedRow is the duty's row in the store.
 type storedRow struct {
 	value    []byte
-	revision uint64
+	revision table.Revision
 }
 
 // candidate is a node, which can be paused.
@@ -32,7 +32,7 @@
 		return
 	}
 	if op.Read {
-		if r.revision == 0 {
+		if r.revision == table.Absent {
 			n.decider.ReadDone(now, table.Row{}, table.ErrNotFound)
 			return
 		}
@@ -40,13 +40,13 @@
 		return
 	}
 	if op.Txn.Conditions[0].Revision != r.revision {
-		n.decider.CommitDone(now, op, 0, table.ErrConflict)
+		n.decider.CommitDone(now, op, table.Absent, table.ErrConflict)
 		return
 	}
-	r.revision++
+	r.revision.Number++
 	r.value = op.Txn.Puts[0].Value
 	if loseResult {
-		n.decider.CommitDone(now, op, 0, table.ErrUnknown)
+		n.decider.CommitDone(now, op, table.Absent, table.ErrUnknown)
 		return
 	}
 	n.decider.CommitDone(now, op, r.revision, nil)
@@ -172,7 +172,7 @@
 	refusedAt := now
 	for ; now < refusedAt+duty.RenewInterval+step && !a.decider.RenewalFailing(); now += step {
 		if op, ok := a.decider.Next(now); ok {
-			a.decider.CommitDone(now, op, 0, table.ErrUnavailable)
+			a.decider.CommitDone(now, op, table.Absent, table.ErrUnavailable)
 		}
 	}
 	if !a.decider.RenewalFailing() {
@@ -199,7 +199,7 @@
 	for ; now < restoredAt; now += step {
 		if op, ok := a.decider.Next(now); ok {
 			calls++
-			a.decider.CommitDone(now, op, 0, table.ErrUnavailable)
+			a.decider.CommitDone(now, op, table.Absent, table.ErrUnavailable)
 		}
 	}
 	if maxCalls := 2 + int(outage/(4*duty.ReadInterval)); calls > maxCalls {
--- a/internal/fleet/lease/decider.go
+++ b/internal/fleet/lease/decider.go
@@ -98,7 +98,7 @@
 
 // Result is the outcome of an operation.
 type Result struct {
-	Revision uint64
+	Revision table.Revision
 	Leases   []table.Row
 	Duties   []table.Row
 	Err      error
@@ -119,7 +119,7 @@
 	session       uint64
 	renewalSeq    uint64
 	renewalSentAt map[uint64]time.Time // send times of renewals that may have been stored
-	leaseRevision uint64               // revision of the process's own lease row; 0 if not registered
+	leaseRevision table.Revision       // revision of the process's own lease row; 0 if not registered
 	validUntil    time.Time            // end of the lease by the local clock
 	registered    bool                 // the row has been observed with this incarnation
 	leaving       bool                 // the lease row is to be deleted
@@ -155,7 +155,9 @@
 }
 
 // Valid reports whether the node lease is valid by the local clock.
-func (d *Decider) Valid(now time.Time) bool { return d.leaseRevision != 0 && now.Before(d.validUntil) }
+func (d *Decider) Valid(now time.Time) bool {
+	return d.leaseRevision != table.Absent && now.Before(d.validUntil)
+}
 
 // Holds reports whether the process holds the duty with this fencing number under a valid lease. It returns
 // false if the duty has a newer tenure. After a lease is lost and registered again, Holds returns false until
@@ -198,7 +200,7 @@
 func (d *Decider) Leave() { d.draining, d.leaving = true, true }
 
 // Left reports whether the lease row has been deleted after Leave.
-func (d *Decider) Left() bool { return d.leaving && d.leaseRevision == 0 && d.scanned }
+func (d *Decider) Left() bool { return d.leaving && d.leaseRevision == table.Absent && d.scanned }
 
 // SetHosts records the host names in a new read of the platform's host list.
 func (d *Decider) SetHosts(now time.Time, names []string) {
@@ -251,7 +253,7 @@
 	if !d.scanned || !now.Before(d.scanDue) {
 		return Op{Kind: ReadAll, sentAt: now}, true
 	}
-	if d.leaseRevision == 0 {
+	if d.leaseRevision == table.Absent {
 		if d.leaving {
 			return Op{}, false
 		}
@@ -292,7 +294,7 @@
 	}
 	key := NodePrefix + d.cfg.Node
 	old := table.Row{Key: key, Revision: d.leaseRevision}
-	if d.leaseRevision == 0 {
+	if d.leaseRevision == table.Absent {
 		old.Revision = d.leases[d.cfg.Node].row.revision
 	}
 	return Op{Kind: RenewLease, Txn: table.Replace(old, value), sentAt: now, renewalSeq: d.renewalSeq}
@@ -417,7 +419,7 @@
 	}
 }
 
-func (d *Decider) writeDuty(now time.Time, name string, revision uint64, r DutyRow, revocation *table.Txn) (Op, bool) {
+func (d *Decider) writeDuty(now time.Time, name string, revision table.Revision, r DutyRow, revocation *table.Txn) (Op, bool) {
 	value, err := encode(r)
 	if err != nil {
 		return Op{}, false
@@ -561,7 +563,7 @@
 
 // endSession makes the lease expire at once.
 func (d *Decider) endSession() {
-	d.leaseRevision = 0
+	d.leaseRevision = table.Absent
 	d.validUntil = time.Time{}
 }
 
@@ -570,7 +572,7 @@
 	r := d.duties[name].value
 	t, had := d.tenures[name]
 	if r.Holder == d.cfg.Node && r.Incarnation == d.cfg.Incarnation {
-		if r.Session != d.session || d.leaseRevision == 0 {
+		if r.Session != d.session || d.leaseRevision == table.Absent {
 			return
 		}
 		if !had || t.Fence != r.Fence {
--- a/internal/fleet/lease/rows.go
+++ b/internal/fleet/lease/rows.go
@@ -87,7 +87,7 @@
 // versioned is a decoded row with its revision.
 type versioned[T any] struct {
 	value    T
-	revision uint64
+	revision table.Revision
 }
 
 // decode returns the rows keyed without the prefix. It fails on a row that it can't decode: a newer program
--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -92,7 +92,7 @@
 	OnUpToDate func(reached bool)
 	// OnRevision is called with the new revision after each change, so that other nodes can be notified. It
 	// must not block. It may be nil.
-	OnRevision func(revision uint64)
+	OnRevision func(revision table.Revision)
 	// StoreWait is how long a read of the store waits for changes, or 0 for a default. A source that stops
 	// responding is noticed after this time plus a margin, so it bounds how old the copy may be without its
 	// node knowing.
@@ -119,11 +119,11 @@
 
 	mu       sync.Mutex
 	rows     map[string]table.Row
-	revision uint64
+	revision table.Revision
 	loaded   bool
 	// history holds the latest changes in order. historyFloor is the revision before the oldest of them.
 	history      []change
-	historyFloor uint64
+	historyFloor table.Revision
 	changed      chan struct{}
 	reached      bool
 	// createdAt is when the copy was made.
@@ -143,13 +143,13 @@
 
 // hint records that another node has a revision.
 type hint struct {
-	revision uint64
+	revision table.Revision
 	feed     table.Feed
 }
 
 // change is an entry of the history.
 type change struct {
-	revision uint64
+	revision table.Revision
 	row      table.Row
 	removed  bool
 }
@@ -168,7 +168,7 @@
 		cfg.Peer = func() table.Feed { return nil }
 	}
 	if cfg.OnRevision == nil {
-		cfg.OnRevision = func(uint64) {}
+		cfg.OnRevision = func(table.Revision) {}
 	}
 	if cfg.Source == nil {
 		cfg.Source = func() Source { return Source{Store: true} }
@@ -192,9 +192,9 @@
 
 // Hint reports that another node has a revision. If the copy does not reach it within hintDelay, for instance
 // because its source has stopped responding, it reads from that node.
-func (c *Copy) Hint(revision uint64, from table.Feed) {
+func (c *Copy) Hint(revision table.Revision, from table.Feed) {
 	c.mu.Lock()
-	if revision > c.latestHint.revision {
+	if c.latestHint.revision.Before(revision) {
 		c.latestHint = hint{revision: revision, feed: from}
 	}
 	c.mu.Unlock()
@@ -216,7 +216,7 @@
 			return nil
 		}
 		c.mu.Lock()
-		h, behind := c.latestHint, c.revision < c.latestHint.revision
+		h, behind := c.latestHint, c.revision.Before(c.latestHint.revision)
 		c.mu.Unlock()
 		if !behind {
 			continue
@@ -266,8 +266,8 @@
 	if s.Stale && (c.loaded || time.Since(c.createdAt) < rejectStaleFor) {
 		return nil, errors.Mark(errors.Newf("rows of %s are not up to date: %w", c.cfg.Family, table.ErrUnavailable), ErrNoSource)
 	}
-	if c.loaded && s.Revision < c.revision {
-		return nil, errors.Newf("rows of %s are from revision %d, older than %d: %w", c.cfg.Family, s.Revision, c.revision, table.ErrUnavailable)
+	if c.loaded && s.Revision.Before(c.revision) {
+		return nil, errors.Newf("rows of %s are from revision %+v, older than %+v: %w", c.cfg.Family, s.Revision, c.revision, table.ErrUnavailable)
 	}
 	clear(c.rows)
 	for _, r := range s.Rows {
@@ -284,15 +284,15 @@
 // applyDelta applies the changes after a revision. Reads may overlap, so the copy may have advanced since this
 // one began. A result that is not newer than the copy is then ignored. A newer one can be applied, as it holds the
 // latest state of each row changed since the revision.
-func (c *Copy) applyDelta(d table.Delta, after uint64) {
+func (c *Copy) applyDelta(d table.Delta, after table.Revision) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.revision != after && d.Revision <= c.revision {
+	if c.revision != after && !c.revision.Before(d.Revision) {
 		return
 	}
 	u := Update{}
 	for _, r := range d.Changed {
-		if old, ok := c.rows[r.Key]; ok && old.Revision >= r.Revision {
+		if old, ok := c.rows[r.Key]; ok && !old.Revision.Before(r.Revision) {
 			continue
 		}
 		c.rows[r.Key] = r
@@ -307,7 +307,7 @@
 		u.Removed = append(u.Removed, k)
 		c.appendHistory(change{revision: d.Revision, row: table.Row{Key: k}, removed: true})
 	}
-	c.revision = max(c.revision, d.Revision)
+	c.revision = c.revision.Later(d.Revision)
 	if len(u.Put)+len(u.Removed) == 0 {
 		return
 	}
@@ -326,7 +326,7 @@
 	c.historyFloor = c.history[maxHistoryRows/2].revision
 	kept := c.history[:0]
 	for _, h := range c.history {
-		if h.revision > c.historyFloor {
+		if c.historyFloor.Before(h.revision) {
 			kept = append(kept, h)
 		}
 	}
@@ -350,7 +350,7 @@
 func (c *Copy) followerVia() []string { return append([]string{c.cfg.Name}, c.via...) }
 
 // Revision returns the revision of the rows.
-func (c *Copy) Revision() uint64 {
+func (c *Copy) Revision() table.Revision {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.revision
@@ -381,7 +381,7 @@
 
 // Changes implements table.Feed. A copy that is not kept up to date refuses to be followed, but answers a
 // read without a wait.
-func (c *Copy) Changes(ctx context.Context, _ string, after uint64, wait time.Duration) (table.Delta, error) {
+func (c *Copy) Changes(ctx context.Context, _ string, after table.Revision, wait time.Duration) (table.Delta, error) {
 	t := time.NewTimer(wait)
 	defer t.Stop()
 	for {
@@ -402,20 +402,20 @@
 }
 
 // changesSince returns the changes after a revision, and a channel that is closed at the next change.
-func (c *Copy) changesSince(after uint64, following bool) (table.Delta, <-chan struct{}, error) {
+func (c *Copy) changesSince(after table.Revision, following bool) (table.Delta, <-chan struct{}, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
 	case !c.loaded || following && (c.sourceFailed || !c.reached):
 		return table.Delta{}, nil, errors.Mark(table.ErrUnavailable, ErrNoSource)
-	case after < c.historyFloor:
+	case after.Before(c.historyFloor):
 		return table.Delta{}, nil, table.ErrHistoryLost
 	}
 	// A follower may be ahead of this copy and must not go back.
-	d := table.Delta{Revision: max(after, c.revision), Via: c.followerVia()}
+	d := table.Delta{Revision: after.Later(c.revision), Via: c.followerVia()}
 	latest := make(map[string]change)
 	for _, h := range c.history {
-		if h.revision > after {
+		if after.Before(h.revision) {
 			latest[h.row.Key] = h
 		}
 	}
--- a/internal/fleet/mirror/mirror_test.go
+++ b/internal/fleet/mirror/mirror_test.go
@@ -22,8 +22,8 @@
 	mu           sync.Mutex
 	rows         map[string]table.Row
 	log          []table.Row // rows without a value are removals
-	revision     uint64
-	historyFloor uint64
+	revision     table.Revision
+	historyFloor table.Revision
 	unavailable  bool
 	hanging      bool
 	failNext     int // number of calls to fail
@@ -38,7 +38,7 @@
 func (s *fakeFeed) put(key, value string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.revision++
+	s.revision.Number++
 	r := table.Row{Key: key, Value: []byte(value), Revision: s.revision}
 	s.rows[key] = r
 	s.appendLog(r)
@@ -47,7 +47,7 @@
 func (s *fakeFeed) remove(key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.revision++
+	s.revision.Number++
 	delete(s.rows, key)
 	s.appendLog(table.Row{Key: key, Revision: s.revision})
 }
@@ -117,21 +117,21 @@
 	return nil
 }
 
-func (s *fakeFeed) Changes(ctx context.Context, _ string, after uint64, wait time.Duration) (table.Delta, error) {
+func (s *fakeFeed) Changes(ctx context.Context, _ string, after table.Revision, wait time.Duration) (table.Delta, error) {
 	if err := s.fault(ctx); err != nil {
 		return table.Delta{}, err
 	}
 	end := time.After(wait)
 	for {
 		s.mu.Lock()
-		if after < s.historyFloor {
+		if after.Before(s.historyFloor) {
 			s.mu.Unlock()
 			return table.Delta{}, table.ErrHistoryLost
 		}
 		d := table.Delta{Revision: s.revision}
 		last := make(map[string]table.Row)
 		for _, r := range s.log {
-			if r.Revision > after {
+			if after.Before(r.Revision) {
 				last[r.Key] = r
 			}
 		}
@@ -251,7 +251,10 @@
 		if got := r.get("op/config"); got != "2" {
 			t.Errorf("got %q after a change", got)
 		}
-		s.update(func() { s.historyFloor, s.log = s.revision+1, nil; s.revision += 2 })
+		s.update(func() {
+			s.historyFloor, s.log = table.Revision{Number: s.revision.Number + 1}, nil
+			s.revision.Number += 2
+		})
 		s.put("op/config", "3")
 		time.Sleep(2 * time.Second)
 		if got := r.get("op/config"); got != "3" {
@@ -495,7 +498,7 @@
 		for i := 2; i < 6; i++ {
 			other.put("op/config", fmt.Sprint(i))
 			// The feed of each hint has one more revision. All hints arrive before the first is processed.
-			c.Hint(uint64(i), truncatedFeed{other, i})
+			c.Hint(table.Revision{Number: uint64(i)}, truncatedFeed{other, i})
 		}
 		time.Sleep(300 * time.Millisecond)
 		if got := r.get("op/config"); got != "5" {
@@ -510,11 +513,11 @@
 	length int
 }
 
-func (f truncatedFeed) Changes(ctx context.Context, family string, after uint64, wait time.Duration) (table.Delta, error) {
+func (f truncatedFeed) Changes(ctx context.Context, family string, after table.Revision, wait time.Duration) (table.Delta, error) {
 	d, err := f.fakeFeed.Changes(ctx, family, after, wait)
-	d.Revision = min(d.Revision, uint64(f.length))
+	d.Revision.Number = min(d.Revision.Number, uint64(f.length))
 	for i, r := range d.Changed {
-		d.Changed[i] = f.log[min(int(r.Revision), f.length)-1]
+		d.Changed[i] = f.log[min(int(r.Revision.Number), f.length)-1]
 	}
 	return d, err
 }
@@ -527,11 +530,13 @@
 		s := newFakeFeed()
 		s.put("op/config", "1")
 		var announced atomic.Uint64
-		_, r := startCopy(ctx, t, mirror.Config{Store: s, StoreWait: time.Second, OnRevision: announced.Store})
+		_, r := startCopy(ctx, t, mirror.Config{Store: s, StoreWait: time.Second, OnRevision: func(r table.Revision) { announced.Store(r.Number) }})
 		time.Sleep(100 * time.Millisecond)
 		// The next read asks for changes that the history no longer has.
-		s.update(func() { s.rows["op/config"] = table.Row{Key: "op/config", Value: []byte("2"), Revision: 9} })
-		s.update(func() { s.historyFloor, s.log, s.revision = 9, nil, 9 })
+		s.update(func() {
+			s.rows["op/config"] = table.Row{Key: "op/config", Value: []byte("2"), Revision: table.Revision{Number: 9}}
+		})
+		s.update(func() { s.historyFloor, s.log, s.revision = table.Revision{Number: 9}, nil, table.Revision{Number: 9} })
 		time.Sleep(2 * time.Second)
 		if r.get("op/config") != "2" || announced.Load() != 9 {
 			t.Errorf("got %q and announced revision %d, want 2 and 9", r.get("op/config"), announced.Load())
@@ -577,7 +582,7 @@
 		time.Sleep(time.Second)
 		s.put("op/config", "2")
 		time.Sleep(time.Millisecond)
-		c.Hint(2, other)
+		c.Hint(table.Revision{Number: 2}, other)
 		time.Sleep(200 * time.Millisecond)
 		if got := r.get("op/config"); got != "2" {
 			t.Errorf("got %q after a hint", got)
--- a/internal/node/admin/site_test.go
+++ b/internal/node/admin/site_test.go
@@ -68,10 +68,10 @@
 	pendingTxn atomic.Pointer[table.Txn]
 }
 
-func (l *lossyTable) Commit(ctx context.Context, txn table.Txn) (uint64, error) {
+func (l *lossyTable) Commit(ctx context.Context, txn table.Txn) (table.Revision, error) {
 	if l.loseReply.Load() {
 		l.pendingTxn.Store(&txn)
-		return 0, table.ErrUnknown
+		return table.Absent, table.ErrUnknown
 	}
 	return l.Store.Commit(ctx, txn)
 }
--- a/internal/node/edge/ready.go
+++ b/internal/node/edge/ready.go
@@ -8,6 +8,7 @@
 
 	"geraniumhollow/internal/core/httpd"
 	"geraniumhollow/internal/node/front"
+	"geraniumhollow/internal/plat/table"
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttpadaptor"
@@ -19,7 +20,7 @@
 // ready reports whether the load balancer may send connections to this node: it has a configuration and the list of
 // backend servers, and is not stopping.
 func (n *Node) ready() bool {
-	return !n.stopping.Load() && n.table.Load() != nil && n.servers.Revision() > 0
+	return !n.stopping.Load() && n.table.Load() != nil && n.servers.Revision() != table.Absent
 }
 
 // serveReadiness answers the readiness checks of the load balancer until ctx ends.
--- a/internal/node/edge/reload.go
+++ b/internal/node/edge/reload.go
@@ -86,7 +86,7 @@
 }
 
 // Commit implements table.Table.
-func (s *switchableStore) Commit(ctx context.Context, txn table.Txn) (uint64, error) {
+func (s *switchableStore) Commit(ctx context.Context, txn table.Txn) (table.Revision, error) {
 	return s.current.Load().Commit(ctx, txn)
 }
 
@@ -96,6 +96,6 @@
 }
 
 // Changes implements table.Feed.
-func (s *switchableStore) Changes(ctx context.Context, family string, after uint64, wait time.Duration) (table.Delta, error) {
+func (s *switchableStore) Changes(ctx context.Context, family string, after table.Revision, wait time.Duration) (table.Delta, error) {
 	return s.current.Load().Changes(ctx, family, after, wait)
 }
--- a/internal/node/keeper/keeper.go
+++ b/internal/node/keeper/keeper.go
@@ -107,7 +107,7 @@
 	// stored holds the stored rows of the plan, and revision is the revision of its head row. Only the goroutine of
 	// keepGroups uses them.
 	stored   group.Rows
-	revision uint64
+	revision table.Revision
 	// storeRetryAt is the earliest time of the next step after the plan could not be read or stored. Only the goroutine of
 	// keepGroups uses it.
 	storeRetryAt time.Time
--- a/internal/node/keeper/plan.go
+++ b/internal/node/keeper/plan.go
@@ -67,7 +67,7 @@
 
 // writeStep commits one step of a change to the plan if the head row still has the given revision. It returns the new revision
 // of the head row.
-func (k *Keeper) writeStep(ctx context.Context, service string, revision uint64, step group.Step) (uint64, error) {
+func (k *Keeper) writeStep(ctx context.Context, service string, revision table.Revision, step group.Step) (table.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	key := planKeyPrefix(service)
@@ -88,40 +88,40 @@
 
 // takeOverPlan reads the stored plan and writes its head row with the given fencing number, so that an earlier holder can no
 // longer change the plan. The write fails if the plan changes while its rows are read.
-func (k *Keeper) takeOverPlan(ctx context.Context, service string, fence uint64) (group.Plan, group.Rows, uint64, error) {
+func (k *Keeper) takeOverPlan(ctx context.Context, service string, fence uint64) (group.Plan, group.Rows, table.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*commitTimeout)
 	defer cancel()
 	stored, rev, err := k.readPlan(ctx, service)
 	if err != nil {
-		return group.Plan{}, nil, 0, err
+		return group.Plan{}, nil, table.Absent, err
 	}
 	plan, err := stored.Plan()
 	if err != nil {
-		return group.Plan{}, nil, 0, errors.Newf("read plan: %w", err)
+		return group.Plan{}, nil, table.Absent, errors.Newf("read plan: %w", err)
 	}
 	if plan.Fence > fence {
-		return group.Plan{}, nil, 0, errors.Newf("stored plan has the newer fencing number %d", plan.Fence)
+		return group.Plan{}, nil, table.Absent, errors.Newf("stored plan has the newer fencing number %d", plan.Fence)
 	}
 	plan.Fence, plan.InheritedEpoch = fence, plan.Epoch
 	rows, err := plan.Rows()
 	if err != nil {
-		return group.Plan{}, nil, 0, errors.Newf("encode plan: %w", err)
+		return group.Plan{}, nil, table.Absent, errors.Newf("encode plan: %w", err)
 	}
 	if rev, err = k.writeStep(ctx, service, rev, group.Step{group.HeaderRow: rows[group.HeaderRow]}); err != nil {
-		return group.Plan{}, nil, 0, err
+		return group.Plan{}, nil, table.Absent, err
 	}
 	return plan, stored, rev, nil
 }
 
 // readPlan reads the rows of a plan and the revision of its head row. The head row is read first because its name is empty,
 // so that a change to the plan during the read changes the revision of the head row.
-func (k *Keeper) readPlan(ctx context.Context, service string) (group.Rows, uint64, error) {
+func (k *Keeper) readPlan(ctx context.Context, service string) (group.Rows, table.Revision, error) {
 	key := planKeyPrefix(service)
 	rows, rev, after := make(group.Rows), table.Absent, ""
 	for {
 		page, err := k.cfg.Table.Scan(ctx, key, after, scanPageRows)
 		if err != nil {
-			return nil, 0, errors.Newf("read plan: %w", err)
+			return nil, table.Absent, errors.Newf("read plan: %w", err)
 		}
 		for _, r := range page {
 			name := strings.TrimPrefix(r.Key, key)
--- a/internal/node/mesh/follow.go
+++ b/internal/node/mesh/follow.go
@@ -41,14 +41,17 @@
 		// The rows of this copy come from the requesting node, so a long poll would only return them to it.
 		return &frame.FollowReply{Status: frame.FollowReplyStatusUnavailable}
 	}
+	after := table.Revision{Era: uint64(a.Era), Number: uint64(a.After)}
 	if a.After == 0 {
 		s, err := c.Snapshot(ctx, a.Family)
 		if err != nil {
 			return &frame.FollowReply{Status: frame.FollowReplyStatusUnavailable}
 		}
-		return &frame.FollowReply{Status: frame.FollowReplyStatusRows, Rev: int(s.Revision), Rows: EncodeRows(s.Rows), Via: s.Via, Stale: s.Stale}
+		return &frame.FollowReply{
+			Status: frame.FollowReplyStatusRows, Rev: int(s.Revision.Number), Era: int(s.Revision.Era), Rows: EncodeRows(s.Rows), Via: s.Via, Stale: s.Stale,
+		}
 	}
-	d, err := c.Changes(ctx, a.Family, uint64(a.After), time.Duration(a.WaitMs)*time.Millisecond)
+	d, err := c.Changes(ctx, a.Family, after, time.Duration(a.WaitMs)*time.Millisecond)
 	switch {
 	case errors.Is(err, table.ErrHistoryLost):
 		return &frame.FollowReply{Status: frame.FollowReplyStatusHistoryLost}
@@ -56,7 +59,7 @@
 		return &frame.FollowReply{Status: frame.FollowReplyStatusUnavailable}
 	}
 	return &frame.FollowReply{
-		Status: frame.FollowReplyStatusRows, Rev: int(d.Revision), Rows: EncodeRows(d.Changed), Gone: d.Removed, Via: d.Via,
+		Status: frame.FollowReplyStatusRows, Rev: int(d.Revision.Number), Era: int(d.Revision.Era), Rows: EncodeRows(d.Changed), Gone: d.Removed, Via: d.Via,
 	}
 }
 
@@ -73,16 +76,21 @@
 	if err != nil {
 		return table.State{}, err
 	}
-	return table.State{Rows: rows, Revision: uint64(reply.Rev), Via: reply.Via, Stale: reply.Stale}, nil
+	return table.State{Rows: rows, Revision: revisionOf(reply), Via: reply.Via, Stale: reply.Stale}, nil
 }
 
 // Changes implements table.Feed.
-func (r remoteCopy) Changes(ctx context.Context, family string, after uint64, wait time.Duration) (table.Delta, error) {
-	reply, rows, err := r.ask(ctx, &frame.FollowAsk{Family: family, After: int(after), WaitMs: int(wait.Milliseconds())})
+func (r remoteCopy) Changes(ctx context.Context, family string, after table.Revision, wait time.Duration) (table.Delta, error) {
+	reply, rows, err := r.ask(ctx, &frame.FollowAsk{Family: family, After: int(after.Number), Era: int(after.Era), WaitMs: int(wait.Milliseconds())})
 	if err != nil {
 		return table.Delta{}, err
 	}
-	return table.Delta{Changed: rows, Removed: reply.Gone, Revision: uint64(reply.Rev), Via: reply.Via}, nil
+	return table.Delta{Changed: rows, Removed: reply.Gone, Revision: revisionOf(reply), Via: reply.Via}, nil
+}
+
+// revisionOf returns the revision of a reply.
+func revisionOf(r *frame.FollowReply) table.Revision {
+	return table.Revision{Era: uint64(r.Era), Number: uint64(r.Rev)}
 }
 
 // ask sends a request to the node and returns its reply with the decoded rows.
@@ -100,7 +108,7 @@
 	case reply.Status != frame.FollowReplyStatusRows:
 		return nil, nil, errors.Mark(errors.Mark(errors.Newf("node %s has no source of rows", r.node), table.ErrUnavailable), mirror.ErrNoSource)
 	}
-	rows, err := DecodeRows(reply.Rows)
+	rows, err := DecodeRows(reply.Rows, uint64(reply.Era))
 	if err != nil {
 		return nil, nil, errors.Mark(errors.Newf("decode rows from %s: %w", r.node, err), table.ErrUnavailable)
 	}
--- a/internal/node/mesh/mesh.go
+++ b/internal/node/mesh/mesh.go
@@ -155,7 +155,7 @@
 	})
 	peer.On(m.net, func(from peer.Peer, h *frame.RowHint) {
 		if c := cfg.Copies(h.Family); c != nil {
-			c.Hint(uint64(h.Rev), remoteCopy{m: m, node: from.Node, family: h.Family})
+			c.Hint(table.Revision{Era: uint64(h.Era), Number: uint64(h.Rev)}, remoteCopy{m: m, node: from.Node, family: h.Family})
 		}
 	})
 	peer.On(m.net, func(from peer.Peer, b *frame.DutyBeat) { m.handleDutyBeat(from, b) })
--- a/internal/node/mesh/rows.go
+++ b/internal/node/mesh/rows.go
@@ -20,7 +20,7 @@
 func EncodeRows(rows []table.Row) []frame.FollowRow {
 	out := make([]frame.FollowRow, 0, len(rows))
 	for _, r := range rows {
-		w := frame.FollowRow{Key: r.Key, Value: r.Value, Rev: int(r.Revision)}
+		w := frame.FollowRow{Key: r.Key, Value: r.Value, Rev: int(r.Revision.Number)}
 		if len(r.Value) >= minPackBytes {
 			w.Value, w.Packed = s2.EncodeBetter(nil, r.Value), true
 		}
@@ -29,8 +29,8 @@
 	return out
 }
 
-// DecodeRows converts rows from their wire format.
-func DecodeRows(rows []frame.FollowRow) ([]table.Row, error) {
+// DecodeRows converts rows from their wire format. Their revisions were assigned in the given era.
+func DecodeRows(rows []frame.FollowRow, era uint64) ([]table.Row, error) {
 	out := make([]table.Row, 0, len(rows))
 	for _, w := range rows {
 		value := w.Value
@@ -40,7 +40,7 @@
 				return nil, errors.Newf("value of %s: %w", w.Key, err)
 			}
 		}
-		out = append(out, table.Row{Key: w.Key, Value: value, Revision: uint64(w.Rev)})
+		out = append(out, table.Row{Key: w.Key, Value: value, Revision: table.Revision{Era: era, Number: uint64(w.Rev)}})
 	}
 	return out, nil
 }
--- a/internal/node/mesh/rows_test.go
+++ b/internal/node/mesh/rows_test.go
@@ -20,20 +20,22 @@
 			`"MaxAttempts":2,"TargetLatencyMs":300,"Priority":1},`, i*7919, i*104729%9973, i*31)
 	}
 	rows := []table.Row{
-		{Key: "op/config", Value: config.Bytes(), Revision: 7}, {Key: "op/evacuate/x", Value: []byte("{}"), Revision: 3}, {Key: "op/empty", Revision: 1},
+		{Key: "op/config", Value: config.Bytes(), Revision: table.Revision{Era: 2, Number: 7}},
+		{Key: "op/evacuate/x", Value: []byte("{}"), Revision: table.Revision{Era: 2, Number: 3}},
+		{Key: "op/empty", Revision: table.Revision{Era: 2, Number: 1}},
 	}
 	wire := mesh.EncodeRows(rows)
 	// A node with 20 Mbit/s must be able to send it to eight nodes within a quarter of a second.
 	if maxBytes := 20_000_000 / 8 / 4 / 8; len(wire[0].Value) > maxBytes {
 		t.Errorf("encoded value has %d bytes for a configuration of %d bytes, want at most %d", len(wire[0].Value), config.Len(), maxBytes)
 	}
-	got, err := mesh.DecodeRows(wire)
+	got, err := mesh.DecodeRows(wire, 2)
 	if err != nil {
 		t.Fatal(err)
 	}
 	for i, r := range got {
 		if r.Key != rows[i].Key || r.Revision != rows[i].Revision || !bytes.Equal(r.Value, rows[i].Value) {
-			t.Errorf("row %s was decoded as %s, revision %d, %d bytes", rows[i].Key, r.Key, r.Revision, len(r.Value))
+			t.Errorf("row %s was decoded as %s, revision %+v, %d bytes", rows[i].Key, r.Key, r.Revision, len(r.Value))
 		}
 	}
 }
@@ -44,7 +46,7 @@
 	for name, value := range map[string][]byte{
 		"huge": {0xff, 0xff, 0xff, 0xff, 0x0f, 0}, "cut": {0x80, 0x01, 0}, "empty": nil,
 	} {
-		if rows, err := mesh.DecodeRows([]frame.FollowRow{{Key: "op/x", Value: value, Packed: true}}); err == nil {
+		if rows, err := mesh.DecodeRows([]frame.FollowRow{{Key: "op/x", Value: value, Packed: true}}, 0); err == nil {
 			t.Errorf("%s: decoded to %d bytes, want an error", name, len(rows[0].Value))
 		}
 	}
--- a/internal/node/mesh/tell.go
+++ b/internal/node/mesh/tell.go
@@ -10,6 +10,7 @@
 	"geraniumhollow/internal/core/tasks"
 	"geraniumhollow/internal/fleet/duty"
 	"geraniumhollow/internal/fleet/index"
+	"geraniumhollow/internal/plat/table"
 	"geraniumhollow/internal/wire/frame"
 	"geraniumhollow/internal/wire/peer"
 )
@@ -114,9 +115,9 @@
 }
 
 // Hint notifies the linked nodes, except the children, that this node has a revision of a family. The children follow its copy.
-func (m *Mesh) Hint(family string, revision uint64) {
+func (m *Mesh) Hint(family string, revision table.Revision) {
 	children := m.children()
-	m.sendLinked(&frame.RowHint{Family: family, Rev: int(revision)}, func(n string) bool { return !children.Has(n) }, func(n string, err error) {
+	m.sendLinked(&frame.RowHint{Family: family, Rev: int(revision.Number), Era: int(revision.Era)}, func(n string) bool { return !children.Has(n) }, func(n string, err error) {
 		m.cfg.Log.Debug("cannot send a row hint", "node", n, "error", err)
 	})
 }
--- a/internal/node/tool/tool_test.go
+++ b/internal/node/tool/tool_test.go
@@ -47,9 +47,9 @@
 	failCommits atomic.Bool
 }
 
-func (f *faultyTable) Commit(ctx context.Context, txn table.Txn) (uint64, error) {
+func (f *faultyTable) Commit(ctx context.Context, txn table.Txn) (table.Revision, error) {
 	if f.failCommits.Load() {
-		return 0, table.ErrUnknown
+		return table.Absent, table.ErrUnknown
 	}
 	return f.Store.Commit(ctx, txn)
 }
--- a/internal/plat/table/client.go
+++ b/internal/plat/table/client.go
@@ -29,7 +29,7 @@
 
 // CommitReply is the body of an accepted commit.
 type CommitReply struct {
-	Revision uint64 `json:"revision"`
+	Revision Revision `json:"revision"`
 }
 
 // Client is a Table that talks HTTP to the platform's table service.
@@ -71,14 +71,14 @@
 }
 
 // Commit implements Table.
-func (c *Client) Commit(ctx context.Context, txn Txn) (uint64, error) {
+func (c *Client) Commit(ctx context.Context, txn Txn) (Revision, error) {
 	body, err := json.Marshal(txn)
 	if err != nil {
-		return 0, errors.Newf("encode transaction: %w", err)
+		return Revision{}, errors.Newf("encode transaction: %w", err)
 	}
 	var reply CommitReply
 	if err := c.call(ctx, fasthttp.MethodPost, PathCommit, body, &reply); err != nil {
-		return 0, errors.Newf("commit: %w", err)
+		return Revision{}, errors.Newf("commit: %w", err)
 	}
 	return reply.Revision, nil
 }
--- a/internal/plat/table/feed.go
+++ b/internal/plat/table/feed.go
@@ -14,7 +14,7 @@
 type State struct {
 	Rows []Row
 	// Revision is where Changes continues. Rows may be newer than it when they came in several parts.
-	Revision uint64
+	Revision Revision
 	// Via names the copies through which the rows came, the nearest first; empty from the store itself.
 	Via []string
 	// Stale says that the rows are from a copy that is not kept up to date.
@@ -27,7 +27,7 @@
 	// Removed are the keys of deleted rows.
 	Removed []string
 	// Revision is where the next Changes continues.
-	Revision uint64
+	Revision Revision
 	// Via names the copies through which the changes came, as in State.
 	Via []string
 }
@@ -39,5 +39,5 @@
 	Snapshot(ctx context.Context, family string) (State, error)
 	// Changes waits up to wait for a change after a revision and returns all that are known. It returns
 	// an empty delta when there was none, ErrHistoryLost, or ErrUnavailable.
-	Changes(ctx context.Context, family string, after uint64, wait time.Duration) (Delta, error)
+	Changes(ctx context.Context, family string, after Revision, wait time.Duration) (Delta, error)
 }
--- a/internal/plat/table/table.go
+++ b/internal/plat/table/table.go
@@ -1,10 +1,11 @@
 // Package table is the client of the platform's transactional table service.
 //
-// A row has a key, a value and a revision that grows with each write. A transaction checks the
-// revisions of rows and then writes or deletes rows, all or nothing.
+// A row has a key, a value and the revision of its last write. A transaction checks the revisions of rows and then writes
+// or deletes rows, all or nothing.
 package table
 
 import (
+	"cmp"
 	"context"
 
 	"github.com/cockroachdb/errors"
@@ -25,20 +26,44 @@
 	ErrUnknown = errors.New("write outcome unknown")
 )
 
-// Absent is the revision of a row that does not exist.
-const Absent uint64 = 0
+// Revision identifies a state of the table. Its number grows with each transaction. A table that is restored from an older
+// copy begins a new era, in which numbers of the era before are assigned again.
+type Revision struct {
+	Era    uint64 `json:"era,omitempty"`
+	Number uint64 `json:"number"`
+}
+
+// Absent is the revision of a row that does not exist. It precedes all others.
+var Absent Revision
+
+// Compare returns a negative number if r precedes o, a positive one if it follows, and 0 if they are equal. Any state of a
+// later era follows all states of the earlier ones.
+func (r Revision) Compare(o Revision) int {
+	return cmp.Or(cmp.Compare(r.Era, o.Era), cmp.Compare(r.Number, o.Number))
+}
+
+// Before reports whether r precedes o.
+func (r Revision) Before(o Revision) bool { return r.Compare(o) < 0 }
+
+// Later returns the later of two revisions.
+func (r Revision) Later(o Revision) Revision {
+	if r.Before(o) {
+		return o
+	}
+	return r
+}
 
 // Row is one row. The value is never changed in place.
 type Row struct {
-	Key      string `json:"key"`
-	Value    []byte `json:"value"`
-	Revision uint64 `json:"revision"`
+	Key      string   `json:"key"`
+	Value    []byte   `json:"value"`
+	Revision Revision `json:"revision"`
 }
 
 // Condition demands that the row has the revision; Absent demands that it does not exist.
 type Condition struct {
-	Key      string `json:"key"`
-	Revision uint64 `json:"revision"`
+	Key      string   `json:"key"`
+	Revision Revision `json:"revision"`
 }
 
 // Put writes a value.
@@ -64,7 +89,7 @@
 	Scan(ctx context.Context, prefix, after string, limit int) ([]Row, error)
 	// Commit runs a transaction and returns the revision of its writes, or ErrConflict,
 	// ErrUnavailable, ErrRejected or ErrUnknown.
-	Commit(ctx context.Context, txn Txn) (uint64, error)
+	Commit(ctx context.Context, txn Txn) (Revision, error)
 }
 
 // Insert returns a transaction that writes a row only if it does not exist.
--- a/internal/report/metric/table.go
+++ b/internal/report/metric/table.go
@@ -36,7 +36,7 @@
 }
 
 // Commit implements table.Table.
-func (t *Table) Commit(ctx context.Context, txn table.Txn) (uint64, error) {
+func (t *Table) Commit(ctx context.Context, txn table.Txn) (table.Revision, error) {
 	start := time.Now()
 	rev, err := t.next.Commit(ctx, txn)
 	t.set.TableCalled("commit", tableResult(err), time.Since(start))
@@ -86,7 +86,7 @@
 }
 
 // Changes implements table.Feed. The time of the call contains the wait for a change.
-func (t *Store) Changes(ctx context.Context, family string, after uint64, wait time.Duration) (table.Delta, error) {
+func (t *Store) Changes(ctx context.Context, family string, after table.Revision, wait time.Duration) (table.Delta, error) {
 	start := time.Now()
 	d, err := t.next.Changes(ctx, family, after, wait)
 	t.set.TableCalled("changes", tableResult(err), time.Since(start))
--- a/internal/route/claim/claim.go
+++ b/internal/route/claim/claim.go
@@ -72,14 +72,14 @@
 
 	claimedAt time.Time
 	// baseRevision is the revision of the row that the claim write requires.
-	baseRevision uint64
+	baseRevision table.Revision
 	// uncertain is set while a claim write on baseRevision may still take effect.
 	uncertain bool
 	// contended is set if, according to the latest result, another attempt may hold the row.
 	contended bool
 	// final is the record to write over this attempt's claim, which has the revision ownRevision.
 	final           Record
-	ownRevision     uint64
+	ownRevision     table.Revision
 	phaseAfterReply phase
 }
 
@@ -114,7 +114,7 @@
 }
 
 // beginClaim starts to write this attempt's claim over revision base of the row.
-func (d *Decider) beginClaim(now time.Time, base uint64) Action {
+func (d *Decider) beginClaim(now time.Time, base table.Revision) Action {
 	d.baseRevision = base
 	d.uncertain, d.contended = false, false
 	d.claimDeadline = earliest(d.deadline, now.Add(claimTimeout))
@@ -190,7 +190,7 @@
 }
 
 // claimConfirmed sends the call. This attempt's claim is in the table at revision rev.
-func (d *Decider) claimConfirmed(now time.Time, rev uint64) Action {
+func (d *Decider) claimConfirmed(now time.Time, rev table.Revision) Action {
 	d.ownRevision, d.uncertain, d.contended = rev, false, false
 	if !now.Before(d.deadline) {
 		d.final = d.record(Released)
--- a/internal/route/claim/event.go
+++ b/internal/route/claim/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"geraniumhollow/internal/core/fault"
+	"geraniumhollow/internal/plat/table"
 )
 
 // Action is the next step that the caller of the Decider has to perform. Every action except Stop
@@ -12,7 +13,7 @@
 
 // Write writes the claim row if it still has the revision Base. It results in WriteEnded.
 type Write struct {
-	Base    uint64
+	Base    table.Revision
 	Record  Record
 	Timeout time.Duration
 }
@@ -69,7 +70,7 @@
 // WriteEnded is the result of Write. Revision is set if Result is Written.
 type WriteEnded struct {
 	Result   WriteResult
-	Revision uint64
+	Revision table.Revision
 }
 
 // ReadResult is the result of a read.
@@ -88,7 +89,7 @@
 type ReadEnded struct {
 	Result   ReadResult
 	Record   Record
-	Revision uint64
+	Revision table.Revision
 }
 
 // CallResult is the result of a call.
--- a/internal/route/claim/resolve.go
+++ b/internal/route/claim/resolve.go
@@ -86,7 +86,7 @@
 // handleUnclaimed writes a claim if no attempt holds the key: the row is absent, or released at
 // revision rev. An earlier claim write of this attempt on the same revision may still be in flight.
 // Repeating it is safe, because the token is the same and only one of the two writes can take effect.
-func (d *Decider) handleUnclaimed(now time.Time, rev uint64) Action {
+func (d *Decider) handleUnclaimed(now time.Time, rev table.Revision) Action {
 	if d.phase == awaitingOther || rev != d.baseRevision {
 		if !now.Before(d.deadline) {
 			d.uncertain, d.contended = false, false
--- a/internal/route/claim/store_test.go
+++ b/internal/route/claim/store_test.go
@@ -130,11 +130,11 @@
 	remaining int
 }
 
-func (dt *delayedTable) Commit(ctx context.Context, txn table.Txn) (uint64, error) {
+func (dt *delayedTable) Commit(ctx context.Context, txn table.Txn) (table.Revision, error) {
 	if dt.remaining > 0 {
 		dt.remaining--
 		dt.delayed = append(dt.delayed, txn)
-		return 0, table.ErrUnknown
+		return table.Absent, table.ErrUnknown
 	}
 	return dt.Store.Commit(ctx, txn)
 }
--- a/internal/route/crash/counter.go
+++ b/internal/route/crash/counter.go
@@ -34,7 +34,7 @@
 // Write writes the row if it still has the revision Base, or deletes it if the new row is empty. It
 // results in WriteEnded.
 type Write struct {
-	Base uint64
+	Base table.Revision
 	Row  RunCount
 }
 
@@ -64,7 +64,7 @@
 type ReadEnded struct {
 	OK       bool
 	Row      RunCount
-	Revision uint64
+	Revision table.Revision
 }
 
 // WriteEnded is the result of Write. Err is nil, table.ErrConflict, table.ErrUnavailable, or another
--- a/internal/wire/frame/messages.gen.go
+++ b/internal/wire/frame/messages.gen.go
@@ -67,6 +67,9 @@
 	// Revision that the sender has; 0 asks for all rows.
 	After int `json:"after"`
 
+	// Era of the store in which after was assigned.
+	Era int `json:"era,omitempty,omitzero"`
+
 	// Family of rows of the platform's store.
 	Family string `json:"family"`
 
@@ -76,6 +79,9 @@
 
 // FollowReply answers a FollowAsk.
 type FollowReply struct {
+	// Era of the store in which rev and the revisions of the rows were assigned.
+	Era int `json:"era,omitempty,omitzero"`
+
 	// Keys of rows that were deleted.
 	Gone []string `json:"gone,omitempty,omitzero"`
 
@@ -439,6 +445,9 @@
 
 // RowHint says that the sender has rows of a family as of a revision.
 type RowHint struct {
+	// Era of the store in which rev was assigned.
+	Era int `json:"era,omitempty,omitzero"`
+
 	// Family of rows of the platform's store.
 	Family string `json:"family"`
 
