--- a/internal/node/keeper/keeper.go
+++ b/internal/node/keeper/keeper.go
@@ -209,7 +209,7 @@
 		Service: service, Engine: engine, StallTime: k.cfg.StallTime, HeartbeatInterval: k.cfg.HeartbeatInterval,
 	}, plan)
 	k.fence, k.stored, k.revision = fence, stored, rev
-	k.cfg.Log.Info("took the duty to keep groups", "fence", fence, "epoch", plan.Epoch,
+	k.cfg.Log.Info("took the duty to keep groups", "fence", fence, "epoch", plan.Epoch, "revision", rev,
 		"groups", len(plan.Current), "retired", len(plan.Retired))
 	return true
 }
