Follow a restored store by its era

What callers saw: after the store was back from a copy that is 9 s old, a route that was added (CONFIG, DENIED: 404) and a server that leaves (DRAIN) were unknown to all nodes for up to 7 s.

Cause: copies of rows took revisions for rising. A restored store assigns them again, so each read of all rows was discarded as older than the copy, and reads of changes began after a revision that belongs to lost writes. The client of the store now puts the era of each answer into the revisions, an answer of an earlier era than the latest counts as none, and the history of another era counts as lost, so that all rows are read again. Hints and reads between nodes compare the era first.

--- a/internal/fleet/mirror/mirror_test.go
+++ b/internal/fleet/mirror/mirror_test.go
@@ -52,6 +52,19 @@
 	s.appendLog(table.Row{Key: key, Revision: s.revision})
 }
 
+// restore puts back older rows, in a new era that continues at their revision.
+func (s *fakeFeed) restore(rows map[string]table.Row, number uint64) {
+	s.update(func() {
+		s.revision = table.Revision{Era: s.revision.Era + 1, Number: number}
+		s.historyFloor, s.log = s.revision, nil
+		s.rows = make(map[string]table.Row)
+		for k, r := range rows {
+			r.Revision.Era = s.revision.Era
+			s.rows[k] = r
+		}
+	})
+}
+
 func (s *fakeFeed) appendLog(r table.Row) {
 	s.log = append(s.log, r)
 	close(s.changed)
@@ -124,7 +137,7 @@
 	end := time.After(wait)
 	for {
 		s.mu.Lock()
-		if after.Before(s.historyFloor) {
+		if after.Era != s.revision.Era || after.Before(s.historyFloor) {
 			s.mu.Unlock()
 			return table.Delta{}, table.ErrHistoryLost
 		}
--- /dev/null
+++ b/internal/fleet/mirror/restore_test.go
@@ -0,0 +1,83 @@
+package mirror_test
+
+import (
+	"context"
+	"maps"
+	"testing"
+	"time"
+
+	"geraniumhollow/internal/fleet/mirror"
+	"geraniumhollow/internal/plat/table"
+)
+
+// restoredFeed returns a feed with two changes, and a function that restores it to the first of them.
+func restoredFeed() (*fakeFeed, func()) {
+	s := newFakeFeed()
+	s.put("op/config", "1")
+	rows, number := maps.Clone(s.rows), s.revision.Number
+	s.put("op/config", "2")
+	return s, func() { s.restore(rows, number) }
+}
+
+// Guards against a copy that stays behind a restored store until the store's revision has passed its own.
+func TestRestoredStoreIsFollowed(t *testing.T) {
+	t.Parallel()
+	runSynctest(t, func(t *testing.T, ctx context.Context) {
+		s, restore := restoredFeed()
+		c, r := startCopy(ctx, t, mirror.Config{Store: s, StoreWait: time.Second})
+		time.Sleep(100 * time.Millisecond)
+		restore()
+		time.Sleep(2 * time.Second)
+		if got := r.get("op/config"); got != "1" {
+			t.Errorf("got %q, want the restored value, 1", got)
+		}
+		s.put("op/config", "3") // The revision of the lost change is assigned again.
+		time.Sleep(2 * time.Second)
+		if got := r.get("op/config"); got != "3" || c.Revision() != (table.Revision{Era: 1, Number: 2}) {
+			t.Errorf("got %q at revision %+v, want 3 at number 2 of era 1", got, c.Revision())
+		}
+	})
+}
+
+// Guards against nodes that stay in the era before because they compare what other nodes announce by number alone.
+func TestRestorationReachesFollowers(t *testing.T) {
+	t.Parallel()
+	runSynctest(t, func(t *testing.T, ctx context.Context) {
+		s, restore := restoredFeed()
+		first, _ := startCopy(ctx, t, mirror.Config{Name: "first", Store: s, StoreWait: time.Second})
+		second, r := startCopy(ctx, t, mirror.Config{Name: "second", Store: newFakeFeed(), Source: func() mirror.Source { return mirror.Source{Node: first} }})
+		old := newFakeFeed() // A node that has not learned of the restoration.
+		old.copyFrom(s)
+		time.Sleep(time.Second)
+		restore()
+		s.put("op/config", "3")
+		time.Sleep(2 * time.Second)
+		if got := r.get("op/config"); got != "3" {
+			t.Errorf("got %q through another node, want 3", got)
+		}
+		second.Hint(table.Revision{Number: 2}, old)
+		time.Sleep(time.Second)
+		if got := r.get("op/config"); got != "3" || second.Revision().Era != 1 {
+			t.Errorf("got %q in era %d after a hint from the era before, want 3 in era 1", got, second.Revision().Era)
+		}
+	})
+}
+
+// Guards against a node that learns of a restoration only from the hint of another node.
+func TestHintOfLaterEra(t *testing.T) {
+	t.Parallel()
+	runSynctest(t, func(t *testing.T, ctx context.Context) {
+		s, restore := restoredFeed()
+		before := newFakeFeed()
+		before.copyFrom(s)
+		c, r := startCopy(ctx, t, mirror.Config{Store: before, StoreWait: time.Second})
+		time.Sleep(100 * time.Millisecond)
+		before.update(func() { before.hanging = true })
+		restore()
+		c.Hint(s.revision, s)
+		time.Sleep(300 * time.Millisecond)
+		if got := r.get("op/config"); got != "1" {
+			t.Errorf("got %q, want 1 as in the later era", got)
+		}
+	})
+}
