Test: keep the second copy of the restoration test from reading its own store

It had no delay before it reads the store, so when it started before the first copy was loaded it followed its own empty store for 4 s.

--- a/internal/fleet/mirror/restore_test.go
+++ b/internal/fleet/mirror/restore_test.go
@@ -45,7 +45,10 @@
 	runSynctest(t, func(t *testing.T, ctx context.Context) {
 		s, restore := restoredFeed()
 		first, _ := startCopy(ctx, t, mirror.Config{Name: "first", Store: s, StoreWait: time.Second})
-		second, r := startCopy(ctx, t, mirror.Config{Name: "second", Store: newFakeFeed(), Source: func() mirror.Source { return mirror.Source{Node: first} }})
+		second, r := startCopy(ctx, t, mirror.Config{
+			Name: "second", Store: newFakeFeed(), StoreReadDelay: func(bool) time.Duration { return time.Hour },
+			Source: func() mirror.Source { return mirror.Source{Node: first} },
+		})
 		old := newFakeFeed() // A node that has not learned of the restoration.
 		old.copyFrom(s)
 		time.Sleep(time.Second)
