Keep what is known of servers when the registry goes back

Callers would see requests sent to a server that had said it leaves, or to the address of one that had left (by then perhaps that of another service), no answers from servers that had registered in the lost span, and groups as they were some seconds before.

Cause: the index took every entry of a read of all rows as the latest that its server had said.

Entries are now compared by the start of their process and by their heartbeat number when an era begins. An older one is set aside until its server writes again; so is one of a server that is not known, which may have been removed in the lost span. A server that is missing keeps its entry for ReregistrationGrace, as after an outage. An entry that is set aside is used once it has been there for three heartbeats and the grace, because the registry would have removed it if its server were gone; the feed shows no renewal that changes nothing else. Nothing is remembered of removed servers.

Entry.Unconfirmed tells readers of the index which entries nobody has confirmed.

--- a/internal/fleet/index/index.go
+++ b/internal/fleet/index/index.go
@@ -18,6 +18,9 @@
 // that has not registered again by then counts as terminated.
 const ReregistrationGrace = 2 * time.Second
 
+// missedHeartbeats is how many heartbeats of a server fail to arrive before the registry removes its entry.
+const missedHeartbeats = 3
+
 // Entry is a backend server's registration as known to this node.
 type Entry struct {
 	server.Info
@@ -25,8 +28,14 @@
 	Seen time.Time
 	// ColdUntil is when the server's cold start ends, by the local clock.
 	ColdUntil time.Time
-	// Expired is set on an entry that left the registry during an outage and may be registered again.
+	// Expired is set on an entry that left the registry during an outage, or when the registry was restored from an older
+	// copy, and may be registered again.
 	Expired bool
+	// Unconfirmed is set on an entry that was read from a restored registry and that its server has neither written there
+	// nor was known to have written before: the server may have left, or be in another state. A node that starts cannot tell
+	// when the registry was restored. If it ever was, the entries of the node's first read are unconfirmed until they
+	// change, or have been there for so long that the registry would have removed them if their servers were gone.
+	Unconfirmed bool
 }
 
 // Group is a serving group as reported by its members.
@@ -79,11 +88,20 @@
 	// keepExpiredUntil, are kept as expired.
 	registryDown     bool
 	keepExpiredUntil time.Time
+	// era is the era of the registry, and loaded is set once it has been read.
+	era    uint64
+	loaded bool
+	// restored holds entries of a restored registry that are older than what is known of their servers, or of servers that
+	// are not known and may have left. They are not used until the servers write them again, or settledAt.
+	restored  map[string]server.Info
+	settledAt time.Time
+	// heartbeatInterval is the time between two heartbeats of a server.
+	heartbeatInterval time.Duration
 }
 
 // New returns an empty index.
 func New() *Index {
-	x := &Index{entries: make(map[string]*Entry)}
+	x := &Index{entries: make(map[string]*Entry), restored: make(map[string]server.Info)}
 	x.publishView()
 	return x
 }
@@ -91,10 +109,19 @@
 // View returns the current view.
 func (x *Index) View() *View { return x.view.Load() }
 
+// SetHeartbeatInterval sets the time between two heartbeats of a server.
+func (x *Index) SetHeartbeatInterval(d time.Duration) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.heartbeatInterval = d
+}
+
 // Change is a change of the registry.
 type Change struct {
 	// Full reports that Put holds the whole registry.
-	Full    bool
+	Full bool
+	// Era rises each time that the registry is restored from an older copy. It is set if Full is.
+	Era     uint64
 	Put     []server.Info
 	Removed []string
 }
@@ -104,25 +131,41 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if c.Full {
-		present := sets.New[string]()
+		x.applyAll(now, c)
+	} else {
 		for _, i := range c.Put {
-			present.Add(i.ID)
+			x.putEntry(now, i)
 		}
-		for id := range x.entries {
-			if !present.Has(id) {
-				x.removeEntry(now, id)
-			}
-		}
-	}
-	for _, i := range c.Put {
-		x.entries[i.ID] = &Entry{Info: i, Seen: now, ColdUntil: now.Add(i.ColdRemaining)}
 	}
 	for _, id := range c.Removed {
+		delete(x.restored, id)
 		x.removeEntry(now, id)
 	}
 	x.publishView()
 }
 
+// applyAll applies a read of the whole registry.
+func (x *Index) applyAll(now time.Time, c Change) {
+	read := x.beginRead(now, c.Era)
+	present := sets.New[string]()
+	for _, i := range c.Put {
+		present.Add(i.ID)
+		x.readEntry(now, i, read)
+	}
+	maps.DeleteFunc(x.restored, func(id string, _ server.Info) bool { return !present.Has(id) })
+	for id := range x.entries {
+		if !present.Has(id) {
+			x.removeEntry(now, id)
+		}
+	}
+}
+
+// putEntry records an entry as its server has written it.
+func (x *Index) putEntry(now time.Time, i server.Info) {
+	delete(x.restored, i.ID)
+	x.entries[i.ID] = &Entry{Info: i, Seen: now, ColdUntil: now.Add(i.ColdRemaining)}
+}
+
 // removeEntry removes an entry. During an outage of the registry and the grace period after it, the entry is
 // only marked expired: its server may have been unable to renew it.
 func (x *Index) removeEntry(now time.Time, id string) {
@@ -145,12 +188,15 @@
 	defer x.mu.Unlock()
 	if reached && x.registryDown {
 		x.keepExpiredUntil = now.Add(ReregistrationGrace)
+		if !x.settledAt.IsZero() {
+			x.settledAt = now.Add(x.settleTime())
+		}
 	}
 	x.registryDown = !reached
 }
 
-// Sweep removes the entries that expired during an outage, once the grace period has passed. It returns the
-// number of entries removed.
+// Sweep removes the entries that expired during an outage, once the grace period has passed, and uses the entries of a
+// restored registry that are still there once they count as renewed. It returns the number of entries removed.
 func (x *Index) Sweep(now time.Time) int {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -159,7 +205,13 @@
 	}
 	n := len(x.entries)
 	maps.DeleteFunc(x.entries, func(_ string, e *Entry) bool { return e.Expired })
-	if n -= len(x.entries); n > 0 {
+	n -= len(x.entries)
+	settled := !x.settledAt.IsZero() && !now.Before(x.settledAt)
+	if settled {
+		x.settledAt = time.Time{}
+		x.settle(now)
+	}
+	if n > 0 || settled {
 		x.publishView()
 	}
 	return n
--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -65,7 +65,9 @@
 // Update is a change of the copy's rows.
 type Update struct {
 	// Full reports that Put holds all rows; any other row has been removed.
-	Full    bool
+	Full bool
+	// Era is the era of the rows, if Full is set. It is higher than in the update before if the store was restored.
+	Era     uint64
 	Put     []table.Row
 	Removed []string
 }
@@ -275,7 +277,7 @@
 	}
 	c.loaded, c.revision = true, s.Revision
 	c.history, c.historyFloor = c.history[:0], s.Revision
-	c.cfg.Apply(Update{Full: true, Put: s.Rows})
+	c.cfg.Apply(Update{Full: true, Era: s.Revision.Era, Put: s.Rows})
 	c.cfg.OnRevision(c.revision)
 	c.notifyFollowers()
 	return s.Via, nil
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -79,6 +79,7 @@
 	n.store = cfg.Metrics.Store(n.switchable)
 	address := net.JoinHostPort(set.IP, strconv.Itoa(set.PeerPort))
 	n.address = address
+	n.index.SetHeartbeatInterval(set.HeartbeatInterval)
 	n.updateMembers(nil)
 	incarnation := strconv.FormatInt(time.Now().UnixNano(), 36)
 	n.servers = n.copy(cfg.Decoder.Families().Servers, n.applyServers, n.storeReachable)
