Keep evacuations and the latest configuration when the store goes back

Callers would see requests run in a data centre that the operator had taken out of service, and, at a process that starts in the new era, routes that a confirmed change had removed, or 404 for routes that one had added.

Cause: a copy of the operator's rows took over the restored rows as they were. The node that had the newer configuration keeps it in force, but its copy, from which other processes read, had the older one; an evacuation that the restored store lacks ended at once on all nodes.

A copy now keeps what is known in place of a restored row if Config.Keep says so: the configuration until the store has one at least as new, an evacuation for ten seconds or until the operator writes it again. A kept row has a revision of number 0, so any write of the operator replaces it, and copies that take it over from others end it as well.

Evidence: traced in the code; TestRowsKeptAcrossRestoration fails when replaceRows ignores the change of era.

--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -56,6 +57,9 @@
 	backoffMax = 8 * time.Second
 )
 
+// KeepTime is how long rows that a restored store lacks are kept, unless they are written again.
+const KeepTime = 10 * time.Second
+
 // maxPeerFailures is how many reads from other nodes may fail in a row before the copy stops trying them.
 const maxPeerFailures = 3
 
@@ -89,6 +93,10 @@
 	StoreReadDelay func(upstream bool) time.Duration
 	// Apply is called with each change, one at a time and in order.
 	Apply func(u Update)
+	// Keep reports whether a row is kept when the store was restored from an older copy, in which the row is restored, or
+	// missing if that is nil. A row that is missing is kept for KeepTime. The number of the revision of a kept row is 0. If
+	// Keep is nil, no row is kept.
+	Keep func(known table.Row, restored *table.Row) bool
 	// OnUpToDate is called with false when the copy is no longer kept up to date, and with true when it is
 	// again. It may be nil.
 	OnUpToDate func(reached bool)
@@ -123,6 +131,9 @@
 	rows     map[string]table.Row
 	revision table.Revision
 	loaded   bool
+	// kept holds the keys of the rows that a restored store lacks, with the time until which they are kept, and of those
+	// that are older in it, with the zero time.
+	kept map[string]time.Time
 	// history holds the latest changes in order. historyFloor is the revision before the oldest of them.
 	history      []change
 	historyFloor table.Revision
@@ -169,6 +180,9 @@
 	if cfg.Peer == nil {
 		cfg.Peer = func() table.Feed { return nil }
 	}
+	if cfg.Keep == nil {
+		cfg.Keep = func(table.Row, *table.Row) bool { return false }
+	}
 	if cfg.OnRevision == nil {
 		cfg.OnRevision = func(table.Revision) {}
 	}
@@ -178,7 +192,7 @@
 	if cfg.StoreReadDelay == nil {
 		cfg.StoreReadDelay = func(bool) time.Duration { return 0 }
 	}
-	return &Copy{createdAt: time.Now(), cfg: cfg, rows: make(map[string]table.Row), changed: make(chan struct{}), reached: true, hintSignal: make(chan struct{}, 1)}
+	return &Copy{createdAt: time.Now(), cfg: cfg, rows: make(map[string]table.Row), kept: make(map[string]time.Time), changed: make(chan struct{}), reached: true, hintSignal: make(chan struct{}, 1)}
 }
 
 // Run keeps the copy up to date until ctx ends.
@@ -252,6 +266,7 @@
 		return nil, errors.Newf("read changes of %s: %w", c.cfg.Family, err)
 	}
 	c.applyDelta(d, after)
+	c.dropKept()
 	return d.Via, nil
 }
 
@@ -271,13 +286,10 @@
 	if c.loaded && s.Revision.Before(c.revision) {
 		return nil, errors.Newf("rows of %s are from revision %+v, older than %+v: %w", c.cfg.Family, s.Revision, c.revision, table.ErrUnavailable)
 	}
-	clear(c.rows)
-	for _, r := range s.Rows {
-		c.rows[r.Key] = r
-	}
+	c.replaceRows(s)
 	c.loaded, c.revision = true, s.Revision
 	c.history, c.historyFloor = c.history[:0], s.Revision
-	c.cfg.Apply(Update{Full: true, Era: s.Revision.Era, Put: s.Rows})
+	c.cfg.Apply(Update{Full: true, Era: s.Revision.Era, Put: slices.Collect(maps.Values(c.rows))})
 	c.cfg.OnRevision(c.revision)
 	c.notifyFollowers()
 	return s.Via, nil
@@ -294,9 +306,10 @@
 	}
 	u := Update{}
 	for _, r := range d.Changed {
-		if old, ok := c.rows[r.Key]; ok && !old.Revision.Before(r.Revision) {
+		if old, ok := c.rows[r.Key]; ok && (!old.Revision.Before(r.Revision) || c.keeps(old, r)) {
 			continue
 		}
+		delete(c.kept, r.Key)
 		c.rows[r.Key] = r
 		u.Put = append(u.Put, r)
 		c.appendHistory(change{revision: d.Revision, row: r})
@@ -306,6 +319,7 @@
 			continue
 		}
 		delete(c.rows, k)
+		delete(c.kept, k)
 		u.Removed = append(u.Removed, k)
 		c.appendHistory(change{revision: d.Revision, row: table.Row{Key: k}, removed: true})
 	}
--- a/internal/fleet/mirror/restore_test.go
+++ b/internal/fleet/mirror/restore_test.go
@@ -84,3 +84,32 @@
 		}
 	})
 }
+
+// Guards against an older configuration, or the loss of an evacuation, at a node and at those that follow it, until the
+// operator has written to the restored store again.
+func TestRowsKeptAcrossRestoration(t *testing.T) {
+	t.Parallel()
+	runSynctest(t, func(t *testing.T, ctx context.Context) {
+		s, restore := restoredFeed()
+		s.put("op/missing", "1")
+		s.put("op/rewritten", "1")
+		first, r := startCopy(ctx, t, mirror.Config{Store: s, StoreWait: time.Second, Keep: func(known table.Row, restored *table.Row) bool {
+			return restored == nil || string(known.Value) > string(restored.Value)
+		}})
+		time.Sleep(time.Second)
+		restore()
+		time.Sleep(mirror.KeepTime - time.Second)
+		_, follower := startCopy(ctx, t, mirror.Config{Store: newFakeFeed(), Source: fromNode(first)})
+		s.put("op/rewritten", "1")
+		s.put("op/config", "0")
+		time.Sleep(500 * time.Millisecond)
+		if got, want := r.values(), (map[string]string{"op/config": "2", "op/missing": "1", "op/rewritten": "1"}); !maps.Equal(got, want) || !maps.Equal(follower.values(), want) {
+			t.Errorf("got %v, and %v at a follower, want %v", got, follower.values(), want)
+		}
+		s.put("op/config", "3")
+		time.Sleep(2 * mirror.KeepTime)
+		if got, want := r.values(), (map[string]string{"op/config": "3", "op/rewritten": "1"}); !maps.Equal(got, want) || !maps.Equal(follower.values(), want) {
+			t.Errorf("got %v in the end, and %v at a follower, want %v", got, follower.values(), want)
+		}
+	})
+}
--- a/internal/node/edge/config.go
+++ b/internal/node/edge/config.go
@@ -71,6 +71,8 @@
 	// Operator returns the requested state after an update. The argument out holds the data centres that were out
 	// of service before.
 	Operator(u mirror.Update, out sets.Set[string]) OperatorState
+	// Keep reports whether a row stays in force when the store was restored from an older copy, see mirror.Config.
+	Keep(known table.Row, restored *table.Row) bool
 }
 
 // Config holds the dependencies of a node. All fields are required.
--- a/internal/node/edge/rows.go
+++ b/internal/node/edge/rows.go
@@ -42,7 +42,7 @@
 	return mirror.New(mirror.Config{
 		Family: family, Name: n.address, Store: n.store, StoreReadDelay: func(upstream bool) time.Duration { return n.mesh.StoreReadDelay(upstream) },
 		Source: func() mirror.Source { return n.mesh.Source(family) }, Peer: func() table.Feed { return n.mesh.Peer(family) },
-		Apply: apply, OnUpToDate: reached, StoreWait: readWait, MinReadInterval: readPause, Log: n.cfg.Log,
+		Apply: apply, Keep: n.cfg.Decoder.Keep, OnUpToDate: reached, StoreWait: readWait, MinReadInterval: readPause, Log: n.cfg.Log,
 		OnRevision: func(revision table.Revision) { n.mesh.Hint(family, revision) },
 	})
 }
