Carry the era in the contract of the own table

The stand-in of the table service can be restored to its rows of some seconds ago. The contract test shows over HTTP as well that the revision of a restored row names the new era, and that a condition on a revision of an earlier era fails.

--- a/internal/fake/store/store.go
+++ b/internal/fake/store/store.go
@@ -30,12 +30,23 @@
 	objects  map[string][]byte
 	hosts    []hosts.Host
 	counts   Counts
+	undo     []replacedRow
 
 	down        bool
 	delay       time.Duration
 	loseAnswers int
 }
 
+// replacedRow is what a transaction replaced or deleted.
+type replacedRow struct {
+	at  time.Time
+	key string
+	// row is zero if there was none.
+	row table.Row
+	// revision is the revision of the store before the transaction.
+	revision table.Revision
+}
+
 var (
 	_ table.Table  = (*Store)(nil)
 	_ hosts.Lister = (*Store)(nil)
@@ -67,6 +78,44 @@
 	s.loseAnswers = n
 }
 
+// Restore replaces the rows by a copy of them that is age old, and begins a new era.
+func (s *Store) Restore(age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	end := time.Now().Add(-age)
+	for n := len(s.undo) - 1; n >= 0 && s.undo[n].at.After(end); n-- {
+		u := s.undo[n]
+		s.revision.Number = u.revision.Number
+		if u.row.Key == "" {
+			delete(s.rows, u.key)
+		} else {
+			s.rows[u.key] = u.row
+		}
+		s.undo = s.undo[:n]
+	}
+	s.revision.Era++
+}
+
+// maxUndo limits the replaced rows that are kept.
+const maxUndo = 4096
+
+// row returns a row with its revision in this era, or a zero row. The lock must be held.
+func (s *Store) row(key string) (table.Row, bool) {
+	r, ok := s.rows[key]
+	if ok {
+		r.Revision.Era = s.revision.Era
+	}
+	return r, ok
+}
+
+// replace notes what a change of a row replaces. The lock must be held.
+func (s *Store) replace(key string, before table.Revision) {
+	if len(s.undo) == maxUndo {
+		s.undo = s.undo[1:]
+	}
+	s.undo = append(s.undo, replacedRow{at: time.Now(), key: key, row: s.rows[key], revision: before})
+}
+
 // SetHosts replaces the live list.
 func (s *Store) SetHosts(list []hosts.Host) {
 	s.mu.Lock()
@@ -110,7 +159,7 @@
 	}
 	defer s.mu.Unlock()
 	s.counts.Reads++
-	row, ok := s.rows[key]
+	row, ok := s.row(key)
 	if !ok {
 		return table.Row{}, table.ErrNotFound
 	}
@@ -132,7 +181,8 @@
 		if len(out) == limit {
 			break
 		}
-		out = append(out, s.rows[k])
+		r, _ := s.row(k)
+		out = append(out, r)
 	}
 	return out, nil
 }
@@ -145,15 +195,18 @@
 	defer s.mu.Unlock()
 	s.counts.Writes++
 	for _, c := range txn.Conditions {
-		if s.rows[c.Key].Revision != c.Revision {
+		if r, _ := s.row(c.Key); r.Revision != c.Revision {
 			return table.Absent, table.ErrConflict
 		}
 	}
+	before := s.revision
 	s.revision.Number++
 	for _, p := range txn.Puts {
+		s.replace(p.Key, before)
 		s.rows[p.Key] = table.Row{Key: p.Key, Value: slices.Clone(p.Value), Revision: s.revision}
 	}
 	for _, k := range txn.Deletes {
+		s.replace(k, before)
 		delete(s.rows, k)
 	}
 	if s.loseAnswers > 0 {
--- a/internal/plat/table/table.go
+++ b/internal/plat/table/table.go
@@ -60,7 +60,8 @@
 	Revision Revision `json:"revision"`
 }
 
-// Condition demands that the row has the revision; Absent demands that it does not exist.
+// Condition demands that the row has the revision; Absent demands that it does not exist. A revision of an earlier era is
+// that of no row.
 type Condition struct {
 	Key      string   `json:"key"`
 	Revision Revision `json:"revision"`
--- a/internal/plat/table/table_test.go
+++ b/internal/plat/table/table_test.go
@@ -107,6 +107,46 @@
 	}
 }
 
+// Guards against a restored table whose revisions cannot be told from those of its lost writes.
+func TestRestoredTable(t *testing.T) {
+	t.Parallel()
+	for kind, open := range tables(t) {
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			p, tb := open()
+			commit := func(txn table.Txn) table.Revision {
+				t.Helper()
+				rev, err := tb.Commit(t.Context(), txn)
+				if err != nil {
+					t.Fatal(err)
+				}
+				return rev
+			}
+			kept := table.Row{Key: "a", Revision: commit(table.Insert("a", []byte("kept")))}
+			time.Sleep(200 * time.Millisecond)
+			lost := table.Row{Key: "a", Revision: commit(table.Replace(kept, []byte("lost")))}
+			commit(table.Insert("b", []byte("lost")))
+			p.Restore(150 * time.Millisecond)
+			expectValue(t, tb, "a", "kept")
+			expectValue(t, tb, "b", "")
+			row, err := tb.Get(t.Context(), "a")
+			if err != nil || row.Revision.Era != kept.Revision.Era+1 || row.Revision.Number != kept.Revision.Number {
+				t.Errorf("restored row %+v, %v; want revision %+v in the next era", row, err, kept.Revision)
+			}
+			again := commit(table.Replace(row, []byte("new")))
+			if again.Number != lost.Revision.Number || !lost.Revision.Before(again) {
+				t.Errorf("the first write after the restoration has revision %+v, want the number of %+v", again, lost.Revision)
+			}
+			for _, old := range []table.Row{kept, lost} {
+				if _, err := tb.Commit(t.Context(), table.Replace(old, nil)); !errors.Is(err, table.ErrConflict) {
+					t.Errorf("write on the condition of revision %+v: %v, want a conflict", old.Revision, err)
+				}
+			}
+			expectValue(t, tb, "a", "new")
+		})
+	}
+}
+
 // Guards against a slow table being taken for one that refused: a write whose answer came too late
 // may have taken effect.
 func TestSlowTable(t *testing.T) {
