Bring the rows of quarantines up to date in a restored store

What callers would see: after a restoration, the rows of quarantined prompt parts stayed as the copy had them. A part whose row was lost crashed servers again once all nodes had ended; the row of an ended quarantine stayed, or began it anew on all nodes when the keeper changed, and requests with the part were refused until a trial.

Cause: the keeper read the rows once a tenure, and took its own writes for stored ever after. It learned every row as new. Its writes had no condition, so that it could undo the claim of a trial that it did not know of.

The keeper now reads the rows again in each new era, which it learns from its copy of the operator's rows, and writes what the nodes know more: parts without a row, and numbers of trials, which only rise. Rows of parts that have proved to be safe are removed. Writes are conditional; after a conflict the rows are read again.

A claim needs no more than it had: a node claims the trial after the last one that it knows, also of a row with fewer; the claim fails on a row with as many.

--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -44,7 +44,9 @@
 	seats *seat.Picker
 	// crashes tracks requests that may crash backend servers.
 	crashes *pass.CrashTracker
-	front   *front.Server
+	// quarantines keeps the quarantined parts of prompts in the store.
+	quarantines *Quarantines
+	front       *front.Server
 	// keeper forms and dissolves groups of backend servers while this node holds that duty.
 	keeper *keeper.Keeper
 	group  *tasks.Group
@@ -98,8 +100,12 @@
 		View: n.index.View, Service: n.service, ColdAllowance: n.coldAllowance, Nodes: n.mesh.Size, OnStalled: n.mesh.Stalled,
 		Now: time.Now, Seed: uint64(os.Getpid()), Metrics: cfg.Metrics, Log: cfg.Log,
 	})
+	n.quarantines = NewQuarantines(QuarantineConfig{
+		Table: n.store, Crashes: func() *pass.CrashTracker { return n.crashes }, Share: n.shareFindings,
+		Holds: func() bool { return n.keeper.Holds() }, Era: func() uint64 { return n.operator.Revision().Era }, Log: cfg.Log,
+	})
 	n.crashes, err = pass.NewCrashTracker(pass.CrashTrackerDeps{
-		Probe: n.probe, Share: n.shareFindings, ClaimTrial: n.claimTrial, Group: func() *tasks.Group { return n.group }, Log: cfg.Log,
+		Probe: n.probe, Share: n.shareFindings, ClaimTrial: n.quarantines.ClaimTrial, Group: func() *tasks.Group { return n.group }, Log: cfg.Log,
 	})
 	if err != nil {
 		return nil, errors.Newf("create crash tracker: %w", err)
@@ -142,7 +148,7 @@
 	g.Go("wishes", n.operator.Run)
 	g.Go("keeper", n.keeper.Run)
 	g.Go("reload", n.reload)
-	g.Go("quarantines", n.storeQuarantines)
+	g.Go("quarantines", n.quarantines.Run)
 	g.Go("callers", func(ctx context.Context) error { return n.front.Run(ctx, callers) })
 	g.Go("stop", func(ctx context.Context) error { return n.stop(ctx, stopCtx, cancel) })
 	g.Go("balancer", n.serveReadiness)
--- a/internal/node/pass/quarantine.go
+++ b/internal/node/pass/quarantine.go
@@ -28,6 +28,24 @@
 	return c.parts.Quarantines(time.Now())
 }
 
+// LearnStored applies stored quarantines, which may be older than what this node knows, and returns those that it did not
+// know.
+func (c *CrashTracker) LearnStored(list []crash.Quarantine) []crash.Quarantine {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var learned []crash.Quarantine
+	var parts []crash.Part
+	for _, q := range list {
+		if c.parts.LearnStored(now, q) {
+			learned, parts = append(learned, q), append(parts, q.Part)
+		}
+	}
+	c.cancelWaiting(parts)
+	c.logQuarantined(parts, "store")
+	return learned
+}
+
 // Check returns the reason for refusing a request with the given shared parts, or nil. It reports whether the request
 // would be the trial of a quarantined part; Admit claims the trial.
 func (c *CrashTracker) Check(parts []crash.Part) (bool, *fault.Error) {
--- a/internal/route/crash/parts.go
+++ b/internal/route/crash/parts.go
@@ -391,6 +391,17 @@
 	return false
 }
 
+// LearnStored applies a stored quarantine, which may be older than what this node knows. It reports whether anything has
+// changed. A part that has proved to be safe since the node started, and is not quarantined, stays so.
+func (t *PartTracker) LearnStored(now time.Time, o Quarantine) bool {
+	q, known := t.quarantines[o.Part]
+	if known && q.trials >= o.Trials || !known && t.released.Contains(o.Part) {
+		return false
+	}
+	t.LearnQuarantine(now, o)
+	return true
+}
+
 // Quarantines returns the quarantined parts, sorted. It drops those that no request has used for an hour.
 func (t *PartTracker) Quarantines(now time.Time) []Quarantine {
 	t.expire(now)
