--- a/internal/node/edge/quarantine.go
+++ b/internal/node/edge/quarantine.go
@@ -22,6 +22,9 @@
 const (
 	// quarantineInterval is the time between comparisons of the rows with the quarantines of this node.
 	quarantineInterval = time.Second
+	// quarantineDutyInterval is the time between checks whether this node holds the duty. At the beginning of a tenure, all
+	// nodes may have lost the quarantines.
+	quarantineDutyInterval = 100 * time.Millisecond
 	// claimTimeout limits each call to the store for the claim of a trial, for which a request waits.
 	claimTimeout = 300 * time.Millisecond
 	// maxQuarantineRows limits the rows that are read, and maxQuarantineChanges the rows that one transaction changes.
@@ -118,11 +121,17 @@
 // when another node has changed a row, it reads the rows and tells other nodes what they did not know.
 func (k *Quarantines) Run(ctx context.Context) error {
 	var stored *storedQuarantines
-	return tasks.Every(ctx, quarantineInterval, func(ctx context.Context) {
+	var next time.Time
+	return tasks.Every(ctx, quarantineDutyInterval, func(ctx context.Context) {
+		now := time.Now()
 		if !k.cfg.Holds() {
-			stored = nil
+			stored, next = nil, time.Time{}
+			return
+		}
+		if now.Before(next) {
 			return
 		}
+		next = now.Add(quarantineInterval)
 		if stored == nil || stored.era != k.cfg.Era() {
 			stored = k.load(ctx)
 		}
--- a/internal/node/edge/quarantine_test.go
+++ b/internal/node/edge/quarantine_test.go
@@ -204,3 +204,18 @@
 		w.expect(map[crash.Part]int{"llm/bad": 3})
 	})
 }
+
+// Guards against parts that crash servers again after all nodes have ended, while the new keeper does not know the rows yet.
+func TestNewKeeperLearnsQuarantinesAtOnce(t *testing.T) {
+	t.Parallel()
+	runQuarantineFleet(t, func(t *testing.T, w *quarantineFleet) {
+		w.keeper.Store(-1)
+		if _, err := w.store.Commit(t.Context(), table.Insert("quarantine/llm/bad", []byte(`{"trials":1}`))); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(1050 * time.Millisecond)
+		w.keeper.Store(1)
+		time.Sleep(150 * time.Millisecond)
+		w.expect(map[crash.Part]int{"llm/bad": 1})
+	})
+}
