Log why a node closes a caller's connection

The logs could not tell a request that was lost on a connection that the node closed, idle or while it stopped, from one that never arrived: the node wrote nothing. A line now has the reason, the number of requests that the connection carried, and whether data was left unread. Connections that callers close have no line.

--- a/internal/core/sock/sock.go
+++ b/internal/core/sock/sock.go
@@ -72,19 +72,39 @@
 // PeerSilent reports whether the peer has neither closed the connection nor sent data that is still
 // unread. It returns true if nc does not expose its socket, and false if the socket cannot be read.
 func PeerSilent(nc net.Conn) bool {
+	if _, ok := nc.(syscall.Conn); !ok {
+		return true
+	}
+	_, err := peek(nc)
+	return errors.Is(err, syscall.EAGAIN)
+}
+
+// HasUnread reports whether the peer has sent data that is still unread. It returns false if the socket cannot be read.
+func HasUnread(nc net.Conn) bool {
+	n, err := peek(nc)
+	return err == nil && n > 0
+}
+
+// peek reads up to one byte without waiting or removing it. It returns 0 if the peer has closed the connection.
+func peek(nc net.Conn) (int, error) {
 	sc, ok := nc.(syscall.Conn)
 	if !ok {
-		return true
+		return 0, errors.New("connection does not expose its socket")
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return 0, errors.Newf("access socket: %w", err)
 	}
-	silent := false
+	n, peekErr := 0, error(nil)
 	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		silent = errors.Is(err, syscall.EAGAIN)
+		n, _, peekErr = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return silent && err == nil
+	if err == nil {
+		err = peekErr
+	}
+	if err != nil {
+		return 0, errors.Newf("read socket: %w", err)
+	}
+	return n, nil
 }
--- a/internal/node/front/conn.go
+++ b/internal/node/front/conn.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"geraniumhollow/internal/core/sock"
 	"geraniumhollow/internal/core/tasks"
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
@@ -24,6 +25,20 @@
 // writeTimeout bounds a write to a caller that reads nothing.
 const writeTimeout = 10 * time.Second
 
+// closeReason is why the server closes a connection.
+type closeReason string
+
+// Reasons for closing a connection.
+const (
+	closedByCaller     closeReason = "caller closed it"
+	closedIdle         closeReason = "idle"
+	closedDraining     closeReason = "draining"
+	closedWithServer   closeReason = "server ended"
+	closedUnreadable   closeReason = "request cannot be read"
+	closedLastResponse closeReason = "last response"
+	closedIncomplete   closeReason = "incomplete response"
+)
+
 // conn is a connection of a caller.
 type conn struct {
 	nc  net.Conn
@@ -31,38 +46,77 @@
 	srv *Server
 	// busy is set while a request is handled.
 	busy atomic.Bool
+	// requests is the number of requests that were handled, lastActive when the last one ended or the connection was
+	// accepted.
+	requests   int
+	lastActive time.Time
 }
 
-// serve reads requests and handles them one after another. While a request is handled, it waits for more data, so
-// that it detects when the caller disconnects.
+// serve serves the connection until it closes it.
 func (c *conn) serve(ctx context.Context, g *tasks.Group) {
 	defer func() { _ = c.nc.Close() }()
+	c.lastActive = time.Now()
 	c.br = newReader(c.nc, c.srv.limits())
-	for c.awaitRequest() {
+	c.logClosed(c.serveRequests(ctx, g))
+}
+
+// serveRequests reads requests and handles them one after another. It returns why the connection must be closed. While a
+// request is handled, it waits for more data, so that it detects when the caller disconnects.
+func (c *conn) serveRequests(ctx context.Context, g *tasks.Group) closeReason {
+	for {
+		if err := c.awaitRequest(); err != nil {
+			return c.readErrorReason(err)
+		}
 		req, ok := c.readRequest()
 		if !ok {
-			return
+			return closedUnreadable
 		}
-		if !c.handleRequest(ctx, g, req) {
-			return
+		if reason, closes := c.handleRequest(ctx, g, req); closes {
+			return reason
 		}
 	}
 }
 
-// awaitRequest waits for the first byte of a request and reports whether it has arrived.
-func (c *conn) awaitRequest() bool {
+// readErrorReason returns the reason for closing a connection on which waiting for a request failed.
+func (c *conn) readErrorReason(err error) closeReason {
+	switch {
+	case isTimeout(err) && c.srv.draining.Load():
+		return closedDraining
+	case isTimeout(err):
+		return closedIdle
+	case errors.Is(err, net.ErrClosed):
+		return closedWithServer
+	default:
+		return closedByCaller
+	}
+}
+
+// logClosed logs that the server closes the connection. Data that was not read may be a request.
+func (c *conn) logClosed(reason closeReason) {
+	if reason == closedByCaller {
+		return
+	}
+	unread := c.br.Buffered() > 0 || sock.HasUnread(c.nc)
+	c.srv.cfg.Log.Info("closing a caller's connection", "reason", reason, "requests", c.requests,
+		"idle_ms", time.Since(c.lastActive).Milliseconds(), "unread", unread)
+}
+
+// awaitRequest waits for the first byte of a request.
+func (c *conn) awaitRequest() error {
 	if c.br.Buffered() > 0 {
-		return true
+		return nil
 	}
 	if err := c.nc.SetReadDeadline(time.Now().Add(c.srv.limits().IdleTimeout)); err != nil {
-		return false
+		return errors.Newf("set deadline: %w", err)
 	}
 	if c.srv.draining.Load() {
 		// Checked after setting the idle deadline, so that a concurrent Drain is not missed.
 		_ = c.nc.SetReadDeadline(time.Now())
 	}
-	_, err := c.br.Peek(1)
-	return err == nil
+	if _, err := c.br.Peek(1); err != nil {
+		return errors.Newf("wait for a request: %w", err)
+	}
+	return nil
 }
 
 // readRequest reads a complete request. A request that cannot be read is refused and ends the connection.
@@ -161,8 +215,8 @@
 	c.linger()
 }
 
-// handleRequest calls the handler for a request and reports whether the connection can be reused.
-func (c *conn) handleRequest(ctx context.Context, g *tasks.Group, pending *pendingRequest) bool {
+// handleRequest calls the handler for a request, and reports whether the connection must be closed and why.
+func (c *conn) handleRequest(ctx context.Context, g *tasks.Group, pending *pendingRequest) (closeReason, bool) {
 	c.busy.Store(true)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -171,7 +225,7 @@
 	}
 	if err := c.nc.SetReadDeadline(time.Time{}); err != nil {
 		pending.release()
-		return false
+		return c.readErrorReason(err), true
 	}
 	done := make(chan struct{})
 	g.Go("request", func(context.Context) error {
@@ -179,6 +233,8 @@
 		c.srv.cfg.Handler.Handle(ctx, &Request{Header: &pending.req.Header, Body: pending.req.Body(), Arrived: pending.arrived}, w)
 		w.finish()
 		pending.release()
+		c.requests++
+		c.lastActive = time.Now()
 		// After the response, the reader waits for the next request or the idle timeout.
 		c.busy.Store(false)
 		_ = c.nc.SetReadDeadline(c.nextDeadline(w))
@@ -189,10 +245,17 @@
 		cancel(ErrCallerDisconnected)
 	}
 	<-done
-	if w.closeAfter && !w.incomplete {
+	switch {
+	case w.incomplete:
+		return closedIncomplete, true
+	case w.closeAfter:
 		c.linger()
+		return closedLastResponse, true
+	case err != nil:
+		return c.readErrorReason(err), true
+	default:
+		return "", false
 	}
-	return err == nil && !w.closeAfter && !w.incomplete
 }
 
 // nextDeadline returns the read deadline after a response.
--- a/internal/node/front/front_test.go
+++ b/internal/node/front/front_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strings"
@@ -58,6 +61,9 @@
 	srv     *front.Server
 	handler *pathHandler
 	addr    string
+	// log has a JSON object per line. It is complete once the server has ended, which end waits for.
+	log *bytes.Buffer
+	end func()
 }
 
 func newTestServer(t *testing.T, maxConns int) *testServer {
@@ -66,9 +72,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &testServer{handler: &pathHandler{cancelCauses: make(chan error, 1)}, addr: ln.Addr().String()}
+	s := &testServer{handler: &pathHandler{cancelCauses: make(chan error, 1)}, addr: ln.Addr().String(), log: &bytes.Buffer{}}
 	s.srv = front.New(front.Config{
-		Handler: s.handler, MaxConnections: maxConns, Log: hclog.NewNullLogger(),
+		Handler: s.handler, MaxConnections: maxConns, Log: hclog.New(&hclog.LoggerOptions{Output: s.log, JSONFormat: true}),
 		Limits: func() front.Limits {
 			return front.Limits{HeaderBytes: 1 << 10, BodyBytes: 100, HeaderTimeout: 300 * time.Millisecond, IdleTimeout: 600 * time.Millisecond}
 		},
@@ -76,10 +82,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g := tasks.New(ctx)
 	g.Go("front", func(ctx context.Context) error { return s.srv.Run(ctx, ln) })
-	t.Cleanup(func() {
+	s.end = func() {
 		cancel()
 		_ = g.Wait()
-	})
+	}
+	t.Cleanup(s.end)
 	return s
 }
 
@@ -174,6 +181,45 @@
 	}
 }
 
+// Guards against connections that the server closes without saying why in its log.
+func TestCloseReasons(t *testing.T) {
+	t.Parallel()
+	s := newTestServer(t, 0)
+	for _, request := range []string{
+		"", "GET /part HTTP/1.1\r\nHost: h\r\n\r\n", "GET /pieces HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", "GET /\r\n\r\n",
+	} {
+		nc, _ := s.dial(t)
+		send(t, nc, request)
+		_, _ = io.Copy(io.Discard, nc)
+	}
+	left, _ := s.dial(t)
+	_ = left.Close()
+	open, br := s.dial(t)
+	send(t, open, "GET /pieces HTTP/1.1\r\nHost: h\r\n\r\n")
+	if _, err := br.ReadString('\n'); err != nil {
+		t.Fatal(err)
+	}
+	s.end()
+	got := map[string]int{}
+	for line := range bytes.Lines(s.log.Bytes()) {
+		var entry struct {
+			Message  string `json:"@message"`
+			Reason   string `json:"reason"`
+			Requests int    `json:"requests"`
+		}
+		if err := json.Unmarshal(line, &entry); err != nil {
+			t.Fatal(err)
+		}
+		if entry.Message == "closing a caller's connection" {
+			got[entry.Reason] += 1 + entry.Requests
+		}
+	}
+	want := map[string]int{"idle": 1, "incomplete response": 2, "last response": 2, "request cannot be read": 1, "server ended": 2}
+	if !maps.Equal(got, want) {
+		t.Errorf("got %v, want %v in\n%s", got, want, s.log)
+	}
+}
+
 // Guards against an incomplete response that looks complete to its caller.
 func TestIncompleteResponse(t *testing.T) {
 	t.Parallel()
