Do not cut a stream because servers refused to resume it

Callers saw: an answer that stopped in the middle, on routes with two attempts. Cause: a server that leaves takes its group with it; the streams are resumed at another server, which refuses with 503 or 421 because its group has lost a member too, or is closing. The refusal was counted as the last attempt, so the node closed the caller's connection, although nothing ran and other servers were open. Evidence: every such request has `broke off an answer` after `decided on another attempt` with not_run, reason `attempts` and seconds left; the retry budget was never the reason. Change: up to three servers that refuse a resumed stream do not count as attempts. They still draw on the retry budget. A call of which nothing has been answered is refused as before. Attempts that may have run are limited as before. TestResumeAfterRefusals failed before.

--- a/internal/node/pass/attempt.go
+++ b/internal/node/pass/attempt.go
@@ -94,6 +94,9 @@
 	info := s.relay.deps.Codec.DecodeResponse(resp.Header)
 	reservation.HeadersReceived(info)
 	if info.NotStarted {
+		if s.w.Started() {
+			s.refusedResumes++
+		}
 		if err := readRefusal(resp); err != nil {
 			return attemptResult{outcome: NotRun, err: err}
 		}
--- a/internal/node/pass/serve.go
+++ b/internal/node/pass/serve.go
@@ -34,6 +34,8 @@
 	tried sets.Set[string]
 	// attempts is the number of attempts that were sent.
 	attempts int
+	// refusedResumes is the number of attempts to resume the response that servers refused without running the request.
+	refusedResumes int
 	// mayHaveRun is set once a backend server may have run the request.
 	mayHaveRun bool
 	// began is set once the current attempt has received response headers, with which a server begins to answer;
@@ -79,10 +81,14 @@
 	}
 }
 
-// retryInput returns the input of the retry decision.
+// maxRefusedResumes is the number of refusedResumes that do not count against the maximum number of attempts.
+const maxRefusedResumes = 3
+
+// retryInput returns the input of the retry decision. Servers that refuse to resume a response do not count as
+// attempts: unlike a call without a response, this one could not be refused in turn, only cut.
 func (s *callState) retryInput(res attemptResult) retry.Attempt {
 	return retry.Attempt{
-		Number:          s.attempts,
+		Number:          s.attempts - min(s.refusedResumes, maxRefusedResumes),
 		MaxAttempts:     max(1, s.call.Route.MaxAttempts),
 		NotStarted:      res.outcome == NotRun || res.outcome == Refused,
 		NotSent:         res.notSent,
--- /dev/null
+++ b/internal/node/pass/serve_test.go
@@ -0,0 +1,177 @@
+package pass_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"testing"
+	"time"
+
+	"geraniumhollow/internal/core/fault"
+	"geraniumhollow/internal/core/sets"
+	"geraniumhollow/internal/core/tasks"
+	"geraniumhollow/internal/fleet/index"
+	"geraniumhollow/internal/fleet/server"
+	"geraniumhollow/internal/node/front"
+	"geraniumhollow/internal/node/pass"
+	"geraniumhollow/internal/plat/conns"
+	"geraniumhollow/internal/report/metric"
+	"geraniumhollow/internal/route/match"
+	"geraniumhollow/internal/route/retry"
+	"github.com/hashicorp/go-hclog"
+	"github.com/valyala/fasthttp"
+)
+
+// streamEvents is the number of events of a whole stream.
+const streamEvents = 4
+
+// Backend servers, which continue after the event that the request names.
+var (
+	// cutsStream ends its connection after one event.
+	cutsStream = func(w http.ResponseWriter, r *http.Request) {
+		writeEvents(w, r, 1)
+		panic(http.ErrAbortHandler)
+	}
+	refuses = func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	serves = func(w http.ResponseWriter, r *http.Request) { writeEvents(w, r, streamEvents) }
+)
+
+// writeEvents writes up to n events.
+func writeEvents(w http.ResponseWriter, r *http.Request, n int) {
+	last, _ := strconv.Atoi(r.Header.Get("Last"))
+	for id := last + 1; id <= min(last+n, streamEvents); id++ {
+		_, _ = fmt.Fprintf(w, "id: %d\n\n", id)
+	}
+	_ = http.NewResponseController(w).Flush()
+}
+
+// headerCodec implements pass.Codec with the headers of this test.
+type headerCodec struct{}
+
+func (headerCodec) DecodeRequest(*fasthttp.RequestHeader) (pass.RequestInfo, error) {
+	return pass.RequestInfo{ID: "r"}, nil
+}
+
+func (headerCodec) EncodeRequest(h *fasthttp.RequestHeader, o pass.AttemptInfo) {
+	h.Set("Last", o.LastEventID)
+}
+
+func (headerCodec) DecodeResponse(h *fasthttp.ResponseHeader) pass.ResponseInfo {
+	return pass.ResponseInfo{NotStarted: len(h.Peek("Not-Run")) > 0}
+}
+
+// inOrder picks the servers of a test one after another. It implements pass.Picker.
+type inOrder []*slot
+
+func (p inOrder) Pick(_ context.Context, _ *pass.Call, tried sets.Set[string], _ context.CancelCauseFunc) (pass.Reservation, *fault.Error) {
+	for _, s := range p {
+		if !tried.Has(s.entry.ID) {
+			return s, nil
+		}
+	}
+	return nil, fault.New(fault.NoBackend, fault.NotRun, "no server is left")
+}
+
+// slot implements pass.Reservation.
+type slot struct {
+	entry *index.Entry
+	pool  *conns.Pool
+}
+
+func (s *slot) Entry() *index.Entry               { return s.entry }
+func (s *slot) Conns() *conns.Pool                { return s.pool }
+func (s *slot) Progress()                         {}
+func (s *slot) HeadersReceived(pass.ResponseInfo) {}
+func (s *slot) Release(pass.Outcome)              {}
+func (s *slot) Selection() pass.Selection         { return pass.Selection{} }
+
+// newRelay starts a node whose requests go to the given servers in order and returns its address.
+func newRelay(t *testing.T, route match.Route, budget *retry.Budget, servers ...http.HandlerFunc) string {
+	t.Helper()
+	picker := make(inOrder, 0, len(servers))
+	for i, h := range servers {
+		s := httptest.NewServer(h)
+		t.Cleanup(s.Close)
+		picker = append(picker, &slot{
+			entry: &index.Entry{Info: server.Info{ID: fmt.Sprint("s", i)}}, pool: conns.New(s.Listener.Addr().String(), conns.Options{}),
+		})
+	}
+	route.Host, route.Prefix, route.Targets = "h", "/", []match.Target{{Service: "svc", Weight: 1}}
+	table := match.New(match.Document{Version: 1, Routes: []match.Route{route}, Services: []match.Service{{Name: "svc"}}})
+	f, _ := newFleet(t, 1)
+	srv := front.New(front.Config{
+		Handler: pass.New(pass.Deps{
+			Codec: headerCodec{}, Table: func() *match.Table { return table }, Picker: picker, Crashes: f.nodes[0],
+			Budget: func(string) *retry.Budget { return budget }, Metrics: metric.New(), Log: hclog.NewNullLogger(),
+		}),
+		Limits: func() front.Limits { return front.Limits{} }, Log: hclog.NewNullLogger(),
+	})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	g := tasks.New(ctx)
+	g.Go("front", func(ctx context.Context) error { return srv.Run(ctx, ln) })
+	t.Cleanup(func() {
+		cancel()
+		_ = g.Wait()
+	})
+	return ln.Addr().String()
+}
+
+// get sends a request to a node and returns the status and the body, with an error if it is incomplete.
+func get(t *testing.T, node string) (int, string, error) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+node+"/x", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h"
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(body), err
+}
+
+// Guards against ending a stream that its caller is receiving because servers refused to continue it, and against
+// attempts without end.
+func TestResumeAfterRefusals(t *testing.T) {
+	t.Parallel()
+	const whole = "id: 1\n\nid: 2\n\nid: 3\n\nid: 4\n\n"
+	tests := map[string]struct {
+		servers []http.HandlerFunc
+		retries float64
+		body    string
+		whole   bool
+	}{
+		"resumed":                     {[]http.HandlerFunc{cutsStream, serves}, 5, whole, true},
+		"refused":                     {[]http.HandlerFunc{cutsStream, refuses, serves}, 5, whole, true},
+		"refused twice":               {[]http.HandlerFunc{cutsStream, refuses, refuses, serves}, 5, whole, true},
+		"run by as many as it may be": {[]http.HandlerFunc{cutsStream, refuses, cutsStream, serves}, 5, "id: 1\n\nid: 2\n\n", false},
+		"refused too often":           {[]http.HandlerFunc{cutsStream, refuses, refuses, refuses, refuses, serves}, 9, "id: 1\n\n", false},
+		"no server left":              {[]http.HandlerFunc{cutsStream, refuses}, 5, "id: 1\n\n", false},
+		"budget exhausted":            {[]http.HandlerFunc{cutsStream, refuses, serves}, 1, "id: 1\n\n", false},
+		"refused before it began":     {[]http.HandlerFunc{refuses, refuses, serves}, 5, "no backend server took the request", true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			route := match.Route{Name: "r", Kind: match.Stream, Resumable: true, MaxAttempts: 2, Timeout: 5 * time.Second}
+			status, body, err := get(t, newRelay(t, route, retry.NewBudgetWith(0, tt.retries), tt.servers...))
+			if body != tt.body || (err == nil) != tt.whole {
+				t.Errorf("got %d %q, error %v, want %q, whole %v", status, body, err, tt.body, tt.whole)
+			}
+		})
+	}
+}
