Answer a caller that has received nothing when its server breaks off

Callers saw: a connection closed without a byte of an answer. Cause: a response counted as begun once the headers of a server's response had arrived, but they are sent together with the first bytes of its body. If the server broke off between the two and no other attempt followed, the node closed the connection. Calls on routes that may be repeated but not resumed were not retried either. Evidence: found by reading. Change: a response has begun once bytes of it may have been sent. Before that, a further attempt sends its own headers, or the caller gets a refusal. Whether there is a further attempt is decided by the same rules as for an attempt without headers. TestNothingReceived failed before.

--- a/internal/node/front/writer.go
+++ b/internal/node/front/writer.go
@@ -21,20 +21,21 @@
 	// incomplete is set if the response is incomplete. The connection is then closed without a normal end of the
 	// response.
 	incomplete bool
-	begun      bool
-	ended      bool
-	chunked    bool
-	remaining  int
-	buf        []byte
+	// sent is set once part of the response may have been sent.
+	sent      bool
+	ended     bool
+	chunked   bool
+	remaining int
+	buf       []byte
 }
 
 // Started reports whether part of the response may have been sent.
-func (w *Writer) Started() bool { return w.begun }
+func (w *Writer) Started() bool { return w.sent }
 
 // Start starts a response with the status and headers of h. The content length of h is the length of the body in
-// bytes, or negative if it is unknown. The header is sent together with the first bytes of the body.
+// bytes, or negative if it is unknown. The header is sent together with the first bytes of the body. Until then, another
+// response can be started in its place.
 func (w *Writer) Start(h *fasthttp.ResponseHeader) {
-	w.begun = true
 	w.closeAfter = w.closeAfter || w.conn.srv.closeAfterResponse.Load()
 	h.SetNoDefaultContentType(true)
 	h.Del(fasthttp.HeaderKeepAlive)
@@ -112,6 +113,7 @@
 		w.incomplete = true
 		return errors.Newf("set deadline: %w", err)
 	}
+	w.sent = true
 	_, err := w.conn.nc.Write(w.buf)
 	w.buf = w.buf[:0]
 	if err != nil {
--- a/internal/node/pass/attempt.go
+++ b/internal/node/pass/attempt.go
@@ -184,7 +184,7 @@
 	case errors.Is(err, errCallerWrite):
 		s.w.Abort()
 		return attemptResult{done: true, aborted: true, outcome: Cancelled, err: err}
-	case !stream || !s.call.Route.Resumable:
+	case s.w.Started() && (!stream || !s.call.Route.Resumable):
 		s.w.Abort()
 		return attemptResult{done: true, aborted: true, outcome: s.abortOutcome(ctx), err: err}
 	default:
--- a/internal/node/pass/serve_test.go
+++ b/internal/node/pass/serve_test.go
@@ -40,6 +40,16 @@
 		w.Header().Set("Not-Run", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
+	// endsEarly ends its connection after the headers of a response.
+	endsEarly = func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "5")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	fails = func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusInternalServerError)
+		_, _ = io.WriteString(w, "failed")
+	}
 	serves = func(w http.ResponseWriter, r *http.Request) { writeEvents(w, r, streamEvents) }
 )
 
@@ -175,3 +185,33 @@
 		})
 	}
 }
+
+// Guards against closing the connection of a caller that has received nothing and can be answered.
+func TestNothingReceived(t *testing.T) {
+	t.Parallel()
+	const whole = "id: 1\n\nid: 2\n\nid: 3\n\nid: 4\n\n"
+	tests := map[string]struct {
+		kind      match.Kind
+		resumable bool
+		servers   []http.HandlerFunc
+		status    int
+		body      string
+	}{
+		"resumable stream, served":  {match.Stream, true, []http.HandlerFunc{endsEarly, serves}, http.StatusOK, whole},
+		"resumable stream, refused": {match.Stream, true, []http.HandlerFunc{endsEarly, refuses}, http.StatusBadGateway, "the backend server failed"},
+		"resumable stream, failed":  {match.Stream, true, []http.HandlerFunc{endsEarly, fails}, http.StatusInternalServerError, "failed"},
+		"stream":                    {match.Stream, false, []http.HandlerFunc{endsEarly, serves}, http.StatusBadGateway, "the backend server failed"},
+		"idempotent":                {match.Idempotent, false, []http.HandlerFunc{endsEarly, serves}, http.StatusOK, whole},
+		"once":                      {match.Once, false, []http.HandlerFunc{endsEarly, serves}, http.StatusBadGateway, "the backend server failed"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			route := match.Route{Name: "r", Kind: tt.kind, Resumable: tt.resumable, MaxAttempts: 2, Timeout: 5 * time.Second}
+			status, body, err := get(t, newRelay(t, route, retry.NewBudgetWith(0, 9), tt.servers...))
+			if status != tt.status || body != tt.body || err != nil {
+				t.Errorf("got %d %q, error %v, want %d %q", status, body, err, tt.status, tt.body)
+			}
+		})
+	}
+}
