Do not continue a stream with a response that is not one

Callers would see: a stream that seems complete and ends with the body of another response. Cause: if the server at which a stream is resumed answered with a status below 500 other than 200, such as 404, its body was appended to the stream, and the stream was ended as if complete. Change: such a response counts as a failed attempt. TestResumeAfterRefusals, case "no stream", failed before.

--- a/internal/node/pass/attempt.go
+++ b/internal/node/pass/attempt.go
@@ -148,8 +148,12 @@
 	}
 }
 
-// shouldHold reports whether a response is a failure after which another attempt may succeed.
+// shouldHold reports whether a response must not be forwarded yet: it is a failure after which another attempt may
+// succeed, or does not continue the stream of which the caller has received a part.
 func (s *callState) shouldHold(h *fasthttp.ResponseHeader) bool {
+	if s.w.Started() {
+		return h.StatusCode() != fasthttp.StatusOK
+	}
 	return h.StatusCode() >= fasthttp.StatusInternalServerError && s.call.Route.Repeatable()
 }
 
--- a/internal/node/pass/serve_test.go
+++ b/internal/node/pass/serve_test.go
@@ -155,7 +155,7 @@
 }
 
 // Guards against ending a stream that its caller is receiving because servers refused to continue it, and against
-// attempts without end.
+// attempts without end, and against continuing it with a response that is no stream.
 func TestResumeAfterRefusals(t *testing.T) {
 	t.Parallel()
 	const whole = "id: 1\n\nid: 2\n\nid: 3\n\nid: 4\n\n"
@@ -170,6 +170,7 @@
 		"refused twice":               {[]http.HandlerFunc{cutsStream, refuses, refuses, serves}, 5, whole, true},
 		"run by as many as it may be": {[]http.HandlerFunc{cutsStream, refuses, cutsStream, serves}, 5, "id: 1\n\nid: 2\n\n", false},
 		"refused too often":           {[]http.HandlerFunc{cutsStream, refuses, refuses, refuses, refuses, serves}, 9, "id: 1\n\n", false},
+		"no stream":                   {[]http.HandlerFunc{cutsStream, http.NotFound}, 5, "id: 1\n\n", false},
 		"no server left":              {[]http.HandlerFunc{cutsStream, refuses}, 5, "id: 1\n\n", false},
 		"budget exhausted":            {[]http.HandlerFunc{cutsStream, refuses, serves}, 1, "id: 1\n\n", false},
 		"refused before it began":     {[]http.HandlerFunc{refuses, refuses, serves}, 5, "no backend server took the request", true},
