--- a/internal/node/front/conn.go
+++ b/internal/node/front/conn.go
@@ -30,6 +30,7 @@
 
 // Reasons for closing a connection.
 const (
+	// closedByCaller includes connections that the caller asked to close after the response.
 	closedByCaller     closeReason = "caller closed it"
 	closedIdle         closeReason = "idle"
 	closedDraining     closeReason = "draining"
@@ -220,8 +221,9 @@
 	c.busy.Store(true)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	callerCloses := pending.req.Header.ConnectionClose()
 	w := &Writer{
-		conn: c, headRequest: pending.req.Header.IsHead(), closeAfter: pending.req.Header.ConnectionClose(), http10: !pending.req.Header.IsHTTP11(),
+		conn: c, headRequest: pending.req.Header.IsHead(), closeAfter: callerCloses, http10: !pending.req.Header.IsHTTP11(),
 	}
 	if err := c.nc.SetReadDeadline(time.Time{}); err != nil {
 		pending.release()
@@ -248,6 +250,9 @@
 	switch {
 	case w.incomplete:
 		return closedIncomplete, true
+	case callerCloses:
+		c.linger()
+		return closedByCaller, true
 	case w.closeAfter:
 		c.linger()
 		return closedLastResponse, true
--- a/internal/node/front/front_test.go
+++ b/internal/node/front/front_test.go
@@ -194,6 +194,9 @@
 	}
 	left, _ := s.dial(t)
 	_ = left.Close()
+	last, _ := s.dial(t)
+	send(t, last, "GET /pieces HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\n\r\n")
+	_, _ = io.Copy(io.Discard, last)
 	open, br := s.dial(t)
 	send(t, open, "GET /pieces HTTP/1.1\r\nHost: h\r\n\r\n")
 	if _, err := br.ReadString('\n'); err != nil {
