Apply an extended idle timeout to connections that are idle already

Callers would see: a kept connection that is closed although the configuration allows it to be idle for longer, and a request on it that is not read. Cause: a connection kept the deadline of the idle timeout that was in force when it became idle. Evidence: found by reading, as one of the places that end connections beside a change of the configuration. Change: at the deadline, the timeout that is in force now decides. TestIdleTimeoutIsExtended failed before. TestCloseReasons ended the server within a response, so it failed at times; it now waits for the end of the response.

--- a/internal/node/front/conn.go
+++ b/internal/node/front/conn.go
@@ -104,22 +104,28 @@
 
 // awaitRequest waits for the first byte of a request.
 func (c *conn) awaitRequest() error {
-	if c.br.Buffered() > 0 {
-		return nil
-	}
-	if err := c.nc.SetReadDeadline(time.Now().Add(c.srv.limits().IdleTimeout)); err != nil {
-		return errors.Newf("set deadline: %w", err)
-	}
-	if c.srv.draining.Load() {
-		// Checked after setting the idle deadline, so that a concurrent Drain is not missed.
-		_ = c.nc.SetReadDeadline(time.Now())
-	}
-	if _, err := c.br.Peek(1); err != nil {
-		return errors.Newf("wait for a request: %w", err)
+	for c.br.Buffered() == 0 {
+		idleUntil := c.idleUntil()
+		if err := c.nc.SetReadDeadline(idleUntil); err != nil {
+			return errors.Newf("set deadline: %w", err)
+		}
+		if c.srv.draining.Load() {
+			// Checked after setting the idle deadline, so that a concurrent Drain is not missed.
+			_ = c.nc.SetReadDeadline(time.Now())
+		}
+		_, err := c.br.Peek(1)
+		// A new configuration may have extended the idle timeout, on which callers rely.
+		extended := isTimeout(err) && !c.srv.draining.Load() && c.idleUntil().After(idleUntil)
+		if err != nil && !extended {
+			return errors.Newf("wait for a request: %w", err)
+		}
 	}
 	return nil
 }
 
+// idleUntil returns when the connection has been idle for the idle timeout.
+func (c *conn) idleUntil() time.Time { return c.lastActive.Add(c.srv.limits().IdleTimeout) }
+
 // readRequest reads a complete request. A request that cannot be read is refused and ends the connection.
 func (c *conn) readRequest() (*pendingRequest, bool) {
 	l := c.srv.limits()
@@ -256,7 +262,7 @@
 	case w.closeAfter:
 		c.linger()
 		return closedLastResponse, true
-	case err != nil:
+	case err != nil && !isTimeout(err):
 		return c.readErrorReason(err), true
 	default:
 		return "", false
--- a/internal/node/front/front_test.go
+++ b/internal/node/front/front_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -64,6 +65,8 @@
 	// log has a JSON object per line. It is complete once the server has ended, which end waits for.
 	log *bytes.Buffer
 	end func()
+	// idleTimeout is the idle timeout in nanoseconds.
+	idleTimeout atomic.Int64
 }
 
 func newTestServer(t *testing.T, maxConns int) *testServer {
@@ -73,10 +76,11 @@
 		t.Fatal(err)
 	}
 	s := &testServer{handler: &pathHandler{cancelCauses: make(chan error, 1)}, addr: ln.Addr().String(), log: &bytes.Buffer{}}
+	s.idleTimeout.Store(int64(600 * time.Millisecond))
 	s.srv = front.New(front.Config{
 		Handler: s.handler, MaxConnections: maxConns, Log: hclog.New(&hclog.LoggerOptions{Output: s.log, JSONFormat: true}),
 		Limits: func() front.Limits {
-			return front.Limits{HeaderBytes: 1 << 10, BodyBytes: 100, HeaderTimeout: 300 * time.Millisecond, IdleTimeout: 600 * time.Millisecond}
+			return front.Limits{HeaderBytes: 1 << 10, BodyBytes: 100, HeaderTimeout: 300 * time.Millisecond, IdleTimeout: time.Duration(s.idleTimeout.Load())}
 		},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -111,6 +115,20 @@
 	}
 }
 
+// exchange sends a request and reads its response.
+func exchange(t *testing.T, nc net.Conn, br *bufio.Reader) {
+	t.Helper()
+	send(t, nc, "GET /pieces HTTP/1.1\r\nHost: h\r\n\r\n")
+	resp, err := http.ReadResponse(br, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // Guards against accepting requests that are too large, too slow or ambiguous, and against closing their connections
 // without a response.
 func TestLimits(t *testing.T) {
@@ -198,10 +216,7 @@
 	send(t, last, "GET /pieces HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\n\r\n")
 	_, _ = io.Copy(io.Discard, last)
 	open, br := s.dial(t)
-	send(t, open, "GET /pieces HTTP/1.1\r\nHost: h\r\n\r\n")
-	if _, err := br.ReadString('\n'); err != nil {
-		t.Fatal(err)
-	}
+	exchange(t, open, br)
 	s.end()
 	got := map[string]int{}
 	for line := range bytes.Lines(s.log.Bytes()) {
@@ -223,6 +238,23 @@
 	}
 }
 
+// Guards against closing a connection that has been idle for less than the current configuration allows.
+func TestIdleTimeoutIsExtended(t *testing.T) {
+	t.Parallel()
+	s := newTestServer(t, 0)
+	fresh, freshReader := s.dial(t)
+	used, usedReader := s.dial(t)
+	exchange(t, used, usedReader)
+	s.idleTimeout.Store(int64(1500 * time.Millisecond))
+	time.Sleep(time.Second)
+	exchange(t, fresh, freshReader)
+	exchange(t, used, usedReader)
+	begun := time.Now()
+	if _, err := used.Read(make([]byte, 1)); !errors.Is(err, io.EOF) || time.Since(begun) > 2*time.Second {
+		t.Errorf("the idle connection ended with %v after %v", err, time.Since(begun))
+	}
+}
+
 // Guards against an incomplete response that looks complete to its caller.
 func TestIncompleteResponse(t *testing.T) {
 	t.Parallel()
