Do not take servers for stalled because the node has not run

Callers saw: requests with 502 or 503, and answers that stopped in the middle, on one node at once, in calm times too. Cause: a node that does not get the processor for a quarter of a second finds, at its next check, that no server has sent anything for so long: it has not read what they sent. It withdrew the requests at all of them, and as all were excluded, no server was left to resume the streams. Change: after a check that is late by more than one interval, checks wait 0.1 s, so that the node reads first; up to 0.5 s if more checks are late, so that a host that is always slow still finds stalled servers. TestPausedProcess failed before.

--- a/internal/node/seat/seat.go
+++ b/internal/node/seat/seat.go
@@ -56,6 +56,11 @@
 	notices  notices
 	// averageLoad is the average of the recently reported loads, by model key.
 	averageLoad map[string]*movingAverage
+	// lastCheck is when servers were last checked for stalls, or a check was skipped. Until skipUntil, checks are skipped
+	// because they were late, since lateSince.
+	lastCheck time.Time
+	lateSince time.Time
+	skipUntil time.Time
 	// excluded is a buffer for the table indexes of servers that must not be chosen.
 	excluded []int
 }
@@ -359,6 +364,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.cfg.Now()
+	if s.skipsCheck(now) {
+		return
+	}
 	for name, sv := range s.servers {
 		if sv.missesFirstByte(now, s.watch.SilenceLimit(name, s.passTime(sv))) && !s.watch.Stalled(now, name) {
 			s.watch.MarkStalled(now, name)
@@ -379,6 +387,24 @@
 	}
 }
 
+// skipsCheck reports whether a check for stalled servers must be skipped because this process has not run for a while: the
+// servers may have sent data that it has not read yet. The caller must hold mu.
+func (s *Picker) skipsCheck(now time.Time) bool {
+	late := !s.lastCheck.IsZero() && now.Sub(s.lastCheck) > maxCheckInterval
+	s.lastCheck = now
+	if late {
+		if s.lateSince.IsZero() {
+			s.lateSince = now
+		}
+		s.skipUntil = now.Add(catchUpTime)
+	}
+	if now.Before(s.skipUntil) && now.Sub(s.lateSince) < maxCatchUpTime {
+		return true
+	}
+	s.lateSince, s.skipUntil = time.Time{}, time.Time{}
+	return false
+}
+
 // checkDeparted cancels repeatable attempts on servers that have left the registry and make no progress.
 func (s *Picker) checkDeparted(now time.Time) {
 	for sv, since := range s.departed {
--- a/internal/node/seat/seat_test.go
+++ b/internal/node/seat/seat_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,6 +28,8 @@
 	route             *match.Route
 	stalledFormations []index.Formation
 	nodes             int
+	// pause is the time for which the process has not run.
+	pause atomic.Int64
 }
 
 const tolerance = 10 * time.Millisecond
@@ -58,7 +61,7 @@
 		View: b.index.View, Service: func(string) *match.Service { return b.service },
 		ColdAllowance: func(string, float64) int { return 2 }, Nodes: func() int { return b.nodes },
 		OnStalled: func(f index.Formation) { b.stalledFormations = append(b.stalledFormations, f) },
-		Now:       time.Now, Seed: seed, Metrics: metric.New(), Log: hclog.NewNullLogger(),
+		Now:       func() time.Time { return time.Now().Add(time.Duration(b.pause.Load())) }, Seed: seed, Metrics: metric.New(), Log: hclog.NewNullLogger(),
 	})
 }
 
@@ -398,6 +401,35 @@
 	})
 }
 
+// Guards against cancelling the responses of all servers because this process has not run for a while, and against never
+// cancelling any on a host that is always slow.
+func TestPausedProcess(t *testing.T) {
+	t.Parallel()
+	runWithFakeClock(t, func(t *testing.T, ctx context.Context, run func(*testBed)) {
+		b := newTestBed(engine(), 1)
+		run(b)
+		b.put("a", "b")
+		s1, cause1, _ := b.pick(ctx)
+		s2, cause2, _ := b.pick(ctx, s1.Entry().ID)
+		sendEvents(time.Second, s1, s2)
+		b.pause.Store(int64(700 * time.Millisecond))
+		time.Sleep(60 * time.Millisecond)
+		s1.Progress()
+		s2.Progress()
+		sendEvents(500*time.Millisecond, s1, s2)
+		if cause1() != nil || cause2() != nil {
+			t.Errorf("after a pause of 0.7 s the attempts ended with %v and %v", cause1(), cause2())
+		}
+		for range 20 {
+			b.pause.Add(int64(100 * time.Millisecond))
+			sendEvents(50*time.Millisecond, s2)
+		}
+		if !errors.Is(cause1(), pass.ErrStalled) || cause2() != nil {
+			t.Errorf("on a slow host, the attempt without events ended with %v, the other one with %v", cause1(), cause2())
+		}
+	})
+}
+
 // Guards against a node of a large fleet that assumes a server is full after one request of its own, and refuses calls
 // while servers have capacity.
 func TestLargeFleetHasRoom(t *testing.T) {
--- a/internal/node/seat/server.go
+++ b/internal/node/seat/server.go
@@ -23,6 +23,11 @@
 	coldWindow = time.Second
 	// stallCheckInterval is the interval of the checks for stalled servers.
 	stallCheckInterval = 50 * time.Millisecond
+	// maxCheckInterval is the time between two checks above which this process has not run for a while. It then gets
+	// catchUpTime to read what servers have sent meanwhile, or up to maxCatchUpTime if more checks are late.
+	maxCheckInterval = 2 * stallCheckInterval
+	catchUpTime      = 100 * time.Millisecond
+	maxCatchUpTime   = 500 * time.Millisecond
 	// firstByteFactor multiplies the silence limit before the first byte of a response, because the server processes
 	// the prompt first.
 	firstByteFactor = 2
