Register nodes again that a restored store has forgotten

A system of nine nodes split its limits by six after a restoration and built its tree of six: the other three each counted on nobody following them, got no announcements, and each node took an eighth of a cold rate instead of an eleventh. Callers would see cold servers that get up to three times their rate.

Cause: a node registered once. The restored list of nodes was taken over as it was, also by the nodes that it lacks.

The list keeps nodes that the restored store lacks for mirror.KeepTime. A node that has left does not register again.

--- a/internal/node/mesh/mesh.go
+++ b/internal/node/mesh/mesh.go
@@ -36,8 +36,8 @@
 const (
 	// askTimeout limits a query to other nodes.
 	askTimeout = 400 * time.Millisecond
-	// registerRetryDelay is the delay between attempts to register and the timeout of each.
-	registerRetryDelay = 700 * time.Millisecond
+	// listReadInterval is the minimum time between two reads of the list of nodes.
+	listReadInterval = 700 * time.Millisecond
 	// dialTimeout limits the time to open a link.
 	dialTimeout = 500 * time.Millisecond
 	// missingLinkTimeout is how long the link to a node of the topology may be missing before the node is excluded from it.
@@ -94,6 +94,8 @@
 	net   *peer.Net
 	nodes *mirror.Copy
 	flood *Flood
+	// registration is the row of this node.
+	registration *Registration
 
 	mu       sync.Mutex
 	members  map[string]Row
@@ -120,6 +122,10 @@
 	if err != nil {
 		return nil, errors.Newf("new mesh: %w", err)
 	}
+	row, err := json.Marshal(Row{Incarnation: cfg.Incarnation, DataCentre: cfg.DataCentre, Capacity: cfg.Capacity})
+	if err != nil {
+		return nil, errors.Newf("encode registration: %w", err)
+	}
 	notices, err := lru.New[index.Formation, time.Time](maxStallNotices)
 	if err != nil {
 		return nil, errors.Newf("new mesh: %w", err)
@@ -127,6 +133,7 @@
 	m := &Mesh{
 		cfg: cfg, flood: flood, members: make(map[string]Row), topology: roster.NewTopology(nil),
 		missingSince: make(map[string]time.Time), excluded: sets.New[string](), stallNotices: notices,
+		registration: NewRegistration(cfg.Table, table.Put{Key: Family + "/" + cfg.Address, Value: row}, cfg.Log),
 	}
 	m.net = peer.New(peer.Config{
 		Self:    peer.Peer{Node: cfg.Address, Incarnation: cfg.Incarnation, DataCentre: cfg.DataCentre},
@@ -144,7 +151,9 @@
 			}
 			return m.Source(Family)
 		},
-		Peer: func() table.Feed { return m.Peer(Family) }, MinReadInterval: registerRetryDelay, Log: cfg.Log,
+		// Nodes that the store has forgotten count until they have registered again, as limits are divided among the nodes.
+		Keep: func(_ table.Row, restored *table.Row) bool { return restored == nil },
+		Peer: func() table.Feed { return m.Peer(Family) }, MinReadInterval: listReadInterval, Log: cfg.Log,
 	})
 	peer.OnAsk(m.net, m.handleFollow)
 	peer.On(m.net, func(_ peer.Peer, n *frame.StallNotice) {
@@ -191,47 +200,21 @@
 // node in the list has a position in the topology. It then waits, because a node that reads the list after all others have
 // registered need not read it again.
 func (m *Mesh) join(ctx context.Context) error {
-	b, err := json.Marshal(Row{Incarnation: m.cfg.Incarnation, DataCentre: m.cfg.DataCentre, Capacity: m.cfg.Capacity})
-	if err != nil {
-		return errors.Newf("encode registration: %w", err)
-	}
-	txn := table.Txn{Puts: []table.Put{{Key: Family + "/" + m.cfg.Address, Value: b}}}
-	registered := m.register(ctx, txn)
+	m.registration.Write(ctx)
 	if !tasks.Sleep(ctx, m.cfg.Gather) {
 		return nil
 	}
 	g := tasks.New(ctx)
 	g.Go("list", m.nodes.Run)
-	g.Go("register", func(ctx context.Context) error {
-		for !registered && tasks.Sleep(ctx, registerRetryDelay) {
-			registered = m.register(ctx, txn)
-		}
-		return nil
-	})
+	g.Go("register", m.registration.Run)
 	if err := g.Wait(); err != nil {
 		return errors.Newf("join: %w", err)
 	}
 	return nil
 }
 
-// register writes the row of this node and reports whether it succeeded.
-func (m *Mesh) register(ctx context.Context, txn table.Txn) bool {
-	ctx, cancel := context.WithTimeout(ctx, registerRetryDelay)
-	defer cancel()
-	if _, err := m.cfg.Table.Commit(ctx, txn); err != nil {
-		m.cfg.Log.Info("cannot write the registration of this node", "error", err)
-		return false
-	}
-	return true
-}
-
 // Leave deletes the row of this node because the node is stopping.
-func (m *Mesh) Leave(ctx context.Context) error {
-	if _, err := m.cfg.Table.Commit(ctx, table.Txn{Deletes: []string{Family + "/" + m.cfg.Address}}); err != nil {
-		return errors.Newf("delete registration: %w", err)
-	}
-	return nil
-}
+func (m *Mesh) Leave(ctx context.Context) error { return m.registration.Leave(ctx) }
 
 // apply processes a change to the registered nodes.
 func (m *Mesh) apply(u mirror.Update) {
@@ -266,6 +249,7 @@
 	m.cfg.Members(nodes)
 	m.cfg.Log.Info("nodes changed", "nodes", len(nodes))
 	m.updateLinks()
+	m.registration.Observe(u)
 }
 
 // Size returns the number of registered nodes.
