--- a/internal/fleet/mirror/keep.go
+++ b/internal/fleet/mirror/keep.go
@@ -15,7 +15,7 @@
 	for _, r := range s.Rows {
 		c.rows[r.Key] = r
 		if r.Revision.Number == 0 {
-			c.kept[r.Key] = now.Add(KeepTime) // The source keeps it.
+			c.kept[r.Key] = now.Add(c.cfg.KeepTime) // The source keeps it.
 		}
 	}
 	for k, known := range before {
@@ -30,7 +30,7 @@
 		case ok:
 			until = time.Time{}
 		case restored || until.IsZero():
-			until = now.Add(KeepTime)
+			until = now.Add(c.cfg.KeepTime)
 		case !now.Before(until):
 			continue
 		}
@@ -49,7 +49,7 @@
 	return true
 }
 
-// dropKept removes the rows that the store has lacked for KeepTime. Followers remove them by themselves.
+// dropKept removes the rows that the store has lacked for Config.KeepTime. Followers remove them by themselves.
 func (c *Copy) dropKept() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -57,9 +57,6 @@
 	backoffMax = 8 * time.Second
 )
 
-// KeepTime is how long rows that a restored store lacks are kept, unless they are written again.
-const KeepTime = 10 * time.Second
-
 // maxPeerFailures is how many reads from other nodes may fail in a row before the copy stops trying them.
 const maxPeerFailures = 3
 
@@ -96,7 +93,8 @@
 	// Keep reports whether a row is kept when the store was restored from an older copy, in which the row is restored, or
 	// missing if that is nil. A row that is missing is kept for KeepTime. The number of the revision of a kept row is 0. If
 	// Keep is nil, no row is kept.
-	Keep func(known table.Row, restored *table.Row) bool
+	Keep     func(known table.Row, restored *table.Row) bool
+	KeepTime time.Duration
 	// OnUpToDate is called with false when the copy is no longer kept up to date, and with true when it is
 	// again. It may be nil.
 	OnUpToDate func(reached bool)
--- a/internal/fleet/mirror/restore_test.go
+++ b/internal/fleet/mirror/restore_test.go
@@ -93,13 +93,14 @@
 		s, restore := restoredFeed()
 		s.put("op/missing", "1")
 		s.put("op/rewritten", "1")
-		first, r := startCopy(ctx, t, mirror.Config{Store: s, StoreWait: time.Second, Keep: func(known table.Row, restored *table.Row) bool {
+		const keepTime = 10 * time.Second
+		first, r := startCopy(ctx, t, mirror.Config{Store: s, StoreWait: time.Second, KeepTime: keepTime, Keep: func(known table.Row, restored *table.Row) bool {
 			return restored == nil || string(known.Value) > string(restored.Value)
 		}})
 		time.Sleep(time.Second)
 		restore()
-		time.Sleep(mirror.KeepTime - time.Second)
-		_, follower := startCopy(ctx, t, mirror.Config{Store: newFakeFeed(), Source: fromNode(first)})
+		time.Sleep(keepTime - time.Second)
+		_, follower := startCopy(ctx, t, mirror.Config{Store: newFakeFeed(), Source: fromNode(first), KeepTime: keepTime})
 		s.put("op/rewritten", "1")
 		s.put("op/config", "0")
 		time.Sleep(500 * time.Millisecond)
@@ -107,7 +108,7 @@
 			t.Errorf("got %v, and %v at a follower, want %v", got, follower.values(), want)
 		}
 		s.put("op/config", "3")
-		time.Sleep(2 * mirror.KeepTime)
+		time.Sleep(2 * keepTime)
 		if got, want := r.values(), (map[string]string{"op/config": "3", "op/rewritten": "1"}); !maps.Equal(got, want) || !maps.Equal(follower.values(), want) {
 			t.Errorf("got %v in the end, and %v at a follower, want %v", got, follower.values(), want)
 		}
--- a/internal/node/edge/rows.go
+++ b/internal/node/edge/rows.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"geraniumhollow/internal/core/tasks"
+	"geraniumhollow/internal/fleet/index"
 	"geraniumhollow/internal/fleet/mirror"
 	"geraniumhollow/internal/plat/table"
 	"geraniumhollow/internal/route/batch"
@@ -25,6 +26,10 @@
 	storeFallbackTime = 2 * time.Second
 	// gatherDelay is how long nodes wait for each other when the system starts for the first time.
 	gatherDelay = 500 * time.Millisecond
+	// rewriteTime is how long a restored store may lack what operators have written. What is missing then was taken back.
+	rewriteTime = index.ReregistrationGrace + changeDelay
+	// changeDelay is how long a change takes to reach all nodes.
+	changeDelay = 2 * time.Second
 	// sweepInterval is the time between checks for entries that were not registered again after an outage.
 	sweepInterval = 200 * time.Millisecond
 )
@@ -42,7 +47,7 @@
 	return mirror.New(mirror.Config{
 		Family: family, Name: n.address, Store: n.store, StoreReadDelay: func(upstream bool) time.Duration { return n.mesh.StoreReadDelay(upstream) },
 		Source: func() mirror.Source { return n.mesh.Source(family) }, Peer: func() table.Feed { return n.mesh.Peer(family) },
-		Apply: apply, Keep: n.cfg.Decoder.Keep, OnUpToDate: reached, StoreWait: readWait, MinReadInterval: readPause, Log: n.cfg.Log,
+		Apply: apply, Keep: n.cfg.Decoder.Keep, KeepTime: rewriteTime, OnUpToDate: reached, StoreWait: readWait, MinReadInterval: readPause, Log: n.cfg.Log,
 		OnRevision: func(revision table.Revision) { n.mesh.Hint(family, revision) },
 	})
 }
--- a/internal/node/mesh/mesh.go
+++ b/internal/node/mesh/mesh.go
@@ -152,7 +152,7 @@
 			return m.Source(Family)
 		},
 		// Nodes that the store has forgotten count until they have registered again, as limits are divided among the nodes.
-		Keep: func(_ table.Row, restored *table.Row) bool { return restored == nil },
+		Keep: func(_ table.Row, restored *table.Row) bool { return restored == nil }, KeepTime: 2 * MaxRewriteDelay,
 		Peer: func() table.Feed { return m.Peer(Family) }, MinReadInterval: listReadInterval, Log: cfg.Log,
 	})
 	peer.OnAsk(m.net, m.handleFollow)
--- a/internal/node/mesh/register.go
+++ b/internal/node/mesh/register.go
@@ -20,7 +20,7 @@
 	registerRetryDelay = 700 * time.Millisecond
 	// MinRewriteDelay and MaxRewriteDelay bound the random delay before a row that is gone is written again. Many nodes may
 	// have lost theirs at once, and the list of a node that has just registered may not have its row yet. Other nodes keep
-	// the row meanwhile, see mirror.KeepTime.
+	// the row meanwhile, see mirror.Config.Keep.
 	MinRewriteDelay = time.Second
 	MaxRewriteDelay = 5 * time.Second
 )
