Fencing numbers rise when the store goes back to an older copy

What callers would see: two keepers with one fencing number, a keeper whose announcements other nodes ignore as old, or none that can take over the plan since the plan has the newer fencing number: groups are not formed anew until the count has passed the old one.

Cause: the fencing number was counted in the row of the duty, which goes back with the store; the tenure of a holder also went on when the restored row named it by coincidence. Numbers of an era now begin above those of all earlier eras (duty.FirstOfEra), and a claim exceeds every number that the node has heard. A row whose number is of an earlier era has no holder: the last known holder claims the duty again at once, others when it has been silent for the usual time. Where an unanswered write of the earlier era has replaced the row of a tenure of the new one, that tenure's number is unknown; the next one is therefore above the number of the row's revision, of which every tenure has taken one. A holder that finds a plan of a later tenure claims the duty again instead of holding it without a plan.

--- a/internal/fleet/duty/duty.go
+++ b/internal/fleet/duty/duty.go
@@ -7,6 +7,11 @@
 // process. A holder whose renewals fail stops before Lifetime ends. Two nodes can act at the same time for up to
 // HoldTime, and a process can be paused between its check and its action: every write made under the duty must be
 // guarded by the fencing number of the tenure.
+//
+// A tenure belongs to the era of the store in which it began. When the store comes back from an older copy, the row may
+// name an earlier holder, or the same one with numbers that are given out again. A row whose fencing number is of an
+// earlier era than the row therefore has no holder: the last holder that is known claims the duty again, and others do
+// so when they have had no sign of it for the usual time.
 package duty
 
 import (
@@ -44,7 +49,7 @@
 // Row is the stored form of the duty.
 type Row struct {
 	Holder string `json:"holder"`
-	// Fence is the fencing number. It grows with each tenure.
+	// Fence is the fencing number. It grows with each tenure, also when the store goes back to an older copy: see FirstOfEra.
 	Fence uint64 `json:"fence"`
 	// RenewalSeq changes with each renewal.
 	RenewalSeq uint64 `json:"beat"`
@@ -114,6 +119,11 @@
 	// reportedHolder is the holder of tenure reportedFence according to other nodes.
 	reportedHolder string
 	reportedFence  uint64
+	// highestFence is the highest fencing number known, and ownFence that of this node's last tenure. planFence is the number
+	// of the tenure that wrote the state guarded by the duty.
+	highestFence uint64
+	ownFence     uint64
+	planFence    uint64
 }
 
 // New returns a Decider for a node and the key of the duty's row. The node is a standby. Its name must differ
@@ -134,6 +144,7 @@
 
 // HolderReported records the holder of a tenure as reported by another node.
 func (d *Decider) HolderReported(fence uint64, holder string) {
+	d.highestFence = max(d.highestFence, fence)
 	if fence >= d.reportedFence {
 		d.reportedHolder, d.reportedFence = holder, fence
 	}
@@ -160,6 +171,7 @@
 
 // RelayedHeartbeatReceived records a heartbeat of the holder that another node has passed on.
 func (d *Decider) RelayedHeartbeatReceived(now time.Duration, fence uint64) {
+	d.highestFence = max(d.highestFence, fence)
 	if fence < d.row.Fence {
 		return
 	}
@@ -179,6 +191,15 @@
 	}
 }
 
+// NewerPlan records that the state guarded by the duty was written in a later tenure than that of the last known row. The
+// row is then an older one that was written late, and this node claims the duty again if the row names it.
+func (d *Decider) NewerPlan(fence uint64) {
+	d.planFence, d.highestFence = max(d.planFence, fence), max(d.highestFence, fence)
+	if d.row.Fence < d.planFence {
+		d.tenureEnd, d.nextCallAt = 0, 0
+	}
+}
+
 // RenewalFailing reports whether the last renewal of this node's tenure failed because the store was unavailable.
 func (d *Decider) RenewalFailing() bool { return d.renewalFailing }
 
@@ -195,6 +216,9 @@
 
 // claimable reports whether a node may claim the duty from the holder in the last known row.
 func (d *Decider) claimable(now time.Duration) bool {
+	if d.rowOutdated() {
+		return d.restoredClaimable(now)
+	}
 	if d.row.Holder == "" || d.row.Holder == d.replacedHolder || d.row.Holder != d.node && d.offeredFence == d.row.Fence {
 		return true
 	}
@@ -206,6 +230,25 @@
 	return silent || now-lastSign >= Lifetime
 }
 
+// rowOutdated reports whether the last known row is of an earlier tenure than the latest one: it was restored with the
+// store, or written late.
+func (d *Decider) rowOutdated() bool {
+	return d.row.Fence < FirstOfEra(d.revision.Era) || d.row.Fence < d.planFence && d.row.Holder == d.node
+}
+
+// restoredClaimable reports whether a node may claim the duty if the last known row does not tell the holder. Reports that
+// the holder's renewals fail are from before the restoration.
+func (d *Decider) restoredClaimable(now time.Duration) bool {
+	if d.ownFence > 0 && d.ownFence == d.highestFence || d.row.Fence < d.planFence && d.row.Holder == d.node {
+		return true
+	}
+	if holder := d.Holder(); holder != "" && holder == d.replacedHolder {
+		return true
+	}
+	silent := d.hasOtherPeers && d.heardFence > 0 && d.directFence == d.heardFence && now-d.heardAt >= HeartbeatTimeout
+	return silent || now-max(d.rowChangedAt, d.heardAt) >= Lifetime
+}
+
 // holderHeard reports whether the holder was heard within HeartbeatTimeout.
 func (d *Decider) holderHeard(now time.Duration) bool {
 	return d.heardFence == d.row.Fence && d.heardFence > 0 && now-d.heardAt < HeartbeatTimeout
@@ -252,12 +295,22 @@
 	case holds:
 		return d.commitOp(now, Row{Holder: d.node, Fence: d.row.Fence, RenewalSeq: d.row.RenewalSeq + 1})
 	case !d.yielding && d.claimable(now):
-		return d.commitOp(now, Row{Holder: d.node, Fence: d.row.Fence + 1, RenewalSeq: d.row.RenewalSeq + 1})
+		return d.commitOp(now, Row{Holder: d.node, Fence: d.nextFence(), RenewalSeq: d.row.RenewalSeq + 1})
 	default:
 		return Op{Read: true, sentAt: now}, true
 	}
 }
 
+// nextFence returns the fencing number of a new tenure. An outdated row may have replaced that of another tenure of the era.
+// Each tenure takes a transaction, so that the number of the row's revision is above those that the era has assigned.
+func (d *Decider) nextFence() uint64 {
+	highest := max(d.row.Fence, d.highestFence)
+	if d.rowOutdated() {
+		highest = max(highest, FirstOfEra(d.revision.Era)+d.revision.Number)
+	}
+	return highest + 1
+}
+
 func (d *Decider) commitOp(now time.Duration, r Row) (Op, bool) {
 	b, err := json.Marshal(r)
 	if err != nil {
@@ -292,6 +345,9 @@
 	}
 	d.lastReadAt = now
 	d.rowKnown, d.row, d.revision = true, r, row.Revision
+	if d.rowOutdated() {
+		d.tenureEnd = 0
+	}
 	if d.claimable(now) {
 		d.nextCallAt = now
 	}
@@ -306,9 +362,17 @@
 		d.row, d.revision, d.rowChangedAt = op.row, revision, now
 		d.nextCallAt = now + RenewInterval
 		d.tenureEnd, d.renewalFailing = 0, false
-		if op.row.Holder == d.node {
-			d.tenureEnd = op.sentAt + HoldTime
+		d.highestFence = max(d.highestFence, op.row.Fence)
+		if op.row.Holder != d.node {
+			return
+		}
+		d.ownFence = op.row.Fence
+		if d.rowOutdated() {
+			// A missing row does not tell the era. The tenure begins with a number of the era.
+			d.nextCallAt = now
+			return
 		}
+		d.tenureEnd = op.sentAt + HoldTime
 	case errors.Is(err, table.ErrUnavailable) && op.row.Fence == d.row.Fence:
 		d.renewalFailing = true
 		d.nextCallAt = now + renewRetryDelay
--- a/internal/node/keeper/plan.go
+++ b/internal/node/keeper/plan.go
@@ -100,6 +100,9 @@
 		return group.Plan{}, nil, table.Absent, errors.Newf("read plan: %w", err)
 	}
 	if plan.Fence > fence {
+		k.mu.Lock()
+		k.duty.NewerPlan(plan.Fence)
+		k.mu.Unlock()
 		return group.Plan{}, nil, table.Absent, errors.Newf("stored plan has the newer fencing number %d", plan.Fence)
 	}
 	plan.Fence, plan.InheritedEpoch = fence, plan.Epoch
