Keep formations that a restored store has lost

What callers saw: after the store came back from an older copy, the keeper had the groups that were formed since leave, so that their streams broke, and formed them again with epochs that their servers had seen: joins were refused, and a group with the same name, epoch and other members counted servers as ready that were ready in the lost one (PARTIAL at worst).

Cause: epochs and names are counted in the plan, which goes back, and servers whose formation the plan does not have were ordered to leave. Epochs of an era are now above those of all earlier ones, and above all that servers report; groups are named after their first epoch. A formation of the span that the plan may have lost goes back into the plan if all of its members report it. A formation that the plan still has and whose servers refuse its epoch gets a new one. Servers with unconfirmed entries are probed before anything in their domain changes. As the keeper of the era before may act until duty.HoldTime is over and its formations are not in the plan, the first keeper of an era waits so long with orders and changes.

The simulation of the tests now refuses joins with an epoch lower than one seen, as servers do, and reports a server that is ordered away from a group that serves.

--- a/internal/fleet/duty/fence.go
+++ b/internal/fleet/duty/fence.go
@@ -8,3 +8,6 @@
 // restored from an older copy; numbers that an earlier era assigned are lower than this one in any case. The numbers of
 // the first era begin at 1.
 func FirstOfEra(era uint64) uint64 { return (max(era, 1) - 1) * EraSize }
+
+// EraStart returns the number that precedes those of the era in which a fencing number was assigned.
+func EraStart(fence uint64) uint64 { return fence / EraSize * EraSize }
--- a/internal/node/keeper/plan.go
+++ b/internal/node/keeper/plan.go
@@ -105,7 +105,7 @@
 		k.mu.Unlock()
 		return group.Plan{}, nil, table.Absent, errors.Newf("stored plan has the newer fencing number %d", plan.Fence)
 	}
-	plan.Fence, plan.InheritedEpoch = fence, plan.Epoch
+	plan = plan.TakenOver(fence)
 	rows, err := plan.Rows()
 	if err != nil {
 		return group.Plan{}, nil, table.Absent, errors.Newf("encode plan: %w", err)
--- a/internal/plan/group/change.go
+++ b/internal/plan/group/change.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"geraniumhollow/internal/fleet/duty"
 	"geraniumhollow/internal/fleet/server"
 )
 
@@ -23,17 +24,34 @@
 
 // updatePlan adapts the plan to the state of the servers and reports whether it changed.
 func (d *Decider) updatePlan(now time.Time, p *Plan) bool {
+	if d.adoptLost(now, p) {
+		return true
+	}
+	if d.allHeld {
+		return false
+	}
+	d.raiseEpoch(p)
 	dropped := d.dropRetired(now, p)
 	repaired := d.repairGroups(now, p)
 	swapped := d.replaceUnloaded(now, p)
 	return d.placeGroups(now, p) || dropped || repaired || swapped
 }
 
+// raiseEpoch raises the epoch of a plan to the highest one that servers have seen. An older plan, written late, may have
+// replaced the one that assigned it.
+func (d *Decider) raiseEpoch(p *Plan) {
+	for _, s := range d.servers {
+		if s.highestEpoch < duty.EraStart(p.Fence)+duty.EraSize {
+			p.Epoch = max(p.Epoch, s.highestEpoch)
+		}
+	}
+}
+
 // dropRetired removes retired formations whose head has stopped and which no live server is in.
 func (d *Decider) dropRetired(now time.Time, p *Plan) bool {
 	n := len(p.Retired)
 	p.Retired = slices.DeleteFunc(p.Retired, func(f Formation) bool {
-		if !d.headStopped(now, f) {
+		if d.isHeld(f.Domain) || !d.headStopped(now, f) {
 			return false
 		}
 		for _, id := range f.Members {
@@ -52,7 +70,13 @@
 	changed := false
 	for i := 0; i < len(p.Current); i++ {
 		f := p.Current[i]
+		if d.isHeld(f.Domain) {
+			continue
+		}
 		kept, reason := d.remainingMembers(now, p, f)
+		if reason == "" && d.rejected.Has(f.key()) {
+			reason = "epoch_outdated"
+		}
 		if reason == "" {
 			delete(d.changeNeededSince, f.key())
 			continue
@@ -64,6 +88,7 @@
 		p.Retired = append(p.Retired, f)
 		delete(d.changeNeededSince, f.key())
 		delete(d.closingSince, f.key())
+		d.rejected.Remove(f.key())
 		members := d.fillMembers(now, p, f, kept)
 		if members == nil {
 			d.addNote("dissolve", f, reason)
--- a/internal/plan/group/decider.go
+++ b/internal/plan/group/decider.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"geraniumhollow/internal/core/sets"
 	"geraniumhollow/internal/core/window"
 	"geraniumhollow/internal/fleet/index"
 	"geraniumhollow/internal/fleet/server"
@@ -70,6 +71,11 @@
 	recentLoads    *window.Counter
 	trafficStarted bool
 	notes          []Decision
+	// held has the domains whose groups may not be changed yet, and allHeld is set if it has all. See updateHeld.
+	held    sets.Set[string]
+	allHeld bool
+	// rejected has the formations of an earlier era of the store that a server has refused to join.
+	rejected sets.Set[index.Formation]
 	// index is nil if it has to be rebuilt.
 	index *planIndex
 }
@@ -79,7 +85,7 @@
 	d := &Decider{
 		cfg: cfg, plan: plan, servers: make(map[string]*serverState), recentLoads: window.New(loadWindow),
 		incompleteSince: make(map[index.Formation]time.Time), changeNeededSince: make(map[index.Formation]time.Time),
-		closingSince: make(map[index.Formation]time.Time),
+		closingSince: make(map[index.Formation]time.Time), rejected: sets.New[index.Formation](),
 	}
 	for _, f := range slices.Concat(plan.Current, plan.Retired) {
 		d.restoreMembers(f)
@@ -129,6 +135,7 @@
 	}
 	var a Actions
 	d.removeLost(now)
+	d.updateHeld(now)
 	if d.pending == nil {
 		next := d.plan.Clone()
 		if d.updatePlan(now, &next) {
--- a/internal/plan/group/group_test.go
+++ b/internal/plan/group/group_test.go
@@ -41,6 +41,8 @@
 	// loadsEnd is when the running weight loads end. It is used with slowLoads.
 	loadsEnd  map[string]time.Time
 	slowLoads bool
+	// seen is the highest epoch that each server has joined with. It refuses lower ones.
+	seen map[string]uint64
 }
 
 func newSimulation(t *testing.T, n int) *simulation {
@@ -48,7 +50,7 @@
 	sim := &simulation{
 		t: t, now: time.Unix(1000, 0), view: index.New(), servers: make(map[string]server.Info),
 		silent: make(map[string]bool), unlisted: make(map[string]bool), noHeartbeat: make(map[string]bool),
-		loadsEnd: make(map[string]time.Time), pace: make(map[string]float64),
+		loadsEnd: make(map[string]time.Time), pace: make(map[string]float64), seen: make(map[string]uint64),
 	}
 	sim.d = newDecider(newEngine(), group.Plan{})
 	for i := range n {
@@ -157,6 +159,11 @@
 	}
 	switch o.Kind {
 	case group.Join:
+		if o.Epoch < sim.seen[o.Server] {
+			return group.Rejected
+		}
+		sim.checkJoin(o, i.Member)
+		sim.seen[o.Server] = o.Epoch
 		i.Member = server.Member{Group: o.Group, Epoch: o.Epoch, Rank: slices.Index(o.Members, o.Server), State: server.Ready}
 		if sim.slowLoads && !i.HasStaged(o.Model) {
 			i.Member.State = server.Joining
@@ -181,6 +188,18 @@
 	return group.Accepted
 }
 
+// checkJoin checks that no server is ordered away from a group whose head serves.
+func (sim *simulation) checkJoin(o group.Order, m server.Member) {
+	if !m.InGroup() || m.InFormation(o.Group, o.Epoch) {
+		return
+	}
+	for id, h := range sim.servers {
+		if h.Member.InFormation(m.Group, m.Epoch) && h.Member.Rank == 0 && h.Member.State == server.Open {
+			sim.t.Errorf("%s is ordered to join %s/%d while %s serves %s/%d", o.Server, o.Group, o.Epoch, id, m.Group, m.Epoch)
+		}
+	}
+}
+
 // startLoad starts a load of the only model.
 func (sim *simulation) startLoad(id string) {
 	if _, ok := sim.loadsEnd[id]; !ok {
--- a/internal/plan/group/order.go
+++ b/internal/plan/group/order.go
@@ -72,6 +72,9 @@
 
 // orders returns the orders that bring the servers to the plan in force.
 func (d *Decider) orders(now time.Time) []Order {
+	if d.allHeld {
+		return nil
+	}
 	var out []Order
 	for _, f := range d.plan.Retired {
 		out = append(out, d.retireOrders(now, f)...)
@@ -106,6 +109,7 @@
 		last.outcome = outcome
 		s.lastOrders[o.Kind] = last
 	}
+	d.recordRejected(o, outcome)
 	switch {
 	case outcome == Unknown && (o.Kind == Join || o.Kind == Open):
 		s.unconfirmed[o.Epoch] = now
@@ -204,7 +208,7 @@
 
 // mayJoin reports whether a server may be ordered to join a formation.
 func (d *Decider) mayJoin(now time.Time, s *serverState, f Formation) bool {
-	if !s.memberKnown || d.boundToRetired(now, s.ID) {
+	if !s.memberKnown || d.isHeld(s.Domain) || d.boundToRetired(now, s.ID) {
 		return false
 	}
 	return !s.Member.InGroup() || s.isMemberOf(f) || !d.headServes(s)
@@ -228,7 +232,7 @@
 		s := d.servers[id]
 		switch {
 		case s == nil || s.lost():
-		case s.isMemberOf(f) && s.Member.State != server.Joining:
+		case s.isMemberOf(f) && s.Member.State != server.Joining && s.memberKnown:
 			ready++
 		case s.isMemberOf(f):
 		case d.mayJoin(now, s, f) && (s.HasStaged(f.Model) || d.reserveLoad(now, s, groupLoadShare)):
@@ -259,7 +263,7 @@
 	var out []Order
 	for _, id := range d.serverIDs() {
 		s := d.servers[id]
-		if !s.Member.InGroup() || s.lost() || d.inPlan(s.Member) || isStandby(s.Member) {
+		if !s.Member.InGroup() || s.lost() || !s.memberKnown || d.inPlan(s.Member) || d.plan.isLost(s.Member) || isStandby(s.Member) {
 			continue
 		}
 		if f, ok := d.formationOf(id); ok && s.Member.Rank > 0 && f.Epoch > s.Member.Epoch {
--- a/internal/plan/group/place.go
+++ b/internal/plan/group/place.go
@@ -92,9 +92,8 @@
 		}
 		i := slices.IndexFunc(input.Requests, func(r form.Request) bool { return r.Group == placement.Group })
 		p.Epoch++
-		p.NameCount++
 		f := Formation{
-			Group: "g" + strconv.Itoa(p.NameCount), Epoch: p.Epoch, Service: d.cfg.Service,
+			Group: "g" + strconv.FormatUint(p.Epoch, 10), Epoch: p.Epoch, Service: d.cfg.Service,
 			Model: input.Requests[i].Weights.Model, Domain: placement.Domain, Members: placement.Hosts,
 			Addresses: d.addresses(placement.Hosts),
 		}
@@ -114,7 +113,7 @@
 	total := 0
 	for _, id := range d.serverIDs() {
 		s := d.servers[id]
-		if s.Domain == "" || !s.listed || s.lost() {
+		if s.Domain == "" || !s.listed || s.lost() || d.isHeld(s.Domain) {
 			continue
 		}
 		total++
--- a/internal/plan/group/plan.go
+++ b/internal/plan/group/plan.go
@@ -48,13 +48,18 @@
 	// earlier keeper assigned.
 	Epoch          uint64 `json:"epoch"`
 	InheritedEpoch uint64 `json:"inherited"`
-	// NameCount counts the group names that have been assigned.
-	NameCount int `json:"names"`
+	// Formations with an epoch above LostAfter and not above LostUntil may be missing, because the store went back to an older
+	// copy. LostUntil is 0 if it never did.
+	LostAfter uint64 `json:"lost_after,omitempty"`
+	LostUntil uint64 `json:"lost_until,omitempty"`
 }
 
 // Plan is the desired set of groups. It is stored before any order that follows from it is sent.
 type Plan struct {
 	Header
+	// Restored reports that the plan is from a restored store, and that the keeper of the era before may still act. It is
+	// not stored.
+	Restored bool
 
 	// Current holds the desired formations.
 	Current []Formation
--- a/internal/plan/group/rows_test.go
+++ b/internal/plan/group/rows_test.go
@@ -37,7 +37,7 @@
 	sim := &simulation{
 		now: time.Unix(1000, 0), view: index.New(), servers: make(map[string]server.Info),
 		silent: make(map[string]bool), unlisted: make(map[string]bool), noHeartbeat: make(map[string]bool),
-		loadsEnd: make(map[string]time.Time), pace: make(map[string]float64),
+		loadsEnd: make(map[string]time.Time), pace: make(map[string]float64), seen: make(map[string]uint64),
 	}
 	sim.d = newDecider(e, group.Plan{})
 	for i := range domains * 35 {
--- a/internal/plan/group/server.go
+++ b/internal/plan/group/server.go
@@ -110,6 +110,14 @@
 	if s, ok := d.servers[e.ID]; ok && s.entry == e && s.listed {
 		return
 	}
+	if e.Unconfirmed {
+		d.observeUnconfirmed(now, e)
+		return
+	}
+	if s, ok := d.servers[e.ID]; ok && s.listed && s.confirms(e) {
+		s.entry = e
+		return
+	}
 	s := d.stateOf(now, e)
 	changed := !s.listed || s.entry.Expired || !s.SameState(e.Info)
 	s.entry, s.Info, s.listed = e, e.Info, true
--- a/internal/plan/group/spare.go
+++ b/internal/plan/group/spare.go
@@ -27,7 +27,7 @@
 	for _, id := range d.serverIDs() {
 		s := d.servers[id]
 		s.expireUnconfirmed(now)
-		if d.hasPlace(id) || !s.usable() || s.Domain == "" || d.boundToRetired(now, id) {
+		if d.hasPlace(id) || !s.memberKnown || d.isHeld(s.Domain) || !s.usable() || s.Domain == "" || d.boundToRetired(now, id) {
 			continue
 		}
 		if !s.Member.InGroup() || isStandby(s.Member) {
@@ -87,7 +87,7 @@
 		return d.issue(now, s, Order{Kind: Stage, Model: model})
 	default:
 		return d.issue(now, s, Order{
-			Kind: Join, Group: standbyPrefix + s.ID, Epoch: d.plan.Epoch, Model: model, Members: []string{s.ID},
+			Kind: Join, Group: standbyPrefix + s.ID, Epoch: max(d.plan.Epoch, s.highestEpoch), Model: model, Members: []string{s.ID},
 		})
 	}
 }
--- a/internal/plan/group/swap.go
+++ b/internal/plan/group/swap.go
@@ -61,7 +61,7 @@
 func (d *Decider) moveDomain(now time.Time, p *Plan, f *Formation) bool {
 	var best []*serverState
 	for _, domain := range slices.Sorted(maps.Keys(d.lookup().domains)) {
-		if domain == f.Domain {
+		if domain == f.Domain || d.isHeld(domain) {
 			continue
 		}
 		free := d.freeWithWeights(now, p, domain, f.Model)
@@ -88,7 +88,7 @@
 		head := d.servers[f.Head()]
 		serving := head != nil && head.isMemberOf(f) && head.Member.State != server.Joining && head.Member.State != server.Ready
 		_, closing := d.closingSince[f.key()]
-		if !serving && !closing && len(d.unloadedMembers(f)) > 0 && !d.loadsAdvanced(now, f) {
+		if !serving && !closing && !d.isHeld(f.Domain) && len(d.unloadedMembers(f)) > 0 && !d.loadsAdvanced(now, f) {
 			out = append(out, i)
 		}
 	}
