Write the plan of groups again after the store went back to an older one

What callers would see: groups that were being formed, or that were retired and may still serve, are unknown after a restoration if no server reports them in full, although the keeper still has the plan: they are given up after 2.5 s and formed anew.

Cause: a keeper always went on with the stored plan, also when it was older than the one that it had stored itself. It now keeps its last stored plan, and writes that one again if the stored plan is of an earlier tenure, or of the same tenure in a later era of the store. Within an era the number of a plan only rises, so an ordinary change of the duty is not affected.

Evidence: TestWritesPlanAgainAfterRestoration fails without the change: the formation is planned a second time.

--- a/internal/fake/store/store.go
+++ b/internal/fake/store/store.go
@@ -64,6 +64,22 @@
 	s.down = down
 }
 
+// Copy copies the rows and returns a function that restores the store from the copy, in the next era.
+func (s *Store) Copy() func() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rows, number := maps.Clone(s.rows), s.revision.Number
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.rows, s.revision = rows, table.Revision{Era: max(s.revision.Era, 1) + 1, Number: number}
+		for key, r := range s.rows {
+			r.Revision.Era = s.revision.Era
+			s.rows[key] = r
+		}
+	}
+}
+
 // SetDelay delays every call.
 func (s *Store) SetDelay(d time.Duration) {
 	s.mu.Lock()
--- a/internal/node/keeper/keeper.go
+++ b/internal/node/keeper/keeper.go
@@ -108,6 +108,8 @@
 	// keepGroups uses them.
 	stored   group.Rows
 	revision table.Revision
+	// kept is the last plan of this node that was stored. Only the goroutine of keepGroups uses it.
+	kept keptPlan
 	// storeRetryAt is the earliest time of the next step after the plan could not be read or stored. Only the goroutine of
 	// keepGroups uses it.
 	storeRetryAt time.Time
@@ -197,7 +199,7 @@
 	if service == "" {
 		return false
 	}
-	plan, stored, rev, err := k.takeOverPlan(ctx, service, fence)
+	plan, err := k.takeOverPlan(ctx, service, fence)
 	if err != nil {
 		k.cfg.Log.Warn("cannot take over the plan of groups", "fence", fence, "error", err)
 		k.storeRetryAt = time.Now().Add(storeRetryDelay)
@@ -208,8 +210,8 @@
 	k.decider = group.New(group.Config{
 		Service: service, Engine: engine, StallTime: k.cfg.StallTime, HeartbeatInterval: k.cfg.HeartbeatInterval,
 	}, plan)
-	k.fence, k.stored, k.revision = fence, stored, rev
-	k.cfg.Log.Info("took the duty to keep groups", "fence", fence, "epoch", plan.Epoch, "revision", rev,
+	k.fence = fence
+	k.cfg.Log.Info("took the duty to keep groups", "fence", fence, "epoch", plan.Epoch, "revision", k.revision,
 		"groups", len(plan.Current), "retired", len(plan.Retired))
 	return true
 }
--- a/internal/node/keeper/plan.go
+++ b/internal/node/keeper/plan.go
@@ -36,6 +36,7 @@
 	switch {
 	case err == nil:
 		k.stored = rows
+		k.kept = keptPlan{Plan: p, service: service, era: k.revision.Era}
 		k.decider.Committed()
 	case errors.Is(err, table.ErrUnavailable) && attempted == 1:
 		k.cfg.Log.Warn("cannot store the plan of groups", "error", err)
@@ -86,34 +87,59 @@
 	return rev, nil
 }
 
+// keptPlan is a plan of a service that a node has stored.
+type keptPlan struct {
+	group.Plan
+	service string
+	// era is the era of the store, or 0 while some rows of the plan are not stored again.
+	era uint64
+}
+
+// isNewer reports whether the plan was written after a stored one. Fencing numbers of a plan only rise, except when the store
+// goes back.
+func (p keptPlan) isNewer(service string, stored group.Plan, era uint64) bool {
+	return p.service == service && (stored.Fence < p.Fence || stored.Fence == p.Fence && era > p.era)
+}
+
 // takeOverPlan reads the stored plan and writes its head row with the given fencing number, so that an earlier holder can no
-// longer change the plan. The write fails if the plan changes while its rows are read.
-func (k *Keeper) takeOverPlan(ctx context.Context, service string, fence uint64) (group.Plan, group.Rows, table.Revision, error) {
+// longer change the plan. The write fails if the plan changes while its rows are read. If the store went back to a plan from
+// before the last one of this node, it writes that one again.
+func (k *Keeper) takeOverPlan(ctx context.Context, service string, fence uint64) (group.Plan, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*commitTimeout)
 	defer cancel()
 	stored, rev, err := k.readPlan(ctx, service)
 	if err != nil {
-		return group.Plan{}, nil, table.Absent, err
+		return group.Plan{}, err
 	}
 	plan, err := stored.Plan()
 	if err != nil {
-		return group.Plan{}, nil, table.Absent, errors.Newf("read plan: %w", err)
+		return group.Plan{}, errors.Newf("read plan: %w", err)
 	}
 	if plan.Fence > fence {
 		k.mu.Lock()
 		k.duty.NewerPlan(plan.Fence)
 		k.mu.Unlock()
-		return group.Plan{}, nil, table.Absent, errors.Newf("stored plan has the newer fencing number %d", plan.Fence)
+		return group.Plan{}, errors.Newf("stored plan has the newer fencing number %d", plan.Fence)
+	}
+	if k.kept.isNewer(service, plan, rev.Era) {
+		k.cfg.Log.Warn("the stored plan of groups is older than the last one of this node", "fence", plan.Fence, "epoch", plan.Epoch,
+			"kept_fence", k.kept.Fence, "kept_epoch", k.kept.Epoch)
+		plan = k.kept.Plan
 	}
 	plan = plan.TakenOver(fence)
 	rows, err := plan.Rows()
 	if err != nil {
-		return group.Plan{}, nil, table.Absent, errors.Newf("encode plan: %w", err)
+		return group.Plan{}, errors.Newf("encode plan: %w", err)
 	}
-	if rev, err = k.writeStep(ctx, service, rev, group.Step{group.HeaderRow: rows[group.HeaderRow]}); err != nil {
-		return group.Plan{}, nil, table.Absent, err
+	for _, step := range rows.Steps(stored, group.MaxStepRows) {
+		if rev, err = k.writeStep(ctx, service, rev, step); err != nil {
+			return group.Plan{}, err
+		}
+		k.kept = keptPlan{Plan: plan, service: service}
 	}
-	return plan, stored, rev, nil
+	k.stored, k.revision = rows, rev
+	k.kept.era = rev.Era
+	return plan, nil
 }
 
 // readPlan reads the rows of a plan and the revision of its head row. The head row is read first because its name is empty,
