The last holder of the duty claims without a backoff

What callers would see: after an outage that ended with a restoration, another node takes the duty, which does not have the plan that was lost, and gives up formations that were not complete.

Cause: claims back off during an outage, those of the last holder too. It is one node, so its claims do not add to the load.

Evidence: TestLastHolderClaimsSoonAfterOutage fails without the change.

--- a/internal/fleet/duty/duty.go
+++ b/internal/fleet/duty/duty.go
@@ -239,7 +239,7 @@
 // restoredClaimable reports whether a node may claim the duty if the last known row does not tell the holder. Reports that
 // the holder's renewals fail are from before the restoration.
 func (d *Decider) restoredClaimable(now time.Duration) bool {
-	if d.ownFence > 0 && d.ownFence == d.highestFence || d.row.Fence < d.planFence && d.row.Holder == d.node {
+	if d.wasLastHolder() || d.row.Fence < d.planFence && d.row.Holder == d.node {
 		return true
 	}
 	if holder := d.Holder(); holder != "" && holder == d.replacedHolder {
@@ -249,6 +249,9 @@
 	return silent || now-max(d.rowChangedAt, d.heardAt) >= Lifetime
 }
 
+// wasLastHolder reports whether no later tenure than the last one of this node is known.
+func (d *Decider) wasLastHolder() bool { return d.ownFence > 0 && d.ownFence == d.highestFence }
+
 // holderHeard reports whether the holder was heard within HeartbeatTimeout.
 func (d *Decider) holderHeard(now time.Duration) bool {
 	return d.heardFence == d.row.Fence && d.heardFence > 0 && now-d.heardAt < HeartbeatTimeout
@@ -378,8 +381,12 @@
 		d.nextCallAt = now + renewRetryDelay
 	case errors.Is(err, table.ErrUnavailable):
 		// During an outage of the store every standby node tries to claim the duty, and any of them may
-		// succeed, so the attempts back off.
+		// succeed, so the attempts back off. Those of the last holder do not: it knows the state guarded by the duty, which
+		// the store may have lost.
 		d.nextCallAt = now + max(ReadInterval<<min(d.failedClaims, maxClaimBackoffDoublings), d.claimDelay)
+		if d.wasLastHolder() {
+			d.nextCallAt = now + ReadInterval
+		}
 		d.failedClaims++
 	default:
 		// Another node claimed the duty first, or the outcome is unknown: read the row.
--- a/internal/fleet/duty/restore_test.go
+++ b/internal/fleet/duty/restore_test.go
@@ -138,3 +138,27 @@
 		t.Errorf("fence %d, held %v, want one above that of the plan", fence, held)
 	}
 }
+
+// Guards against a duty that goes to a node without the lost state because the last holder tries too seldom to claim it.
+func TestLastHolderClaimsSoonAfterOutage(t *testing.T) {
+	t.Parallel()
+	r := storedRow{revision: table.Revision{Era: 1}}
+	a := &candidate{decider: duty.New("a", key)}
+	now := time.Second
+	for ; now < 3*time.Second; now += step {
+		r.runRestored(a, now, false)
+	}
+	for ; now < 10*time.Second; now += step {
+		if op, ok := a.decider.Next(now); ok {
+			a.decider.CommitDone(now, op, table.Absent, table.ErrUnavailable)
+		}
+	}
+	r.revision = table.Revision{Era: 2, Number: r.revision.Number - 1}
+	for ; now <= 10*time.Second+duty.ReadInterval; now += step {
+		r.runRestored(a, now, false)
+		r.runRestored(a, now, false)
+	}
+	if _, held := a.decider.Holds(now); !held {
+		t.Errorf("the last holder does not hold the duty %v after the outage", duty.ReadInterval)
+	}
+}
