Do not follow nodes that a restored store has brought back

Cause: the rows of nodes that had left in the lost span were back, and nobody deletes the row of another node.

Nodes that were not known before the list was restored, and to which there is no link, take no place in the topology for eight seconds. The node that reads the store tries to link to them, and deletes the rows of those without a link for four seconds, on the condition that they have not changed. A node that has left and is still finishing its requests deletes its row when it shows again. A live node whose row is deleted, because it was cut off, registers again.

TestNodesThatReturnWithARestoredList and the last part of TestRegistrationIsWrittenAgain.

--- a/internal/node/mesh/mesh.go
+++ b/internal/node/mesh/mesh.go
@@ -105,6 +105,9 @@
 	// that are excluded from the topology.
 	missingSince map[string]time.Time
 	excluded     sets.Set[string]
+	// returned holds the nodes that a restored list has brought back, and outdated their rows, if this node is to delete them.
+	returned *Returned
+	outdated []table.Row
 	// position is the position of this node in the topology.
 	position position
 	// beatSeq numbers the announcements of this node as holder of the duty. lastBeat is the newest announcement of any
@@ -133,6 +136,7 @@
 	m := &Mesh{
 		cfg: cfg, flood: flood, members: make(map[string]Row), topology: roster.NewTopology(nil),
 		missingSince: make(map[string]time.Time), excluded: sets.New[string](), stallNotices: notices,
+		returned:     NewReturned(),
 		registration: NewRegistration(cfg.Table, table.Put{Key: Family + "/" + cfg.Address, Value: row}, cfg.Log),
 	}
 	m.net = peer.New(peer.Config{
@@ -190,6 +194,7 @@
 	g.Go("topology", func(ctx context.Context) error {
 		return tasks.Every(ctx, topologyInterval, func(context.Context) { m.updateLinks() })
 	})
+	g.Go("outdated", func(ctx context.Context) error { return tasks.Every(ctx, topologyInterval, m.deleteOutdated) })
 	if err := g.Wait(); err != nil {
 		return errors.Newf("mesh: %w", err)
 	}
@@ -219,6 +224,10 @@
 // apply processes a change to the registered nodes.
 func (m *Mesh) apply(u mirror.Update) {
 	m.mu.Lock()
+	m.returned.Observe(time.Now(), u, func(node string) bool {
+		_, ok := m.members[node]
+		return ok || node == m.cfg.Address
+	})
 	if u.Full {
 		clear(m.members)
 	}
@@ -285,7 +294,12 @@
 			m.excluded.Add(node)
 		}
 	}
-	neighbours := m.topology.Neighbours(m.cfg.Address, m.excluded)
+	away, outdated := m.returned.Update(now, func(node string) bool {
+		_, ok := m.net.Peer(node)
+		return ok
+	})
+	absent := m.excluded.Union(away)
+	neighbours := m.topology.Neighbours(m.cfg.Address, absent)
 	want := slices.Collect(maps.Keys(neighbours))
 	for _, node := range want {
 		if _, ok := m.net.Peer(node); !ok {
@@ -294,9 +308,30 @@
 			}
 		}
 	}
-	m.updatePosition(neighbours)
+	m.updatePosition(neighbours, absent)
 	// Links to excluded nodes are still attempted, so that the nodes are included again when they return.
-	m.net.Want("mesh", append(want, sets.Sorted(m.excluded)...))
+	want, m.outdated = append(want, sets.Sorted(m.excluded)...), nil
+	if m.position.readsStore {
+		want, m.outdated = append(want, sets.Sorted(away)...), outdated
+	}
+	m.net.Want("mesh", want)
+}
+
+// deleteOutdated deletes one of the rows that a restored list has brought back and whose nodes have left.
+func (m *Mesh) deleteOutdated(ctx context.Context) {
+	m.mu.Lock()
+	rows := m.outdated
+	m.mu.Unlock()
+	if len(rows) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, registerRetryDelay)
+	defer cancel()
+	if _, err := m.cfg.Table.Commit(ctx, table.Remove(rows[0])); err != nil {
+		m.cfg.Log.Info("cannot delete the registration of a node that has left", "key", rows[0].Key, "error", err)
+		return
+	}
+	m.cfg.Log.Info("deleted the registration of a node that has left", "key", rows[0].Key)
 }
 
 // linked returns the nodes to which there is a link, rotated by one position at each call.
--- a/internal/node/mesh/place.go
+++ b/internal/node/mesh/place.go
@@ -26,8 +26,8 @@
 	children sets.Set[string]
 }
 
-// updatePosition determines the position of this node. The lock must be held.
-func (m *Mesh) updatePosition(neighbours map[string]roster.Relation) {
+// updatePosition determines the position of this node in the topology without the absent nodes. The lock must be held.
+func (m *Mesh) updatePosition(neighbours map[string]roster.Relation, absent sets.Set[string]) {
 	p := position{children: sets.New[string]()}
 	for node, rel := range neighbours {
 		if rel == roster.Parent {
@@ -37,10 +37,10 @@
 			p.children.Add(node)
 		}
 	}
-	first, root := m.topology.FirstRoot(m.excluded), m.topology.RootOf(m.cfg.DataCentre, m.excluded)
+	first, root := m.topology.FirstRoot(absent), m.topology.RootOf(m.cfg.DataCentre, absent)
 	p.leadsDataCentre = root == m.cfg.Address
 	p.standbys = sets.New[string]()
-	for i, node := range m.topology.FirstOf(m.cfg.DataCentre, m.excluded, 1+maxStandbys) {
+	for i, node := range m.topology.FirstOf(m.cfg.DataCentre, absent, 1+maxStandbys) {
 		if i > 0 {
 			p.standbys.Add(node)
 		}
@@ -58,7 +58,7 @@
 		p.upstream = root
 	}
 	if p.readsStore != m.position.readsStore || p.upstream != m.position.upstream {
-		m.cfg.Log.Info("follows another source of rows", "node", cmp.Or(p.upstream, "store"), "left_out", len(m.excluded))
+		m.cfg.Log.Info("follows another source of rows", "node", cmp.Or(p.upstream, "store"), "left_out", len(absent))
 	}
 	m.position = p
 }
--- a/internal/node/mesh/register.go
+++ b/internal/node/mesh/register.go
@@ -58,10 +58,11 @@
 	}
 }
 
-// Run repeats a write that failed, and writes the row again when it is gone, until ctx ends.
+// Run repeats a write that failed, and writes the row again when it is gone, until ctx ends. Once the node has left, it
+// deletes the row when it shows again.
 func (r *Registration) Run(ctx context.Context) error {
-	for ctx.Err() == nil && !r.left.Load() {
-		if !r.written.Load() {
+	for ctx.Err() == nil {
+		if !r.written.Load() && !r.left.Load() {
 			if tasks.Sleep(ctx, registerRetryDelay) {
 				r.Write(ctx)
 			}
@@ -72,14 +73,32 @@
 			return nil
 		case <-r.changed:
 		}
-		if r.missing.Load() && tasks.Sleep(ctx, MinRewriteDelay+rand.N(MaxRewriteDelay-MinRewriteDelay)) && r.missing.Load() {
+		if r.gone() && tasks.Sleep(ctx, MinRewriteDelay+rand.N(MaxRewriteDelay-MinRewriteDelay)) && r.gone() {
 			r.log.Info("the registration of this node is gone, writing it again")
 			r.Write(ctx)
 		}
+		if r.left.Load() && !r.missing.Load() {
+			r.leaveAgain(ctx)
+		}
 	}
 	return nil
 }
 
+// gone reports whether the row must be written again.
+func (r *Registration) gone() bool { return r.missing.Load() && !r.left.Load() }
+
+// leaveAgain deletes the row if it still shows after the list had time to follow the first deletion.
+func (r *Registration) leaveAgain(ctx context.Context) {
+	if !tasks.Sleep(ctx, MinRewriteDelay) || r.missing.Load() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, registerRetryDelay)
+	defer cancel()
+	if err := r.Leave(ctx); err != nil {
+		r.log.Info("cannot delete the registration of this node again", "error", err)
+	}
+}
+
 // Observe tells of an update of the list of nodes.
 func (r *Registration) Observe(u mirror.Update) {
 	missing := r.missing.Load() || u.Full
--- a/internal/node/mesh/register_test.go
+++ b/internal/node/mesh/register_test.go
@@ -61,6 +61,15 @@
 		if _, ok := stored(); ok {
 			t.Error("a node that has left is registered")
 		}
+		if _, err := s.Commit(ctx, table.Txn{Puts: []table.Put{own}}); err != nil {
+			t.Error(err)
+		}
+		restored, _ := stored()
+		r.Observe(mirror.Update{Full: true, Put: []table.Row{restored}})
+		time.Sleep(mesh.MaxRewriteDelay)
+		if _, ok := stored(); ok {
+			t.Error("a node that has left is registered because the store was restored")
+		}
 		cancel()
 		synctest.Wait()
 	})
--- /dev/null
+++ b/internal/node/mesh/returned_test.go
@@ -0,0 +1,35 @@
+package mesh_test
+
+import (
+	"testing"
+	"time"
+
+	"geraniumhollow/internal/fleet/mirror"
+	"geraniumhollow/internal/node/mesh"
+	"geraniumhollow/internal/plat/table"
+)
+
+// Guards against nodes that have left and are followed, and count in limits for good, because the store was restored.
+func TestNodesThatReturnWithARestoredList(t *testing.T) {
+	t.Parallel()
+	row := func(node string, number uint64) table.Row {
+		return table.Row{Key: "nodes/" + node, Revision: table.Revision{Era: 2, Number: number}}
+	}
+	now, r := time.Unix(1000, 0), mesh.NewReturned()
+	known := func(node string) bool { return node == "known" }
+	linked := func(node string) bool { return node == "linked" }
+	r.Observe(now, mirror.Update{Full: true, Era: 1}, known)
+	r.Observe(now, mirror.Update{Full: true, Era: 2, Put: []table.Row{row("known", 1), row("left", 2), row("linked", 3), row("again", 4), row("removed", 5)}}, known)
+	if away, due := r.Update(now, linked); away.Len() != 3 || !away.Has("left") || len(due) > 0 {
+		t.Errorf("at once %v are away and %v due, want left, again and removed, and no row", away, due)
+	}
+	r.Observe(now, mirror.Update{Put: []table.Row{row("again", 6), row("new", 7)}, Removed: []string{"nodes/removed"}}, known)
+	now = now.Add(mesh.UnlinkDelay)
+	if away, due := r.Update(now, linked); away.Len() != 1 || len(due) != 1 || due[0].Key != "nodes/left" {
+		t.Errorf("later %v are away and %v due, want left", away, due)
+	}
+	r.Observe(now, mirror.Update{Full: true, Era: 2, Put: []table.Row{row("known", 1)}}, known)
+	if away, _ := r.Update(now, linked); away.Len() > 0 {
+		t.Errorf("%v are away although they are no longer listed", away)
+	}
+}
