--- a/internal/node/mesh/mesh.go
+++ b/internal/node/mesh/mesh.go
@@ -192,9 +192,11 @@
 	g.Go("links", func(ctx context.Context) error { return m.net.Run(ctx, ln) })
 	g.Go("members", m.join)
 	g.Go("topology", func(ctx context.Context) error {
-		return tasks.Every(ctx, topologyInterval, func(context.Context) { m.updateLinks() })
+		return tasks.Every(ctx, topologyInterval, func(ctx context.Context) {
+			m.updateLinks()
+			m.deleteOutdated(ctx)
+		})
 	})
-	g.Go("outdated", func(ctx context.Context) error { return tasks.Every(ctx, topologyInterval, m.deleteOutdated) })
 	if err := g.Wait(); err != nil {
 		return errors.Newf("mesh: %w", err)
 	}
