--- a/internal/fake/store/store.go
+++ b/internal/fake/store/store.go
@@ -54,7 +54,7 @@
 
 // New returns an empty platform.
 func New() *Store {
-	return &Store{rows: make(map[string]table.Row), objects: make(map[string][]byte)}
+	return &Store{rows: make(map[string]table.Row), objects: make(map[string][]byte), revision: table.Revision{Era: 1}}
 }
 
 // SetDown makes every call fail without effect, or ends that.
--- a/internal/plat/table/table_test.go
+++ b/internal/plat/table/table_test.go
@@ -53,7 +53,7 @@
 func TestContract(t *testing.T) {
 	t.Parallel()
 	put := func(key, value string, rev uint64) table.Txn {
-		return table.Replace(table.Row{Key: key, Revision: table.Revision{Number: rev}}, []byte(value))
+		return table.Replace(table.Row{Key: key, Revision: table.Revision{Era: 1, Number: rev}}, []byte(value))
 	}
 	tests := []struct {
 		name    string
@@ -66,10 +66,10 @@
 		{"old revision", func(*store.Store) {}, put("a", "new", 7), table.ErrConflict, "old"},
 		{"insert over a row", func(*store.Store) {}, table.Insert("a", []byte("new")), table.ErrConflict, "old"},
 		{"one of two conditions fails", func(*store.Store) {}, table.Txn{
-			Conditions: []table.Condition{{Key: "a", Revision: table.Revision{Number: 1}}, {Key: "b", Revision: table.Revision{Number: 1}}},
+			Conditions: []table.Condition{{Key: "a", Revision: table.Revision{Era: 1, Number: 1}}, {Key: "b", Revision: table.Revision{Era: 1, Number: 1}}},
 			Puts:       []table.Put{{Key: "a", Value: []byte("new")}},
 		}, table.ErrConflict, "old"},
-		{"remove", func(*store.Store) {}, table.Remove(table.Row{Key: "a", Revision: table.Revision{Number: 1}}), nil, ""},
+		{"remove", func(*store.Store) {}, table.Remove(table.Row{Key: "a", Revision: table.Revision{Era: 1, Number: 1}}), nil, ""},
 		{"down", func(p *store.Store) { p.SetDown(true) }, put("a", "new", 1), table.ErrUnavailable, "old"},
 		{"answer lost", func(p *store.Store) { p.LoseResponses(1) }, put("a", "new", 1), table.ErrUnknown, "new"},
 	}
