Write a configuration again that a restored table has lost

What operators saw would be: after a restoration, the table stayed behind the configuration in force. Each change on the version in force was refused as a conflict, a change on the table's older version was accepted and never in force on nodes that had a newer number, and nodes that started later went back to the old configuration.

A node that reads an older version than the one that it has now stores its own again, on the condition that the row has not changed since, so that a read from before a commit writes nothing. A node does so as well before it announces a commit.

The author and the commit's token are lost: a writer whose answer was lost is told that the outcome is unknown, not that the change was refused. The history follows the base of each version, as numbers may be missing.

--- a/internal/conf/apply/apply.go
+++ b/internal/conf/apply/apply.go
@@ -32,7 +32,7 @@
 	Version uint64 `json:"version"`
 	Base    uint64 `json:"base"`
 	// Token is unique to a commit. A writer that lost the response to its commit compares it to find out
-	// whether the stored entry is its own.
+	// whether the stored entry is its own. It is empty if WriteAgain wrote the entry.
 	Token    string           `json:"token"`
 	Author   string           `json:"author"`
 	At       time.Time        `json:"at"`
@@ -69,11 +69,20 @@
 	if err != nil {
 		return 0, table.Row{}, errors.Newf("read current version: %w", err)
 	}
+	v, err := decodeVersion(row)
+	return v, row, err
+}
+
+// decodeVersion returns the version in the row of the current version, or 0 if there is no row.
+func decodeVersion(row table.Row) (uint64, error) {
+	if row.Revision == table.Absent {
+		return 0, nil
+	}
 	var c currentVersion
 	if err := json.Unmarshal(row.Value, &c); err != nil {
-		return 0, table.Row{}, errors.Newf("decode current version: %w", err)
+		return 0, errors.Newf("decode current version: %w", err)
 	}
-	return c.Version, row, nil
+	return c.Version, nil
 }
 
 // Entry returns the entry of a version, or table.ErrNotFound if there is none.
@@ -129,6 +138,27 @@
 	}
 }
 
+// WriteAgain stores a version that was accepted, and that the table has lost since, as the current one. row is the row of
+// the current version, which is older. It returns ErrConflict if another version has become the current one since row
+// was read. The entry does not name the author, and its base is the version in row.
+func (s *Store) WriteAgain(ctx context.Context, row table.Row, version uint64, doc *schema.Document) error {
+	base, err := decodeVersion(row)
+	if err != nil {
+		return err
+	}
+	txn, err := commitTxn(row, Entry{Version: version, Base: base, At: s.now(), Document: doc})
+	if err != nil {
+		return err
+	}
+	if _, err := s.table.Commit(ctx, txn); err != nil {
+		if errors.Is(err, table.ErrConflict) {
+			err = ErrConflict
+		}
+		return errors.Newf("write version %d again: %w", version, err)
+	}
+	return nil
+}
+
 // resolveTimeout limits the read that determines the outcome of a commit. It is independent of the
 // caller's deadline, which has often expired by the time a response is lost.
 const resolveTimeout = 2 * time.Second
@@ -144,13 +174,16 @@
 	if err != nil {
 		return nil, err
 	}
-	if before > 0 {
-		version = min(version, before-1)
+	if before > 0 && before <= version {
+		version, err = s.baseOf(ctx, before)
+		if err != nil {
+			return nil, err
+		}
 	}
 	var entries []Entry
-	for n := version; n > 0 && len(entries) < min(limit, maxHistory); n-- {
+	for version > 0 && len(entries) < min(limit, maxHistory) {
 		var header entryHeader
-		err := s.readVersion(ctx, n, &header)
+		err := s.readVersion(ctx, version, &header)
 		if errors.Is(err, table.ErrNotFound) {
 			break
 		}
@@ -158,10 +191,21 @@
 			return nil, err
 		}
 		entries = append(entries, Entry{Version: header.Version, Base: header.Base, Token: header.Token, Author: header.Author, At: header.At})
+		version = header.Base
 	}
 	return entries, nil
 }
 
+// baseOf returns the version that a version is based on, which precedes it by more than one if the table has lost versions.
+func (s *Store) baseOf(ctx context.Context, version uint64) (uint64, error) {
+	var header entryHeader
+	err := s.readVersion(ctx, version, &header)
+	if errors.Is(err, table.ErrNotFound) {
+		return version - 1, nil
+	}
+	return header.Base, err
+}
+
 // resolveOutcome determines whether a commit whose response was lost took effect.
 func (s *Store) resolveOutcome(ctx context.Context, e Entry) (Entry, error) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), resolveTimeout)
@@ -170,6 +214,8 @@
 	switch {
 	case err == nil && stored.Token == e.Token:
 		return e, nil
+	case err == nil && stored.Token == "":
+		return e, errors.Newf("version %d was written again after the table lost it: %w", e.Version, table.ErrUnknown)
 	case err == nil:
 		return Entry{}, errors.Newf("version %d was written by another commit: %w", e.Version, ErrConflict)
 	default:
--- a/internal/conf/apply/apply_test.go
+++ b/internal/conf/apply/apply_test.go
@@ -139,3 +139,57 @@
 		}
 	}
 }
+
+// restoredTable answers a commit with ErrUnknown, after it was lost in a restoration and another node wrote it again.
+type restoredTable struct {
+	*store.Store
+	t *testing.T
+}
+
+func (r restoredTable) Commit(ctx context.Context, txn table.Txn) (table.Revision, error) {
+	before := time.Now()
+	if _, err := r.Store.Commit(ctx, txn); err != nil {
+		r.t.Fatal(err)
+	}
+	r.Restore(time.Since(before))
+	s := apply.New(r.Store, time.Now)
+	v, row, err := s.Version(ctx)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	if err := s.WriteAgain(ctx, row, v+1, document("b")); err != nil {
+		r.t.Fatal(err)
+	}
+	return table.Absent, table.ErrUnknown
+}
+
+// Guards against a commit that is reported as rejected although it is in force, as a restored table lost it and another
+// node wrote it again.
+func TestCommitWrittenAgain(t *testing.T) {
+	t.Parallel()
+	tbl := store.New()
+	if _, err := apply.New(tbl, time.Now).Commit(t.Context(), 0, "first", document("a")); err != nil {
+		t.Fatal(err)
+	}
+	e, err := apply.New(restoredTable{tbl, t}, time.Now).Commit(t.Context(), 1, "second", document("b"))
+	if !errors.Is(err, table.ErrUnknown) || e.Version != 2 {
+		t.Errorf("got version %d, %v; want 2 and an unknown outcome", e.Version, err)
+	}
+}
+
+// Guards against a version that is written again over one that was accepted meanwhile.
+func TestWriteAgainConflict(t *testing.T) {
+	t.Parallel()
+	tbl := store.New()
+	s := apply.New(tbl, time.Now)
+	_, row, err := s.Version(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.Commit(t.Context(), 0, "operator", document("a")); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.WriteAgain(t.Context(), row, 1, document("b")); !errors.Is(err, apply.ErrConflict) {
+		t.Errorf("got %v, want ErrConflict", err)
+	}
+}
--- a/internal/node/peers/commit.go
+++ b/internal/node/peers/commit.go
@@ -36,9 +36,17 @@
 	if !allowed {
 		return nil, ErrTooFew
 	}
-	if _, _, err := p.cfg.Configs.Version(ctx); err != nil {
+	current, row, err := p.cfg.Configs.Version(ctx)
+	if err != nil {
 		return nil, errors.Newf("read version before announcing a commit: %w", err)
 	}
+	p.mu.Lock()
+	own, packed := p.watch.Version(), p.packedDocument
+	p.mu.Unlock()
+	if current < own {
+		// The commit must not be based on a version that the table has gone back to.
+		p.writeAgain(ctx, row, own, packed)
+	}
 	n := &Notice{peers: p, msg: frame.CommitNotice{Id: int(p.notices.Add(1)), Ver: int(version)}}
 	p.mu.Lock()
 	p.watch.CommitAnnounced(time.Now(), noticeKey(p.cfg.Incarnation, &n.msg), version)
--- a/internal/node/peers/document.go
+++ b/internal/node/peers/document.go
@@ -9,6 +9,7 @@
 	"geraniumhollow/internal/conf/schema"
 	"geraniumhollow/internal/conf/watch"
 	"geraniumhollow/internal/fleet/roster"
+	"geraniumhollow/internal/plat/table"
 	"geraniumhollow/internal/wire/frame"
 	"geraniumhollow/internal/wire/peer"
 	"github.com/cockroachdb/errors"
@@ -79,15 +80,34 @@
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	sent := time.Now()
-	v, _, err := p.cfg.Configs.Version(ctx)
+	v, row, err := p.cfg.Configs.Version(ctx)
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	if err != nil {
 		p.cfg.Log.Debug("failed to read configuration version", "error", err)
 		p.watch.VersionReadFailed()
+		p.mu.Unlock()
 		return
 	}
 	p.watch.VersionRead(sent, v)
+	own, packed := p.watch.Version(), p.packedDocument
+	p.mu.Unlock()
+	if v < own {
+		p.writeAgain(ctx, row, own, packed)
+	}
+}
+
+// writeAgain stores the installed version, which a table that was restored from an older copy has lost. If the table was
+// read before the version was accepted, the row has changed, and nothing is written.
+func (p *Peers) writeAgain(ctx context.Context, row table.Row, version uint64, packed []byte) {
+	doc, err := Unpack(packed)
+	if err == nil {
+		err = p.cfg.Configs.WriteAgain(ctx, row, version, doc)
+	}
+	if err != nil {
+		p.cfg.Log.Info("configuration version that the table lacks was not written again", "version", version, "error", err)
+		return
+	}
+	p.cfg.Log.Warn("wrote a configuration version again that the table had lost", "version", version)
 }
 
 // checkLoad logs and records a failure to get a document.
--- /dev/null
+++ b/internal/node/serve/restore_test.go
@@ -0,0 +1,39 @@
+package serve_test
+
+import (
+	"testing"
+	"time"
+
+	"geraniumhollow/internal/conf/apply"
+)
+
+// Guards against a table that is restored from an older copy and stays behind the configuration in force, so that no change
+// is accepted, or that takes nodes back to an older one.
+func TestRestoredConfiguration(t *testing.T) {
+	t.Parallel()
+	s := newTestCluster(t)
+	s.commit(s.nodes)
+	time.Sleep(500 * time.Millisecond)
+	kept := time.Now()
+	for range 3 {
+		s.commit(s.nodes)
+	}
+	s.site.Platform.Restore(time.Since(kept))
+	configs := apply.New(s.site.Platform, time.Now)
+	s.eventually(convergenceTimeout, "the table has the version in force", func() bool {
+		for _, n := range s.nodes {
+			if n.View().Version != s.version {
+				t.Fatalf("%s has version %d, want %d", n.cfg.NodeName, n.View().Version, s.version)
+			}
+		}
+		v, _, err := configs.Version(t.Context())
+		return err == nil && v == s.version
+	})
+	if e, err := configs.Entry(t.Context(), s.version); err != nil || e.Document == nil {
+		t.Errorf("version %d cannot be read: %v", s.version, err)
+	}
+	if list, err := configs.History(t.Context(), 0, 10); err != nil || len(list) != 3 || list[1].Version != 2 {
+		t.Errorf("history after the restoration: %+v, %v; want versions 5, 2 and 1", list, err)
+	}
+	s.commit(s.nodes)
+}
