Keep claims that a restored table has lost

What callers would see: after a restoration, a call that may run once ran a second time when it was sent again with its idempotency key, as the claim that the table had confirmed was gone.

A node now remembers for 2 minutes under which claims it has sent calls. It reads the newest of them each second, and when the table is in a new era or lacks that row, it writes all of them again that the table lacks or has in an earlier state. A resend to that node finds the claim at once. Other nodes send no call under a new claim for 5 s after they first see the new era, and answer 'unknown', so that no claim takes the place of a lost one.

Open: the claim of a node that has ended before it could write it again.

--- a/internal/node/calls/claimed.go
+++ b/internal/node/calls/claimed.go
@@ -96,6 +96,7 @@
 		cc.logError("reading the claim failed", err)
 		return ev
 	case claim.Send:
+		cc.h.deps.Claims.Sent(cc.key, v.Record)
 		return cc.send(ctx, v)
 	case claim.Wait:
 		t := time.NewTimer(v.For)
--- a/internal/node/serve/build.go
+++ b/internal/node/serve/build.go
@@ -10,13 +10,18 @@
 	"geraniumhollow/internal/plat/object"
 	"geraniumhollow/internal/route/claim"
 	"geraniumhollow/internal/route/retry"
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 )
 
 // services returns the handler for calls to plain services. Like completions, these calls count as running
 // requests during a planned stop, and are refused while the node drains or is isolated.
-func (n *Node) services(g *tasks.Group, coord *coordinator, obs observer) caller.ServiceHandler {
-	claims := claim.NewStore(n.parts.Table, object.New(n.cfg.ObjectAddress))
+func (n *Node) services(g *tasks.Group, coord *coordinator, obs observer) (caller.ServiceHandler, error) {
+	claims, err := claim.NewStore(n.parts.Table, object.New(n.cfg.ObjectAddress))
+	if err != nil {
+		return nil, errors.Newf("build services: %w", err)
+	}
+	g.Go("claims", claims.Run)
 	g.Go("sweep", func(ctx context.Context) error { return coord.sweep(ctx, claims) })
 	h := calls.New(g, calls.Deps{
 		Log: n.log.Named("calls"), Node: n.cfg.NodeName, View: n.view.Load, Claims: claims,
@@ -30,5 +35,5 @@
 			return
 		}
 		h.Serve(rc, requestID, a)
-	}
+	}, nil
 }
--- a/internal/node/serve/serve.go
+++ b/internal/node/serve/serve.go
@@ -167,8 +167,12 @@
 	n.coordinator.Store(coord)
 	coord.run(g)
 	n.origin.Serve(g, rl)
+	services, err := n.services(g, coord, obs)
+	if err != nil {
+		return err
+	}
 	srv := caller.New(g.Context(), n.log.Named("caller"), n.cfg.NodeName, n.view.Load, rl,
-		caller.WithServices(n.services(g, coord, obs)), caller.WithRequestObserver(obs.requestEnded))
+		caller.WithServices(services), caller.WithRequestObserver(obs.requestEnded))
 	g.Go("callers", func(ctx context.Context) error { return srv.Serve(ctx, n.lns.Callers) })
 	g.Go("operators", func(ctx context.Context) error { return n.serveOperators(ctx, n.metricsPage(coord, rl), reporter) })
 	g.Go("peers", func(ctx context.Context) error { return n.peers.Run(ctx, n.lns.Peers) })
--- a/internal/route/claim/claim.go
+++ b/internal/route/claim/claim.go
@@ -148,7 +148,7 @@
 func (d *Decider) handleClaimWrite(now time.Time, e WriteEnded) Action {
 	switch e.Result {
 	case Written:
-		return d.claimConfirmed(now, e.Revision)
+		return d.claimConfirmed(now, e.Revision, e.Unsettled)
 	case Conflict:
 		d.contended = true
 		return d.resolve(now)
@@ -189,16 +189,22 @@
 		"the claim of the request could not be written").WithRetryAfter(retryAfter)}, after)
 }
 
-// claimConfirmed sends the call. This attempt's claim is in the table at revision rev.
-func (d *Decider) claimConfirmed(now time.Time, rev table.Revision) Action {
+// claimConfirmed sends the call. This attempt's claim is in the table at revision rev. In an unsettled table, it may have
+// taken the place of a lost claim under which the call has run.
+func (d *Decider) claimConfirmed(now time.Time, rev table.Revision, unsettled bool) Action {
 	d.ownRevision, d.uncertain, d.contended = rev, false, false
+	if unsettled {
+		d.final = d.record(Released)
+		return d.reply(Reply{Fault: fault.New(fault.StoreUnavailable, fault.Unknown,
+			"the table was restored, and an earlier attempt with this idempotency key may have run").WithRetryAfter(retryAfter)}, finishing)
+	}
 	if !now.Before(d.deadline) {
 		d.final = d.record(Released)
 		return d.reply(Reply{Fault: fault.New(fault.Timeout, fault.NotRun,
 			"the time for the request was over before it was sent").WithRetryAfter(retryAfter)}, finishing)
 	}
 	d.phase = sending
-	return Send{Until: d.deadline}
+	return Send{Until: d.deadline, Record: d.record(Claimed)}
 }
 
 // handleCall converts the result of the call to the reply for the caller and the final state of the row.
--- a/internal/route/claim/event.go
+++ b/internal/route/claim/event.go
@@ -23,9 +23,10 @@
 	Timeout time.Duration
 }
 
-// Send sends the call, which must end by Until. It results in CallEnded.
+// Send sends the call, which must end by Until, under a claim with the given record. It results in CallEnded.
 type Send struct {
-	Until time.Time
+	Until  time.Time
+	Record Record
 }
 
 // Wait waits for a duration. It results in Elapsed, or in Cancelled if the node is stopping.
@@ -67,10 +68,12 @@
 	Unavailable
 )
 
-// WriteEnded is the result of Write. Revision is set if Result is Written.
+// WriteEnded is the result of Write. Revision is set if Result is Written. Unsettled means that the table was restored
+// recently, so that it may still lack claims that other nodes know.
 type WriteEnded struct {
-	Result   WriteResult
-	Revision table.Revision
+	Result    WriteResult
+	Revision  table.Revision
+	Unsettled bool
 }
 
 // ReadResult is the result of a read.
@@ -85,11 +88,12 @@
 	Found
 )
 
-// ReadEnded is the result of Read. Record and Revision are set if Result is Found.
+// ReadEnded is the result of Read. Record and Revision are set if Result is Found. Unsettled is as in WriteEnded.
 type ReadEnded struct {
-	Result   ReadResult
-	Record   Record
-	Revision table.Revision
+	Result    ReadResult
+	Record    Record
+	Revision  table.Revision
+	Unsettled bool
 }
 
 // CallResult is the result of a call.
--- a/internal/route/claim/resolve.go
+++ b/internal/route/claim/resolve.go
@@ -44,7 +44,7 @@
 	r := e.Record
 	switch {
 	case r.Token == d.call.Token:
-		return d.claimConfirmed(now, e.Revision)
+		return d.claimConfirmed(now, e.Revision, e.Unsettled)
 	case r.State == Released:
 		return d.handleUnclaimed(now, e.Revision)
 	}
--- a/internal/route/claim/store.go
+++ b/internal/route/claim/store.go
@@ -9,6 +9,7 @@
 	"geraniumhollow/internal/plat/object"
 	"geraniumhollow/internal/plat/table"
 	"github.com/cockroachdb/errors"
+	lru "github.com/hashicorp/golang-lru/v2"
 )
 
 // rowPrefix is the key prefix of all claim rows.
@@ -32,11 +33,16 @@
 type Store struct {
 	table   table.Table
 	objects object.Store
+	memory  *memory
 }
 
 // NewStore returns a Store that keeps rows in t and large answer bodies in o.
-func NewStore(t table.Table, o object.Store) *Store {
-	return &Store{table: t, objects: o}
+func NewStore(t table.Table, o object.Store) (*Store, error) {
+	records, err := lru.New[string, remembered](maxRemembered)
+	if err != nil {
+		return nil, errors.Newf("create memory of claims: %w", err)
+	}
+	return &Store{table: t, objects: o, memory: &memory{records: records}}, nil
 }
 
 // Key returns the row key for an idempotency key of an account. Both parts are escaped, so that a
@@ -53,13 +59,20 @@
 	if err != nil {
 		return WriteEnded{Result: Unavailable}, err
 	}
+	if rec.State == Claimed {
+		if held, err := s.heldByOther(ctx, key, rec); held {
+			return WriteEnded{Result: Conflict}, err
+		}
+	} else {
+		s.finished(key, rec)
+	}
 	value, err := json.Marshal(rec)
 	if err != nil {
 		return WriteEnded{Result: Unavailable}, errors.Newf("encode claim: %w", err)
 	}
 	rev, err := s.table.Commit(ctx, table.Replace(table.Row{Key: key, Revision: w.Base}, value))
 	if err == nil {
-		return WriteEnded{Result: Written, Revision: rev}, nil
+		return WriteEnded{Result: Written, Revision: rev, Unsettled: s.memory.observe(rev)}, nil
 	}
 	err = errors.Newf("write claim: %w", err)
 	switch {
@@ -103,7 +116,7 @@
 	if err := json.Unmarshal(row.Value, &rec); err != nil {
 		return ReadEnded{Result: Failed}, errors.Newf("decode claim: %w", err)
 	}
-	out := ReadEnded{Result: Found, Record: rec, Revision: row.Revision}
+	out := ReadEnded{Result: Found, Record: rec, Revision: row.Revision, Unsettled: s.memory.observe(row.Revision)}
 	if rec.Answer == nil || rec.Answer.Ref == "" {
 		return out, nil
 	}
