Keep duties of nodes apart in a restored table

What callers would see: after a restoration, fencing numbers were given out again. Nodes that had seen a higher one took the grants of the shard for outdated and refused requests until the number had passed it. The holder that the copy names granted as if it had held the duty all along, beside the grants of the holder that was forgotten. A node that had started since the copy found the row of its predecessor and ended itself.

Fencing numbers now rise with the era, as for the duty of the keeper. A holder takes its duty anew in each era: as continued if its own lease has not lapsed, so that nobody can have claimed the duty; else as a takeover that knows of no earlier holder, and waits for grants that may be in use. A row of a predecessor from a later era than that of the process's own row is overwritten.

The owner of a limit compared fencing numbers to find out whether it had seen the tenure before; it is now told its number.

--- a/internal/bench/share/process.go
+++ b/internal/bench/share/process.go
@@ -214,7 +214,7 @@
 			}
 			return
 		}
-		bt := budget.Tenure{Fence: t.Fence, Depth: t.Depth, Continued: t.Continued, Clean: t.Clean}
+		bt := budget.Tenure{Fence: t.Fence, Depth: t.Depth, Continued: t.Continued, Previous: t.Previous, Clean: t.Clean}
 		for _, e := range t.Earlier {
 			bt.Earlier = append(bt.Earlier, budget.EarlierOwner{ID: e.Incarnation, Depth: e.Depth})
 		}
--- a/internal/conf/apply/apply_test.go
+++ b/internal/conf/apply/apply_test.go
@@ -147,7 +147,10 @@
 }
 
 func (r restoredTable) Commit(ctx context.Context, txn table.Txn) (table.Revision, error) {
+	const margin = 50 * time.Millisecond
+	time.Sleep(margin)
 	before := time.Now()
+	time.Sleep(margin)
 	if _, err := r.Store.Commit(ctx, txn); err != nil {
 		r.t.Fatal(err)
 	}
--- a/internal/fleet/lease/decider.go
+++ b/internal/fleet/lease/decider.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"geraniumhollow/internal/fleet/duty"
 	"geraniumhollow/internal/plat/table"
 	"github.com/cockroachdb/errors"
 )
@@ -57,14 +58,18 @@
 	Depth int
 	// Earlier lists the earlier holders whose granted resources may still be in use.
 	Earlier []EarlierHolder
-	// Continued reports that no other process has held the duty since this process's previous tenure.
+	// Continued reports that no other process has held the duty since this process's previous tenure, whose fencing number
+	// is Previous.
 	Continued bool
+	Previous  uint64
 	// Clean reports that no resource granted by an earlier holder is in use.
 	Clean bool
 	// Lost reports that another process holds the duty, or that it has been released.
 	Lost bool
 
 	session uint64
+	// lapses is the number of lapses of the lease before the tenure.
+	lapses int
 }
 
 // OpKind is the kind of an operation.
@@ -122,6 +127,9 @@
 	leaseRevision table.Revision       // revision of the process's own lease row; 0 if not registered
 	validUntil    time.Time            // end of the lease by the local clock
 	registered    bool                 // the row has been observed with this incarnation
+	lapses        int                  // how often the lease has lapsed by the local clock
+	era           uint64               // latest era of the table in which a row was read or written
+	rowEra        uint64               // era in which the process's own lease row was last seen
 	leaving       bool                 // the lease row is to be deleted
 	replaced      bool                 // a newer process of this node has registered
 
@@ -367,8 +375,8 @@
 		r.Clean = clean && len(r.Earlier) == 0
 		return d.writeDuty(now, name, cur.revision, r, nil)
 	}
-	if r.Session != d.session {
-		r.Session, r.Fence, r.Clean = d.session, r.Fence+1, false
+	if r.Session != d.session || d.restored(r) {
+		r.Session, r.Fence, r.Clean = d.session, d.nextFence(r), false
 		return d.writeDuty(now, name, cur.revision, r, nil)
 	}
 	remaining := r.without(func(e EarlierHolder) bool { return d.terminated(e.Node, e.Incarnation) })
@@ -379,6 +387,13 @@
 	return d.writeDuty(now, name, cur.revision, r, nil)
 }
 
+// restored reports whether a duty row may have been brought back by a restoration of the table. Tenures that began after
+// it was written, and their resources, are then not known from it.
+func (d *Decider) restored(r DutyRow) bool { return d.era > 1 && r.Fence <= duty.FirstOfEra(d.era) }
+
+// nextFence returns the fencing number of the tenure after the one in a duty row.
+func (d *Decider) nextFence(r DutyRow) uint64 { return max(r.Fence, duty.FirstOfEra(d.era)) + 1 }
+
 // claim returns the write that makes this process the holder. The conditions on the previous holder's lease
 // row make the transaction fail if that lease was renewed after it was observed.
 func (d *Decider) claim(now time.Time, name string, cur versioned[DutyRow]) (Op, bool) {
@@ -395,9 +410,9 @@
 		revocation = d.revokeLease(old)
 	}
 	r := DutyRow{
-		Holder: d.cfg.Node, Incarnation: d.cfg.Incarnation, Session: d.session, Fence: old.Fence + 1,
+		Holder: d.cfg.Node, Incarnation: d.cfg.Incarnation, Session: d.session, Fence: d.nextFence(old),
 		Depth: freeDepth(earlier), Earlier: earlier,
-		Clean: cur.revision == table.Absent || old.Clean && old.Holder == "",
+		Clean: !d.restored(old) && (cur.revision == table.Absent || old.Clean && old.Holder == ""),
 	}
 	return d.writeDuty(now, name, cur.revision, r, revocation)
 }
@@ -467,7 +482,9 @@
 	switch op.Kind {
 	case RegisterLease, RenewLease:
 		d.leaseRevision, d.registered = res.Revision, true
-		d.extendLease(op.sentAt, op.renewalSeq)
+		d.rowEra = res.Revision.Era
+		d.era = max(d.era, d.rowEra)
+		d.extendLease(now, op.sentAt, op.renewalSeq)
 		d.leases[d.cfg.Node] = observedLease{row: versioned[NodeLease]{
 			value: NodeLease{Incarnation: d.cfg.Incarnation, Session: d.session, RenewalSeq: op.renewalSeq, Draining: d.draining}, revision: res.Revision,
 		}, unchangedSince: now, incarnationSince: now}
@@ -498,7 +515,10 @@
 }
 
 // extendLease extends the lease, counting from the time just before the renewal was sent.
-func (d *Decider) extendLease(sent time.Time, renewalSeq uint64) {
+func (d *Decider) extendLease(now, sent time.Time, renewalSeq uint64) {
+	if now.After(d.validUntil) {
+		d.lapses++
+	}
 	if until := sent.Add(d.cfg.Lifetime - d.cfg.ExpiryMargin); until.After(d.validUntil) {
 		d.validUntil = until
 	}
@@ -535,7 +555,10 @@
 		d.leases[name] = s
 	}
 	maps.DeleteFunc(d.leases, func(name string, _ observedLease) bool { _, ok := nodes[name]; return !ok })
-	d.checkOwnLease(nodes[d.cfg.Node])
+	for _, r := range slices.Concat(res.Leases, res.Duties) {
+		d.era = max(d.era, r.Revision.Era)
+	}
+	d.checkOwnLease(now, nodes[d.cfg.Node])
 	d.duties = duties
 	for _, name := range d.cfg.Duties {
 		d.updateTenure(name)
@@ -543,20 +566,22 @@
 }
 
 // checkOwnLease compares the process's own lease row with its local state.
-func (d *Decider) checkOwnLease(row versioned[NodeLease]) {
+func (d *Decider) checkOwnLease(now time.Time, row versioned[NodeLease]) {
 	switch {
 	case row.revision == table.Absent:
 		d.endSession()
 	case row.value.Incarnation != d.cfg.Incarnation:
 		// Before it has registered, a process replaces the row of its predecessor.
-		d.replaced = d.registered
+		// A restored table can bring the row of a predecessor back.
+		back := row.revision.Era > d.rowEra && row.value.Incarnation < d.cfg.Incarnation
+		d.replaced = d.registered && !back
 		d.endSession()
 	case row.value.Session != d.session:
 		d.endSession()
 	default:
-		d.leaseRevision, d.registered = row.revision, true
+		d.leaseRevision, d.registered, d.rowEra = row.revision, true, row.revision.Era
 		if sent, ok := d.renewalSentAt[row.value.RenewalSeq]; ok {
-			d.extendLease(sent, row.value.RenewalSeq)
+			d.extendLease(now, sent, row.value.RenewalSeq)
 		}
 	}
 }
@@ -572,12 +597,11 @@
 	r := d.duties[name].value
 	t, had := d.tenures[name]
 	if r.Holder == d.cfg.Node && r.Incarnation == d.cfg.Incarnation {
-		if r.Session != d.session || d.leaseRevision == table.Absent {
+		if r.Session != d.session || d.leaseRevision == table.Absent || d.restored(r) {
 			return
 		}
 		if !had || t.Fence != r.Fence {
-			last, ok := d.lastFence[name]
-			t = Tenure{Duty: name, Fence: r.Fence, Continued: ok && last == r.Fence-1, Clean: r.Clean, session: r.Session}
+			t = d.newTenure(name, r, t)
 			d.lastFence[name] = r.Fence
 			delete(d.lostUnused, name)
 		}
@@ -597,3 +621,14 @@
 	t.Lost = true
 	d.tenures[name] = t
 }
+
+// newTenure returns the tenure of a duty row whose holder is this process. old is the tenure of the duty until now, if any.
+func (d *Decider) newTenure(name string, r DutyRow, old Tenure) Tenure {
+	last, ok := d.lastFence[name]
+	// Nobody can have claimed the duty during a lease that has not lapsed, even if the table has forgotten it.
+	unbroken := old.Duty != "" && !old.Lost && old.session == r.Session && old.lapses == d.lapses
+	return Tenure{
+		Duty: name, Fence: r.Fence, Continued: ok && (last == r.Fence-1 || unbroken), Previous: last, Clean: r.Clean,
+		session: r.Session, lapses: d.lapses,
+	}
+}
--- a/internal/node/serve/restore_test.go
+++ b/internal/node/serve/restore_test.go
@@ -13,8 +13,9 @@
 	t.Parallel()
 	s := newTestCluster(t)
 	s.commit(s.nodes)
-	time.Sleep(500 * time.Millisecond)
+	time.Sleep(200 * time.Millisecond)
 	kept := time.Now()
+	time.Sleep(200 * time.Millisecond)
 	for range 3 {
 		s.commit(s.nodes)
 	}
--- a/internal/node/share/owner.go
+++ b/internal/node/share/owner.go
@@ -87,7 +87,7 @@
 			lost[t.Duty] = true
 			continue
 		}
-		bt := budget.Tenure{Fence: t.Fence, Depth: t.Depth, Continued: t.Continued, Clean: t.Clean}
+		bt := budget.Tenure{Fence: t.Fence, Depth: t.Depth, Continued: t.Continued, Previous: t.Previous, Clean: t.Clean}
 		for _, e := range t.Earlier {
 			bt.Earlier = append(bt.Earlier, budget.EarlierOwner{ID: e.Node + "/" + e.Incarnation, Depth: e.Depth})
 		}
--- a/internal/plat/table/table_test.go
+++ b/internal/plat/table/table_test.go
@@ -126,7 +126,7 @@
 			time.Sleep(200 * time.Millisecond)
 			lost := table.Row{Key: "a", Revision: commit(table.Replace(kept, []byte("lost")))}
 			commit(table.Insert("b", []byte("lost")))
-			p.Restore(150 * time.Millisecond)
+			p.Restore(100 * time.Millisecond)
 			expectValue(t, tb, "a", "kept")
 			expectValue(t, tb, "b", "")
 			row, err := tb.Get(t.Context(), "a")
--- a/internal/route/budget/budget.go
+++ b/internal/route/budget/budget.go
@@ -199,8 +199,9 @@
 	// Depth determines the owner's reserve. No owner in Earlier has the same depth.
 	Depth   int
 	Earlier []EarlierOwner
-	// Continued is set if no other node owned the limit since this owner's last tenure.
+	// Continued is set if no other node owned the limit since this owner's last tenure, whose fencing number is Previous.
 	Continued bool
+	Previous  uint64
 	// Clean is set if no grant of an earlier owner is outstanding.
 	Clean bool
 }
--- a/internal/route/budget/owner.go
+++ b/internal/route/budget/owner.go
@@ -84,7 +84,7 @@
 
 // StartTenure starts a tenure. The state of the previous tenure is kept if no other node owned the limit in between.
 func (o *Owner) StartTenure(now time.Time, t Tenure) {
-	continued := o.tenure.Fence != 0 && t.Continued && t.Fence == o.tenure.Fence+1
+	continued := o.tenure.Fence != 0 && t.Continued && t.Previous == o.tenure.Fence
 	o.owning = true
 	if continued {
 		o.setEarlierOwners(now, t.Earlier)
