Number versions of the configuration above those that a restored table has lost

What operators would see: a change that was accepted in place of lost ones got the number of one of them. Nodes that had that number or a higher one never put the change in force.

--- a/internal/conf/apply/apply.go
+++ b/internal/conf/apply/apply.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"geraniumhollow/internal/conf/schema"
+	"geraniumhollow/internal/fleet/duty"
 	"geraniumhollow/internal/plat/table"
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
@@ -106,10 +107,11 @@
 	return nil
 }
 
-// Commit stores doc as the version after base and makes it the current one. It returns ErrConflict if
+// Commit stores doc as the next version after base and makes it the current one. It returns ErrConflict if
 // base is not the current version, and table.ErrUnknown if the outcome could not be determined. The entry
 // returned with table.ErrUnknown is the one that may have been committed, so that the caller can look for
-// its token later.
+// its token later. Versions of each era of the table are higher than all earlier ones, also than those that a
+// restored table has lost.
 func (s *Store) Commit(ctx context.Context, base uint64, author string, doc *schema.Document) (Entry, error) {
 	current, row, err := s.Version(ctx)
 	if err != nil {
@@ -119,7 +121,7 @@
 		return Entry{}, errors.Newf("base %d, current %d: %w", base, current, ErrConflict)
 	}
 	e := Entry{
-		Version: base + 1, Base: base, Token: uuid.NewString(), Author: author, At: s.now(), Document: doc,
+		Version: max(base, duty.FirstOfEra(row.Revision.Era)) + 1, Base: base, Token: uuid.NewString(), Author: author, At: s.now(), Document: doc,
 	}
 	txn, err := commitTxn(row, e)
 	if err != nil {
--- a/internal/node/serve/restore_test.go
+++ b/internal/node/serve/restore_test.go
@@ -37,4 +37,30 @@
 		t.Errorf("history after the restoration: %+v, %v; want versions 5, 2 and 1", list, err)
 	}
 	s.commit(s.nodes)
+	base := s.version
+	time.Sleep(200 * time.Millisecond)
+	kept = time.Now()
+	time.Sleep(200 * time.Millisecond)
+	s.commit(s.nodes)
+	lost := s.version
+	for _, n := range s.nodes {
+		n.platform.SetDown(true)
+	}
+	s.site.Platform.Restore(time.Since(kept))
+	// This change is accepted before any node can write the lost version again.
+	e, err := configs.Commit(t.Context(), base, "test", s.site.Document)
+	if err != nil || e.Version <= lost {
+		t.Fatalf("got version %d, %v; want one above the lost version %d", e.Version, err, lost)
+	}
+	for _, n := range s.nodes {
+		n.platform.SetDown(false)
+	}
+	s.eventually(convergenceTimeout, "a change that was accepted in place of lost ones", func() bool {
+		for _, n := range s.nodes {
+			if n.View().Version != e.Version {
+				return false
+			}
+		}
+		return true
+	})
 }
--- a/internal/node/serve/serve_test.go
+++ b/internal/node/serve/serve_test.go
@@ -135,10 +135,11 @@
 // commit commits the next version and waits until all given nodes have it in force and are ready.
 func (s *testCluster) commit(nodes []*testNode) {
 	s.t.Helper()
-	if _, err := apply.New(s.site.Platform, time.Now).Commit(context.Background(), s.version, "test", s.site.Document); err != nil {
+	e, err := apply.New(s.site.Platform, time.Now).Commit(context.Background(), s.version, "test", s.site.Document)
+	if err != nil {
 		s.t.Fatal(err)
 	}
-	s.version++
+	s.version = e.Version
 	s.eventually(convergenceTimeout, fmt.Sprintf("version %d in force", s.version), func() bool {
 		for _, n := range nodes {
 			if n.View().Version != s.version || !n.Ready() {
