Choose no further server for a caller that has left

Callers saw nothing. A request whose caller had left before it was sent went from server to server, as nothing had been sent to any, and was logged as one for which no backend server was open. Change: the request ends when the caller is known to have left. TestCallerLeavesBeforeAttempt failed before.

--- a/internal/node/pass/attempt.go
+++ b/internal/node/pass/attempt.go
@@ -131,6 +131,9 @@
 func (s *callState) classifyError(ctx context.Context, err error) attemptResult {
 	if errors.Is(err, conns.ErrNotSent) {
 		s.attempts--
+		if cause := context.Cause(ctx); errors.Is(cause, front.ErrCallerDisconnected) {
+			return attemptResult{outcome: Cancelled, refusal: fault.New(fault.Timeout, fault.NotRun, "the request ended").WithCause(cause)}
+		}
 		outcome := NotRun
 		if errors.Is(err, conns.ErrRefused) {
 			outcome = Refused
--- a/internal/node/pass/serve_test.go
+++ b/internal/node/pass/serve_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -78,10 +79,15 @@
 }
 
 // inOrder picks the servers of a test one after another. It implements pass.Picker.
-type inOrder []*slot
+type inOrder struct {
+	slots []*slot
+	// onPick is called before each choice.
+	onPick func(ctx context.Context)
+}
 
-func (p inOrder) Pick(_ context.Context, _ *pass.Call, tried sets.Set[string], _ context.CancelCauseFunc) (pass.Reservation, *fault.Error) {
-	for _, s := range p {
+func (p inOrder) Pick(ctx context.Context, _ *pass.Call, tried sets.Set[string], _ context.CancelCauseFunc) (pass.Reservation, *fault.Error) {
+	p.onPick(ctx)
+	for _, s := range p.slots {
 		if !tried.Has(s.entry.ID) {
 			return s, nil
 		}
@@ -105,11 +111,17 @@
 // newRelay starts a node whose requests go to the given servers in order and returns its address.
 func newRelay(t *testing.T, route match.Route, budget *retry.Budget, servers ...http.HandlerFunc) string {
 	t.Helper()
-	picker := make(inOrder, 0, len(servers))
+	return newWatchedRelay(t, func(context.Context) {}, route, budget, servers...)
+}
+
+// newWatchedRelay starts a node as newRelay does. It calls onPick before it chooses a server.
+func newWatchedRelay(t *testing.T, onPick func(ctx context.Context), route match.Route, budget *retry.Budget, servers ...http.HandlerFunc) string {
+	t.Helper()
+	picker := inOrder{onPick: onPick}
 	for i, h := range servers {
 		s := httptest.NewServer(h)
 		t.Cleanup(s.Close)
-		picker = append(picker, &slot{
+		picker.slots = append(picker.slots, &slot{
 			entry: &index.Entry{Info: server.Info{ID: fmt.Sprint("s", i)}}, pool: conns.New(s.Listener.Addr().String(), conns.Options{}),
 		})
 	}
@@ -216,3 +228,28 @@
 		})
 	}
 }
+
+// Guards against trying one server after another for a caller that has left.
+func TestCallerLeavesBeforeAttempt(t *testing.T) {
+	t.Parallel()
+	leave := make(chan struct{})
+	var picks atomic.Int32
+	route := match.Route{Name: "r", Kind: match.Idempotent, MaxAttempts: 2, Timeout: 5 * time.Second}
+	node := newWatchedRelay(t, func(ctx context.Context) {
+		if picks.Add(1) == 1 {
+			close(leave)
+			<-ctx.Done()
+		}
+	}, route, retry.NewBudgetWith(0, 9), serves, serves, serves)
+	nc, err := net.Dial("tcp", node)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.WriteString(nc, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-leave
+	_ = nc.Close()
+	time.Sleep(100 * time.Millisecond)
+	if n := picks.Load(); n != 1 {
+		t.Errorf("%d servers were chosen, want 1", n)
+	}
+}
