Do not cut a stream because its last server is silent

Callers saw: an answer that stopped in the middle, on routes with two attempts. Cause: when a server is silent for longer than a pass may take, the node withdraws the requests that may run more than once. A stream at its last attempt cannot be resumed then, so the node closed the caller's connection, although the server may still go on: the silence is often the network's, or the node's own. Change: the last attempt of a response that its caller has received in part is not withdrawn. It ends when the server ends it, the connection is found dead, or the time is up. A call of which nothing has been received is withdrawn as before, so that its caller can ask again. TestLastAttemptAtSilentServer fails without the condition in cancelRepeatable.

--- a/internal/node/pass/attempt.go
+++ b/internal/node/pass/attempt.go
@@ -23,7 +23,8 @@
 	if refusal != nil {
 		return attemptResult{refusal: refusal}
 	}
-	s.call.Trial = trial
+	s.call.Trial, s.call.Answering = trial, s.w.Started()
+	s.call.LastAttempt = s.countedAttempts()+1 >= s.maxAttempts()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	reservation, refusal := s.relay.deps.Picker.Pick(ctx, s.call, s.tried, cancel)
--- a/internal/node/pass/call.go
+++ b/internal/node/pass/call.go
@@ -87,6 +87,10 @@
 	Arrived  time.Time
 	// Trial is set if the next attempt is the trial of a quarantined part of the prompt, which may crash its server.
 	Trial bool
+	// LastAttempt is set if no attempt may follow the next one if that one runs.
+	LastAttempt bool
+	// Answering is set if the caller has received part of the response.
+	Answering bool
 	// Fingerprint is a hash of the request that is equal for identical requests of an account.
 	Fingerprint uint64
 
--- a/internal/node/pass/serve.go
+++ b/internal/node/pass/serve.go
@@ -84,12 +84,19 @@
 // maxRefusedResumes is the number of refusedResumes that do not count against the maximum number of attempts.
 const maxRefusedResumes = 3
 
-// retryInput returns the input of the retry decision. Servers that refuse to resume a response do not count as
-// attempts: unlike a call without a response, this one could not be refused in turn, only cut.
+// countedAttempts returns the number of attempts that count against maxAttempts. Servers that refuse to resume a response
+// do not: unlike a call without a response, this one could not be refused in turn, only cut.
+func (s *callState) countedAttempts() int {
+	return s.attempts - min(s.refusedResumes, maxRefusedResumes)
+}
+
+func (s *callState) maxAttempts() int { return max(1, s.call.Route.MaxAttempts) }
+
+// retryInput returns the input of the retry decision.
 func (s *callState) retryInput(res attemptResult) retry.Attempt {
 	return retry.Attempt{
-		Number:          s.attempts - min(s.refusedResumes, maxRefusedResumes),
-		MaxAttempts:     max(1, s.call.Route.MaxAttempts),
+		Number:          s.countedAttempts(),
+		MaxAttempts:     s.maxAttempts(),
 		NotStarted:      res.outcome == NotRun || res.outcome == Refused,
 		NotSent:         res.notSent,
 		MayHaveRun:      s.mayHaveRun,
--- a/internal/node/pass/serve_test.go
+++ b/internal/node/pass/serve_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"testing"
@@ -82,11 +83,11 @@
 type inOrder struct {
 	slots []*slot
 	// onPick is called before each choice.
-	onPick func(ctx context.Context)
+	onPick func(ctx context.Context, c *pass.Call)
 }
 
-func (p inOrder) Pick(ctx context.Context, _ *pass.Call, tried sets.Set[string], _ context.CancelCauseFunc) (pass.Reservation, *fault.Error) {
-	p.onPick(ctx)
+func (p inOrder) Pick(ctx context.Context, c *pass.Call, tried sets.Set[string], _ context.CancelCauseFunc) (pass.Reservation, *fault.Error) {
+	p.onPick(ctx, c)
 	for _, s := range p.slots {
 		if !tried.Has(s.entry.ID) {
 			return s, nil
@@ -111,11 +112,11 @@
 // newRelay starts a node whose requests go to the given servers in order and returns its address.
 func newRelay(t *testing.T, route match.Route, budget *retry.Budget, servers ...http.HandlerFunc) string {
 	t.Helper()
-	return newWatchedRelay(t, func(context.Context) {}, route, budget, servers...)
+	return newWatchedRelay(t, func(context.Context, *pass.Call) {}, route, budget, servers...)
 }
 
 // newWatchedRelay starts a node as newRelay does. It calls onPick before it chooses a server.
-func newWatchedRelay(t *testing.T, onPick func(ctx context.Context), route match.Route, budget *retry.Budget, servers ...http.HandlerFunc) string {
+func newWatchedRelay(t *testing.T, onPick func(ctx context.Context, c *pass.Call), route match.Route, budget *retry.Budget, servers ...http.HandlerFunc) string {
 	t.Helper()
 	picker := inOrder{onPick: onPick}
 	for i, h := range servers {
@@ -235,7 +236,7 @@
 	leave := make(chan struct{})
 	var picks atomic.Int32
 	route := match.Route{Name: "r", Kind: match.Idempotent, MaxAttempts: 2, Timeout: 5 * time.Second}
-	node := newWatchedRelay(t, func(ctx context.Context) {
+	node := newWatchedRelay(t, func(ctx context.Context, _ *pass.Call) {
 		if picks.Add(1) == 1 {
 			close(leave)
 			<-ctx.Done()
@@ -253,3 +254,19 @@
 		t.Errorf("%d servers were chosen, want 1", n)
 	}
 }
+
+// Guards against a picker that is not told that the response depends on the server that it picks.
+func TestPickerKnowsLastAttempt(t *testing.T) {
+	t.Parallel()
+	type facts struct{ last, answering bool }
+	var got []facts
+	route := match.Route{Name: "r", Kind: match.Stream, Resumable: true, MaxAttempts: 2, Timeout: 5 * time.Second}
+	node := newWatchedRelay(t, func(_ context.Context, c *pass.Call) { got = append(got, facts{c.LastAttempt, c.Answering}) },
+		route, retry.NewBudgetWith(0, 9), cutsStream, refuses, serves)
+	if _, _, err := get(t, node); err != nil {
+		t.Fatal(err)
+	}
+	if want := []facts{{false, false}, {true, true}, {true, true}}; !slices.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
--- a/internal/node/seat/seat.go
+++ b/internal/node/seat/seat.go
@@ -166,7 +166,7 @@
 	sv := s.servers[s.table.Name(id)]
 	sv.recentSends.Add(now)
 	s.watch.RecordTrial(now, sv.entry.ID)
-	res := &reservation{selection: sv.selection(now, est), picker: s, server: sv, entry: sv.entry, sendID: s.table.RecordSend(id, now, req), sentAt: now, promptTokens: c.PromptTokens, expectedFirstByte: est, cancel: cancel, repeatable: c.Route.Repeatable()}
+	res := &reservation{selection: sv.selection(now, est), picker: s, server: sv, entry: sv.entry, sendID: s.table.RecordSend(id, now, req), sentAt: now, promptTokens: c.PromptTokens, expectedFirstByte: est, cancel: cancel, repeatable: c.Route.Repeatable(), last: c.LastAttempt, answering: c.Answering, resumable: c.Route.Resumable}
 	sv.reservations[res] = struct{}{}
 	return res, time.Time{}, nil
 }
--- a/internal/node/seat/seat_test.go
+++ b/internal/node/seat/seat_test.go
@@ -86,8 +86,12 @@
 
 // pick picks a server for a call. The returned function returns the cause if the attempt was cancelled.
 func (b *testBed) pick(ctx context.Context, tried ...string) (pass.Reservation, func() error, *fault.Error) {
+	return b.pickFor(ctx, b.call(), tried...)
+}
+
+func (b *testBed) pickFor(ctx context.Context, c *pass.Call, tried ...string) (pass.Reservation, func() error, *fault.Error) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	s, refusal := b.seats.Pick(ctx, b.call(), sets.New(tried...), cancel)
+	s, refusal := b.seats.Pick(ctx, c, sets.New(tried...), cancel)
 	return s, func() error { return context.Cause(ctx) }, refusal
 }
 
@@ -401,6 +405,46 @@
 	})
 }
 
+// Guards against cutting a response that only its silent server can continue, and against waiting for a silent server when
+// the caller can be refused or another server can continue.
+func TestLastAttemptAtSilentServer(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		last, answering, begins bool
+		cancelled               bool
+	}{
+		"another may follow":          {false, true, true, true},
+		"last, nothing received":      {true, false, false, true},
+		"last, received from another": {true, true, false, false},
+		"last, received from this":    {true, false, true, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			runWithFakeClock(t, func(t *testing.T, ctx context.Context, run func(*testBed)) {
+				b := newTestBed(engine(), 1)
+				run(b)
+				b.put("a")
+				other, _, _ := b.pick(ctx)
+				c := b.call()
+				c.LastAttempt, c.Answering = tt.last, tt.answering
+				r, cause, refusal := b.pickFor(ctx, c)
+				if refusal != nil {
+					t.Fatal(refusal)
+				}
+				sendEvents(200*time.Millisecond, other)
+				if tt.begins {
+					r.Progress()
+				}
+				time.Sleep(2 * time.Second)
+				if cancelled := errors.Is(cause(), pass.ErrStalled); cancelled != tt.cancelled {
+					t.Errorf("cancelled: %v, want %v", cancelled, tt.cancelled)
+				}
+			})
+		})
+	}
+}
+
 // Guards against cancelling the responses of all servers because this process has not run for a while, and against never
 // cancelling any on a host that is always slow.
 func TestPausedProcess(t *testing.T) {
--- a/internal/node/seat/server.go
+++ b/internal/node/seat/server.go
@@ -81,11 +81,12 @@
 	return sel
 }
 
-// cancelRepeatable cancels the attempts that may be retried on another server and returns their number.
+// cancelRepeatable cancels the attempts that may be repeated and returns their number, except those that no other attempt
+// could continue: the server may still do so.
 func (sv *server) cancelRepeatable() int {
 	n := 0
 	for r := range sv.reservations {
-		if r.repeatable {
+		if r.repeatable && !r.cannotBeContinued() {
 			n++
 			r.cancel(pass.ErrStalled)
 		}
@@ -123,7 +124,16 @@
 	stream     stall.ID
 	cancel     context.CancelCauseFunc
 	repeatable bool
-	selection  pass.Selection
+	// last and answering are Call.LastAttempt and Call.Answering at the time of the choice.
+	last      bool
+	answering bool
+	resumable bool
+	selection pass.Selection
+}
+
+// cannotBeContinued reports whether cancelling the attempt would leave the caller with part of a response.
+func (r *reservation) cannotBeContinued() bool {
+	return (r.answering || r.firstByte > 0) && (r.last || !r.resumable)
 }
 
 // Entry implements pass.Reservation.
