Ask another node for a newer configuration when a restored store is read first

Callers would see the older configuration (a key that was taken away, 401 for one in force) at a node that starts while a restored store shows it, for some 0.2 s, if that node is the one that reads the store.

Cause: such a node follows nobody, and its first read of the operator's rows is put in force although other nodes keep the configuration that was in force before.

In an era above the first, the first read of these rows from the store waits up to 0.6 s for one other node, and takes over what that keeps, or knows from the era before.

TestRowsKeptAcrossRestoration fails when the first read does not ask.

--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -95,6 +95,9 @@
 	// Keep is nil, no row is kept.
 	Keep     func(known table.Row, restored *table.Row) bool
 	KeepTime time.Duration
+	// PeerWait is how long the copy waits for another node, which may keep rows, when its first read is one of a store that
+	// was restored at some time. If it is 0, the copy does not ask.
+	PeerWait time.Duration
 	// OnUpToDate is called with false when the copy is no longer kept up to date, and with true when it is
 	// again. It may be nil.
 	OnUpToDate func(reached bool)
@@ -277,6 +280,12 @@
 		return nil, errors.Newf("read all rows of %s: %w", c.cfg.Family, err)
 	}
 	c.mu.Lock()
+	first := !c.loaded
+	c.mu.Unlock()
+	if first && from == c.cfg.Store && s.Revision.Era > firstEra && c.cfg.PeerWait > 0 {
+		c.addKept(ctx, &s)
+	}
+	c.mu.Lock()
 	defer c.mu.Unlock()
 	if s.Stale && (c.loaded || time.Since(c.createdAt) < rejectStaleFor) {
 		return nil, errors.Mark(errors.Newf("rows of %s are not up to date: %w", c.cfg.Family, table.ErrUnavailable), ErrNoSource)
--- a/internal/fleet/mirror/restore_test.go
+++ b/internal/fleet/mirror/restore_test.go
@@ -91,24 +91,45 @@
 	t.Parallel()
 	runSynctest(t, func(t *testing.T, ctx context.Context) {
 		s, restore := restoredFeed()
+		restore() // The first era is 1.
+		s.put("op/config", "2")
 		s.put("op/missing", "1")
 		s.put("op/rewritten", "1")
 		const keepTime = 10 * time.Second
-		first, r := startCopy(ctx, t, mirror.Config{Store: s, StoreWait: time.Second, KeepTime: keepTime, Keep: func(known table.Row, restored *table.Row) bool {
-			return restored == nil || string(known.Value) > string(restored.Value)
-		}})
+		keep := func(known table.Row, restored *table.Row) bool {
+			if restored == nil {
+				return known.Key != "op/config"
+			}
+			return string(known.Value) > string(restored.Value)
+		}
+		first, r := startCopy(ctx, t, mirror.Config{Store: s, StoreWait: time.Second, KeepTime: keepTime, Keep: keep})
 		time.Sleep(time.Second)
 		restore()
 		time.Sleep(keepTime - time.Second)
-		_, follower := startCopy(ctx, t, mirror.Config{Store: newFakeFeed(), Source: fromNode(first), KeepTime: keepTime})
+		_, follower := startCopy(ctx, t, mirror.Config{Store: newFakeFeed(), Source: fromNode(first), KeepTime: keepTime, Keep: keep})
+		linked := time.Now().Add(100 * time.Millisecond)
+		_, reader := startCopy(ctx, t, mirror.Config{Store: s, KeepTime: keepTime, Keep: keep, PeerWait: time.Second, Peer: func() table.Feed {
+			if time.Now().Before(linked) {
+				return nil
+			}
+			return first
+		}})
+		time.Sleep(200 * time.Millisecond)
+		if got, want := reader.values(), r.values(); !maps.Equal(got, want) || len(got) != 3 {
+			t.Errorf("a copy that starts has %v, want %v", got, want)
+		}
 		s.put("op/rewritten", "1")
 		s.put("op/config", "0")
 		time.Sleep(500 * time.Millisecond)
 		if got, want := r.values(), (map[string]string{"op/config": "2", "op/missing": "1", "op/rewritten": "1"}); !maps.Equal(got, want) || !maps.Equal(follower.values(), want) {
 			t.Errorf("got %v, and %v at a follower, want %v", got, follower.values(), want)
 		}
-		s.put("op/config", "3")
 		time.Sleep(2 * keepTime)
+		if got, want := r.values(), (map[string]string{"op/config": "2", "op/rewritten": "1"}); !maps.Equal(got, want) || !maps.Equal(follower.values(), want) {
+			t.Errorf("got %v later, and %v at a follower, want %v", got, follower.values(), want)
+		}
+		s.put("op/config", "3")
+		time.Sleep(time.Second)
 		if got, want := r.values(), (map[string]string{"op/config": "3", "op/rewritten": "1"}); !maps.Equal(got, want) || !maps.Equal(follower.values(), want) {
 			t.Errorf("got %v in the end, and %v at a follower, want %v", got, follower.values(), want)
 		}
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -84,8 +84,8 @@
 	n.index.SetHeartbeatInterval(set.HeartbeatInterval)
 	n.updateMembers(nil)
 	incarnation := strconv.FormatInt(time.Now().UnixNano(), 36)
-	n.servers = n.copy(cfg.Decoder.Families().Servers, n.applyServers, n.storeReachable)
-	n.operator = n.copy(cfg.Decoder.Families().Operator, n.applyOperator, nil)
+	n.servers = mirror.New(n.copyConfig(cfg.Decoder.Families().Servers, n.applyServers, n.storeReachable))
+	n.operator = n.operatorCopy()
 	n.mesh, err = mesh.New(mesh.Config{
 		Address: address, DataCentre: set.DataCentre, Incarnation: incarnation, Capacity: set.Capacity,
 		Gather: gatherTime(set.FirstStart), StoreReadDelay: max(0, set.ChangeTime-storeFallbackTime),
--- a/internal/node/edge/rows.go
+++ b/internal/node/edge/rows.go
@@ -30,6 +30,9 @@
 	rewriteTime = index.ReregistrationGrace + changeDelay
 	// changeDelay is how long a change takes to reach all nodes.
 	changeDelay = 2 * time.Second
+	// keptRowsWait is how long a node that starts waits for another one that may know newer rows of operators than a restored
+	// store.
+	keptRowsWait = 600 * time.Millisecond
 	// sweepInterval is the time between checks for entries that were not registered again after an outage.
 	sweepInterval = 200 * time.Millisecond
 )
@@ -42,14 +45,21 @@
 	return 0
 }
 
-// copy returns a local copy of a row family, replicated from other nodes or the store.
-func (n *Node) copy(family string, apply func(mirror.Update), reached func(bool)) *mirror.Copy {
-	return mirror.New(mirror.Config{
+// copyConfig returns the configuration of a local copy of a row family, replicated from other nodes or the store.
+func (n *Node) copyConfig(family string, apply func(mirror.Update), reached func(bool)) mirror.Config {
+	return mirror.Config{
 		Family: family, Name: n.address, Store: n.store, StoreReadDelay: func(upstream bool) time.Duration { return n.mesh.StoreReadDelay(upstream) },
 		Source: func() mirror.Source { return n.mesh.Source(family) }, Peer: func() table.Feed { return n.mesh.Peer(family) },
-		Apply: apply, Keep: n.cfg.Decoder.Keep, KeepTime: rewriteTime, OnUpToDate: reached, StoreWait: readWait, MinReadInterval: readPause, Log: n.cfg.Log,
+		Apply: apply, OnUpToDate: reached, StoreWait: readWait, MinReadInterval: readPause, Log: n.cfg.Log,
 		OnRevision: func(revision table.Revision) { n.mesh.Hint(family, revision) },
-	})
+	}
+}
+
+// operatorCopy returns the local copy of the rows of operators.
+func (n *Node) operatorCopy() *mirror.Copy {
+	cfg := n.copyConfig(n.cfg.Decoder.Families().Operator, n.applyOperator, nil)
+	cfg.Keep, cfg.KeepTime, cfg.PeerWait = n.cfg.Decoder.Keep, rewriteTime, keptRowsWait
+	return mirror.New(cfg)
 }
 
 // copyOf returns the local copy of a family, from which other nodes may replicate, or nil if there is none.
