--- a/internal/plan/group/restore.go
+++ b/internal/plan/group/restore.go
@@ -25,6 +25,7 @@
 // TakenOver returns the plan as the keeper with a fencing number takes it over. Epochs that are assigned from then on are
 // higher than all of earlier eras of the store.
 func (p Plan) TakenOver(fence uint64) Plan {
+	p.Restored = false
 	if first := duty.EraStart(fence); p.Epoch < first {
 		if p.LostUntil == 0 {
 			p.LostAfter = p.Epoch
