Leave the last holder a second to claim the duty after a restoration

Cause: after an outage all standby nodes call the store at the same time, and the row that they read names no holder. Nodes other than the last holder now wait a second after they first read such a row, unless the holder's process has been replaced.

--- a/internal/fleet/duty/duty.go
+++ b/internal/fleet/duty/duty.go
@@ -41,6 +41,8 @@
 	// NonStandbyDelay is the minimum time without a heartbeat after which a node that is not a standby may
 	// claim the duty. It is many times what the standby nodes need for that.
 	NonStandbyDelay = 6 * time.Second
+	// reclaimTime is how long the last holder has to claim the duty again when the store went back to an older copy.
+	reclaimTime = time.Second
 	// HoldTime is how long a holder may act after it sent the last renewal that was stored. It is shorter than
 	// Lifetime to allow for clocks that run at different rates.
 	HoldTime = Lifetime - 300*time.Millisecond
@@ -245,6 +247,9 @@
 	if holder := d.Holder(); holder != "" && holder == d.replacedHolder {
 		return true
 	}
+	if now-d.rowChangedAt < reclaimTime {
+		return false
+	}
 	silent := d.hasOtherPeers && d.heardFence > 0 && d.directFence == d.heardFence && now-d.heardAt >= HeartbeatTimeout
 	return silent || now-max(d.rowChangedAt, d.heardAt) >= Lifetime
 }
--- a/internal/fleet/duty/restore_test.go
+++ b/internal/fleet/duty/restore_test.go
@@ -139,26 +139,38 @@
 	}
 }
 
-// Guards against a duty that goes to a node without the lost state because the last holder tries too seldom to claim it.
-func TestLastHolderClaimsSoonAfterOutage(t *testing.T) {
+// Guards against a duty that goes to a node without the lost state although the last holder is there.
+func TestLastHolderClaimsFirstAfterOutage(t *testing.T) {
 	t.Parallel()
 	r := storedRow{revision: table.Revision{Era: 1}}
-	a := &candidate{decider: duty.New("a", key)}
+	a, b := &candidate{decider: duty.New("a", key)}, &candidate{decider: duty.New("b", key)}
+	b.decider.SetHasOtherPeers(true)
 	now := time.Second
 	for ; now < 3*time.Second; now += step {
 		r.runRestored(a, now, false)
+		if fence, held := a.decider.Holds(now); held {
+			b.decider.HeartbeatReceived(now, fence)
+		}
 	}
 	for ; now < 10*time.Second; now += step {
-		if op, ok := a.decider.Next(now); ok {
-			a.decider.CommitDone(now, op, table.Absent, table.ErrUnavailable)
+		for n, err := range map[*candidate]error{a: table.ErrUnavailable, b: table.ErrUnknown} {
+			if op, ok := n.decider.Next(now); ok && op.Read {
+				n.decider.ReadDone(now, table.Row{}, table.ErrUnavailable)
+			} else if ok {
+				n.decider.CommitDone(now, op, table.Absent, err)
+			}
 		}
 	}
-	r.revision = table.Revision{Era: 2, Number: r.revision.Number - 1}
-	for ; now <= 10*time.Second+duty.ReadInterval; now += step {
-		r.runRestored(a, now, false)
-		r.runRestored(a, now, false)
+	r.revision = table.Revision{Era: 2, Number: 1}
+	back := now
+	for ; now < back+2*duty.ReadInterval; now += step {
+		r.runRestored(b, now, false)
+		r.runRestored(b, now, false)
+		if now-back > duty.ReadInterval { // The last holder waits for an earlier call.
+			r.runRestored(a, now, false)
+		}
 	}
 	if _, held := a.decider.Holds(now); !held {
-		t.Errorf("the last holder does not hold the duty %v after the outage", duty.ReadInterval)
+		t.Errorf("the last holder does not hold the duty %v after the outage", now-back)
 	}
 }
