Count the crash of a suspect whose run a restored table has forgotten

What callers would see: a request that crashes servers ran more often than its limit. A crash was recorded only if the row had the token of the run, and the table had lost it.

--- a/internal/route/crash/counter.go
+++ b/internal/route/crash/counter.go
@@ -128,7 +128,7 @@
 	if now.Sub(row.At) > retention {
 		row = RunCount{}
 	}
-	if slices.Contains(row.Tokens, c.token) == (c.operation == countRun) {
+	if c.done(row) {
 		return Allowed
 	}
 	if c.operation == countRun && row.Crashed >= c.limit {
@@ -144,6 +144,20 @@
 	return Write{Base: e.Revision, Row: c.updatedRow(now, row)}
 }
 
+// done reports whether a row that was read shows the operation. A crash whose token is missing before any write counts: the
+// table was restored, and has lost the count of the run.
+func (c *Counter) done(row RunCount) bool {
+	counted := slices.Contains(row.Tokens, c.token)
+	switch c.operation {
+	case countRun:
+		return counted
+	case settle:
+		return !counted && c.writeAttempts > 0
+	default:
+		return !counted
+	}
+}
+
 // updatedRow returns the row after the operation of the counter.
 func (c *Counter) updatedRow(now time.Time, row RunCount) RunCount {
 	if c.operation == countRun {
@@ -152,6 +166,9 @@
 	row.Tokens = slices.DeleteFunc(slices.Clone(row.Tokens), func(t string) bool { return t == c.token })
 	if c.operation == settle {
 		row.Crashed++
+		if row.At.IsZero() {
+			row.At = now
+		}
 	}
 	return row
 }
