Let a node that starts on a restored table wait for its peers' configuration

What callers would see: a node that started before the others had written a lost configuration again went by the older one of the table for about a second: routes that had been added were refused, data centres out of service got work.

If the version in the table is from an earlier era, a node without a configuration takes it only 3 s after its start.

--- a/internal/node/peers/document.go
+++ b/internal/node/peers/document.go
@@ -8,6 +8,7 @@
 
 	"geraniumhollow/internal/conf/schema"
 	"geraniumhollow/internal/conf/watch"
+	"geraniumhollow/internal/fleet/duty"
 	"geraniumhollow/internal/fleet/roster"
 	"geraniumhollow/internal/plat/table"
 	"geraniumhollow/internal/wire/frame"
@@ -88,6 +89,11 @@
 		p.mu.Unlock()
 		return
 	}
+	if p.mayBeRestored(v, row) {
+		p.watch.VersionReadFailed()
+		p.mu.Unlock()
+		return
+	}
 	p.watch.VersionRead(sent, v)
 	own, packed := p.watch.Version(), p.packedDocument
 	p.mu.Unlock()
@@ -96,6 +102,16 @@
 	}
 }
 
+// restoredStartDelay is how long a node that starts on a table that was restored waits for a newer version from its peers.
+const restoredStartDelay = 3 * time.Second
+
+// mayBeRestored reports whether a node that has just started may get a newer version than v from its peers: the table has been
+// restored since v was accepted. p.mu is held.
+func (p *Peers) mayBeRestored(v uint64, row table.Row) bool {
+	return p.watch.Version() == 0 && v <= duty.FirstOfEra(row.Revision.Era) && row.Revision.Era > 1 &&
+		time.Since(p.base) < restoredStartDelay
+}
+
 // writeAgain stores the installed version, which a table that was restored from an older copy has lost. If the table was
 // read before the version was accepted, the row has changed, and nothing is written.
 func (p *Peers) writeAgain(ctx context.Context, row table.Row, version uint64, packed []byte) {
--- a/internal/node/serve/restore_test.go
+++ b/internal/node/serve/restore_test.go
@@ -64,3 +64,21 @@
 		return true
 	})
 }
+
+// Guards against a node that starts on a restored table and goes by an older configuration than its peers.
+func TestNodeStartsOnRestoredTable(t *testing.T) {
+	t.Parallel()
+	s := newTestCluster(t)
+	time.Sleep(200 * time.Millisecond)
+	kept := time.Now()
+	time.Sleep(200 * time.Millisecond)
+	s.commit(s.nodes)
+	s.site.Platform.Restore(time.Since(kept))
+	n := s.start(len(s.nodes), "127.0.0.1:0")
+	s.nodes = append(s.nodes, n)
+	s.publishHosts()
+	s.eventually(2*convergenceTimeout, "a version on the new node", func() bool { return n.View().Version > 0 })
+	if v := n.View().Version; v != s.version {
+		t.Errorf("the new node began with version %d, its peers have %d", v, s.version)
+	}
+}
