Test: wait until the connections are accepted before draining

TestDrain failed once in 15 repeats of three packages at once, beside four other jobs: both connections were reset and no request was handled, as the listener was closed before it had accepted them, 50 ms after they were dialled. The test now waits for what it assumes; what it checks is unchanged.

--- a/internal/node/front/front_test.go
+++ b/internal/node/front/front_test.go
@@ -298,7 +298,11 @@
 	waiting, _ := s.dial(t)
 	send(t, waiting, "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
 	idle, _ := s.dial(t)
-	time.Sleep(50 * time.Millisecond)
+	for end := time.Now().Add(2 * time.Second); s.srv.ActiveRequests() < 1 || s.srv.OpenConnections() < 2; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the connections are not accepted")
+		}
+	}
 	s.srv.Drain()
 	begun := time.Now()
 	if _, err := idle.Read(make([]byte, 1)); !errors.Is(err, io.EOF) || time.Since(begun) > 300*time.Millisecond {
