Spares join with the epoch of the keeper's own plan only

A server is ordered to join a group of its own as a spare while the head of its group serves.

The epoch of the plan keeps an earlier keeper, which does not know the latest formations, from moving their members.

Evidence: TestInterleavings, "e19 joined standby-e19/13 while e09 serves g3/13", replayed from its failure file with and without this change.

--- a/internal/plan/group/spare.go
+++ b/internal/plan/group/spare.go
@@ -87,7 +87,7 @@
 		return d.issue(now, s, Order{Kind: Stage, Model: model})
 	default:
 		return d.issue(now, s, Order{
-			Kind: Join, Group: standbyPrefix + s.ID, Epoch: max(d.plan.Epoch, s.highestEpoch), Model: model, Members: []string{s.ID},
+			Kind: Join, Group: standbyPrefix + s.ID, Epoch: d.plan.Epoch, Model: model, Members: []string{s.ID},
 		})
 	}
 }
