Log reads of all registrations with the number of entries set aside

After a restoration the log did not say how many servers a node leaves out until they have written again.

--- a/internal/fleet/index/restore.go
+++ b/internal/fleet/index/restore.go
@@ -82,6 +82,13 @@
 	return ok && old.RenewalSeq == i.RenewalSeq && old.SameState(i)
 }
 
+// SetAside returns the number of entries of a restored registry that are not used because they may be outdated.
+func (x *Index) SetAside() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return len(x.restored)
+}
+
 // settleTime is how long entries of a restored registry stay there although their servers are gone.
 func (x *Index) settleTime() time.Duration {
 	return missedHeartbeats*x.heartbeatInterval + ReregistrationGrace
--- a/internal/node/edge/rows.go
+++ b/internal/node/edge/rows.go
@@ -77,6 +77,9 @@
 // applyServers applies an update of the registry of backend servers.
 func (n *Node) applyServers(u mirror.Update) {
 	n.index.Apply(time.Now(), n.cfg.Decoder.Servers(u))
+	if u.Full {
+		n.cfg.Log.Info("read all registrations of servers", "era", u.Era, "servers", len(u.Put), "set_aside", n.index.SetAside())
+	}
 	n.keeper.Wake()
 }
 
