Keep nodes that have left out of the topology after a second restoration

Callers would see: after two restorations of the store in a row, all nodes follow one that has left, and limits are split among nodes that do not run, for good.

Cause: the second list gives each row a revision of another era, which counted as a new registration of its node; and the node was known by then, from the first list.

TestNodesThatReturnTwice failed before.

--- a/internal/node/mesh/returned.go
+++ b/internal/node/mesh/returned.go
@@ -46,11 +46,12 @@
 	for _, row := range u.Put {
 		node := strings.TrimPrefix(row.Key, Family+"/")
 		listed.Add(node)
-		if old, ok := r.nodes[node]; ok && old.row.Revision != row.Revision {
-			delete(r.nodes, node) // It has registered again.
-		}
-		if restored && !known(node) {
+		old, returned := r.nodes[node]
+		switch {
+		case restored && (returned || !known(node)):
 			r.nodes[node] = returnedNode{row: row, since: now, linkedAt: now}
+		case returned && old.row.Revision != row.Revision:
+			delete(r.nodes, node) // It has registered again.
 		}
 	}
 	for _, k := range u.Removed {
--- a/internal/node/mesh/returned_test.go
+++ b/internal/node/mesh/returned_test.go
@@ -33,3 +33,25 @@
 		t.Errorf("%v are away although they are no longer listed", away)
 	}
 }
+
+// Guards against nodes that have left and count for good after two restorations in a row: the first one has made them known.
+func TestNodesThatReturnTwice(t *testing.T) {
+	t.Parallel()
+	list := func(era uint64) mirror.Update {
+		return mirror.Update{Full: true, Era: era, Put: []table.Row{{Key: "nodes/left", Revision: table.Revision{Era: era, Number: 2}}}}
+	}
+	now, r := time.Unix(1000, 0), mesh.NewReturned()
+	unknown := func(string) bool { return false }
+	listed := func(node string) bool { return node == "left" }
+	unlinked := func(string) bool { return false }
+	r.Observe(now, mirror.Update{Full: true, Era: 1}, unknown)
+	r.Observe(now, list(2), unknown)
+	r.Observe(now, list(3), listed)
+	if away, _ := r.Update(now, unlinked); !away.Has("left") {
+		t.Errorf("%v are away after the second restoration, want left", away)
+	}
+	now = now.Add(mesh.UnlinkDelay)
+	if _, due := r.Update(now, unlinked); len(due) != 1 || due[0].Revision.Era != 3 {
+		t.Errorf("rows %v are due, want that of the second restoration", due)
+	}
+}
