Write lost claims again also after a call that did not run

What callers would see: after a restoration of the table, a call that may run once ran a second time when it was sent again to another node, if the last call of the first node had not run.

Cause: the node looked for a restoration at the row of its newest record. If that was a released claim and its row was lost, the answer told neither the era nor a loss, for up to two minutes. It now looks at the row of a record that the table must have.

TestRestoredTableAfterReleasedClaim failed before.

--- a/internal/route/claim/memory.go
+++ b/internal/route/claim/memory.go
@@ -37,7 +37,6 @@
 	era        uint64
 	eraSince   time.Time
 	checkedEra uint64
-	newest     string
 }
 
 // remembered is a record with the time from which it is remembered.
@@ -62,9 +61,6 @@
 
 func (m *memory) remember(key string, r Record) {
 	m.records.Add(key, remembered{Record: r, at: time.Now()})
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.newest = key
 }
 
 // Sent remembers that the call of a claim is being sent.
@@ -94,9 +90,9 @@
 		ctx, cancel := context.WithTimeout(ctx, settleTime)
 		defer cancel()
 		// After a failure, the next check tries again.
-		newest, ok := s.memory.expire()
+		key, ok := s.memory.expire()
 		if ok {
-			_ = s.check(ctx, newest)
+			_ = s.check(ctx, key)
 		} else if now := time.Now(); now.Sub(idleCheckAt) >= idleCheckInterval {
 			idleCheckAt = now
 			_ = s.readEra(ctx)
@@ -104,16 +100,19 @@
 	})
 }
 
-// expire forgets records. It returns the key of the newest one, and whether any is left.
+// expire forgets records. It returns the key of one that the table must have, if any is left: its row names the era, or is
+// missing if the table has lost it. Rows of released claims need not be there.
 func (m *memory) expire() (string, bool) {
+	held, ok := "", false
 	for _, key := range m.records.Keys() {
-		if r, ok := m.records.Peek(key); ok && time.Since(r.at) > memoryTime {
+		switch r, known := m.records.Peek(key); {
+		case known && time.Since(r.at) > memoryTime:
 			m.records.Remove(key)
+		case known && r.State != Released:
+			held, ok = key, true
 		}
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.newest, m.records.Contains(m.newest)
+	return held, ok
 }
 
 // readEra reads the era of the table from any claim row.
@@ -128,20 +127,16 @@
 	return nil
 }
 
-// check compares the newest record with the table and, if that was restored, all of them.
-func (s *Store) check(ctx context.Context, newest string) error {
-	r, ok := s.memory.records.Peek(newest)
-	if !ok {
-		return nil
-	}
-	row, err := s.table.Get(ctx, newest)
+// check reads the row of a record that the table must have and, if the table was restored, compares all of them with it.
+func (s *Store) check(ctx context.Context, held string) error {
+	row, err := s.table.Get(ctx, held)
 	if err != nil && !errors.Is(err, table.ErrNotFound) {
 		return errors.Newf("check for lost claims: %w", err)
 	}
 	s.memory.observe(row.Revision)
 	s.memory.mu.Lock()
 	era := s.memory.era
-	done := s.memory.checkedEra == era && (err == nil || r.State == Released)
+	done := s.memory.checkedEra == era && err == nil
 	s.memory.mu.Unlock()
 	if done {
 		return nil
--- a/internal/route/claim/restore_test.go
+++ b/internal/route/claim/restore_test.go
@@ -81,3 +81,36 @@
 		})
 	}
 }
+
+// Guards against lost claims that are not written again because the last call of the node did not run: the row of its claim
+// need not be in the table.
+func TestRestoredTableAfterReleasedClaim(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		fs := store.New()
+		first, second := newStore(t, fs, fs.Objects()), newStore(t, fs, fs.Objects())
+		ctx, cancel := context.WithCancel(t.Context())
+		g := tasks.New(ctx)
+		g.Go("claims", first.Run)
+		time.Sleep(time.Minute)
+		runCall(t, first, call("1", "f"), answered("ok"), func(claim.Action) {})
+		released := claim.Record{Token: "2", State: claim.Released}
+		first.Sent(claim.Key("a", "other"), released)
+		if _, err := first.Write(t.Context(), claim.Key("a", "other"), claim.Write{Record: released}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second / 2)
+		fs.Restore(30 * time.Second)
+		time.Sleep(10 * time.Second)
+		for i, wait := range []time.Duration{0, 10 * time.Second} {
+			time.Sleep(wait)
+			if _, sends := runCall(t, second, call("3"+string(rune('a'+i)), "f"), answered("again"), func(claim.Action) {}); sends != 0 {
+				t.Errorf("resend %d: %d sends", i, sends)
+			}
+		}
+		cancel()
+		if err := g.Wait(); err != nil {
+			t.Error(err)
+		}
+	})
+}
