Keep rows that a restored store lacks for longer if the store goes away again

Callers would see: requests run in a data centre that the operator had taken out of service, if the store was away again, or turned all nodes away, before the operator could write that again.

Cause: the time for which a row is kept went on while the store could not be read, so that the row was dropped at the first read after the outage.

TestRowsKeptAcrossOutageAfterRestoration failed before.

--- a/internal/fleet/mirror/keep.go
+++ b/internal/fleet/mirror/keep.go
@@ -96,13 +96,20 @@
 	return true
 }
 
-// dropKept removes the rows that the store has lacked for Config.KeepTime. Followers remove them by themselves.
+// dropKept removes the rows that the store has lacked for Config.KeepTime. Followers remove them by themselves. The time begins
+// anew when the copy has not been kept up to date, as nobody may have been able to write the rows again meanwhile.
 func (c *Copy) dropKept() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now, u := time.Now(), Update{}
 	maps.DeleteFunc(c.kept, func(k string, until time.Time) bool {
-		if until.IsZero() || now.Before(until) {
+		switch {
+		case until.IsZero():
+			return false
+		case !c.reached:
+			c.kept[k] = now.Add(c.cfg.KeepTime)
+			return false
+		case now.Before(until):
 			return false
 		}
 		delete(c.rows, k)
--- a/internal/fleet/mirror/restore_test.go
+++ b/internal/fleet/mirror/restore_test.go
@@ -135,3 +135,30 @@
 		}
 	})
 }
+
+// Guards against an evacuation that ends because the store was away again before the operator could write it again.
+func TestRowsKeptAcrossOutageAfterRestoration(t *testing.T) {
+	t.Parallel()
+	runSynctest(t, func(t *testing.T, ctx context.Context) {
+		s, restore := restoredFeed()
+		s.put("op/missing", "1")
+		const keepTime = 4 * time.Second
+		_, r := startCopy(ctx, t, mirror.Config{Store: s, StoreWait: time.Second, KeepTime: keepTime, Keep: func(_ table.Row, restored *table.Row) bool {
+			return restored == nil
+		}})
+		time.Sleep(time.Second)
+		restore()
+		time.Sleep(2 * time.Second)
+		s.update(func() { s.unavailable = true })
+		time.Sleep(2 * keepTime)
+		s.update(func() { s.unavailable = false })
+		time.Sleep(keepTime - time.Second)
+		if got := r.get("op/missing"); got != "1" {
+			t.Errorf("got %q %s after the store was back, want 1", got, keepTime-time.Second)
+		}
+		time.Sleep(2 * keepTime)
+		if got := r.get("op/missing"); got != "" {
+			t.Errorf("got %q in the end, want none", got)
+		}
+	})
+}
