Delete the rows of nodes that have left together, and until they are gone

Callers would see: after a restoration that brings back the rows of several nodes that have left, limits are split among nodes that do not run, for good.

Cause: each transaction deleted one row, mostly the same one again until the list was read, and the nodes were forgotten after 8 s, also if the store could not be reached.

--- a/internal/node/mesh/mesh.go
+++ b/internal/node/mesh/mesh.go
@@ -296,7 +296,7 @@
 			m.excluded.Add(node)
 		}
 	}
-	away, outdated := m.returned.Update(now, func(node string) bool {
+	away, outdated := m.returned.Update(now, m.position.readsStore, func(node string) bool {
 		_, ok := m.net.Peer(node)
 		return ok
 	})
@@ -319,21 +319,30 @@
 	m.net.Want("mesh", want)
 }
 
-// deleteOutdated deletes one of the rows that a restored list has brought back and whose nodes have left.
+// maxOutdatedDeletes is the maximum number of rows that one transaction of deleteOutdated deletes.
+const maxOutdatedDeletes = 40
+
+// deleteOutdated deletes rows that a restored list has brought back and whose nodes have left. A row that has changed since is
+// soon no longer among them.
 func (m *Mesh) deleteOutdated(ctx context.Context) {
 	m.mu.Lock()
-	rows := m.outdated
+	rows := m.outdated[:min(len(m.outdated), maxOutdatedDeletes)]
 	m.mu.Unlock()
 	if len(rows) == 0 {
 		return
 	}
+	var txn table.Txn
+	for _, r := range rows {
+		txn.Conditions = append(txn.Conditions, table.Condition{Key: r.Key, Revision: r.Revision})
+		txn.Deletes = append(txn.Deletes, r.Key)
+	}
 	ctx, cancel := context.WithTimeout(ctx, registerRetryDelay)
 	defer cancel()
-	if _, err := m.cfg.Table.Commit(ctx, table.Remove(rows[0])); err != nil {
-		m.cfg.Log.Info("cannot delete the registration of a node that has left", "key", rows[0].Key, "error", err)
+	if _, err := m.cfg.Table.Commit(ctx, txn); err != nil {
+		m.cfg.Log.Info("cannot delete the registrations of nodes that have left", "keys", txn.Deletes, "error", err)
 		return
 	}
-	m.cfg.Log.Info("deleted the registration of a node that has left", "key", rows[0].Key)
+	m.cfg.Log.Info("deleted the registrations of nodes that have left", "keys", txn.Deletes)
 }
 
 // linked returns the nodes to which there is a link, rotated by one position at each call.
--- a/internal/node/mesh/returned.go
+++ b/internal/node/mesh/returned.go
@@ -64,15 +64,17 @@
 	}
 }
 
-// Update forgets the nodes that have been there for long, and returns those without a link and the rows to delete.
-func (r *Returned) Update(now time.Time, linked func(node string) bool) (sets.Set[string], []table.Row) {
+// Update forgets the nodes that have been there for long, and returns those without a link and the rows to delete. If this node
+// deletes the rows, it does not forget one before it is gone.
+func (r *Returned) Update(now time.Time, deletes bool, linked func(node string) bool) (sets.Set[string], []table.Row) {
 	out := sets.New[string]()
 	var rows []table.Row
 	for node, n := range r.nodes {
+		isLinked := linked(node)
 		switch {
-		case now.Sub(n.since) >= returnedFor:
+		case now.Sub(n.since) >= returnedFor && (isLinked || !deletes):
 			delete(r.nodes, node)
-		case linked(node):
+		case isLinked:
 			n.linkedAt = now
 			r.nodes[node] = n
 		default:
