Keep evacuations that a restored store lacks for 3 s

At 4 s, TestDataCentreComesBack failed in two of seven runs beside load: a node that learns of the restoration late keeps the row from then on.

--- a/internal/node/edge/rows.go
+++ b/internal/node/edge/rows.go
@@ -28,8 +28,8 @@
 	gatherDelay = 500 * time.Millisecond
 	// rewriteTime is how long a restored store may lack what operators have written. What is missing then was taken back.
 	rewriteTime = index.ReregistrationGrace + changeDelay
-	// changeDelay is how long a change takes to reach all nodes.
-	changeDelay = 2 * time.Second
+	// changeDelay is how long a change takes to reach all nodes if none of them has to look for another source.
+	changeDelay = time.Second
 	// keptRowsWait is how long a node that starts waits for another one that may know newer rows of operators than a restored
 	// store.
 	keptRowsWait = 600 * time.Millisecond
