--- a/internal/bench/plans/chaos_test.go
+++ b/internal/bench/plans/chaos_test.go
@@ -31,6 +31,17 @@
 	}
 }
 
+// Guards against a head that has left, but whose delayed join and open of an earlier keeper are carried out before it joins its
+// next formation. The interleaving is in testdata.
+func TestLateJoinOfHead(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(rt *rapid.T) {
+		if got := plans.Interleave(drawn{rt}, plans.Options{}); got.Fault != "" {
+			rt.Fatal(got.Fault)
+		}
+	})
+}
+
 // firstTermDays reach past the first term starts.
 const firstTermDays = 20
 
