Connect from the node's own address

Servers and other nodes see by the address of a connection which node made it. Nodes that accept requests from other nodes need that, and stand-ins that cut off single nodes.

--- a/internal/core/sock/sock.go
+++ b/internal/core/sock/sock.go
@@ -21,6 +21,14 @@
 	Unacknowledged time.Duration
 	// KeepAlive is the idle time before the first keep-alive probe, and the interval between probes.
 	KeepAlive time.Duration
+	// source is the local IP address of connections, or "" for the kernel's choice.
+	source string
+}
+
+// WithSource returns limits whose Dial binds connections to a local IP address, by which the peer recognizes this node.
+func (l Limits) WithSource(ip string) Limits {
+	l.source = ip
+	return l
 }
 
 // Local are the limits for connections between hosts of the platform. Round trips take a few
@@ -30,6 +38,9 @@
 // Dial connects to addr, an IP address and port.
 func (l Limits) Dial(ctx context.Context, addr string) (net.Conn, error) {
 	d := net.Dialer{Control: l.control, KeepAliveConfig: l.keepAlive()}
+	if l.source != "" {
+		d.LocalAddr = &net.TCPAddr{IP: net.ParseIP(l.source)}
+	}
 	nc, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, errors.Newf("dial %s: %w", addr, err)
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -98,7 +98,7 @@
 	}
 	n.seats = seat.New(seat.Config{
 		View: n.index.View, Service: n.service, ColdAllowance: n.coldAllowance, Nodes: n.mesh.Size, OnStalled: n.mesh.Stalled,
-		Now: time.Now, Seed: uint64(os.Getpid()), Metrics: cfg.Metrics, Log: cfg.Log,
+		Now: time.Now, Seed: uint64(os.Getpid()), Source: set.IP, Metrics: cfg.Metrics, Log: cfg.Log,
 	})
 	n.quarantines = NewQuarantines(QuarantineConfig{
 		Table: n.store, Crashes: func() *pass.CrashTracker { return n.crashes }, Share: n.shareFindings,
--- a/internal/node/mesh/mesh.go
+++ b/internal/node/mesh/mesh.go
@@ -145,7 +145,7 @@
 		Resolve: func(node string) (string, bool) { return node, true },
 		Accept:  func(peer.Peer) bool { return true },
 		Changed: m.linkChanged,
-		Dial:    dial,
+		Dial:    m.dial,
 	})
 	m.nodes = mirror.New(mirror.Config{
 		Family: Family, Name: cfg.Address, Store: cfg.Feed, Apply: m.apply, StoreReadDelay: m.StoreReadDelay,
@@ -176,10 +176,11 @@
 	return m, nil
 }
 
-func dial(ctx context.Context, addr string) (net.Conn, error) {
+func (m *Mesh) dial(ctx context.Context, addr string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	return sock.Local.Dial(ctx, addr)
+	source, _, _ := net.SplitHostPort(m.cfg.Address)
+	return sock.Local.WithSource(source).Dial(ctx, addr)
 }
 
 // Run maintains the links until ctx ends.
--- a/internal/node/seat/seat.go
+++ b/internal/node/seat/seat.go
@@ -37,8 +37,10 @@
 	OnStalled func(f index.Formation)
 	Now       func() time.Time
 	Seed      uint64
-	Metrics   *metric.Set
-	Log       hclog.Logger
+	// Source is the local IP address of connections to servers, or "" for any.
+	Source  string
+	Metrics *metric.Set
+	Log     hclog.Logger
 }
 
 // Picker implements pass.Picker. It is safe for concurrent use.
@@ -329,7 +331,7 @@
 		ok = false
 	}
 	if !ok {
-		sv = newServer(e)
+		sv = newServer(e, s.cfg.Source)
 		s.servers[e.ID] = sv
 	}
 	sv.entry = e
--- a/internal/node/seat/server.go
+++ b/internal/node/seat/server.go
@@ -53,11 +53,11 @@
 	progress time.Time
 }
 
-func newServer(e *index.Entry) *server {
+func newServer(e *index.Entry, source string) *server {
 	return &server{
 		entry: e,
 		conns: conns.New(e.Address, conns.Options{
-			DialTimeout: dialTimeout, IdleTimeout: idleTimeout, Limits: sock.Local,
+			DialTimeout: dialTimeout, IdleTimeout: idleTimeout, Limits: sock.Local.WithSource(source),
 		}),
 		recentSends:  window.New(coldWindow),
 		reservations: make(map[*reservation]struct{}),
