Pass requests on to other nodes while a node has lost all backend servers

Callers of such a node got 503 in about 7 ms, or 502: 2 of 223 first tries were served there, 1,252 of 1,259 at the others. Cause: a node had no way to a server but its own, although other nodes reach all servers and it reaches them.

A node now becomes suspicious when all servers are silent for 0.15 s, or new connections to two servers in a row fail. It tries four servers over new connections and asks six nodes; if it reaches none and they do, it is isolated, and passes each request on to one that accepts (fleet/reach decides, node/detour acts). The other node handles it as its own: it has the time that is left, the attempts made before and the version of the configuration with it, says whether the request has run, and does not pass it on again. What cannot be continued here is withdrawn and resumed through the other node.

--- a/internal/node/edge/config.go
+++ b/internal/node/edge/config.go
@@ -24,8 +24,12 @@
 	CallerAddress string
 	ReadyAddress  string
 	StoreAddress  string
-	// PeerPort is the port on IP for connections from other nodes.
-	PeerPort int
+	// PeerPort is the port on IP for connections from other nodes, ForwardPort that for requests that they pass on, or 0 to take
+	// none.
+	PeerPort    int
+	ForwardPort int
+	// Region is the region of the data centre. Requests are not passed on to other regions.
+	Region string
 	// Descriptors is the number of file descriptors that the node may use.
 	Descriptors int
 	// Capacity is the processor capacity of the host, in cores of ordinary speed.
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -15,6 +15,7 @@
 	"geraniumhollow/internal/fleet/duty"
 	"geraniumhollow/internal/fleet/index"
 	"geraniumhollow/internal/fleet/mirror"
+	"geraniumhollow/internal/node/detour"
 	"geraniumhollow/internal/node/front"
 	"geraniumhollow/internal/node/keeper"
 	"geraniumhollow/internal/node/mesh"
@@ -47,6 +48,9 @@
 	// quarantines keeps the quarantined parts of prompts in the store.
 	quarantines *Quarantines
 	front       *front.Server
+	// detour passes requests on while this node reaches no backend server, and forwarded takes those of other nodes.
+	detour    *detour.Detour
+	forwarded *front.Server
 	// keeper forms and dissolves groups of backend servers while this node holds that duty.
 	keeper *keeper.Keeper
 	group  *tasks.Group
@@ -86,8 +90,10 @@
 	incarnation := strconv.FormatInt(time.Now().UnixNano(), 36)
 	n.servers = mirror.New(n.copyConfig(cfg.Decoder.Families().Servers, n.applyServers, n.storeReachable))
 	n.operator = n.operatorCopy()
+	n.detour = n.newDetour(set)
 	n.mesh, err = mesh.New(mesh.Config{
 		Address: address, DataCentre: set.DataCentre, Incarnation: incarnation, Capacity: set.Capacity,
+		Forwards: forwardAddress(set), Region: set.Region, Status: n.status,
 		Gather: gatherTime(set.FirstStart), StoreReadDelay: max(0, set.ChangeTime-storeFallbackTime),
 		Table: n.store, Feed: n.store, Copies: n.copyOf, Members: n.updateMembers, OnStalled: n.handleStalled, Keeper: n.keeperAddress,
 		OnHolderReport: func(w duty.HolderReport) { n.keeper.HandleHolderReport(w) }, OnPeerConnected: n.handlePeerConnected,
@@ -98,7 +104,7 @@
 	}
 	n.seats = seat.New(seat.Config{
 		View: n.index.View, Service: n.service, ColdAllowance: n.coldAllowance, Nodes: n.mesh.Size, OnStalled: n.mesh.Stalled,
-		Now: time.Now, Seed: uint64(os.Getpid()), Source: set.IP, Metrics: cfg.Metrics, Log: cfg.Log,
+		Now: time.Now, Seed: uint64(os.Getpid()), Links: n.detour, Source: set.IP, Metrics: cfg.Metrics, Log: cfg.Log,
 	})
 	n.quarantines = NewQuarantines(QuarantineConfig{
 		Table: n.store, Crashes: func() *pass.CrashTracker { return n.crashes }, Share: n.shareFindings,
@@ -110,12 +116,16 @@
 	if err != nil {
 		return nil, errors.Newf("create crash tracker: %w", err)
 	}
+	relay := pass.New(pass.Deps{
+		Codec: cfg.Codec, Table: n.table.Load, Picker: n.seats, Detour: n.detour, Crashes: n.crashes, Budget: n.budget,
+		Metrics: cfg.Metrics, Log: cfg.Log,
+	})
 	n.front = front.New(front.Config{
-		Handler: pass.New(pass.Deps{
-			Codec: cfg.Codec, Table: n.table.Load, Picker: n.seats, Crashes: n.crashes, Budget: n.budget,
-			Metrics: cfg.Metrics, Log: cfg.Log,
-		}),
-		Limits: n.limits, MaxConnections: int(callerDescriptorShare * float64(set.Descriptors)), Log: cfg.Log,
+		Handler: relay, Limits: n.limits, MaxConnections: int(callerDescriptorShare * float64(set.Descriptors)), Log: cfg.Log,
+	})
+	n.forwarded = front.New(front.Config{
+		Handler: detour.Handler{Detour: n.detour, Relay: relay, Capacity: set.Capacity, Stopping: n.stopping.Load},
+		Limits:  n.forwardLimits, MaxConnections: int(forwardDescriptorShare * float64(set.Descriptors)), Log: cfg.Log,
 	})
 	n.keeper = keeper.New(keeper.Config{
 		Node: address + "/" + incarnation, Table: n.store, Engines: cfg.Engines, View: n.index.View, Service: n.engineService,
@@ -124,6 +134,13 @@
 	})
 	cfg.Metrics.Func("quarantined_parts", "Parts of prompts that are quarantined because they crash backend servers.",
 		func() float64 { return float64(len(n.crashes.Quarantines())) })
+	cfg.Metrics.Func("isolated", "1 while this node reaches no backend server and passes requests on to other nodes.", func() float64 {
+		if n.detour.Isolated() {
+			return 1
+		}
+		return 0
+	})
+	cfg.Metrics.Func("forwarded_requests", "Requests of other nodes in progress.", func() float64 { return float64(n.detour.Forwarded()) })
 	cfg.Metrics.Func("caller_connections", "Open connections of callers.", func() float64 { return float64(n.front.OpenConnections()) })
 	return n, nil
 }
@@ -143,6 +160,8 @@
 	n.group = g
 	g.Go("mesh", n.mesh.Run)
 	g.Go("seats", n.seats.Run)
+	g.Go("detour", n.detour.Run)
+	g.Go("forwarded requests", n.serveForwarded)
 	g.Go("sweep", n.sweep)
 	g.Go("servers", n.servers.Run)
 	g.Go("wishes", n.operator.Run)
--- a/internal/node/edge/stop.go
+++ b/internal/node/edge/stop.go
@@ -40,10 +40,11 @@
 	}
 	finishing := false
 	for d.State() != drain.Stopped && tasks.Sleep(ctx, stopPollInterval) {
-		d.Tick(time.Now(), n.front.OpenConnections())
+		d.Tick(time.Now(), n.front.OpenConnections()+n.forwarded.ActiveRequests())
 		if d.State() == drain.Finishing && !finishing {
 			finishing = true
 			n.front.Drain()
+			n.forwarded.Drain()
 		}
 	}
 	n.cfg.Log.Info("stopped", "connections", n.front.OpenConnections(), "requests", n.front.ActiveRequests(), "ms", time.Since(started).Milliseconds())
--- a/internal/node/mesh/mesh.go
+++ b/internal/node/mesh/mesh.go
@@ -21,6 +21,7 @@
 	"geraniumhollow/internal/fleet/index"
 	"geraniumhollow/internal/fleet/mirror"
 	"geraniumhollow/internal/fleet/roster"
+	"geraniumhollow/internal/node/detour"
 	"geraniumhollow/internal/plat/table"
 	"geraniumhollow/internal/wire/frame"
 	"geraniumhollow/internal/wire/peer"
@@ -52,6 +53,9 @@
 	DataCentre  string `json:"data_centre"`
 	// Capacity is the processor time available to the node, in cores.
 	Capacity float64 `json:"capacity"`
+	// Forwards is the address on which the node takes requests of other nodes, or "" if it takes none.
+	Forwards string `json:"forwards,omitempty"`
+	Region   string `json:"region,omitempty"`
 }
 
 // Config holds the settings and dependencies of a mesh.
@@ -62,6 +66,9 @@
 	Incarnation string
 	// Capacity is the processor time available to this node, in cores.
 	Capacity float64
+	// Forwards is the address on which this node takes requests of other nodes, or "" if it takes none.
+	Forwards string
+	Region   string
 	// Gather is how long the node waits before it reads the list of nodes, so that nodes that start at the same time can
 	// register first.
 	Gather time.Duration
@@ -83,6 +90,8 @@
 	OnPeerConnected func(address, incarnation string)
 	// CanReach reports whether this node reaches a backend server.
 	CanReach func(ctx context.Context, server, addr string) bool
+	// Status returns the status of this node for another one, which names backend servers that it does not reach.
+	Status func(ctx context.Context, servers []detour.Server) detour.Status
 	// OnSuspects is called with the findings of another node about requests that may crash backend servers.
 	OnSuspects func(s *frame.SuspectRequest)
 	Log        hclog.Logger
@@ -125,7 +134,9 @@
 	if err != nil {
 		return nil, errors.Newf("new mesh: %w", err)
 	}
-	row, err := json.Marshal(Row{Incarnation: cfg.Incarnation, DataCentre: cfg.DataCentre, Capacity: cfg.Capacity})
+	row, err := json.Marshal(Row{
+		Incarnation: cfg.Incarnation, DataCentre: cfg.DataCentre, Capacity: cfg.Capacity, Forwards: cfg.Forwards, Region: cfg.Region,
+	})
 	if err != nil {
 		return nil, errors.Newf("encode registration: %w", err)
 	}
@@ -166,6 +177,7 @@
 	peer.OnAsk(m.net, func(ctx context.Context, _ peer.Peer, a *frame.ServerAsk) *frame.ServerReply {
 		return &frame.ServerReply{Reached: cfg.CanReach(ctx, a.Server, a.Addr)}
 	})
+	peer.OnAsk(m.net, m.handleReachAsk)
 	peer.On(m.net, func(from peer.Peer, h *frame.RowHint) {
 		if c := cfg.Copies(h.Family); c != nil {
 			c.Hint(table.Revision{Era: uint64(h.Era), Number: uint64(h.Rev)}, remoteCopy{m: m, node: from.Node, family: h.Family})
--- a/internal/node/pass/attempt.go
+++ b/internal/node/pass/attempt.go
@@ -17,8 +17,16 @@
 // part of a refusal that is read.
 const maxFailureBodyBytes = 64 << 10
 
-// attempt sends the call to one backend server and forwards the response.
+// attempt sends the call to one backend server, or to another node if this one reaches no server, and forwards the response.
 func (s *callState) attempt(ctx context.Context) attemptResult {
+	hop, refusal := s.chooseHop(ctx)
+	switch {
+	case refusal != nil:
+		return attemptResult{refusal: refusal}
+	case hop != nil:
+		return s.attemptHop(ctx, hop)
+	}
+	s.countRequest()
 	trial, refusal := s.relay.deps.Crashes.Check(s.parts)
 	if refusal != nil {
 		return attemptResult{refusal: refusal}
@@ -103,15 +111,21 @@
 		}
 		return attemptResult{outcome: NotRun, err: errors.Newf("status %d", resp.Header.StatusCode())}
 	}
-	s.mayHaveRun, s.began = true, true
 	s.relay.deps.Crashes.answerBegan(s.runID)
+	return s.takeAnswer(ctx, resp, reservation.Progress)
+}
+
+// takeAnswer forwards the answer of a server that has begun to run the call, or holds a failure. It calls progress when part
+// of the answer has arrived.
+func (s *callState) takeAnswer(ctx context.Context, resp *conns.Response, progress func()) attemptResult {
+	s.mayHaveRun, s.began = true, true
 	if err := resp.SetReadDeadline(s.call.Deadline); err != nil {
 		return attemptResult{outcome: Failed, err: errors.Newf("set read deadline of response: %w", err)}
 	}
 	if s.shouldHold(resp.Header) {
 		return s.holdFailure(resp)
 	}
-	return s.relayAnswer(ctx, reservation, resp)
+	return s.relayAnswer(ctx, resp, progress)
 }
 
 // refusalReadTimeout bounds the read of a refusal's body, which is read only so that the connection can be reused.
@@ -177,15 +191,16 @@
 }
 
 // relayAnswer forwards a response to the caller. A stream is forwarded in complete events, so that it can be resumed.
-func (s *callState) relayAnswer(ctx context.Context, reservation Reservation, resp *conns.Response) attemptResult {
+func (s *callState) relayAnswer(ctx context.Context, resp *conns.Response, progress func()) attemptResult {
 	stream := s.call.Route.Kind == match.Stream && resp.Header.StatusCode() == fasthttp.StatusOK
 	if !s.w.Started() {
 		if stream {
 			resp.Header.SetContentLength(-1)
 		}
+		s.markAnswer(resp.Header)
 		s.w.Start(resp.Header)
 	}
-	err := s.copy(reservation, resp, stream)
+	err := s.copy(resp, stream, progress)
 	switch {
 	case err == nil:
 		return attemptResult{done: true, outcome: Served}
@@ -214,7 +229,7 @@
 const copyBufferBytes = 4 << 10
 
 // copy forwards the body of a response until its end.
-func (s *callState) copy(reservation Reservation, resp *conns.Response, stream bool) error {
+func (s *callState) copy(resp *conns.Response, stream bool, progress func()) error {
 	var buf [copyBufferBytes]byte
 	for {
 		n, err := resp.Read(buf[:])
@@ -227,7 +242,7 @@
 			}
 			if !stream || s.events.count > before {
 				// Bytes that complete no event do not count as progress: a stalled server may still send some.
-				reservation.Progress()
+				progress()
 			}
 			if err != nil {
 				return err
--- a/internal/node/pass/call.go
+++ b/internal/node/pass/call.go
@@ -69,6 +69,8 @@
 	DecodeRequest(h *fasthttp.RequestHeader) (RequestInfo, error)
 	// EncodeRequest turns a caller's request headers into the headers of an attempt.
 	EncodeRequest(h *fasthttp.RequestHeader, o AttemptInfo)
+	// EncodeForwarded turns a caller's request headers into those of a call that is passed on to another node.
+	EncodeForwarded(h *fasthttp.RequestHeader, o AttemptInfo)
 	// DecodeResponse decodes the headers of a backend server's response.
 	DecodeResponse(h *fasthttp.ResponseHeader) ResponseInfo
 }
@@ -95,6 +97,10 @@
 	Fingerprint uint64
 
 	req *front.Request
+	// hop is set if another node has passed the call on.
+	hop *hopRequest
+	// config is the version of the configuration by which the call was resolved.
+	config uint64
 }
 
 // callerRetryMaxShare is the fraction of a route's timeout below which a caller's timeout marks its request as a
--- a/internal/node/pass/pass.go
+++ b/internal/node/pass/pass.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"strconv"
 	"time"
 
 	"geraniumhollow/internal/core/fault"
@@ -80,12 +79,14 @@
 	Pick(ctx context.Context, c *Call, tried sets.Set[string], cancel context.CancelCauseFunc) (Reservation, *fault.Error)
 }
 
-// Deps are the dependencies of a relay. All are required.
+// Deps are the dependencies of a relay. All are required, unless noted otherwise.
 type Deps struct {
 	Codec Codec
 	// Table returns the current configuration, or nil if none is loaded yet.
-	Table   func() *match.Table
-	Picker  Picker
+	Table  func() *match.Table
+	Picker Picker
+	// Detour passes calls on to other nodes; nil if there are none.
+	Detour  Detour
 	Crashes *CrashTracker
 	// Budget returns the retry budget of a service.
 	Budget  func(service string) *retry.Budget
@@ -105,7 +106,12 @@
 
 // Handle implements front.Handler.
 func (r *Relay) Handle(ctx context.Context, req *front.Request, w *front.Writer) {
-	c, refusal := r.resolve(req)
+	r.handle(ctx, req, w, nil)
+}
+
+// handle handles a call of a caller, or one that another node has passed on.
+func (r *Relay) handle(ctx context.Context, req *front.Request, w *front.Writer, hop *hopRequest) {
+	c, refusal := r.resolve(req, hop)
 	if refusal != nil {
 		r.refuse(w, c, refusal)
 		return
@@ -132,8 +138,8 @@
 
 // resolve finds the route, the account and the service of a request. On an error, the call holds the fields that were
 // resolved before it.
-func (r *Relay) resolve(req *front.Request) (*Call, *fault.Error) {
-	c := &Call{Arrived: req.Arrived, req: req}
+func (r *Relay) resolve(req *front.Request, hop *hopRequest) (*Call, *fault.Error) {
+	c := &Call{Arrived: req.Arrived, req: req, hop: hop}
 	table := r.deps.Table()
 	if table == nil {
 		return c, fault.New(fault.NodeIsolated, fault.NotRun, "the node has no configuration yet").WithRetryAfter(retryAfterNotReady)
@@ -142,7 +148,12 @@
 	if err != nil {
 		return c, fault.New(fault.BadRequest, fault.NotRun, "a header is missing or malformed").WithCause(err)
 	}
-	c.RequestInfo = m
+	c.RequestInfo, c.config = m, table.Version()
+	if hop != nil {
+		// The timeout that arrives is what is left.
+		c.Arrived = c.Arrived.Add(-hop.elapsed)
+		c.Timeout += hop.elapsed
+	}
 	route := table.Route(string(req.Header.Host()), requestPath(req.Header.RequestURI()))
 	if route == nil {
 		return c, fault.New(fault.NotFound, fault.NotRun, "no route for this host and path")
@@ -182,7 +193,7 @@
 func (r *Relay) refuse(w *front.Writer, c *Call, ferr *fault.Error) {
 	d := time.Since(c.Arrived)
 	r.deps.Metrics.Refused(ferr.Code())
-	r.deps.Metrics.RequestEnded(ferr.Code(), d)
+	r.requestEnded(c, ferr.Code(), d)
 	route, version := "", uint64(0)
 	if c.Route != nil {
 		route = c.Route.Name
@@ -193,9 +204,21 @@
 	r.deps.Log.Info("refused a request", "request", c.ID, "route", route, "code", ferr.Code(), "outcome", ferr.Outcome(),
 		"retry_after_ms", ferr.RetryAfter().Milliseconds(), "returned", c.Route != nil && c.IsCallerRetry(), "config", version,
 		"ms", d.Milliseconds(), "reason", ferr)
+	if c.hop != nil {
+		RefuseForwarded(w, ferr)
+		return
+	}
 	w.Refuse(ferr.Status(), func(h *fasthttp.ResponseHeader) {
 		if after := ferr.RetryAfter(); after > 0 {
-			h.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+			h.Set(fasthttp.HeaderRetryAfter, formatSeconds(after))
 		}
 	}, []byte(ferr.Message()))
 }
+
+// requestEnded counts a call of a caller that has ended.
+func (r *Relay) requestEnded(c *Call, code fault.Code, d time.Duration) {
+	// The node that passed a call on counts it.
+	if c.hop == nil {
+		r.deps.Metrics.RequestEnded(code, d)
+	}
+}
--- a/internal/node/pass/serve.go
+++ b/internal/node/pass/serve.go
@@ -32,6 +32,10 @@
 	runID crash.RunID
 	// tried holds the IDs of servers that have refused or failed the call.
 	tried sets.Set[string]
+	// triedNodes are the nodes that did not take the call or failed it.
+	triedNodes sets.Set[string]
+	// counted is set once the call has been counted in the retry budget of this node.
+	counted bool
 	// attempts is the number of attempts that were sent.
 	attempts int
 	// refusedResumes is the number of attempts to resume the response that servers refused without running the request.
@@ -49,12 +53,14 @@
 
 // serve makes attempts until one succeeds or the retry rules allow no more.
 func (r *Relay) serve(ctx context.Context, c *Call, w *front.Writer) {
-	s := &callState{relay: r, call: c, w: w, parts: promptParts(c), tried: sets.New[string]()}
+	s := &callState{relay: r, call: c, w: w, parts: promptParts(c), tried: sets.New[string](), triedNodes: sets.New[string]()}
+	if c.hop != nil {
+		s.attempts = c.hop.attempts
+	}
 	if c.LastEventID != "" {
 		s.events.resumeFrom(c.LastEventID)
 	}
 	budget := r.deps.Budget(c.Service.Name)
-	budget.Request(time.Now())
 	for {
 		res := s.attempt(ctx)
 		if res.done {
@@ -62,7 +68,7 @@
 			if res.aborted {
 				code = fault.BackendFailed
 			}
-			r.deps.Metrics.RequestEnded(code, time.Since(c.Arrived))
+			r.requestEnded(c, code, time.Since(c.Arrived))
 			return
 		}
 		if res.refusal != nil {
@@ -81,6 +87,14 @@
 	}
 }
 
+// countRequest counts the call in the retry budget of the node that makes the first attempt.
+func (s *callState) countRequest() {
+	if !s.counted && s.attempts == 0 {
+		s.relay.deps.Budget(s.call.Service.Name).Request(time.Now())
+	}
+	s.counted = true
+}
+
 // maxRefusedResumes is the number of refusedResumes that do not count against the maximum number of attempts.
 const maxRefusedResumes = 3
 
@@ -132,6 +146,7 @@
 // finishFailed ends a call whose last attempt failed.
 func (s *callState) finishFailed(ctx context.Context, res attemptResult, v retry.Decision) {
 	if res.failureResponse != nil && !s.w.Started() {
+		s.markAnswer(res.failureResponse.header)
 		s.w.Start(res.failureResponse.header)
 		if err := s.w.Write(res.failureResponse.body); err == nil {
 			err = s.w.End()
@@ -172,7 +187,7 @@
 // logAborted logs a request whose caller gets no complete response.
 func (s *callState) logAborted(msg string, code fault.Code, cause error) {
 	d := time.Since(s.call.Arrived)
-	s.relay.deps.Metrics.RequestEnded(code, d)
+	s.relay.requestEnded(s.call, code, d)
 	s.relay.deps.Log.Info(msg, "request", s.call.ID, "attempts", s.attempts, "events", s.events.count, "ms", d.Milliseconds(), "reason", cause)
 }
 
--- a/internal/node/pass/serve_test.go
+++ b/internal/node/pass/serve_test.go
@@ -75,6 +75,10 @@
 	h.Set("Last", o.LastEventID)
 }
 
+func (headerCodec) EncodeForwarded(h *fasthttp.RequestHeader, o pass.AttemptInfo) {
+	h.Set("Last", o.LastEventID)
+}
+
 func (headerCodec) DecodeResponse(h *fasthttp.ResponseHeader) pass.ResponseInfo {
 	return pass.ResponseInfo{NotStarted: len(h.Peek("Not-Run")) > 0}
 }
--- a/internal/node/seat/seat.go
+++ b/internal/node/seat/seat.go
@@ -37,12 +37,34 @@
 	OnStalled func(f index.Formation)
 	Now       func() time.Time
 	Seed      uint64
+	// Links tells whether what this node sees of a server is evidence about it; nil if it always is.
+	Links Links
 	// Source is the local IP address of connections to servers, or "" for any.
 	Source  string
 	Metrics *metric.Set
 	Log     hclog.Logger
 }
 
+// Links observes the links of this node to servers.
+type Links interface {
+	// Heard records that bytes of a server arrived.
+	Heard(server string)
+	// Exchanged records the result of an exchange with a server. fresh is set if it was the first one of its connection.
+	Exchanged(server string, fresh bool, err error)
+	// Silent records that a server does not answer in time, and reports whether that is evidence about the server.
+	Silent() bool
+	// Isolated reports whether this node reaches no server while other nodes do.
+	Isolated() bool
+}
+
+// reliableLinks are links that never fail.
+type reliableLinks struct{}
+
+func (reliableLinks) Heard(string)                  {}
+func (reliableLinks) Exchanged(string, bool, error) {}
+func (reliableLinks) Silent() bool                  { return true }
+func (reliableLinks) Isolated() bool                { return false }
+
 // Picker implements pass.Picker. It is safe for concurrent use.
 type Picker struct {
 	cfg Config
@@ -99,6 +121,9 @@
 
 // New returns a Picker without servers. They are read from the registry on the first Pick.
 func New(cfg Config) *Picker {
+	if cfg.Links == nil {
+		cfg.Links = reliableLinks{}
+	}
 	tableConfig := choose.DefaultConfig()
 	tableConfig.MaxReportAge = maxReportAge
 	tableConfig.FirstTokenLearningRate = firstTokenSmoothing
@@ -331,7 +356,7 @@
 		ok = false
 	}
 	if !ok {
-		sv = newServer(e, s.cfg.Source)
+		sv = newServer(e, s.cfg)
 		s.servers[e.ID] = sv
 	}
 	sv.entry = e
@@ -369,19 +394,28 @@
 	if s.skipsCheck(now) {
 		return
 	}
+	var overdue []*server
 	for name, sv := range s.servers {
 		if sv.missesFirstByte(now, s.watch.SilenceLimit(name, s.passTime(sv))) && !s.watch.Stalled(now, name) {
-			s.watch.MarkStalled(now, name)
-			s.reportStall(now, sv, "no_answer")
+			overdue = append(overdue, sv)
 		}
 	}
-	s.checkDeparted(now)
 	passTime := func(name string) time.Duration {
 		if sv, ok := s.servers[name]; ok {
 			return s.passTime(sv)
 		}
 		return 0
 	}
+	silent := s.watch.Silent(now, passTime)
+	if len(overdue)+len(silent) > 0 && !s.cfg.Links.Silent() {
+		s.withdraw(overdue, silent)
+		return
+	}
+	for _, sv := range overdue {
+		s.watch.MarkStalled(now, sv.entry.ID)
+		s.reportStall(now, sv, "no_answer")
+	}
+	s.checkDeparted(now)
 	for _, name := range s.watch.Check(now, passTime) {
 		if sv, ok := s.servers[name]; ok {
 			s.reportStall(now, sv, "streams_silent")
@@ -389,6 +423,36 @@
 	}
 }
 
+// withdraw cancels the repeatable attempts on silent servers if this node is isolated, so that they can be made through
+// another node. Nothing follows from the silence about the servers.
+func (s *Picker) withdraw(overdue []*server, silent []string) {
+	if !s.cfg.Links.Isolated() {
+		return
+	}
+	for _, name := range silent {
+		if sv, ok := s.servers[name]; ok {
+			overdue = append(overdue, sv)
+		}
+	}
+	n := 0
+	for _, sv := range overdue {
+		n += sv.cancelRepeatable()
+	}
+	if n > 0 {
+		s.cfg.Log.Info("withdrew attempts on servers that this node does not reach", "servers", len(overdue), "withdrawn", n)
+	}
+}
+
+// LinksRestored forgets the servers that are held back because this node did not reach them.
+func (s *Picker) LinksRestored() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watch.Clear()
+	for _, sv := range s.servers {
+		sv.refusedUntil = time.Time{}
+	}
+}
+
 // skipsCheck reports whether a check for stalled servers must be skipped because this process has not run for a while: the
 // servers may have sent data that it has not read yet. The caller must hold mu.
 func (s *Picker) skipsCheck(now time.Time) bool {
@@ -454,6 +518,9 @@
 		return
 	}
 	sv.refusedUntil = now.Add(refusedHold)
+	if s.cfg.Links.Isolated() {
+		return
+	}
 	s.cfg.Metrics.Stalled("refused")
 	s.cfg.Log.Info("server refused a connection, choosing others", "server", sv.entry.ID, "group", sv.entry.Member.Group, "epoch", sv.entry.Member.Epoch)
 	if m := sv.entry.Member; m.InGroup() {
--- a/internal/node/seat/server.go
+++ b/internal/node/seat/server.go
@@ -53,11 +53,12 @@
 	progress time.Time
 }
 
-func newServer(e *index.Entry, source string) *server {
+func newServer(e *index.Entry, cfg Config) *server {
 	return &server{
 		entry: e,
 		conns: conns.New(e.Address, conns.Options{
-			DialTimeout: dialTimeout, IdleTimeout: idleTimeout, Limits: sock.Local.WithSource(source),
+			DialTimeout: dialTimeout, IdleTimeout: idleTimeout, Limits: sock.Local.WithSource(cfg.Source),
+			OnExchange: func(fresh bool, err error) { cfg.Links.Exchanged(e.ID, fresh, err) },
 		}),
 		recentSends:  window.New(coldWindow),
 		reservations: make(map[*reservation]struct{}),
@@ -144,6 +145,7 @@
 
 // Progress implements pass.Reservation.
 func (r *reservation) Progress() {
+	r.picker.cfg.Links.Heard(r.entry.ID)
 	r.picker.mu.Lock()
 	defer r.picker.mu.Unlock()
 	now := r.picker.cfg.Now()
--- a/internal/plat/conns/conns.go
+++ b/internal/plat/conns/conns.go
@@ -31,6 +31,8 @@
 	ErrRefused = errors.New("connection refused")
 	// ErrTooMany means that the pool has as many connections as it may have.
 	ErrTooMany = errors.New("too many connections")
+	// errDial marks an error of making a connection.
+	errDial = errors.New("cannot connect")
 )
 
 // Defaults of Options.
@@ -61,6 +63,10 @@
 	Limits sock.Limits
 	// Hello checks a new connection before its first request. An error closes the connection.
 	Hello func(c *Conn) error
+	// OnExchange is called when the headers of an answer have been read, and with the error if a new connection could not
+	// be made or ended before that. fresh is set for the first exchange of a connection. Exchanges whose context or time
+	// has ended are left out.
+	OnExchange func(fresh bool, err error)
 }
 
 // Conn is one connection.
@@ -140,6 +146,9 @@
 func (p *Pool) Exchange(ctx context.Context, x Exchange) (*Response, error) {
 	c, err := p.take(ctx)
 	if err != nil {
+		if ctx.Err() == nil && errors.Is(err, errDial) {
+			p.exchanged(true, err)
+		}
 		return nil, errors.Mark(err, ErrNotSent)
 	}
 	if !x.SendBy.IsZero() && time.Now().After(x.SendBy) {
@@ -154,16 +163,32 @@
 		if ctxErr := ctx.Err(); ctxErr != nil {
 			err = errors.Mark(errors.Newf("%v: %w", ctxErr, err), ctxErr)
 		}
+		if fresh := c.uses == 1; fresh && ctx.Err() == nil && !isTimeout(err) {
+			p.exchanged(fresh, err)
+		}
 		if !c.wrote {
 			return nil, errors.Mark(err, ErrNotSent)
 		}
 		return nil, err
 	}
+	p.exchanged(c.uses == 1, nil)
 	return &Response{
 		Header: &resp.Header, resp: resp, conn: c, pool: p, stop: stop, endless: resp.Header.ContentLength() == identityLength,
 	}, nil
 }
 
+// exchanged calls OnExchange.
+func (p *Pool) exchanged(fresh bool, err error) {
+	if p.opts.OnExchange != nil {
+		p.opts.OnExchange(fresh, err)
+	}
+}
+
+func isTimeout(err error) bool {
+	var ne net.Error
+	return errors.As(err, &ne) && ne.Timeout()
+}
+
 // SetReadDeadline bounds the next reads of the body; the zero time is no bound.
 func (r *Response) SetReadDeadline(t time.Time) error {
 	if err := r.conn.nc.SetReadDeadline(t); err != nil {
@@ -310,10 +335,10 @@
 	defer cancel()
 	nc, err := p.opts.Limits.Dial(ctx, p.addr)
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		return nil, errors.Mark(errors.Newf("new connection: %w", err), ErrRefused)
+		err = errors.Mark(err, ErrRefused)
 	}
 	if err != nil {
-		return nil, errors.Newf("new connection: %w", err)
+		return nil, errors.Mark(errors.Newf("new connection: %w", err), errDial)
 	}
 	c := &Conn{nc: nc}
 	c.br = bufio.NewReaderSize(nc, bufferBytes)
--- a/internal/route/stall/stall.go
+++ b/internal/route/stall/stall.go
@@ -109,17 +109,32 @@
 // Check marks the servers whose streams have been silent for too long as stalled and returns them. pass returns
 // the expected time of a pass of a server, including the prompts that it has to process, or 0 if it is unknown.
 func (w *Monitor) Check(now time.Time, pass func(server string) time.Duration) []string {
+	out := w.Silent(now, pass)
+	for _, name := range out {
+		w.markStalled(now, w.servers[name])
+	}
+	return out
+}
+
+// Silent returns the servers that Check would mark as stalled.
+func (w *Monitor) Silent(now time.Time, pass func(server string) time.Duration) []string {
 	var out []string
 	for name, st := range w.servers {
 		if st.stalled || len(st.streams) == 0 || now.Sub(st.lastProgress) < w.silenceLimit(st) || now.Sub(st.lastProgress) < pass(name)+w.cfg.Slack {
 			continue
 		}
-		w.markStalled(now, st)
 		out = append(out, name)
 	}
 	return out
 }
 
+// Clear forgets which servers are stalled.
+func (w *Monitor) Clear() {
+	for _, st := range w.servers {
+		st.stalled, st.lastHold = false, 0
+	}
+}
+
 // Stalled reports whether a server should get no new requests. After the hold it returns false; the caller
 // then calls RecordTrial, which lets only one request through.
 func (w *Monitor) Stalled(now time.Time, server string) bool {
--- a/internal/wire/frame/messages.gen.go
+++ b/internal/wire/frame/messages.gen.go
@@ -352,6 +352,12 @@
 	// ProbeReply corresponds to the JSON schema field "probe_reply".
 	ProbeReply *ProbeReply `json:"probe_reply,omitempty,omitzero"`
 
+	// ReachAsk corresponds to the JSON schema field "reach_ask".
+	ReachAsk *ReachAsk `json:"reach_ask,omitempty,omitzero"`
+
+	// ReachReply corresponds to the JSON schema field "reach_reply".
+	ReachReply *ReachReply `json:"reach_reply,omitempty,omitzero"`
+
 	// RowHint corresponds to the JSON schema field "row_hint".
 	RowHint *RowHint `json:"row_hint,omitempty,omitzero"`
 
@@ -443,6 +449,26 @@
 	Request string `json:"request,omitempty,omitzero"`
 }
 
+// ReachAsk asks whether the receiver reaches backend servers and takes requests of
+// the sender, which may have lost all of them.
+type ReachAsk struct {
+	// Backend servers that the receiver tries if it has not heard from any for a
+	// while.
+	Servers []ServerAsk `json:"servers"`
+}
+
+// ReachReply answers a ReachAsk.
+type ReachReply struct {
+	// Whether the receiver takes requests of other nodes now.
+	Accepts bool `json:"accepts"`
+
+	// Whether the receiver reaches backend servers.
+	Reaches bool `json:"reaches"`
+
+	// Number of requests in progress at the receiver.
+	Requests int `json:"requests"`
+}
+
 // RowHint says that the sender has rows of a family as of a revision.
 type RowHint struct {
 	// Era of the store in which rev was assigned.
