Move the duty to keep groups away from a node that reaches no server

Callers of nodes that were never cut off lost 56 streams at once, and servers stood still for seconds, when a cut ended. Cause: a keeper that lost its links took all servers for lost, stored that it dissolves all groups, kept the duty because it renewed it in the store, and its orders arrived when the links came back.

An isolated keeper makes no decision, and tells the others, one of which claims the duty: a standby at once, any other node after 1 to 2 s if all standbys are isolated. A failed probe counts only if the node reaches other servers, or if no other node does. The test of the duty failed first with the announcements ending with the tenure.

--- a/internal/fleet/duty/duty.go
+++ b/internal/fleet/duty/duty.go
@@ -63,6 +63,8 @@
 	Holder string
 	// Failing reports that the store does not accept the holder's renewals.
 	Failing bool
+	// Isolated reports that the holder reaches no backend server.
+	Isolated bool
 	// Relayed reports that the message was passed on by a node other than the holder.
 	Relayed bool
 }
@@ -108,6 +110,11 @@
 	// the tenure of another node that reported this.
 	renewalFailing bool
 	offeredFence   uint64
+	// isolatedFence is the tenure whose holder reaches no backend server, reported since isolatedSince, or 0.
+	isolatedFence uint64
+	isolatedSince time.Duration
+	// suspended is set while this node cannot act under the duty.
+	suspended bool
 	// replacedHolder is a holder whose node now runs another process.
 	replacedHolder string
 	// lastReadAt is when the row was read last.
@@ -193,6 +200,34 @@
 	}
 }
 
+// HolderIsolated records whether a holder reaches no backend server. It reports whether that has been so for longer than the
+// standbys need to claim the duty: they reach none either, so that any other node should claim it. The time depends on the
+// node's name, so that not all claim at once.
+func (d *Decider) HolderIsolated(now time.Duration, fence uint64, isolated bool) bool {
+	switch {
+	case fence < d.isolatedFence:
+		return false
+	case !isolated:
+		d.isolatedFence = 0
+		return false
+	case fence > d.isolatedFence:
+		d.isolatedFence, d.isolatedSince = fence, now
+	}
+	wait := standbyClaimTime + time.Duration(xxh3.HashString(d.node)%uint64(standbyClaimTime))
+	return now-d.isolatedSince >= wait
+}
+
+// standbyClaimTime is more than the standbys need to claim the duty from a holder that cannot act.
+const standbyClaimTime = time.Second
+
+// SetSuspended sets whether this node cannot act under the duty. It then neither claims nor renews it.
+func (d *Decider) SetSuspended(now time.Duration, suspended bool) {
+	if d.suspended && !suspended {
+		d.nextCallAt = min(d.nextCallAt, now)
+	}
+	d.suspended = suspended
+}
+
 // NewerPlan records that the state guarded by the duty was written in a later tenure than that of the last known row. The
 // row is then an older one that was written late, and this node claims the duty again if the row names it.
 func (d *Decider) NewerPlan(fence uint64) {
@@ -285,11 +320,12 @@
 
 // Next returns the call to make now, if any.
 func (d *Decider) Next(now time.Duration) (Op, bool) {
-	if d.callInProgress || now < d.nextCallAt {
+	if d.callInProgress || now < d.nextCallAt || d.suspended {
 		return Op{}, false
 	}
 	_, holds := d.Holds(now)
-	if until := d.idleUntil(now); !holds && until > now {
+	claiming := d.offeredFence > 0 && d.offeredFence >= d.row.Fence
+	if until := d.idleUntil(now); !holds && !claiming && until > now {
 		d.nextCallAt = until
 		return Op{}, false
 	}
--- a/internal/fleet/duty/duty_test.go
+++ b/internal/fleet/duty/duty_test.go
@@ -73,6 +73,37 @@
 	}
 }
 
+// Guards against a duty that stays with a node whose orders do not arrive, although only nodes that are no standbys reach
+// servers, and against one that such a node claims back.
+func TestIsolatedHolder(t *testing.T) {
+	t.Parallel()
+	var r storedRow
+	a, b := &candidate{decider: duty.New("a", key)}, &candidate{decider: duty.New("b", key)}
+	b.decider.SetStandby(0, false)
+	const lost, restored, end = 4 * time.Second, 10 * time.Second, 20 * time.Second
+	moved := time.Duration(0)
+	for now := time.Second; now < end; now += step {
+		a.decider.SetSuspended(now, now >= lost && now < restored)
+		fence, _ := a.decider.Holds(now)
+		if a.decider.Holder() == "a" && moved == 0 {
+			b.decider.HeartbeatReceived(now, fence)
+			if b.decider.HolderIsolated(now, fence, now >= lost) {
+				b.decider.HolderFailing(now, fence)
+			}
+		}
+		r.run(a, now, false)
+		r.run(b, now, false)
+		if _, holds := b.decider.Holds(now); holds && moved == 0 {
+			moved = now
+		} else if !holds && moved > 0 {
+			t.Fatalf("the duty has left the node that reaches servers at %v", now)
+		}
+	}
+	if moved == 0 || moved > lost+3*time.Second {
+		t.Errorf("the duty has moved at %v, the holder was isolated at %v", moved, lost)
+	}
+}
+
 // Guards against a slow failover. The time allowed depends on how the failure shows: Lifetime if the holder
 // was not heard directly, HeartbeatTimeout if it was, and the next call if another process replaced it or it
 // reported failing renewals.
--- a/internal/node/keeper/carry.go
+++ b/internal/node/keeper/carry.go
@@ -36,9 +36,21 @@
 	case <-ctx.Done():
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	r, err := k.cfg.Engines.Report(ctx, p)
+	r, err := k.cfg.Engines.Report(probeCtx, p)
+	switch {
+	case err == nil:
+		k.cfg.Heard(p.Server)
+	case !k.cfg.Confirm(ctx):
+		k.cfg.Log.Info("discarded a failed probe, as this node may have lost all servers", "server", p.Server, "error", err)
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		if k.decider != nil {
+			k.decider.ProbeDiscarded(p.Server)
+		}
+		return
+	}
 	k.cfg.Log.Info("probed a server", "server", p.Server, "state", r.Member.State, "pace", r.Slowdown, "error", err)
 	k.mu.Lock()
 	if k.decider != nil {
--- a/internal/node/keeper/duty.go
+++ b/internal/node/keeper/duty.go
@@ -38,8 +38,9 @@
 	defer k.mu.Unlock()
 	now := clock.Since()
 	k.duty.HolderReported(w.Fence, w.Holder)
+	overdue := k.duty.HolderIsolated(now, w.Fence, w.Isolated)
 	switch {
-	case w.Failing && standby:
+	case w.Failing && standby || overdue:
 		k.duty.HolderFailing(now, w.Fence)
 	case w.Relayed:
 		k.duty.RelayedHeartbeatReceived(now, w.Fence)
@@ -61,7 +62,7 @@
 
 // runDuty acquires and renews the duty until ctx ends, and announces it while this node holds it.
 func (k *Keeper) runDuty(ctx context.Context) error {
-	announced := time.Duration(0)
+	announced, wasIsolated := time.Duration(0), false
 	for wait := stepInterval / 2; tasks.Sleep(ctx, wait); {
 		now := clock.Since()
 		standby := k.cfg.IsStandby()
@@ -70,11 +71,16 @@
 		if standby || holds {
 			wait = stepInterval / 2
 		}
-		if holds && now-announced >= duty.HeartbeatInterval {
+		isolated := k.cfg.Isolated()
+		// An isolated holder goes on to say so when its tenure has ended, until another node has the duty.
+		announces := holds || isolated && k.Holder() == k.cfg.Node
+		if announces && (now-announced >= duty.HeartbeatInterval || isolated && !wasIsolated) {
 			announced = now
-			k.cfg.Announce(fence, k.renewalsFail())
+			k.cfg.Announce(duty.HolderReport{Fence: fence, Failing: isolated || k.renewalsFail(), Isolated: isolated})
 		}
+		wasIsolated = isolated
 		k.mu.Lock()
+		k.duty.SetSuspended(now, isolated)
 		addr, _, _ := strings.Cut(k.duty.Holder(), "/")
 		k.duty.SetHasOtherPeers(k.cfg.HasPeerExcept(addr))
 		k.duty.SetStandby(now, standby)
--- a/internal/node/keeper/keeper.go
+++ b/internal/node/keeper/keeper.go
@@ -51,12 +51,19 @@
 	// ProbeFromPeers asks other nodes whether they reach a server. It returns the number of nodes that answered and the
 	// number of those that reach it.
 	ProbeFromPeers func(ctx context.Context, p group.Probe) (asked, reached int)
-	// Announce notifies other nodes that this one holds the duty, and whether its renewals in the store fail.
-	Announce func(fence uint64, failing bool)
+	// Announce notifies other nodes that this one holds the duty, and whether it cannot act.
+	Announce func(w duty.HolderReport)
 	// IsStandby reports whether this node is a standby, which acquires the duty as soon as it is free.
 	IsStandby func() bool
 	// HasPeerExcept reports whether this node has a link to any node except the given one.
 	HasPeerExcept func(except string) bool
+	// Confirm reports whether this node reaches servers, so that the failure of one to answer is evidence about that one. It
+	// may make a check. Heard is called when a server has answered.
+	Confirm func(ctx context.Context) bool
+	Heard   func(server string)
+	// Isolated reports whether this node reaches no server while other nodes do. It then neither changes groups nor keeps
+	// the duty from others.
+	Isolated func() bool
 	// Traffic reports whether requests of callers have been served.
 	Traffic func() bool
 	Metrics *metric.Set
@@ -167,7 +174,7 @@
 		case <-k.wake:
 		}
 		fence, ok := k.holds()
-		if !ok {
+		if !ok || k.cfg.Isolated() {
 			t.Reset(idleInterval)
 			k.discardDecider()
 			continue
@@ -185,7 +192,7 @@
 	if k.decider == nil {
 		return
 	}
-	k.cfg.Log.Warn("lost the duty to keep groups", "fence", k.fence, "holder", k.Holder())
+	k.cfg.Log.Warn("lost the duty to keep groups", "fence", k.fence, "holder", k.Holder(), "isolated", k.cfg.Isolated())
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.decider = nil
--- a/internal/node/keeper/keeper_test.go
+++ b/internal/node/keeper/keeper_test.go
@@ -46,7 +46,8 @@
 		StallTime: time.Second, HeartbeatInterval: time.Second,
 		ReadHeartbeats: func(context.Context) (map[string]uint64, error) { return map[string]uint64{}, nil },
 		ProbeFromPeers: func(context.Context, group.Probe) (int, int) { return 0, 0 },
-		Announce:       func(uint64, bool) {}, HasPeerExcept: func(string) bool { return false },
+		Confirm:        func(context.Context) bool { return true }, Heard: func(string) {}, Isolated: func() bool { return false },
+		Announce: func(duty.HolderReport) {}, HasPeerExcept: func(string) bool { return false },
 		IsStandby: func() bool { return true }, Traffic: func() bool { return false },
 		Metrics: metric.New(), Log: hclog.NewNullLogger(),
 	})
--- a/internal/node/mesh/tell.go
+++ b/internal/node/mesh/tell.go
@@ -122,11 +122,11 @@
 	})
 }
 
-// Announce notifies all nodes that this node holds the duty, and whether its renewals in the store fail.
-func (m *Mesh) Announce(fence uint64, failing bool) {
+// Announce notifies all nodes that this node holds the duty, and whether it cannot act.
+func (m *Mesh) Announce(w duty.HolderReport) {
 	m.mu.Lock()
 	m.beatSeq++
-	b := &frame.DutyBeat{Fence: int(fence), Failing: failing, Seq: m.beatSeq, Holder: m.cfg.Address + "/" + m.cfg.Incarnation}
+	b := &frame.DutyBeat{Fence: int(w.Fence), Failing: w.Failing, Isolated: w.Isolated, Seq: m.beatSeq, Holder: m.cfg.Address + "/" + m.cfg.Incarnation}
 	m.mu.Unlock()
 	m.sendBeat(b, m.recordBeat(b), "")
 }
@@ -164,13 +164,13 @@
 	isNew := b.Fence > m.lastBeat.Fence || b.Fence == m.lastBeat.Fence && b.Seq > m.lastBeat.Seq
 	m.mu.Unlock()
 	if isNew || !b.Relayed {
-		m.cfg.OnHolderReport(duty.HolderReport{Fence: uint64(b.Fence), Holder: b.Holder, Failing: b.Failing, Relayed: b.Relayed})
+		m.cfg.OnHolderReport(duty.HolderReport{Fence: uint64(b.Fence), Holder: b.Holder, Failing: b.Failing, Isolated: b.Isolated, Relayed: b.Relayed})
 	}
 	if !isNew {
 		return
 	}
 	due := m.recordBeat(b)
-	m.sendBeat(&frame.DutyBeat{Fence: b.Fence, Failing: b.Failing, Seq: b.Seq, Holder: b.Holder, Relayed: true}, due, from.Node)
+	m.sendBeat(&frame.DutyBeat{Fence: b.Fence, Failing: b.Failing, Isolated: b.Isolated, Seq: b.Seq, Holder: b.Holder, Relayed: true}, due, from.Node)
 }
 
 // HasPeerExcept reports whether there is a link to any node except the given one.
--- a/internal/plan/group/probe.go
+++ b/internal/plan/group/probe.go
@@ -74,6 +74,13 @@
 	s.update(r.Info)
 }
 
+// ProbeDiscarded records a probe that failed for a reason that has nothing to do with the server. It is made again.
+func (d *Decider) ProbeDiscarded(id string) {
+	if s, ok := d.servers[id]; ok {
+		s.probePending, s.needsProbe = false, true
+	}
+}
+
 // ProbeFailed records a failed probe. If exited is set, the process is known to have ended.
 func (d *Decider) ProbeFailed(id string, exited bool) {
 	s, ok := d.servers[id]
--- a/internal/wire/frame/messages.gen.go
+++ b/internal/wire/frame/messages.gen.go
@@ -55,6 +55,9 @@
 	// Process that holds the duty.
 	Holder string `json:"holder,omitempty,omitzero"`
 
+	// The holder reaches no backend server.
+	Isolated bool `json:"isolated,omitempty,omitzero"`
+
 	// The sender passes on the holder's word.
 	Relayed bool `json:"relayed,omitempty,omitzero"`
 
