--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -111,7 +111,7 @@
 		Holds: func() bool { return n.keeper.Holds() }, Era: func() uint64 { return n.operator.Revision().Era }, Log: cfg.Log,
 	})
 	n.crashes, err = pass.NewCrashTracker(pass.CrashTrackerDeps{
-		Probe: n.probe, Share: n.shareFindings, ClaimTrial: n.quarantines.ClaimTrial, Group: func() *tasks.Group { return n.group }, Log: cfg.Log,
+		Probe: n.probe, Confirm: n.detour.Confirm, Share: n.shareFindings, ClaimTrial: n.quarantines.ClaimTrial, Group: func() *tasks.Group { return n.group }, Log: cfg.Log,
 	})
 	if err != nil {
 		return nil, errors.Newf("create crash tracker: %w", err)
--- a/internal/node/edge/peers.go
+++ b/internal/node/edge/peers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"geraniumhollow/internal/fleet/index"
+	"geraniumhollow/internal/fleet/reach"
 	"geraniumhollow/internal/node/keeper"
 	"geraniumhollow/internal/node/pass"
 	"geraniumhollow/internal/plan/group"
@@ -27,12 +28,15 @@
 	return true
 }
 
-// canReach reports whether this node can reach a backend server.
-func (n *Node) canReach(ctx context.Context, server, addr string) bool {
+// canReach reports whether this node can reach a backend server. It does not know if it may have lost all of them.
+func (n *Node) canReach(ctx context.Context, server, addr string) (reached, known bool) {
+	if n.detour.State() != reach.Connected {
+		return false, false
+	}
 	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
 	defer cancel()
 	_, err := n.cfg.Engines.Report(ctx, group.Probe{Server: server, Address: addr})
-	return err == nil
+	return err == nil, true
 }
 
 // queryReachability asks other nodes whether they can reach a backend server. It returns how many nodes were asked
--- a/internal/node/mesh/mesh.go
+++ b/internal/node/mesh/mesh.go
@@ -88,8 +88,8 @@
 	// with the peer of each new link.
 	OnHolderReport  func(w duty.HolderReport)
 	OnPeerConnected func(address, incarnation string)
-	// CanReach reports whether this node reaches a backend server.
-	CanReach func(ctx context.Context, server, addr string) bool
+	// CanReach reports whether this node reaches a backend server. known is false if this node cannot tell.
+	CanReach func(ctx context.Context, server, addr string) (reached, known bool)
 	// Status returns the status of this node for another one, which names backend servers that it does not reach.
 	Status func(ctx context.Context, servers []detour.Server) detour.Status
 	// OnSuspects is called with the findings of another node about requests that may crash backend servers.
@@ -175,7 +175,11 @@
 		m.Stalled(index.Formation{Group: n.Group, Epoch: uint64(n.Epoch)})
 	})
 	peer.OnAsk(m.net, func(ctx context.Context, _ peer.Peer, a *frame.ServerAsk) *frame.ServerReply {
-		return &frame.ServerReply{Reached: cfg.CanReach(ctx, a.Server, a.Addr)}
+		reached, known := cfg.CanReach(ctx, a.Server, a.Addr)
+		if !known {
+			return nil
+		}
+		return &frame.ServerReply{Reached: reached}
 	})
 	peer.OnAsk(m.net, m.handleReachAsk)
 	peer.On(m.net, func(from peer.Peer, h *frame.RowHint) {
--- a/internal/node/pass/crash.go
+++ b/internal/node/pass/crash.go
@@ -45,6 +45,9 @@
 type CrashTrackerDeps struct {
 	// Probe reports whether the process of a backend server still runs. It may block on the network.
 	Probe func(ctx context.Context, e *index.Entry) Liveness
+	// Confirm reports whether this node reaches servers, so that a refused connection shows the death of one. It may block
+	// on the network.
+	Confirm func(ctx context.Context) bool
 	// Share sends findings to all other nodes, which call Learn. It must not block.
 	Share func(f crash.Findings)
 	// ClaimTrial claims the trial of a quarantined part for this node, among all nodes. It may block on the store. The
@@ -224,7 +227,11 @@
 	}()
 	delay := deathRecheckDelay
 	for range maxDeathProbes {
-		switch c.deps.Probe(ctx, e) {
+		liveness := c.deps.Probe(ctx, e)
+		if liveness == Dead && !c.deps.Confirm(ctx) {
+			liveness = LivenessUnknown
+		}
+		switch liveness {
 		case Dead:
 			c.recordDeath(e)
 			return
--- a/internal/node/pass/crash_test.go
+++ b/internal/node/pass/crash_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,6 +26,8 @@
 	silent      map[string]int
 	trials      map[crash.Part]int
 	storeAway   bool
+	// stranded is set while the connections of the nodes to all servers are refused.
+	stranded atomic.Bool
 }
 
 func newFleet(t *testing.T, n int) (*fleet, *tasks.Group) {
@@ -34,6 +37,7 @@
 	for i := range n {
 		n, err := pass.NewCrashTracker(pass.CrashTrackerDeps{
 			Probe:      func(_ context.Context, e *index.Entry) pass.Liveness { return f.probe(e.ID) },
+			Confirm:    func(context.Context) bool { return !f.stranded.Load() },
 			Share:      func(found crash.Findings) { f.share(i, found) },
 			ClaimTrial: f.claim,
 			Group:      func() *tasks.Group { return g }, Log: hclog.NewNullLogger(),
@@ -61,7 +65,7 @@
 	switch {
 	case f.silent[id] >= 0:
 		return pass.LivenessUnknown
-	case f.deadServers[id]:
+	case f.deadServers[id] || f.stranded.Load():
 		return pass.Dead
 	default:
 		return pass.Alive
@@ -114,20 +118,27 @@
 	}
 }
 
-// Guards against suspecting a request because connections to live servers broke.
+// strandedTime is how long a node has lost all servers.
+const strandedTime = 100 * time.Millisecond
+
+// Guards against suspecting a request because connections to live servers broke, also if the node has lost all servers.
 func TestBrokenConnections(t *testing.T) {
 	t.Parallel()
-	f, g := newFleet(t, 1)
-	for i := range 6 {
-		id := fmt.Sprint("server", i)
-		run := f.nodes[0].StartRun("r", id)
-		f.nodes[0].EndRun(run, "r", entry(id), pass.Failed, true)
-	}
-	if err := g.Wait(); err != nil {
-		t.Fatal(err)
-	}
-	if refused, crashes := f.nodes[0].Refused("r"); refused || crashes > 0 {
-		t.Errorf("refused %v after %d crashes", refused, crashes)
+	for _, stranded := range []bool{false, true} {
+		f, g := newFleet(t, 1)
+		f.stranded.Store(stranded)
+		for i := range 6 {
+			id := fmt.Sprint("server", i)
+			run := f.nodes[0].StartRun("r", id)
+			f.nodes[0].EndRun(run, "r", entry(id), pass.Failed, true)
+		}
+		time.AfterFunc(strandedTime, func() { f.stranded.Store(false) })
+		if err := g.Wait(); err != nil {
+			t.Fatal(err)
+		}
+		if refused, crashes := f.nodes[0].Refused("r"); refused || crashes > 0 {
+			t.Errorf("stranded %v: refused %v after %d crashes", stranded, refused, crashes)
+		}
 	}
 }
 
