Attribute an answer on a kept connection only by the id of its request

A backend server that writes an earlier refusal once more, without an id, on a kept connection made the node tell that the request of the connection had not run: it ran at a second server, or its caller got 503 although it ran. Cause: an answer without an id was taken for that to the request that was sent last. Such an answer now shows nothing about the request and ends the connection; on a new connection, which has no earlier request, it is taken as before. A request is never sent twice to one server, so that no other answer has its id. TestRepeatedRefusal failed (ran 2 times). A head cut short: TestHeadCutShort cuts heads with length, chunks and neither at each byte; all are errors already.

--- a/internal/node/pass/attempt.go
+++ b/internal/node/pass/attempt.go
@@ -101,6 +101,11 @@
 	}
 	defer resp.Close()
 	info := s.relay.deps.Codec.DecodeResponse(resp.Header)
+	if info.ID != s.call.ID && resp.Reused() {
+		// It may be a late copy of the answer to an earlier request of the connection.
+		s.mayHaveRun = true
+		return attemptResult{outcome: Failed, err: errors.Newf("status %d without the ID of the request on a kept connection", resp.Header.StatusCode())}
+	}
 	reservation.HeadersReceived(info)
 	if info.NotStarted {
 		if s.w.Started() {
--- a/internal/node/pass/serve_test.go
+++ b/internal/node/pass/serve_test.go
@@ -67,8 +67,8 @@
 // headerCodec implements pass.Codec with the headers of this test.
 type headerCodec struct{}
 
-func (headerCodec) DecodeRequest(*fasthttp.RequestHeader) (pass.RequestInfo, error) {
-	return pass.RequestInfo{ID: "r"}, nil
+func (headerCodec) DecodeRequest(h *fasthttp.RequestHeader) (pass.RequestInfo, error) {
+	return pass.RequestInfo{ID: string(h.Peek("Id"))}, nil
 }
 
 func (headerCodec) EncodeRequest(h *fasthttp.RequestHeader, o pass.AttemptInfo) {
@@ -80,7 +80,7 @@
 }
 
 func (headerCodec) DecodeResponse(h *fasthttp.ResponseHeader) pass.ResponseInfo {
-	return pass.ResponseInfo{NotStarted: len(h.Peek("Not-Run")) > 0}
+	return pass.ResponseInfo{ID: string(h.Peek("Id")), NotStarted: len(h.Peek("Not-Run")) > 0}
 }
 
 // inOrder picks the servers of a test one after another. It implements pass.Picker.
@@ -154,6 +154,9 @@
 	return ln.Addr().String()
 }
 
+// lastID is the ID of the last request.
+var lastID atomic.Int64
+
 // get sends a request to a node and returns the status and the body, with an error if it is incomplete.
 func get(t *testing.T, node string) (int, string, error) {
 	t.Helper()
@@ -162,6 +165,7 @@
 		t.Fatal(err)
 	}
 	req.Host = "h"
+	req.Header.Set("Id", strconv.FormatInt(lastID.Add(1), 10))
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0, "", err
@@ -204,6 +208,56 @@
 	}
 }
 
+// repeats is a server that refuses the first request on each connection, and writes that refusal again before the answer to the
+// next one.
+func repeats(refusal string, runs *atomic.Int32) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		nc, rw, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		defer func() { _ = nc.Close() }()
+		_, _ = io.WriteString(nc, fmt.Sprintf(refusal, r.Header.Get("Id")))
+		first := fmt.Sprintf(refusal, r.Header.Get("Id"))
+		for {
+			q, err := http.ReadRequest(rw.Reader)
+			if err != nil {
+				return
+			}
+			runs.Add(1)
+			_, _ = io.WriteString(nc, first+"HTTP/1.1 200 OK\r\nId: "+q.Header.Get("Id")+"\r\nContent-Length: 3\r\n\r\nran")
+		}
+	}
+}
+
+// Guards against a refusal of an earlier request that is taken for one of the request that follows on its connection.
+func TestRepeatedRefusal(t *testing.T) {
+	t.Parallel()
+	for name, refusal := range map[string]string{
+		"with the earlier id": "HTTP/1.1 503 Service Unavailable\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"without an id":       "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\nEarlier: %s\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var runs atomic.Int32
+			serves := func(w http.ResponseWriter, r *http.Request) {
+				runs.Add(1)
+				w.Header().Set("Id", r.Header.Get("Id"))
+				_, _ = io.WriteString(w, "ran")
+			}
+			route := match.Route{Name: "r", Kind: match.Once, MaxAttempts: 2, Timeout: 5 * time.Second}
+			node := newRelay(t, route, retry.NewBudgetWith(0, 9), repeats(refusal, &runs), serves)
+			for range 2 {
+				runs.Store(0)
+				status, body, err := get(t, node)
+				if runs.Load() > 1 || status == http.StatusServiceUnavailable {
+					t.Errorf("got %d %q, %v, ran %d times", status, body, err, runs.Load())
+				}
+			}
+		})
+	}
+}
+
 // Guards against closing the connection of a caller that has received nothing and can be answered.
 func TestNothingReceived(t *testing.T) {
 	t.Parallel()
--- a/internal/plat/conns/conns_test.go
+++ b/internal/plat/conns/conns_test.go
@@ -231,3 +231,28 @@
 	t.Cleanup(func() { _ = ln.Close() })
 	return ln.Addr().String()
 }
+
+// Guards against a head that its server has not finished being taken for a whole answer.
+func TestHeadCutShort(t *testing.T) {
+	t.Parallel()
+	heads := map[string]string{
+		"length":  "HTTP/1.1 200 OK\r\nAnswer: a\r\nContent-Length: 2\r\nX: y\r\n\r\n",
+		"chunks":  "HTTP/1.1 200 OK\r\nAnswer: a\r\nTransfer-Encoding: chunked\r\nX: y\r\n\r\n",
+		"neither": "HTTP/1.1 200 OK\r\nAnswer: a\r\nX: y\r\n\r\n",
+		"empty":   "HTTP/1.1 200 OK\r\nAnswer: a\r\nContent-Length: 0\r\nX: y\r\n\r\n",
+		"no body": "HTTP/1.1 204 No Content\r\nAnswer: a\r\nX: y\r\n\r\n",
+	}
+	for name, head := range heads {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for n := range len(head) {
+				s := newScript(t, head[:n])
+				pool := conns.New(s.ln.Addr().String(), conns.Options{})
+				if body, _, err := get(t, pool, conns.Exchange{}); err == nil {
+					t.Errorf("a head of %d of %d bytes is an answer with the body %q", n, len(head), body)
+				}
+				pool.Close()
+			}
+		})
+	}
+}
