Take silence for evidence after a check has reached servers

Found by TestRunnerTroubles/trouble_stalls: with one stream, a stalled server was never withdrawn from. Cause: each silence raised the suspicion again, as a check that reaches a server did not count as hearing from one. The new case of TestState failed first.

--- a/internal/fleet/reach/reach.go
+++ b/internal/fleet/reach/reach.go
@@ -157,7 +157,7 @@
 		}
 	default:
 		d.state = Connected
-		d.opened = now
+		d.opened, d.heard = now, now
 		clear(d.failed)
 	}
 	return d.state
--- a/internal/fleet/reach/reach_test.go
+++ b/internal/fleet/reach/reach_test.go
@@ -56,6 +56,13 @@
 			d.Suspect(now.Add(tick))
 			d.Checked(now.Add(2*tick), reach.Check{Reached: 1, Peers: 3, PeersReaching: 3})
 		}, reach.Connected},
+		{"all servers are silent, and a check reaches one", func(d *reach.Decider, now time.Time) {
+			d.Silent(now.Add(300 * time.Millisecond))
+			d.Checked(now.Add(310*time.Millisecond), reach.Check{Reached: 1})
+			if evidence, check := d.Silent(now.Add(350 * time.Millisecond)); !evidence || check {
+				t.Error("a stall is no evidence although the node reaches servers")
+			}
+		}, reach.Connected},
 		{"isolated, and a kept connection lives on", func(d *reach.Decider, now time.Time) {
 			d.Suspect(now)
 			d.Checked(now, lost)
--- a/internal/node/pass/serve_test.go
+++ b/internal/node/pass/serve_test.go
@@ -64,6 +64,17 @@
 	_ = http.NewResponseController(w).Flush()
 }
 
+// streamType is the type of streams.
+const streamType = "text/event-stream"
+
+// answers is a server that answers with success and a body of a type.
+func answers(contentType, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", contentType)
+		_, _ = io.WriteString(w, body)
+	}
+}
+
 // headerCodec implements pass.Codec with the headers of this test.
 type headerCodec struct{}
 
@@ -192,6 +203,9 @@
 		"run by as many as it may be": {[]http.HandlerFunc{cutsStream, refuses, cutsStream, serves}, 5, "id: 1\n\nid: 2\n\n", false},
 		"refused too often":           {[]http.HandlerFunc{cutsStream, refuses, refuses, refuses, refuses, serves}, 9, "id: 1\n\n", false},
 		"no stream":                   {[]http.HandlerFunc{cutsStream, http.NotFound}, 5, "id: 1\n\n", false},
+		"error text as a success":     {[]http.HandlerFunc{cutsStream, answers("text/plain", "HTTP/1.1 500 failed\n\nfailed\n\n")}, 5, "id: 1\n\n", false},
+		"error text as a stream":      {[]http.HandlerFunc{cutsStream, answers(streamType, "failed\n\nfailed again\n\n")}, 5, "id: 1\n\n", false},
+		"empty body of another type":  {[]http.HandlerFunc{cutsStream, answers("text/html", "")}, 5, "id: 1\n\n", false},
 		"no server left":              {[]http.HandlerFunc{cutsStream, refuses}, 5, "id: 1\n\n", false},
 		"budget exhausted":            {[]http.HandlerFunc{cutsStream, refuses, serves}, 1, "id: 1\n\n", false},
 		"refused before it began":     {[]http.HandlerFunc{refuses, refuses, serves}, 5, "no backend server took the request", true},
