Continue a stream only with events of the same kind

A stream had begun and broke off, and the next server answered 200 with the text of an error: callers found that text in the middle of their stream, or the stream ended as if it were complete. A status other than 200 was rejected already. Cause: any body of a 200 was taken for the rest of the stream, and events without an id were passed on. Now the answer must be signed and have the media type of the stream, and a stream of numbered events has no others, except comments. Four cases of TestResumeAfterRefusals failed before.

--- a/internal/node/pass/attempt.go
+++ b/internal/node/pass/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"strings"
 	"time"
 
 	"geraniumhollow/internal/core/fault"
@@ -175,11 +176,17 @@
 // succeed, or does not continue the stream of which the caller has received a part.
 func (s *callState) shouldHold(h *fasthttp.ResponseHeader) bool {
 	if s.w.Started() {
-		return h.StatusCode() != fasthttp.StatusOK
+		return h.StatusCode() != fasthttp.StatusOK || mediaType(h) != s.mediaType || !s.relay.deps.Codec.DecodeResponse(h).Signed
 	}
 	return h.StatusCode() >= fasthttp.StatusInternalServerError && s.call.Route.Repeatable()
 }
 
+// mediaType returns the type of a response without its parameters.
+func mediaType(h *fasthttp.ResponseHeader) string {
+	t, _, _ := strings.Cut(string(h.ContentType()), ";")
+	return strings.ToLower(strings.TrimSpace(t))
+}
+
 // holdFailure reads a failure response completely and keeps it, to forward it if no further attempt is made.
 func (s *callState) holdFailure(resp *conns.Response) attemptResult {
 	body, err := io.ReadAll(io.LimitReader(resp, maxFailureBodyBytes+1))
@@ -202,6 +209,7 @@
 		if stream {
 			resp.Header.SetContentLength(-1)
 		}
+		s.mediaType = mediaType(resp.Header)
 		s.markAnswer(resp.Header)
 		s.w.Start(resp.Header)
 	}
--- a/internal/node/pass/event.go
+++ b/internal/node/pass/event.go
@@ -16,6 +16,9 @@
 // errEventGap means that event IDs are missing from a stream: it is a different stream or has lost data.
 var errEventGap = errors.New("stream is missing events")
 
+// errNoEvent means that a stream of events with IDs goes on with bytes that have none: they are no part of it.
+var errNoEvent = errors.New("event has no ID")
+
 // eventParser splits a server-sent event stream into events, drops events that the caller already has and detects
 // missing ones.
 type eventParser struct {
@@ -78,6 +81,9 @@
 func (e *eventParser) accept(event []byte) (bool, error) {
 	id, ok := eventID(event)
 	if !ok {
+		if e.numbered && !isComment(event) {
+			return false, errors.Newf("after event %s: %w", e.lastID, errNoEvent)
+		}
 		e.count++
 		return true, nil
 	}
@@ -104,5 +110,15 @@
 	return "", false
 }
 
+// isComment reports whether an event has only comments, which servers send to keep connections alive.
+func isComment(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if line[0] != ':' && len(bytes.TrimSpace(line)) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // discardPartial drops an incomplete event: the server sends it again when the stream is resumed.
 func (e *eventParser) discardPartial() { e.partial = e.partial[:0] }
--- a/internal/node/pass/serve.go
+++ b/internal/node/pass/serve.go
@@ -48,7 +48,9 @@
 	eventsBefore int
 	// gotFirstByte is set once part of a response body has arrived.
 	gotFirstByte bool
-	events       eventParser
+	// mediaType is the type of the response that the caller receives.
+	mediaType string
+	events    eventParser
 }
 
 // serve makes attempts until one succeeds or the retry rules allow no more.
--- a/internal/node/pass/serve_test.go
+++ b/internal/node/pass/serve_test.go
@@ -53,11 +53,17 @@
 		_, _ = io.WriteString(w, "failed")
 	}
 	serves = func(w http.ResponseWriter, r *http.Request) { writeEvents(w, r, streamEvents) }
+	// unsigned answers as a server would, but is none.
+	unsigned = func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Unsigned", "1")
+		writeEvents(w, r, 0)
+	}
 )
 
 // writeEvents writes up to n events.
 func writeEvents(w http.ResponseWriter, r *http.Request, n int) {
 	last, _ := strconv.Atoi(r.Header.Get("Last"))
+	w.Header().Set("Content-Type", streamType)
 	for id := last + 1; id <= min(last+n, streamEvents); id++ {
 		_, _ = fmt.Fprintf(w, "id: %d\n\n", id)
 	}
@@ -91,7 +97,7 @@
 }
 
 func (headerCodec) DecodeResponse(h *fasthttp.ResponseHeader) pass.ResponseInfo {
-	return pass.ResponseInfo{ID: string(h.Peek("Id")), NotStarted: len(h.Peek("Not-Run")) > 0}
+	return pass.ResponseInfo{ID: string(h.Peek("Id")), NotStarted: len(h.Peek("Not-Run")) > 0, Signed: len(h.Peek("Unsigned")) == 0}
 }
 
 // inOrder picks the servers of a test one after another. It implements pass.Picker.
@@ -206,6 +212,7 @@
 		"error text as a success":     {[]http.HandlerFunc{cutsStream, answers("text/plain", "HTTP/1.1 500 failed\n\nfailed\n\n")}, 5, "id: 1\n\n", false},
 		"error text as a stream":      {[]http.HandlerFunc{cutsStream, answers(streamType, "failed\n\nfailed again\n\n")}, 5, "id: 1\n\n", false},
 		"empty body of another type":  {[]http.HandlerFunc{cutsStream, answers("text/html", "")}, 5, "id: 1\n\n", false},
+		"unsigned":                    {[]http.HandlerFunc{cutsStream, unsigned}, 5, "id: 1\n\n", false},
 		"no server left":              {[]http.HandlerFunc{cutsStream, refuses}, 5, "id: 1\n\n", false},
 		"budget exhausted":            {[]http.HandlerFunc{cutsStream, refuses, serves}, 1, "id: 1\n\n", false},
 		"refused before it began":     {[]http.HandlerFunc{refuses, refuses, serves}, 5, "no backend server took the request", true},
