--- a/internal/node/detour/accept.go
+++ b/internal/node/detour/accept.go
@@ -64,7 +64,7 @@
 func (d *Detour) enter(capacity float64) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if float64(d.forwarded) >= maxForwardedPerCore*capacity {
+	if d.forwarded >= maxForwarded(capacity) {
 		return false
 	}
 	d.forwarded++
--- a/internal/node/detour/detour.go
+++ b/internal/node/detour/detour.go
@@ -362,12 +362,15 @@
 // about a thousandth of a core for each.
 const maxForwardedPerCore = 600
 
+// maxForwarded returns the limit for a node with a capacity in cores.
+func maxForwarded(capacity float64) int { return int(maxForwardedPerCore * max(capacity, minCapacity)) }
+
 // Status answers another node, which names servers that it does not reach. requests is the number of requests of callers in
 // progress here, capacity the processor time of this node, in cores.
 func (d *Detour) Status(ctx context.Context, servers []Server, requests int, capacity float64) Status {
 	d.mu.Lock()
 	state, recent := d.decider.State(), time.Since(d.heardAt) < heardAge
-	s := Status{Requests: requests + d.forwarded, Accepts: float64(d.forwarded) < maxForwardedPerCore*capacity}
+	s := Status{Requests: requests + d.forwarded, Accepts: d.forwarded < maxForwarded(capacity)}
 	d.mu.Unlock()
 	switch {
 	case state == reach.Connected && recent:
