Check the links to servers before another attempt when one has broken off

A stream whose node lost all servers was cut when new connections were accepted and reset: its attempts were used up before two servers in a row had failed. Cause: a connection that breaks off was no sign. A stream that another node refuses to continue goes to the next one. TestStreamResumedThroughAnotherNode/resets failed before.

--- a/internal/node/detour/peers.go
+++ b/internal/node/detour/peers.go
@@ -226,9 +226,12 @@
 )
 
 // Choose implements pass.Detour.
-func (d *Detour) Choose(ctx context.Context, tried sets.Set[string]) (pass.Hop, *fault.Error) {
+func (d *Detour) Choose(ctx context.Context, tried sets.Set[string], broken bool) (pass.Hop, *fault.Error) {
 	ctx, cancel := context.WithTimeout(ctx, maxCheckWait)
 	defer cancel()
+	if broken {
+		d.Confirm(ctx)
+	}
 	d.mu.Lock()
 	state, checked := d.decider.State(), d.checked
 	d.mu.Unlock()
--- a/internal/node/pass/attempt.go
+++ b/internal/node/pass/attempt.go
@@ -52,6 +52,7 @@
 	res.server = reservation.Entry().ID
 	s.relay.deps.Crashes.endRun(runID, fingerprint, reservation.Entry(), res.outcome, res.failureResponse == nil)
 	reservation.Release(res.outcome)
+	s.broken = res.outcome == Failed && res.failureResponse == nil
 	if !res.done {
 		s.tried.Add(res.server)
 	}
--- a/internal/node/pass/hop.go
+++ b/internal/node/pass/hop.go
@@ -26,8 +26,9 @@
 // Detour passes calls on to other nodes while this node cannot reach the backend servers. It is safe for concurrent use.
 type Detour interface {
 	// Choose returns a node outside tried that takes the call, or nil if this node is to send it to a server itself. It may
-	// wait for a check of the links to servers. It refuses the call if this node is isolated and no other one takes it.
-	Choose(ctx context.Context, tried sets.Set[string]) (Hop, *fault.Error)
+	// wait for a check of the links to servers, and makes one if broken is set: an attempt at a server has broken off. It
+	// refuses the call if this node is isolated and no other one takes it.
+	Choose(ctx context.Context, tried sets.Set[string], broken bool) (Hop, *fault.Error)
 }
 
 // Headers between nodes. They are removed before a request or an answer leaves the nodes.
@@ -125,7 +126,7 @@
 	if s.relay.deps.Detour == nil {
 		return nil, nil //nolint:nilnil // No node is needed.
 	}
-	h, refusal := s.relay.deps.Detour.Choose(ctx, s.triedNodes)
+	h, refusal := s.relay.deps.Detour.Choose(ctx, s.triedNodes, s.broken)
 	if h != nil && s.call.hop != nil {
 		h.Done(true)
 		return nil, fault.New(fault.NodeIsolated, fault.NotRun, "this node reaches no backend server either")
@@ -196,6 +197,10 @@
 		// The node did not take the call: the next one may.
 		s.attempts--
 		return attemptResult{outcome: NotRun, notSent: true, err: errors.CombineErrors(errors.Newf("node does not take requests: %w", ferr), err)}
+	case s.w.Started():
+		// A response that has begun can only be cut, not refused: another node may continue it.
+		s.attempts--
+		return attemptResult{outcome: NotRun, err: ferr}
 	default:
 		s.attempts--
 		return attemptResult{outcome: NotRun, refusal: ferr}
--- a/internal/node/pass/serve.go
+++ b/internal/node/pass/serve.go
@@ -34,6 +34,8 @@
 	tried sets.Set[string]
 	// triedNodes are the nodes that did not take the call or failed it.
 	triedNodes sets.Set[string]
+	// broken is set if the last attempt at a server broke off.
+	broken bool
 	// counted is set once the call has been counted in the retry budget of this node.
 	counted bool
 	// attempts is the number of attempts that were sent.
