Serve a request that another node has delayed although it is late

A stream that was resumed through another node was cut with 'all backend servers are busy', 0.74 s after its begin and with 2.3 s left: the other node took it for a new request that would miss its objective. A node that has made an attempt, or has waited for its check, now counts as a retry. TestStreamResumedThroughAnotherNode/hangs failed before.

--- a/internal/node/pass/call.go
+++ b/internal/node/pass/call.go
@@ -91,6 +91,8 @@
 	Trial bool
 	// LastAttempt is set if no attempt may follow the next one if that one runs.
 	LastAttempt bool
+	// Delayed is set if another node has made an attempt or waited before it passed the call on.
+	Delayed bool
 	// Answering is set if the caller has received part of the response.
 	Answering bool
 	// Fingerprint is a hash of the request that is equal for identical requests of an account.
--- a/internal/node/pass/pass.go
+++ b/internal/node/pass/pass.go
@@ -132,6 +132,8 @@
 	retryAfterNotReady = 500 * time.Millisecond
 	// retryAfterCrash is for a request that crashes backend servers. It is long to protect other requests from retries.
 	retryAfterCrash = 30 * time.Second
+	// minDelay is the time at the node that passed a call on from which the call counts as delayed.
+	minDelay = 50 * time.Millisecond
 	// defaultTimeout is for requests without a timeout on routes without one.
 	defaultTimeout = 10 * time.Second
 )
@@ -153,6 +155,7 @@
 		// The timeout that arrives is what is left.
 		c.Arrived = c.Arrived.Add(-hop.elapsed)
 		c.Timeout += hop.elapsed
+		c.Delayed = hop.attempts > 0 || hop.elapsed >= minDelay
 	}
 	route := table.Route(string(req.Header.Host()), requestPath(req.Header.RequestURI()))
 	if route == nil {
--- a/internal/node/seat/seat.go
+++ b/internal/node/seat/seat.go
@@ -186,7 +186,7 @@
 		return nil, freeAt, fault.New(fault.NoBackend, fault.NotRun, "no backend server is open for the request").WithRetryAfter(retryAfter)
 	}
 	est, _ := s.table.Estimate(id, now, req)
-	if refusal := checkWait(now, c, est, len(tried) > 0); refusal != nil {
+	if refusal := checkWait(now, c, est, len(tried) > 0 || c.Delayed); refusal != nil {
 		s.table.RecordRefusal(req.Model)
 		return nil, time.Time{}, refusal
 	}
@@ -199,7 +199,7 @@
 }
 
 // checkWait refuses a streaming call if even the best server would start its response too late. A call that would miss
-// the latency objective is still served if it is a retry by the caller or by this node, unless its response would
+// the latency objective is still served if it is a retry by the caller or by a node, unless its response would
 // start after the deadline.
 func checkWait(now time.Time, c *pass.Call, estimate time.Duration, retried bool) *fault.Error {
 	if c.Route.Kind != match.Stream {
