--- a/internal/fleet/duty/duty.go
+++ b/internal/fleet/duty/duty.go
@@ -306,6 +306,8 @@
 // idleUntil returns the time before which a node that does not hold the duty has no need to call the store.
 func (d *Decider) idleUntil(now time.Duration) time.Duration {
 	switch {
+	case d.offeredFence > 0 && d.offeredFence >= d.row.Fence:
+		return now
 	case d.claimDelay > 0:
 		return max(d.heardAt, d.leftStandbyAt) + d.claimDelay
 	case d.canSkipRead(now):
@@ -324,8 +326,7 @@
 		return Op{}, false
 	}
 	_, holds := d.Holds(now)
-	claiming := d.offeredFence > 0 && d.offeredFence >= d.row.Fence
-	if until := d.idleUntil(now); !holds && !claiming && until > now {
+	if until := d.idleUntil(now); !holds && until > now {
 		d.nextCallAt = until
 		return Op{}, false
 	}
--- a/internal/fleet/reach/reach.go
+++ b/internal/fleet/reach/reach.go
@@ -110,16 +110,16 @@
 	return d.suspect(now)
 }
 
-// Silent records that a server does not answer in time. It reports whether that is evidence about the server, and
+// Silent records that a server does not answer in time. The results report whether that is evidence about the server, and
 // whether a check must begin.
-func (d *Decider) Silent(now time.Time) (evidence, check bool) {
+func (d *Decider) Silent(now time.Time) (bool, bool) {
 	if d.state != Connected {
 		return false, false
 	}
 	if now.Sub(d.heard) < d.cfg.Silence || now.Before(d.undecidedUntil) {
 		return true, false
 	}
-	check = d.suspect(now)
+	check := d.suspect(now)
 	return !check, check
 }
 
--- a/internal/node/detour/peers.go
+++ b/internal/node/detour/peers.go
@@ -106,10 +106,10 @@
 }
 
 // found adapts the number of nodes that the next check asks.
-func (p peers) found(any bool) {
+func (p peers) found(reaching bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if any {
+	if reaching {
 		*p.askFactor = 1
 	} else {
 		*p.askFactor = min(2**p.askFactor, maxAskFactor)
@@ -239,7 +239,7 @@
 		state = d.await(ctx, checked)
 	}
 	if state != reach.Isolated {
-		return nil, nil //nolint:nilnil // No node is needed.
+		return nil, nil
 	}
 	refusal := fault.New(fault.NodeIsolated, fault.NotRun, "this node reaches no backend server").WithRetryAfter(isolatedRetry)
 	if tried.Len() >= maxTriedHops {
@@ -252,7 +252,7 @@
 		d.mu.Lock()
 		if d.decider.State() != reach.Isolated {
 			d.mu.Unlock()
-			return nil, nil //nolint:nilnil // No node is needed any more.
+			return nil, nil
 		}
 		d.startCheck()
 		checked := d.checked
--- a/internal/node/edge/peers.go
+++ b/internal/node/edge/peers.go
@@ -28,8 +28,8 @@
 	return true
 }
 
-// canReach reports whether this node can reach a backend server. It does not know if it may have lost all of them.
-func (n *Node) canReach(ctx context.Context, server, addr string) (reached, known bool) {
+// canReach reports whether this node can reach a backend server, and whether it knows: it does not if it may have lost all.
+func (n *Node) canReach(ctx context.Context, server, addr string) (bool, bool) {
 	if n.detour.State() != reach.Connected {
 		return false, false
 	}
--- a/internal/node/pass/hop.go
+++ b/internal/node/pass/hop.go
@@ -124,7 +124,7 @@
 // chooseHop returns the node to which the call must be passed on, or nil. A call that was passed on is not passed on again.
 func (s *callState) chooseHop(ctx context.Context) (Hop, *fault.Error) {
 	if s.relay.deps.Detour == nil {
-		return nil, nil //nolint:nilnil // No node is needed.
+		return nil, nil
 	}
 	h, refusal := s.relay.deps.Detour.Choose(ctx, s.triedNodes, s.broken)
 	if h != nil && s.call.hop != nil {
