Release callers that wait for a check of the links which is no longer needed

Found by reading the change: if a server answers after a check was requested and before it begins, no check is made, and Confirm waited until the next one.

--- a/internal/node/detour/detour.go
+++ b/internal/node/detour/detour.go
@@ -123,7 +123,9 @@
 		case <-t.C:
 		}
 		before := d.State()
-		if before != reach.Connected {
+		if before == reach.Connected {
+			d.endNeedlessCheck()
+		} else {
 			d.check(ctx)
 			// A check that has just found the node isolated has not waited for all nodes.
 			if before == reach.Isolated && !tasks.Sleep(ctx, minCheckInterval) {
@@ -224,6 +226,23 @@
 	}
 }
 
+// endCheck releases those that wait for a check. The lock must be held.
+func (d *Detour) endCheck() {
+	if d.checked != nil {
+		close(d.checked)
+		d.checked = nil
+	}
+}
+
+// endNeedlessCheck releases those that wait for a check if a server has answered since it was requested.
+func (d *Detour) endNeedlessCheck() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.decider.State() == reach.Connected {
+		d.endCheck()
+	}
+}
+
 // check tries servers, asks other nodes, and applies the result.
 func (d *Detour) check(ctx context.Context) {
 	begun := time.Now()
@@ -244,10 +263,7 @@
 	if changed {
 		d.since = now
 	}
-	if d.checked != nil {
-		close(d.checked)
-		d.checked = nil
-	}
+	d.endCheck()
 	d.mu.Unlock()
 	fields := []any{
 		"state", after.String(), "servers", len(servers), "reached", result.Reached, "nodes", result.Peers, "nodes_reaching", result.PeersReaching,
