--- a/internal/fleet/mirror/source.go
+++ b/internal/fleet/mirror/source.go
@@ -87,6 +87,7 @@
 		c.sourceAnswered(ctx, now, c.cfg.MinReadInterval)
 		return
 	}
+	c.cfg.Log.Info("reading the store for want of a node to follow failed", "family", c.cfg.Family, "failures", s.storeFailures+1, "error", err)
 	c.markSourceFailed()
 	c.setReached(ctx, err)
 	pause := min(backoffMin<<s.storeFailures, backoffMax)
@@ -158,6 +159,9 @@
 	if err != nil {
 		return err
 	}
+	if from != c.lastSource {
+		c.cfg.Log.Info("reads rows from another source", "family", c.cfg.Family, "source", sourceName(via), "via", via, "revision", c.Revision())
+	}
 	c.lastSource = from
 	if slices.Contains(via, c.cfg.Name) {
 		return errors.Mark(errors.Newf("rows of %s come from this copy: %w", via[0], table.ErrUnavailable), ErrNoSource)
@@ -168,6 +172,14 @@
 	return nil
 }
 
+// sourceName returns the name of the source of rows that passed through the given copies.
+func sourceName(via []string) string {
+	if len(via) == 0 {
+		return "store"
+	}
+	return via[0]
+}
+
 // markSourceFailed records that the source has failed, and notifies followers at once.
 func (c *Copy) markSourceFailed() {
 	c.mu.Lock()
