Send hints of new rows to all neighbours of a node that cannot be followed

Callers of some nodes were handled by an older configuration for up to 2.8 s after the first node had the newer one. A node without a source of its own refuses its followers, also when it has newer rows than they, and hints were sent to all neighbours except the children, which were expected to follow it. So rows that the leading node of a data centre had from a hint stayed there until it or a standby had found a source.

Hints now go to the children as well while they cannot follow, and a copy that has no source reads a hinted revision at once.

--- a/internal/fleet/mirror/fleet_test.go
+++ b/internal/fleet/mirror/fleet_test.go
@@ -118,9 +118,9 @@
 			}
 			return time.Duration(i) * 500 * time.Millisecond
 		},
-		OnRevision: func(r table.Revision) {
+		OnRevision: func(r table.Revision, followed bool) {
 			for _, o := range n.links {
-				if !n.children[o] {
+				if !followed || !n.children[o] {
 					time.AfterFunc(hintLatency, func() { o.copy.Hint(r, n.copy) })
 				}
 			}
--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -41,7 +41,7 @@
 	// originRetryInterval is how long another node is followed before the failed origin, the store or a node,
 	// is read again.
 	originRetryInterval = time.Second
-	// hintDelay is how long a hinted revision may take to arrive from the copy's own source.
+	// hintDelay is how long a hinted revision may take to arrive from the copy's own source, if that has not failed.
 	hintDelay = 80 * time.Millisecond
 	// rejectStaleFor is how long a new copy accepts only rows that are up to date. A restarted node must not
 	// use servers that have left, or keys that were revoked.
@@ -101,9 +101,9 @@
 	// OnUpToDate is called with false when the copy is no longer kept up to date, and with true when it is
 	// again. It may be nil.
 	OnUpToDate func(reached bool)
-	// OnRevision is called with the new revision after each change, so that other nodes can be notified. It
-	// must not block. It may be nil.
-	OnRevision func(revision table.Revision)
+	// OnRevision is called with the new revision after each change, so that other nodes can be notified. followed
+	// reports that other copies can follow this one, and so receive the change from it. It must not block. It may be nil.
+	OnRevision func(revision table.Revision, followed bool)
 	// StoreWait is how long a read of the store waits for changes, or 0 for a default. A source that stops
 	// responding is noticed after this time plus a margin, so it bounds how old the copy may be without its
 	// node knowing.
@@ -185,7 +185,7 @@
 		cfg.Keep = func(table.Row, *table.Row) bool { return false }
 	}
 	if cfg.OnRevision == nil {
-		cfg.OnRevision = func(table.Revision) {}
+		cfg.OnRevision = func(table.Revision, bool) {}
 	}
 	if cfg.Source == nil {
 		cfg.Source = func() Source { return Source{Store: true} }
@@ -229,7 +229,13 @@
 			return nil
 		case <-c.hintSignal:
 		}
-		if !tasks.Sleep(ctx, hintDelay) {
+		c.mu.Lock()
+		delay := hintDelay
+		if !c.followable() {
+			delay = 0
+		}
+		c.mu.Unlock()
+		if !tasks.Sleep(ctx, delay) {
 			return nil
 		}
 		c.mu.Lock()
@@ -297,7 +303,7 @@
 	c.loaded, c.revision = true, s.Revision
 	c.history, c.historyFloor = c.history[:0], s.Revision
 	c.cfg.Apply(Update{Full: true, Era: s.Revision.Era, Put: slices.Collect(maps.Values(c.rows))})
-	c.cfg.OnRevision(c.revision)
+	c.cfg.OnRevision(c.revision, c.followable())
 	c.notifyFollowers()
 	return s.Via, nil
 }
@@ -335,7 +341,7 @@
 		return
 	}
 	c.cfg.Apply(u)
-	c.cfg.OnRevision(c.revision)
+	c.cfg.OnRevision(c.revision, c.followable())
 	c.notifyFollowers()
 }
 
@@ -386,6 +392,9 @@
 	return c.loaded && c.reached
 }
 
+// followable reports whether other copies may follow this one. The lock must be held.
+func (c *Copy) followable() bool { return c.loaded && c.reached && !c.sourceFailed }
+
 // Snapshot implements table.Feed.
 func (c *Copy) Snapshot(context.Context, string) (table.State, error) {
 	c.mu.Lock()
@@ -394,7 +403,7 @@
 		return table.State{}, errors.Mark(table.ErrUnavailable, ErrNoSource)
 	}
 	s := table.State{
-		Revision: c.revision, Rows: make([]table.Row, 0, len(c.rows)), Via: c.followerVia(), Stale: c.sourceFailed || !c.reached,
+		Revision: c.revision, Rows: make([]table.Row, 0, len(c.rows)), Via: c.followerVia(), Stale: !c.followable(),
 	}
 	for _, r := range c.rows {
 		s.Rows = append(s.Rows, r)
@@ -429,7 +438,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case !c.loaded || following && (c.sourceFailed || !c.reached):
+	case !c.loaded || following && !c.followable():
 		return table.Delta{}, nil, errors.Mark(table.ErrUnavailable, ErrNoSource)
 	case after.Before(c.historyFloor):
 		return table.Delta{}, nil, table.ErrHistoryLost
--- a/internal/fleet/mirror/mirror_test.go
+++ b/internal/fleet/mirror/mirror_test.go
@@ -543,7 +543,7 @@
 		s := newFakeFeed()
 		s.put("op/config", "1")
 		var announced atomic.Uint64
-		_, r := startCopy(ctx, t, mirror.Config{Store: s, StoreWait: time.Second, OnRevision: func(r table.Revision) { announced.Store(r.Number) }})
+		_, r := startCopy(ctx, t, mirror.Config{Store: s, StoreWait: time.Second, OnRevision: func(r table.Revision, _ bool) { announced.Store(r.Number) }})
 		time.Sleep(100 * time.Millisecond)
 		// The next read asks for changes that the history no longer has.
 		s.update(func() {
--- a/internal/node/edge/rows.go
+++ b/internal/node/edge/rows.go
@@ -51,7 +51,7 @@
 		Family: family, Name: n.address, Store: n.store, StoreReadDelay: func(upstream bool) time.Duration { return n.mesh.StoreReadDelay(upstream) },
 		Source: func() mirror.Source { return n.mesh.Source(family) }, Peer: func() table.Feed { return n.mesh.Peer(family) },
 		Apply: apply, OnUpToDate: reached, StoreWait: readWait, MinReadInterval: readPause, Log: n.cfg.Log,
-		OnRevision: func(revision table.Revision) { n.mesh.Hint(family, revision) },
+		OnRevision: func(revision table.Revision, followed bool) { n.mesh.Hint(family, revision, followed) },
 	}
 }
 
--- a/internal/node/mesh/tell.go
+++ b/internal/node/mesh/tell.go
@@ -114,10 +114,12 @@
 	return m.position.children
 }
 
-// Hint notifies the linked nodes, except the children, that this node has a revision of a family. The children follow its copy.
-func (m *Mesh) Hint(family string, revision table.Revision) {
+// Hint notifies the linked nodes that this node has a revision of a family. followed reports that other nodes can follow its
+// copy, in which case the children receive the rows without a notice.
+func (m *Mesh) Hint(family string, revision table.Revision, followed bool) {
 	children := m.children()
-	m.sendLinked(&frame.RowHint{Family: family, Rev: int(revision.Number), Era: int(revision.Era)}, func(n string) bool { return !children.Has(n) }, func(n string, err error) {
+	accept := func(n string) bool { return !followed || !children.Has(n) }
+	m.sendLinked(&frame.RowHint{Family: family, Rev: int(revision.Number), Era: int(revision.Era)}, accept, func(n string, err error) {
 		m.cfg.Log.Debug("cannot send a row hint", "node", n, "error", err)
 	})
 }
