Follow only copies whose rows the store has confirmed since the origin was lost

Cause: a copy that lost its origin followed any other copy that had not failed yet, and counted as up to date then. The others did the same, so that nodes handed each other rows whose way ended at the node that was rejected (seen as the last name of via, for 1.6 s), and the standbys saw an upstream node with a source. Class of fault: that a neighbour answers is taken for contact with what lies behind it.

Rows now carry their age, that is, how long ago the store confirmed them. A copy that has lost its origin follows only copies that were confirmed since, reads the store by a timer that only such a copy resets, and refuses followers from an age of twice the wait of a read of the store plus 0.5 s. The list of nodes is read with a wait of 0.7 s instead of 4 s, so that its age is known as well. The ages are optional fields; the rows of a build that sends none count as confirmed just now, as before.

--- a/internal/fleet/mirror/fleet_test.go
+++ b/internal/fleet/mirror/fleet_test.go
@@ -96,15 +96,17 @@
 	root.links, last.links = append(root.links, last), append(last.links, root)
 	for _, centre := range fleet {
 		for i, n := range centre {
-			startFleetNode(ctx, t, n, i)
+			n.makeCopy(i)
 		}
 	}
+	for _, n := range slices.Concat(fleet...) {
+		runCopy(ctx, t, n.copy)
+	}
 	return fleet
 }
 
-// startFleetNode starts the copy of a node at a position of its data centre.
-func startFleetNode(ctx context.Context, t *testing.T, n *fleetNode, i int) {
-	t.Helper()
+// makeCopy makes the copy of a node at a position of its data centre.
+func (n *fleetNode) makeCopy(i int) {
 	turn := i
 	cfg := mirror.Config{
 		Store: n.store, StoreWait: readWait, MinReadInterval: 100 * time.Millisecond,
@@ -129,7 +131,7 @@
 	if n.parent != nil {
 		cfg.Source = func() mirror.Source { return mirror.Source{Node: n.parent.copy} }
 	}
-	n.copy, n.rows = startCopy(ctx, t, cfg)
+	n.copy, n.rows = newCopy(cfg)
 }
 
 // Guards against nodes that keep an old configuration while they take each other for sources of rows, and against nodes that
--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -6,6 +6,10 @@
 //
 // Rows carry the names of the copies that they passed through. A copy does not follow one that got its rows
 // from it, because no change would reach a cycle of copies that follow each other.
+//
+// Rows also carry their age: how long ago the store confirmed them. A copy that has lost its origin follows only copies
+// whose rows were confirmed after that, because a copy whose rows came from the same origin may not have noticed the
+// loss yet.
 package mirror
 
 import (
@@ -41,6 +45,10 @@
 	// originRetryInterval is how long another node is followed before the failed origin, the store or a node,
 	// is read again.
 	originRetryInterval = time.Second
+	// minAgeGain is the minimum by which the age of a follower's rows falls for it to be told at once.
+	minAgeGain = 100 * time.Millisecond
+	// ageMargin is added to twice Config.StoreWait for the age of rows from which a copy counts as out of date.
+	ageMargin = 500 * time.Millisecond
 	// hintDelay is how long a hinted revision may take to arrive from the copy's own source, if that has not failed.
 	hintDelay = 80 * time.Millisecond
 	// rejectStaleFor is how long a new copy accepts only rows that are up to date. A restarted node must not
@@ -142,8 +150,12 @@
 	reached      bool
 	// createdAt is when the copy was made.
 	createdAt time.Time
-	// lastSource is the source of the last read. It is used only by the goroutine running follow.
-	lastSource table.Feed
+	// confirmedAt is the latest time at which the store is known to have held these rows.
+	confirmedAt time.Time
+	// lastSource is the source of the last read, and storeLostAt is when the store failed as the origin of the copy, or the
+	// zero time. They are used only by the goroutine running follow.
+	lastSource  table.Feed
+	storeLostAt time.Time
 	// via names the copies that the rows passed through, nearest first.
 	via []string
 	// usesPeer reports that the copy reads another node because the store fails. sourceFailed reports that
@@ -264,6 +276,7 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, wait+margin)
 	defer cancel()
+	start := time.Now()
 	d, err := from.Changes(callCtx, c.cfg.Family, after, wait)
 	if errors.Is(err, table.ErrHistoryLost) {
 		c.cfg.Log.Info("history was lost, reading all rows", "family", c.cfg.Family, "revision", after)
@@ -272,6 +285,9 @@
 	if err != nil {
 		return nil, errors.Newf("read changes of %s: %w", c.cfg.Family, err)
 	}
+	if wait <= pollWait {
+		d.Age += time.Since(start) // Counts the time that the reply may have been on its way.
+	}
 	c.applyDelta(d, after)
 	c.dropKept()
 	return d.Via, nil
@@ -281,10 +297,12 @@
 func (c *Copy) loadSnapshot(ctx context.Context, from table.Feed) ([]string, error) {
 	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
+	start := time.Now()
 	s, err := from.Snapshot(ctx, c.cfg.Family)
 	if err != nil {
 		return nil, errors.Newf("read all rows of %s: %w", c.cfg.Family, err)
 	}
+	confirmedAt := start.Add(-s.Age)
 	c.mu.Lock()
 	first := !c.loaded
 	c.mu.Unlock()
@@ -301,6 +319,7 @@
 	}
 	c.replaceRows(s)
 	c.loaded, c.revision = true, s.Revision
+	c.confirm(confirmedAt)
 	c.history, c.historyFloor = c.history[:0], s.Revision
 	c.cfg.Apply(Update{Full: true, Era: s.Revision.Era, Put: slices.Collect(maps.Values(c.rows))})
 	c.cfg.OnRevision(c.revision, c.followable())
@@ -314,6 +333,9 @@
 func (c *Copy) applyDelta(d table.Delta, after table.Revision) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.confirm(time.Now().Add(-d.Age)) {
+		defer c.notifyFollowers()
+	}
 	if c.revision != after && !c.revision.Before(d.Revision) {
 		return
 	}
@@ -393,7 +415,35 @@
 }
 
 // followable reports whether other copies may follow this one. The lock must be held.
-func (c *Copy) followable() bool { return c.loaded && c.reached && !c.sourceFailed }
+func (c *Copy) followable() bool {
+	return c.loaded && c.reached && !c.sourceFailed && time.Since(c.confirmedAt) <= c.maxAge()
+}
+
+// maxAge is the age of rows from which the copy counts as out of date.
+func (c *Copy) maxAge() time.Duration { return 2*c.cfg.StoreWait + ageMargin }
+
+// confirm records that the store held the rows at a time, and reports whether followers should be told. The lock must be held.
+func (c *Copy) confirm(at time.Time) bool {
+	gain := at.Sub(c.confirmedAt)
+	if gain > 0 {
+		c.confirmedAt = at
+	}
+	return gain >= minAgeGain
+}
+
+// confirmedSince reports whether the store is known to have held the rows after a time.
+func (c *Copy) confirmedSince(t time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.confirmedAt.After(t)
+}
+
+// Age returns how long ago the store confirmed the rows.
+func (c *Copy) Age() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Since(c.confirmedAt)
+}
 
 // Snapshot implements table.Feed.
 func (c *Copy) Snapshot(context.Context, string) (table.State, error) {
@@ -404,6 +454,7 @@
 	}
 	s := table.State{
 		Revision: c.revision, Rows: make([]table.Row, 0, len(c.rows)), Via: c.followerVia(), Stale: !c.followable(),
+		Age: time.Since(c.confirmedAt),
 	}
 	for _, r := range c.rows {
 		s.Rows = append(s.Rows, r)
@@ -414,11 +465,18 @@
 // Changes implements table.Feed. A copy that is not kept up to date refuses to be followed, but answers a
 // read without a wait.
 func (c *Copy) Changes(ctx context.Context, _ string, after table.Revision, wait time.Duration) (table.Delta, error) {
+	return c.ChangesFor(ctx, after, 0, wait)
+}
+
+// ChangesFor returns the changes after a revision for a follower whose rows have the given age. It also returns, without
+// changes, when the store has confirmed the rows again.
+func (c *Copy) ChangesFor(ctx context.Context, after table.Revision, age, wait time.Duration) (table.Delta, error) {
+	known := time.Now().Add(-age)
 	t := time.NewTimer(wait)
 	defer t.Stop()
 	for {
 		d, changed, err := c.changesSince(after, wait > 0)
-		if err != nil || len(d.Changed)+len(d.Removed) > 0 {
+		if err != nil || len(d.Changed)+len(d.Removed) > 0 || time.Since(known)-d.Age >= minAgeGain {
 			return d, err
 		}
 		select {
@@ -444,7 +502,7 @@
 		return table.Delta{}, nil, table.ErrHistoryLost
 	}
 	// A follower may be ahead of this copy and must not go back.
-	d := table.Delta{Revision: after.Later(c.revision), Via: c.followerVia()}
+	d := table.Delta{Revision: after.Later(c.revision), Via: c.followerVia(), Age: time.Since(c.confirmedAt)}
 	latest := make(map[string]change)
 	for _, h := range c.history {
 		if after.Before(h.revision) {
--- a/internal/fleet/mirror/mirror_test.go
+++ b/internal/fleet/mirror/mirror_test.go
@@ -223,6 +223,13 @@
 // startCopy starts a copy that runs until ctx ends, and records what it reports.
 func startCopy(ctx context.Context, t *testing.T, cfg mirror.Config) (*mirror.Copy, *recorder) {
 	t.Helper()
+	c, r := newCopy(cfg)
+	runCopy(ctx, t, c)
+	return c, r
+}
+
+// newCopy returns a copy and a record of what it reports.
+func newCopy(cfg mirror.Config) (*mirror.Copy, *recorder) {
 	r := newRecorder()
 	cfg.Family, cfg.Apply, cfg.Log = "op", r.apply, hclog.NewNullLogger()
 	cfg.Name = fmt.Sprintf("copy-%d", copyCount.Add(1))
@@ -231,13 +238,17 @@
 		defer r.mu.Unlock()
 		r.reached = append(r.reached, ok)
 	}
-	c := mirror.New(cfg)
+	return mirror.New(cfg), r
+}
+
+// runCopy runs a copy until ctx ends.
+func runCopy(ctx context.Context, t *testing.T, c *mirror.Copy) {
+	t.Helper()
 	go func() {
 		if err := c.Run(ctx); err != nil {
 			t.Error(err)
 		}
 	}()
-	return c, r
 }
 
 // runSynctest runs a test with a fake clock and a context that ends before the test does.
@@ -476,7 +487,7 @@
 				return 2 * time.Second
 			},
 		})
-		time.Sleep(3 * time.Second)
+		time.Sleep(3*time.Second + 50*time.Millisecond) // Not when a read of the store ends.
 		upstreamLost.Store(true)
 		time.Sleep(2 * time.Second) // The last read from the lost node used part of this time.
 		upstreamLost.Store(false)
--- a/internal/fleet/mirror/source.go
+++ b/internal/fleet/mirror/source.go
@@ -30,21 +30,31 @@
 
 // upstreamSearch is the state of a copy that should follow a node.
 type upstreamSearch struct {
-	// skipOriginUntil is the time before which a failed origin is not followed. originHasNoSource reports
-	// that the origin answered but has no source itself.
-	skipOriginUntil   time.Time
-	originHasNoSource bool
+	// lostAt is when the origin failed, or the zero time. skipOriginUntil is the time before which it is not followed.
+	lostAt          time.Time
+	skipOriginUntil time.Time
 	// noNodeSince is when the copy was left without a node to follow. readStoreAt is when it reads the store
-	// unless it finds a node before. storeFailures counts consecutive failures of these reads.
-	noNodeSince   time.Time
-	readStoreAt   time.Time
-	storeFailures int
+	// unless it finds a node before, and storeReadDelay the delay before that. storeFailures counts consecutive failures
+	// of these reads.
+	noNodeSince    time.Time
+	readStoreAt    time.Time
+	storeReadDelay time.Duration
+	storeFailures  int
+}
+
+// lose records that the origin failed, unless it is known to.
+func (s *upstreamSearch) lose(now time.Time, storeReadDelay time.Duration) {
+	if s.lostAt.IsZero() {
+		s.lostAt, s.noNodeSince, s.storeReadDelay = now, now, storeReadDelay
+		s.readStoreAt = now.Add(storeReadDelay)
+	}
 }
 
 // followNode reads once from the origin node. If that fails, it reads from another node for up to
-// storeRetryInterval.
+// originRetryInterval.
 func (c *Copy) followNode(ctx context.Context, node table.Feed, s *upstreamSearch) {
 	start := time.Now()
+	originHasNoSource := false
 	if node != nil && start.After(s.skipOriginUntil) {
 		err := c.pullAsSource(ctx, node, peerWait)
 		if err == nil {
@@ -52,16 +62,18 @@
 			c.sourceAnswered(ctx, start, min(c.cfg.MinReadInterval, maxNodeReadPause))
 			return
 		}
-		s.originHasNoSource = errors.Is(err, ErrNoSource)
+		originHasNoSource = errors.Is(err, ErrNoSource)
 		pause := failedOriginDelay
-		if s.originHasNoSource {
+		if originHasNoSource {
 			pause = retryMax // The node may find a source at any moment.
 		}
 		s.skipOriginUntil = time.Now().Add(pause)
 		c.cfg.Log.Debug("read from the followed node failed", "family", c.cfg.Family, "error", err)
 	}
-	if c.followPeer(ctx) {
-		s.noNodeSince = time.Time{}
+	s.lose(time.Now(), c.cfg.StoreReadDelay(originHasNoSource))
+	if c.followPeer(ctx, s.lostAt, s.readStoreAt) {
+		s.noNodeSince = time.Now()
+		s.readStoreAt = s.noNodeSince.Add(peerWait + s.storeReadDelay)
 		return
 	}
 	c.awaitNode(ctx, s)
@@ -70,9 +82,6 @@
 // awaitNode waits for a node to follow, and reads the store once none has been found for too long.
 func (c *Copy) awaitNode(ctx context.Context, s *upstreamSearch) {
 	now := time.Now()
-	if s.noNodeSince.IsZero() {
-		s.noNodeSince, s.readStoreAt = now, now.Add(c.cfg.StoreReadDelay(s.originHasNoSource))
-	}
 	if now.Before(s.readStoreAt) {
 		c.markSourceFailed()
 		if now.Sub(s.noNodeSince) >= noSourceGrace {
@@ -114,14 +123,18 @@
 		err = c.pullAsSource(ctx, c.cfg.Store, wait)
 	}
 	if err == nil {
+		c.storeLostAt = time.Time{}
 		c.setUsesPeer(false)
 		c.sourceAnswered(ctx, start, c.cfg.MinReadInterval)
 		return
 	}
+	if c.storeLostAt.IsZero() {
+		c.storeLostAt = time.Now()
+	}
 	if !c.setUsesPeer(true) {
 		c.markSourceFailed()
 	}
-	if !c.followPeer(ctx) {
+	if !c.followPeer(ctx, c.storeLostAt, time.Now().Add(originRetryInterval)) {
 		c.markSourceFailed()
 		c.setReached(ctx, err)
 	}
@@ -149,18 +162,43 @@
 const pollWait = time.Millisecond
 
 // pullAsSource reads once from a feed and makes it the copy's source. It fails if the rows passed through
-// this copy. The first read from a new source returns at once, because followers must soon know which copies
-// their rows pass through.
+// this copy, or if the store confirmed them too long ago. The first read from a new source returns at once, because
+// followers must soon know which copies their rows pass through.
 func (c *Copy) pullAsSource(ctx context.Context, from table.Feed, wait time.Duration) error {
-	if from != c.lastSource {
-		wait = min(wait, pollWait)
+	return c.pullConfirmed(ctx, from, wait, time.Now().Add(-c.maxAge()))
+}
+
+// pullConfirmed is like pullAsSource, but fails if the store did not confirm the rows after a given time. It reads again from a
+// new source that may still be confirmed.
+func (c *Copy) pullConfirmed(ctx context.Context, from table.Feed, wait time.Duration, after time.Time) error {
+	isNew := from != c.lastSource
+	if isNew {
+		if err := c.pullFrom(ctx, from, min(wait, pollWait)); err != nil {
+			return err
+		}
 	}
+	if !isNew || !c.confirmedSince(after) {
+		if err := c.pullFrom(ctx, from, wait); err != nil {
+			return err
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.confirmedAt.After(after) {
+		return errors.Mark(errors.Newf("the store confirmed the rows of %s %v ago: %w", c.cfg.Family, time.Since(c.confirmedAt), table.ErrUnavailable), ErrNoSource)
+	}
+	c.sourceFailed = false
+	return nil
+}
+
+// pullFrom reads once from a feed. It fails if the rows passed through this copy.
+func (c *Copy) pullFrom(ctx context.Context, from table.Feed, wait time.Duration) error {
 	via, err := c.pull(ctx, from, wait)
 	if err != nil {
 		return err
 	}
 	if from != c.lastSource {
-		c.cfg.Log.Info("reads rows from another source", "family", c.cfg.Family, "source", sourceName(via), "via", via, "revision", c.Revision())
+		c.cfg.Log.Info("reads rows from another source", "family", c.cfg.Family, "source", sourceName(via), "via", via, "revision", c.Revision(), "age", c.Age())
 	}
 	c.lastSource = from
 	if slices.Contains(via, c.cfg.Name) {
@@ -168,7 +206,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.via, c.sourceFailed = via, false
+	c.via = via
 	return nil
 }
 
@@ -201,17 +239,19 @@
 	tasks.Sleep(ctx, pause-time.Since(start))
 }
 
-// followPeer reads from other nodes until the copy's own source is due for a retry. It reports whether any of
-// them answered.
-func (c *Copy) followPeer(ctx context.Context) bool {
-	until := time.Now().Add(originRetryInterval)
+// followPeer reads from other nodes until the copy's own source is due for a retry, or until a given time. It reports whether
+// any of them answered with rows that the store confirmed after lostAt, when the copy's own source failed.
+func (c *Copy) followPeer(ctx context.Context, lostAt, until time.Time) bool {
+	if latest := time.Now().Add(originRetryInterval); until.After(latest) {
+		until = latest
+	}
 	answered := false
 	for failed := 0; failed < maxPeerFailures && ctx.Err() == nil && time.Now().Before(until); {
 		peer := c.cfg.Peer()
 		if peer == nil {
 			return answered
 		}
-		if err := c.pullAsSource(ctx, peer, min(peerWait, time.Until(until))); err != nil {
+		if err := c.pullConfirmed(ctx, peer, min(peerWait, time.Until(until)), lostAt); err != nil {
 			c.cfg.Log.Debug("read from another node failed", "family", c.cfg.Family, "error", err)
 			tasks.Sleep(ctx, retryMin)
 			failed++
--- a/internal/node/mesh/follow.go
+++ b/internal/node/mesh/follow.go
@@ -30,10 +30,7 @@
 
 // handleFollow answers a request of a node that follows a copy of this one.
 func (m *Mesh) handleFollow(ctx context.Context, from peer.Peer, a *frame.FollowAsk) *frame.FollowReply {
-	c := m.cfg.Copies(a.Family)
-	if a.Family == Family {
-		c = m.nodes
-	}
+	c := m.copyOf(a.Family)
 	if c == nil {
 		return nil
 	}
@@ -49,9 +46,10 @@
 		}
 		return &frame.FollowReply{
 			Status: frame.FollowReplyStatusRows, Rev: int(s.Revision.Number), Era: int(s.Revision.Era), Rows: EncodeRows(s.Rows), Via: s.Via, Stale: s.Stale,
+			AgeMs: int(s.Age.Milliseconds()),
 		}
 	}
-	d, err := c.Changes(ctx, a.Family, after, time.Duration(a.WaitMs)*time.Millisecond)
+	d, err := c.ChangesFor(ctx, after, time.Duration(a.AgeMs)*time.Millisecond, time.Duration(a.WaitMs)*time.Millisecond)
 	switch {
 	case errors.Is(err, table.ErrHistoryLost):
 		return &frame.FollowReply{Status: frame.FollowReplyStatusHistoryLost}
@@ -60,9 +58,21 @@
 	}
 	return &frame.FollowReply{
 		Status: frame.FollowReplyStatusRows, Rev: int(d.Revision.Number), Era: int(d.Revision.Era), Rows: EncodeRows(d.Changed), Gone: d.Removed, Via: d.Via,
+		AgeMs: int(d.Age.Milliseconds()),
+	}
+}
+
+// copyOf returns the copy of a family on this node, or nil.
+func (m *Mesh) copyOf(family string) *mirror.Copy {
+	if family == Family {
+		return m.nodes
 	}
+	return m.cfg.Copies(family)
 }
 
+// maxAge bounds the age of rows in messages. A node that has never read a family has rows of any age.
+const maxAge = time.Minute
+
 // remoteCopy is another node's copy of a family. It implements table.Feed.
 type remoteCopy struct {
 	m      *Mesh
@@ -76,16 +86,22 @@
 	if err != nil {
 		return table.State{}, err
 	}
-	return table.State{Rows: rows, Revision: revisionOf(reply), Via: reply.Via, Stale: reply.Stale}, nil
+	return table.State{Rows: rows, Revision: revisionOf(reply), Via: reply.Via, Stale: reply.Stale, Age: ageOf(reply)}, nil
 }
 
 // Changes implements table.Feed.
 func (r remoteCopy) Changes(ctx context.Context, family string, after table.Revision, wait time.Duration) (table.Delta, error) {
-	reply, rows, err := r.ask(ctx, &frame.FollowAsk{Family: family, After: int(after.Number), Era: int(after.Era), WaitMs: int(wait.Milliseconds())})
+	var age time.Duration
+	if c := r.m.copyOf(family); c != nil {
+		age = min(c.Age(), maxAge)
+	}
+	reply, rows, err := r.ask(ctx, &frame.FollowAsk{
+		Family: family, After: int(after.Number), Era: int(after.Era), WaitMs: int(wait.Milliseconds()), AgeMs: int(age.Milliseconds()),
+	})
 	if err != nil {
 		return table.Delta{}, err
 	}
-	return table.Delta{Changed: rows, Removed: reply.Gone, Revision: revisionOf(reply), Via: reply.Via}, nil
+	return table.Delta{Changed: rows, Removed: reply.Gone, Revision: revisionOf(reply), Via: reply.Via, Age: ageOf(reply)}, nil
 }
 
 // revisionOf returns the revision of a reply.
@@ -93,6 +109,9 @@
 	return table.Revision{Era: uint64(r.Era), Number: uint64(r.Rev)}
 }
 
+// ageOf returns the age of the rows of a reply. A node that does not state it counts as one that has just read the store.
+func ageOf(r *frame.FollowReply) time.Duration { return time.Duration(r.AgeMs) * time.Millisecond }
+
 // ask sends a request to the node and returns its reply with the decoded rows.
 func (r remoteCopy) ask(ctx context.Context, a *frame.FollowAsk) (*frame.FollowReply, []table.Row, error) {
 	msg, err := r.m.net.Ask(ctx, r.node, a)
--- a/internal/node/mesh/mesh.go
+++ b/internal/node/mesh/mesh.go
@@ -39,6 +39,8 @@
 	askTimeout = 400 * time.Millisecond
 	// listReadInterval is the minimum time between two reads of the list of nodes.
 	listReadInterval = 700 * time.Millisecond
+	// listReadWait is how long a read of the list of nodes from the store waits for changes.
+	listReadWait = 700 * time.Millisecond
 	// dialTimeout limits the time to open a link.
 	dialTimeout = 500 * time.Millisecond
 	// missingLinkTimeout is how long the link to a node of the topology may be missing before the node is excluded from it.
@@ -168,7 +170,7 @@
 		},
 		// Nodes that the store has forgotten count until they have registered again, as limits are divided among the nodes.
 		Keep: func(_ table.Row, restored *table.Row) bool { return restored == nil }, KeepTime: 2 * MaxRewriteDelay,
-		Peer: func() table.Feed { return m.Peer(Family) }, MinReadInterval: listReadInterval, Log: cfg.Log,
+		Peer: func() table.Feed { return m.Peer(Family) }, MinReadInterval: listReadInterval, StoreWait: listReadWait, Log: cfg.Log,
 	})
 	peer.OnAsk(m.net, m.handleFollow)
 	peer.On(m.net, func(_ peer.Peer, n *frame.StallNotice) {
--- a/internal/plat/table/feed.go
+++ b/internal/plat/table/feed.go
@@ -19,6 +19,8 @@
 	Via []string
 	// Stale says that the rows are from a copy that is not kept up to date.
 	Stale bool
+	// Age is how long ago the store confirmed that these are the rows; 0 from the store itself.
+	Age time.Duration
 }
 
 // Delta is what changed between two revisions.
@@ -30,6 +32,8 @@
 	Revision Revision
 	// Via names the copies through which the changes came, as in State.
 	Via []string
+	// Age is how long ago the store confirmed that there were no further changes, as in State.
+	Age time.Duration
 }
 
 // Feed reads a family of rows, those whose keys start with the family's name and a slash, and follows
--- a/internal/wire/frame/messages.gen.go
+++ b/internal/wire/frame/messages.gen.go
@@ -70,6 +70,9 @@
 	// Revision that the sender has; 0 asks for all rows.
 	After int `json:"after"`
 
+	// Milliseconds since the store confirmed the sender's rows.
+	AgeMs int `json:"age_ms,omitempty,omitzero"`
+
 	// Era of the store in which after was assigned.
 	Era int `json:"era,omitempty,omitzero"`
 
@@ -82,6 +85,9 @@
 
 // FollowReply answers a FollowAsk.
 type FollowReply struct {
+	// Milliseconds since the store confirmed that these are the rows.
+	AgeMs int `json:"age_ms,omitempty,omitzero"`
+
 	// Era of the store in which rev and the revisions of the rows were assigned.
 	Era int `json:"era,omitempty,omitzero"`
 
