--- a/internal/node/pass/call.go
+++ b/internal/node/pass/call.go
@@ -61,6 +61,9 @@
 	// Load is valid only if HasLoad is set.
 	Load    Load
 	HasLoad bool
+	// RateLimit is how many requests per second the server takes from all nodes together, valid only if HasRateLimit is set.
+	RateLimit    float64
+	HasRateLimit bool
 }
 
 // Codec converts between HTTP headers and RequestInfo, AttemptInfo and ResponseInfo.
--- a/internal/node/seat/server.go
+++ b/internal/node/seat/server.go
@@ -51,6 +51,9 @@
 	refusedUntil time.Time
 	// progress is when part of any response last arrived.
 	progress time.Time
+	// rateLimit and hasRateLimit are those of the last response.
+	rateLimit    float64
+	hasRateLimit bool
 }
 
 func newServer(e *index.Entry, cfg Config) *server {
@@ -168,6 +171,7 @@
 	defer r.picker.mu.Unlock()
 	now := r.picker.cfg.Now()
 	r.picker.notices.record(now, r.entry, a)
+	r.observeLimit(a)
 	if !a.HasLoad || r.server.removed {
 		return
 	}
@@ -178,6 +182,17 @@
 	})
 }
 
+// observeLimit logs a change of the rate limit that the server names.
+func (r *reservation) observeLimit(a pass.ResponseInfo) {
+	sv := r.server
+	if a.NotStarted || sv.hasRateLimit == a.HasRateLimit && sv.rateLimit == a.RateLimit {
+		return
+	}
+	r.picker.cfg.Log.Info("server names another rate limit", "server", r.entry.ID, "limited", a.HasRateLimit, "per_second", a.RateLimit,
+		"before", sv.rateLimit)
+	sv.rateLimit, sv.hasRateLimit = a.RateLimit, a.HasRateLimit
+}
+
 // Release implements pass.Reservation.
 func (r *reservation) Release(o pass.Outcome) {
 	r.picker.mu.Lock()
