Keep all nodes together below the rate that a backend server names

Servers in need got 1.1 to 2 times the requests that they take: nothing read Server-Limit, so that the choice of a server did not know of it, and no node knew what the others sent.

route/pace holds the rates that a node knows. A rate is divided among the nodes that may send at a time: all if there are about as many as the requests per second or fewer, else some of them, in turns, as the first requests of all would exceed a low rate at once. All attempts are counted where servers are chosen, so also repetitions, resumed streams and requests of other nodes. A server that this node may not send to is left out, and its work goes to others.

Nodes tell each other of each change within a few hops, with an order of versions by which all arrive at the same rate, and that a rate still holds every 3 s; a new link gets all that is known. A rate that nobody confirmed for 10 to 20 s is forgotten. A server that takes less than one request in 4 s gets one in that time from one node, which finds out whether that is over. Older builds do not know the message and keep their links.

--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -22,6 +22,7 @@
 	"geraniumhollow/internal/node/pass"
 	"geraniumhollow/internal/node/seat"
 	"geraniumhollow/internal/route/match"
+	"geraniumhollow/internal/route/pace"
 	"geraniumhollow/internal/route/quota"
 	"geraniumhollow/internal/route/retry"
 	"github.com/cockroachdb/errors"
@@ -59,7 +60,9 @@
 	// address is the address for connections from other nodes, by which they identify this node.
 	address string
 	// split divides the limits of the fleet among its nodes.
-	split    atomic.Pointer[quota.Split]
+	split atomic.Pointer[quota.Split]
+	// rates are the rates that backend servers name for all nodes together.
+	rates    *pace.Book
 	stopping atomic.Bool
 	// joinedAt is the time at which this node first appeared in the list of nodes, or nil before that.
 	joinedAt atomic.Pointer[time.Time]
@@ -87,6 +90,7 @@
 	n.address = address
 	n.index.SetHeartbeatInterval(set.HeartbeatInterval)
 	n.updateMembers(nil)
+	n.rates = pace.NewBook(n.sendingPosition)
 	incarnation := strconv.FormatInt(time.Now().UnixNano(), 36)
 	n.servers = mirror.New(n.copyConfig(cfg.Decoder.Families().Servers, n.applyServers, n.storeReachable))
 	n.operator = n.operatorCopy()
@@ -97,13 +101,14 @@
 		Gather: gatherTime(set.FirstStart), StoreReadDelay: max(0, set.ChangeTime-storeFallbackTime),
 		Table: n.store, Feed: n.store, Copies: n.copyOf, Members: n.updateMembers, OnStalled: n.handleStalled, Keeper: n.keeperAddress,
 		OnHolderReport: func(w duty.HolderReport) { n.keeper.HandleHolderReport(w) }, OnPeerConnected: n.handlePeerConnected,
-		CanReach: n.canReach, OnSuspects: n.handleFindings, Log: cfg.Log,
+		CanReach: n.canReach, OnSuspects: n.handleFindings,
+		OnRates: func(from string, list []pace.Notice) { n.rates.Learn(time.Now(), from, list) }, Log: cfg.Log,
 	})
 	if err != nil {
 		return nil, errors.Newf("create mesh: %w", err)
 	}
 	n.seats = seat.New(seat.Config{
-		View: n.index.View, Service: n.service, ColdAllowance: n.coldAllowance, Nodes: n.mesh.Size, OnStalled: n.mesh.Stalled,
+		View: n.index.View, Service: n.service, ColdAllowance: n.coldAllowance, Rates: n.rates, Nodes: n.mesh.Size, OnStalled: n.mesh.Stalled,
 		Now: time.Now, Seed: uint64(os.Getpid()), Links: n.detour, Source: set.IP, Metrics: cfg.Metrics, Log: cfg.Log,
 	})
 	n.quarantines = NewQuarantines(QuarantineConfig{
@@ -133,17 +138,24 @@
 		Confirm: n.detour.Confirm, Heard: n.detour.Heard, Isolated: n.detour.Isolated,
 		ProbeFromPeers: n.queryReachability, Announce: n.mesh.Announce, HasPeerExcept: n.mesh.HasPeerExcept, IsStandby: n.mesh.Leads, Metrics: cfg.Metrics, Log: cfg.Log,
 	})
-	cfg.Metrics.Func("quarantined_parts", "Parts of prompts that are quarantined because they crash backend servers.",
+	n.registerMetrics()
+	return n, nil
+}
+
+// registerMetrics registers the gauges of the node.
+func (n *Node) registerMetrics() {
+	n.cfg.Metrics.Func("quarantined_parts", "Parts of prompts that are quarantined because they crash backend servers.",
 		func() float64 { return float64(len(n.crashes.Quarantines())) })
-	cfg.Metrics.Func("isolated", "1 while this node reaches no backend server and passes requests on to other nodes.", func() float64 {
+	n.cfg.Metrics.Func("rate_limited_servers", "Backend servers that name a rate of requests for all nodes together.",
+		func() float64 { return float64(n.rates.Limited(time.Now())) })
+	n.cfg.Metrics.Func("isolated", "1 while this node reaches no backend server and passes requests on to other nodes.", func() float64 {
 		if n.detour.Isolated() {
 			return 1
 		}
 		return 0
 	})
-	cfg.Metrics.Func("forwarded_requests", "Requests of other nodes in progress.", func() float64 { return float64(n.detour.Forwarded()) })
-	cfg.Metrics.Func("caller_connections", "Open connections of callers.", func() float64 { return float64(n.front.OpenConnections()) })
-	return n, nil
+	n.cfg.Metrics.Func("forwarded_requests", "Requests of other nodes in progress.", func() float64 { return float64(n.detour.Forwarded()) })
+	n.cfg.Metrics.Func("caller_connections", "Open connections of callers.", func() float64 { return float64(n.front.OpenConnections()) })
 }
 
 // Run serves until a planned stop is complete. The stop begins when stopCtx ends.
@@ -169,6 +181,7 @@
 	g.Go("keeper", n.keeper.Run)
 	g.Go("reload", n.reload)
 	g.Go("quarantines", n.quarantines.Run)
+	g.Go("rates", n.shareRates)
 	g.Go("callers", func(ctx context.Context) error { return n.front.Run(ctx, callers) })
 	g.Go("stop", func(ctx context.Context) error { return n.stop(ctx, stopCtx, cancel) })
 	g.Go("balancer", n.serveReadiness)
--- a/internal/node/edge/limits.go
+++ b/internal/node/edge/limits.go
@@ -1,11 +1,14 @@
 package edge
 
 import (
+	"context"
 	"math"
 	"slices"
 	"time"
 
+	"geraniumhollow/internal/core/tasks"
 	"geraniumhollow/internal/node/front"
+	"geraniumhollow/internal/route/pace"
 	"geraniumhollow/internal/route/quota"
 	"geraniumhollow/internal/route/retry"
 )
@@ -57,6 +60,26 @@
 	return n.split.Load().Rate(rate*set.ColdOverage+set.ColdSlack, server, state)
 }
 
+// sendingPosition returns the place of this node among those that send to a backend server that names a rate. It has none
+// until the other nodes know this one.
+func (n *Node) sendingPosition(server string) pace.Position {
+	rank, nodes := n.split.Load().Position(server)
+	at := n.joinedAt.Load()
+	return pace.Position{Rank: rank, Nodes: nodes, Excluded: at == nil || time.Since(*at) < quota.JoinDelay}
+}
+
+// rateInterval is the time between notices to other nodes of the rates that backend servers name.
+const rateInterval = 50 * time.Millisecond
+
+// shareRates tells other nodes of rates that backend servers name, until ctx ends.
+func (n *Node) shareRates(ctx context.Context) error {
+	return tasks.Every(ctx, rateInterval, func(context.Context) {
+		if due := n.rates.Due(time.Now()); len(due) > 0 {
+			n.mesh.ShareRates(due)
+		}
+	})
+}
+
 // limits returns the limits for requests of callers.
 func (n *Node) limits() front.Limits {
 	t := n.table.Load()
--- a/internal/node/edge/peers.go
+++ b/internal/node/edge/peers.go
@@ -78,10 +78,11 @@
 	n.crashes.Learn(m.Origin, crash.FindingsFromFrame(m))
 }
 
-// handlePeerConnected informs a new peer of the quarantined prompt parts, which it may have missed.
+// handlePeerConnected informs a new peer of the quarantined prompt parts and the rates of servers, which it may have missed.
 func (n *Node) handlePeerConnected(address, incarnation string) {
 	n.keeper.PeerConnected(address, incarnation)
 	if list := n.crashes.Quarantines(); len(list) > 0 {
 		n.mesh.SuspectTo(address, crash.Findings{Quarantines: list}.ToFrame())
 	}
+	n.mesh.SendRates(address, n.rates.All(time.Now()))
 }
--- a/internal/node/mesh/mesh.go
+++ b/internal/node/mesh/mesh.go
@@ -23,6 +23,7 @@
 	"geraniumhollow/internal/fleet/roster"
 	"geraniumhollow/internal/node/detour"
 	"geraniumhollow/internal/plat/table"
+	"geraniumhollow/internal/route/pace"
 	"geraniumhollow/internal/wire/frame"
 	"geraniumhollow/internal/wire/peer"
 	"github.com/cockroachdb/errors"
@@ -96,7 +97,9 @@
 	Status func(ctx context.Context, servers []detour.Server) detour.Status
 	// OnSuspects is called with the findings of another node about requests that may crash backend servers.
 	OnSuspects func(s *frame.SuspectRequest)
-	Log        hclog.Logger
+	// OnRates is called with what another node knows of the rates that backend servers name.
+	OnRates func(from string, list []pace.Notice)
+	Log     hclog.Logger
 }
 
 // Mesh manages the links of one node. It is safe for concurrent use.
@@ -191,6 +194,7 @@
 	})
 	peer.On(m.net, func(from peer.Peer, b *frame.DutyBeat) { m.handleDutyBeat(from, b) })
 	peer.On(m.net, func(from peer.Peer, s *frame.SuspectRequest) { m.handleSuspicions(from.Node, s) })
+	peer.On(m.net, func(from peer.Peer, r *frame.RateNotices) { cfg.OnRates(from.Node, pace.FromFrame(r.List)) })
 	return m, nil
 }
 
--- a/internal/node/seat/seat.go
+++ b/internal/node/seat/seat.go
@@ -19,6 +19,7 @@
 	"geraniumhollow/internal/route/batch"
 	"geraniumhollow/internal/route/choose"
 	"geraniumhollow/internal/route/match"
+	"geraniumhollow/internal/route/pace"
 	"geraniumhollow/internal/route/stall"
 	"github.com/hashicorp/go-hclog"
 )
@@ -31,6 +32,8 @@
 	// ColdAllowance returns how many requests per second this node may send to a cold server that can
 	// handle rate requests per second.
 	ColdAllowance func(server string, rate float64) int
+	// Rates are the rates that servers name for all nodes together; nil if this node is the only one.
+	Rates *pace.Book
 	// Nodes returns the number of nodes that send to the same servers, including this one.
 	Nodes func() int
 	// OnStalled is called with the formation of a group whose head is stalled. It must not block.
@@ -124,6 +127,9 @@
 	if cfg.Links == nil {
 		cfg.Links = reliableLinks{}
 	}
+	if cfg.Rates == nil {
+		cfg.Rates = pace.NewBook(func(string) pace.Position { return pace.Position{Nodes: 1} })
+	}
 	tableConfig := choose.DefaultConfig()
 	tableConfig.MaxReportAge = maxReportAge
 	tableConfig.FirstTokenLearningRate = firstTokenSmoothing
@@ -192,6 +198,7 @@
 	}
 	sv := s.servers[s.table.Name(id)]
 	sv.recentSends.Add(now)
+	s.cfg.Rates.Sent(now, sv.process())
 	s.watch.RecordTrial(now, sv.entry.ID)
 	res := &reservation{selection: sv.selection(now, est), picker: s, server: sv, entry: sv.entry, sendID: s.table.RecordSend(id, now, req), sentAt: now, promptTokens: c.PromptTokens, expectedFirstByte: est, cancel: cancel, repeatable: c.Route.Repeatable(), last: c.LastAttempt, answering: c.Answering, resumable: c.Route.Resumable}
 	sv.reservations[res] = struct{}{}
@@ -270,6 +277,9 @@
 	if now.Before(sv.refusedUntil) || s.watch.Stalled(now, sv.entry.ID) {
 		return true, time.Time{}
 	}
+	if at, ok := s.cfg.Rates.Room(now, sv.process()); !ok || at.After(now) {
+		return true, at
+	}
 	if !sv.cold(now) {
 		return false, time.Time{}
 	}
--- a/internal/node/seat/server.go
+++ b/internal/node/seat/server.go
@@ -10,6 +10,7 @@
 	"geraniumhollow/internal/node/pass"
 	"geraniumhollow/internal/plat/conns"
 	"geraniumhollow/internal/route/choose"
+	"geraniumhollow/internal/route/pace"
 	"geraniumhollow/internal/route/stall"
 )
 
@@ -51,9 +52,6 @@
 	refusedUntil time.Time
 	// progress is when part of any response last arrived.
 	progress time.Time
-	// rateLimit and hasRateLimit are those of the last response.
-	rateLimit    float64
-	hasRateLimit bool
 }
 
 func newServer(e *index.Entry, cfg Config) *server {
@@ -68,6 +66,17 @@
 	}
 }
 
+// process identifies the process of the server.
+func (sv *server) process() pace.Server { return processOf(sv.entry) }
+
+func processOf(e *index.Entry) pace.Server {
+	p := pace.Server{ID: e.ID}
+	if !e.StartedAt.IsZero() {
+		p.StartedAt = e.StartedAt.UnixMilli()
+	}
+	return p
+}
+
 // busy returns the number of requests that the server is known to run.
 func (sv *server) busy() int { return max(sv.load.Running+sv.load.Waiting, len(sv.reservations)) }
 
@@ -171,7 +180,7 @@
 	defer r.picker.mu.Unlock()
 	now := r.picker.cfg.Now()
 	r.picker.notices.record(now, r.entry, a)
-	r.observeLimit(a)
+	r.observeRate(now, a)
 	if !a.HasLoad || r.server.removed {
 		return
 	}
@@ -182,15 +191,14 @@
 	})
 }
 
-// observeLimit logs a change of the rate limit that the server names.
-func (r *reservation) observeLimit(a pass.ResponseInfo) {
-	sv := r.server
-	if a.NotStarted || sv.hasRateLimit == a.HasRateLimit && sv.rateLimit == a.RateLimit {
-		return
+// observeRate records the rate that the server names, or that it names none.
+func (r *reservation) observeRate(now time.Time, a pass.ResponseInfo) {
+	if a.NotStarted && !a.HasRateLimit {
+		return // A refusal need not come from the server's own queue.
+	}
+	if r.picker.cfg.Rates.Observe(now, processOf(r.entry), a.RateLimit, a.HasRateLimit) {
+		r.picker.cfg.Log.Info("server names another rate of requests", "server", r.entry.ID, "limited", a.HasRateLimit, "per_second", a.RateLimit)
 	}
-	r.picker.cfg.Log.Info("server names another rate limit", "server", r.entry.ID, "limited", a.HasRateLimit, "per_second", a.RateLimit,
-		"before", sv.rateLimit)
-	sv.rateLimit, sv.hasRateLimit = a.RateLimit, a.HasRateLimit
 }
 
 // Release implements pass.Reservation.
--- a/internal/route/quota/quota.go
+++ b/internal/route/quota/quota.go
@@ -75,6 +75,9 @@
 // FractionalPart returns this node's part of a limit that need not be a whole number.
 func (s *Split) FractionalPart(limit float64) float64 { return limit / float64(s.Parts()) }
 
+// Position returns how many nodes come before this one for a key, and the number of nodes.
+func (s *Split) Position(key string) (int, int) { return s.rank(key), max(1, len(s.nodes)) }
+
 // rank returns how many nodes come before this one for a key, by rendezvous hashing.
 func (s *Split) rank(key string) int {
 	s.mu.Lock()
--- a/internal/wire/frame/messages.gen.go
+++ b/internal/wire/frame/messages.gen.go
@@ -361,6 +361,9 @@
 	// ProbeReply corresponds to the JSON schema field "probe_reply".
 	ProbeReply *ProbeReply `json:"probe_reply,omitempty,omitzero"`
 
+	// RateNotices corresponds to the JSON schema field "rate_notices".
+	RateNotices *RateNotices `json:"rate_notices,omitempty,omitzero"`
+
 	// ReachAsk corresponds to the JSON schema field "reach_ask".
 	ReachAsk *ReachAsk `json:"reach_ask,omitempty,omitzero"`
 
@@ -458,6 +461,37 @@
 	Request string `json:"request,omitempty,omitzero"`
 }
 
+// RateNotice is what a node knows of the rate of one backend server.
+type RateNotice struct {
+	// Milliseconds since the server first named a rate.
+	AgeMs int `json:"age_ms,omitempty,omitzero"`
+
+	// Number of the last confirmation by an answer of the server.
+	Beat int `json:"beat"`
+
+	// The server no longer names a rate.
+	Ended bool `json:"ended,omitempty,omitzero"`
+
+	// Requests per second that the server takes from all nodes together.
+	Rate float64 `json:"rate,omitempty,omitzero"`
+
+	// ID of the server.
+	Server string `json:"server"`
+
+	// Start of the server's process in Unix milliseconds, 0 if it is not known.
+	StartedMs int `json:"started_ms,omitempty,omitzero"`
+
+	// Number of the change; it rises with each.
+	Version int `json:"version"`
+}
+
+// RateNotices tells what the sender knows of rates that backend servers name for
+// all nodes together.
+type RateNotices struct {
+	// List corresponds to the JSON schema field "list".
+	List []RateNotice `json:"list"`
+}
+
 // ReachAsk asks whether the receiver reaches backend servers and takes requests of
 // the sender, which may have lost all of them.
 type ReachAsk struct {
