Answer the requests of a planned stop that its grace period is too short for

Reported by other operators: requests that came late in the grace period of a planned stop were taken, sent to servers, and cut at its end without an answer, among them ones that may run once.

On the users' deployments (8 s) it did not happen here, as no request is taken later than 2.3 s after the signal and one that may run once ends within 3 s. But these 2.3 s did not depend on the grace period: with one of 3 s or less, accepted requests had no time to end, and the process still ran when it was over.

New requests are now accepted for at most 35 in 100 of the grace period, and requests that no server has answered 0.25 s before the connections are closed get an answer of the node that promises nothing.

--- a/internal/node/edge/stop.go
+++ b/internal/node/edge/stop.go
@@ -16,6 +16,13 @@
 	stopNotice = 2300 * time.Millisecond
 	// stopReserve is the part of the grace period that is reserved for ending the process.
 	stopReserve = 400 * time.Millisecond
+	// answerReserve is the part of the grace period before stopReserve in which requests that no server has answered are
+	// answered by the node, as their connections would be closed without an answer.
+	answerReserve = 250 * time.Millisecond
+	// maxReserveShare bounds each of these as a part of the grace period, and maxNoticeShare stopNotice: requests that are
+	// accepted must have time to end.
+	maxReserveShare = 0.15
+	maxNoticeShare  = 0.35
 	// stopPollInterval is the time between checks of the progress of a planned stop.
 	stopPollInterval = 50 * time.Millisecond
 )
@@ -28,7 +35,8 @@
 		return nil
 	case <-stopCtx.Done():
 	}
-	d := drain.NewNode(stopNotice, n.settings.Load().Grace-stopNotice-stopReserve)
+	t := stopTimesOf(n.settings.Load().Grace)
+	d := drain.NewNode(t.notice, t.end-t.notice)
 	started := time.Now()
 	d.Signal(started)
 	n.stopping.Store(true)
@@ -38,7 +46,7 @@
 	if err := n.leave(ctx); err != nil {
 		n.cfg.Log.Info("deleting the registration of the node failed", "error", err)
 	}
-	finishing := false
+	finishing, answered := false, false
 	for d.State() != drain.Stopped && tasks.Sleep(ctx, stopPollInterval) {
 		d.Tick(time.Now(), n.front.OpenConnections()+n.forwarded.ActiveRequests())
 		if d.State() == drain.Finishing && !finishing {
@@ -46,12 +54,30 @@
 			n.front.Drain()
 			n.forwarded.Drain()
 		}
+		if !answered && time.Since(started) >= t.answer {
+			answered = true
+			n.front.CancelUnanswered()
+			n.forwarded.CancelUnanswered()
+		}
 	}
 	n.cfg.Log.Info("stopped", "connections", n.front.OpenConnections(), "requests", n.front.ActiveRequests(), "ms", time.Since(started).Milliseconds())
 	cancel()
 	return nil
 }
 
+// stopTimes are the times of a planned stop, from its beginning.
+type stopTimes struct {
+	// notice is until when new requests are accepted. At answer, the node answers those that no server has answered. At end, it
+	// closes the connections.
+	notice, answer, end time.Duration
+}
+
+func stopTimesOf(grace time.Duration) stopTimes {
+	share := func(d time.Duration, most float64) time.Duration { return min(d, time.Duration(most*float64(grace))) }
+	end := grace - share(stopReserve, maxReserveShare)
+	return stopTimes{notice: share(stopNotice, maxNoticeShare), answer: end - share(answerReserve, maxReserveShare), end: end}
+}
+
 // leaveTimeout limits the call that deletes the registration of the node.
 const leaveTimeout = 500 * time.Millisecond
 
--- a/internal/node/front/conn.go
+++ b/internal/node/front/conn.go
@@ -47,6 +47,9 @@
 	srv *Server
 	// busy is set while a request is handled.
 	busy atomic.Bool
+	// answering is set once part of the response may have been sent, and cancel cancels the context of the request.
+	answering atomic.Bool
+	cancel    atomic.Pointer[context.CancelCauseFunc]
 	// requests is the number of requests that were handled, lastActive when the last one ended or the connection was
 	// accepted.
 	requests   int
@@ -224,9 +227,11 @@
 
 // handleRequest calls the handler for a request, and reports whether the connection must be closed and why.
 func (c *conn) handleRequest(ctx context.Context, g *tasks.Group, pending *pendingRequest) (closeReason, bool) {
-	c.busy.Store(true)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	c.answering.Store(false)
+	c.cancel.Store(&cancel)
+	c.busy.Store(true)
 	callerCloses := pending.req.Header.ConnectionClose()
 	w := &Writer{
 		conn: c, headRequest: pending.req.Header.IsHead(), closeAfter: callerCloses, http10: !pending.req.Header.IsHTTP11(),
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -171,6 +171,21 @@
 	}
 }
 
+// ErrServerEnds is the cancellation cause of a request's context if its server has no time left for it.
+var ErrServerEnds = errors.New("server ends")
+
+// CancelUnanswered cancels the requests that have got no part of a response yet, so that their callers get one before the
+// server ends.
+func (s *Server) CancelUnanswered() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if cancel := c.cancel.Load(); cancel != nil && c.busy.Load() && !c.answering.Load() {
+			(*cancel)(ErrServerEnds)
+		}
+	}
+}
+
 // CloseAfterResponse closes each connection after its next response, but keeps idle connections open.
 func (s *Server) CloseAfterResponse() { s.closeAfterResponse.Store(true) }
 
--- a/internal/node/front/writer.go
+++ b/internal/node/front/writer.go
@@ -114,6 +114,7 @@
 		return errors.Newf("set deadline: %w", err)
 	}
 	w.sent = true
+	w.conn.answering.Store(true)
 	_, err := w.conn.nc.Write(w.buf)
 	w.buf = w.buf[:0]
 	if err != nil {
