Prefer servers that name a rate while this node may send to them

Only a few nodes may send to such a server at a time, and each chose it no more often than any of a hundred others.

A node now sends to such a server first, while it may and the response would start no later than an eighth of the objective after that of the best server.

--- a/internal/node/seat/notice_test.go
+++ b/internal/node/seat/notice_test.go
@@ -90,3 +90,35 @@
 		}
 	})
 }
+
+// Guards against a server that names a rate and gets hardly any requests because there are many others, and against one that gets
+// more than that.
+func TestServerWithRate(t *testing.T) {
+	t.Parallel()
+	runWithFakeClock(t, func(t *testing.T, ctx context.Context, _ func(*testBed)) {
+		const perSecond, seconds = 2, 10
+		b := newTestBed(engine(), 1)
+		b.put("a")
+		s := b.mustPick(ctx, t)
+		s.HeadersReceived(pass.ResponseInfo{RateLimit: perSecond, HasRateLimit: true})
+		s.Release(pass.Served)
+		for i := range 40 {
+			b.put(string(rune('A' + i)))
+		}
+		n := 0
+		for range 10 * seconds {
+			time.Sleep(time.Second / 10)
+			s := b.mustPick(ctx, t)
+			info := pass.ResponseInfo{}
+			if s.Entry().ID == "a" {
+				n++
+				info = pass.ResponseInfo{RateLimit: perSecond, HasRateLimit: true}
+			}
+			s.HeadersReceived(info)
+			s.Release(pass.Served)
+		}
+		if n < 0.8*perSecond*seconds || n > perSecond*seconds+1 {
+			t.Errorf("%d requests in %d s went to a server that takes %d a second", n, seconds, perSecond)
+		}
+	})
+}
--- a/internal/node/seat/seat.go
+++ b/internal/node/seat/seat.go
@@ -88,8 +88,10 @@
 	lastCheck time.Time
 	lateSince time.Time
 	skipUntil time.Time
-	// excluded is a buffer for the table indexes of servers that must not be chosen.
+	// excluded is a buffer for the table indexes of servers that must not be chosen, paced one for the servers that name a
+	// rate and may be chosen now.
 	excluded []int
+	paced    []*server
 }
 
 var _ pass.Picker = (*Picker)(nil)
@@ -183,7 +185,7 @@
 	req := choose.Request{
 		Model: callModelKey(c), PromptTokens: c.PromptTokens, AnswerTokens: c.MaxTokens, Tried: s.excluded,
 	}
-	id, ok := s.chooser.Choose(s.table, now, req)
+	id, ok := s.choose(now, c, req)
 	if !ok {
 		retryAfter := retryAfterNoServer
 		if !freeAt.IsZero() {
@@ -205,6 +207,31 @@
 	return res, time.Time{}, nil
 }
 
+// pacedShare is the share of the latency objective by which the response of a server that names a rate may start later than that
+// of the best one for it to be preferred.
+const pacedShare = 0.125
+
+// choose returns the table index of the server for a call, false if there is none. Servers that name a rate go first: in a large
+// fleet, only a few nodes may send to such a server at a time, so that it would hardly be used if they sent it no more than to
+// any other.
+func (s *Picker) choose(now time.Time, c *pass.Call, req choose.Request) (int, bool) {
+	id, ok := s.chooser.Choose(s.table, now, req)
+	if !ok || len(s.paced) == 0 {
+		return id, ok
+	}
+	best, _ := s.table.Estimate(id, now, req)
+	limit := best + time.Duration(pacedShare*float64(c.Route.Objective))
+	for _, sv := range s.paced {
+		if slices.Contains(s.excluded, sv.tableIndex) {
+			continue
+		}
+		if est, ok := s.table.Estimate(sv.tableIndex, now, req); ok && sv.modelKey == req.Model && est <= limit {
+			id, limit = sv.tableIndex, est
+		}
+	}
+	return id, true
+}
+
 // checkWait refuses a streaming call if even the best server would start its response too late. A call that would miss
 // the latency objective is still served if it is a retry by the caller or by a node, unless its response would
 // start after the deadline.
@@ -228,7 +255,7 @@
 // exclude collects the servers that must not be chosen now in s.excluded, and returns when the first of them becomes
 // available, zero if unknown.
 func (s *Picker) exclude(now time.Time, c *pass.Call, tried sets.Set[string]) time.Time {
-	s.excluded = s.excluded[:0]
+	s.excluded, s.paced = s.excluded[:0], s.paced[:0]
 	for name := range tried {
 		if id, ok := s.table.Index(name); ok {
 			s.excluded = append(s.excluded, id)
@@ -241,6 +268,9 @@
 		}
 		excluded, at := s.isExcluded(now, sv, c.Service)
 		if !excluded {
+			if s.cfg.Rates.Paces(now, sv.process()) {
+				s.paced = append(s.paced, sv)
+			}
 			continue
 		}
 		s.excluded = append(s.excluded, sv.tableIndex)
--- a/internal/route/pace/pace.go
+++ b/internal/route/pace/pace.go
@@ -269,6 +269,14 @@
 	return now, true
 }
 
+// Paces reports whether a server names a rate of which this node has a share in this turn.
+func (b *Book) Paces(now time.Time, s Server) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.limitedRecord(now, s)
+	return r != nil && r.share > 0
+}
+
 // Sent records that this node sends a request to a server.
 func (b *Book) Sent(now time.Time, s Server) {
 	b.mu.Lock()
