--- a/internal/node/mesh/follow.go
+++ b/internal/node/mesh/follow.go
@@ -49,7 +49,7 @@
 			AgeMs: int(s.Age.Milliseconds()),
 		}
 	}
-	d, err := c.ChangesFor(ctx, after, time.Duration(a.AgeMs)*time.Millisecond, time.Duration(a.WaitMs)*time.Millisecond)
+	d, err := c.ChangesFor(ctx, after, ageOf(a.AgeMs), time.Duration(a.WaitMs)*time.Millisecond)
 	switch {
 	case errors.Is(err, table.ErrHistoryLost):
 		return &frame.FollowReply{Status: frame.FollowReplyStatusHistoryLost}
@@ -86,7 +86,7 @@
 	if err != nil {
 		return table.State{}, err
 	}
-	return table.State{Rows: rows, Revision: revisionOf(reply), Via: reply.Via, Stale: reply.Stale, Age: ageOf(reply)}, nil
+	return table.State{Rows: rows, Revision: revisionOf(reply), Via: reply.Via, Stale: reply.Stale, Age: ageOf(reply.AgeMs)}, nil
 }
 
 // Changes implements table.Feed.
@@ -101,7 +101,7 @@
 	if err != nil {
 		return table.Delta{}, err
 	}
-	return table.Delta{Changed: rows, Removed: reply.Gone, Revision: revisionOf(reply), Via: reply.Via, Age: ageOf(reply)}, nil
+	return table.Delta{Changed: rows, Removed: reply.Gone, Revision: revisionOf(reply), Via: reply.Via, Age: ageOf(reply.AgeMs)}, nil
 }
 
 // revisionOf returns the revision of a reply.
@@ -109,8 +109,10 @@
 	return table.Revision{Era: uint64(r.Era), Number: uint64(r.Rev)}
 }
 
-// ageOf returns the age of the rows of a reply. A node that does not state it counts as one that has just read the store.
-func ageOf(r *frame.FollowReply) time.Duration { return time.Duration(r.AgeMs) * time.Millisecond }
+// ageOf returns the age of rows from a message. Those of a node that does not state it count as confirmed just now.
+func ageOf(ms int) time.Duration {
+	return time.Duration(min(max(0, ms), int(maxAge.Milliseconds()))) * time.Millisecond
+}
 
 // ask sends a request to the node and returns its reply with the decoded rows.
 func (r remoteCopy) ask(ctx context.Context, a *frame.FollowAsk) (*frame.FollowReply, []table.Row, error) {
