Assume the average load of a server whose rate has ended

After the end of the rates, callers on the large site were served worse for ten seconds: the ten servers got 435 requests in 2 s, twice their usual number, first events came after 1.0 s and 104 attempts stalled. Few nodes had sent them anything meanwhile, so that all took them for idle, and all learn of the end at once.

A node now takes such a server to have the average load of its model, as it does with one that is new. TestEndOfRate: 20 of 20 nodes chose the server before.

--- a/internal/node/seat/notice_test.go
+++ b/internal/node/seat/notice_test.go
@@ -8,6 +8,8 @@
 	"geraniumhollow/internal/fleet/index"
 	"geraniumhollow/internal/fleet/server"
 	"geraniumhollow/internal/node/pass"
+	"geraniumhollow/internal/node/seat"
+	"geraniumhollow/internal/route/pace"
 )
 
 // mustPick picks a server for a call and fails the test if the call is refused.
@@ -122,3 +124,42 @@
 		}
 	})
 }
+
+// Guards against nodes that all choose a server when it no longer names a rate, because they know nothing of its load.
+func TestEndOfRate(t *testing.T) {
+	t.Parallel()
+	runWithFakeClock(t, func(t *testing.T, ctx context.Context, _ func(*testBed)) {
+		const nodes = 20
+		b := newTestBed(engine(), nodes)
+		b.put("a", "b", "c", "d", "e")
+		busy := pass.ResponseInfo{Load: pass.Load{Running: 5, Slots: 8}, HasLoad: true}
+		process := pace.Server{ID: "a", StartedAt: time.Unix(1, 0).UnixMilli()}
+		pickers := make([]*seat.Picker, nodes)
+		for i := range pickers {
+			pickers[i] = b.newSeats(uint64(i))
+		}
+		b.rates.Observe(time.Now(), process, 0, true)
+		for range 100 {
+			for _, p := range pickers {
+				b.seats = p
+				s := b.mustPick(ctx, t)
+				if s.Entry().ID != "a" {
+					s.HeadersReceived(busy)
+				}
+				s.Release(pass.Served)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		b.rates.Observe(time.Now(), process, 0, false)
+		n := 0
+		for _, p := range pickers {
+			b.seats = p
+			if b.mustPick(ctx, t).Entry().ID == "a" {
+				n++
+			}
+		}
+		if n > nodes/2 {
+			t.Errorf("%d of %d nodes chose the server when its rate ended", n, nodes)
+		}
+	})
+}
--- a/internal/node/seat/seat.go
+++ b/internal/node/seat/seat.go
@@ -266,9 +266,10 @@
 		if tried.Has(name) || sv.entry.Service != c.Service.Name {
 			continue
 		}
+		s.updateRate(now, sv)
 		excluded, at := s.isExcluded(now, sv, c.Service)
 		if !excluded {
-			if s.cfg.Rates.Paces(now, sv.process()) {
+			if sv.namesRate {
 				s.paced = append(s.paced, sv)
 			}
 			continue
@@ -281,6 +282,21 @@
 	return earliest
 }
 
+// updateRate records whether a server names a rate. At the end of a rate, the nodes know little of the load of the server, as few
+// have sent it requests, and would all choose it if it counted as idle.
+func (s *Picker) updateRate(now time.Time, sv *server) {
+	names := s.cfg.Rates.Names(sv.process())
+	if sv.namesRate && !names {
+		s.assumeAverageLoad(now, sv)
+	}
+	sv.namesRate = names
+}
+
+// assumeAverageLoad sets the load of a server to the average of those that provide the same.
+func (s *Picker) assumeAverageLoad(now time.Time, sv *server) {
+	s.table.ApplyReport(sv.tableIndex, choose.Report{Instance: sv.entry.ID, Open: true, Running: s.averageLoad[sv.modelKey].rounded(), CreatedAt: now})
+}
+
 // excludeAllButLeastBusy adds all servers that could be chosen for a call to s.excluded except the one that runs the
 // fewest requests, as far as this node knows.
 func (s *Picker) excludeAllButLeastBusy(c *pass.Call) {
@@ -406,7 +422,7 @@
 	if !ok {
 		// Assume the average load for a new server. If it counted as idle, all nodes would send their requests to a group
 		// that has just opened, and to every server that has not yet reported its load to them.
-		s.table.ApplyReport(sv.tableIndex, choose.Report{Instance: e.ID, Open: true, Running: s.averageLoad[spec.Model].rounded(), CreatedAt: now})
+		s.assumeAverageLoad(now, sv)
 	}
 }
 
--- a/internal/node/seat/seat_test.go
+++ b/internal/node/seat/seat_test.go
@@ -16,12 +16,14 @@
 	"geraniumhollow/internal/report/metric"
 	"geraniumhollow/internal/route/batch"
 	"geraniumhollow/internal/route/match"
+	"geraniumhollow/internal/route/pace"
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 )
 
 // testBed holds a Picker and a registry.
 type testBed struct {
+	rates             *pace.Book
 	seats             *seat.Picker
 	index             *index.Index
 	service           *match.Service
@@ -51,6 +53,7 @@
 		},
 	}
 	b.nodes = nodes
+	b.rates = pace.NewBook(func(string) pace.Position { return pace.Position{Nodes: 1} })
 	b.seats = b.newSeats(1)
 	return b
 }
@@ -61,7 +64,7 @@
 		View: b.index.View, Service: func(string) *match.Service { return b.service },
 		ColdAllowance: func(string, float64) int { return 2 }, Nodes: func() int { return b.nodes },
 		OnStalled: func(f index.Formation) { b.stalledFormations = append(b.stalledFormations, f) },
-		Now:       func() time.Time { return time.Now().Add(time.Duration(b.pause.Load())) }, Seed: seed, Metrics: metric.New(), Log: hclog.NewNullLogger(),
+		Now:       func() time.Time { return time.Now().Add(time.Duration(b.pause.Load())) }, Seed: seed, Rates: b.rates, Metrics: metric.New(), Log: hclog.NewNullLogger(),
 	})
 }
 
--- a/internal/node/seat/server.go
+++ b/internal/node/seat/server.go
@@ -52,6 +52,8 @@
 	refusedUntil time.Time
 	// progress is when part of any response last arrived.
 	progress time.Time
+	// namesRate is set while the server names a rate for all nodes together.
+	namesRate bool
 }
 
 func newServer(e *index.Entry, cfg Config) *server {
--- a/internal/route/pace/pace.go
+++ b/internal/route/pace/pace.go
@@ -269,12 +269,12 @@
 	return now, true
 }
 
-// Paces reports whether a server names a rate of which this node has a share in this turn.
-func (b *Book) Paces(now time.Time, s Server) bool {
+// Names reports whether a server names a rate.
+func (b *Book) Names(s Server) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r := b.limitedRecord(now, s)
-	return r != nil && r.share > 0
+	r, ok := b.records[s]
+	return ok && !r.notice.Ended
 }
 
 // Sent records that this node sends a request to a server.
