Use servers that name a rate though their known load is old; tests of the end of rates

With little load its last report, of seconds ago, made it count as busier than the other one, so that it was not chosen, and nobody learned that the limit was over. A server that names a rate is now preferred if its response would start within half of the objective, and the load assumed at the end leaves out the request that a report counts itself.

--- a/internal/node/seat/notice_test.go
+++ b/internal/node/seat/notice_test.go
@@ -163,3 +163,35 @@
 		}
 	})
 }
+
+// Guards against a server that gets no requests after the end of its rate because it counts as busier than idle ones.
+func TestEndOfRateWhileIdle(t *testing.T) {
+	t.Parallel()
+	runWithFakeClock(t, func(t *testing.T, ctx context.Context, _ func(*testBed)) {
+		b := newTestBed(engine(), 1)
+		b.put("a", "b")
+		b.rates.Observe(time.Now(), pace.Server{ID: "a", StartedAt: time.Unix(1, 0).UnixMilli()}, 0, true)
+		serve := func() string {
+			time.Sleep(50 * time.Millisecond)
+			s := b.mustPick(ctx, t)
+			defer s.Release(pass.Served)
+			if s.Entry().ID != "a" {
+				s.HeadersReceived(pass.ResponseInfo{Load: pass.Load{Running: 1, Slots: 8}, HasLoad: true})
+			}
+			return s.Entry().ID
+		}
+		for range 100 {
+			serve()
+		}
+		b.rates.Observe(time.Now(), pace.Server{ID: "a", StartedAt: time.Unix(1, 0).UnixMilli()}, 0, false)
+		n := 0
+		for range 40 {
+			if serve() == "a" {
+				n++
+			}
+		}
+		if n < 10 {
+			t.Errorf("%d of 40 requests went to the server after the end of its rate, want about half", n)
+		}
+	})
+}
--- a/internal/node/seat/seat.go
+++ b/internal/node/seat/seat.go
@@ -207,9 +207,12 @@
 	return res, time.Time{}, nil
 }
 
-// pacedShare is the share of the latency objective by which the response of a server that names a rate may start later than that
-// of the best one for it to be preferred.
-const pacedShare = 0.125
+// A server that names a rate is preferred if its response would start within soonShare of the latency objective, or within
+// pacedShare of it after that of the best server. Its known load is old, as it gets few requests.
+const (
+	pacedShare = 0.125
+	soonShare  = 0.5
+)
 
 // choose returns the table index of the server for a call, false if there is none. Servers that name a rate go first: in a large
 // fleet, only a few nodes may send to such a server at a time, so that it would hardly be used if they sent it no more than to
@@ -220,7 +223,8 @@
 		return id, ok
 	}
 	best, _ := s.table.Estimate(id, now, req)
-	limit := best + time.Duration(pacedShare*float64(c.Route.Objective))
+	objective := float64(c.Route.Objective)
+	limit := max(best+time.Duration(pacedShare*objective), time.Duration(soonShare*objective))
 	for _, sv := range s.paced {
 		if slices.Contains(s.excluded, sv.tableIndex) {
 			continue
@@ -287,14 +291,15 @@
 func (s *Picker) updateRate(now time.Time, sv *server) {
 	names := s.cfg.Rates.Names(sv.process())
 	if sv.namesRate && !names {
-		s.assumeAverageLoad(now, sv)
+		// The reports that the average is of count the requests whose responses carried them, which have ended at the others.
+		s.assumeLoad(now, sv, max(0, s.averageLoad[sv.modelKey].rounded()-1))
 	}
 	sv.namesRate = names
 }
 
-// assumeAverageLoad sets the load of a server to the average of those that provide the same.
-func (s *Picker) assumeAverageLoad(now time.Time, sv *server) {
-	s.table.ApplyReport(sv.tableIndex, choose.Report{Instance: sv.entry.ID, Open: true, Running: s.averageLoad[sv.modelKey].rounded(), CreatedAt: now})
+// assumeLoad sets the number of requests that a server is taken to run.
+func (s *Picker) assumeLoad(now time.Time, sv *server, running int) {
+	s.table.ApplyReport(sv.tableIndex, choose.Report{Instance: sv.entry.ID, Open: true, Running: running, CreatedAt: now})
 }
 
 // excludeAllButLeastBusy adds all servers that could be chosen for a call to s.excluded except the one that runs the
@@ -422,7 +427,7 @@
 	if !ok {
 		// Assume the average load for a new server. If it counted as idle, all nodes would send their requests to a group
 		// that has just opened, and to every server that has not yet reported its load to them.
-		s.assumeAverageLoad(now, sv)
+		s.assumeLoad(now, sv, s.averageLoad[spec.Model].rounded())
 	}
 }
 
