--- a/internal/route/pace/frames.go
+++ b/internal/route/pace/frames.go
@@ -1,6 +1,7 @@
 package pace
 
 import (
+	"math"
 	"time"
 
 	"geraniumhollow/internal/wire/frame"
@@ -22,7 +23,7 @@
 func FromFrame(list []frame.RateNotice) []Notice {
 	out := make([]Notice, 0, len(list))
 	for _, f := range list {
-		if f.Server == "" || !(f.Rate >= 0) {
+		if f.Server == "" || !(f.Rate >= 0 && f.Rate <= math.MaxInt32) {
 			continue
 		}
 		out = append(out, Notice{
--- a/internal/route/pace/pace.go
+++ b/internal/route/pace/pace.go
@@ -24,8 +24,8 @@
 	turnTime = 12 * time.Second
 	// repeatInterval is the minimum time between two notices that tell the other nodes that a rate still holds.
 	repeatInterval = 3 * time.Second
-	// trialInterval is the minimum time between requests to a server without which no node would learn that it no longer
-	// names a rate, however low that is.
+	// trialInterval is the time between the requests that go to a server even if its rate is lower, as otherwise no node would
+	// learn that it no longer names one.
 	trialInterval = 4 * time.Second
 	// forgetAfter is how long a rate is kept after it was last confirmed. Each node keeps it for up to forgetSpread more, so
 	// that only some of them find out whether it still holds.
--- a/internal/route/pace/pace_test.go
+++ b/internal/route/pace/pace_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -264,7 +265,7 @@
 	if got := pace.FromFrame(pace.ToFrame(want)); !slices.Equal(got, want) {
 		t.Errorf("got %+v, want %+v", got, want)
 	}
-	bad := pace.ToFrame([]pace.Notice{{Rate: 5, Version: 1}, {Server: want[0].Server, Rate: -1, Version: 1}})
+	bad := pace.ToFrame([]pace.Notice{{Rate: 5, Version: 1}, {Server: want[0].Server, Rate: -1, Version: 1}, {Server: want[0].Server, Rate: math.Inf(1), Version: 1}})
 	if got := pace.FromFrame(bad); len(got) > 0 {
 		t.Errorf("got %+v from notices that no node sends", got)
 	}
