--- a/review/world/main.go
+++ b/review/world/main.go
@@ -129,7 +129,7 @@
 	return code
 }
 
-var cases = map[string]func(ctx context.Context, w *world, dir string, trouble bool) int{"partial": partial, "recover": recovered}
+var cases = map[string]func(ctx context.Context, w *world, dir string, trouble bool) int{"partial": partial, "recover": recovered, "spoilt": spoilt}
 
 // serveStore starts the store and returns its address.
 func (w *world) serveStore() (string, error) {
