--- a/review/world/main.go
+++ b/review/world/main.go
@@ -61,8 +61,15 @@
 	// counts are the answers by status.
 	counts map[int]int
 	runs   int
+	// lives counts the lives of runners.
+	lives int
+	// late reports whether an order gets no answer; nil for none. orders and lateOrders count them.
+	late               func(r *runner, o order) bool
+	orders, lateOrders int
 	// giver is the IP address of the node that gave the last order.
 	giver string
+	// gone is the IP address of the node that is lost for good, to which the platform sends no clients.
+	gone string
 	// answered are the requests that have ended, lostAt is when the power was lost.
 	answered []answered
 	lostAt   time.Time
@@ -129,7 +136,7 @@
 	return code
 }
 
-var cases = map[string]func(ctx context.Context, w *world, dir string, trouble bool) int{"partial": partial, "recover": recovered, "spoilt": spoilt}
+var cases = map[string]func(ctx context.Context, w *world, dir string, trouble bool) int{"partial": partial, "recover": recovered, "spoilt": spoilt, "late": lateOrders}
 
 // serveStore starts the store and returns its address.
 func (w *world) serveStore() (string, error) {
--- a/review/world/partial.go
+++ b/review/world/partial.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -65,49 +66,12 @@
 // play starts the system, makes the loss, and checks what came of it. The nodes come back when the store has dropped the
 // entries of the old lives. The members that come back have their address and a new ID.
 func (w *world) play(ctx context.Context, dir string, trouble bool, l loss, after time.Duration, check func(back time.Time)) int {
-	store, err := w.serveStore()
+	nodes, end, err := w.setUp(ctx, dir, groupSize)
 	if err != nil {
+		w.logf("cannot set up: %v", err)
 		return failed
 	}
-	w.store.Put("op", "config", manifest())
-	lives := 0
-	addRunner := func(addr, zone, domain, staged string) error {
-		lives++
-		_, err := w.startRunner(fmt.Sprintf("i-%04d", lives), addr, zone, domain, staged)
-		return err
-	}
-	for i := range 2 * groupSize {
-		d := i / groupSize
-		if err := addRunner("127.0.0.1:0", zones[d], fmt.Sprintf("d%d", d), ""); err != nil {
-			return failed
-		}
-	}
-	go w.watch()
-	var nodes []*node
-	defer func() {
-		for _, n := range nodes {
-			n.kill()
-		}
-	}()
-	for i := range zones {
-		n, err := newNode(i, dir, store)
-		if err != nil {
-			w.logf("cannot make a node: %v", err)
-			return failed
-		}
-		nodes = append(nodes, n)
-		if err := n.start(); err != nil {
-			w.logf("cannot start a node: %v", err)
-			return failed
-		}
-	}
-	for !w.openHeads(2) {
-		if ctx.Err() != nil || time.Since(w.begun) > 30*time.Second {
-			w.logf("the groups do not open")
-			return failed
-		}
-		time.Sleep(50 * time.Millisecond)
-	}
+	defer end()
 	clients, stop := context.WithCancel(ctx)
 	defer stop()
 	for i := range 6 {
@@ -120,7 +84,7 @@
 	}
 	w.lostAt = time.Now()
 	if trouble {
-		w.powerLoss(l, nodes, addRunner)
+		w.powerLoss(l, nodes)
 	} else {
 		time.Sleep(powerOff)
 	}
@@ -142,7 +106,8 @@
 	hostOff  = 1500 * time.Millisecond
 )
 
-func (w *world) powerLoss(l loss, nodes []*node, addRunner func(addr, zone, domain, staged string) error) {
+// powerLoss takes the power from all nodes and some hosts. The node that gave the last order is lost for good.
+func (w *world) powerLoss(l loss, nodes []*node) {
 	w.mu.Lock()
 	var restart, lost []*runner
 	for _, r := range w.runners {
@@ -164,38 +129,34 @@
 	}
 	time.Sleep(hostOff)
 	for _, r := range restart {
-		if err := addRunner(r.addr, r.zone, r.domain, r.staged); err != nil {
-			w.logf("cannot start the runner again: %v", err)
+		if err := w.addRunner(r.addr, r.zone, r.domain, r.staged); err != nil {
+			w.note("cannot start the runner again: %v", err)
 		}
 	}
 	time.Sleep(powerOff - hostOff)
 	w.mu.Lock()
-	w.logf("the nodes have power again")
-	giver := w.giver
+	w.gone = w.giver
 	w.mu.Unlock()
-	// The node that gave the last order starts last.
-	slices.SortStableFunc(nodes, func(a, b *node) int { return strings.Compare(rank(a, giver), rank(b, giver)) })
 	for _, n := range nodes {
-		if n.ip == giver {
-			time.Sleep(startSpan)
+		if n.ip == w.gone {
+			w.note("%s is lost for good", n.name)
+			continue
 		}
+		w.note("%s has power again", n.name)
 		if err := n.writeSettings(false); err != nil {
-			w.logf("cannot write the settings of a node: %v", err)
+			w.note("cannot write the settings of a node: %v", err)
 		}
 		if err := n.start(); err != nil {
-			w.logf("cannot start a node: %v", err)
+			w.note("cannot start a node: %v", err)
 		}
 	}
 }
 
-// startSpan is within how long all machines start, in any order.
-const startSpan = 300 * time.Millisecond
-
-func rank(n *node, last string) string {
-	if n.ip == last {
-		return "last"
-	}
-	return ""
+// note writes a line to the record.
+func (w *world) note(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.logf(format, args...)
 }
 
 // openHeads reports whether at least n heads are open.
@@ -223,6 +184,12 @@
 	hc := &http.Client{Timeout: 7 * time.Second}
 	for k := i; ctx.Err() == nil; k++ {
 		n := nodes[k%len(nodes)]
+		w.mu.Lock()
+		gone := n.ip == w.gone
+		w.mu.Unlock()
+		if gone {
+			continue
+		}
 		id := fmt.Sprintf("a%012d", attempts.Add(1))
 		q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.front+"/stream/x", strings.NewReader("prompt of "+id))
 		if err != nil {
@@ -251,3 +218,54 @@
 		time.Sleep(150 * time.Millisecond)
 	}
 }
+
+// addRunner starts a runner with an ID of its own.
+func (w *world) addRunner(addr, zone, domain, staged string) error {
+	w.mu.Lock()
+	w.lives++
+	id := fmt.Sprintf("i-%04d", w.lives)
+	w.mu.Unlock()
+	_, err := w.startRunner(id, addr, zone, domain, staged)
+	return err
+}
+
+// setUp starts the store, two domains of n runners and a node in each zone, and waits until a group of each domain is open. It
+// returns the nodes and what ends them.
+func (w *world) setUp(ctx context.Context, dir string, n int) ([]*node, func(), error) {
+	store, err := w.serveStore()
+	if err != nil {
+		return nil, nil, err
+	}
+	w.store.Put("op", "config", manifest())
+	for i := range 2 * n {
+		if err := w.addRunner("127.0.0.1:0", zones[i/n], fmt.Sprintf("d%d", i/n), ""); err != nil {
+			return nil, nil, err
+		}
+	}
+	go w.watch()
+	var nodes []*node
+	end := func() {
+		for _, n := range nodes {
+			n.kill()
+		}
+	}
+	for i := range zones {
+		n, err := newNode(i, dir, store)
+		if err == nil {
+			nodes = append(nodes, n)
+			err = n.start()
+		}
+		if err != nil {
+			end()
+			return nil, nil, err
+		}
+	}
+	for !w.openHeads(2) {
+		if ctx.Err() != nil || time.Since(w.begun) > 30*time.Second {
+			end()
+			return nil, nil, errors.New("the groups do not open")
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return nodes, end, nil
+}
--- a/review/world/runner.go
+++ b/review/world/runner.go
@@ -161,6 +161,17 @@
 	}
 	r.w.mu.Lock()
 	r.w.giver, _, _ = net.SplitHostPort(q.RemoteAddr)
+	r.w.orders++
+	if r.w.late != nil && r.w.late(r, o) {
+		r.w.lateOrders++
+		r.w.logf("order to %s: %s %s gets no answer", r.id, o.Op, formation(o.Group, o.Epoch, o.Members))
+		r.w.mu.Unlock()
+		select {
+		case <-q.Context().Done():
+		case <-time.After(stallTime):
+		}
+		panic(http.ErrAbortHandler)
+	}
 	status := r.order(o)
 	r.w.logf("order to %s: %s %s -> %d", r.id, o.Op, formation(o.Group, o.Epoch, o.Members), status)
 	r.w.mu.Unlock()
@@ -219,6 +230,7 @@
 	case in:
 		return http.StatusOK
 	}
+	r.checkTwo(o)
 	wait := r.loadTime()
 	switch {
 	case r.model == o.Model:
@@ -353,3 +365,22 @@
 		}
 	}
 }
+
+// checkTwo checks the rule TWO as the runner takes a join of another formation. The lock must be held.
+func (r *runner) checkTwo(o order) {
+	if r.group == "" {
+		return
+	}
+	head := r.w.runners[r.members[0]]
+	if head != nil && !head.dead && head.state == "open" && head.group == r.group && head.epoch == r.epoch {
+		r.w.breakf("TWO: %s takes a join of %s while %s, the head of its group %s, is open", r.id, formation(o.Group, o.Epoch, o.Members), head.id, formation(r.group, r.epoch, r.members))
+	}
+}
+
+// carryOut carries an order out that got no answer. The lock must be held.
+func (r *runner) carryOut(o order) {
+	if r.dead {
+		return
+	}
+	r.w.logf("late order to %s: %s %s -> %d", r.id, o.Op, formation(o.Group, o.Epoch, o.Members), r.order(o))
+}
--- a/review/world/spoilt.go
+++ b/review/world/spoilt.go
@@ -16,7 +16,7 @@
 
 // Figures of the sheet for the application, and the largest doses of garble in the site file.
 const (
-	appRunners  = 3
+	appRunners  = 5
 	appSlots    = 6
 	appQueue    = 24
 	appWork     = 60 * time.Millisecond
@@ -133,7 +133,7 @@
 	}
 	for range 3 {
 		for i, f := range faulty {
-			f.Store(trouble && float64(i) < spoilShare*appRunners-0.5)
+			f.Store(trouble && float64(i+1) <= spoilShare*appRunners)
 		}
 		time.Sleep(spoilLength)
 		for _, f := range faulty {
@@ -159,7 +159,7 @@
 	go func() { _ = http.Serve(ln, a) }()
 	entry := func(seq int) []byte {
 		return fmt.Appendf(nil, `{"Service":"app","Address":"%s","Zone":"%s","Version":"v1","Slots":%d,"State":"ready","ColdLeftMs":0,"Seq":%d,"born":%d}`,
-			ln.Addr(), zones[i], appSlots, seq, w.begun.UnixMilli())
+			ln.Addr(), zones[i%len(zones)], appSlots, seq, w.begun.UnixMilli())
 	}
 	w.store.Put("servers", a.id, entry(1))
 	go func() {
