--- a/internal/node/pass/attempt.go
+++ b/internal/node/pass/attempt.go
@@ -103,10 +103,11 @@
 	}
 	defer resp.Close()
 	info := s.relay.deps.Codec.DecodeResponse(resp.Header)
-	if info.ID != s.call.ID && resp.Reused() {
-		// It may be a late copy of the answer to an earlier request of the connection.
-		s.mayHaveRun = true
-		return attemptResult{outcome: Failed, err: errors.Newf("status %d without the ID of the request on a kept connection", resp.Header.StatusCode())}
+	if !s.isRefusal(resp, info) {
+		if err := s.checkAnswer(resp.Header, info); err != nil {
+			s.mayHaveRun = true
+			return attemptResult{outcome: Failed, err: err}
+		}
 	}
 	reservation.HeadersReceived(info)
 	if info.NotStarted {
@@ -122,6 +123,39 @@
 	return s.takeAnswer(ctx, resp, reservation.Progress)
 }
 
+// isRefusal reports whether a message proves that the server did not start the call. Servers may leave the ID out of refusals,
+// but on a kept connection such a message may be a late copy of the refusal of an earlier request.
+func (s *callState) isRefusal(resp *conns.Response, info ResponseInfo) bool {
+	return info.NotStarted && (info.ID == s.call.ID || info.ID == "" && !resp.Reused())
+}
+
+// checkAnswer returns an error unless a message is an answer of a server that may have run the call. Anything else proves
+// nothing, whatever its status says: a faulty server may send any bytes after it has run a request.
+func (s *callState) checkAnswer(h *fasthttp.ResponseHeader, info ResponseInfo) error {
+	status := h.StatusCode()
+	switch {
+	case info.ID != s.call.ID:
+		return errors.Newf("status %d without the ID of the request", status)
+	case status < fasthttp.StatusMultipleChoices && !info.Signed:
+		return errors.Newf("status %d without a signature", status)
+	case promisesNotRun(status):
+		// Callers may repeat any request that is refused with such a status.
+		return errors.Newf("status %d without proof that the request was not run", status)
+	default:
+		return nil
+	}
+}
+
+// promisesNotRun reports whether a status tells callers that the request was not run and will not be.
+func promisesNotRun(status int) bool {
+	switch status {
+	case fasthttp.StatusRequestTimeout, fasthttp.StatusMisdirectedRequest, fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // takeAnswer forwards the answer of a server that has begun to run the call, or holds a failure. It calls progress when part
 // of the answer has arrived.
 func (s *callState) takeAnswer(ctx context.Context, resp *conns.Response, progress func()) attemptResult {
@@ -177,7 +211,7 @@
 // succeed, or does not continue the stream of which the caller has received a part.
 func (s *callState) shouldHold(h *fasthttp.ResponseHeader) bool {
 	if s.w.Started() {
-		return h.StatusCode() != fasthttp.StatusOK || mediaType(h) != s.mediaType || !s.relay.deps.Codec.DecodeResponse(h).Signed
+		return h.StatusCode() != fasthttp.StatusOK || mediaType(h) != s.mediaType
 	}
 	return h.StatusCode() >= fasthttp.StatusInternalServerError && s.call.Route.Repeatable()
 }
--- a/internal/node/pass/call.go
+++ b/internal/node/pass/call.go
@@ -50,9 +50,10 @@
 type ResponseInfo struct {
 	// ID is the caller's attempt ID as the response repeats it.
 	ID string
-	// Signed reports whether the backend server itself produced the response.
+	// Signed reports whether the response has the signature of a backend server and its body as the server signed it.
 	Signed bool
-	// NotStarted reports whether the server stated that it did not start the request.
+	// NotStarted reports whether the response states that a server did not start the request. A status alone states that only
+	// in a response with the ID.
 	NotStarted bool
 	// Draining reports whether the server is draining: it finishes its requests and accepts no new ones.
 	Draining bool
--- a/internal/node/pass/hop.go
+++ b/internal/node/pass/hop.go
@@ -182,6 +182,10 @@
 	for _, name := range []string{headerHopOutcome, headerHopAttempts} {
 		resp.Header.Del(name)
 	}
+	if err := s.checkAnswer(resp.Header, s.relay.deps.Codec.DecodeResponse(resp.Header)); err != nil {
+		s.mayHaveRun = true
+		return attemptResult{outcome: Failed, err: errors.Newf("another node: %w", err)}
+	}
 	return s.takeAnswer(ctx, resp, func() {})
 }
 
--- a/internal/node/pass/serve_test.go
+++ b/internal/node/pass/serve_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"slices"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -138,10 +139,19 @@
 
 // newWatchedRelay starts a node as newRelay does. It calls onPick before it chooses a server.
 func newWatchedRelay(t *testing.T, onPick func(ctx context.Context, c *pass.Call), route match.Route, budget *retry.Budget, servers ...http.HandlerFunc) string {
+	t.Helper()
+	return newDetouredRelay(t, nil, onPick, route, budget, servers...)
+}
+
+// newDetouredRelay starts a node as newWatchedRelay does. It passes requests on by a detour, which may be nil.
+func newDetouredRelay(t *testing.T, detour pass.Detour, onPick func(ctx context.Context, c *pass.Call), route match.Route, budget *retry.Budget, servers ...http.HandlerFunc) string {
 	t.Helper()
 	picker := inOrder{onPick: onPick}
 	for i, h := range servers {
-		s := httptest.NewServer(h)
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Id", r.Header.Get("Id"))
+			h(w, r)
+		}))
 		t.Cleanup(s.Close)
 		picker.slots = append(picker.slots, &slot{
 			entry: &index.Entry{Info: server.Info{ID: fmt.Sprint("s", i)}}, pool: conns.New(s.Listener.Addr().String(), conns.Options{}),
@@ -152,7 +162,7 @@
 	f, _ := newFleet(t, 1)
 	srv := front.New(front.Config{
 		Handler: pass.New(pass.Deps{
-			Codec: headerCodec{}, Table: func() *match.Table { return table }, Picker: picker, Crashes: f.nodes[0],
+			Codec: headerCodec{}, Table: func() *match.Table { return table }, Picker: picker, Detour: detour, Crashes: f.nodes[0],
 			Budget: func(string) *retry.Budget { return budget }, Metrics: metric.New(), Log: hclog.NewNullLogger(),
 		}),
 		Limits: func() front.Limits { return front.Limits{} }, Log: hclog.NewNullLogger(),
@@ -196,7 +206,6 @@
 // attempts without end, and against continuing it with a response that is no stream.
 func TestResumeAfterRefusals(t *testing.T) {
 	t.Parallel()
-	const whole = "id: 1\n\nid: 2\n\nid: 3\n\nid: 4\n\n"
 	tests := map[string]struct {
 		servers []http.HandlerFunc
 		retries float64
@@ -215,7 +224,7 @@
 		"unsigned":                    {[]http.HandlerFunc{cutsStream, unsigned}, 5, "id: 1\n\n", false},
 		"no server left":              {[]http.HandlerFunc{cutsStream, refuses}, 5, "id: 1\n\n", false},
 		"budget exhausted":            {[]http.HandlerFunc{cutsStream, refuses, serves}, 1, "id: 1\n\n", false},
-		"refused before it began":     {[]http.HandlerFunc{refuses, refuses, serves}, 5, "no backend server took the request", true},
+		"refused before it began":     {[]http.HandlerFunc{refuses, refuses, serves}, 5, refusedText, true},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -279,10 +288,117 @@
 	}
 }
 
+// writes is a server that writes a whole message, in which ID stands for the ID of the request, and closes the connection.
+func writes(message string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		nc, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		_, _ = io.WriteString(nc, strings.ReplaceAll(message, "ID", r.Header.Get("Id")))
+		_ = nc.Close()
+	}
+}
+
+const (
+	whole       = "id: 1\n\nid: 2\n\nid: 3\n\nid: 4\n\n"
+	failedText  = "the backend server failed"
+	refusedText = "no backend server took the request"
+)
+
+// noAnswers are messages of servers that have run a request and are no answers to it.
+var noAnswers = map[string]string{
+	"page":                       "HTTP/1.1 200 OK\r\nUnsigned: 1\r\nContent-Length: 4\r\n\r\npage",
+	"success without an ID":      "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npage",
+	"success without signature":  "HTTP/1.1 200 OK\r\nId: ID\r\nUnsigned: 1\r\nContent-Length: 4\r\n\r\npage",
+	"no content, unsigned":       "HTTP/1.1 204 No Content\r\nId: ID\r\nUnsigned: 1\r\n\r\n",
+	"redirect without an ID":     "HTTP/1.1 302 Found\r\nLocation: /\r\nContent-Length: 0\r\n\r\n",
+	"not found without an ID":    "HTTP/1.1 404 Not Found\r\nContent-Length: 4\r\n\r\npage",
+	"failure without an ID":      "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 4\r\n\r\npage",
+	"unavailable without an ID":  "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\npage",
+	"unavailable without proof":  "HTTP/1.1 503 Service Unavailable\r\nId: ID\r\nContent-Length: 4\r\n\r\npage",
+	"too many without proof":     "HTTP/1.1 429 Too Many Requests\r\nId: ID\r\nContent-Length: 4\r\n\r\npage",
+	"timeout without proof":      "HTTP/1.1 408 Request Timeout\r\nId: ID\r\nContent-Length: 4\r\n\r\npage",
+	"misdirected without proof":  "HTTP/1.1 421 Misdirected Request\r\nId: ID\r\nContent-Length: 4\r\n\r\npage",
+	"interim, then a page":       "HTTP/1.1 103 Early Hints\r\nId: ID\r\n\r\nHTTP/1.1 200 OK\r\nUnsigned: 1\r\nContent-Length: 4\r\n\r\npage",
+	"other request, then a page": "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nUnsigned: 1\r\nContent-Length: 4\r\n\r\npage",
+}
+
+// Guards against a message that is no answer of a server and reaches the caller as one, or as a promise that the request was not
+// run (review case 4, MIXED).
+func TestMessageThatIsNoAnswer(t *testing.T) {
+	t.Parallel()
+	kinds := map[string]struct {
+		kind      match.Kind
+		resumable bool
+		status    int
+		body      string
+	}{
+		"once":             {match.Once, false, http.StatusBadGateway, failedText},
+		"idempotent":       {match.Idempotent, false, http.StatusOK, whole},
+		"stream":           {match.Stream, false, http.StatusBadGateway, failedText},
+		"resumable stream": {match.Stream, true, http.StatusOK, whole},
+	}
+	for kind, tt := range kinds {
+		for name, message := range noAnswers {
+			t.Run(kind+", "+name, func(t *testing.T) {
+				t.Parallel()
+				route := match.Route{Name: "r", Kind: tt.kind, Resumable: tt.resumable, MaxAttempts: 2, Timeout: 5 * time.Second}
+				status, body, err := get(t, newRelay(t, route, retry.NewBudgetWith(0, 5), writes(message), serves))
+				if status != tt.status || body != tt.body || err != nil {
+					t.Errorf("got %d %q, %v, want %d %q", status, body, err, tt.status, tt.body)
+				}
+			})
+		}
+	}
+}
+
+// Guards against requests that fail although a server has refused them with proof, without repeating their ID.
+func TestRefusalWithoutID(t *testing.T) {
+	t.Parallel()
+	route := match.Route{Name: "r", Kind: match.Once, MaxAttempts: 2, Timeout: 5 * time.Second}
+	refusal := writes("HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+	status, body, err := get(t, newRelay(t, route, retry.NewBudgetWith(0, 5), refusal, serves))
+	if status != http.StatusOK || body != whole || err != nil {
+		t.Errorf("got %d %q, %v", status, body, err)
+	}
+}
+
+// toNode passes all requests on to one node. It implements pass.Detour and pass.Hop.
+type toNode struct{ pool *conns.Pool }
+
+func (n toNode) Choose(context.Context, sets.Set[string], bool) (pass.Hop, *fault.Error) {
+	return n, nil
+}
+func (n toNode) Node() string       { return "node" }
+func (n toNode) Conns() *conns.Pool { return n.pool }
+func (n toNode) Done(bool)          {}
+
+// Guards against a message that is no answer of a server and that another node, as of an earlier version, has passed on as one.
+func TestMessageThatIsNoAnswerFromNode(t *testing.T) {
+	t.Parallel()
+	for name, message := range noAnswers {
+		if strings.Contains(name, ", then ") {
+			continue // Nodes skip what comes before the message that they pass on.
+		}
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			status, rest, _ := strings.Cut(message, "\r\n")
+			node := httptest.NewServer(writes(status + "\r\nHop-Outcome: answer\r\nHop-Attempts: 1\r\n" + rest))
+			t.Cleanup(node.Close)
+			route := match.Route{Name: "r", Kind: match.Once, MaxAttempts: 2, Timeout: 5 * time.Second}
+			detour := toNode{conns.New(node.Listener.Addr().String(), conns.Options{})}
+			code, body, err := get(t, newDetouredRelay(t, detour, func(context.Context, *pass.Call) {}, route, retry.NewBudgetWith(0, 5)))
+			if code != http.StatusBadGateway || body != failedText || err != nil {
+				t.Errorf("got %d %q, %v", code, body, err)
+			}
+		})
+	}
+}
+
 // Guards against closing the connection of a caller that has received nothing and can be answered.
 func TestNothingReceived(t *testing.T) {
 	t.Parallel()
-	const whole = "id: 1\n\nid: 2\n\nid: 3\n\nid: 4\n\n"
 	tests := map[string]struct {
 		kind      match.Kind
 		resumable bool
@@ -291,11 +407,11 @@
 		body      string
 	}{
 		"resumable stream, served":  {match.Stream, true, []http.HandlerFunc{endsEarly, serves}, http.StatusOK, whole},
-		"resumable stream, refused": {match.Stream, true, []http.HandlerFunc{endsEarly, refuses}, http.StatusBadGateway, "the backend server failed"},
+		"resumable stream, refused": {match.Stream, true, []http.HandlerFunc{endsEarly, refuses}, http.StatusBadGateway, failedText},
 		"resumable stream, failed":  {match.Stream, true, []http.HandlerFunc{endsEarly, fails}, http.StatusInternalServerError, "failed"},
-		"stream":                    {match.Stream, false, []http.HandlerFunc{endsEarly, serves}, http.StatusBadGateway, "the backend server failed"},
+		"stream":                    {match.Stream, false, []http.HandlerFunc{endsEarly, serves}, http.StatusBadGateway, failedText},
 		"idempotent":                {match.Idempotent, false, []http.HandlerFunc{endsEarly, serves}, http.StatusOK, whole},
-		"once":                      {match.Once, false, []http.HandlerFunc{endsEarly, serves}, http.StatusBadGateway, "the backend server failed"},
+		"once":                      {match.Once, false, []http.HandlerFunc{endsEarly, serves}, http.StatusBadGateway, failedText},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
