--- a/internal/plan/group/change.go
+++ b/internal/plan/group/change.go
@@ -31,10 +31,11 @@
 		return false
 	}
 	d.raiseEpoch(p)
+	recorded := d.recordStarts(p)
 	dropped := d.dropRetired(now, p)
 	repaired := d.repairGroups(now, p)
 	swapped := d.replaceUnloaded(now, p)
-	return d.placeGroups(now, p) || dropped || repaired || swapped
+	return d.placeGroups(now, p) || recorded || dropped || repaired || swapped
 }
 
 // raiseEpoch raises the epoch of a plan to the highest one that servers have seen. An older plan, written late, may have
@@ -97,7 +98,8 @@
 			continue
 		}
 		p.Epoch++
-		f.Epoch, f.Members, f.Addresses = p.Epoch, members, d.addresses(members)
+		f = d.withMembers(f, members)
+		f.Epoch = p.Epoch
 		p.Current[i] = f
 		d.addNote("form_anew", f, reason)
 	}
@@ -109,11 +111,11 @@
 func (d *Decider) remainingMembers(now time.Time, p *Plan, f Formation) ([]string, string) {
 	var kept []string
 	reason, closing := "", false
-	for _, id := range f.Members {
+	for rank, id := range f.Members {
 		switch memberReason := d.replaceReason(f, id); memberReason {
 		case "":
 			kept = append(kept, id)
-			if d.leftFormation(d.servers[id], f) {
+			if d.leftFormation(f, rank) {
 				reason = "member_left"
 			}
 		case memberDraining, memberSlow:
@@ -176,9 +178,9 @@
 }
 
 // leftFormation reports whether a member that had joined is no longer a member.
-func (d *Decider) leftFormation(s *serverState, f Formation) bool {
+func (d *Decider) leftFormation(f Formation, rank int) bool {
 	head := d.servers[f.Head()]
-	if head == nil || !head.isMemberOf(f) || s.isMemberOf(f) {
+	if head == nil || !head.hasJoined(f, 0) || d.servers[f.Members[rank]].hasJoined(f, rank) {
 		return false
 	}
 	// A head serves only after every member has joined.
@@ -224,14 +226,41 @@
 	return true
 }
 
-func (d *Decider) addresses(ids []string) []string {
-	out := make([]string, len(ids))
+// withMembers returns a formation with other members.
+func (d *Decider) withMembers(f Formation, ids []string) Formation {
+	f.Members, f.Addresses, f.Started = ids, make([]string, len(ids)), make([]int64, len(ids))
 	for i, id := range ids {
-		if s := d.servers[id]; s != nil {
-			out[i] = s.Address
+		s := d.servers[id]
+		if s == nil {
+			continue
+		}
+		f.Addresses[i] = s.Address
+		if !s.StartedAt.IsZero() {
+			f.Started[i] = s.StartedAt.UnixMilli()
 		}
 	}
-	return out
+	return f
+}
+
+// recordStarts updates the start times of members in the plan, and reports whether it changed any: a member has started again
+// under its ID, or the plan is of an earlier version.
+func (d *Decider) recordStarts(p *Plan) bool {
+	changed := false
+	for i, f := range p.Current {
+		for rank, id := range f.Members {
+			s := d.servers[id]
+			if s == nil || s.exited || s.StartedAt.IsZero() || s.StartedAt.Equal(f.startedAt(rank)) {
+				continue
+			}
+			if len(f.Started) != len(f.Members) {
+				f.Started = make([]int64, len(f.Members))
+			}
+			f.Started = slices.Clone(f.Started)
+			f.Started[rank] = s.StartedAt.UnixMilli()
+			p.Current[i], changed = f, true
+		}
+	}
+	return changed
 }
 
 // fillMembers adds free servers to the remaining members of a formation. It returns nil if there
--- a/internal/plan/group/decider.go
+++ b/internal/plan/group/decider.go
@@ -101,7 +101,7 @@
 			continue
 		}
 		s := newServerState(time.Time{})
-		s.Info = server.Info{ID: id, Service: f.Service, Address: f.Addresses[i], Domain: f.Domain}
+		s.Info = server.Info{ID: id, Service: f.Service, Address: f.Addresses[i], Domain: f.Domain, StartedAt: f.startedAt(i)}
 		s.needsProbe = true
 		d.servers[id] = s
 		d.invalidateIndex()
--- a/internal/plan/group/group_test.go
+++ b/internal/plan/group/group_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"geraniumhollow/internal/core/sets"
 	"geraniumhollow/internal/fleet/duty"
 	"geraniumhollow/internal/fleet/index"
 	"geraniumhollow/internal/fleet/server"
@@ -43,6 +44,8 @@
 	slowLoads bool
 	// seen is the highest epoch that each server has joined with. It refuses lower ones.
 	seen map[string]uint64
+	// ready has the members that have been ready, by formation.
+	ready map[index.Formation]sets.Set[string]
 }
 
 func newSimulation(t *testing.T, n int) *simulation {
@@ -51,6 +54,7 @@
 		t: t, now: time.Unix(1000, 0), view: index.New(), servers: make(map[string]server.Info),
 		silent: make(map[string]bool), unlisted: make(map[string]bool), noHeartbeat: make(map[string]bool),
 		loadsEnd: make(map[string]time.Time), pace: make(map[string]float64), seen: make(map[string]uint64),
+		ready: make(map[index.Formation]sets.Set[string]),
 	}
 	sim.d = newDecider(newEngine(), group.Plan{})
 	for i := range n {
@@ -127,7 +131,7 @@
 		sim.d.OrderDone(sim.now, o, sim.execute(o))
 	}
 	for _, q := range a.Probes {
-		if i, ok := sim.servers[q.Server]; ok && !sim.silent[q.Server] {
+		if i, ok := sim.at(q.Address); ok && !sim.silent[i.ID] {
 			sim.d.ProbeAnswered(sim.now, q.Server, server.Report{Info: i, Slowdown: max(1, sim.pace[q.Server])})
 		} else {
 			sim.d.ProbeFailed(q.Server, false)
@@ -153,9 +157,12 @@
 
 // execute carries out an order at once, except for weight loads with slowLoads.
 func (sim *simulation) execute(o group.Order) group.Outcome {
-	i, ok := sim.servers[o.Server]
-	if !ok || sim.silent[o.Server] {
+	i, ok := sim.at(o.Address)
+	switch {
+	case !ok || sim.silent[i.ID]:
 		return group.Unknown
+	case i.ID != o.Server:
+		return group.Misdirected
 	}
 	switch o.Kind {
 	case group.Join:
@@ -172,6 +179,7 @@
 		}
 		i.Model, i.StagedModels = o.Model, []string{o.Model}
 	case group.Open:
+		sim.checkOpen(o)
 		i.Member.State = server.Open
 	case group.Close:
 		i.Member.State = server.Ready
@@ -185,9 +193,50 @@
 		i.StagedModels = []string{o.Model}
 	}
 	sim.servers[o.Server] = i
+	sim.noteReady(i)
 	return group.Accepted
 }
 
+// at returns the server that uses an address.
+func (sim *simulation) at(address string) (server.Info, bool) {
+	// Most servers have their first ID as their address.
+	if i, ok := sim.servers[address]; ok && i.Address == address {
+		return i, true
+	}
+	for _, i := range sim.servers {
+		if i.Address == address {
+			return i, true
+		}
+	}
+	return server.Info{}, false
+}
+
+// noteReady records that a server is ready in its formation.
+func (sim *simulation) noteReady(i server.Info) {
+	if i.Member.State != server.Ready {
+		return
+	}
+	f := index.Formation{Group: i.Member.Group, Epoch: i.Member.Epoch}
+	if sim.ready[f] == nil {
+		sim.ready[f] = sets.New[string]()
+	}
+	sim.ready[f].Add(i.ID)
+}
+
+// checkOpen checks that no head is ordered to open before all members have been ready.
+func (sim *simulation) checkOpen(o group.Order) {
+	for _, f := range sim.d.Plan().Current {
+		if f.Group != o.Group || f.Epoch != o.Epoch {
+			continue
+		}
+		for _, id := range f.Members {
+			if !sim.ready[index.Formation{Group: f.Group, Epoch: f.Epoch}].Has(id) {
+				sim.t.Errorf("%s is ordered to open %s/%d, in which %s has never been ready", o.Server, f.Group, f.Epoch, id)
+			}
+		}
+	}
+}
+
 // checkJoin checks that no server is ordered away from a group whose head serves.
 func (sim *simulation) checkJoin(o group.Order, m server.Member) {
 	if !m.InGroup() || m.InFormation(o.Group, o.Epoch) {
@@ -219,6 +268,7 @@
 			i.Member.State, i.Model = server.Ready, "m"
 		}
 		sim.servers[id] = i
+		sim.noteReady(i)
 	}
 }
 
--- a/internal/plan/group/order.go
+++ b/internal/plan/group/order.go
@@ -35,6 +35,8 @@
 	Epoch   uint64
 	Model   string
 	Members []string
+	// StartedAt is when the process that the order is meant for started, or zero if that is unknown.
+	StartedAt time.Time
 }
 
 // Outcome is the outcome of an order.
@@ -46,6 +48,8 @@
 	Accepted Outcome = "accepted"
 	// Rejected means that the state of the server does not allow the order.
 	Rejected Outcome = "rejected"
+	// Misdirected means that the process at the address has another ID, so that the one that the order was meant for has ended.
+	Misdirected Outcome = "misdirected"
 	// Unknown means that there was no answer: the order may still be executed, possibly late.
 	Unknown Outcome = "unknown"
 )
@@ -89,7 +93,7 @@
 // issue returns an order and records it, unless the same order was sent less than
 // orderRetryInterval ago.
 func (d *Decider) issue(now time.Time, s *serverState, o Order) []Order {
-	o.Server, o.Address = s.ID, s.Address
+	o.Server, o.Address, o.StartedAt = s.ID, s.Address, s.StartedAt
 	last, ok := s.lastOrders[o.Kind]
 	same := ok && last.order.Group == o.Group && last.order.Epoch == o.Epoch && last.order.Model == o.Model
 	if same && now.Sub(last.at) < orderRetryInterval {
@@ -113,6 +117,10 @@
 	switch {
 	case outcome == Unknown && (o.Kind == Join || o.Kind == Open):
 		s.unconfirmed[o.Epoch] = now
+	case !o.StartedAt.IsZero() && !o.StartedAt.Equal(s.StartedAt):
+		// The server has started again since.
+	case outcome == Misdirected && o.StartedAt.Equal(s.StartedAt):
+		s.exited = true
 	case outcome == Accepted && o.Kind == Join:
 		s.highestEpoch = max(s.highestEpoch, o.Epoch)
 	case outcome == Accepted && o.Kind == Leave && s.Member.InFormation(o.Group, o.Epoch):
@@ -228,13 +236,13 @@
 func (d *Decider) formOrders(now time.Time, f Formation) []Order {
 	var out []Order
 	ready := 0
-	for _, id := range f.Members {
+	for rank, id := range f.Members {
 		s := d.servers[id]
 		switch {
 		case s == nil || s.lost():
-		case s.isMemberOf(f) && s.Member.State != server.Joining && s.memberKnown:
+		case s.hasJoined(f, rank) && s.Member.State != server.Joining && s.memberKnown:
 			ready++
-		case s.isMemberOf(f):
+		case s.hasJoined(f, rank):
 		case d.mayJoin(now, s, f) && (s.HasStaged(f.Model) || d.reserveLoad(now, s, groupLoadShare)):
 			out = append(out, d.issue(now, s, Order{Kind: Join, Group: f.Group, Epoch: f.Epoch, Model: f.Model, Members: f.Members})...)
 		}
--- a/internal/plan/group/place.go
+++ b/internal/plan/group/place.go
@@ -94,9 +94,9 @@
 		p.Epoch++
 		f := Formation{
 			Group: "g" + strconv.FormatUint(p.Epoch, 10), Epoch: p.Epoch, Service: d.cfg.Service,
-			Model: input.Requests[i].Weights.Model, Domain: placement.Domain, Members: placement.Hosts,
-			Addresses: d.addresses(placement.Hosts),
+			Model: input.Requests[i].Weights.Model, Domain: placement.Domain,
 		}
+		f = d.withMembers(f, placement.Hosts)
 		p.Current = append(p.Current, f)
 		d.addNote("form", f, string(placement.Reason.Cause))
 		changed = true
--- a/internal/plan/group/plan.go
+++ b/internal/plan/group/plan.go
@@ -18,7 +18,10 @@
 // is not safe for concurrent use.
 package group
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // Formation is one instance of a group, identified by its epoch.
 type Formation struct {
@@ -32,11 +35,22 @@
 	// Addresses are the addresses of the members, in the same order. A new keeper uses them to
 	// probe members that are missing from the registry.
 	Addresses []string `json:"addresses"`
+	// Started are the start times of the members' processes, in Unix milliseconds and in the same order, 0 if unknown. They tell
+	// a member from another process that uses its address or its ID later. Plans of earlier versions do not have them.
+	Started []int64 `json:"started,omitempty"`
 }
 
 // Head returns the ID of the head.
 func (f Formation) Head() string { return f.Members[0] }
 
+// startedAt returns when the process of the member with a rank started, or zero if that is unknown.
+func (f Formation) startedAt(rank int) time.Time {
+	if rank >= len(f.Started) || f.Started[rank] == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(f.Started[rank])
+}
+
 // HasMember reports whether a server is a member.
 func (f Formation) HasMember(id string) bool { return slices.Contains(f.Members, id) }
 
--- a/internal/plan/group/probe.go
+++ b/internal/plan/group/probe.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"slices"
 	"time"
 
 	"geraniumhollow/internal/fleet/server"
@@ -61,19 +62,33 @@
 		return
 	}
 	s.probePending, s.needsProbe = false, false
-	if !r.StartedAt.IsZero() && !s.StartedAt.IsZero() && !r.StartedAt.Equal(s.StartedAt) {
+	if s.StartedAt.IsZero() && d.identifies(id, r.Member) {
+		s.StartedAt = r.StartedAt
+	}
+	switch {
+	case s.StartedAt.IsZero() && s.exited:
+		return // An order has shown that another process uses the address.
+	case !r.StartedAt.IsZero() && !s.StartedAt.IsZero() && !r.StartedAt.Equal(s.StartedAt):
 		// Another process uses the address now.
 		s.exited = true
 		return
 	}
-	if s.StartedAt.IsZero() {
-		s.StartedAt = r.StartedAt
-	}
 	s.exited, s.missedProbes, s.excusedMisses, s.unreachableByPeers, s.pace = false, 0, 0, false, r.Slowdown
 	s.answeredAt = now
 	s.update(r.Info)
 }
 
+// identifies reports whether a membership is one that the plan gives to a server. Reports do not have the ID of the server, and
+// any process at the address answers, but a rank of a formation belongs to one ID.
+func (d *Decider) identifies(id string, m server.Member) bool {
+	for _, f := range slices.Concat(d.plan.Current, d.plan.Retired) {
+		if m.InFormation(f.Group, f.Epoch) && m.Rank < len(f.Members) && f.Members[m.Rank] == id {
+			return true
+		}
+	}
+	return false
+}
+
 // ProbeDiscarded records a probe that failed for a reason that has nothing to do with the server. It is made again.
 func (d *Decider) ProbeDiscarded(id string) {
 	if s, ok := d.servers[id]; ok {
--- a/internal/plan/group/restore.go
+++ b/internal/plan/group/restore.go
@@ -82,8 +82,9 @@
 	if list[0].Member.Rank > 0 {
 		f.Members, f.complete = append(f.Members, unknownHead+key.Group), false
 	}
+	members := f.Members
 	for i, s := range list {
-		f.Members = append(f.Members, s.ID)
+		members = append(members, s.ID)
 		f.complete = f.complete && s.Member.Rank == i && s.Domain == f.Domain
 		if s.Member.State == server.Joining {
 			continue // The server reports its last model until it has joined.
@@ -93,7 +94,7 @@
 	}
 	m, ok := d.cfg.Engine.Model(f.Model)
 	f.complete = f.complete && ok && m.Hosts == len(list)
-	f.Addresses = d.addresses(f.Members)
+	f.Formation = d.withMembers(f.Formation, members)
 	return f
 }
 
--- a/internal/plan/group/rows_test.go
+++ b/internal/plan/group/rows_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"geraniumhollow/internal/core/sets"
 	"geraniumhollow/internal/fleet/index"
 	"geraniumhollow/internal/fleet/server"
 	"geraniumhollow/internal/plan/group"
@@ -38,6 +39,7 @@
 		now: time.Unix(1000, 0), view: index.New(), servers: make(map[string]server.Info),
 		silent: make(map[string]bool), unlisted: make(map[string]bool), noHeartbeat: make(map[string]bool),
 		loadsEnd: make(map[string]time.Time), pace: make(map[string]float64), seen: make(map[string]uint64),
+		ready: make(map[index.Formation]sets.Set[string]),
 	}
 	sim.d = newDecider(e, group.Plan{})
 	for i := range domains * 35 {
--- a/internal/plan/group/server.go
+++ b/internal/plan/group/server.go
@@ -81,6 +81,13 @@
 // isMemberOf reports whether the server reported being a member of a formation.
 func (s *serverState) isMemberOf(f Formation) bool { return s.Member.InFormation(f.Group, f.Epoch) }
 
+// hasJoined reports whether the server reported being the member of a formation that the plan has at a rank. The process at the
+// address of a member may be another one, and be a member too.
+func (s *serverState) hasJoined(f Formation, rank int) bool {
+	start := f.startedAt(rank)
+	return s.isMemberOf(f) && s.Member.Rank == rank && (start.IsZero() || s.StartedAt.IsZero() || start.Equal(s.StartedAt))
+}
+
 // update applies the membership and weights that a server reported.
 func (s *serverState) update(i server.Info) {
 	s.memberKnown = true
@@ -145,6 +152,9 @@
 		d.invalidateIndex()
 		return s
 	}
+	if s.firstSeen.IsZero() {
+		s.firstSeen = now
+	}
 	if e.Draining && !s.Draining && s.listed {
 		s.drainingSince = now
 	}
--- a/internal/plan/group/swap.go
+++ b/internal/plan/group/swap.go
@@ -72,11 +72,12 @@
 	if best == nil {
 		return false
 	}
-	f.Domain, f.Members = best[0].Domain, make([]string, len(f.Members))
-	for i := range f.Members {
-		f.Members[i] = best[i].ID
+	members := make([]string, len(f.Members))
+	for i := range members {
+		members[i] = best[i].ID
 	}
-	f.Addresses = d.addresses(f.Members)
+	f.Domain = best[0].Domain
+	*f = d.withMembers(*f, members)
 	return true
 }
 
@@ -163,9 +164,9 @@
 // replaceMember replaces a server in a formation. It copies the members because the plan in force
 // shares the list.
 func (d *Decider) replaceMember(f *Formation, old, id string) {
-	f.Members = slices.Clone(f.Members)
-	f.Members[slices.Index(f.Members, old)] = id
-	f.Addresses = d.addresses(f.Members)
+	members := slices.Clone(f.Members)
+	members[slices.Index(members, old)] = id
+	*f = d.withMembers(*f, members)
 }
 
 // renewEpochs gives formations with replaced members a new epoch and retires their previous
