--- a/internal/node/pass/attempt.go
+++ b/internal/node/pass/attempt.go
@@ -45,7 +45,7 @@
 		return attemptResult{refusal: refusal}
 	}
 	fingerprint := crashFingerprint(s.call)
-	runID := s.relay.deps.Crashes.startRun(fingerprint, s.parts, reservation.Entry().ID, cancel)
+	runID := s.relay.deps.Crashes.startRun(fingerprint, s.parts, reservation.Entry(), cancel)
 	s.runID = runID
 	start := time.Now()
 	res := s.send(ctx, reservation)
--- a/internal/node/pass/crash.go
+++ b/internal/node/pass/crash.go
@@ -67,7 +67,7 @@
 	tracker     *crash.Decider
 	parts       *crash.PartTracker
 	lastChecked map[string]time.Time
-	// checking are the servers that are being checked.
+	// checking are the server processes that are being checked.
 	checking sets.Set[string]
 	// cancels cancel the attempts whose prompts have shared parts.
 	cancels map[crash.RunID]context.CancelCauseFunc
@@ -149,11 +149,11 @@
 }
 
 // startRun records that a request is being sent to a server. cancel cancels the attempt.
-func (c *CrashTracker) startRun(f crash.Fingerprint, parts []crash.Part, server string, cancel context.CancelCauseFunc) crash.RunID {
+func (c *CrashTracker) startRun(f crash.Fingerprint, parts []crash.Part, e *index.Entry, cancel context.CancelCauseFunc) crash.RunID {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	// Servers are not reserved for a single request here, so Start never refuses.
-	id, _ := c.tracker.Start(f, server)
+	id, _ := c.tracker.Start(f, processOf(e))
 	if len(parts) > 0 {
 		c.tracker.SetParts(id, parts)
 		c.cancels[id] = cancel
@@ -206,8 +206,8 @@
 		}
 	case o == Failed && connBroke || o == Stalled:
 		c.tracker.ConnectionLost(now, id)
-		if now.Sub(c.lastChecked[e.ID]) >= deathCheckInterval && c.checking.Add(e.ID) {
-			c.lastChecked[e.ID] = now
+		if process := processOf(e); now.Sub(c.lastChecked[process]) >= deathCheckInterval && c.checking.Add(process) {
+			c.lastChecked[process] = now
 			c.deps.Group().Go("check for a crashed server", func(ctx context.Context) error {
 				c.checkServer(ctx, e)
 				return nil
@@ -223,7 +223,7 @@
 	defer func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		c.checking.Remove(e.ID)
+		c.checking.Remove(processOf(e))
 	}()
 	delay := deathRecheckDelay
 	for range maxDeathProbes {
@@ -237,7 +237,7 @@
 			return
 		case Alive:
 			c.mu.Lock()
-			c.tracker.Survived(e.ID)
+			c.tracker.Survived(processOf(e))
 			c.mu.Unlock()
 			return
 		case LivenessUnknown:
@@ -255,14 +255,14 @@
 	c.mu.Lock()
 	var f crash.Findings
 	var quarantined []crash.Part
-	if runs := c.tracker.PromptRuns(now, e.ID); len(runs) > 0 {
+	if runs := c.tracker.PromptRuns(now, processOf(e)); len(runs) > 0 {
 		d := crash.Death{Process: e.ID + "@" + strconv.FormatInt(e.StartedAt.UnixMilli(), 10), Runs: runs}
 		f.Deaths = []crash.Death{d}
 		quarantined = c.parts.RecordDeath(now, d, true)
 		f.Quarantines = c.quarantinesOf(now, quarantined)
 		c.cancelWaiting(quarantined)
 	}
-	f.Suspicions = c.tracker.ServerDied(now, e.ID)
+	f.Suspicions = c.tracker.ServerDied(now, processOf(e))
 	if len(c.lastChecked) > maxCheckedServers {
 		clear(c.lastChecked)
 	}
@@ -277,6 +277,14 @@
 	}
 }
 
+// processOf returns the key of a server process. Another process may have the same ID later.
+func processOf(e *index.Entry) string {
+	if e.StartedAt.IsZero() {
+		return e.ID
+	}
+	return e.ID + "@" + strconv.FormatInt(e.StartedAt.UnixMilli(), 10)
+}
+
 // maxCheckedServers is the size of lastChecked above which a crash clears it.
 const maxCheckedServers = 1024
 
--- a/internal/node/pass/crash_test.go
+++ b/internal/node/pass/crash_test.go
@@ -118,6 +118,26 @@
 	}
 }
 
+// Guards against suspecting the requests of a process because an earlier one with the same ID has died.
+func TestDeathOfEarlierProcess(t *testing.T) {
+	t.Parallel()
+	f, g := newFleet(t, 1)
+	earlier, later := entry("server"), entry("server")
+	earlier.StartedAt, later.StartedAt = time.UnixMilli(1000), time.UnixMilli(2000)
+	run := f.nodes[0].StartRunAt("earlier", earlier)
+	f.nodes[0].StartRunAt("later", later)
+	f.kill("server", 0)
+	f.nodes[0].EndRun(run, "earlier", earlier, pass.Failed, true)
+	if err := g.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	for id, want := range map[crash.Fingerprint]int{"earlier": 1, "later": 0} {
+		if _, crashes := f.nodes[0].Refused(id); crashes != want {
+			t.Errorf("%s: %d crashes, want %d", id, crashes, want)
+		}
+	}
+}
+
 // strandedTime is how long a node has lost all servers.
 const strandedTime = 100 * time.Millisecond
 
--- a/internal/node/pass/export_test.go
+++ b/internal/node/pass/export_test.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"geraniumhollow/internal/fleet/index"
+	"geraniumhollow/internal/fleet/server"
 	"geraniumhollow/internal/route/crash"
 )
 
@@ -26,13 +27,18 @@
 var ErrEventGap = errEventGap
 
 // StartRun exports startRun.
-func (c *CrashTracker) StartRun(f crash.Fingerprint, server string) crash.RunID {
-	return c.startRun(f, nil, server, nil)
+func (c *CrashTracker) StartRun(f crash.Fingerprint, id string) crash.RunID {
+	return c.StartRunAt(f, &index.Entry{Info: server.Info{ID: id}})
+}
+
+// StartRunAt exports startRun.
+func (c *CrashTracker) StartRunAt(f crash.Fingerprint, e *index.Entry) crash.RunID {
+	return c.startRun(f, nil, e, nil)
 }
 
 // StartPrompt exports startRun for a request whose prompt has shared parts.
-func (c *CrashTracker) StartPrompt(f crash.Fingerprint, parts []crash.Part, server string, cancel context.CancelCauseFunc) crash.RunID {
-	return c.startRun(f, parts, server, cancel)
+func (c *CrashTracker) StartPrompt(f crash.Fingerprint, parts []crash.Part, id string, cancel context.CancelCauseFunc) crash.RunID {
+	return c.startRun(f, parts, &index.Entry{Info: server.Info{ID: id}}, cancel)
 }
 
 // AnswerBegan exports answerBegan.
