--- a/internal/bench/plans/chaos.go
+++ b/internal/bench/plans/chaos.go
@@ -209,7 +209,7 @@
 	k.stored, k.revision = maps.Clone(c.plan.rows), c.plan.revision
 	k.view, k.reads, k.beats = index.New(), time.Time{}, time.Time{}
 	k.decider = group.New(group.Config{
-		Service: "llm", Engine: modelEngine(), StallTime: stallTime, HeartbeatInterval: beatInterval,
+		Service: "llm", Engine: modelEngine(), StallTime: stallTime, HeartbeatInterval: beatInterval, Overlap: duty.HoldTime,
 	}, p)
 }
 
--- a/internal/fleet/duty/duty.go
+++ b/internal/fleet/duty/duty.go
@@ -91,8 +91,12 @@
 	// rowChangedAt is when this revision of the row was first observed.
 	rowKnown     bool
 	rowChangedAt time.Duration
-	// tenureEnd is when this node's tenure ends by the local clock, or 0.
+	// fenceSeenAt is when this tenure was first observed.
+	fenceSeenAt time.Duration
+	// tenureEnd is when this node's tenure ends by the local clock, or 0. predecessorEnd is when the tenure before the last one of
+	// this node has surely ended.
 	tenureEnd      time.Duration
+	predecessorEnd time.Duration
 	nextCallAt     time.Duration
 	callInProgress bool
 	yielding       bool
@@ -164,6 +168,9 @@
 	return d.row.Fence, d.tenureEnd > now && d.row.Holder == d.node
 }
 
+// PredecessorEnd returns when the tenure before the last one of this node has surely ended.
+func (d *Decider) PredecessorEnd() time.Duration { return d.predecessorEnd }
+
 // Holder returns the holder according to the last read or to other nodes, whichever is newer.
 func (d *Decider) Holder() string {
 	if d.reportedFence > d.row.Fence {
@@ -388,6 +395,10 @@
 	if !d.rowKnown || row.Revision != d.revision {
 		d.rowChangedAt = now
 	}
+	if d.lastReadAt == 0 || r.Fence != d.row.Fence {
+		// If the row names this node, its claim had an unknown outcome.
+		d.fenceSeenAt, d.predecessorEnd = now, now+HoldTime
+	}
 	d.lastReadAt = now
 	d.rowKnown, d.row, d.revision = true, r, row.Revision
 	if d.rowOutdated() {
@@ -404,6 +415,9 @@
 	switch {
 	case err == nil:
 		d.failedClaims = 0
+		if op.row.Fence != d.row.Fence {
+			d.predecessorEnd, d.fenceSeenAt = d.lastTenureEnd(now), now
+		}
 		d.row, d.revision, d.rowChangedAt = op.row, revision, now
 		d.nextCallAt = now + RenewInterval
 		d.tenureEnd, d.renewalFailing = 0, false
@@ -437,6 +451,18 @@
 	}
 }
 
+// lastTenureEnd returns when the tenure of the known row has surely ended, if that row has just been replaced: its holder has not
+// renewed it since it was first observed. The tenure before it ended within HoldTime of its beginning.
+func (d *Decider) lastTenureEnd(now time.Duration) time.Duration {
+	end := d.fenceSeenAt + HoldTime
+	switch d.row.Holder {
+	case "", d.node, d.replacedHolder:
+		return max(end, now)
+	default:
+		return max(end, d.rowChangedAt+HoldTime)
+	}
+}
+
 // maxClaimBackoffDoublings bounds the exponential backoff between claims.
 const maxClaimBackoffDoublings = 2
 
--- a/internal/fleet/duty/duty_test.go
+++ b/internal/fleet/duty/duty_test.go
@@ -297,6 +297,56 @@
 	})
 }
 
+// Guards against a holder that counts the tenures before its own as ended while one of them lasts, so that two nodes give orders:
+// with lost results, paused nodes, heartbeats that do not arrive, and holders that offer the duty.
+func TestEarlierTenuresHaveEnded(t *testing.T) {
+	t.Parallel()
+	early := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		var r storedRow
+		nodes := []*candidate{{decider: duty.New("a", key)}, {decider: duty.New("b", key)}, {decider: duty.New("c", key)}}
+		for now := time.Second; now < 30*time.Second; now += step {
+			for i, n := range nodes {
+				if now < n.pausedUntil {
+					continue
+				}
+				if rapid.IntRange(0, 60).Draw(rt, "pause") == 0 {
+					n.pausedUntil = now + time.Duration(rapid.IntRange(1, 4000).Draw(rt, "ms"))*time.Millisecond
+				}
+				n.decider.SetHasOtherPeers(true)
+				r.run(n, now, rapid.IntRange(0, 9).Draw(rt, "lost") == 0)
+				fence, held := n.decider.Holds(now)
+				if !held {
+					continue
+				}
+				for j, o := range nodes {
+					if i == j {
+						continue
+					}
+					switch rapid.IntRange(0, 9).Draw(rt, "heartbeat") {
+					case 0:
+					case 1:
+						o.decider.HolderFailing(now, fence)
+					default:
+						o.decider.HeartbeatReceived(now, fence)
+					}
+					lower, holds := o.decider.Holds(now)
+					if !holds || lower >= fence {
+						continue
+					}
+					early++
+					if n.decider.PredecessorEnd() <= now {
+						rt.Fatalf("at %v: node %d holds fence %d and counts earlier tenures as ended, node %d holds fence %d", now, i, fence, j, lower)
+					}
+				}
+			}
+		}
+	})
+	if early == 0 {
+		t.Error("no tenures overlapped, so nothing was shown")
+	}
+}
+
 // Guards against reads and claims by every node of a large fleet, a duty that nodes other than standbys never
 // claim, and a holder known only to the nodes that read the row.
 func TestNonStandbyNode(t *testing.T) {
--- a/internal/node/keeper/carry.go
+++ b/internal/node/keeper/carry.go
@@ -8,11 +8,18 @@
 	"github.com/cockroachdb/errors"
 )
 
-// sendOrder sends an order of the decider to a backend server, unless the tenure with the given fencing number has ended.
-func (k *Keeper) sendOrder(ctx context.Context, fence uint64, o group.Order) {
+// sendOrder sends an order of a decider to a backend server, unless the tenure with the given fencing number has ended or
+// another decider has taken its place.
+func (k *Keeper) sendOrder(ctx context.Context, fence uint64, from *group.Decider, o group.Order) {
 	if now, ok := k.holds(); !ok || now != fence {
 		return
 	}
+	k.mu.Lock()
+	replaced := k.decider != from
+	k.mu.Unlock()
+	if replaced {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	start := time.Now()
--- a/internal/node/keeper/keeper.go
+++ b/internal/node/keeper/keeper.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"geraniumhollow/internal/core/clock"
 	"geraniumhollow/internal/core/tasks"
 	"geraniumhollow/internal/fleet/duty"
 	"geraniumhollow/internal/fleet/index"
@@ -216,12 +217,16 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	overlap := time.Duration(0)
+	if k.fence != fence {
+		overlap = max(0, k.duty.PredecessorEnd()-clock.Since())
+	}
 	k.decider = group.New(group.Config{
-		Service: service, Engine: engine, StallTime: k.cfg.StallTime, HeartbeatInterval: k.cfg.HeartbeatInterval,
+		Service: service, Engine: engine, StallTime: k.cfg.StallTime, HeartbeatInterval: k.cfg.HeartbeatInterval, Overlap: overlap,
 	}, plan)
 	k.fence = fence
 	k.cfg.Log.Info("took the duty to keep groups", "fence", fence, "epoch", plan.Epoch, "revision", k.revision,
-		"groups", len(plan.Current), "retired", len(plan.Retired))
+		"groups", len(plan.Current), "retired", len(plan.Retired), "overlap_ms", overlap.Milliseconds())
 	return true
 }
 
@@ -246,9 +251,9 @@
 	for _, n := range actions.Decisions {
 		k.cfg.Log.Info("group decision", "decision", n.Decision, "group", n.Group, "epoch", n.Epoch, "reason", n.Reason)
 	}
-	fence := k.fence
+	fence, decider := k.fence, k.decider
 	for _, o := range actions.Orders {
-		g.Go("order", func(ctx context.Context) error { k.sendOrder(ctx, fence, o); return nil })
+		g.Go("order", func(ctx context.Context) error { k.sendOrder(ctx, fence, decider, o); return nil })
 	}
 	for _, p := range actions.Probes {
 		g.Go("probe", func(ctx context.Context) error { k.probe(ctx, p); return nil })
--- a/internal/plan/group/change.go
+++ b/internal/plan/group/change.go
@@ -32,6 +32,7 @@
 	}
 	d.raiseEpoch(p)
 	recorded := d.recordStarts(p)
+	recorded = d.reopeningOutdated(now) || recorded
 	dropped := d.dropRetired(now, p)
 	repaired := d.repairGroups(now, p)
 	swapped := d.replaceUnloaded(now, p)
@@ -226,9 +227,9 @@
 	return true
 }
 
-// withMembers returns a formation with other members.
+// withMembers returns a formation that has other members and has not been used in orders.
 func (d *Decider) withMembers(f Formation, ids []string) Formation {
-	f.Members, f.Addresses, f.Started = ids, make([]string, len(ids)), make([]int64, len(ids))
+	f.Members, f.Addresses, f.Started, f.NoReopen = ids, make([]string, len(ids)), make([]int64, len(ids)), true
 	for i, id := range ids {
 		s := d.servers[id]
 		if s == nil {
--- a/internal/plan/group/decider.go
+++ b/internal/plan/group/decider.go
@@ -20,6 +20,8 @@
 	StallTime time.Duration
 	// HeartbeatInterval is the time between heartbeats that renew a server's registration.
 	HeartbeatInterval time.Duration
+	// Overlap is how long after the first step an earlier keeper may still give orders.
+	Overlap time.Duration
 }
 
 // Actions are the side effects that the caller carries out.
@@ -74,6 +76,13 @@
 	// held has the domains whose groups may not be changed yet, and allHeld is set if it has all. See updateHeld.
 	held    sets.Set[string]
 	allHeld bool
+	// reopenUntil is until when an order that contradicts NoReopen may be executed, as stored by this keeper, and reopening is the
+	// time that has to be stored before the next one. plannedAt is when the plan that is being stored, or the last one, was made.
+	reopenUntil map[index.Formation]time.Time
+	reopening   map[index.Formation]time.Time
+	plannedAt   time.Time
+	// headWaits has the retired formations whose heads have left and may reopen, with the time at which that was first seen.
+	headWaits map[index.Formation]time.Time
 	// rejected has the formations of an earlier era of the store that a server has refused to join.
 	rejected sets.Set[index.Formation]
 	// index is nil if it has to be rebuilt.
@@ -85,7 +94,8 @@
 	d := &Decider{
 		cfg: cfg, plan: plan, servers: make(map[string]*serverState), recentLoads: window.New(loadWindow),
 		incompleteSince: make(map[index.Formation]time.Time), changeNeededSince: make(map[index.Formation]time.Time),
-		closingSince: make(map[index.Formation]time.Time), rejected: sets.New[index.Formation](),
+		closingSince: make(map[index.Formation]time.Time), rejected: sets.New[index.Formation](), reopenUntil: make(map[index.Formation]time.Time),
+		reopening: make(map[index.Formation]time.Time), headWaits: make(map[index.Formation]time.Time),
 	}
 	for _, f := range slices.Concat(plan.Current, plan.Retired) {
 		d.restoreMembers(f)
@@ -122,6 +132,7 @@
 	if d.pending != nil {
 		d.plan, d.pending = *d.pending, nil
 		d.invalidateIndex()
+		d.applyReopening()
 	}
 }
 
@@ -139,17 +150,27 @@
 	if d.pending == nil {
 		next := d.plan.Clone()
 		if d.updatePlan(now, &next) {
-			d.pending = &next
-			a.Commit = &next
+			a.Commit = d.store(now, next)
 		}
 	}
+	d.noteHeadWaits(now)
 	a.Orders = d.orders(now)
+	if d.pending == nil && len(d.reopening) > 0 {
+		a.Commit = d.store(now, d.plan.Clone())
+	}
 	a.Probes = d.probes(now)
 	a.PeerProbes = d.peerProbes(now)
 	a.Decisions, d.notes = d.notes, nil
 	return a
 }
 
+// store returns a plan that is to be stored.
+func (d *Decider) store(now time.Time, p Plan) *Plan {
+	d.recordReopening(now, &p)
+	d.pending, d.plannedAt = &p, now
+	return &p
+}
+
 // Counts counts groups and servers by state.
 type Counts struct {
 	// Open and Planned count groups by model.
--- a/internal/plan/group/group_test.go
+++ b/internal/plan/group/group_test.go
@@ -39,11 +39,15 @@
 	noHeartbeat map[string]bool
 	heartbeat   uint64
 	orders      []string
+	// commits is the number of plans that were stored.
+	commits int
 	// loadsEnd is when the running weight loads end. It is used with slowLoads.
 	loadsEnd  map[string]time.Time
 	slowLoads bool
 	// seen is the highest epoch that each server has joined with. It refuses lower ones.
 	seen map[string]uint64
+	// loses reports whether an order gets no answer and is not executed now; nil for none.
+	loses func(o group.Order) bool
 	// ready has the members that have been ready, by formation.
 	ready map[index.Formation]sets.Set[string]
 }
@@ -65,7 +69,7 @@
 
 // newDecider returns a decider that continues from a plan.
 func newDecider(e *batch.Engine, plan group.Plan) *group.Decider {
-	return group.New(group.Config{Service: "llm", Engine: e, StallTime: 5 * time.Second, HeartbeatInterval: time.Second}, plan)
+	return group.New(group.Config{Service: "llm", Engine: e, StallTime: 5 * time.Second, HeartbeatInterval: time.Second, Overlap: duty.HoldTime}, plan)
 }
 
 // helper marks the caller as a test helper. A benchmark has no t.
@@ -123,6 +127,7 @@
 	sim.d.ApplyHeartbeats(sim.now, heartbeats)
 	a := sim.d.Step(sim.now)
 	if a.Commit != nil {
+		sim.commits++
 		sim.d.Committed()
 	}
 	for _, o := range a.Orders {
@@ -163,6 +168,8 @@
 		return group.Unknown
 	case i.ID != o.Server:
 		return group.Misdirected
+	case sim.loses != nil && sim.loses(o):
+		return group.Unknown
 	}
 	switch o.Kind {
 	case group.Join:
--- a/internal/plan/group/order.go
+++ b/internal/plan/group/order.go
@@ -4,7 +4,6 @@
 	"maps"
 	"time"
 
-	"geraniumhollow/internal/fleet/duty"
 	"geraniumhollow/internal/fleet/index"
 	"geraniumhollow/internal/fleet/server"
 )
@@ -67,9 +66,6 @@
 	orderRetryInterval = 700 * time.Millisecond
 	// maxOrderDelay is how long after it was sent an unanswered order may still be executed.
 	maxOrderDelay = 13 * time.Second
-	// maxInheritedOrderDelay is the same for orders of an earlier keeper, which may have sent them
-	// for the rest of its tenure after this one took over.
-	maxInheritedOrderDelay = maxOrderDelay + duty.HoldTime
 	// stallMargin is added to the stall time of a head before the head counts as broken.
 	stallMargin = 500 * time.Millisecond
 )
@@ -116,7 +112,7 @@
 	d.recordRejected(o, outcome)
 	switch {
 	case outcome == Unknown && (o.Kind == Join || o.Kind == Open):
-		s.unconfirmed[o.Epoch] = now
+		s.unconfirmed[unansweredOrder{o.Kind, o.Epoch}] = now
 	case !o.StartedAt.IsZero() && !o.StartedAt.Equal(s.StartedAt):
 		// The server has started again since.
 	case outcome == Misdirected && o.StartedAt.Equal(s.StartedAt):
@@ -160,24 +156,10 @@
 	case head.isMemberOf(f) || !head.memberKnown:
 		return false
 	default:
-		return !d.mayRejoin(now, head, f)
+		return !d.mayReopen(now, head, f)
 	}
 }
 
-// mayRejoin reports whether an unanswered order can still make a server rejoin a formation that it
-// has left. It cannot once the server has seen a later epoch.
-func (d *Decider) mayRejoin(now time.Time, s *serverState, f Formation) bool {
-	if s.highestEpoch > f.Epoch {
-		return false
-	}
-	at, ok := s.unconfirmed[f.Epoch]
-	if !ok && now.Sub(d.startedAt) < maxInheritedOrderDelay && f.Epoch <= d.plan.InheritedEpoch {
-		// The orders of an earlier keeper are unknown.
-		return true
-	}
-	return ok && now.Sub(at) < maxOrderDelay
-}
-
 // headBroken reports whether an unreachable head has lacked a member for long enough to be broken.
 func (d *Decider) headBroken(now time.Time, f Formation) bool {
 	for _, id := range f.Members[1:] {
@@ -198,13 +180,14 @@
 }
 
 // boundToRetired reports whether a server may not join another formation because it was in a
-// retired one whose head may still serve. The head itself is free once it has left: joining another
-// formation prevents it from rejoining.
+// retired one whose head may still serve. That holds for the head itself, too: joining another
+// formation prevents it from rejoining, but that order may be executed later than those that make it
+// serve.
 func (d *Decider) boundToRetired(now time.Time, id string) bool {
 	for _, r := range d.plan.Retired {
 		switch {
 		case r.Head() == id:
-			if s := d.servers[id]; s != nil && (s.isMemberOf(r) || !s.memberKnown) {
+			if s := d.servers[id]; s != nil && (s.isMemberOf(r) || !s.memberKnown || d.mayReopen(now, s, r)) {
 				return true
 			}
 		case r.HasMember(id) && !d.headStopped(now, r):
@@ -243,7 +226,7 @@
 		case s.hasJoined(f, rank) && s.Member.State != server.Joining && s.memberKnown:
 			ready++
 		case s.hasJoined(f, rank):
-		case d.mayJoin(now, s, f) && (s.HasStaged(f.Model) || d.reserveLoad(now, s, groupLoadShare)):
+		case d.mayJoin(now, s, f) && (rank > 0 || d.mayOrderHead(now, s, f, Join)) && (s.HasStaged(f.Model) || d.reserveLoad(now, s, groupLoadShare)):
 			out = append(out, d.issue(now, s, Order{Kind: Join, Group: f.Group, Epoch: f.Epoch, Model: f.Model, Members: f.Members})...)
 		}
 	}
@@ -259,7 +242,7 @@
 	switch {
 	case closing && head.Member.State == server.Open:
 		return d.issue(now, head, Order{Kind: Close, Group: f.Group, Epoch: f.Epoch})
-	case !closing && head.Member.State == server.Ready:
+	case !closing && head.Member.State == server.Ready && d.mayOrderHead(now, head, f, Open):
 		return d.issue(now, head, Order{Kind: Open, Group: f.Group, Epoch: f.Epoch})
 	default:
 		return nil
@@ -289,5 +272,5 @@
 
 // expireUnconfirmed removes unanswered orders that can no longer be executed.
 func (s *serverState) expireUnconfirmed(now time.Time) {
-	maps.DeleteFunc(s.unconfirmed, func(_ uint64, at time.Time) bool { return now.Sub(at) >= maxOrderDelay })
+	maps.DeleteFunc(s.unconfirmed, func(_ unansweredOrder, at time.Time) bool { return now.Sub(at) >= maxOrderDelay })
 }
--- a/internal/plan/group/plan.go
+++ b/internal/plan/group/plan.go
@@ -10,8 +10,9 @@
 //
 // Two invariants hold even if orders are delayed or lost. A head opens only after all members have
 // been seen ready in its formation. A member of an earlier formation joins another one only after
-// the earlier head is known not to serve: the head has left, its process has exited, or it has
-// lacked a member for longer than its stall time.
+// the earlier head is known not to serve: the head has left and no delayed orders can make it serve
+// again, its process has exited, or it has lacked a member for longer than its stall time. The head
+// itself joins another formation under the same condition, as its join may be delayed, too.
 //
 // The keeper is the node that currently manages the groups of a service; see package keeper. It
 // stores the plan and carries out the actions that the decider returns. The decider does no I/O and
@@ -38,6 +39,13 @@
 	// Started are the start times of the members' processes, in Unix milliseconds and in the same order, 0 if unknown. They tell
 	// a member from another process that uses its address or its ID later. Plans of earlier versions do not have them.
 	Started []int64 `json:"started,omitempty"`
+	// NoReopen is set while a join and an open to the head cannot both be outstanding: given by any keeper, not answered, and
+	// possibly still executed. Once the head has left, it cannot open again then. It is cleared in the store before any order
+	// that contradicts it is sent. Plans of earlier versions do not have it.
+	NoReopen bool `json:"no_reopen,omitempty"`
+	// ReopenMs is how long after this was stored both may be outstanding, in milliseconds, or 0 if unknown. It is used if NoReopen
+	// is not set.
+	ReopenMs int64 `json:"reopen_ms,omitempty"`
 }
 
 // Head returns the ID of the head.
--- a/internal/plan/group/restore.go
+++ b/internal/plan/group/restore.go
@@ -95,6 +95,7 @@
 	m, ok := d.cfg.Engine.Model(f.Model)
 	f.complete = f.complete && ok && m.Hosts == len(list)
 	f.Formation = d.withMembers(f.Formation, members)
+	f.NoReopen = false // The orders of the time that was lost are unknown.
 	return f
 }
 
--- a/internal/plan/group/server.go
+++ b/internal/plan/group/server.go
@@ -49,13 +49,13 @@
 	// highestEpoch is the highest epoch that the server is known to have seen. It refuses to join
 	// with a lower one.
 	highestEpoch uint64
-	// unconfirmed holds the epochs of orders that were not answered and may still be executed, with
-	// the time at which the outcome became unknown.
-	unconfirmed map[uint64]time.Time
+	// unconfirmed holds the orders that were not answered and may still be executed, with the time at
+	// which the outcome became unknown.
+	unconfirmed map[unansweredOrder]time.Time
 }
 
 func newServerState(now time.Time) *serverState {
-	return &serverState{firstSeen: now, lastOrders: make(map[Kind]sentOrder), unconfirmed: make(map[uint64]time.Time)}
+	return &serverState{firstSeen: now, lastOrders: make(map[Kind]sentOrder), unconfirmed: make(map[unansweredOrder]time.Time)}
 }
 
 // lostAfterMisses is how many consecutive probes a server misses before it counts as lost.
