Change no groups before the registry has been read

What callers saw: in a planned stop of all nodes in turn the duty may move to a node that has just started.

Cause: a server that is missing from a registry that has not been read looks like one that has left it. The view now says whether the whole registry has been read, and the keeper changes no plan before.

Test: TestKeepsGroupsUntilRegistryIsRead (failed before: no group was open). TestUnconfirmedEntryIsProbed builds its view by hand and says now that it was read.

--- a/internal/fleet/index/index.go
+++ b/internal/fleet/index/index.go
@@ -60,6 +60,8 @@
 	Groups map[Formation]*Group
 	// OutOfService has the data centres that get no new work.
 	OutOfService sets.Set[string]
+	// Read is set once the whole registry has been read. Before that, a server that is missing may be registered.
+	Read bool
 }
 
 // ModelKey identifies the service and model that a generative request asks for.
@@ -234,6 +236,7 @@
 		OpenGroups:   make(map[ModelKey][]*Group),
 		Groups:       make(map[Formation]*Group),
 		OutOfService: x.outOfService,
+		Read:         x.loaded,
 	}
 	for id, e := range x.entries {
 		v.Servers[id] = e
--- a/internal/plan/group/decider.go
+++ b/internal/plan/group/decider.go
@@ -149,7 +149,7 @@
 	d.updateHeld(now)
 	if d.pending == nil {
 		next := d.plan.Clone()
-		if d.updatePlan(now, &next) {
+		if d.view != nil && d.view.Read && d.updatePlan(now, &next) {
 			a.Commit = d.store(now, next)
 		}
 	}
--- a/internal/plan/group/group_test.go
+++ b/internal/plan/group/group_test.go
@@ -37,8 +37,12 @@
 	pace map[string]float64
 	// noHeartbeat holds servers that do not renew their registration.
 	noHeartbeat map[string]bool
-	heartbeat   uint64
-	orders      []string
+	// stale has the entries of servers that cannot renew them.
+	stale map[string]server.Info
+	// noRegistry is set while the registry cannot be read.
+	noRegistry bool
+	heartbeat  uint64
+	orders     []string
 	// commits is the number of plans that were stored.
 	commits int
 	// loadsEnd is when the running weight loads end. It is used with slowLoads.
@@ -58,7 +62,7 @@
 		t: t, now: time.Unix(1000, 0), view: index.New(), servers: make(map[string]server.Info),
 		silent: make(map[string]bool), unlisted: make(map[string]bool), noHeartbeat: make(map[string]bool),
 		loadsEnd: make(map[string]time.Time), pace: make(map[string]float64), seen: make(map[string]uint64),
-		ready: make(map[index.Formation]sets.Set[string]),
+		ready: make(map[index.Formation]sets.Set[string]), stale: make(map[string]server.Info),
 	}
 	sim.d = newDecider(newEngine(), group.Plan{})
 	for i := range n {
@@ -114,7 +118,9 @@
 	sim.heartbeat++
 	sim.endLoads()
 	for id, i := range sim.servers {
-		if !sim.unlisted[id] {
+		if old, ok := sim.stale[id]; ok {
+			c.Put = append(c.Put, old)
+		} else if !sim.unlisted[id] {
 			c.Put = append(c.Put, i)
 		}
 		heartbeats[id] = sim.heartbeat
@@ -122,9 +128,11 @@
 			heartbeats[id] = 1
 		}
 	}
-	sim.view.Apply(sim.now, c)
+	if !sim.noRegistry {
+		sim.view.Apply(sim.now, c)
+		sim.d.ApplyHeartbeats(sim.now, heartbeats)
+	}
 	sim.d.ApplyView(sim.now, sim.view.View())
-	sim.d.ApplyHeartbeats(sim.now, heartbeats)
 	a := sim.d.Step(sim.now)
 	if a.Commit != nil {
 		sim.commits++
--- a/internal/plan/group/process_test.go
+++ b/internal/plan/group/process_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"geraniumhollow/internal/fleet/index"
 	"geraniumhollow/internal/fleet/server"
 	"geraniumhollow/internal/plan/group"
 )
@@ -121,6 +122,21 @@
 	}
 }
 
+// Guards against a keeper that dissolves groups because it has not read the registry yet, and takes their heads for unregistered.
+func TestKeepsGroupsUntilRegistryIsRead(t *testing.T) {
+	t.Parallel()
+	sim := newTripleSimulation(t, 5)
+	f := sim.open()["g1"]
+	sim.view, sim.noRegistry = index.New(), true
+	sim.takeOver(false)
+	sim.run(3 * time.Second)
+	sim.noRegistry = false
+	sim.run(3 * time.Second)
+	if g, ok := sim.open()["g1"]; !ok || g.Epoch != f.Epoch || len(sim.orders) > 0 {
+		t.Errorf("the group is %+v, open %v, was %+v; orders: %v", g, ok, f, sim.orders)
+	}
+}
+
 // Guards against a group that is formed anew when a keeper takes over a plan of an earlier version, and against a plan that never
 // gets the start times of its members.
 func TestPlanOfEarlierVersion(t *testing.T) {
--- a/internal/plan/group/restore_test.go
+++ b/internal/plan/group/restore_test.go
@@ -110,7 +110,7 @@
 	t.Parallel()
 	now := time.Unix(1000, 0)
 	d := newDecider(newEngine(), group.Plan{}.TakenOver(duty.FirstOfEra(2)+1))
-	v := &index.View{Servers: make(map[string]*index.Entry), Services: make(map[string][]*index.Entry)}
+	v := &index.View{Servers: make(map[string]*index.Entry), Services: make(map[string][]*index.Entry), Read: true}
 	truth := make(map[string]server.Info)
 	for rank, id := range []string{"s0", "s1", "s2"} {
 		i := server.Info{ID: id, Service: "llm", Address: id, Domain: "d", DataCentre: "dc", StartedAt: now, StagedModels: []string{"m"}}
