Heads that have started again under their IDs do not wait

The keeper that took over wanted them to rejoin, noted in the plan that they may open again, as orders of the keeper before may be outstanding, and formed the groups anew in the same step. All groups then waited 14.5 s for their heads.

Orders end with the process that they were given to, and the plan names it: a head that has started since cannot open the formation again. And what the plan says of heads is only noted for formations that get orders, not for retired ones.

Test: TestHeadsStartAgainBeforeTakeover (failed before: 0 of 3 groups open after 4 s).

--- a/internal/plan/group/late_test.go
+++ b/internal/plan/group/late_test.go
@@ -120,6 +120,32 @@
 	}
 }
 
+// Guards against groups that stay down for as long as orders may be late because their heads have started again under their IDs
+// before a new keeper takes over (soak, seed 9404).
+func TestHeadsStartAgainBeforeTakeover(t *testing.T) {
+	t.Parallel()
+	for name, lose := range map[string]func(sim *simulation, id string){
+		"with weights":    func(sim *simulation, id string) { sim.startAgain(id, id) },
+		"without weights": func(sim *simulation, id string) { sim.addCold(id) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			sim := newSimulation(t, 7)
+			sim.run(3 * time.Second)
+			open := sim.open()
+			for _, f := range open {
+				lose(sim, f.Head())
+			}
+			sim.d = newDecider(newEngine(), sim.d.Plan().TakenOver(2))
+			sim.d.TrafficStarted()
+			sim.run(4 * time.Second)
+			if got := sim.open(); len(got) < len(open)-1 {
+				t.Errorf("%d of %d groups are open: %v", len(got), len(open), sim.orders)
+			}
+		})
+	}
+}
+
 // Guards against a keeper that leaves the next one without knowledge of orders to a head that may still be executed.
 func TestStoresThatHeadMayReopen(t *testing.T) {
 	t.Parallel()
--- a/internal/plan/group/reopen.go
+++ b/internal/plan/group/reopen.go
@@ -33,7 +33,7 @@
 // outstandingUntil returns until when an order of a kind for a formation may still be executed, as far as this keeper knows.
 func (d *Decider) outstandingUntil(s *serverState, f Formation, k Kind) time.Time {
 	var until time.Time
-	if d.isInherited(f) {
+	if d.isInherited(f) && !s.startedAfter(f) {
 		until = d.startedAt.Add(d.cfg.Overlap + maxOrderDelay)
 	}
 	if o, ok := s.lastOrders[k]; ok && o.outcome == "" && o.order.Group == f.Group && o.order.Epoch == f.Epoch {
@@ -60,11 +60,18 @@
 	}
 }
 
+// startedAfter reports whether the head of a formation has started again since the plan named its process. It is not ordered to
+// open before the plan names the new one.
+func (s *serverState) startedAfter(f Formation) bool {
+	start := f.startedAt(0)
+	return !start.IsZero() && !s.StartedAt.IsZero() && !start.Equal(s.StartedAt)
+}
+
 // mayReopen reports whether the head of a retired formation that has left it can still rejoin and open it. It cannot once it has
 // seen a later epoch.
 func (d *Decider) mayReopen(now time.Time, head *serverState, f Formation) bool {
 	switch {
-	case head.highestEpoch > f.Epoch:
+	case head.highestEpoch > f.Epoch || head.startedAfter(f):
 		return false
 	case d.isInherited(f):
 		return now.Before(later(d.startedAt.Add(d.cfg.Overlap), d.storedUntil(f)))
@@ -100,11 +107,14 @@
 	return false
 }
 
-// recordReopening updates in a plan for how long heads may reopen.
+// recordReopening updates in a plan for how long heads may reopen. Retired formations get no more such orders.
 func (d *Decider) recordReopening(now time.Time, p *Plan) {
-	for _, list := range [][]Formation{p.Current, p.Retired} {
+	for n, list := range [][]Formation{p.Current, p.Retired} {
 		for i, f := range list {
-			until := later(d.storedUntil(f), d.reopening[f.key()])
+			until := d.storedUntil(f)
+			if n == 0 {
+				until = later(until, d.reopening[f.key()])
+			}
 			list[i].NoReopen, list[i].ReopenMs = !now.Before(until), 0
 			if now.Before(until) {
 				list[i].ReopenMs = until.Sub(now).Milliseconds() + 1
