--- a/internal/plan/group/order.go
+++ b/internal/plan/group/order.go
@@ -202,15 +202,19 @@
 	if !s.memberKnown || d.isHeld(s.Domain) || d.boundToRetired(now, s.ID) {
 		return false
 	}
-	return !s.Member.InGroup() || s.isMemberOf(f) || !d.headServes(s)
+	return !s.Member.InGroup() || s.isMemberOf(f) || !d.headMayServe(s)
 }
 
-// headServes reports whether the head of the formation that a server reported may be serving.
-func (d *Decider) headServes(s *serverState) bool {
+// headMayServe reports whether the head of the formation that a server reported may be serving, by its last state and by an order
+// to open that may have changed it since.
+func (d *Decider) headMayServe(s *serverState) bool {
 	for _, o := range d.servers {
-		if o.Member.InFormation(s.Member.Group, s.Member.Epoch) && o.Member.Rank == 0 && !o.exited {
-			return o.Member.State == server.Open || o.Member.State == server.Closing
+		if !o.Member.InFormation(s.Member.Group, s.Member.Epoch) || o.Member.Rank != 0 || o.exited {
+			continue
 		}
+		opened, ok := o.lastOrders[Open]
+		ordered := ok && opened.order.Group == s.Member.Group && opened.order.Epoch == s.Member.Epoch && opened.outcome != Rejected
+		return o.Member.State == server.Open || o.Member.State == server.Closing || o.Member.State == server.Ready && ordered
 	}
 	return false
 }
--- a/internal/plan/group/probe.go
+++ b/internal/plan/group/probe.go
@@ -73,11 +73,24 @@
 		s.exited = true
 		return
 	}
+	if s.lost() {
+		d.domainReturned(s)
+	}
 	s.exited, s.missedProbes, s.excusedMisses, s.unreachableByPeers, s.pace = false, 0, 0, false, r.Slowdown
 	s.answeredAt = now
 	s.update(r.Info)
 }
 
+// domainReturned has the lost servers of a domain probed again, by other nodes as well, because one of its servers answers again:
+// they may have been cut off together, and what nobody reached may have gone on to serve.
+func (d *Decider) domainReturned(s *serverState) {
+	for _, o := range d.inDomain(s.Domain) {
+		if o != s && o.lost() && !o.exited {
+			o.unreachableByPeers, o.peersAskedAt, o.probedAt = false, time.Time{}, time.Time{}
+		}
+	}
+}
+
 // identifies reports whether a membership is one that the plan gives to a server. Reports do not have the ID of the server, and
 // any process at the address answers, but a rank of a formation belongs to one ID.
 func (d *Decider) identifies(id string, m server.Member) bool {
--- a/internal/plan/group/server.go
+++ b/internal/plan/group/server.go
@@ -137,6 +137,9 @@
 		// Reading the same registry entry again does not prove that the server is alive.
 		return
 	}
+	if s.lost() {
+		d.domainReturned(s)
+	}
 	s.exited, s.missedProbes, s.excusedMisses = false, 0, 0
 	if e.Member.State == server.Broken {
 		d.RequestProbes(e.Member.Group, e.Member.Epoch)
