--- a/internal/node/seat/notice.go
+++ b/internal/node/seat/notice.go
@@ -37,8 +37,8 @@
 		x = notice{sender: e}
 	}
 	x.leaving = x.leaving || a.Draining
-	if a.RetryAfter > 0 {
-		x.blockedUntil = now.Add(a.RetryAfter)
+	if until := now.Add(a.RetryAfter); until.After(x.blockedUntil) {
+		x.blockedUntil = until
 	}
 	x.lastRegistered = now
 	n[e.ID] = x
--- a/internal/node/seat/notice_test.go
+++ b/internal/node/seat/notice_test.go
@@ -67,8 +67,8 @@
 	})
 }
 
-// Guards against requests to a server that has refused one with a Retry-After before that time has passed, and against
-// calls that wait for such a server although it becomes available too late.
+// Guards against requests to a server that has refused one with a Retry-After before that time has passed, also if a later
+// refusal has a shorter one, and against calls that wait for such a server although it becomes available too late.
 func TestRetryAfterOfServer(t *testing.T) {
 	t.Parallel()
 	runWithFakeClock(t, func(t *testing.T, ctx context.Context, _ func(*testBed)) {
@@ -76,6 +76,7 @@
 		b.put("a")
 		s := b.mustPick(ctx, t)
 		s.HeadersReceived(pass.ResponseInfo{NotStarted: true, RetryAfter: time.Second})
+		s.HeadersReceived(pass.ResponseInfo{NotStarted: true, RetryAfter: time.Second / 10})
 		s.Release(pass.NotRun)
 		begun := time.Now()
 		_, _, refusal := b.pick(ctx)
