Interleavings: servers come back at their addresses, under other IDs or the same

Each server had an address of its own, so that no process ever answered for another. A server that has ended now comes back at a new address, or at its old one under a new ID or under its own. Reports are answered by whoever uses the address, orders for another ID get misdirected, and late orders end with the process that they were sent to.

--- a/internal/bench/plans/chaos.go
+++ b/internal/bench/plans/chaos.go
@@ -161,7 +161,14 @@
 	switch fault {
 	case 0, 1:
 		e.alive = false
-		c.later(longFault, func() { c.add(e.domain).staged = e.staged })
+		switch c.src.IntN(3) {
+		case 0:
+			c.later(longFault, func() { c.add(e.domain).staged = e.staged })
+		case 1:
+			c.later(longFault, func() { c.again(e, false) })
+		default:
+			c.later(longFault, func() { c.again(e, true) })
+		}
 	case 2:
 		if !e.dark || c.isolate {
 			e.cut = true
@@ -277,7 +284,7 @@
 		c.probe(k, p)
 	}
 	for _, p := range a.PeerProbes {
-		if e := c.byID[p.Server]; e == nil || e.cut || !e.alive {
+		if e := c.byAddr[p.Address]; e == nil || e.cut || !e.alive {
 			k.decider.PeerProbesDone(p.Server, 3, 0)
 		} else {
 			k.decider.PeerProbesDone(p.Server, 3, 3)
@@ -300,36 +307,41 @@
 
 // deliver carries an order to its engine, loses it, or carries it out late.
 func (c *chaos) deliver(o group.Order) group.Outcome {
-	e := c.byID[o.Server]
+	e := c.byAddr[o.Address]
 	if e == nil {
 		return group.Rejected
 	}
 	if !e.alive || e.cut {
 		if c.chance(2) {
-			c.delay(o)
+			c.delay(e, o)
 		}
 		return group.Unknown
 	}
+	if e.id != o.Server {
+		return group.Misdirected
+	}
 	switch c.src.IntN(20) {
 	case 0:
 		return group.Unknown
 	case 1, 2:
-		c.delay(o)
+		c.delay(e, o)
 		return group.Unknown
 	case 3:
-		c.apply(o)
+		c.apply(e, o)
 		return group.Unknown
 	default:
-		return c.apply(o)
+		return c.apply(e, o)
 	}
 }
 
-func (c *chaos) delay(o group.Order) {
-	c.late = append(c.late, late{at: c.now.Add(2*time.Second + c.span(longestLate)), order: o})
+func (c *chaos) delay(e *engine, o group.Order) {
+	if e.id == o.Server {
+		c.late = append(c.late, late{at: c.now.Add(2*time.Second + c.span(longestLate)), to: e, order: o})
+	}
 }
 
 func (c *chaos) probe(k *keeper, p group.Probe) {
-	e := c.byID[p.Server]
+	e := c.byAddr[p.Address]
 	switch {
 	case e == nil || !e.alive:
 		k.decider.ProbeFailed(p.Server, c.chance(2))
--- a/internal/bench/plans/world.go
+++ b/internal/bench/plans/world.go
@@ -33,9 +33,10 @@
 	}
 }
 
-// engine is a modelled backend server.
+// engine is a modelled process of a backend server.
 type engine struct {
 	id     string
+	addr   string
 	domain string
 	born   time.Time
 	alive  bool
@@ -62,9 +63,10 @@
 	list  string
 }
 
-// late is an order that will be carried out at a time.
+// late is an order that a process will carry out at a time.
 type late struct {
 	at    time.Time
+	to    *engine
 	order group.Order
 }
 
@@ -73,8 +75,10 @@
 	now     time.Time
 	engines []*engine
 	byID    map[string]*engine
-	lives   int
-	late    []late
+	// byAddr has the process that used an address last.
+	byAddr map[string]*engine
+	lives  int
+	late   []late
 	// ready are the members that have been ready, by formation.
 	ready  map[formation]map[string]bool
 	opened int
@@ -93,7 +97,7 @@
 var worldStart = time.Unix(1_000_000, 0)
 
 func newWorld() *world {
-	w := &world{now: worldStart, byID: make(map[string]*engine), ready: make(map[formation]map[string]bool)}
+	w := &world{now: worldStart, byID: make(map[string]*engine), byAddr: make(map[string]*engine), ready: make(map[formation]map[string]bool)}
 	for d := range modelDomains {
 		for range domainHosts {
 			w.add(fmt.Sprintf("d%d", d))
@@ -105,12 +109,28 @@
 // add starts an engine in a domain.
 func (w *world) add(domain string) *engine {
 	w.lives++
-	e := &engine{id: fmt.Sprintf("e%02d", w.lives), domain: domain, born: w.now, alive: true}
+	id := fmt.Sprintf("e%02d", w.lives)
+	return w.start(&engine{id: id, addr: id, domain: domain})
+}
+
+func (w *world) start(e *engine) *engine {
+	e.born, e.alive = w.now, true
 	w.engines = append(w.engines, e)
-	w.byID[e.id] = e
+	w.byID[e.id], w.byAddr[e.addr] = e, e
 	return e
 }
 
+// again starts another process on the host of an engine that has ended, at its address. It may have the same ID.
+func (w *world) again(e *engine, sameID bool) {
+	n := &engine{id: e.id, addr: e.addr, domain: e.domain, staged: e.staged}
+	if !sameID {
+		w.lives++
+		n.id = fmt.Sprintf("e%02d", w.lives)
+	}
+	w.logf("%s is followed by %s at %s", e.id, n.id, n.addr)
+	w.start(n)
+}
+
 // advance lets time pass: joins and opens end, late orders are carried out, broken heads are noted.
 func (w *world) advance(d time.Duration) {
 	w.now = w.now.Add(d)
@@ -118,7 +138,9 @@
 		if w.now.Before(l.at) {
 			return false
 		}
-		w.apply(l.order)
+		if l.to.alive {
+			w.apply(l.to, l.order)
+		}
 		return true
 	})
 	for _, e := range w.engines {
@@ -212,12 +234,8 @@
 	}
 }
 
-// apply carries out an order.
-func (w *world) apply(o group.Order) group.Outcome {
-	e := w.byID[o.Server]
-	if e == nil || !e.alive {
-		return group.Unknown
-	}
+// apply has an engine that lives carry out an order.
+func (w *world) apply(e *engine, o group.Order) group.Outcome {
 	w.logf("%s carries out %s %s/%d", e.id, o.Kind, o.Group, o.Epoch)
 	in := e.group == o.Group && e.epoch == o.Epoch
 	switch o.Kind {
@@ -283,7 +301,7 @@
 // info is what an engine says of itself.
 func (e *engine) info() server.Info {
 	i := server.Info{
-		ID: e.id, Service: "llm", Address: e.id, DataCentre: "dc", Domain: e.domain, Slots: 4, StartedAt: e.born, RenewalSeq: e.beat,
+		ID: e.id, Service: "llm", Address: e.addr, DataCentre: "dc", Domain: e.domain, Slots: 4, StartedAt: e.born, RenewalSeq: e.beat,
 	}
 	if e.staged != "" {
 		i.StagedModels = []string{e.staged}
