--- a/internal/plan/group/decider.go
+++ b/internal/plan/group/decider.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -97,7 +98,10 @@
 		closingSince: make(map[index.Formation]time.Time), rejected: sets.New[index.Formation](), reopenUntil: make(map[index.Formation]time.Time),
 		reopening: make(map[index.Formation]time.Time), headWaits: make(map[index.Formation]time.Time),
 	}
-	for _, f := range slices.Concat(plan.Current, plan.Retired) {
+	// The latest formation of a server has its last known start.
+	formations := slices.Concat(plan.Current, plan.Retired)
+	slices.SortStableFunc(formations, func(a, b Formation) int { return cmp.Compare(b.Epoch, a.Epoch) })
+	for _, f := range formations {
 		d.restoreMembers(f)
 	}
 	return d
--- a/internal/plan/group/process_test.go
+++ b/internal/plan/group/process_test.go
@@ -122,6 +122,27 @@
 	}
 }
 
+// Guards against a keeper that takes a member for ended because it has started again since an earlier formation of the plan (an
+// interleaving in which members joined another group while their head served, TWO).
+func TestLastStartOfMember(t *testing.T) {
+	t.Parallel()
+	sim := newTripleSimulation(t, 5)
+	f := sim.open()["g1"]
+	earlier := f
+	earlier.Group, earlier.Epoch, earlier.Started = "g0", 0, make([]int64, len(f.Started))
+	for i, start := range f.Started {
+		earlier.Started[i] = start - 1000
+	}
+	sim.unlisted[f.Head()] = true
+	plan := sim.d.Plan()
+	plan.Current, plan.Retired = nil, []group.Formation{earlier, f}
+	sim.d = newTripleDecider(plan.TakenOver(2))
+	sim.run(5 * time.Second)
+	if len(sim.open()) != 1 {
+		t.Errorf("no group is open: %v", sim.orders)
+	}
+}
+
 // Guards against a keeper that dissolves groups because it has not read the registry yet, and takes their heads for unregistered.
 func TestKeepsGroupsUntilRegistryIsRead(t *testing.T) {
 	t.Parallel()
