--- a/internal/bench/plans/chaos.go
+++ b/internal/bench/plans/chaos.go
@@ -120,9 +120,9 @@
 }
 
 // later undoes a fault after some time.
-func (c *chaos) later(longest time.Duration, undo func()) {
+func (c *chaos) later(undo func()) {
 	c.heals = append(c.heals, undo)
-	c.healAt = append(c.healAt, c.now.Add(c.span(longest)))
+	c.healAt = append(c.healAt, c.now.Add(c.span(longFault)))
 }
 
 func (c *chaos) heal() {
@@ -163,21 +163,21 @@
 		e.alive = false
 		switch c.src.IntN(3) {
 		case 0:
-			c.later(longFault, func() { c.add(e.domain).staged = e.staged })
+			c.later(func() { c.add(e.domain).staged = e.staged })
 		case 1:
-			c.later(longFault, func() { c.again(e, false) })
+			c.later(func() { c.again(e, false) })
 		default:
-			c.later(longFault, func() { c.again(e, true) })
+			c.later(func() { c.again(e, true) })
 		}
 	case 2:
 		if !e.dark || c.isolate {
 			e.cut = true
-			c.later(longFault, func() { e.cut = false })
+			c.later(func() { e.cut = false })
 		}
 	default:
 		if !e.cut || c.isolate {
 			e.dark = true
-			c.later(longFault, func() { e.dark = false })
+			c.later(func() { e.dark = false })
 		}
 	}
 }
--- a/internal/plan/group/order.go
+++ b/internal/plan/group/order.go
@@ -110,11 +110,20 @@
 		s.lastOrders[o.Kind] = last
 	}
 	d.recordRejected(o, outcome)
+	if outcome == Unknown {
+		if o.Kind == Join || o.Kind == Open {
+			s.unconfirmed[unansweredOrder{o.Kind, o.Epoch}] = now
+		}
+		return
+	}
+	if o.StartedAt.IsZero() || o.StartedAt.Equal(s.StartedAt) { // Else the server has started again since.
+		s.apply(o, outcome)
+	}
+}
+
+// apply applies the known outcome of an order.
+func (s *serverState) apply(o Order, outcome Outcome) {
 	switch {
-	case outcome == Unknown && (o.Kind == Join || o.Kind == Open):
-		s.unconfirmed[unansweredOrder{o.Kind, o.Epoch}] = now
-	case !o.StartedAt.IsZero() && !o.StartedAt.Equal(s.StartedAt):
-		// The server has started again since.
 	case outcome == Misdirected && o.StartedAt.Equal(s.StartedAt):
 		s.exited = true
 	case outcome == Accepted && o.Kind == Join:
@@ -219,6 +228,13 @@
 	return false
 }
 
+// mayOrderJoin reports whether the member of a formation with a rank may be ordered to join it now.
+func (d *Decider) mayOrderJoin(now time.Time, f Formation, rank int) bool {
+	s := d.servers[f.Members[rank]]
+	return d.mayJoin(now, s, f) && (rank > 0 || d.mayOrderHead(now, s, f, Join)) &&
+		(s.HasStaged(f.Model) || d.reserveLoad(now, s, groupLoadShare))
+}
+
 // formOrders returns the orders that form a group.
 func (d *Decider) formOrders(now time.Time, f Formation) []Order {
 	var out []Order
@@ -230,7 +246,7 @@
 		case s.hasJoined(f, rank) && s.Member.State != server.Joining && s.memberKnown:
 			ready++
 		case s.hasJoined(f, rank):
-		case d.mayJoin(now, s, f) && (rank > 0 || d.mayOrderHead(now, s, f, Join)) && (s.HasStaged(f.Model) || d.reserveLoad(now, s, groupLoadShare)):
+		case d.mayOrderJoin(now, f, rank):
 			out = append(out, d.issue(now, s, Order{Kind: Join, Group: f.Group, Epoch: f.Epoch, Model: f.Model, Members: f.Members})...)
 		}
 	}
