--- a/internal/plan/group/probe.go
+++ b/internal/plan/group/probe.go
@@ -95,7 +95,7 @@
 // any process at the address answers, but a rank of a formation belongs to one ID.
 func (d *Decider) identifies(id string, m server.Member) bool {
 	for _, f := range slices.Concat(d.plan.Current, d.plan.Retired) {
-		if m.InFormation(f.Group, f.Epoch) && m.Rank < len(f.Members) && f.Members[m.Rank] == id {
+		if m.InFormation(f.Group, f.Epoch) && m.Rank >= 0 && m.Rank < len(f.Members) && f.Members[m.Rank] == id {
 			return true
 		}
 	}
