Answer a request whose body stops with 408, not with 400 or a closed connection

Callers saw: a body in chunks that stopped to arrive ended with a closed connection, or with 400 where it stopped within the line of a chunk's size or within the trailer. 400 tells a caller not to try again; 408 promises that the request was not run. Cause: the status was chosen from the parser's error, in which the error of the connection is often hidden (fasthttp.ErrBrokenChunk does not unwrap, a trailer's time-out is fasthttp.ErrTimeout), and a time-out of the body counted as a failed connection. Why this works: the reader of the connection records its error, so that the choice does not depend on the parser.

--- a/internal/node/front/conn.go
+++ b/internal/node/front/conn.go
@@ -45,6 +45,8 @@
 	nc  net.Conn
 	br  *bufio.Reader
 	srv *Server
+	// readErr is the last error of reading from nc.
+	readErr error
 	// busy is set while a request is handled.
 	busy atomic.Bool
 	// answering is set once part of the response may have been sent, and cancel cancels the context of the request.
@@ -60,7 +62,7 @@
 func (c *conn) serve(ctx context.Context, g *tasks.Group) {
 	defer func() { _ = c.nc.Close() }()
 	c.lastActive = time.Now()
-	c.br = newReader(c.nc, c.srv.limits())
+	c.br = newReader(connReader{c}, c.srv.limits())
 	c.logClosed(c.serveRequests(ctx, g))
 }
 
@@ -148,11 +150,12 @@
 // readInto reads a request into m. On an error, it returns the status to refuse the request with, or 0 if the
 // connection has failed.
 func (c *conn) readInto(pending *pendingRequest, l Limits) (int, error) {
+	c.readErr = nil
 	if err := c.nc.SetReadDeadline(time.Now().Add(l.HeaderTimeout)); err != nil {
 		return 0, errors.Newf("set deadline: %w", err)
 	}
 	if err := pending.req.Header.Read(c.br); err != nil {
-		return headerErrorStatus(err), errors.Newf("read header: %w", err)
+		return c.readErrorStatus(err), errors.Newf("read header: %w", err)
 	}
 	if hasTwoLengths(&pending.req.Header) {
 		return fasthttp.StatusBadRequest, errors.New("request has both Content-Length and Transfer-Encoding")
@@ -170,13 +173,7 @@
 		}
 	}
 	if err := pending.req.ContinueReadBody(c.br, l.BodyBytes, false); err != nil {
-		if errors.Is(err, fasthttp.ErrBodyTooLarge) {
-			return fasthttp.StatusRequestEntityTooLarge, err
-		}
-		if isConnError(err) {
-			return 0, errors.Newf("read body: %w", err)
-		}
-		return fasthttp.StatusBadRequest, errors.Newf("read body: %w", err)
+		return c.readErrorStatus(err), errors.Newf("read body: %w", err)
 	}
 	return 0, nil
 }
@@ -193,31 +190,40 @@
 	return chunks && length
 }
 
-func headerErrorStatus(err error) int {
+// readErrorStatus returns the status to refuse a request with that cannot be read, or 0 if the connection has failed.
+func (c *conn) readErrorStatus(err error) int {
 	var small *fasthttp.ErrSmallBuffer
 	switch {
-	case errors.As(err, &small):
-		return fasthttp.StatusRequestHeaderFieldsTooLarge
-	case isTimeout(err):
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		return fasthttp.StatusRequestEntityTooLarge
+	case isTimeout(c.readErr):
 		return fasthttp.StatusRequestTimeout
-	case isConnError(err):
+	case c.readErr != nil:
 		return 0
+	case errors.As(err, &small):
+		return fasthttp.StatusRequestHeaderFieldsTooLarge
 	default:
 		return fasthttp.StatusBadRequest
 	}
 }
 
+// connReader reads from the connection and records the error, which the parser hides in its own.
+type connReader struct{ c *conn }
+
+// Read implements io.Reader.
+func (r connReader) Read(b []byte) (int, error) {
+	n, err := r.c.nc.Read(b)
+	if err != nil {
+		r.c.readErr = err
+	}
+	return n, err //nolint:wrapcheck // io.Reader: callers compare the error.
+}
+
 func isTimeout(err error) bool {
 	var ne net.Error
 	return errors.As(err, &ne) && ne.Timeout()
 }
 
-// isConnError reports whether an error was caused by the connection rather than by an invalid request.
-func isConnError(err error) bool {
-	var op *net.OpError
-	return errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, net.ErrClosed) || errors.As(err, &op)
-}
-
 // refuse responds to a request that could not be read. The caller of refuse closes the connection.
 func (c *conn) refuse(status int) {
 	w := &Writer{conn: c, closeAfter: true}
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -9,6 +9,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -236,4 +237,4 @@
 func (s *Server) limits() Limits { return s.cfg.Limits().withDefaults() }
 
 // newReader returns a reader whose buffer holds a header of the maximum size.
-func newReader(nc net.Conn, l Limits) *bufio.Reader { return bufio.NewReaderSize(nc, l.HeaderBytes) }
+func newReader(r io.Reader, l Limits) *bufio.Reader { return bufio.NewReaderSize(r, l.HeaderBytes) }
--- a/internal/node/front/front_test.go
+++ b/internal/node/front/front_test.go
@@ -10,6 +10,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -168,6 +169,30 @@
 	}
 }
 
+// Guards against a body that stops to arrive and is refused as malformed, or not at all.
+func TestBodyStops(t *testing.T) {
+	t.Parallel()
+	s := newTestServer(t, 0)
+	for _, body := range []string{
+		"", "3", "3\r", "3\r\n", "3\r\nabc", "3\r\nabc\r", "3\r\nabc\r\n", "3\r\nabc\r\n0", "3\r\nabc\r\n0\r", "3\r\nabc\r\n0\r\n",
+		"3\r\nabc\r\n0\r\n\r",
+	} {
+		t.Run(strconv.Quote(body), func(t *testing.T) {
+			t.Parallel()
+			nc, br := s.dial(t)
+			send(t, nc, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"+body)
+			resp, err := http.ReadResponse(br, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = resp.Body.Close()
+			if resp.StatusCode != http.StatusRequestTimeout {
+				t.Errorf("got %d", resp.StatusCode)
+			}
+		})
+	}
+}
+
 // Guards against connections that are closed after one response, are never closed, or lack Connection: close in their
 // last response.
 func TestKeepAlive(t *testing.T) {
