Let a request that is arriving when a node drains be read and handled

Callers saw: a request whose bytes were still arriving 2.3 s after the SIGTERM of its node, on a kept connection, ended with a closed connection, a reset, 400 or 408, and its caller had to send it again elsewhere. Bodies in chunks arrive in several packets, so they are hit more than others. Cause: Drain set the read deadline of every connection that was not handling a request to the present, also where part of a request had been read. The connection did not tell waiting for a request from reading one. The same deadline hit the wait for the caller's disconnect, which was not noticed any more for a request that came at the same moment. Why this works: a connection has a phase, and its deadline follows from the phase and from whether the server drains, under one lock. A waiting connection ends at once; a request that has begun to arrive has 0.5 s more, and is then refused with 408.

--- a/internal/node/front/conn.go
+++ b/internal/node/front/conn.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -40,6 +41,24 @@
 	closedIncomplete   closeReason = "incomplete response"
 )
 
+// drainReadTime is how long a draining server reads on a request that has begun to arrive.
+const drainReadTime = 500 * time.Millisecond
+
+// phase is what a connection does.
+type phase int
+
+// Phases of a connection, which repeat with each request.
+const (
+	// awaiting means that no byte of a request has arrived.
+	awaiting phase = iota
+	// reading means that part of a request has arrived.
+	reading
+	// handling means that a request is handled.
+	handling
+	// lingering means that the last response has been sent.
+	lingering
+)
+
 // conn is a connection of a caller.
 type conn struct {
 	nc  net.Conn
@@ -47,8 +66,10 @@
 	srv *Server
 	// readErr is the last error of reading from nc.
 	readErr error
-	// busy is set while a request is handled.
-	busy atomic.Bool
+	// mu guards phase and deadline, the read deadline of the phase if the server does not drain.
+	mu       sync.Mutex
+	phase    phase
+	deadline time.Time
 	// answering is set once part of the response may have been sent, and cancel cancels the context of the request.
 	answering atomic.Bool
 	cancel    atomic.Pointer[context.CancelCauseFunc]
@@ -83,10 +104,53 @@
 	}
 }
 
+// enter begins a phase with a read deadline, or none.
+func (c *conn) enter(p phase, deadline time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase, c.deadline = p, deadline
+	return c.applyDeadline()
+}
+
+// drain applies the deadline of a draining server.
+func (c *conn) drain() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.applyDeadline()
+}
+
+// applyDeadline sets the read deadline of the phase. While the server drains, no request may begin, and one that has begun must
+// arrive soon. The lock must be held.
+func (c *conn) applyDeadline() error {
+	t := c.deadline
+	if since := c.srv.draining.Load(); since != nil {
+		switch c.phase {
+		case awaiting:
+			t = *since
+		case reading:
+			if by := since.Add(drainReadTime); by.Before(t) {
+				t = by
+			}
+		case handling, lingering:
+		}
+	}
+	if err := c.nc.SetReadDeadline(t); err != nil {
+		return errors.Newf("set deadline: %w", err)
+	}
+	return nil
+}
+
+// busy reports whether a request is being handled.
+func (c *conn) busy() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.phase == handling
+}
+
 // readErrorReason returns the reason for closing a connection on which waiting for a request failed.
 func (c *conn) readErrorReason(err error) closeReason {
 	switch {
-	case isTimeout(err) && c.srv.draining.Load():
+	case isTimeout(err) && c.srv.draining.Load() != nil:
 		return closedDraining
 	case isTimeout(err):
 		return closedIdle
@@ -111,16 +175,12 @@
 func (c *conn) awaitRequest() error {
 	for c.br.Buffered() == 0 {
 		idleUntil := c.idleUntil()
-		if err := c.nc.SetReadDeadline(idleUntil); err != nil {
-			return errors.Newf("set deadline: %w", err)
-		}
-		if c.srv.draining.Load() {
-			// Checked after setting the idle deadline, so that a concurrent Drain is not missed.
-			_ = c.nc.SetReadDeadline(time.Now())
+		if err := c.enter(awaiting, idleUntil); err != nil {
+			return err
 		}
 		_, err := c.br.Peek(1)
 		// A new configuration may have extended the idle timeout, on which callers rely.
-		extended := isTimeout(err) && !c.srv.draining.Load() && c.idleUntil().After(idleUntil)
+		extended := isTimeout(err) && c.srv.draining.Load() == nil && c.idleUntil().After(idleUntil)
 		if err != nil && !extended {
 			return errors.Newf("wait for a request: %w", err)
 		}
@@ -151,8 +211,8 @@
 // connection has failed.
 func (c *conn) readInto(pending *pendingRequest, l Limits) (int, error) {
 	c.readErr = nil
-	if err := c.nc.SetReadDeadline(time.Now().Add(l.HeaderTimeout)); err != nil {
-		return 0, errors.Newf("set deadline: %w", err)
+	if err := c.enter(reading, time.Now().Add(l.HeaderTimeout)); err != nil {
+		return 0, err
 	}
 	if err := pending.req.Header.Read(c.br); err != nil {
 		return c.readErrorStatus(err), errors.Newf("read header: %w", err)
@@ -161,8 +221,8 @@
 		return fasthttp.StatusBadRequest, errors.New("request has both Content-Length and Transfer-Encoding")
 	}
 	pending.req.Header.SetNoDefaultContentType(true)
-	if err := c.nc.SetReadDeadline(time.Now().Add(l.IdleTimeout)); err != nil {
-		return 0, errors.Newf("set deadline: %w", err)
+	if err := c.enter(reading, time.Now().Add(l.IdleTimeout)); err != nil {
+		return 0, err
 	}
 	if pending.req.Header.ContentLength() > l.BodyBytes {
 		return fasthttp.StatusRequestEntityTooLarge, fasthttp.ErrBodyTooLarge
@@ -237,12 +297,11 @@
 	defer cancel(nil)
 	c.answering.Store(false)
 	c.cancel.Store(&cancel)
-	c.busy.Store(true)
 	callerCloses := pending.req.Header.ConnectionClose()
 	w := &Writer{
 		conn: c, headRequest: pending.req.Header.IsHead(), closeAfter: callerCloses, http10: !pending.req.Header.IsHTTP11(),
 	}
-	if err := c.nc.SetReadDeadline(time.Time{}); err != nil {
+	if err := c.enter(handling, time.Time{}); err != nil {
 		pending.release()
 		return c.readErrorReason(err), true
 	}
@@ -255,8 +314,7 @@
 		c.requests++
 		c.lastActive = time.Now()
 		// After the response, the reader waits for the next request or the idle timeout.
-		c.busy.Store(false)
-		_ = c.nc.SetReadDeadline(c.nextDeadline(w))
+		_ = c.enter(awaiting, c.nextDeadline(w))
 		return nil
 	})
 	_, err := c.br.Peek(1)
@@ -282,7 +340,7 @@
 
 // nextDeadline returns the read deadline after a response.
 func (c *conn) nextDeadline(w *Writer) time.Time {
-	if w.closeAfter || w.incomplete || c.srv.draining.Load() {
+	if w.closeAfter || w.incomplete {
 		return time.Now()
 	}
 	return time.Now().Add(c.srv.limits().IdleTimeout)
@@ -293,7 +351,7 @@
 	if tcp, ok := c.nc.(*net.TCPConn); ok {
 		_ = tcp.CloseWrite()
 	}
-	_ = c.nc.SetReadDeadline(time.Now().Add(lingerTimeout))
+	_ = c.enter(lingering, time.Now().Add(lingerTimeout))
 	_, _ = io.CopyN(io.Discard, c.nc, lingerBytes)
 }
 
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -88,10 +88,10 @@
 // Server serves the callers of a node. It is safe for concurrent use.
 type Server struct {
 	cfg Config
-	// closeAfterResponse is set if each connection is closed after its next response, draining if connections without
-	// a request are closed at once.
+	// closeAfterResponse is set if each connection is closed after its next response. draining is when Drain was called, after
+	// which connections without a request are closed at once.
 	closeAfterResponse atomic.Bool
-	draining           atomic.Bool
+	draining           atomic.Pointer[time.Time]
 
 	mu    sync.Mutex
 	ln    net.Listener
@@ -155,20 +155,18 @@
 	}
 }
 
-// Drain stops accepting connections, closes each connection after the current response, and closes idle connections.
+// Drain stops accepting connections, closes each connection after the current response, and closes idle connections. A request
+// that has begun to arrive is still read and handled.
 func (s *Server) Drain() {
 	s.closeAfterResponse.Store(true)
-	s.draining.Store(true)
+	s.draining.CompareAndSwap(nil, new(time.Now()))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ln != nil {
 		_ = s.ln.Close()
 	}
 	for c := range s.conns {
-		if !c.busy.Load() {
-			// Wake the reader of the connection, which then sees that the server is draining.
-			_ = c.nc.SetReadDeadline(time.Now())
-		}
+		_ = c.drain()
 	}
 }
 
@@ -181,7 +179,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if cancel := c.cancel.Load(); cancel != nil && c.busy.Load() && !c.answering.Load() {
+		if cancel := c.cancel.Load(); cancel != nil && c.busy() && !c.answering.Load() {
 			(*cancel)(ErrServerEnds)
 		}
 	}
@@ -203,7 +201,7 @@
 	defer s.mu.Unlock()
 	n := 0
 	for c := range s.conns {
-		if c.busy.Load() {
+		if c.busy() {
 			n++
 		}
 	}
--- a/internal/node/front/front_test.go
+++ b/internal/node/front/front_test.go
@@ -341,6 +341,45 @@
 	}
 }
 
+// Guards against a drain that ends requests that are still arriving, or that waits for one that has stopped to arrive.
+func TestDrainReadsArrivingRequests(t *testing.T) {
+	t.Parallel()
+	const request = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\no\r\n1\r\nk\r\n0\r\n\r\n"
+	for arrived := range len(request) {
+		t.Run(strconv.Itoa(arrived), func(t *testing.T) {
+			t.Parallel()
+			s := newTestServer(t, 0)
+			goesOn, br := s.dial(t)
+			stops, stopsReader := s.dial(t)
+			for _, nc := range []net.Conn{goesOn, stops} {
+				exchange(t, nc, map[net.Conn]*bufio.Reader{goesOn: br, stops: stopsReader}[nc])
+				send(t, nc, request[:arrived])
+			}
+			time.Sleep(50 * time.Millisecond)
+			s.srv.Drain()
+			if arrived == 0 {
+				if _, err := br.ReadByte(); !errors.Is(err, io.EOF) {
+					t.Errorf("the idle connection ended with %v", err)
+				}
+				return
+			}
+			time.Sleep(50 * time.Millisecond)
+			send(t, goesOn, request[arrived:])
+			for br, want := range map[*bufio.Reader]int{br: http.StatusOK, stopsReader: http.StatusRequestTimeout} {
+				resp, err := http.ReadResponse(br, nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				body, err := io.ReadAll(resp.Body)
+				_ = resp.Body.Close()
+				if resp.StatusCode != want || err != nil || !resp.Close || (want == http.StatusOK) != (string(body) == "ok") {
+					t.Errorf("got %d %q, closes %v, error %v, want %d", resp.StatusCode, body, resp.Close, err, want)
+				}
+			}
+		})
+	}
+}
+
 // Guards against accepting more than MaxConnections.
 func TestMaxConnections(t *testing.T) {
 	t.Parallel()
