Log and count each answer that ends early with the reason why nothing followed

For the incident of lost requests around planned work: the logs of one node could not tell whether an answer ended because its caller left, because the node ended, or because a rule forbade another attempt. "broke off an answer" had the text of an error but neither the decision nor the last attempt, was left out for answers that cannot be resumed and for failed writes to the caller, and was one of the lines that are dropped when a node writes much.

Now there is one line "cut an answer" for each, with a reason out of a fixed set, the outcome, server and error of the last attempt, whether that server was still at work, events, time passed and left, whether the node was stopping, and the version of the configuration at the start and at the end. It is a warning, which is never dropped, unless the caller left or the time was up. answers_cut_total{reason} counts them, once for a call that another node passed on. Nothing else changes.

--- a/internal/node/front/writer.go
+++ b/internal/node/front/writer.go
@@ -32,6 +32,9 @@
 // Started reports whether part of the response may have been sent.
 func (w *Writer) Started() bool { return w.sent }
 
+// Stopping reports whether the server closes its connections after their responses.
+func (w *Writer) Stopping() bool { return w.conn.srv.closeAfterResponse.Load() }
+
 // Start starts a response with the status and headers of h. The content length of h is the length of the body in
 // bytes, or negative if it is unknown. The header is sent together with the first bytes of the body. Until then, another
 // response can be started in its place.
--- a/internal/node/pass/attempt.go
+++ b/internal/node/pass/attempt.go
@@ -49,7 +49,7 @@
 	s.runID = runID
 	start := time.Now()
 	res := s.send(ctx, reservation)
-	res.server = reservation.Entry().ID
+	res.server, res.group = reservation.Entry().ID, reservation.Entry().Member.Group
 	s.relay.deps.Crashes.endRun(runID, fingerprint, reservation.Entry(), res.outcome, res.failureResponse == nil)
 	reservation.Release(res.outcome)
 	s.broken = res.outcome == Failed && res.failureResponse == nil
--- a/internal/node/pass/hop.go
+++ b/internal/node/pass/hop.go
@@ -141,6 +141,7 @@
 	start, before := time.Now(), s.attempts
 	s.runID = 0
 	res := s.sendHop(ctx, hop)
+	res.server = hop.Node()
 	hop.Done(!res.notSent)
 	if !res.done {
 		s.triedNodes.Add(hop.Node())
--- a/internal/node/pass/serve.go
+++ b/internal/node/pass/serve.go
@@ -34,6 +34,8 @@
 	tried sets.Set[string]
 	// triedNodes are the nodes that did not take the call or failed it.
 	triedNodes sets.Set[string]
+	// last is the result of the last attempt that was sent, or could not be.
+	last attemptResult
 	// broken is set if the last attempt at a server broke off.
 	broken bool
 	// counted is set once the call has been counted in the retry budget of this node.
@@ -67,16 +69,20 @@
 	budget := r.deps.Budget(c.Service.Name)
 	for {
 		res := s.attempt(ctx)
+		if res.server != "" {
+			s.last = res
+		}
 		if res.done {
 			code := fault.Code("")
 			if res.aborted {
 				code = fault.BackendFailed
+				s.logCut(ctx, abortReason(res.err), res.err)
 			}
 			r.requestEnded(c, code, time.Since(c.Arrived))
 			return
 		}
 		if res.refusal != nil {
-			s.finishWithError(ctx, res.refusal)
+			s.finishWithError(ctx, res.refusal, refusalReason(res.refusal))
 			return
 		}
 		v := retry.Decide(time.Now(), s.retryInput(res), budget)
@@ -135,8 +141,10 @@
 	outcome Outcome
 	// notSent is set if no byte of the request was sent to the server.
 	notSent bool
-	server  string
-	err     error
+	// server and group are the ID and the group of the server, or the address of another node.
+	server string
+	group  string
+	err    error
 	// failureResponse is a failure response of a backend server, which is forwarded if no further attempt is made.
 	failureResponse *failureResponse
 }
@@ -160,24 +168,27 @@
 	}
 	if v.Outcome == fault.NotRun {
 		s.finishWithError(ctx, fault.New(fault.Overloaded, fault.NotRun, "no backend server took the request").
-			WithRetryAfter(retryAfterRefused).WithCause(res.err))
+			WithRetryAfter(retryAfterRefused).WithCause(res.err), string(v.Reason))
 		return
 	}
-	s.finishWithError(ctx, fault.New(fault.BackendFailed, fault.Unknown, "the backend server failed").WithCause(res.err))
+	s.finishWithError(ctx, fault.New(fault.BackendFailed, fault.Unknown, "the backend server failed").WithCause(res.err), string(v.Reason))
 }
 
 // retryAfterRefused is the Retry-After of a request that backend servers refused.
 const retryAfterRefused = 300 * time.Millisecond
 
 // finishWithError ends a call with an error that this node generated. If a backend server may have run the request,
-// the error does not claim that it did not run.
-func (s *callState) finishWithError(ctx context.Context, ferr *fault.Error) {
+// the error does not claim that it did not run. reason is why no other attempt follows.
+func (s *callState) finishWithError(ctx context.Context, ferr *fault.Error, reason string) {
 	switch {
 	case s.w.Started():
-		s.logAborted("broke off an answer", ferr.Code(), ferr)
+		s.relay.requestEnded(s.call, ferr.Code(), time.Since(s.call.Arrived))
+		s.logCut(ctx, reason, ferr)
 		s.w.Abort()
 	case errors.Is(context.Cause(ctx), front.ErrCallerDisconnected):
-		s.logAborted("caller left", fault.Timeout, ferr)
+		d := time.Since(s.call.Arrived)
+		s.relay.requestEnded(s.call, fault.Timeout, d)
+		s.relay.deps.Log.Info("caller left", "request", s.call.ID, "attempts", s.attempts, "events", s.events.count, "ms", d.Milliseconds(), "reason", ferr)
 		s.w.Abort()
 	case s.mayHaveRun && ctx.Err() != nil:
 		s.relay.refuse(s.w, s.call, fault.New(fault.Timeout, fault.Unknown, "the time is up").WithCause(ferr))
@@ -188,13 +199,6 @@
 	}
 }
 
-// logAborted logs a request whose caller gets no complete response.
-func (s *callState) logAborted(msg string, code fault.Code, cause error) {
-	d := time.Since(s.call.Arrived)
-	s.relay.requestEnded(s.call, code, d)
-	s.relay.deps.Log.Info(msg, "request", s.call.ID, "attempts", s.attempts, "events", s.events.count, "ms", d.Milliseconds(), "reason", cause)
-}
-
 func (s *callState) logWriteError(err error) {
 	if err != nil {
 		s.relay.deps.Log.Info("cannot write to the caller", "request", s.call.ID, "error", err)
--- a/internal/node/pass/serve_test.go
+++ b/internal/node/pass/serve_test.go
@@ -145,6 +145,13 @@
 
 // newDetouredRelay starts a node as newWatchedRelay does. It passes requests on by a detour, which may be nil.
 func newDetouredRelay(t *testing.T, detour pass.Detour, onPick func(ctx context.Context, c *pass.Call), route match.Route, budget *retry.Budget, servers ...http.HandlerFunc) string {
+	t.Helper()
+	node, _ := newReportingRelay(t, hclog.NewNullLogger(), metric.New(), detour, onPick, route, budget, servers...)
+	return node
+}
+
+// newReportingRelay starts a node as newDetouredRelay does, with its own log and metrics. It also returns a function that ends the node.
+func newReportingRelay(t *testing.T, log hclog.Logger, metrics *metric.Set, detour pass.Detour, onPick func(ctx context.Context, c *pass.Call), route match.Route, budget *retry.Budget, servers ...http.HandlerFunc) (string, func()) {
 	t.Helper()
 	picker := inOrder{onPick: onPick}
 	for i, h := range servers {
@@ -163,7 +170,7 @@
 	srv := front.New(front.Config{
 		Handler: pass.New(pass.Deps{
 			Codec: headerCodec{}, Table: func() *match.Table { return table }, Picker: picker, Detour: detour, Crashes: f.nodes[0],
-			Budget: func(string) *retry.Budget { return budget }, Metrics: metric.New(), Log: hclog.NewNullLogger(),
+			Budget: func(string) *retry.Budget { return budget }, Metrics: metrics, Log: log,
 		}),
 		Limits: func() front.Limits { return front.Limits{} }, Log: hclog.NewNullLogger(),
 	})
@@ -174,11 +181,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g := tasks.New(ctx)
 	g.Go("front", func(ctx context.Context) error { return srv.Run(ctx, ln) })
-	t.Cleanup(func() {
+	end := func() {
 		cancel()
 		_ = g.Wait()
-	})
-	return ln.Addr().String()
+	}
+	t.Cleanup(end)
+	return ln.Addr().String(), end
 }
 
 // lastID is the ID of the last request.
--- a/internal/report/metric/metric.go
+++ b/internal/report/metric/metric.go
@@ -23,12 +23,16 @@
 	grantResults   = []string{"granted", "released", "busy", "closed", "waiting", "no_owner"}
 	modes          = []string{"current", "store_down", "isolated"}
 	stallReasons   = []string{"no_answer", "streams_silent", "departed", "refused"}
-	orderKinds     = []string{"join", "open", "close", "leave", "stage"}
-	orderResults   = []string{"accepted", "rejected", "unknown"}
-	groupStates    = []string{"open", "planned", "retired", "free", "lost"}
-	peerStates     = []string{"live", "suspect", "leaving", "gone"}
-	tableCalls     = []string{"get", "scan", "commit", "snapshot", "changes"}
-	tableResults   = []string{"ok", "not_found", "conflict", "history_lost", "unavailable", "unknown"}
+	cutReasons     = []string{
+		"caller_left", "caller_write", "node_ends", "time_up", "cut_short", "may_have_run", "no_time", "attempts", "retry_budget", "no_server",
+		"quarantined", "isolated",
+	}
+	orderKinds   = []string{"join", "open", "close", "leave", "stage"}
+	orderResults = []string{"accepted", "rejected", "unknown"}
+	groupStates  = []string{"open", "planned", "retired", "free", "lost"}
+	peerStates   = []string{"live", "suspect", "leaving", "gone"}
+	tableCalls   = []string{"get", "scan", "commit", "snapshot", "changes"}
+	tableResults = []string{"ok", "not_found", "conflict", "history_lost", "unavailable", "unknown"}
 )
 
 // Set is the metrics of one node on a registry of its own. It is safe for concurrent use.
@@ -52,6 +56,7 @@
 	tableTime *prometheus.HistogramVec
 	first     prometheus.Histogram
 	stalls    *prometheus.CounterVec
+	cuts      *prometheus.CounterVec
 	orders    *prometheus.CounterVec
 	groups    *prometheus.GaugeVec
 }
@@ -79,11 +84,12 @@
 		}, []string{"call"}),
 		first:  histogram("first_event_seconds", "Time from the request to the first bytes of its answer."),
 		stalls: counters("stalls_total", "Backend servers found to make no progress, by what showed it.", "reason"),
+		cuts:   counters("answers_cut_total", "Answers that ended before they were complete, by why nothing followed.", "reason"),
 		orders: counters("orders_total", "Orders to backend servers by kind and result.", "kind", "result"),
 		groups: gauges("groups", "Serving groups by state, on the node that keeps them.", "state"),
 	}
 	s.registry.MustRegister(s.requests, s.duration, s.attempts, s.retries, s.refusals, s.queue, s.buffered, s.grants,
-		s.granted, s.version, s.age, s.mode, s.peers, s.tableUses, s.tableTime, s.first, s.stalls, s.orders, s.groups)
+		s.granted, s.version, s.age, s.mode, s.peers, s.tableUses, s.tableTime, s.first, s.stalls, s.cuts, s.orders, s.groups)
 	return s
 }
 
@@ -172,6 +178,9 @@
 // Stalled counts a backend server that makes no progress: no_answer or streams_silent.
 func (s *Set) Stalled(reason string) { s.stalls.WithLabelValues(known(reason, stallReasons)).Inc() }
 
+// AnswerCut counts an answer that ended before it was complete, by why nothing followed.
+func (s *Set) AnswerCut(reason string) { s.cuts.WithLabelValues(known(reason, cutReasons)).Inc() }
+
 // Order counts an order to a backend server; result is accepted, rejected or unknown.
 func (s *Set) Order(kind, result string) {
 	s.orders.WithLabelValues(known(kind, orderKinds), known(result, orderResults)).Inc()
--- a/internal/report/metric/metric_test.go
+++ b/internal/report/metric/metric_test.go
@@ -24,6 +24,8 @@
 	s.AttemptEnded("failed")
 	s.AttemptEnded("weird")
 	s.Retried()
+	s.AnswerCut("attempts")
+	s.AnswerCut("weird")
 	s.Queue(3)
 	s.Queue(2)
 	s.Buffered(100)
@@ -43,7 +45,7 @@
 	for _, want := range []string{
 		`requests_total{code="ok"} 1`, `requests_total{code="overloaded"} 1`, `requests_total{code="other"} 1`,
 		`refusals_total{code="rate_limited"} 1`, `attempts_total{result="failed"} 1`, `attempts_total{result="other"} 1`,
-		`retries_total 1`, `queue_requests 2`, `buffered_bytes 100`, `grants_total{result="granted"} 1`, `grants_total{result="other"} 1`, `grants_held 4`,
+		`retries_total 1`, `answers_cut_total{reason="attempts"} 1`, `answers_cut_total{reason="other"} 1`, `queue_requests 2`, `buffered_bytes 100`, `grants_total{result="granted"} 1`, `grants_total{result="other"} 1`, `grants_held 4`,
 		`config_version 7`, `config_age_seconds 1.5`, `mode{mode="store_down"} 1`, `mode{mode="current"} 0`, `peers{state="live"} 5`,
 		`table_calls_total{call="get",result="not_found"} 1`, `table_calls_total{call="scan",result="unavailable"} 1`,
 	} {
