Read a request that arrived before its connection is closed as idle

Callers saw: a reset connection instead of an answer, for a request that had reached the node before the node closed the connection because it drained or the idle timeout had passed. Cause: once a read deadline has passed, a read returns the timeout even if data is waiting. A process that has not run for a while sees the deadline first, and closing with unread data resets the connection. Evidence: TestRequestArrivedBeforeClose, whose server does not run while the request arrives; both of its cases failed before with "connection reset by peer". Why this works: after a timeout, the connection looks for unread data without waiting and reads the request if there is any.

--- a/internal/node/front/conn.go
+++ b/internal/node/front/conn.go
@@ -179,6 +179,13 @@
 			return err
 		}
 		_, err := c.br.Peek(1)
+		if isTimeout(err) && sock.HasUnread(c.nc) {
+			// A deadline that passes while the process does not run hides data that arrived in time.
+			if err := c.enter(reading, time.Now().Add(c.srv.limits().HeaderTimeout)); err != nil {
+				return err
+			}
+			_, err = c.br.Peek(1)
+		}
 		// A new configuration may have extended the idle timeout, on which callers rely.
 		extended := isTimeout(err) && c.srv.draining.Load() == nil && c.idleUntil().After(idleUntil)
 		if err != nil && !extended {
--- a/internal/node/front/front_test.go
+++ b/internal/node/front/front_test.go
@@ -76,6 +76,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return newTestServerOn(t, ln, maxConns)
+}
+
+func newTestServerOn(t *testing.T, ln net.Listener, maxConns int) *testServer {
+	t.Helper()
 	s := &testServer{handler: &pathHandler{cancelCauses: make(chan error, 1)}, addr: ln.Addr().String(), log: &bytes.Buffer{}}
 	s.idleTimeout.Store(int64(600 * time.Millisecond))
 	s.srv = front.New(front.Config{
@@ -380,6 +385,70 @@
 	}
 }
 
+// pausingListener accepts connections whose reads wait until run is closed, as if the process did not run.
+type pausingListener struct {
+	net.Listener
+	run chan struct{}
+}
+
+func (l pausingListener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	tcp, ok := nc.(*net.TCPConn)
+	if !ok {
+		return nil, errors.Newf("connection is a %T", nc)
+	}
+	return pausingConn{tcp, l.run}, nil
+}
+
+type pausingConn struct {
+	*net.TCPConn
+	run chan struct{}
+}
+
+func (c pausingConn) Read(b []byte) (int, error) {
+	<-c.run
+	return c.TCPConn.Read(b)
+}
+
+// Guards against closing a connection as idle when a request arrived in time and the process has not read it yet.
+func TestRequestArrivedBeforeClose(t *testing.T) {
+	t.Parallel()
+	for name, drains := range map[string]bool{"drain": true, "idle": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			run := make(chan struct{})
+			s := newTestServerOn(t, pausingListener{ln, run}, 0)
+			nc, br := s.dial(t)
+			send(t, nc, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nok")
+			for s.srv.OpenConnections() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			if drains {
+				s.srv.Drain()
+			} else {
+				time.Sleep(700 * time.Millisecond)
+			}
+			close(run)
+			resp, err := http.ReadResponse(br, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			body, err := io.ReadAll(resp.Body)
+			_ = resp.Body.Close()
+			if err != nil || string(body) != "ok" {
+				t.Errorf("got %d %q, error %v", resp.StatusCode, body, err)
+			}
+		})
+	}
+}
+
 // Guards against accepting more than MaxConnections.
 func TestMaxConnections(t *testing.T) {
 	t.Parallel()
