Frame responses to HTTP/1.0 requests by the end of the connection

Callers saw, with HTTP/1.0: "Transfer-Encoding: chunked" above a body that is not chunked, and a broken-off response that ended as a complete one does. Cause: the header kept the framing of the backend server's response; an incomplete response closed its connection in the ordinary way, which is the end of the body here. Why this works: the header is dropped, and a connection whose end would complete the body is reset instead. A response that is cut because the whole server ends is still closed in the ordinary way.

--- a/internal/node/front/conn.go
+++ b/internal/node/front/conn.go
@@ -331,6 +331,9 @@
 	<-done
 	switch {
 	case w.incomplete:
+		if w.endsWithConn {
+			c.resetOnClose()
+		}
 		return closedIncomplete, true
 	case callerCloses:
 		c.linger()
@@ -353,6 +356,13 @@
 	return time.Now().Add(c.srv.limits().IdleTimeout)
 }
 
+// resetOnClose makes the close of the connection a reset.
+func (c *conn) resetOnClose() {
+	if tcp, ok := c.nc.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
+
 // linger gives the caller time to read the last response before the connection is closed.
 func (c *conn) linger() {
 	if tcp, ok := c.nc.(*net.TCPConn); ok {
--- a/internal/node/front/front_test.go
+++ b/internal/node/front/front_test.go
@@ -303,6 +303,20 @@
 	}
 }
 
+// Guards against a response to an HTTP/1.0 request that claims to be chunked, or that is incomplete and ends as a complete one does.
+func TestHTTP10(t *testing.T) {
+	t.Parallel()
+	s := newTestServer(t, 0)
+	for path, whole := range map[string]bool{"/pieces": true, "/part": false} {
+		nc, br := s.dial(t)
+		send(t, nc, "GET "+path+" HTTP/1.0\r\nHost: h\r\n\r\n")
+		got, err := io.ReadAll(br)
+		if bytes.Contains(got, []byte("Transfer-Encoding")) || (err == nil) != whole {
+			t.Errorf("%s: got %q, error %v, want complete %v", path, got, err, whole)
+		}
+	}
+}
+
 // Guards against handling a request further after its caller has disconnected.
 func TestCallerDisconnects(t *testing.T) {
 	t.Parallel()
--- a/internal/node/front/writer.go
+++ b/internal/node/front/writer.go
@@ -22,11 +22,13 @@
 	// response.
 	incomplete bool
 	// sent is set once part of the response may have been sent.
-	sent      bool
-	ended     bool
-	chunked   bool
-	remaining int
-	buf       []byte
+	sent    bool
+	ended   bool
+	chunked bool
+	// endsWithConn is set if the end of the connection ends the body.
+	endsWithConn bool
+	remaining    int
+	buf          []byte
 }
 
 // Started reports whether part of the response may have been sent.
@@ -47,7 +49,10 @@
 	w.remaining = h.ContentLength()
 	unknown := w.remaining < 0 && !w.headRequest && bodyAllowed(h.StatusCode())
 	w.chunked = unknown && !w.http10
-	w.closeAfter = w.closeAfter || (unknown && w.http10)
+	if w.endsWithConn = unknown && w.http10; w.endsWithConn {
+		w.closeAfter = true
+		h.Del(fasthttp.HeaderTransferEncoding)
+	}
 	if w.chunked {
 		h.SetContentLength(-1)
 	}
