Let a panic end one request instead of all requests of its node

Callers would have seen: every answer of a node cut off, and its connections closed, because of one request. Cause: a request is a task of the server's group, and a task that panics ends the group, and with it the process. Evidence: TestPanicEndsOneRequest failed before, with an unexpected end of another caller's connection. Why this works: the handler's panic is recovered and logged with its stack where the request is served. A caller that has received nothing gets 500, which promises nothing; a response that has begun is cut. What the request had reserved beside is not released.

--- a/internal/node/front/conn.go
+++ b/internal/node/front/conn.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -315,7 +316,7 @@
 	done := make(chan struct{})
 	g.Go("request", func(context.Context) error {
 		defer close(done)
-		c.srv.cfg.Handler.Handle(ctx, &Request{Header: &pending.req.Header, Body: pending.req.Body(), Arrived: pending.arrived}, w)
+		c.callHandler(ctx, &Request{Header: &pending.req.Header, Body: pending.req.Body(), Arrived: pending.arrived}, w)
 		w.finish()
 		pending.release()
 		c.requests++
@@ -348,6 +349,24 @@
 	}
 }
 
+// callHandler calls the handler. A panic ends the response, but not those to other callers.
+func (c *conn) callHandler(ctx context.Context, r *Request, w *Writer) {
+	defer func() {
+		p := recover()
+		if p == nil {
+			return
+		}
+		c.srv.cfg.Log.Error("a request caused a panic", "panic", p, "stack", string(debug.Stack()))
+		w.closeAfter = true
+		if w.Started() {
+			w.Abort()
+			return
+		}
+		w.Refuse(fasthttp.StatusInternalServerError, nil, nil)
+	}()
+	c.srv.cfg.Handler.Handle(ctx, r, w)
+}
+
 // nextDeadline returns the read deadline after a response.
 func (c *conn) nextDeadline(w *Writer) time.Time {
 	if w.closeAfter || w.incomplete {
--- a/internal/node/front/front_test.go
+++ b/internal/node/front/front_test.go
@@ -47,6 +47,13 @@
 		w.Start(&header)
 		_ = w.Write([]byte("one"))
 		_ = w.End()
+	case "/panic":
+		panic("broken")
+	case "/panic-later":
+		header.SetContentLength(-1)
+		w.Start(&header)
+		_ = w.Write([]byte("one"))
+		panic("broken")
 	case "/wait":
 		<-ctx.Done()
 		h.cancelCauses <- context.Cause(ctx)
@@ -317,6 +324,28 @@
 	}
 }
 
+// Guards against a panic in one request that ends the requests of all callers.
+func TestPanicEndsOneRequest(t *testing.T) {
+	t.Parallel()
+	s := newTestServer(t, 0)
+	kept, keptReader := s.dial(t)
+	exchange(t, kept, keptReader)
+	for path, status := range map[string]int{"/panic": http.StatusInternalServerError, "/panic-later": http.StatusOK} {
+		nc, br := s.dial(t)
+		send(t, nc, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n")
+		resp, err := http.ReadResponse(br, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+		if resp.StatusCode != status || !resp.Close && err == nil {
+			t.Errorf("%s: got %d, error %v", path, resp.StatusCode, err)
+		}
+		exchange(t, kept, keptReader)
+	}
+}
+
 // Guards against handling a request further after its caller has disconnected.
 func TestCallerDisconnects(t *testing.T) {
 	t.Parallel()
