Cancel requests that arrive after the unanswered ones were cancelled for the end of the node

Callers saw: with a short grace period, a request whose last bytes arrive within the last 0.25 s of a planned stop gets a closed connection, after it may have been sent to a backend server. Cause: CancelUnanswered cancelled only what was being handled when it was called. Evidence: TestCancelsRequestsThatArriveLate failed before, as its request was not cancelled. Why this works: the server remembers the call, and cancels each later request as it begins. The check follows the change of phase, so that a request is seen by one of the two.

--- a/internal/node/front/conn.go
+++ b/internal/node/front/conn.go
@@ -313,6 +313,9 @@
 		pending.release()
 		return c.readErrorReason(err), true
 	}
+	if c.srv.ending.Load() {
+		cancel(ErrServerEnds)
+	}
 	done := make(chan struct{})
 	g.Go("request", func(context.Context) error {
 		defer close(done)
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -92,6 +92,8 @@
 	// which connections without a request are closed at once.
 	closeAfterResponse atomic.Bool
 	draining           atomic.Pointer[time.Time]
+	// ending is set once CancelUnanswered was called.
+	ending atomic.Bool
 
 	mu    sync.Mutex
 	ln    net.Listener
@@ -173,9 +175,10 @@
 // ErrServerEnds is the cancellation cause of a request's context if its server has no time left for it.
 var ErrServerEnds = errors.New("server ends")
 
-// CancelUnanswered cancels the requests that have got no part of a response yet, so that their callers get one before the
-// server ends.
+// CancelUnanswered cancels the requests that have got no part of a response yet, and those that arrive later, so that their
+// callers get one before the server ends.
 func (s *Server) CancelUnanswered() {
+	s.ending.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
--- a/internal/node/front/front_test.go
+++ b/internal/node/front/front_test.go
@@ -324,6 +324,25 @@
 	}
 }
 
+// Guards against a request that arrives just before the server ends and is then cut without an answer.
+func TestCancelsRequestsThatArriveLate(t *testing.T) {
+	t.Parallel()
+	s := newTestServer(t, 0)
+	nc, _ := s.dial(t)
+	send(t, nc, "GET /wait HTTP/1.1\r\n")
+	time.Sleep(50 * time.Millisecond)
+	s.srv.CancelUnanswered()
+	send(t, nc, "Host: h\r\n\r\n")
+	select {
+	case cause := <-s.handler.cancelCauses:
+		if !errors.Is(cause, front.ErrServerEnds) {
+			t.Errorf("the request ended with %v", cause)
+		}
+	case <-time.After(2 * time.Second):
+		t.Error("the request was not cancelled")
+	}
+}
+
 // Guards against a panic in one request that ends the requests of all callers.
 func TestPanicEndsOneRequest(t *testing.T) {
 	t.Parallel()
