End an attempt at a silent server only when another one has begun to answer

Callers saw: the stream of a backend server that was silent for some 0.3 s, and went on, ended without its remaining events and without an error the caller could act on. Beside work that takes the processors of a host for a moment, as when all nodes read a new version or one of them starts, all streams of a server or of several are silent together.

Cause: a stalled server's attempts were cancelled first, and only then the node asked whether another attempt may follow: the retry budget, the limit of attempts, the choice of a server or the servers themselves could refuse it, and the caller's connection was closed although its server lived and was at work. Silence was taken as proof of a loss.

Evidence: TestSilentServerKeepsItsStream, whose server pauses within a stream.

Why this works: further attempts are made beside the silent one. It is cancelled when a server has begun to answer one of them with what continues the response, and the caller has got nothing meanwhile; otherwise it goes on to its end or the deadline. The notice of a silent server begins the search as early as before, so that a server that is really gone is replaced as soon. A call of which the caller has nothing and that has used up its attempts is refused as before.

--- a/internal/node/pass/attempt.go
+++ b/internal/node/pass/attempt.go
@@ -9,6 +9,7 @@
 	"geraniumhollow/internal/core/fault"
 	"geraniumhollow/internal/node/front"
 	"geraniumhollow/internal/plat/conns"
+	"geraniumhollow/internal/route/crash"
 	"geraniumhollow/internal/route/match"
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
@@ -18,46 +19,108 @@
 // part of a refusal that is read.
 const maxFailureBodyBytes = 64 << 10
 
+// exchange is an attempt at a server, or through another node. resp is nil until it has begun to answer.
+type exchange struct {
+	ctx   context.Context //nolint:containedctx // It belongs to the attempt, which may be followed elsewhere than it was begun.
+	resp  *conns.Response
+	hedge *hedge
+	// server and group are the ID and the group of the server, or the address of the other node. runID is the crash tracker's
+	// ID of the attempt.
+	server, group string
+	runID         crash.RunID
+	// progress is called when part of the answer has arrived.
+	progress func()
+	// record records the result.
+	record func(s *callState, res attemptResult)
+	cancel context.CancelCauseFunc
+}
+
+// end ends the attempt. It returns the result with the server.
+func (x *exchange) end(s *callState, res attemptResult) attemptResult {
+	if x.resp != nil {
+		x.resp.Close()
+	}
+	res.server, res.group = x.server, x.group
+	x.record(s, res)
+	x.cancel(nil)
+	return res
+}
+
+// discard ends the attempt, unless it is nil, without having used its answer.
+func (x *exchange) discard(s *callState) {
+	if x != nil {
+		x.end(s, attemptResult{outcome: Cancelled, err: errSuperseded})
+	}
+}
+
 // attempt sends the call to one backend server, or to another node if this one reaches no server, and forwards the response.
 func (s *callState) attempt(ctx context.Context) attemptResult {
+	x, res := s.begin(ctx)
+	for {
+		if x != nil {
+			s.hedge, s.runID, s.began, s.eventsBefore = x.hedge, x.runID, true, s.events.count
+			res = x.end(s, s.takeAnswer(x))
+		}
+		if s.hedge == nil {
+			return res
+		}
+		h := s.hedge
+		s.hedge = nil
+		if x = h.close(s, res.done || res.refusal != nil); x == nil {
+			return res
+		}
+		s.events.discardPartial()
+		x.hedge.arm(s, x.server)
+	}
+}
+
+// begin makes an attempt until its server begins to answer. Without an exchange, it returns the result.
+func (s *callState) begin(ctx context.Context) (*exchange, attemptResult) {
 	hop, refusal := s.chooseHop(ctx)
 	switch {
 	case refusal != nil:
-		return attemptResult{refusal: refusal}
+		return nil, attemptResult{refusal: refusal}
 	case hop != nil:
-		return s.attemptHop(ctx, hop)
+		return s.beginHop(ctx, hop)
 	}
 	s.countRequest()
 	trial, refusal := s.relay.deps.Crashes.Check(s.parts)
 	if refusal != nil {
-		return attemptResult{refusal: refusal}
+		return nil, attemptResult{refusal: refusal}
 	}
-	s.call.Trial, s.call.Answering = trial, s.w.Started()
+	s.call.Trial, s.call.Answering = trial, s.answering()
 	s.call.LastAttempt = s.countedAttempts()+1 >= s.maxAttempts()
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	reservation, refusal := s.relay.deps.Picker.Pick(ctx, s.call, s.tried, cancel)
+	attemptCtx, cancel := context.WithCancelCause(ctx)
+	x := &exchange{ctx: attemptCtx, cancel: cancel, hedge: &hedge{parent: ctx, cancelAttempt: cancel}}
+	reservation, refusal := s.relay.deps.Picker.Pick(attemptCtx, s.call, s.tried, x.hedge.silent)
 	if refusal != nil {
-		return attemptResult{refusal: refusal}
+		cancel(nil)
+		return nil, attemptResult{refusal: refusal}
 	}
-	if refusal := s.relay.deps.Crashes.Admit(ctx, s.call.ID, s.parts); refusal != nil {
+	if refusal := s.relay.deps.Crashes.Admit(attemptCtx, s.call.ID, s.parts); refusal != nil {
+		cancel(nil)
 		reservation.Release(NotRun)
-		return attemptResult{refusal: refusal}
+		return nil, attemptResult{refusal: refusal}
 	}
 	fingerprint := crashFingerprint(s.call)
-	runID := s.relay.deps.Crashes.startRun(fingerprint, s.parts, reservation.Entry(), cancel)
-	s.runID = runID
+	x.runID = s.relay.deps.Crashes.startRun(fingerprint, s.parts, reservation.Entry(), cancel)
+	x.server, x.group, x.progress = reservation.Entry().ID, reservation.Entry().Member.Group, reservation.Progress
 	start := time.Now()
-	res := s.send(ctx, reservation)
-	res.server, res.group = reservation.Entry().ID, reservation.Entry().Member.Group
-	s.relay.deps.Crashes.endRun(runID, fingerprint, reservation.Entry(), res.outcome, res.failureResponse == nil)
-	reservation.Release(res.outcome)
-	s.broken = res.outcome == Failed && res.failureResponse == nil
-	if !res.done {
-		s.tried.Add(res.server)
-	}
-	s.logAttempt(reservation.Selection(), res, time.Since(start))
-	return res
+	x.record = func(s *callState, res attemptResult) {
+		s.relay.deps.Crashes.endRun(x.runID, fingerprint, reservation.Entry(), res.outcome, res.failureResponse == nil)
+		reservation.Release(res.outcome)
+		s.broken = res.outcome == Failed && res.failureResponse == nil
+		if !res.done {
+			s.tried.Add(res.server)
+		}
+		s.logAttempt(reservation.Selection(), res, time.Since(start))
+	}
+	s.runID = x.runID
+	res := s.send(x, reservation)
+	if x.resp == nil {
+		return nil, x.end(s, res)
+	}
+	return x, attemptResult{}
 }
 
 // logAttempt logs the outcome of an attempt and the data that its server was chosen by.
@@ -80,8 +143,9 @@
 	Served: "answered", NotRun: "failed", Refused: "failed", Failed: "failed", Stalled: "failed", Cancelled: "cancelled",
 }
 
-// send performs the attempt on the reserved server.
-func (s *callState) send(ctx context.Context, reservation Reservation) attemptResult {
+// send sends the call to the reserved server. If the server begins to answer, x gets the response, otherwise send returns the
+// result of the attempt.
+func (s *callState) send(x *exchange, reservation Reservation) attemptResult {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	s.call.req.Header.CopyTo(&req.Header)
@@ -89,9 +153,8 @@
 		Server: reservation.Entry().ID, Account: s.call.Account, TimeLeft: time.Until(s.call.Deadline), LastEventID: s.events.lastID,
 	})
 	req.SetBodyRaw(s.call.req.Body)
-	s.attempts++
-	s.began, s.eventsBefore = false, s.events.count
-	resp, err := reservation.Conns().Exchange(ctx, conns.Exchange{
+	s.sending(x)
+	resp, err := reservation.Conns().Exchange(x.ctx, conns.Exchange{
 		Request: req, HeaderBy: s.headerDeadline(),
 		Matches: func(h *fasthttp.ResponseHeader) bool {
 			id := s.relay.deps.Codec.DecodeResponse(h).ID
@@ -99,28 +162,51 @@
 		},
 	})
 	if err != nil {
-		return s.classifyError(ctx, err)
+		return s.classifyError(x.ctx, err)
 	}
-	defer resp.Close()
+	res, ok := s.checkResponse(resp, reservation)
+	if !ok {
+		resp.Close()
+		return res
+	}
+	s.relay.deps.Crashes.answerBegan(x.runID)
+	s.mayHaveRun = true
+	x.resp = resp
+	return attemptResult{}
+}
+
+// sending records that an attempt is being sent. Unless attempts are already made beside
+// another one, some may be made beside this one.
+func (s *callState) sending(x *exchange) {
+	s.attempts++
+	s.began, s.eventsBefore = false, s.events.count
+	if s.forked {
+		return
+	}
+	s.hedge = x.hedge
+	x.hedge.arm(s, x.server)
+}
+
+// checkResponse reports whether a server has begun to answer the call. If not, it returns the result of the attempt.
+func (s *callState) checkResponse(resp *conns.Response, reservation Reservation) (attemptResult, bool) {
 	info := s.relay.deps.Codec.DecodeResponse(resp.Header)
 	if !s.isRefusal(resp, info) {
 		if err := s.checkAnswer(resp.Header, info); err != nil {
 			s.mayHaveRun = true
-			return attemptResult{outcome: Failed, err: err}
+			return attemptResult{outcome: Failed, err: err}, false
 		}
 	}
 	reservation.HeadersReceived(info)
-	if info.NotStarted {
-		if s.w.Started() {
-			s.refusedResumes++
-		}
-		if err := readRefusal(resp); err != nil {
-			return attemptResult{outcome: NotRun, err: err}
-		}
-		return attemptResult{outcome: NotRun, err: errors.Newf("status %d", resp.Header.StatusCode())}
+	if !info.NotStarted {
+		return attemptResult{}, true
+	}
+	if s.answering() {
+		s.refusedResumes++
+	}
+	if err := readRefusal(resp); err != nil {
+		return attemptResult{outcome: NotRun, err: err}, false
 	}
-	s.relay.deps.Crashes.answerBegan(s.runID)
-	return s.takeAnswer(ctx, resp, reservation.Progress)
+	return attemptResult{outcome: NotRun, err: errors.Newf("status %d", resp.Header.StatusCode())}, false
 }
 
 // isRefusal reports whether a message proves that the server did not start the call. Servers may leave the ID out of refusals,
@@ -156,17 +242,16 @@
 	}
 }
 
-// takeAnswer forwards the answer of a server that has begun to run the call, or holds a failure. It calls progress when part
-// of the answer has arrived.
-func (s *callState) takeAnswer(ctx context.Context, resp *conns.Response, progress func()) attemptResult {
+// takeAnswer forwards the answer of a server that has begun to run the call, or holds a failure.
+func (s *callState) takeAnswer(x *exchange) attemptResult {
 	s.mayHaveRun, s.began = true, true
-	if err := resp.SetReadDeadline(s.call.Deadline); err != nil {
+	if err := x.resp.SetReadDeadline(s.call.Deadline); err != nil {
 		return attemptResult{outcome: Failed, err: errors.Newf("set read deadline of response: %w", err)}
 	}
-	if s.shouldHold(resp.Header) {
-		return s.holdFailure(resp)
+	if s.shouldHold(x.resp.Header) {
+		return s.holdFailure(x.resp)
 	}
-	return s.relayAnswer(ctx, resp, progress)
+	return s.relayAnswer(x)
 }
 
 // refusalReadTimeout bounds the read of a refusal's body, which is read only so that the connection can be reused.
@@ -211,11 +296,16 @@
 // succeed, or does not continue the stream of which the caller has received a part.
 func (s *callState) shouldHold(h *fasthttp.ResponseHeader) bool {
 	if s.w.Started() {
-		return h.StatusCode() != fasthttp.StatusOK || mediaType(h) != s.mediaType
+		return !s.continues(h)
 	}
 	return h.StatusCode() >= fasthttp.StatusInternalServerError && s.call.Route.Repeatable()
 }
 
+// continues reports whether a response continues the stream of which the caller has received a part.
+func (s *callState) continues(h *fasthttp.ResponseHeader) bool {
+	return h.StatusCode() == fasthttp.StatusOK && mediaType(h) == s.mediaType
+}
+
 // mediaType returns the type of a response without its parameters.
 func mediaType(h *fasthttp.ResponseHeader) string {
 	t, _, _ := strings.Cut(string(h.ContentType()), ";")
@@ -238,7 +328,8 @@
 }
 
 // relayAnswer forwards a response to the caller. A stream is forwarded in complete events, so that it can be resumed.
-func (s *callState) relayAnswer(ctx context.Context, resp *conns.Response, progress func()) attemptResult {
+func (s *callState) relayAnswer(x *exchange) attemptResult {
+	resp := x.resp
 	stream := s.call.Route.Kind == match.Stream && resp.Header.StatusCode() == fasthttp.StatusOK
 	if !s.w.Started() {
 		if stream {
@@ -248,7 +339,7 @@
 		s.markAnswer(resp.Header)
 		s.w.Start(resp.Header)
 	}
-	err := s.copy(resp, stream, progress)
+	err := s.copy(x, stream)
 	switch {
 	case err == nil:
 		return attemptResult{done: true, outcome: Served}
@@ -257,11 +348,10 @@
 		return attemptResult{done: true, aborted: true, outcome: Cancelled, err: err}
 	case s.w.Started() && (!stream || !s.call.Route.Resumable):
 		s.w.Abort()
-		return attemptResult{done: true, aborted: true, outcome: s.abortOutcome(ctx), err: err}
+		return attemptResult{done: true, aborted: true, outcome: s.abortOutcome(x.ctx), err: err}
 	default:
 		s.events.discardPartial()
-		res := s.classifyError(ctx, err)
-		return res
+		return s.classifyError(x.ctx, err)
 	}
 }
 
@@ -277,27 +367,27 @@
 const copyBufferBytes = 4 << 10
 
 // copy forwards the body of a response until its end.
-func (s *callState) copy(resp *conns.Response, stream bool, progress func()) error {
+func (s *callState) copy(x *exchange, stream bool) error {
 	var buf [copyBufferBytes]byte
 	for {
-		n, err := resp.Read(buf[:])
+		n, err := x.resp.Read(buf[:])
 		if n > 0 {
 			s.recordFirstByte()
 			before := s.events.count
-			err := s.forward(buf[:n], stream)
+			err := s.forward(x.hedge, buf[:n], stream)
 			if stream && len(s.parts) > 0 && s.events.count > before && before > s.eventsBefore {
 				s.relay.deps.Crashes.partsSafe(s.runID)
 			}
 			if !stream || s.events.count > before {
 				// Bytes that complete no event do not count as progress: a stalled server may still send some.
-				progress()
+				x.progress()
 			}
 			if err != nil {
 				return err
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return s.finishAnswer(stream)
+			return s.finishAnswer(x.hedge, stream)
 		}
 		if err != nil {
 			return errors.Newf("read response: %w", err)
@@ -314,10 +404,16 @@
 }
 
 // forward writes bytes of a response to the caller: of a stream, only complete events that the caller does not have.
-func (s *callState) forward(b []byte, stream bool) error {
+func (s *callState) forward(h *hedge, b []byte, stream bool) error {
 	out, parseErr := b, error(nil)
-	if stream {
-		out, parseErr = s.events.feed(b)
+	err := h.deliver(s, func() bool {
+		if stream {
+			out, parseErr = s.events.feed(b)
+		}
+		return len(out) > 0
+	})
+	if err != nil {
+		return err
 	}
 	if err := s.w.Write(out); err != nil {
 		return errors.Mark(err, errCallerWrite)
@@ -326,10 +422,13 @@
 }
 
 // finishAnswer completes a response. A stream that ends within an event is incomplete, however its body is framed.
-func (s *callState) finishAnswer(stream bool) error {
+func (s *callState) finishAnswer(h *hedge, stream bool) error {
 	if stream && len(s.events.partial) > 0 {
 		return errors.New("stream ended in the middle of an event")
 	}
+	if err := h.deliver(s, func() bool { return true }); err != nil {
+		return err
+	}
 	if err := s.w.End(); err != nil {
 		return errors.Mark(err, errCallerWrite)
 	}
--- /dev/null
+++ b/internal/node/pass/hedge.go
@@ -0,0 +1,186 @@
+package pass
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"geraniumhollow/internal/core/tasks"
+	"geraniumhollow/internal/route/retry"
+	"github.com/cockroachdb/errors"
+)
+
+// errSuperseded ends an attempt whose response another attempt continues.
+var errSuperseded = errors.New("another attempt continues the response")
+
+// hedge makes further attempts beside one whose server is silent. That one goes on, and ends only when the server of another one
+// has begun to answer: a silent server may only lack processor time, and nothing may be able to replace it.
+type hedge struct {
+	// parent is the context of the further attempts.
+	parent context.Context //nolint:containedctx // They begin long after the hedge is made.
+	// cancelAttempt ends the attempt.
+	cancelAttempt context.CancelCauseFunc
+
+	mu sync.Mutex
+	// state is the state of the call for further attempts; nil until the attempt is sent. Only the goroutine of the group uses it
+	// while active is set.
+	state *callState
+	// group runs the further attempts; nil if there were none. cancel ends them.
+	group  *tasks.Group
+	cancel context.CancelFunc
+	active bool
+	// closed is set once the attempt has ended.
+	closed bool
+	// progress counts the parts of the response that the attempt has delivered. answering is set once the caller may have
+	// received part of the response, which is of mediaType. lastID and events are the last event that it has and the number of
+	// events.
+	progress  int
+	answering bool
+	lastID    string
+	events    int
+	mediaType string
+	// next is the attempt that continues the response, superseded is set if it ended the first one.
+	next       *exchange
+	superseded bool
+}
+
+// arm allows further attempts, at other servers than the given one, once the attempt is being sent.
+func (h *hedge) arm(s *callState, server string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.state = s.fork()
+	h.state.tried.Add(server)
+	h.answering, h.lastID, h.events, h.mediaType = s.answering(), s.events.lastID, s.events.count, s.mediaType
+}
+
+// silent handles the picker's notice that the server makes no progress.
+func (h *hedge) silent(cause error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch {
+	case h.closed || h.active || h.superseded:
+		return
+	case h.state == nil || h.state.lastAtFork && !h.answering:
+		h.cancelAttempt(cause) // The caller can still be refused.
+		return
+	case h.answering && !h.state.call.Route.Resumable:
+		return
+	}
+	if h.group == nil {
+		h.parent, h.cancel = context.WithCancel(h.parent)
+		h.group = tasks.New(h.parent)
+	}
+	h.active = true
+	h.state.started, h.state.mediaType, h.state.events = h.answering, h.mediaType, eventParser{lastID: h.lastID, count: h.events}
+	progress := h.progress
+	h.group.Go("hedge", func(context.Context) error {
+		x := h.state.next(h.parent)
+		if !h.offer(x, progress, cause) {
+			x.discard(h.state)
+		}
+		return nil
+	})
+}
+
+// offer has another attempt, unless it is nil, continue the response, if the first attempt has ended or delivered nothing since
+// its progress was as given. It reports whether it has.
+func (h *hedge) offer(x *exchange, progress int, cause error) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.active = false
+	if x == nil || !h.closed && h.progress != progress {
+		return x == nil
+	}
+	h.next = x
+	if !h.closed {
+		h.superseded = true
+		h.cancelAttempt(cause)
+	}
+	return true
+}
+
+// deliver calls take, which takes the next part of the response and reports whether it is progress, unless another attempt
+// continues the response.
+func (h *hedge) deliver(s *callState, take func() bool) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.superseded {
+		return errSuperseded
+	}
+	if take() {
+		h.progress++
+		h.answering = true
+	}
+	h.lastID, h.events, h.mediaType = s.events.lastID, s.events.count, s.mediaType
+	return nil
+}
+
+// close ends the hedge when the attempt has ended. It returns the attempt that continues the response, or nil. If the response is
+// complete, or the call has ended, there is none, and further attempts are ended.
+func (h *hedge) close(s *callState, ended bool) *exchange {
+	h.mu.Lock()
+	h.closed = true
+	group := h.group
+	h.mu.Unlock()
+	if group == nil {
+		return nil
+	}
+	if ended {
+		h.cancel()
+	}
+	if err := group.Wait(); err != nil {
+		s.relay.deps.Log.Error("an attempt beside another one failed", "request", s.call.ID, "error", err)
+	}
+	s.merge(h.state)
+	if ended {
+		h.next.discard(s)
+	}
+	if ended || h.next == nil {
+		h.cancel()
+		return nil
+	}
+	return h.next
+}
+
+// fork returns a copy of the state of a call, for attempts beside the current one.
+func (s *callState) fork() *callState {
+	call := *s.call
+	return &callState{
+		relay: s.relay, call: &call, parts: s.parts, tried: s.tried.Union(nil), triedNodes: s.triedNodes.Union(nil), counted: true,
+		attempts: s.attempts, attemptsAtFork: s.attempts, refusedResumes: s.refusedResumes, lastAtFork: s.call.LastAttempt,
+		mayHaveRun: s.mayHaveRun, forked: true,
+	}
+}
+
+// merge adds the attempts of a fork that has ended.
+func (s *callState) merge(fork *callState) {
+	s.attempts += fork.attempts - fork.attemptsAtFork
+	s.refusedResumes = fork.refusedResumes
+	s.tried, s.triedNodes = s.tried.Union(fork.tried), s.triedNodes.Union(fork.triedNodes)
+	s.mayHaveRun = s.mayHaveRun || fork.mayHaveRun
+}
+
+// next makes attempts until a server has begun to answer with what continues the response. It returns nil if the retry rules
+// allow no more, or no server is available.
+func (s *callState) next(ctx context.Context) *exchange {
+	res := attemptResult{outcome: Stalled}
+	for {
+		v := retry.Decide(time.Now(), s.retryInput(res), s.relay.deps.Budget(s.call.Service.Name))
+		s.logDecision("decided on an attempt beside one at a silent server", res, v)
+		if !v.Retry {
+			return nil
+		}
+		s.relay.deps.Metrics.Retried()
+		var x *exchange
+		x, res = s.begin(ctx)
+		switch {
+		case x != nil && (!s.started || s.continues(x.resp.Header)):
+			return x
+		case x != nil:
+			res = attemptResult{outcome: Failed, err: errors.Newf("status %d does not continue the response", x.resp.Header.StatusCode())}
+			x.end(s, res)
+		case res.refusal != nil:
+			return nil
+		}
+	}
+}
--- a/internal/node/pass/hop.go
+++ b/internal/node/pass/hop.go
@@ -134,47 +134,53 @@
 	return h, refusal
 }
 
-// attemptHop passes the call on to another node and forwards its answer.
-func (s *callState) attemptHop(ctx context.Context, hop Hop) attemptResult {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
+// beginHop passes the call on to another node, as begin does to a server.
+func (s *callState) beginHop(ctx context.Context, hop Hop) (*exchange, attemptResult) {
+	attemptCtx, cancel := context.WithCancelCause(ctx)
 	start, before := time.Now(), s.attempts
+	x := &exchange{
+		ctx: attemptCtx, cancel: cancel, hedge: &hedge{parent: ctx, cancelAttempt: cancel}, server: hop.Node(), progress: func() {},
+	}
+	x.record = func(s *callState, res attemptResult) {
+		hop.Done(!res.notSent)
+		if !res.done {
+			s.triedNodes.Add(hop.Node())
+		}
+		s.relay.deps.Metrics.AttemptEnded(attemptMetricLabels[res.outcome])
+		cause := res.err
+		if res.refusal != nil {
+			cause = res.refusal
+		}
+		s.relay.deps.Log.Info("passed a request on", "request", s.call.ID, "route", s.call.Route.Name, "attempt", before, "node", hop.Node(),
+			"outcome", res.outcome, "taken", !res.notSent, "events", s.events.count, "ms", time.Since(start).Milliseconds(), "error", cause)
+	}
 	s.runID = 0
-	res := s.sendHop(ctx, hop)
-	res.server = hop.Node()
-	hop.Done(!res.notSent)
-	if !res.done {
-		s.triedNodes.Add(hop.Node())
-	}
-	s.relay.deps.Metrics.AttemptEnded(attemptMetricLabels[res.outcome])
-	cause := res.err
-	if res.refusal != nil {
-		cause = res.refusal
-	}
-	s.relay.deps.Log.Info("passed a request on", "request", s.call.ID, "route", s.call.Route.Name, "attempt", before, "node", hop.Node(),
-		"outcome", res.outcome, "taken", !res.notSent, "events", s.events.count, "ms", time.Since(start).Milliseconds(), "error", cause)
-	return res
+	res := s.sendHop(x, hop)
+	if x.resp == nil {
+		return nil, x.end(s, res)
+	}
+	return x, attemptResult{}
 }
 
-// sendHop performs an attempt through another node.
-func (s *callState) sendHop(ctx context.Context, hop Hop) attemptResult {
+// sendHop sends the call to another node. If the node begins to answer, x gets the response, otherwise sendHop returns the result
+// of the attempt.
+func (s *callState) sendHop(x *exchange, hop Hop) attemptResult {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	s.call.req.Header.CopyTo(&req.Header)
 	s.relay.deps.Codec.EncodeForwarded(&req.Header, AttemptInfo{TimeLeft: time.Until(s.call.Deadline), LastEventID: s.events.lastID})
 	hopRequest{elapsed: time.Since(s.call.Arrived), attempts: s.countedAttempts(), config: s.call.config}.encode(&req.Header)
 	req.SetBodyRaw(s.call.req.Body)
-	s.attempts++
-	s.began, s.eventsBefore = false, s.events.count
-	resp, err := hop.Conns().Exchange(ctx, conns.Exchange{
+	s.sending(x)
+	resp, err := hop.Conns().Exchange(x.ctx, conns.Exchange{
 		Request: req, HeaderBy: s.call.Deadline,
 		Matches: func(h *fasthttp.ResponseHeader) bool { return len(h.Peek(headerHopOutcome)) > 0 },
 	})
 	if err != nil {
-		return s.classifyError(ctx, err)
+		return s.classifyError(x.ctx, err)
 	}
-	defer resp.Close()
 	if string(resp.Header.Peek(headerHopOutcome)) != hopAnswer {
+		defer resp.Close()
 		return s.hopRefused(resp)
 	}
 	if n, err := strconv.Atoi(string(resp.Header.Peek(headerHopAttempts))); err == nil {
@@ -184,10 +190,12 @@
 		resp.Header.Del(name)
 	}
 	if err := s.checkAnswer(resp.Header, s.relay.deps.Codec.DecodeResponse(resp.Header)); err != nil {
+		resp.Close()
 		s.mayHaveRun = true
 		return attemptResult{outcome: Failed, err: errors.Newf("another node: %w", err)}
 	}
-	return s.takeAnswer(ctx, resp, func() {})
+	x.resp = resp
+	return attemptResult{}
 }
 
 // hopRefused returns the result of an attempt that another node answered with an error.
@@ -202,7 +210,7 @@
 		// The node did not take the call: the next one may.
 		s.attempts--
 		return attemptResult{outcome: NotRun, notSent: true, err: errors.CombineErrors(errors.Newf("node does not take requests: %w", ferr), err)}
-	case s.w.Started():
+	case s.answering():
 		// A response that has begun can only be cut, not refused: another node may continue it.
 		s.attempts--
 		return attemptResult{outcome: NotRun, err: ferr}
--- a/internal/node/pass/serve.go
+++ b/internal/node/pass/serve.go
@@ -30,6 +30,12 @@
 	// parts are the shared parts of the prompt; runID is the crash tracker's ID of the current attempt.
 	parts []crash.Part
 	runID crash.RunID
+	// forked is set in a copy of the state for attempts beside the one at a silent server. started then reports whether the
+	// caller may have received part of the response, attemptsAtFork and lastAtFork are attempts and Call.LastAttempt of then.
+	forked, started, lastAtFork bool
+	attemptsAtFork              int
+	// hedge makes attempts beside the current one.
+	hedge *hedge
 	// tried holds the IDs of servers that have refused or failed the call.
 	tried sets.Set[string]
 	// triedNodes are the nodes that did not take the call or failed it.
@@ -86,8 +92,7 @@
 			return
 		}
 		v := retry.Decide(time.Now(), s.retryInput(res), budget)
-		r.deps.Log.Info("decided on another attempt", "request", c.ID, "attempt", s.attempts, "retry", v.Retry, "reason", v.Reason,
-			"not_run", res.outcome == NotRun || res.outcome == Refused, "left_ms", time.Until(c.Deadline).Milliseconds())
+		s.logDecision("decided on another attempt", res, v)
 		if v.Retry {
 			r.deps.Metrics.Retried()
 			continue
@@ -97,6 +102,12 @@
 	}
 }
 
+// logDecision logs whether another attempt is made after one that ended with a result.
+func (s *callState) logDecision(msg string, res attemptResult, v retry.Decision) {
+	s.relay.deps.Log.Info(msg, "request", s.call.ID, "attempt", s.attempts, "retry", v.Retry, "reason", v.Reason,
+		"not_run", res.outcome == NotRun || res.outcome == Refused, "left_ms", time.Until(s.call.Deadline).Milliseconds())
+}
+
 // countRequest counts the call in the retry budget of the node that makes the first attempt.
 func (s *callState) countRequest() {
 	if !s.counted && s.attempts == 0 {
@@ -105,6 +116,14 @@
 	s.counted = true
 }
 
+// answering reports whether the caller may have received part of the response.
+func (s *callState) answering() bool {
+	if s.forked {
+		return s.started
+	}
+	return s.w.Started()
+}
+
 // maxRefusedResumes is the number of refusedResumes that do not count against the maximum number of attempts.
 const maxRefusedResumes = 3
 
--- a/internal/node/pass/serve_test.go
+++ b/internal/node/pass/serve_test.go
@@ -108,10 +108,16 @@
 	onPick func(ctx context.Context, c *pass.Call)
 }
 
-func (p inOrder) Pick(ctx context.Context, c *pass.Call, tried sets.Set[string], _ context.CancelCauseFunc) (pass.Reservation, *fault.Error) {
+// silence is when the picker finds the first server silent, after its choice.
+const silence = 50 * time.Millisecond
+
+func (p inOrder) Pick(ctx context.Context, c *pass.Call, tried sets.Set[string], cancel context.CancelCauseFunc) (pass.Reservation, *fault.Error) {
 	p.onPick(ctx, c)
-	for _, s := range p.slots {
+	for i, s := range p.slots {
 		if !tried.Has(s.entry.ID) {
+			if i == 0 {
+				time.AfterFunc(silence, func() { cancel(pass.ErrStalled) })
+			}
 			return s, nil
 		}
 	}
@@ -473,3 +479,96 @@
 		t.Errorf("got %v, want %v", got, want)
 	}
 }
+
+// pauses is a server that writes one event, is silent, and then writes the others.
+func pauses(w http.ResponseWriter, r *http.Request) {
+	writeEvents(w, r, 1)
+	select {
+	case <-r.Context().Done():
+		return
+	case <-time.After(6 * silence):
+	}
+	for id := 2; id <= streamEvents; id++ {
+		_, _ = fmt.Fprintf(w, "id: %d\n\n", id)
+	}
+}
+
+// hangs is a server that writes one event and nothing else.
+func hangs(w http.ResponseWriter, r *http.Request) {
+	writeEvents(w, r, 1)
+	<-r.Context().Done()
+}
+
+// Guards against cutting the stream of a server that is only silent for a while when no other server continues it.
+func TestSilentServerKeepsItsStream(t *testing.T) {
+	t.Parallel()
+	late := func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(3 * silence)
+		writeEvents(w, r, streamEvents)
+	}
+	tests := map[string]struct {
+		servers []http.HandlerFunc
+		retries float64
+	}{
+		"budget exhausted":               {[]http.HandlerFunc{pauses, serves}, 0},
+		"no other server":                {[]http.HandlerFunc{pauses}, 9},
+		"others refuse":                  {[]http.HandlerFunc{pauses, refuses, refuses, refuses, refuses, refuses}, 9},
+		"other refuses, then no budget":  {[]http.HandlerFunc{pauses, refuses, serves}, 1},
+		"other fails":                    {[]http.HandlerFunc{pauses, fails}, 9},
+		"other answers something else":   {[]http.HandlerFunc{pauses, answers("text/html", "page")}, 9},
+		"other breaks off":               {[]http.HandlerFunc{pauses, endsEarly}, 9},
+		"other hangs":                    {[]http.HandlerFunc{pauses, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }}, 9},
+		"other continues":                {[]http.HandlerFunc{pauses, serves}, 9},
+		"other continues late":           {[]http.HandlerFunc{pauses, late}, 9},
+		"silent for good":                {[]http.HandlerFunc{hangs, serves}, 9},
+		"silent for good, other refuses": {[]http.HandlerFunc{hangs, refuses, serves}, 9},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			route := match.Route{Name: "r", Kind: match.Stream, Resumable: true, MaxAttempts: 2, Timeout: 2 * time.Second}
+			status, body, err := get(t, newRelay(t, route, retry.NewBudgetWith(0, tt.retries), tt.servers...))
+			if status != http.StatusOK || body != whole || err != nil {
+				t.Errorf("got %d %q, error %v, want the whole stream", status, body, err)
+			}
+		})
+	}
+}
+
+// Guards against an answer that is put together from those of a silent server and of another one.
+func TestSilentServerOfWholeAnswer(t *testing.T) {
+	t.Parallel()
+	slow := func(part string) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.WriteString(w, part)
+			_ = http.NewResponseController(w).Flush()
+			select {
+			case <-r.Context().Done():
+			case <-time.After(4 * silence):
+				_, _ = io.WriteString(w, "slow"[len(part):])
+			}
+		}
+	}
+	quick := answers("text/plain", "quick")
+	tests := map[string]struct {
+		servers []http.HandlerFunc
+		want    string
+	}{
+		"other answers":            {[]http.HandlerFunc{slow(""), quick}, "quick"},
+		"other refuses":            {[]http.HandlerFunc{slow(""), refuses}, "slow"},
+		"part of the answer came":  {[]http.HandlerFunc{slow("sl"), quick}, "slow"},
+		"other answers later":      {[]http.HandlerFunc{slow(""), func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }}, "slow"},
+		"silent one fails, then":   {[]http.HandlerFunc{func(http.ResponseWriter, *http.Request) { time.Sleep(2 * silence); panic(http.ErrAbortHandler) }, slow("")}, "slow"},
+		"both fail, the last says": {[]http.HandlerFunc{func(http.ResponseWriter, *http.Request) { time.Sleep(2 * silence); panic(http.ErrAbortHandler) }, fails}, "failed"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			route := match.Route{Name: "r", Kind: match.Idempotent, MaxAttempts: 2, Timeout: 2 * time.Second, Objective: time.Second}
+			_, body, err := get(t, newRelay(t, route, retry.NewBudgetWith(0, 9), tt.servers...))
+			if body != tt.want || err != nil {
+				t.Errorf("got %q, error %v, want %q", body, err, tt.want)
+			}
+		})
+	}
+}
