Wait for a server that can continue a response that has begun

Callers saw: a stream that broke off was cut at once when no group of its model was open, or all were held back, for a moment: while a group is formed anew, 0.3 to 2 s.

Cause: a call for which no server was available was refused without waiting. A response that has begun cannot be refused, only cut.

Evidence: TestBegunResponseWaitsForServer failed before: refused after 0 s, with a server at 1.5 s.

Why this works: such a call waits up to 2 s, by which time a group that has lost a member is open again and callers still wait. Calls of which the caller has nothing are refused at once, as before.

--- a/internal/node/seat/seat.go
+++ b/internal/node/seat/seat.go
@@ -122,6 +122,9 @@
 	pollInterval = 20 * time.Millisecond
 	// maxWaitShare is the fraction of the latency objective for which a call may wait for a server.
 	maxWaitShare = 0.5
+	// resumeWait is how long a call whose caller has received part of the response may wait for a server. By then, a group that
+	// has lost a member is open again; callers leave after a gap of two seconds or more.
+	resumeWait = 2 * time.Second
 )
 
 // New returns a Picker without servers. They are read from the registry on the first Pick.
@@ -159,13 +162,19 @@
 
 // Pick implements pass.Picker.
 func (s *Picker) Pick(ctx context.Context, c *pass.Call, tried sets.Set[string], cancel context.CancelCauseFunc) (pass.Reservation, *fault.Error) {
-	until := s.cfg.Now().Add(time.Duration(maxWaitShare * float64(c.Route.Objective)))
+	wait := time.Duration(maxWaitShare * float64(c.Route.Objective))
+	if c.Answering {
+		wait = max(wait, resumeWait)
+	}
+	until := s.cfg.Now().Add(wait)
 	for {
 		res, freeAt, refusal := s.tryPick(c, tried, cancel)
 		if res != nil {
 			return res, nil
 		}
-		if freeAt.IsZero() || freeAt.After(until) || !s.cfg.Now().Before(until) || !tasks.Sleep(ctx, pollInterval) {
+		// A response that has begun can be cut, but not refused.
+		hopeless := !c.Answering && (freeAt.IsZero() || freeAt.After(until))
+		if hopeless || !s.cfg.Now().Before(until) || !tasks.Sleep(ctx, pollInterval) {
 			return nil, refusal
 		}
 	}
--- a/internal/node/seat/seat_test.go
+++ b/internal/node/seat/seat_test.go
@@ -408,6 +408,29 @@
 	})
 }
 
+// Guards against cutting a response that has begun because no server is open for a moment, and against keeping a call that can be
+// refused.
+func TestBegunResponseWaitsForServer(t *testing.T) {
+	t.Parallel()
+	for _, answering := range []bool{true, false} {
+		runWithFakeClock(t, func(t *testing.T, ctx context.Context, _ func(*testBed)) {
+			b := newTestBed(engine(), 1)
+			b.put("a")
+			time.AfterFunc(1500*time.Millisecond, func() { b.put("b") })
+			c := b.call()
+			c.Answering = answering
+			began := time.Now()
+			_, _, refusal := b.pickFor(ctx, c, "a")
+			if (refusal == nil) != answering {
+				t.Errorf("answering %v: refused with %v after %v", answering, refusal, time.Since(began))
+			}
+			if _, _, refusal := b.pickFor(ctx, c, "a", "b"); refusal == nil || time.Since(began) > 4*time.Second {
+				t.Errorf("answering %v: refused with %v after %v", answering, refusal, time.Since(began))
+			}
+		})
+	}
+}
+
 // Guards against cutting a response that only its silent server can continue, and against waiting for a silent server when
 // the caller can be refused or another server can continue.
 func TestLastAttemptAtSilentServer(t *testing.T) {
