Notice silent servers whose group has closed or changed

Callers saw: a stream stopped midway, and nothing came until its deadline, or until its caller gave up. The node logged the attempt as withdrawn, without an error.

Cause: when the group of a server was closed, formed anew or left, the picker forgot the server, and with it the streams that it still ran. Only servers that had left the registry were watched on. A group closes before one of its members goes, so that its longest streams are those that lack a member, and hang.

TestSilentAfterGroupChange failed before in all four cases.

Why this works: a server that is no longer chosen, and still runs requests, is watched until they have ended. Reports are repeated each second while a server stays silent, as other servers may be able to continue its streams by then.

--- a/internal/node/seat/seat.go
+++ b/internal/node/seat/seat.go
@@ -78,7 +78,8 @@
 	watch   *stall.Monitor
 	view    *index.View
 	servers map[string]*server
-	// departed holds servers that have left the registry and still run requests of this node, with the time of leaving.
+	// departed holds servers that get no new requests, or whose formation has ended, and still run requests of this node, with the
+	// time from which their silence counts.
 	departed map[*server]time.Time
 	notices  notices
 	// averageLoad is the average of the recently reported loads, by model key.
@@ -392,11 +393,7 @@
 		if present.Has(id) {
 			continue
 		}
-		s.remove(id, sv)
-		if _, ok := v.Servers[id]; !ok && len(sv.reservations) > 0 {
-			// A server that shuts down gracefully may finish its responses after it has left the registry.
-			s.departed[sv] = now
-		}
+		s.remove(now, id, sv)
 	}
 }
 
@@ -422,7 +419,7 @@
 func (s *Picker) upsert(now time.Time, e *index.Entry, spec choose.Spec) {
 	sv, ok := s.servers[e.ID]
 	if ok && (!sv.entry.SameProcess(e.Info) || sv.entry.Address != e.Address || sv.entry.Member.Epoch != e.Member.Epoch) {
-		s.remove(e.ID, sv)
+		s.remove(now, e.ID, sv)
 		ok = false
 	}
 	if !ok {
@@ -440,13 +437,17 @@
 	}
 }
 
-// remove removes a server. Requests that it still runs keep their connections.
-func (s *Picker) remove(id string, sv *server) {
+// remove removes a server. Requests that it still runs keep their connections: a server that shuts down gracefully, or the head of
+// a group that closes, may finish its responses.
+func (s *Picker) remove(now time.Time, id string, sv *server) {
 	s.table.Remove(id)
 	s.watch.Remove(id)
 	sv.removed = true
 	sv.conns.Close()
 	delete(s.servers, id)
+	if len(sv.reservations) > 0 {
+		s.departed[sv] = now
+	}
 }
 
 // settle moves the learned slowness of servers without recent reports towards normal, so that they are tried again.
@@ -486,6 +487,7 @@
 		s.reportStall(now, sv, "no_answer")
 	}
 	s.checkDeparted(now)
+	s.repeatReports(now)
 	for _, name := range s.watch.Check(now, passTime) {
 		if sv, ok := s.servers[name]; ok {
 			s.reportStall(now, sv, "streams_silent")
@@ -541,21 +543,41 @@
 	return false
 }
 
-// checkDeparted cancels repeatable attempts on servers that have left the registry and make no progress.
+// checkDeparted reports departed servers that make no progress.
 func (s *Picker) checkDeparted(now time.Time) {
 	for sv, since := range s.departed {
-		silent := min(now.Sub(since), now.Sub(sv.progress)) >= s.watch.SilenceLimit(sv.entry.ID, s.passTime(sv))
-		if len(sv.reservations) > 0 && !silent {
+		if len(sv.reservations) == 0 {
+			delete(s.departed, sv)
 			continue
 		}
-		delete(s.departed, sv)
-		s.watch.Remove(sv.entry.ID)
-		if len(sv.reservations) > 0 {
+		silent := min(now.Sub(since), now.Sub(sv.progress))
+		if sv.reportedAt.IsZero() && silent >= s.watch.UnknownSilenceLimit(s.passTime(sv)) {
 			s.reportStall(now, sv, "departed")
 		}
 	}
 }
 
+// repeatReports reports again the servers that have made no progress since they were reported: other servers may be able to
+// take their requests by now.
+func (s *Picker) repeatReports(now time.Time) {
+	repeat := func(sv *server) {
+		switch {
+		case sv.reportedAt.IsZero():
+		case sv.progress.After(sv.reportedAt):
+			sv.reportedAt = time.Time{}
+		case now.Sub(sv.reportedAt) >= reportAgainAfter:
+			sv.reportedAt = now
+			sv.cancelRepeatable()
+		}
+	}
+	for _, sv := range s.servers {
+		repeat(sv)
+	}
+	for sv := range s.departed {
+		repeat(sv)
+	}
+}
+
 // passTime returns the maximum duration of an engine pass of a server, after which each of its requests gets its next
 // event. The prompts of other nodes are unknown and assumed to equal those of this node.
 func (s *Picker) passTime(sv *server) time.Duration {
@@ -600,6 +622,7 @@
 
 // reportStall cancels the repeatable attempts on a stalled server and reports its group.
 func (s *Picker) reportStall(now time.Time, sv *server, reason string) {
+	sv.reportedAt = now
 	s.cfg.Metrics.Stalled(reason)
 	s.cfg.Log.Warn("server makes no progress", "server", sv.entry.ID, "reason", reason, "withdrawn", sv.cancelRepeatable(), "running", len(sv.reservations),
 		"silent_ms", now.Sub(sv.progress).Milliseconds())
--- a/internal/node/seat/seat_test.go
+++ b/internal/node/seat/seat_test.go
@@ -431,6 +431,49 @@
 	}
 }
 
+// Guards against responses that hang until their deadline because the group of their server was closed, formed anew or joined
+// another one before it fell silent.
+func TestSilentAfterGroupChange(t *testing.T) {
+	t.Parallel()
+	changes := map[string]server.Member{
+		"closed":      {Group: "g-a", Epoch: 1, State: server.Ready},
+		"formed anew": {Group: "g-a", Epoch: 2, State: server.Open},
+		"other group": {Group: "g-x", Epoch: 3, State: server.Joining},
+		"left":        {},
+	}
+	for name, member := range changes {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			runWithFakeClock(t, func(t *testing.T, ctx context.Context, run func(*testBed)) {
+				b := newTestBed(engine(), 1)
+				run(b)
+				b.put("a")
+				s1, cause, refusal := b.pick(ctx)
+				if refusal != nil {
+					t.Fatal(refusal)
+				}
+				sendEvents(500*time.Millisecond, s1)
+				b.index.Apply(time.Now(), index.Change{Put: []server.Info{{
+					ID: "a", Service: "svc", Address: "127.0.0.1:1", Domain: "d", Slots: 8, StartedAt: time.Unix(1, 0), Model: "m", Member: member,
+				}}})
+				b.put("b")
+				s2, _, refusal := b.pick(ctx, "a")
+				if refusal != nil {
+					t.Fatal(refusal)
+				}
+				sendEvents(2*time.Second, s1, s2)
+				if cause() != nil {
+					t.Errorf("the attempt ended with %v while events arrived", cause())
+				}
+				sendEvents(time.Second, s2)
+				if !errors.Is(cause(), pass.ErrStalled) {
+					t.Errorf("1 s without an event: the attempt ended with %v, want ErrStalled", cause())
+				}
+			})
+		})
+	}
+}
+
 // Guards against cutting a response that only its silent server can continue, and against waiting for a silent server when
 // the caller can be refused or another server can continue.
 func TestLastAttemptAtSilentServer(t *testing.T) {
--- a/internal/node/seat/server.go
+++ b/internal/node/seat/server.go
@@ -29,6 +29,8 @@
 	maxCheckInterval = 2 * stallCheckInterval
 	catchUpTime      = 100 * time.Millisecond
 	maxCatchUpTime   = 500 * time.Millisecond
+	// reportAgainAfter is the time after which a server that still makes no progress is reported again.
+	reportAgainAfter = time.Second
 	// firstByteFactor multiplies the silence limit before the first byte of a response, because the server processes
 	// the prompt first.
 	firstByteFactor = 2
@@ -52,6 +54,8 @@
 	refusedUntil time.Time
 	// progress is when part of any response last arrived.
 	progress time.Time
+	// reportedAt is when the server was last reported to make no progress, zero if it has made some since.
+	reportedAt time.Time
 	// namesRate is set while the server names a rate for all nodes together.
 	namesRate bool
 }
--- a/internal/route/stall/stall.go
+++ b/internal/route/stall/stall.go
@@ -170,6 +170,11 @@
 	return max(w.silenceLimit(w.state(server)), pass+w.cfg.Slack)
 }
 
+// UnknownSilenceLimit returns the same for a server of whose streams nothing is known.
+func (w *Monitor) UnknownSilenceLimit(pass time.Duration) time.Duration {
+	return max(w.silenceLimit(&serverState{}), pass+w.cfg.Slack)
+}
+
 func (w *Monitor) silenceLimit(st *serverState) time.Duration {
 	limit := max(w.cfg.MinSilence, time.Duration(w.cfg.MinSilenceIntervals*float64(st.meanInterval)))
 	if n := max(1, len(st.streams)); n <= len(w.cfg.FewStreamsFactors) {
