Keeper: log what is known of lost servers when a group changes, and how late probes were

A decision to dissolve a group or to form it anew for member_lost named the group only. It now says of each lost member whether its process has ended, how many probes it missed and since when, when it last answered, when its registration was last renewed, and what other nodes saw. A probe is logged with its time, and with how much later than its timeout it ended: so late was this process.

--- a/internal/node/keeper/carry.go
+++ b/internal/node/keeper/carry.go
@@ -45,7 +45,11 @@
 	}
 	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
+	start := time.Now()
 	r, err := k.cfg.Engines.Report(probeCtx, p)
+	took := time.Since(start)
+	// A probe that ends after its timeout shows how late this process was.
+	late := max(0, took-probeTimeout)
 	switch {
 	case err == nil:
 		k.cfg.Heard(p.Server)
@@ -58,7 +62,8 @@
 		}
 		return
 	}
-	k.cfg.Log.Info("probed a server", "server", p.Server, "state", r.Member.State, "pace", r.Slowdown, "error", err)
+	k.cfg.Log.Info("probed a server", "server", p.Server, "state", r.Member.State, "pace", r.Slowdown,
+		"ms", took.Milliseconds(), "late_ms", late.Milliseconds(), "error", err)
 	k.mu.Lock()
 	if k.decider != nil {
 		if err == nil {
--- a/internal/node/keeper/keeper.go
+++ b/internal/node/keeper/keeper.go
@@ -249,7 +249,7 @@
 	k.reportGroups(now)
 	k.mu.Unlock()
 	for _, n := range actions.Decisions {
-		k.cfg.Log.Info("group decision", "decision", n.Decision, "group", n.Group, "epoch", n.Epoch, "reason", n.Reason)
+		k.cfg.Log.Info("group decision", "decision", n.Decision, "group", n.Group, "epoch", n.Epoch, "reason", n.Reason, "evidence", n.Evidence)
 	}
 	fence, decider := k.fence, k.decider
 	for _, o := range actions.Orders {
--- a/internal/plan/group/change.go
+++ b/internal/plan/group/change.go
@@ -93,16 +93,17 @@
 		d.rejected.Remove(f.key())
 		members := d.fillMembers(now, p, f, kept)
 		if members == nil {
-			d.addNote("dissolve", f, reason)
+			d.addLossNote(now, "dissolve", f, f.Members, reason)
 			p.Current = slices.Delete(p.Current, i, i+1)
 			i--
 			continue
 		}
 		p.Epoch++
+		had := f.Members
 		f = d.withMembers(f, members)
 		f.Epoch = p.Epoch
 		p.Current[i] = f
-		d.addNote("form_anew", f, reason)
+		d.addLossNote(now, "form_anew", f, had, reason)
 	}
 	return changed
 }
--- a/internal/plan/group/decider.go
+++ b/internal/plan/group/decider.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"geraniumhollow/internal/core/sets"
@@ -49,6 +50,8 @@
 	Group    string
 	Epoch    uint64
 	Reason   string
+	// Evidence describes what is known of the servers that the decision is about, or is "".
+	Evidence string
 }
 
 // Decider manages the groups of one service.
@@ -210,4 +213,16 @@
 	d.notes = append(d.notes, Decision{Decision: decision, Group: f.Group, Epoch: f.Epoch, Reason: reason})
 }
 
+// addLossNote adds a decision about a formation, with what is known of the lost servers among those that it had.
+func (d *Decider) addLossNote(now time.Time, decision string, f Formation, had []string, reason string) {
+	d.addNote(decision, f, reason)
+	var lost []string
+	for _, id := range had {
+		if s := d.servers[id]; s != nil && s.lost() {
+			lost = append(lost, s.evidence(now))
+		}
+	}
+	d.notes[len(d.notes)-1].Evidence = strings.Join(lost, "; ")
+}
+
 func (f Formation) key() index.Formation { return index.Formation{Group: f.Group, Epoch: f.Epoch} }
--- a/internal/plan/group/probe.go
+++ b/internal/plan/group/probe.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -120,10 +121,25 @@
 		s.excusedMisses++
 		return
 	}
+	if s.missedProbes == 0 {
+		s.silentSince = s.probedAt
+	}
 	s.missedProbes++
 	s.exited = s.exited || exited
 }
 
+// evidence describes what is known of a lost server.
+func (s *serverState) evidence(now time.Time) string {
+	ago := func(at time.Time) string {
+		if at.IsZero() {
+			return "never"
+		}
+		return now.Sub(at).Round(time.Millisecond).String()
+	}
+	return fmt.Sprintf("%s: exited %t, missed %d, silent %s, answered %s, renewed %s, peers asked %s, %d of %d reached it", s.ID, s.exited,
+		s.missedProbes, ago(s.silentSince), ago(s.answeredAt), ago(s.heartbeatAt), ago(s.peersAskedAt), s.peersReached, s.peersAnswered)
+}
+
 // maxExcusedMisses is how many additional probes a server may miss while servers of other domains
 // miss theirs too. The cause may then be this node, which had no CPU time to process the answers.
 const maxExcusedMisses = 2
@@ -202,6 +218,7 @@
 // reached the server.
 func (d *Decider) PeerProbesDone(id string, asked, reached int) {
 	if s, ok := d.servers[id]; ok && s.lost() {
+		s.peersAnswered, s.peersReached = asked, reached
 		s.unreachableByPeers = asked >= minPeerAnswers && reached == 0
 	}
 }
--- a/internal/plan/group/server.go
+++ b/internal/plan/group/server.go
@@ -27,6 +27,8 @@
 	// answered.
 	missedProbes int
 	answeredAt   time.Time
+	// silentSince is when the first of these probes was sent.
+	silentSince time.Time
 	// excusedMisses counts missed probes that missedProbes leaves out. See maxExcusedMisses.
 	excusedMisses int
 	// probedAt is when the last probe was sent. probePending is set while its result is
@@ -44,6 +46,9 @@
 	// when they were last asked.
 	unreachableByPeers bool
 	peersAskedAt       time.Time
+	// peersAnswered and peersReached are the numbers of other nodes that answered last and of those that reached the server.
+	peersAnswered int
+	peersReached  int
 	// lastOrders holds the latest order of each kind.
 	lastOrders map[Kind]sentOrder
 	// highestEpoch is the highest epoch that the server is known to have seen. It refuses to join
