Keeper: a server that misses probes keeps its place while something shows that it runs

Callers can see all streams of a group cut at once although its servers live: a keeper without processor time misses the answers to both probes of a member (120 ms each), takes it for lost (member_lost), and forms the group anew.

A probe now counts as missed when this process itself has been running for its timeout: steps of its timer that end late do not count (tasks.SleepRunning). An answer after that still shows that the server runs. Nodes that were not running while they asked a server do not answer the keeper, which took their silence for a second opinion.

A silent member of a group that serves is lost only if nothing shows that it runs: a late answer, a node that reaches it, or a registration renewed since the probe (for 2 s, as a server may reach nothing but the store). A keeper that was late within 5 s also waits until the registration is overdue, or 2 s. Other nodes are asked when the first probe is missed, so that a dark member is found as soon as before. Only the decision to change a serving group is new: what counts as lost elsewhere, and so which servers may join another group, is unchanged.

--- a/internal/core/tasks/loop.go
+++ b/internal/core/tasks/loop.go
@@ -40,3 +40,26 @@
 		return true
 	}
 }
+
+// Steps of SleepRunning. One that takes maxStep or longer does not count.
+const (
+	runningStep = 20 * time.Millisecond
+	maxStep     = 2 * runningStep
+)
+
+// SleepRunning waits until this process has been running for d, for at most limit or until ctx is done. It sleeps in steps, and a step
+// that ends late does not count: the process was not scheduled, and may not have read what has arrived. It returns how much longer
+// than d it has waited, and reports whether ctx is not done. The function that it sleeps with is Sleep except in tests.
+func SleepRunning(ctx context.Context, sleep func(context.Context, time.Duration) bool, d, limit time.Duration) (time.Duration, bool) {
+	start := time.Now()
+	for left := d; left > 0 && time.Since(start) < limit; {
+		step, before := min(left, runningStep), time.Now()
+		if !sleep(ctx, step) {
+			return 0, false
+		}
+		if time.Since(before) < maxStep {
+			left -= step
+		}
+	}
+	return max(0, time.Since(start)-d), true
+}
--- a/internal/core/tasks/loop_test.go
+++ b/internal/core/tasks/loop_test.go
@@ -49,3 +49,37 @@
 		}
 	})
 }
+
+// Guards against a wait that ends although the process did not run meanwhile, and against one without end.
+func TestSleepRunning(t *testing.T) {
+	t.Parallel()
+	const stall = time.Second
+	tests := map[string]struct {
+		// stalls is the number of steps at the start that end late.
+		stalls int
+		limit  time.Duration
+		late   time.Duration
+	}{
+		"on time":     {0, 5 * time.Second, 0},
+		"late once":   {1, 5 * time.Second, stall + 20*time.Millisecond},
+		"always late": {1000, 5 * time.Second, 5*time.Second - 20*time.Millisecond},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				n := 0
+				sleep := func(ctx context.Context, d time.Duration) bool {
+					if n++; n <= tt.stalls {
+						d += stall
+					}
+					return tasks.Sleep(ctx, d)
+				}
+				late, ok := tasks.SleepRunning(t.Context(), sleep, 120*time.Millisecond, tt.limit)
+				if !ok || late.Round(10*time.Millisecond) != tt.late {
+					t.Errorf("SleepRunning() is %v late, %v, want %v", late, ok, tt.late)
+				}
+			})
+		})
+	}
+}
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -134,7 +134,7 @@
 	})
 	n.keeper = keeper.New(keeper.Config{
 		Node: address + "/" + incarnation, Table: n.store, Engines: cfg.Engines, View: n.index.View, Service: n.engineService,
-		StallTime: set.StallTime, HeartbeatInterval: set.HeartbeatInterval, ReadHeartbeats: n.readBeats, Traffic: n.served.Load,
+		StallTime: set.StallTime, HeartbeatInterval: set.HeartbeatInterval, ReadHeartbeats: n.readBeats, Traffic: n.served.Load, Sleep: tasks.Sleep,
 		Confirm: n.detour.Confirm, Heard: n.detour.Heard, Isolated: n.detour.Isolated,
 		ProbeFromPeers: n.queryReachability, Announce: n.mesh.Announce, HasPeerExcept: n.mesh.HasPeerExcept, IsStandby: n.mesh.Leads, Metrics: cfg.Metrics, Log: cfg.Log,
 	})
--- a/internal/node/edge/peers.go
+++ b/internal/node/edge/peers.go
@@ -28,14 +28,24 @@
 	return true
 }
 
-// canReach reports whether this node can reach a backend server, and whether it knows: it does not if it may have lost all.
+// maxReachLag is how much later than its timeout a status request may end. If it ends later, this process was not scheduled, and may
+// not have read the answer.
+const maxReachLag = 50 * time.Millisecond
+
+// canReach reports whether this node can reach a backend server, and whether it knows: it does not if it may have lost all, or was not
+// running while it waited.
 func (n *Node) canReach(ctx context.Context, server, addr string) (bool, bool) {
 	if n.detour.State() != reach.Connected {
 		return false, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
 	defer cancel()
+	start := time.Now()
 	_, err := n.cfg.Engines.Report(ctx, group.Probe{Server: server, Address: addr})
+	if err != nil && time.Since(start) >= reachTimeout+maxReachLag {
+		n.cfg.Log.Info("cannot tell whether a server is reached, as this process was not scheduled", "server", server, "ms", time.Since(start).Milliseconds())
+		return false, false
+	}
 	return err == nil, true
 }
 
--- a/internal/node/keeper/carry.go
+++ b/internal/node/keeper/carry.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"geraniumhollow/internal/core/tasks"
+	"geraniumhollow/internal/fleet/server"
 	"geraniumhollow/internal/plan/group"
 	"github.com/cockroachdb/errors"
 )
@@ -35,21 +37,73 @@
 	k.Wake()
 }
 
-// probe asks a backend server for its state and passes the answer to the decider.
+// answer is the result of a probe.
+type answer struct {
+	report server.Report
+	err    error
+}
+
+// probe asks a backend server for its state and passes the answer to the decider. After probeTimeout it counts as missed, but an
+// answer until maxProbeTime still shows that the server runs.
 func (k *Keeper) probe(ctx context.Context, p group.Probe) {
 	select {
 	case k.probes <- struct{}{}:
-		defer func() { <-k.probes }()
 	case <-ctx.Done():
 		return
 	}
-	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+	probeCtx, cancel := context.WithTimeout(ctx, maxProbeTime)
 	defer cancel()
 	start := time.Now()
-	r, err := k.cfg.Engines.Report(probeCtx, p)
-	took := time.Since(start)
-	// A probe that ends after its timeout shows how late this process was.
-	late := max(0, took-probeTimeout)
+	answers, timeout := make(chan answer, 1), make(chan time.Duration, 1)
+	g := tasks.New(probeCtx)
+	g.Go("report", func(ctx context.Context) error {
+		r, err := k.cfg.Engines.Report(ctx, p)
+		answers <- answer{report: r, err: err}
+		return nil
+	})
+	g.Go("timeout", func(ctx context.Context) error {
+		if late, ok := tasks.SleepRunning(ctx, k.cfg.Sleep, probeTimeout, maxProbeTime); ok {
+			timeout <- late
+		}
+		return nil
+	})
+	select {
+	case a := <-answers:
+		<-k.probes
+		k.probeDone(ctx, p, a, time.Since(start))
+		cancel()
+	case late := <-timeout:
+		<-k.probes
+		k.observerLate(late)
+		k.probeDone(ctx, p, answer{err: errProbeTimeout}, time.Since(start))
+		if a := <-answers; a.err == nil || errors.Is(a.err, ErrProcessEnded) {
+			k.lateAnswer(p, a, time.Since(start))
+		}
+	}
+	if err := g.Wait(); err != nil {
+		k.cfg.Log.Warn("probe failed", "server", p.Server, "error", err)
+	}
+}
+
+// errProbeTimeout is the error of a probe that is not answered in time.
+var errProbeTimeout = errors.New("no answer in time")
+
+// observerLate tells the decider that a timer of a probe was late, if it was.
+func (k *Keeper) observerLate(late time.Duration) {
+	if late < minObserverLag {
+		return
+	}
+	k.cfg.Log.Info("this process was not scheduled during a probe", "late_ms", late.Milliseconds())
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.decider != nil {
+		k.decider.ObserverLate(time.Now())
+	}
+}
+
+// probeDone passes the result of a probe to the decider.
+func (k *Keeper) probeDone(ctx context.Context, p group.Probe, a answer, took time.Duration) {
+	r, err := a.report, a.err
 	switch {
 	case err == nil:
 		k.cfg.Heard(p.Server)
@@ -62,8 +116,7 @@
 		}
 		return
 	}
-	k.cfg.Log.Info("probed a server", "server", p.Server, "state", r.Member.State, "pace", r.Slowdown,
-		"ms", took.Milliseconds(), "late_ms", late.Milliseconds(), "error", err)
+	k.cfg.Log.Info("probed a server", "server", p.Server, "state", r.Member.State, "pace", r.Slowdown, "ms", took.Milliseconds(), "error", err)
 	k.mu.Lock()
 	if k.decider != nil {
 		if err == nil {
@@ -76,6 +129,24 @@
 	k.Wake()
 }
 
+// lateAnswer passes the result of a probe that counts as missed to the decider.
+func (k *Keeper) lateAnswer(p group.Probe, a answer, took time.Duration) {
+	k.cfg.Log.Info("a server answered a probe late", "server", p.Server, "ms", took.Milliseconds(), "error", a.err)
+	if a.err == nil {
+		k.cfg.Heard(p.Server)
+	}
+	k.mu.Lock()
+	if k.decider != nil {
+		if a.err == nil {
+			k.decider.AnsweredLate(time.Now(), p.Server, a.report.StartedAt)
+		} else {
+			k.decider.ProbeFailed(p.Server, true)
+		}
+	}
+	k.mu.Unlock()
+	k.Wake()
+}
+
 // readHeartbeats reads the registrations of all servers while this node holds the duty.
 func (k *Keeper) readHeartbeats(ctx context.Context) {
 	if _, ok := k.holds(); !ok {
--- a/internal/node/keeper/keeper.go
+++ b/internal/node/keeper/keeper.go
@@ -65,6 +65,8 @@
 	// Isolated reports whether this node reaches no server while other nodes do. It then neither changes groups nor keeps
 	// the duty from others.
 	Isolated func() bool
+	// Sleep waits for d or until ctx is done, and reports whether ctx is not done. It is tasks.Sleep except in tests.
+	Sleep func(ctx context.Context, d time.Duration) bool
 	// Traffic reports whether requests of callers have been served.
 	Traffic func() bool
 	Metrics *metric.Set
@@ -84,9 +86,14 @@
 	// idleInterval is the interval for a node that neither holds the duty nor is a standby. It is longer because most nodes
 	// are in this state and have little processor time.
 	idleInterval = 500 * time.Millisecond
-	// orderTimeout and probeTimeout limit calls to backend servers.
+	// orderTimeout limits orders to backend servers.
 	orderTimeout = 600 * time.Millisecond
+	// probeTimeout is how long this process has to run until a probe without an answer counts as missed. An answer is awaited for
+	// maxProbeTime.
 	probeTimeout = 120 * time.Millisecond
+	maxProbeTime = 1500 * time.Millisecond
+	// minObserverLag is how much longer than its timeout a probe takes if this process was not scheduled.
+	minObserverLag = 60 * time.Millisecond
 	// maxConcurrentProbes limits the load of probes. When a failure domain is suspected, all of its servers are probed,
 	// and a node with a fifth of a core handles about two answers per millisecond: more concurrent probes would time out.
 	maxConcurrentProbes = 24
--- a/internal/node/keeper/keeper_test.go
+++ b/internal/node/keeper/keeper_test.go
@@ -39,16 +39,24 @@
 
 // startKeeper starts a keeper that reaches no backend server.
 func startKeeper(t *testing.T, table *store.Store, registry *index.Index) *keeper.Keeper {
+	t.Helper()
+	return startKeeperWith(t, table, registry, unreachableEngines{}, tasks.Sleep)
+}
+
+// startKeeperWith starts a keeper with backend servers and a function that sleeps.
+func startKeeperWith(
+	t *testing.T, table *store.Store, registry *index.Index, engines keeper.Engines, sleep func(context.Context, time.Duration) bool,
+) *keeper.Keeper {
 	t.Helper()
 	k := keeper.New(keeper.Config{
-		Node: "a/1", Table: table, Engines: unreachableEngines{}, View: registry.View,
+		Node: "a/1", Table: table, Engines: engines, View: registry.View,
 		Service:   func() (string, *batch.Engine) { return "llm", engine },
 		StallTime: time.Second, HeartbeatInterval: time.Second,
 		ReadHeartbeats: func(context.Context) (map[string]uint64, error) { return map[string]uint64{}, nil },
 		ProbeFromPeers: func(context.Context, group.Probe) (int, int) { return 0, 0 },
 		Confirm:        func(context.Context) bool { return true }, Heard: func(string) {}, Isolated: func() bool { return false },
 		Announce: func(duty.HolderReport) {}, HasPeerExcept: func(string) bool { return false },
-		IsStandby: func() bool { return true }, Traffic: func() bool { return false },
+		IsStandby: func() bool { return true }, Traffic: func() bool { return false }, Sleep: sleep,
 		Metrics: metric.New(), Log: hclog.NewNullLogger(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/plan/group/change.go
+++ b/internal/plan/group/change.go
@@ -69,6 +69,9 @@
 
 // repairGroups forms groups again that have lost a member or are about to lose one.
 func (d *Decider) repairGroups(now time.Time, p *Plan) bool {
+	for _, s := range d.servers {
+		s.inDoubt = false
+	}
 	changed := false
 	for i := 0; i < len(p.Current); i++ {
 		f := p.Current[i]
@@ -114,7 +117,7 @@
 	var kept []string
 	reason, closing := "", false
 	for rank, id := range f.Members {
-		switch memberReason := d.replaceReason(f, id); memberReason {
+		switch memberReason := d.replaceReason(now, f, id); memberReason {
 		case "":
 			kept = append(kept, id)
 			if d.leftFormation(f, rank) {
@@ -152,10 +155,10 @@
 )
 
 // replaceReason returns why a member has to be replaced, or "" if it can stay.
-func (d *Decider) replaceReason(f Formation, id string) string {
+func (d *Decider) replaceReason(now time.Time, f Formation, id string) string {
 	s := d.servers[id]
 	switch {
-	case s == nil || s.lost():
+	case s == nil || s.lost() && !d.mayRun(now, f, s):
 		return "member_lost"
 	case id == f.Head() && !s.listed:
 		return "head_not_listed"
@@ -181,12 +184,14 @@
 
 // leftFormation reports whether a member that had joined is no longer a member.
 func (d *Decider) leftFormation(f Formation, rank int) bool {
-	head := d.servers[f.Head()]
-	if head == nil || !head.hasJoined(f, 0) || d.servers[f.Members[rank]].hasJoined(f, rank) {
-		return false
-	}
 	// A head serves only after every member has joined.
-	return head.Member.State == server.Open || head.Member.State == server.Closing
+	return d.serves(f) && !d.servers[f.Members[rank]].hasJoined(f, rank)
+}
+
+// serves reports whether the head of a formation serves, by its last state.
+func (d *Decider) serves(f Formation) bool {
+	head := d.servers[f.Head()]
+	return head != nil && head.hasJoined(f, 0) && (head.Member.State == server.Open || head.Member.State == server.Closing)
 }
 
 // closeForChange starts closing a group that is about to lose a member. It reports whether the
--- a/internal/plan/group/decider.go
+++ b/internal/plan/group/decider.go
@@ -66,6 +66,8 @@
 	startedAt time.Time
 	// heartbeatsReadAt is when the registrations were last read.
 	heartbeatsReadAt time.Time
+	// observerLateUntil is until when this process may miss answers of servers, because it was not scheduled.
+	observerLateUntil time.Time
 	// incompleteSince is when a retired formation was first seen to lack a member, which stalls its
 	// head.
 	incompleteSince map[index.Formation]time.Time
--- a/internal/plan/group/group_test.go
+++ b/internal/plan/group/group_test.go
@@ -37,6 +37,13 @@
 	pace map[string]float64
 	// noHeartbeat holds servers that do not renew their registration.
 	noHeartbeat map[string]bool
+	// late is how long servers take to answer a probe, reachedByPeers has those that other nodes reach. lateAnswers are the answers
+	// that are due, with the time at which they arrive.
+	late           map[string]time.Duration
+	reachedByPeers map[string]bool
+	lateAnswers    []lateAnswer
+	// renewals is the time between heartbeats, or 0 if each step has one.
+	renewals time.Duration
 	// stale has the entries of servers that cannot renew them.
 	stale map[string]server.Info
 	// noRegistry is set while the registry cannot be read.
@@ -56,6 +63,31 @@
 	ready map[index.Formation]sets.Set[string]
 }
 
+// probeTimeout is the time after which a probe counts as missed.
+const probeTimeout = 120 * time.Millisecond
+
+// lateAnswer is an answer to a probe that counts as missed, or the end of the time to answer it.
+type lateAnswer struct {
+	at       time.Time
+	id       string
+	answered bool
+}
+
+// deliverLate passes the late answers that are due to the decider.
+func (sim *simulation) deliverLate() {
+	sim.lateAnswers = slices.DeleteFunc(sim.lateAnswers, func(a lateAnswer) bool {
+		switch {
+		case sim.now.Before(a.at):
+			return false
+		case a.answered:
+			sim.d.AnsweredLate(sim.now, a.id, sim.servers[a.id].StartedAt)
+		default:
+			sim.d.ProbeFailed(a.id, false)
+		}
+		return true
+	})
+}
+
 func newSimulation(t *testing.T, n int) *simulation {
 	t.Helper()
 	sim := &simulation{
@@ -116,7 +148,11 @@
 	c := index.Change{Full: true}
 	heartbeats := make(map[string]uint64)
 	sim.heartbeat++
+	if sim.renewals > 0 {
+		sim.heartbeat = uint64(sim.now.UnixNano() / int64(sim.renewals))
+	}
 	sim.endLoads()
+	sim.deliverLate()
 	for id, i := range sim.servers {
 		if old, ok := sim.stale[id]; ok {
 			c.Put = append(c.Put, old)
@@ -144,14 +180,21 @@
 		sim.d.OrderDone(sim.now, o, sim.execute(o))
 	}
 	for _, q := range a.Probes {
-		if i, ok := sim.at(q.Address); ok && !sim.silent[i.ID] {
+		if d := sim.late[q.Server]; d > 0 {
+			sim.lateAnswers = append(sim.lateAnswers, lateAnswer{at: sim.now.Add(probeTimeout), id: q.Server},
+				lateAnswer{at: sim.now.Add(d), id: q.Server, answered: true})
+		} else if i, ok := sim.at(q.Address); ok && !sim.silent[i.ID] {
 			sim.d.ProbeAnswered(sim.now, q.Server, server.Report{Info: i, Slowdown: max(1, sim.pace[q.Server])})
 		} else {
 			sim.d.ProbeFailed(q.Server, false)
 		}
 	}
 	for _, q := range a.PeerProbes {
-		sim.d.PeerProbesDone(q.Server, 3, 0)
+		reached := 0
+		if sim.reachedByPeers[q.Server] {
+			reached = 3
+		}
+		sim.d.PeerProbesDone(q.Server, 3, reached)
 	}
 }
 
--- a/internal/plan/group/probe.go
+++ b/internal/plan/group/probe.go
@@ -1,7 +1,6 @@
 package group
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
@@ -21,6 +20,8 @@
 	maxLostProbeDoublings = 3
 	// slowProbeInterval is the time between probes of a slow server, which may recover.
 	slowProbeInterval = 2 * time.Second
+	// doubtProbeInterval is the time between probes of a silent server that may run.
+	doubtProbeInterval = 250 * time.Millisecond
 )
 
 // probes returns the servers to probe now.
@@ -41,6 +42,8 @@
 func (s *serverState) probeDue(now time.Time) bool {
 	since := now.Sub(s.probedAt)
 	switch {
+	case s.inDoubt:
+		return since >= doubtProbeInterval
 	case s.missedProbes >= lostAfterMisses:
 		// A lost server is probed with exponential backoff. The registry lists it again when it
 		// returns.
@@ -77,7 +80,7 @@
 	if s.lost() {
 		d.domainReturned(s)
 	}
-	s.exited, s.missedProbes, s.excusedMisses, s.unreachableByPeers, s.pace = false, 0, 0, false, r.Slowdown
+	s.exited, s.missedProbes, s.excusedMisses, s.unreachableByPeers, s.inDoubt, s.pace = false, 0, 0, false, false, r.Slowdown
 	s.answeredAt = now
 	s.update(r.Info)
 }
@@ -124,20 +127,10 @@
 	if s.missedProbes == 0 {
 		s.silentSince = s.probedAt
 	}
-	s.missedProbes++
-	s.exited = s.exited || exited
-}
-
-// evidence describes what is known of a lost server.
-func (s *serverState) evidence(now time.Time) string {
-	ago := func(at time.Time) string {
-		if at.IsZero() {
-			return "never"
-		}
-		return now.Sub(at).Round(time.Millisecond).String()
+	if !s.inDoubt {
+		s.missedProbes++
 	}
-	return fmt.Sprintf("%s: exited %t, missed %d, silent %s, answered %s, renewed %s, peers asked %s, %d of %d reached it", s.ID, s.exited,
-		s.missedProbes, ago(s.silentSince), ago(s.answeredAt), ago(s.heartbeatAt), ago(s.peersAskedAt), s.peersReached, s.peersAnswered)
+	s.exited = s.exited || exited
 }
 
 // maxExcusedMisses is how many additional probes a server may miss while servers of other domains
@@ -175,8 +168,13 @@
 	d.heartbeatsReadAt = asOf
 	for id, s := range d.servers {
 		heartbeat, ok := heartbeats[id]
-		if ok && (heartbeat != s.heartbeat || s.heartbeatAt.IsZero()) {
-			s.heartbeat, s.heartbeatAt = heartbeat, asOf
+		switch {
+		case !ok:
+		case heartbeat != s.heartbeat || s.heartbeatAt.IsZero():
+			s.renewedAfter = s.heartbeatReadAt
+			s.heartbeat, s.heartbeatAt, s.heartbeatReadAt = heartbeat, asOf, asOf
+		default:
+			s.heartbeatReadAt = asOf
 		}
 		if d.heartbeatOverdue(asOf, s) && asOf.Sub(s.probedAt) >= unlistedProbeInterval {
 			s.needsProbe = true
@@ -198,27 +196,55 @@
 	minPeerAnswers = 2
 	// peerProbeInterval is the time between requests to other nodes to probe the same server.
 	peerProbeInterval = 400 * time.Millisecond
+	// maxPeerProbes is how many members other nodes are asked about in one step.
+	maxPeerProbes = 8
 )
 
-// peerProbes returns the lost heads of retired formations that other nodes should probe.
+// peerProbes returns the servers that other nodes should probe: the lost heads of retired formations, and silent members of those that
+// serve.
 func (d *Decider) peerProbes(now time.Time) []Probe {
 	var out []Probe
 	for _, f := range d.plan.Retired {
-		s := d.servers[f.Head()]
-		if s == nil || !s.lost() || s.exited || s.unreachableByPeers || now.Sub(s.peersAskedAt) < peerProbeInterval {
-			continue
+		if s := d.servers[f.Head()]; s != nil && s.lost() && !s.unreachableByPeers {
+			out = append(out, s.askPeers(now)...)
+		}
+	}
+	asked := 0
+	for _, f := range d.plan.Current {
+		for _, id := range f.Members {
+			s := d.servers[id]
+			if s == nil || s.missedProbes == 0 || s.lost() && !s.inDoubt || asked >= maxPeerProbes || !d.serves(f) {
+				continue
+			}
+			list := s.askPeers(now)
+			asked += len(list)
+			out = append(out, list...)
 		}
-		s.peersAskedAt = now
-		out = append(out, Probe{Server: s.ID, Address: s.Address})
 	}
 	return out
 }
 
+// askPeers returns the probe of a server by other nodes, unless they were asked lately or its process is known to have ended.
+func (s *serverState) askPeers(now time.Time) []Probe {
+	if s.exited || now.Sub(s.peersAskedAt) < peerProbeInterval {
+		return nil
+	}
+	s.peersAskedAt, s.peersPending = now, true
+	return []Probe{{Server: s.ID, Address: s.Address}}
+}
+
 // PeerProbesDone applies the results of probes by other nodes: asked nodes replied, and reached of them
 // reached the server.
 func (d *Decider) PeerProbesDone(id string, asked, reached int) {
-	if s, ok := d.servers[id]; ok && s.lost() {
-		s.peersAnswered, s.peersReached = asked, reached
+	s, ok := d.servers[id]
+	if !ok {
+		return
+	}
+	s.peersPending, s.peersAnswered, s.peersReached = false, asked, reached
+	if reached > 0 {
+		s.seenAlive(s.peersAskedAt)
+	}
+	if s.lost() {
 		s.unreachableByPeers = asked >= minPeerAnswers && reached == 0
 	}
 }
--- a/internal/plan/group/server.go
+++ b/internal/plan/group/server.go
@@ -27,8 +27,11 @@
 	// answered.
 	missedProbes int
 	answeredAt   time.Time
-	// silentSince is when the first of these probes was sent.
+	// silentSince is when the first of these probes was sent. aliveAt is when there was last another sign that the server runs,
+	// and inDoubt is set while it keeps a place because of that.
 	silentSince time.Time
+	aliveAt     time.Time
+	inDoubt     bool
 	// excusedMisses counts missed probes that missedProbes leaves out. See maxExcusedMisses.
 	excusedMisses int
 	// probedAt is when the last probe was sent. probePending is set while its result is
@@ -39,9 +42,12 @@
 	// pace is how many times slower than usual the server works, or 0 if unknown.
 	pace float64
 	// heartbeat is the latest heartbeat number of its registration, and heartbeatAt is when it was
-	// first seen.
-	heartbeat   uint64
-	heartbeatAt time.Time
+	// first seen. renewedAfter is when the one before it was last seen.
+	heartbeat    uint64
+	heartbeatAt  time.Time
+	renewedAfter time.Time
+	// heartbeatReadAt is when its registration was last read.
+	heartbeatReadAt time.Time
 	// unreachableByPeers is set when other nodes cannot reach the server either. peersAskedAt is
 	// when they were last asked.
 	unreachableByPeers bool
@@ -49,6 +55,7 @@
 	// peersAnswered and peersReached are the numbers of other nodes that answered last and of those that reached the server.
 	peersAnswered int
 	peersReached  int
+	peersPending  bool
 	// lastOrders holds the latest order of each kind.
 	lastOrders map[Kind]sentOrder
 	// highestEpoch is the highest epoch that the server is known to have seen. It refuses to join
