Keep the last attempt of a call at a silent server also before the first byte

Callers saw: 502 within a second of their request, with most of their time left, where two servers in turn were silent for a moment and were at work. 502 promises nothing, and the caller's one retry met the same.

Cause: an attempt that no other may follow was cancelled if nothing of its response had arrived, as the caller could still be refused. A server's silence is no reason to end an answer (LOST), and a caller that no longer wants to wait leaves.

--- a/internal/node/pass/hedge.go
+++ b/internal/node/pass/hedge.go
@@ -60,8 +60,8 @@
 	switch {
 	case h.closed || h.active || h.superseded:
 		return
-	case h.state == nil || h.state.lastAtFork && !h.answering:
-		h.cancelAttempt(cause) // The caller can still be refused.
+	case h.state == nil:
+		h.cancelAttempt(cause)
 		return
 	case h.answering && !h.state.call.Route.Resumable:
 		return
@@ -147,7 +147,7 @@
 	call := *s.call
 	return &callState{
 		relay: s.relay, call: &call, parts: s.parts, tried: s.tried.Union(nil), triedNodes: s.triedNodes.Union(nil), counted: true,
-		attempts: s.attempts, attemptsAtFork: s.attempts, refusedResumes: s.refusedResumes, lastAtFork: s.call.LastAttempt,
+		attempts: s.attempts, attemptsAtFork: s.attempts, refusedResumes: s.refusedResumes,
 		mayHaveRun: s.mayHaveRun, forked: true,
 	}
 }
--- a/internal/node/pass/serve.go
+++ b/internal/node/pass/serve.go
@@ -31,9 +31,9 @@
 	parts []crash.Part
 	runID crash.RunID
 	// forked is set in a copy of the state for attempts beside the one at a silent server. started then reports whether the
-	// caller may have received part of the response, attemptsAtFork and lastAtFork are attempts and Call.LastAttempt of then.
-	forked, started, lastAtFork bool
-	attemptsAtFork              int
+	// caller may have received part of the response, attemptsAtFork is the number of attempts of then.
+	forked, started bool
+	attemptsAtFork  int
 	// hedge makes attempts beside the current one.
 	hedge *hedge
 	// tried holds the IDs of servers that have refused or failed the call.
--- a/internal/node/seat/server.go
+++ b/internal/node/seat/server.go
@@ -100,12 +100,11 @@
 	return sel
 }
 
-// cancelRepeatable cancels the attempts that may be repeated and returns their number, except those that no other attempt
-// could continue: the server may still do so.
+// cancelRepeatable tells the attempts that another one may replace that the server is silent, and returns their number.
 func (sv *server) cancelRepeatable() int {
 	n := 0
 	for r := range sv.reservations {
-		if r.repeatable && !r.cannotBeContinued() {
+		if r.repeatable && r.mayBeReplaced() {
 			n++
 			r.cancel(pass.ErrStalled)
 		}
@@ -150,9 +149,9 @@
 	selection pass.Selection
 }
 
-// cannotBeContinued reports whether cancelling the attempt would leave the caller with part of a response.
-func (r *reservation) cannotBeContinued() bool {
-	return (r.answering || r.firstByte > 0) && (r.last || !r.resumable)
+// mayBeReplaced reports whether another attempt may follow and answer in place of this one.
+func (r *reservation) mayBeReplaced() bool {
+	return !r.last && (r.resumable || !r.answering && r.firstByte == 0)
 }
 
 // Entry implements pass.Reservation.
