Replace a slow member only if it stays slow

Callers saw: after a pause of half a second of all servers, requests were refused and answers cut for another four: all groups closed at once.

Cause: nodes report the silence of servers, the keeper probes them, and one report of a slow pace closed the group. A pause slows all servers together, and closing and forming a group anew takes longer than the pause. As with silence, a moment was taken as evidence of a fault of one server.

TestPauseIsNotSlowness failed before.

Why this works: a server counts as slow for the replacement of a member when its reports have said so for 2 s. As a spare it is passed over at once, as before.

--- a/internal/plan/group/change.go
+++ b/internal/plan/group/change.go
@@ -164,7 +164,7 @@
 		return "head_not_listed"
 	case s.Draining:
 		return memberDraining
-	case s.isSlow() && d.hasReadySpare(f):
+	case s.isConfirmedSlow() && d.hasReadySpare(f):
 		return memberSlow
 	default:
 		return ""
--- a/internal/plan/group/group_test.go
+++ b/internal/plan/group/group_test.go
@@ -566,6 +566,28 @@
 	}
 }
 
+// Guards against closing groups whose servers are slow for a moment only, and against keeping a member that stays slow.
+func TestPauseIsNotSlowness(t *testing.T) {
+	t.Parallel()
+	for _, slowFor := range []time.Duration{1600 * time.Millisecond, 5 * time.Second} {
+		sim := newSimulation(t, 5)
+		sim.run(3 * time.Second)
+		f := sim.open()["g1"]
+		sim.orders = nil
+		sim.pace[f.Members[1]] = 12
+		for range slowFor / (200 * time.Millisecond) {
+			sim.d.RequestProbes(f.Group, f.Epoch) // Nodes report a stall again and again.
+			sim.run(200 * time.Millisecond)
+		}
+		delete(sim.pace, f.Members[1])
+		sim.run(time.Second)
+		closed := slices.Contains(sim.orders, fmt.Sprintf("close g1/%d %s", f.Epoch, f.Head()))
+		if stays := slowFor == 5*time.Second; closed != stays {
+			t.Errorf("slow for %v: closed %v, want %v", slowFor, closed, stays)
+		}
+	}
+}
+
 // Guards against a new keeper that forms running groups again.
 func TestNewKeeperKeepsGroups(t *testing.T) {
 	t.Parallel()
--- a/internal/plan/group/probe.go
+++ b/internal/plan/group/probe.go
@@ -19,7 +19,7 @@
 	maxLostProbeInterval  = 8 * time.Second
 	maxLostProbeDoublings = 3
 	// slowProbeInterval is the time between probes of a slow server, which may recover.
-	slowProbeInterval = 2 * time.Second
+	slowProbeInterval = time.Second
 	// doubtProbeInterval is the time between probes of a silent server that may run.
 	doubtProbeInterval = 250 * time.Millisecond
 )
@@ -80,7 +80,8 @@
 	if s.lost() {
 		d.domainReturned(s)
 	}
-	s.exited, s.missedProbes, s.excusedMisses, s.unreachableByPeers, s.inDoubt, s.pace = false, 0, 0, false, false, r.Slowdown
+	s.exited, s.missedProbes, s.excusedMisses, s.unreachableByPeers, s.inDoubt = false, 0, 0, false, false
+	s.setPace(now, r.Slowdown)
 	s.answeredAt = now
 	s.update(r.Info)
 }
--- a/internal/plan/group/server.go
+++ b/internal/plan/group/server.go
@@ -41,6 +41,8 @@
 	needsProbe   bool
 	// pace is how many times slower than usual the server works, or 0 if unknown.
 	pace float64
+	// slowSince and slowSeen are when the first and the last of its consecutive reports of being slow arrived.
+	slowSince, slowSeen time.Time
 	// heartbeat is the latest heartbeat number of its registration, and heartbeatAt is when it was
 	// first seen. renewedAfter is when the one before it was last seen.
 	heartbeat    uint64
@@ -87,6 +89,23 @@
 
 func (s *serverState) isSlow() bool { return s.pace >= slowPace }
 
+// slowConfirmTime is how long a server must have been slow before it is replaced. A server that only pauses is soon as fast as
+// before, and closing its group, or those of all servers that pause together, takes longer than that.
+const slowConfirmTime = 2 * time.Second
+
+// isConfirmedSlow reports whether the server has been slow for slowConfirmTime.
+func (s *serverState) isConfirmedSlow() bool {
+	return s.isSlow() && s.slowSeen.Sub(s.slowSince) >= slowConfirmTime
+}
+
+// setPace records how many times slower than usual the server works.
+func (s *serverState) setPace(now time.Time, pace float64) {
+	if !s.isSlow() {
+		s.slowSince = now
+	}
+	s.pace, s.slowSeen = pace, now
+}
+
 // hasWeights reports whether the server can join a group of a model without loading weights.
 func (s *serverState) hasWeights(model string) bool { return s.Model == model || s.HasStaged(model) }
 
