Test hedged attempts with notices of silent servers at any moment

The test fails with the race detector: 3 to 5 data races on the state of the further attempts, a map among them. Without the detector it passes.

--- /dev/null
+++ b/internal/node/pass/hedge_test.go
@@ -0,0 +1,353 @@
+package pass_test
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"geraniumhollow/internal/core/fault"
+	"geraniumhollow/internal/core/sets"
+	"geraniumhollow/internal/core/tasks"
+	"geraniumhollow/internal/fleet/index"
+	"geraniumhollow/internal/fleet/server"
+	"geraniumhollow/internal/node/front"
+	"geraniumhollow/internal/node/pass"
+	"geraniumhollow/internal/plat/conns"
+	"geraniumhollow/internal/report/metric"
+	"geraniumhollow/internal/route/match"
+	"geraniumhollow/internal/route/retry"
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+)
+
+// nervous is a picker that finds all servers silent again and again, whether they are or not. It implements pass.Picker.
+type nervous struct {
+	slots []*slot
+
+	mu         sync.Mutex
+	rnd        *rand.Rand
+	live       map[*nervousReservation]struct{}
+	picks      int
+	releasedBy int
+}
+
+// nervousReservation implements pass.Reservation.
+type nervousReservation struct {
+	*slot
+	picker *nervous
+	cancel context.CancelCauseFunc
+}
+
+func (p *nervous) Pick(_ context.Context, _ *pass.Call, tried sets.Set[string], cancel context.CancelCauseFunc) (pass.Reservation, *fault.Error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	first := p.rnd.IntN(len(p.slots))
+	for i := range p.slots {
+		s := p.slots[(first+i)%len(p.slots)]
+		if !tried.Has(s.entry.ID) {
+			r := &nervousReservation{slot: s, picker: p, cancel: cancel}
+			p.live[r] = struct{}{}
+			p.picks++
+			return r, nil
+		}
+	}
+	return nil, fault.New(fault.NoBackend, fault.NotRun, "no server is left")
+}
+
+// notify reports a share of the reserved servers as silent.
+func (p *nervous) notify(share float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for r := range p.live {
+		if p.rnd.Float64() < share {
+			r.cancel(pass.ErrStalled)
+		}
+	}
+}
+
+func (r *nervousReservation) Release(pass.Outcome) {
+	r.picker.mu.Lock()
+	defer r.picker.mu.Unlock()
+	r.picker.releasedBy++
+	delete(r.picker.live, r)
+}
+
+// runs counts the runs of each request, and those that go on.
+type runs struct {
+	mu     sync.Mutex
+	total  map[string]int
+	atWork map[string]int
+}
+
+// begin returns the name of the run.
+func (c *runs) begin(id string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.total[id]++
+	c.atWork[id]++
+	return fmt.Sprint("run ", c.total[id])
+}
+
+func (c *runs) end(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.atWork[id]--
+}
+
+func (c *runs) of(id string) (total, atWork int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.total[id], c.atWork[id]
+}
+
+// hedgeEvents is the number of events of a stream of an unsteady server.
+const hedgeEvents = 12
+
+// unsteady is a server that serves, refuses, fails, pauses, hangs or breaks off by chance.
+func (c *runs) unsteady(rnd func() *rand.Rand) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		rnd := rnd()
+		what, at := rnd.IntN(10), rnd.IntN(hedgeEvents)
+		if what == 0 {
+			refuses(w, r)
+			return
+		}
+		id := r.Header.Get("Id")
+		run := c.begin(id)
+		defer c.end(id)
+		pause := func(d time.Duration) {
+			select {
+			case <-r.Context().Done():
+				panic(http.ErrAbortHandler)
+			case <-time.After(d):
+			}
+		}
+		if what == 1 {
+			pause(time.Duration(rnd.IntN(20)) * time.Millisecond)
+			fails(w, r)
+			return
+		}
+		if what == 2 {
+			pause(time.Duration(rnd.IntN(40)) * time.Millisecond)
+		}
+		last, _ := strconv.Atoi(r.Header.Get("Last"))
+		w.Header().Set("Content-Type", streamType)
+		for n := last + 1; n <= hedgeEvents; n++ {
+			event := hedgeEvent(n, run)
+			half := rnd.IntN(len(event))
+			_, _ = io.WriteString(w, event[:half])
+			_ = http.NewResponseController(w).Flush()
+			if n > at {
+				switch what {
+				case 3:
+					panic(http.ErrAbortHandler)
+				case 4:
+					pause(time.Hour)
+				case 5, 6:
+					pause(time.Duration(rnd.IntN(30)) * time.Millisecond)
+				}
+			}
+			_, _ = io.WriteString(w, event[half:])
+			_ = http.NewResponseController(w).Flush()
+			pause(time.Duration(rnd.IntN(3)) * time.Millisecond)
+		}
+	}
+}
+
+// hedgeEvent returns an event of a run.
+func hedgeEvent(n int, run string) string {
+	return fmt.Sprintf("id: %d\ndata: %s of %s\n\n", n, strings.Repeat(strconv.Itoa(n), 8), run)
+}
+
+// checkEvents checks that a body has the first events of the stream in order, or all if it is whole. Only a response that may be
+// resumed may have events of more than one run, and only other ones may end within an event.
+func checkEvents(body string, whole, resumable bool) error {
+	n, first := 0, ""
+	for rest := body; rest != ""; {
+		n++
+		event, after, ended := strings.Cut(rest, "\n\n")
+		_, run, _ := strings.Cut(event, " of ")
+		first = cmp.Or(first, run)
+		switch want := hedgeEvent(n, run); {
+		case !ended && (whole || resumable):
+			return errors.Newf("it ends within event %d", n)
+		case !ended:
+			return nil
+		case event+"\n\n" != want:
+			return errors.Newf("event %d is not as the server wrote it", n)
+		case run != first && !resumable:
+			return errors.Newf("event %d is of another run", n)
+		}
+		rest = after
+	}
+	if whole && n != hedgeEvents {
+		return errors.Newf("%d events in a complete body", n)
+	}
+	return nil
+}
+
+// Guards against data races, joined answers, too many runs, reservations that are never released, runs that outlive their caller,
+// and refusals of requests that have run, when servers are found silent at any moment.
+func TestSilentServersAtAnyMoment(t *testing.T) {
+	t.Parallel()
+	routes := map[string]match.Route{
+		"resumable, 2 attempts":  {Kind: match.Stream, Resumable: true, MaxAttempts: 2},
+		"resumable, 4 attempts":  {Kind: match.Stream, Resumable: true, MaxAttempts: 4},
+		"stream, 3 attempts":     {Kind: match.Stream, MaxAttempts: 3},
+		"idempotent, 3 attempts": {Kind: match.Idempotent, MaxAttempts: 3, Objective: 100 * time.Millisecond},
+	}
+	for name, route := range routes {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			route.Name, route.Timeout = "r", 300*time.Millisecond
+			h := newHedgeBed(t, route)
+			var served atomic.Int32
+			g := tasks.New(t.Context())
+			for caller := range 16 {
+				g.Go("caller", func(context.Context) error {
+					rnd := rand.New(rand.NewPCG(uint64(caller), 2))
+					for n := range 20 {
+						leaveAfter := time.Hour
+						if rnd.IntN(4) == 0 {
+							leaveAfter = time.Duration(rnd.IntN(60)) * time.Millisecond
+						}
+						if h.request(t, route, fmt.Sprint(caller, "-", n), leaveAfter) {
+							served.Add(1)
+						}
+					}
+					return nil
+				})
+			}
+			if err := g.Wait(); err != nil {
+				t.Fatal(err)
+			}
+			h.end()
+			if n := served.Load(); n < 100 {
+				t.Errorf("%d whole answers", n)
+			}
+			h.picker.mu.Lock()
+			defer h.picker.mu.Unlock()
+			if h.picker.picks != h.picker.releasedBy || len(h.picker.live) > 0 {
+				t.Errorf("%d reservations, %d released", h.picker.picks, h.picker.releasedBy)
+			}
+		})
+	}
+}
+
+// hedgeBed is a node whose picker is nervous, and whose servers are unsteady.
+type hedgeBed struct {
+	node   string
+	picker *nervous
+	runs   *runs
+	client *http.Client
+	end    func()
+}
+
+func newHedgeBed(t *testing.T, route match.Route) *hedgeBed {
+	t.Helper()
+	h := &hedgeBed{
+		picker: &nervous{rnd: rand.New(rand.NewPCG(1, 1)), live: make(map[*nervousReservation]struct{})},
+		runs:   &runs{total: make(map[string]int), atWork: make(map[string]int)},
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+	}
+	var seeds atomic.Uint64
+	handler := h.runs.unsteady(func() *rand.Rand { return rand.New(rand.NewPCG(seeds.Add(1), 3)) })
+	for i := range 6 {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Id", r.Header.Get("Id"))
+			handler(w, r)
+		}))
+		t.Cleanup(s.Close)
+		h.picker.slots = append(h.picker.slots, &slot{
+			entry: &index.Entry{Info: server.Info{ID: fmt.Sprint("s", i)}}, pool: conns.New(s.Listener.Addr().String(), conns.Options{}),
+		})
+	}
+	route.Host, route.Prefix, route.Targets = "h", "/", []match.Target{{Service: "svc", Weight: 1}}
+	table := match.New(match.Document{Version: 1, Routes: []match.Route{route}, Services: []match.Service{{Name: "svc"}}})
+	f, _ := newFleet(t, 1)
+	budget := retry.NewBudgetWith(0, 1e6)
+	srv := front.New(front.Config{
+		Handler: pass.New(pass.Deps{
+			Codec: headerCodec{}, Table: func() *match.Table { return table }, Picker: h.picker, Crashes: f.nodes[0],
+			Budget: func(string) *retry.Budget { return budget }, Metrics: metric.New(), Log: hclog.NewNullLogger(),
+		}),
+		Limits: func() front.Limits { return front.Limits{} }, Log: hclog.NewNullLogger(),
+	})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.node = ln.Addr().String()
+	ctx, cancel := context.WithCancel(context.Background())
+	g := tasks.New(ctx)
+	g.Go("front", func(ctx context.Context) error { return srv.Run(ctx, ln) })
+	g.Go("notices", func(ctx context.Context) error {
+		return tasks.Every(ctx, time.Millisecond, func(context.Context) { h.picker.notify(0.2) })
+	})
+	h.end = sync.OnceFunc(func() {
+		h.client.CloseIdleConnections()
+		cancel()
+		_ = g.Wait()
+	})
+	t.Cleanup(h.end)
+	return h
+}
+
+// request sends a request whose caller leaves after a while, checks the answer and reports whether it is whole.
+func (h *hedgeBed) request(t *testing.T, route match.Route, id string, leaveAfter time.Duration) bool {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), leaveAfter)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.node+"/x", nil)
+	if err != nil {
+		t.Error(err)
+		return false
+	}
+	req.Host = "h"
+	req.Header.Set("Id", id)
+	began := time.Now()
+	status, body := 0, []byte(nil)
+	resp, err := h.client.Do(req)
+	if err == nil {
+		status = resp.StatusCode
+		body, err = io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+	}
+	if d := time.Since(began); d > route.Timeout+500*time.Millisecond {
+		t.Errorf("%s ended after %v", id, d)
+	}
+	if status == http.StatusOK {
+		if cerr := checkEvents(string(body), err == nil, route.Resumable); cerr != nil {
+			t.Errorf("%s: %v: %q", id, cerr, body)
+		}
+	}
+	total, _ := h.runs.of(id)
+	if total > route.MaxAttempts {
+		t.Errorf("%s ran %d times", id, total)
+	}
+	if refused := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests; refused && total > 0 {
+		t.Errorf("%s was refused with %d and ran %d times", id, status, total)
+	}
+	for end := time.Now().Add(500 * time.Millisecond); ; time.Sleep(time.Millisecond) {
+		_, atWork := h.runs.of(id)
+		if atWork == 0 {
+			break
+		}
+		if time.Now().After(end) {
+			t.Errorf("%s is run by %d servers 0.5 s after its end", id, atWork)
+			break
+		}
+	}
+	return status == http.StatusOK && err == nil
+}
