Let no further attempt begin before the one before has been discarded

Callers saw: nothing yet, by tests; a concurrent map write would have ended the node and all its requests.

Cause: when the server of a further attempt answered, but the first one had gone on meanwhile, the hedge counted as idle before that attempt had been discarded. A notice of the picker in between started another one on the same state. The discard waits for the picker's lock, which the picker holds while it sends its notices.

Evidence: TestSilentServersAtAnyMoment with the race detector: six data races on callState, its set of tried servers among them.

Why this works: the hedge is idle again only when its goroutine has used the state for the last time.

--- a/internal/node/pass/hedge.go
+++ b/internal/node/pass/hedge.go
@@ -74,6 +74,7 @@
 	h.state.started, h.state.mediaType, h.state.events = h.answering, h.mediaType, eventParser{lastID: h.lastID, count: h.events}
 	progress := h.progress
 	h.group.Go("hedge", func(context.Context) error {
+		defer h.release()
 		x := h.state.next(h.parent)
 		if !h.offer(x, progress, cause) {
 			x.discard(h.state)
@@ -87,7 +88,6 @@
 func (h *hedge) offer(x *exchange, progress int, cause error) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.active = false
 	if x == nil || !h.closed && h.progress != progress {
 		return x == nil
 	}
@@ -99,6 +99,13 @@
 	return true
 }
 
+// release allows a new search for a server.
+func (h *hedge) release() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.active = false
+}
+
 // deliver calls take, which takes the next part of the response and reports whether it is progress, unless another attempt
 // continues the response.
 func (h *hedge) deliver(s *callState, take func() bool) error {
