Leave requests at draining servers that send nothing before their answers

Callers saw: by a test, no caller yet. When a server without streams drained, or its data centre was taken out of service, its idempotent requests were taken for silent after 0.3 s and sent once more; those without an attempt left were ended.

Cause: since all servers that are no longer chosen are watched. The watch takes silence as evidence, which it is only for the heads of groups, whose streams get an event in each pass.

Evidence: TestDrainingServerMayAnswer failed before, and passes on.

Why this works: such a server is watched only once it has left the registry, as before.

--- a/internal/node/seat/seat.go
+++ b/internal/node/seat/seat.go
@@ -550,6 +550,10 @@
 			delete(s.departed, sv)
 			continue
 		}
+		if e, ok := s.view.Servers[sv.entry.ID]; ok && !sv.entry.Member.InGroup() && e.SameProcess(sv.entry.Info) {
+			s.departed[sv] = now // It lives, and sends nothing before its answers.
+			continue
+		}
 		silent := min(now.Sub(since), now.Sub(sv.progress))
 		if sv.reportedAt.IsZero() && silent >= s.watch.UnknownSilenceLimit(s.passTime(sv)) {
 			s.reportStall(now, sv, "departed")
--- a/internal/node/seat/seat_test.go
+++ b/internal/node/seat/seat_test.go
@@ -592,3 +592,32 @@
 		}
 	})
 }
+
+// Guards against taking requests from servers without streams that drain, and answer after more than 0.3 s.
+func TestDrainingServerMayAnswer(t *testing.T) {
+	t.Parallel()
+	runWithFakeClock(t, func(t *testing.T, ctx context.Context, run func(*testBed)) {
+		b := newTestBed(engine(), 1)
+		b.service.Engine = nil
+		b.route = &match.Route{Name: "r", Kind: match.Idempotent, Objective: time.Second, Timeout: 8 * time.Second, MaxAttempts: 2}
+		run(b)
+		info := server.Info{ID: "a", Service: "svc", Address: "127.0.0.1:1", Slots: 8, StartedAt: time.Unix(1, 0)}
+		b.index.Apply(time.Now(), index.Change{Put: []server.Info{info}})
+		_, cause, refusal := b.pick(ctx)
+		if refusal != nil {
+			t.Fatal(refusal)
+		}
+		time.Sleep(100 * time.Millisecond)
+		info.Draining = true
+		other := info
+		other.ID, other.Draining = "b", false
+		b.index.Apply(time.Now(), index.Change{Put: []server.Info{info, other}})
+		if _, _, refusal := b.pick(ctx); refusal != nil {
+			t.Fatal(refusal)
+		}
+		time.Sleep(900 * time.Millisecond)
+		if cause() != nil {
+			t.Errorf("the attempt at a draining server ended with %v", cause())
+		}
+	})
+}
