Repeat the report of a silent server only for attempts that are overdue

Callers saw: by tests only. A request that was sent to a server for a trial after its hold was taken back at the next full second after the first report, up to at once, although its answer was not due. If it was the last attempt, it was ended.

Cause: since the report of a server is repeated each second for all of its attempts, those sent since included.

Evidence: TestReportIsNotRepeatedForNewAttempts failed before, and passes on.

Why this works: an attempt that waits for its first byte is in a repeated report only when it is overdue, by the same rule as in the first one.

--- a/internal/node/seat/seat.go
+++ b/internal/node/seat/seat.go
@@ -571,7 +571,8 @@
 			sv.reportedAt = time.Time{}
 		case now.Sub(sv.reportedAt) >= reportAgainAfter:
 			sv.reportedAt = now
-			sv.cancelRepeatable()
+			silence := s.watch.UnknownSilenceLimit(s.passTime(sv))
+			sv.cancelRepeatableIf(func(r *reservation) bool { return r.firstByte > 0 || r.missesFirstByte(now, silence) })
 		}
 	}
 	for _, sv := range s.servers {
--- a/internal/node/seat/seat_test.go
+++ b/internal/node/seat/seat_test.go
@@ -621,3 +621,32 @@
 		}
 	})
 }
+
+// Guards against taking an attempt from a server at the second after an earlier report of the server, however short a time ago it
+// was sent.
+func TestReportIsNotRepeatedForNewAttempts(t *testing.T) {
+	t.Parallel()
+	runWithFakeClock(t, func(t *testing.T, ctx context.Context, run func(*testBed)) {
+		b := newTestBed(engine(), 1)
+		run(b)
+		b.put("a")
+		s1, cause, refusal := b.pick(ctx)
+		if refusal != nil {
+			t.Fatal(refusal)
+		}
+		sendEvents(500*time.Millisecond, s1)
+		for cause() == nil {
+			time.Sleep(10 * time.Millisecond)
+		}
+		// The attempt goes on beside another one. The server may be tried again after a while.
+		time.Sleep(1900 * time.Millisecond)
+		s2, cause2, refusal := b.pick(ctx)
+		if refusal != nil {
+			t.Fatal(refusal)
+		}
+		time.Sleep(300 * time.Millisecond)
+		if cause2() != nil {
+			t.Errorf("the attempt ended with %v within 0.3 s of its beginning, expected after %v", cause2(), s2.Selection().ExpectedFirstByte)
+		}
+	})
+}
--- a/internal/node/seat/server.go
+++ b/internal/node/seat/server.go
@@ -103,9 +103,14 @@
 // cancelRepeatable cancels the attempts that may be repeated and returns their number, except those that no other attempt
 // could continue: the server may still do so.
 func (sv *server) cancelRepeatable() int {
+	return sv.cancelRepeatableIf(func(*reservation) bool { return true })
+}
+
+// cancelRepeatableIf does the same for the attempts that match.
+func (sv *server) cancelRepeatableIf(matches func(r *reservation) bool) int {
 	n := 0
 	for r := range sv.reservations {
-		if r.repeatable && !r.cannotBeContinued() {
+		if r.repeatable && !r.cannotBeContinued() && matches(r) {
 			n++
 			r.cancel(pass.ErrStalled)
 		}
@@ -120,7 +125,7 @@
 		return false
 	}
 	for r := range sv.reservations {
-		if r.firstByte == 0 && now.Sub(r.sentAt) >= firstByteFactor*(silence+r.expectedFirstByte) {
+		if r.missesFirstByte(now, silence) {
 			return true
 		}
 	}
@@ -155,6 +160,11 @@
 	return (r.answering || r.firstByte > 0) && (r.last || !r.resumable)
 }
 
+// missesFirstByte reports whether the attempt is overdue for its first byte.
+func (r *reservation) missesFirstByte(now time.Time, silence time.Duration) bool {
+	return r.firstByte == 0 && now.Sub(r.sentAt) >= firstByteFactor*(silence+r.expectedFirstByte)
+}
+
 // Entry implements pass.Reservation.
 func (r *reservation) Entry() *index.Entry { return r.entry }
 
