Let the failure of another server not end an attempt at a silent one

Callers saw: a request whose server was silent for some 0.3 s before its first byte, and went on, was answered with the status 500 of another server.

Cause: the first attempt was cancelled when another one had begun to answer, with whatever status, as long as the caller had received nothing. After such a failure another attempt may follow; it replaces nothing.

Evidence: TestSilentServerBeforeItsAnswer failed before in its four cases "other fails" and "others fail".

The caller gets the failure if the first one ends without an answer.

--- a/internal/node/pass/attempt.go
+++ b/internal/node/pass/attempt.go
@@ -1,6 +1,7 @@
 package pass
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"strings"
@@ -67,6 +68,7 @@
 		h := s.hedge
 		s.hedge = nil
 		if x = h.close(s, res.done || res.refusal != nil); x == nil {
+			res.failureResponse, s.failure = cmp.Or(res.failureResponse, s.failure), nil
 			return res
 		}
 		s.events.discardPartial()
@@ -298,6 +300,11 @@
 	if s.w.Started() {
 		return !s.continues(h)
 	}
+	return s.isFailure(h)
+}
+
+// isFailure reports whether a response is a failure after which another attempt may succeed.
+func (s *callState) isFailure(h *fasthttp.ResponseHeader) bool {
 	return h.StatusCode() >= fasthttp.StatusInternalServerError && s.call.Route.Repeatable()
 }
 
--- a/internal/node/pass/hedge.go
+++ b/internal/node/pass/hedge.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"geraniumhollow/internal/core/tasks"
+	"geraniumhollow/internal/plat/conns"
 	"geraniumhollow/internal/route/retry"
 	"github.com/cockroachdb/errors"
 )
@@ -165,6 +166,15 @@
 	s.refusedResumes = fork.refusedResumes
 	s.tried, s.triedNodes = s.tried.Union(fork.tried), s.triedNodes.Union(fork.triedNodes)
 	s.mayHaveRun = s.mayHaveRun || fork.mayHaveRun
+	s.failure = fork.failure
+}
+
+// takeFailure holds a failure of a server that has run the call.
+func (s *callState) takeFailure(resp *conns.Response) attemptResult {
+	if err := resp.SetReadDeadline(s.call.Deadline); err != nil {
+		return attemptResult{outcome: Failed, err: errors.Newf("set read deadline of failure response: %w", err)}
+	}
+	return s.holdFailure(resp)
 }
 
 // next makes attempts until a server has begun to answer with what continues the response. It returns nil if the retry rules
@@ -181,6 +191,9 @@
 		var x *exchange
 		x, res = s.begin(ctx)
 		switch {
+		case x != nil && !s.started && s.isFailure(x.resp.Header):
+			res = x.end(s, s.takeFailure(x.resp))
+			s.failure = res.failureResponse
 		case x != nil && (!s.started || s.continues(x.resp.Header)):
 			return x
 		case x != nil:
--- a/internal/node/pass/hedge_test.go
+++ b/internal/node/pass/hedge_test.go
@@ -351,3 +351,44 @@
 	}
 	return status == http.StatusOK && err == nil
 }
+
+// Guards against giving up the answer of a silent server for the failure of another one when the caller has received nothing.
+func TestSilentServerBeforeItsAnswer(t *testing.T) {
+	t.Parallel()
+	late := func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-r.Context().Done():
+		case <-time.After(6 * silence):
+			serves(w, r)
+		}
+	}
+	tests := map[string]struct {
+		attempts int
+		retries  float64
+		servers  []http.HandlerFunc
+	}{
+		"other fails":       {2, 9, []http.HandlerFunc{late, fails}},
+		"others fail":       {3, 9, []http.HandlerFunc{late, fails, fails}},
+		"no budget":         {2, 0, []http.HandlerFunc{late, serves}},
+		"no other server":   {2, 9, []http.HandlerFunc{late}},
+		"last one is late":  {2, 9, []http.HandlerFunc{cutsStream, late}},
+		"refused, then few": {2, 9, []http.HandlerFunc{late, refuses, refuses}},
+	}
+	for name, tt := range tests {
+		for kind, route := range map[string]match.Route{
+			"stream": {Kind: match.Stream, Resumable: true}, "idempotent": {Kind: match.Idempotent, Objective: time.Second},
+		} {
+			if name == "last one is late" && kind == "idempotent" {
+				continue
+			}
+			t.Run(name+", "+kind, func(t *testing.T) {
+				t.Parallel()
+				route.Name, route.MaxAttempts, route.Timeout = "r", tt.attempts, 2*time.Second
+				status, body, err := get(t, newRelay(t, route, retry.NewBudgetWith(0, tt.retries), tt.servers...))
+				if status != http.StatusOK || body != whole || err != nil {
+					t.Errorf("got %d %q, error %v, want the whole answer", status, body, err)
+				}
+			})
+		}
+	}
+}
--- a/internal/node/pass/serve.go
+++ b/internal/node/pass/serve.go
@@ -36,6 +36,8 @@
 	attemptsAtFork              int
 	// hedge makes attempts beside the current one.
 	hedge *hedge
+	// failure is the last failure response to an attempt beside the current one.
+	failure *failureResponse
 	// tried holds the IDs of servers that have refused or failed the call.
 	tried sets.Set[string]
 	// triedNodes are the nodes that did not take the call or failed it.
