Give back the retry of a search beside a silent attempt that found no server

Callers saw: by a test only. A silent stream without another server took a retry from the budget each time that its server was reported, some 4 in 10 s, though nothing was sent.

Cause: the retry is counted before a server is chosen.

Evidence: TestSearchTakesNothingFromBudget failed before: 0 of 5 retries were left after a request that was sent once.

Why this works: a retry is taken back when the attempt was refused before it was sent.

--- a/internal/node/pass/hedge.go
+++ b/internal/node/pass/hedge.go
@@ -180,15 +180,17 @@
 // next makes attempts until a server has begun to answer with what continues the response. It returns nil if the retry rules
 // allow no more, or no server is available.
 func (s *callState) next(ctx context.Context) *exchange {
+	budget := s.relay.deps.Budget(s.call.Service.Name)
 	res := attemptResult{outcome: Stalled}
 	for {
-		v := retry.Decide(time.Now(), s.retryInput(res), s.relay.deps.Budget(s.call.Service.Name))
+		v := retry.Decide(time.Now(), s.retryInput(res), budget)
 		s.logDecision("decided on an attempt beside one at a silent server", res, v)
 		if !v.Retry {
 			return nil
 		}
 		s.relay.deps.Metrics.Retried()
 		var x *exchange
+		before, notSent := s.attempts, res.notSent
 		x, res = s.begin(ctx)
 		switch {
 		case x != nil && !s.started && s.isFailure(x.resp.Header):
@@ -200,6 +202,9 @@
 			res = attemptResult{outcome: Failed, err: errors.Newf("status %d does not continue the response", x.resp.Header.StatusCode())}
 			x.end(s, res)
 		case res.refusal != nil:
+			if s.attempts == before && !notSent {
+				budget.Return(time.Now())
+			}
 			return nil
 		}
 	}
--- a/internal/node/pass/hedge_test.go
+++ b/internal/node/pass/hedge_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -105,10 +106,16 @@
 	c.atWork[id]--
 }
 
-func (c *runs) of(id string) (total, atWork int) {
+func (c *runs) count(id string) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.total[id], c.atWork[id]
+	return c.total[id]
+}
+
+func (c *runs) working(id string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.atWork[id]
 }
 
 // hedgeEvents is the number of events of a stream of an unsteady server.
@@ -211,7 +218,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			route.Name, route.Timeout = "r", 300*time.Millisecond
-			h := newHedgeBed(t, route)
+			h := newHedgeBed(t, route, retry.NewBudgetWith(0, 1e6), sixUnsteady)
 			var served atomic.Int32
 			g := tasks.New(t.Context())
 			for caller := range 16 {
@@ -245,7 +252,38 @@
 	}
 }
 
-// hedgeBed is a node whose picker is nervous, and whose servers are unsteady.
+// sixUnsteady returns the handlers of six servers.
+func sixUnsteady(c *runs) []http.HandlerFunc {
+	var seeds atomic.Uint64
+	handler := c.unsteady(func() *rand.Rand { return rand.New(rand.NewPCG(seeds.Add(1), 3)) })
+	return slices.Repeat([]http.HandlerFunc{handler}, 6)
+}
+
+// Guards against a retry budget that is used up by looking for servers that are not there.
+func TestSearchTakesNothingFromBudget(t *testing.T) {
+	t.Parallel()
+	const retries = 5
+	budget := retry.NewBudgetWith(0, retries)
+	route := match.Route{Name: "r", Kind: match.Stream, Resumable: true, MaxAttempts: 2, Timeout: 300 * time.Millisecond}
+	h := newHedgeBed(t, route, budget, func(*runs) []http.HandlerFunc {
+		return []http.HandlerFunc{func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Type", streamType)
+			_, _ = io.WriteString(w, hedgeEvent(1, "run"))
+			_ = http.NewResponseController(w).Flush()
+			<-r.Context().Done()
+		}}
+	})
+	h.request(t, route, "a", time.Hour)
+	left := 0
+	for budget.Take(time.Now()) {
+		left++
+	}
+	if left != retries {
+		t.Errorf("%d of %d retries are left after a request that was sent once", left, retries)
+	}
+}
+
+// hedgeBed is a node whose picker is nervous.
 type hedgeBed struct {
 	node   string
 	picker *nervous
@@ -254,16 +292,15 @@
 	end    func()
 }
 
-func newHedgeBed(t *testing.T, route match.Route) *hedgeBed {
+// newHedgeBed starts a node. handlers returns the handlers of its servers.
+func newHedgeBed(t *testing.T, route match.Route, budget *retry.Budget, handlers func(*runs) []http.HandlerFunc) *hedgeBed {
 	t.Helper()
 	h := &hedgeBed{
 		picker: &nervous{rnd: rand.New(rand.NewPCG(1, 1)), live: make(map[*nervousReservation]struct{})},
 		runs:   &runs{total: make(map[string]int), atWork: make(map[string]int)},
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 	}
-	var seeds atomic.Uint64
-	handler := h.runs.unsteady(func() *rand.Rand { return rand.New(rand.NewPCG(seeds.Add(1), 3)) })
-	for i := range 6 {
+	for i, handler := range handlers(h.runs) {
 		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			w.Header().Set("Id", r.Header.Get("Id"))
 			handler(w, r)
@@ -276,7 +313,6 @@
 	route.Host, route.Prefix, route.Targets = "h", "/", []match.Target{{Service: "svc", Weight: 1}}
 	table := match.New(match.Document{Version: 1, Routes: []match.Route{route}, Services: []match.Service{{Name: "svc"}}})
 	f, _ := newFleet(t, 1)
-	budget := retry.NewBudgetWith(0, 1e6)
 	srv := front.New(front.Config{
 		Handler: pass.New(pass.Deps{
 			Codec: headerCodec{}, Table: func() *match.Table { return table }, Picker: h.picker, Crashes: f.nodes[0],
@@ -332,7 +368,7 @@
 			t.Errorf("%s: %v: %q", id, cerr, body)
 		}
 	}
-	total, _ := h.runs.of(id)
+	total := h.runs.count(id)
 	if total > route.MaxAttempts {
 		t.Errorf("%s ran %d times", id, total)
 	}
@@ -340,7 +376,7 @@
 		t.Errorf("%s was refused with %d and ran %d times", id, status, total)
 	}
 	for end := time.Now().Add(500 * time.Millisecond); ; time.Sleep(time.Millisecond) {
-		_, atWork := h.runs.of(id)
+		atWork := h.runs.working(id)
 		if atWork == 0 {
 			break
 		}
--- a/internal/route/retry/budget.go
+++ b/internal/route/retry/budget.go
@@ -75,6 +75,19 @@
 	return true
 }
 
+// Return takes back a retry that was counted, but not sent.
+func (b *Budget) Return(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	current := b.slotAt(now)
+	for age := range int64(slots) {
+		if s := &b.slots[(current.number+slots-age)%slots]; s.number == current.number-age && s.retries > 0 {
+			s.retries--
+			return
+		}
+	}
+}
+
 // slotAt returns the slot for now. If its position in the ring already holds a newer slot, it returns that one:
 // a caller that read the clock before it acquired the lock must not clear a newer slot.
 func (b *Budget) slotAt(now time.Time) *slot {
