--- a/internal/node/pass/hedge.go
+++ b/internal/node/pass/hedge.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"geraniumhollow/internal/core/tasks"
+	"geraniumhollow/internal/plat/conns"
 	"geraniumhollow/internal/route/retry"
 	"github.com/cockroachdb/errors"
 )
@@ -74,6 +75,7 @@
 	h.state.started, h.state.mediaType, h.state.events = h.answering, h.mediaType, eventParser{lastID: h.lastID, count: h.events}
 	progress := h.progress
 	h.group.Go("hedge", func(context.Context) error {
+		defer h.release()
 		x := h.state.next(h.parent)
 		if !h.offer(x, progress, cause) {
 			x.discard(h.state)
@@ -87,7 +89,6 @@
 func (h *hedge) offer(x *exchange, progress int, cause error) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.active = false
 	if x == nil || !h.closed && h.progress != progress {
 		return x == nil
 	}
@@ -99,6 +100,13 @@
 	return true
 }
 
+// release allows a new search for a server.
+func (h *hedge) release() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.active = false
+}
+
 // deliver calls take, which takes the next part of the response and reports whether it is progress, unless another attempt
 // continues the response.
 func (h *hedge) deliver(s *callState, take func() bool) error {
@@ -158,28 +166,45 @@
 	s.refusedResumes = fork.refusedResumes
 	s.tried, s.triedNodes = s.tried.Union(fork.tried), s.triedNodes.Union(fork.triedNodes)
 	s.mayHaveRun = s.mayHaveRun || fork.mayHaveRun
+	s.failure = fork.failure
+}
+
+// takeFailure holds a failure of a server that has run the call.
+func (s *callState) takeFailure(resp *conns.Response) attemptResult {
+	if err := resp.SetReadDeadline(s.call.Deadline); err != nil {
+		return attemptResult{outcome: Failed, err: errors.Newf("set read deadline of failure response: %w", err)}
+	}
+	return s.holdFailure(resp)
 }
 
 // next makes attempts until a server has begun to answer with what continues the response. It returns nil if the retry rules
 // allow no more, or no server is available.
 func (s *callState) next(ctx context.Context) *exchange {
+	budget := s.relay.deps.Budget(s.call.Service.Name)
 	res := attemptResult{outcome: Stalled}
 	for {
-		v := retry.Decide(time.Now(), s.retryInput(res), s.relay.deps.Budget(s.call.Service.Name))
+		v := retry.Decide(time.Now(), s.retryInput(res), budget)
 		s.logDecision("decided on an attempt beside one at a silent server", res, v)
 		if !v.Retry {
 			return nil
 		}
 		s.relay.deps.Metrics.Retried()
 		var x *exchange
+		before, notSent := s.attempts, res.notSent
 		x, res = s.begin(ctx)
 		switch {
+		case x != nil && !s.started && s.isFailure(x.resp.Header):
+			res = x.end(s, s.takeFailure(x.resp))
+			s.failure = res.failureResponse
 		case x != nil && (!s.started || s.continues(x.resp.Header)):
 			return x
 		case x != nil:
 			res = attemptResult{outcome: Failed, err: errors.Newf("status %d does not continue the response", x.resp.Header.StatusCode())}
 			x.end(s, res)
 		case res.refusal != nil:
+			if s.attempts == before && !notSent {
+				budget.Return(time.Now())
+			}
 			return nil
 		}
 	}
--- a/internal/node/seat/seat.go
+++ b/internal/node/seat/seat.go
@@ -550,6 +550,10 @@
 			delete(s.departed, sv)
 			continue
 		}
+		if e, ok := s.view.Servers[sv.entry.ID]; ok && !sv.entry.Member.InGroup() && e.SameProcess(sv.entry.Info) {
+			s.departed[sv] = now // It lives, and sends nothing before its answers.
+			continue
+		}
 		silent := min(now.Sub(since), now.Sub(sv.progress))
 		if sv.reportedAt.IsZero() && silent >= s.watch.UnknownSilenceLimit(s.passTime(sv)) {
 			s.reportStall(now, sv, "departed")
@@ -567,7 +571,8 @@
 			sv.reportedAt = time.Time{}
 		case now.Sub(sv.reportedAt) >= reportAgainAfter:
 			sv.reportedAt = now
-			sv.cancelRepeatable()
+			silence := s.watch.UnknownSilenceLimit(s.passTime(sv))
+			sv.cancelRepeatableIf(func(r *reservation) bool { return r.firstByte > 0 || r.missesFirstByte(now, silence) })
 		}
 	}
 	for _, sv := range s.servers {
--- a/internal/node/seat/seat_test.go
+++ b/internal/node/seat/seat_test.go
@@ -592,3 +592,61 @@
 		}
 	})
 }
+
+// Guards against taking requests from servers without streams that drain, and answer after more than 0.3 s.
+func TestDrainingServerMayAnswer(t *testing.T) {
+	t.Parallel()
+	runWithFakeClock(t, func(t *testing.T, ctx context.Context, run func(*testBed)) {
+		b := newTestBed(engine(), 1)
+		b.service.Engine = nil
+		b.route = &match.Route{Name: "r", Kind: match.Idempotent, Objective: time.Second, Timeout: 8 * time.Second, MaxAttempts: 2}
+		run(b)
+		info := server.Info{ID: "a", Service: "svc", Address: "127.0.0.1:1", Slots: 8, StartedAt: time.Unix(1, 0)}
+		b.index.Apply(time.Now(), index.Change{Put: []server.Info{info}})
+		_, cause, refusal := b.pick(ctx)
+		if refusal != nil {
+			t.Fatal(refusal)
+		}
+		time.Sleep(100 * time.Millisecond)
+		info.Draining = true
+		other := info
+		other.ID, other.Draining = "b", false
+		b.index.Apply(time.Now(), index.Change{Put: []server.Info{info, other}})
+		if _, _, refusal := b.pick(ctx); refusal != nil {
+			t.Fatal(refusal)
+		}
+		time.Sleep(900 * time.Millisecond)
+		if cause() != nil {
+			t.Errorf("the attempt at a draining server ended with %v", cause())
+		}
+	})
+}
+
+// Guards against taking an attempt from a server at the second after an earlier report of the server, however short a time ago it
+// was sent.
+func TestReportIsNotRepeatedForNewAttempts(t *testing.T) {
+	t.Parallel()
+	runWithFakeClock(t, func(t *testing.T, ctx context.Context, run func(*testBed)) {
+		b := newTestBed(engine(), 1)
+		run(b)
+		b.put("a")
+		s1, cause, refusal := b.pick(ctx)
+		if refusal != nil {
+			t.Fatal(refusal)
+		}
+		sendEvents(500*time.Millisecond, s1)
+		for cause() == nil {
+			time.Sleep(10 * time.Millisecond)
+		}
+		// The attempt goes on beside another one. The server may be tried again after a while.
+		time.Sleep(1900 * time.Millisecond)
+		s2, cause2, refusal := b.pick(ctx)
+		if refusal != nil {
+			t.Fatal(refusal)
+		}
+		time.Sleep(300 * time.Millisecond)
+		if cause2() != nil {
+			t.Errorf("the attempt ended with %v within 0.3 s of its beginning, expected after %v", cause2(), s2.Selection().ExpectedFirstByte)
+		}
+	})
+}
--- a/internal/node/seat/server.go
+++ b/internal/node/seat/server.go
@@ -102,9 +102,14 @@
 
 // cancelRepeatable tells the attempts that another one may replace that the server is silent, and returns their number.
 func (sv *server) cancelRepeatable() int {
+	return sv.cancelRepeatableIf(func(*reservation) bool { return true })
+}
+
+// cancelRepeatableIf does the same for the attempts that match.
+func (sv *server) cancelRepeatableIf(matches func(r *reservation) bool) int {
 	n := 0
 	for r := range sv.reservations {
-		if r.repeatable && r.mayBeReplaced() {
+		if r.repeatable && r.mayBeReplaced() && matches(r) {
 			n++
 			r.cancel(pass.ErrStalled)
 		}
@@ -119,7 +124,7 @@
 		return false
 	}
 	for r := range sv.reservations {
-		if r.firstByte == 0 && now.Sub(r.sentAt) >= firstByteFactor*(silence+r.expectedFirstByte) {
+		if r.missesFirstByte(now, silence) {
 			return true
 		}
 	}
@@ -154,6 +159,11 @@
 	return !r.last && (r.resumable || !r.answering && r.firstByte == 0)
 }
 
+// missesFirstByte reports whether the attempt is overdue for its first byte.
+func (r *reservation) missesFirstByte(now time.Time, silence time.Duration) bool {
+	return r.firstByte == 0 && now.Sub(r.sentAt) >= firstByteFactor*(silence+r.expectedFirstByte)
+}
+
 // Entry implements pass.Reservation.
 func (r *reservation) Entry() *index.Entry { return r.entry }
 
