Make another attempt beside one whose header is late, instead of in its place

Callers saw: an idempotent request whose server took longer for its header than the objective, or half of the time left, was answered 502 when no budget, no other server or only servers that refuse or fail were left, though its server lived.

Cause: the read deadline for the header ended the attempt before another one was assured: silence as proof of a loss, as with the reports of the picker.

Why this works: at that time the search for another server begins, and the first attempt ends only when it has an answer. The search checks the links of the node first, as an attempt after a broken one did.

--- a/internal/node/pass/attempt.go
+++ b/internal/node/pass/attempt.go
@@ -156,8 +156,12 @@
 	})
 	req.SetBodyRaw(s.call.req.Body)
 	s.sending(x)
+	if by := s.headerDeadline(); by.Before(s.call.Deadline) {
+		late := time.AfterFunc(time.Until(by), func() { x.hedge.silent(errHeaderLate) })
+		defer late.Stop()
+	}
 	resp, err := reservation.Conns().Exchange(x.ctx, conns.Exchange{
-		Request: req, HeaderBy: s.headerDeadline(),
+		Request: req, HeaderBy: s.call.Deadline,
 		Matches: func(h *fasthttp.ResponseHeader) bool {
 			id := s.relay.deps.Codec.DecodeResponse(h).ID
 			return id == s.call.ID || id == ""
@@ -289,6 +293,8 @@
 		return attemptResult{outcome: Failed, err: err}
 	case errors.Is(cause, ErrStalled):
 		return attemptResult{outcome: Stalled, err: cause}
+	case errors.Is(cause, errHeaderLate):
+		return attemptResult{outcome: Failed, err: cause}
 	default:
 		return attemptResult{outcome: Cancelled, refusal: fault.New(fault.Timeout, fault.Unknown, "the request ended").WithCause(cause)}
 	}
--- a/internal/node/pass/hedge.go
+++ b/internal/node/pass/hedge.go
@@ -54,7 +54,7 @@
 	h.answering, h.lastID, h.events, h.mediaType = s.answering(), s.events.lastID, s.events.count, s.mediaType
 }
 
-// silent handles the picker's notice that the server makes no progress.
+// silent handles the notice that the server makes no progress.
 func (h *hedge) silent(cause error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -72,6 +72,7 @@
 		h.group = tasks.New(h.parent)
 	}
 	h.active = true
+	h.state.broken = errors.Is(cause, errHeaderLate)
 	h.state.started, h.state.mediaType, h.state.events = h.answering, h.mediaType, eventParser{lastID: h.lastID, count: h.events}
 	progress := h.progress
 	h.group.Go("hedge", func(context.Context) error {
--- a/internal/node/pass/hedge_test.go
+++ b/internal/node/pass/hedge_test.go
@@ -428,3 +428,35 @@
 		}
 	}
 }
+
+// Guards against giving up an idempotent request at a server that lives because its header is later than part of the time left.
+func TestLateHeaderIsTaken(t *testing.T) {
+	t.Parallel()
+	late := func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-r.Context().Done():
+		case <-time.After(400 * time.Millisecond):
+			serves(w, r)
+		}
+	}
+	tests := map[string]struct {
+		retries float64
+		servers []http.HandlerFunc
+	}{
+		"no budget":       {0, []http.HandlerFunc{late, serves}},
+		"no other server": {9, []http.HandlerFunc{late}},
+		"others refuse":   {9, []http.HandlerFunc{late, refuses}},
+		"other fails":     {9, []http.HandlerFunc{late, fails}},
+		"other serves":    {9, []http.HandlerFunc{late, serves}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			route := match.Route{Name: "r", Kind: match.Idempotent, MaxAttempts: 2, Timeout: 2 * time.Second, Objective: 50 * time.Millisecond}
+			status, body, err := get(t, newRelay(t, route, retry.NewBudgetWith(0, tt.retries), tt.servers...))
+			if status != http.StatusOK || body != whole || err != nil {
+				t.Errorf("got %d %q, error %v, want the whole answer", status, body, err)
+			}
+		})
+	}
+}
--- a/internal/node/pass/serve.go
+++ b/internal/node/pass/serve.go
@@ -18,6 +18,8 @@
 var (
 	// ErrStalled is the cancellation cause when a backend server has made no progress for too long.
 	ErrStalled = errors.New("backend server makes no progress")
+	// errHeaderLate is the cancellation cause when the header of the response is late.
+	errHeaderLate = errors.New("header of the response is late")
 	// errCallerWrite marks errors of writing to the caller.
 	errCallerWrite = errors.New("cannot write to the caller")
 )
@@ -226,7 +228,7 @@
 	}
 }
 
-// headerDeadline returns the time by which the response headers must arrive.
+// headerDeadline returns the time by which the response headers should arrive. Then, another attempt is made.
 func (s *callState) headerDeadline() time.Time {
 	if s.call.Route.Kind != match.Idempotent {
 		return s.call.Deadline
