End an attempt at a silent server only when another one has sent what the caller lacks

Callers saw: a stream ended early, or a request was answered 502 or 504, because the server that had taken over from a silent one sent its header and then broke off, hung, or sent something else. The silent server lived and would have gone on.

Cause: the header of another answer counted as its beginning. On a host without processor time that server falls silent too, and servers whose group closes send a header and reset the connection.

Evidence: TestSilentServerAndHeaderOnly failed before in all nine cases.

Why this works: the first event that the caller lacks, or the first byte of a body, is read before the first attempt is cancelled. Until then the caller would have received nothing anyway.

--- a/internal/node/pass/attempt.go
+++ b/internal/node/pass/attempt.go
@@ -25,6 +25,9 @@
 	ctx   context.Context //nolint:containedctx // It belongs to the attempt, which may be followed elsewhere than it was begun.
 	resp  *conns.Response
 	hedge *hedge
+	// head is the part of the body that was read before the attempt continued the response. headEnds is set if it is all of it.
+	head     []byte
+	headEnds bool
 	// server and group are the ID and the group of the server, or the address of the other node. runID is the crash tracker's
 	// ID of the attempt.
 	server, group string
@@ -47,6 +50,20 @@
 	return res
 }
 
+// Read implements io.Reader for the body of the answer.
+func (x *exchange) Read(b []byte) (int, error) {
+	switch {
+	case len(x.head) > 0:
+		n := copy(b, x.head)
+		x.head = x.head[n:]
+		return n, nil
+	case x.headEnds:
+		return 0, io.EOF
+	default:
+		return x.resp.Read(b)
+	}
+}
+
 // discard ends the attempt, unless it is nil, without having used its answer.
 func (x *exchange) discard(s *callState) {
 	if x != nil {
@@ -343,7 +360,7 @@
 // relayAnswer forwards a response to the caller. A stream is forwarded in complete events, so that it can be resumed.
 func (s *callState) relayAnswer(x *exchange) attemptResult {
 	resp := x.resp
-	stream := s.call.Route.Kind == match.Stream && resp.Header.StatusCode() == fasthttp.StatusOK
+	stream := s.isStream(resp.Header)
 	if !s.w.Started() {
 		if stream {
 			resp.Header.SetContentLength(-1)
@@ -368,6 +385,11 @@
 	}
 }
 
+// isStream reports whether a response is forwarded in complete events.
+func (s *callState) isStream(h *fasthttp.ResponseHeader) bool {
+	return s.call.Route.Kind == match.Stream && h.StatusCode() == fasthttp.StatusOK
+}
+
 // abortOutcome returns the outcome of an attempt whose response ended early and cannot be resumed.
 func (s *callState) abortOutcome(ctx context.Context) Outcome {
 	if errors.IsAny(context.Cause(ctx), front.ErrCallerDisconnected, context.DeadlineExceeded) {
@@ -383,7 +405,7 @@
 func (s *callState) copy(x *exchange, stream bool) error {
 	var buf [copyBufferBytes]byte
 	for {
-		n, err := x.resp.Read(buf[:])
+		n, err := x.Read(buf[:])
 		if n > 0 {
 			s.recordFirstByte()
 			before := s.events.count
--- a/internal/node/pass/hedge.go
+++ b/internal/node/pass/hedge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"sync"
 	"time"
 
@@ -178,6 +179,39 @@
 	return s.holdFailure(resp)
 }
 
+// readHead reads the body of an answer until it has a part that the caller lacks: of a stream, an event.
+func (s *callState) readHead(x *exchange) error {
+	if err := x.resp.SetReadDeadline(s.call.Deadline); err != nil {
+		return errors.Newf("set read deadline of response: %w", err)
+	}
+	stream := s.isStream(x.resp.Header)
+	var events eventParser
+	if s.events.lastID != "" {
+		events.resumeFrom(s.events.lastID)
+	}
+	var buf [copyBufferBytes]byte
+	for {
+		n, err := x.resp.Read(buf[:])
+		x.head = append(x.head, buf[:n]...)
+		part := buf[:n]
+		if stream {
+			var parseErr error
+			if part, parseErr = events.feed(part); parseErr != nil && len(part) == 0 {
+				return parseErr
+			}
+		}
+		switch {
+		case len(part) > 0:
+			return nil
+		case errors.Is(err, io.EOF) && len(events.partial) == 0:
+			x.headEnds = true
+			return nil
+		case err != nil:
+			return errors.Newf("read response: %w", err)
+		}
+	}
+}
+
 // next makes attempts until a server has begun to answer with what continues the response. It returns nil if the retry rules
 // allow no more, or no server is available.
 func (s *callState) next(ctx context.Context) *exchange {
@@ -198,7 +232,13 @@
 			res = x.end(s, s.takeFailure(x.resp))
 			s.failure = res.failureResponse
 		case x != nil && (!s.started || s.continues(x.resp.Header)):
-			return x
+			err := s.readHead(x)
+			if err == nil {
+				return x
+			}
+			if res = x.end(s, s.classifyError(x.ctx, err)); res.refusal != nil {
+				return nil
+			}
 		case x != nil:
 			res = attemptResult{outcome: Failed, err: errors.Newf("status %d does not continue the response", x.resp.Header.StatusCode())}
 			x.end(s, res)
--- a/internal/node/pass/hedge_test.go
+++ b/internal/node/pass/hedge_test.go
@@ -460,3 +460,56 @@
 		})
 	}
 }
+
+// Guards against giving up the answer of a silent server for one of which nothing follows but its header.
+func TestSilentServerAndHeaderOnly(t *testing.T) {
+	t.Parallel()
+	begins := func(text string, ends bool) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Type", streamType)
+			_, _ = io.WriteString(w, text)
+			_ = http.NewResponseController(w).Flush()
+			if !ends {
+				<-r.Context().Done()
+			}
+			panic(http.ErrAbortHandler)
+		}
+	}
+	late := func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-r.Context().Done():
+		case <-time.After(6 * silence):
+			serves(w, r)
+		}
+	}
+	routes := map[string]match.Route{
+		"stream":     {Kind: match.Stream, Resumable: true},
+		"idempotent": {Kind: match.Idempotent, Objective: time.Second},
+	}
+	tests := map[string]struct {
+		kind   string
+		silent http.HandlerFunc
+		other  http.HandlerFunc
+	}{
+		"stream, breaks off":                 {"stream", pauses, begins("", true)},
+		"stream, hangs":                      {"stream", pauses, begins("", false)},
+		"stream, breaks off within an event": {"stream", pauses, begins("id: 2", true)},
+		"stream, repeats, then hangs":        {"stream", pauses, begins("id: 1\n\n", false)},
+		"stream, sends something else":       {"stream", pauses, begins("it failed\n\n", true)},
+		"late stream, breaks off":            {"stream", late, begins("", true)},
+		"late stream, hangs":                 {"stream", late, begins("id", false)},
+		"idempotent, breaks off":             {"idempotent", late, begins("", true)},
+		"idempotent, hangs":                  {"idempotent", late, begins("", false)},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			route := routes[tt.kind]
+			route.Name, route.MaxAttempts, route.Timeout = "r", 2, 2*time.Second
+			status, body, err := get(t, newRelay(t, route, retry.NewBudgetWith(0, 9), tt.silent, tt.other))
+			if status != http.StatusOK || body != whole || err != nil {
+				t.Errorf("got %d %q, error %v, want the whole answer", status, body, err)
+			}
+		})
+	}
+}
