--- a/internal/node/pass/hedge.go
+++ b/internal/node/pass/hedge.go
@@ -224,25 +224,16 @@
 			return nil
 		}
 		s.relay.deps.Metrics.Retried()
-		var x *exchange
 		before, notSent := s.attempts, res.notSent
-		x, res = s.begin(ctx)
-		switch {
-		case x != nil && !s.started && s.isFailure(x.resp.Header):
-			res = x.end(s, s.takeFailure(x.resp))
-			s.failure = res.failureResponse
-		case x != nil && (!s.started || s.continues(x.resp.Header)):
-			err := s.readHead(x)
-			if err == nil {
+		var x *exchange
+		if x, res = s.begin(ctx); x != nil {
+			var ok bool
+			if res, ok = s.checkHead(x); ok {
 				return x
 			}
-			if res = x.end(s, s.classifyError(x.ctx, err)); res.refusal != nil {
-				return nil
-			}
-		case x != nil:
-			res = attemptResult{outcome: Failed, err: errors.Newf("status %d does not continue the response", x.resp.Header.StatusCode())}
-			x.end(s, res)
-		case res.refusal != nil:
+			res = x.end(s, res)
+		}
+		if res.refusal != nil {
 			if s.attempts == before && !notSent {
 				budget.Return(time.Now())
 			}
@@ -250,3 +241,20 @@
 		}
 	}
 }
+
+// checkHead reports whether the answer of an attempt has begun with what the caller lacks. If not, it returns the result of the
+// attempt.
+func (s *callState) checkHead(x *exchange) (attemptResult, bool) {
+	switch {
+	case !s.started && s.isFailure(x.resp.Header):
+		res := s.takeFailure(x.resp)
+		s.failure = res.failureResponse
+		return res, false
+	case s.started && !s.continues(x.resp.Header):
+		return attemptResult{outcome: Failed, err: errors.Newf("status %d does not continue the response", x.resp.Header.StatusCode())}, false
+	}
+	if err := s.readHead(x); err != nil {
+		return s.classifyError(x.ctx, err), false
+	}
+	return attemptResult{}, true
+}
