Picker: time in which this process was not scheduled is no silence of a server

A node took the silence of its servers by the wall clock. It skipped the check for up to 0.5 s after it had not been scheduled, but a node that is scheduled for a fifth of the time is late for longer: then all of its groups counted as stalled although their servers sent events, all streams were cancelled to be continued elsewhere at once, and those that other servers refused were cut.

A check that is late now leaves the time that it missed out of the silence of all servers and of the time since requests were sent. On a host that is always slow, a silent server is still found (TestPausedProcess).

Test: TestProcessThatIsSeldomScheduled fails before.

--- a/internal/node/seat/seat.go
+++ b/internal/node/seat/seat.go
@@ -528,9 +528,11 @@
 // skipsCheck reports whether a check for stalled servers must be skipped because this process has not run for a while: the
 // servers may have sent data that it has not read yet. The caller must hold mu.
 func (s *Picker) skipsCheck(now time.Time) bool {
-	late := !s.lastCheck.IsZero() && now.Sub(s.lastCheck) > maxCheckInterval
+	elapsed := now.Sub(s.lastCheck)
+	late := !s.lastCheck.IsZero() && elapsed > maxCheckInterval
 	s.lastCheck = now
 	if late {
+		s.discount(now, elapsed-stallCheckInterval)
 		if s.lateSince.IsZero() {
 			s.lateSince = now
 		}
@@ -543,6 +545,17 @@
 	return false
 }
 
+// discount leaves a time in which this process was not scheduled out of the silence of all servers. The caller must hold mu.
+func (s *Picker) discount(now time.Time, d time.Duration) {
+	s.watch.Discount(now, d)
+	for _, sv := range s.servers {
+		sv.discount(d)
+	}
+	for sv := range s.departed {
+		sv.discount(d)
+	}
+}
+
 // checkDeparted reports departed servers that make no progress.
 func (s *Picker) checkDeparted(now time.Time) {
 	for sv, since := range s.departed {
@@ -554,7 +567,7 @@
 			s.departed[sv] = now // It lives, and sends nothing before its answers.
 			continue
 		}
-		silent := min(now.Sub(since), now.Sub(sv.progress))
+		silent := min(now.Sub(since), sv.silence(now))
 		if sv.reportedAt.IsZero() && silent >= s.watch.UnknownSilenceLimit(s.passTime(sv)) {
 			s.reportStall(now, sv, "departed")
 		}
--- a/internal/node/seat/seat_test.go
+++ b/internal/node/seat/seat_test.go
@@ -543,6 +543,41 @@
 	})
 }
 
+// Guards against cutting the responses of servers that send events while this process is scheduled for a fifth of the time: it reads
+// them late, and hears nothing for longer than a stall takes (issue 46, LOST).
+func TestProcessThatIsSeldomScheduled(t *testing.T) {
+	t.Parallel()
+	runWithFakeClock(t, func(t *testing.T, ctx context.Context, run func(*testBed)) {
+		b := newTestBed(engine(), 1)
+		run(b)
+		b.put("a", "b")
+		s1, cause, _ := b.pick(ctx)
+		s2, other, _ := b.pick(ctx, s1.Entry().ID)
+		b.put("c") // It could continue the responses.
+		sendEvents(time.Second, s1, s2)
+		for range 10 {
+			for range 4 {
+				b.pause.Add(int64(200 * time.Millisecond))
+				time.Sleep(50 * time.Millisecond)
+			}
+			s1.Progress()
+			s2.Progress()
+		}
+		synctest.Wait()
+		if cause() != nil || other() != nil {
+			t.Errorf("the attempts ended with %v and %v while events arrived", cause(), other())
+		}
+		for range 40 {
+			b.pause.Add(int64(100 * time.Millisecond))
+			sendEvents(50*time.Millisecond, s2)
+		}
+		synctest.Wait()
+		if !errors.Is(cause(), pass.ErrStalled) || other() != nil {
+			t.Errorf("the attempt without events ended with %v, the other one with %v", cause(), other())
+		}
+	})
+}
+
 // Guards against a node of a large fleet that assumes a server is full after one request of its own, and refuses calls
 // while servers have capacity.
 func TestLargeFleetHasRoom(t *testing.T) {
--- a/internal/node/seat/server.go
+++ b/internal/node/seat/server.go
@@ -52,8 +52,9 @@
 	loadAt time.Time
 	// refusedUntil is until when the server gets no requests because it refused a connection.
 	refusedUntil time.Time
-	// progress is when part of any response last arrived.
-	progress time.Time
+	// progress is when part of any response last arrived, and unscheduled is for how long this process has not been scheduled since.
+	progress    time.Time
+	unscheduled time.Duration
 	// reportedAt is when the server was last reported to make no progress, zero if it has made some since.
 	reportedAt time.Time
 	// namesRate is set while the server names a rate for all nodes together.
@@ -117,10 +118,21 @@
 	return n
 }
 
+// silence returns for how long this process has been scheduled since part of any response last arrived.
+func (sv *server) silence(now time.Time) time.Duration { return now.Sub(sv.progress) - sv.unscheduled }
+
+// discount leaves a time in which this process was not scheduled out of the silence of the server.
+func (sv *server) discount(d time.Duration) {
+	sv.unscheduled += d
+	for r := range sv.reservations {
+		r.unscheduled += d
+	}
+}
+
 // missesFirstByte reports whether the head of a group has made no progress on any response and one of its requests is
 // overdue for its first byte. The expected time to the first byte includes queueing on the server.
 func (sv *server) missesFirstByte(now time.Time, silence time.Duration) bool {
-	if !sv.entry.Member.InGroup() || now.Sub(sv.progress) < firstByteFactor*silence {
+	if !sv.entry.Member.InGroup() || sv.silence(now) < firstByteFactor*silence {
 		return false
 	}
 	for r := range sv.reservations {
@@ -139,6 +151,8 @@
 	entry  *index.Entry
 	sendID uint64
 	sentAt time.Time
+	// unscheduled is for how long this process has not been scheduled since.
+	unscheduled time.Duration
 	// promptTokens is the length of the prompt, expectedFirstByte the estimated time to the first byte.
 	promptTokens      int
 	expectedFirstByte time.Duration
@@ -161,7 +175,7 @@
 
 // missesFirstByte reports whether the attempt is overdue for its first byte.
 func (r *reservation) missesFirstByte(now time.Time, silence time.Duration) bool {
-	return r.firstByte == 0 && now.Sub(r.sentAt) >= firstByteFactor*(silence+r.expectedFirstByte)
+	return r.firstByte == 0 && now.Sub(r.sentAt)-r.unscheduled >= firstByteFactor*(silence+r.expectedFirstByte)
 }
 
 // Entry implements pass.Reservation.
@@ -176,7 +190,7 @@
 	r.picker.mu.Lock()
 	defer r.picker.mu.Unlock()
 	now := r.picker.cfg.Now()
-	r.server.progress = now
+	r.server.progress, r.server.unscheduled = now, 0
 	watched := r.entry.Member.InGroup() && !r.server.removed
 	switch {
 	case r.firstByte == 0:
--- a/internal/route/stall/stall.go
+++ b/internal/route/stall/stall.go
@@ -95,6 +95,22 @@
 	w.lastBytes[id] = now
 }
 
+// Discount leaves a time out of the current silence of all servers, because this process was not scheduled and read nothing.
+func (w *Monitor) Discount(now time.Time, d time.Duration) {
+	later := func(at time.Time) time.Time {
+		if at = at.Add(d); at.After(now) {
+			return now
+		}
+		return at
+	}
+	for _, st := range w.servers {
+		st.lastProgress = later(st.lastProgress)
+	}
+	for id, at := range w.lastBytes {
+		w.lastBytes[id] = later(at)
+	}
+}
+
 // End removes a stream.
 func (w *Monitor) End(server string, id ID) {
 	delete(w.lastBytes, id)
