Do not take the end of the server for a disconnect of the caller

Callers saw: nothing else than before. The node logged and counted some answers that its own end cut as caller_left instead of node_ends; TestCutAnswerIsLogged/node_ends failed once in a run on a busy host for it.

Cause: when the server ends, it closes its connections while the contexts of their requests are still being cancelled. The reader of a connection saw the close first and took it for the caller's.

Why this works: the error tells a connection that was closed here from one that the caller closed.

--- a/internal/node/front/conn.go
+++ b/internal/node/front/conn.go
@@ -329,7 +329,10 @@
 		return nil
 	})
 	_, err := c.br.Peek(1)
-	if err != nil && !isTimeout(err) {
+	switch {
+	case errors.Is(err, net.ErrClosed):
+		cancel(ErrServerEnds)
+	case err != nil && !isTimeout(err):
 		cancel(ErrCallerDisconnected)
 	}
 	<-done
--- a/internal/node/front/front_test.go
+++ b/internal/node/front/front_test.go
@@ -527,3 +527,53 @@
 		}
 	}
 }
+
+// causeHandler begins a response and reports the cause that ends its request.
+type causeHandler struct{ causes chan error }
+
+func (h causeHandler) Handle(ctx context.Context, _ *front.Request, w *front.Writer) {
+	header := fasthttp.ResponseHeader{}
+	header.SetContentLength(-1)
+	w.Start(&header)
+	_ = w.Write([]byte("one"))
+	<-ctx.Done()
+	h.causes <- context.Cause(ctx)
+	w.Abort()
+}
+
+// Guards against taking the end of the server for a disconnect of its callers.
+func TestEndIsNoDisconnect(t *testing.T) {
+	t.Parallel()
+	const callers = 200
+	h := causeHandler{make(chan error, callers)}
+	srv := front.New(front.Config{Handler: h, Limits: func() front.Limits { return front.Limits{} }, Log: hclog.NewNullLogger()})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	g := tasks.New(ctx)
+	g.Go("front", func(ctx context.Context) error { return srv.Run(ctx, ln) })
+	for range callers {
+		nc, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = nc.Close() }()
+		send(t, nc, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		if _, err := nc.Read(make([]byte, 1)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	cancel()
+	wrong := 0
+	for range callers {
+		if errors.Is(<-h.causes, front.ErrCallerDisconnected) {
+			wrong++
+		}
+	}
+	if err := g.Wait(); err != nil || wrong > 0 {
+		t.Errorf("%d requests ended as if their callers had left, error %v", wrong, err)
+	}
+}
