Do not let events come twice when a silent server goes on and breaks off

Callers saw: by a test only. A stream whose event IDs are no numbers got an event twice.

Cause: when the first attempt broke off while another one was on its way, that one was taken though it continues after an older event. Events that the caller has are dropped by their numbers; other IDs cannot be compared.

Evidence: TestSilentServerGoesOnAndBreaksOff failed before.

Why this works: such an answer is dropped, and the next attempt continues after the last event.

--- a/internal/node/pass/hedge.go
+++ b/internal/node/pass/hedge.go
@@ -41,6 +41,8 @@
 	lastID    string
 	events    int
 	mediaType string
+	// numbered is set if the IDs of the events are numbers.
+	numbered bool
 	// next is the attempt that continues the response, superseded is set if it ended the first one.
 	next       *exchange
 	superseded bool
@@ -86,13 +88,17 @@
 	})
 }
 
-// offer has another attempt, unless it is nil, continue the response, if the first attempt has ended or delivered nothing since
+// offer has another attempt, unless it is nil, continue the response, if the first attempt has ended, or delivered nothing since
 // its progress was as given. It reports whether it has.
 func (h *hedge) offer(x *exchange, progress int, cause error) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if x == nil || !h.closed && h.progress != progress {
-		return x == nil
+	if x == nil {
+		return true
+	}
+	// Events that were delivered meanwhile come again. They are only dropped if their IDs are numbers.
+	if h.progress != progress && (!h.closed || !h.numbered) {
+		return false
 	}
 	h.next = x
 	if !h.closed {
@@ -121,7 +127,7 @@
 		h.progress++
 		h.answering = true
 	}
-	h.lastID, h.events, h.mediaType = s.events.lastID, s.events.count, s.mediaType
+	h.lastID, h.events, h.mediaType, h.numbered = s.events.lastID, s.events.count, s.mediaType, s.events.numbered
 	return nil
 }
 
--- a/internal/node/pass/hedge_test.go
+++ b/internal/node/pass/hedge_test.go
@@ -518,3 +518,28 @@
 		})
 	}
 }
+
+// Guards against an event that comes twice when a silent server goes on and then breaks off, and IDs are no numbers.
+func TestSilentServerGoesOnAndBreaksOff(t *testing.T) {
+	t.Parallel()
+	first := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", streamType)
+		for _, event := range []string{"id: a\n\n", "id: b\n\n", ""} {
+			_, _ = io.WriteString(w, event)
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(3 * silence / 2)
+		}
+		panic(http.ErrAbortHandler)
+	}
+	continues := func(after time.Duration) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			time.Sleep(after)
+			answers(streamType, map[string]string{"a": "id: b\n\nid: c\n\n", "b": "id: c\n\n"}[r.Header.Get("Last")])(w, r)
+		}
+	}
+	route := match.Route{Name: "r", Kind: match.Stream, Resumable: true, MaxAttempts: 3, Timeout: 2 * time.Second}
+	status, body, err := get(t, newRelay(t, route, retry.NewBudgetWith(0, 9), first, continues(6*silence), continues(0)))
+	if want := "id: a\n\nid: b\n\nid: c\n\n"; status != http.StatusOK || body != want || err != nil {
+		t.Errorf("got %d %q, error %v, want %q", status, body, err, want)
+	}
+}
