Do not count the polls of a call that waits for a server as refusals

Callers saw: by a test only. After one begun response had waited 2 s for a server in vain, the node took the first bytes of its model for much earlier than they are, and sent requests that it would have refused.

Cause: since such a call asks every 20 ms, and each time its refusal lowered the learned delay of the model.

Evidence: TestWaitingCallKeepsEstimate failed before: the estimate fell from 970 to 363 ms.

Why this works: a call whose caller has part of the response cannot be refused, and no longer counts as a refusal.

--- a/internal/node/seat/seat.go
+++ b/internal/node/seat/seat.go
@@ -205,7 +205,9 @@
 	}
 	est, _ := s.table.Estimate(id, now, req)
 	if refusal := checkWait(now, c, est, len(tried) > 0 || c.Delayed); refusal != nil {
-		s.table.RecordRefusal(req.Model)
+		if !c.Answering { // Such a call asks again and again.
+			s.table.RecordRefusal(req.Model)
+		}
 		return nil, time.Time{}, refusal
 	}
 	sv := s.servers[s.table.Name(id)]
--- a/internal/node/seat/seat_test.go
+++ b/internal/node/seat/seat_test.go
@@ -685,3 +685,35 @@
 		}
 	})
 }
+
+// Guards against one waiting call that makes the picker forget how late the first bytes of a model are.
+func TestWaitingCallKeepsEstimate(t *testing.T) {
+	t.Parallel()
+	runWithFakeClock(t, func(t *testing.T, ctx context.Context, _ func(*testBed)) {
+		b := newTestBed(engine(), 1)
+		b.put("a")
+		estimate := func() time.Duration {
+			s, _, refusal := b.pick(ctx, "other")
+			if refusal != nil {
+				t.Fatal(refusal)
+			}
+			e := s.Selection().ExpectedFirstByte
+			time.Sleep(e + 300*time.Millisecond)
+			s.Progress()
+			s.Release(pass.Served)
+			return e
+		}
+		for range 100 {
+			estimate()
+		}
+		before := estimate()
+		c := b.call()
+		c.Answering, c.Deadline = true, time.Now().Add(before/2)
+		if _, _, refusal := b.pickFor(ctx, c, "other"); refusal == nil {
+			t.Fatal("the call was sent though no server can answer in time")
+		}
+		if after := estimate(); after < before*9/10 {
+			t.Errorf("the estimate fell from %v to %v", before, after)
+		}
+	})
+}
