Count the refusals of attempts beside another one like their number

By reading (review): a refusal of the first attempt was forgotten when the attempts beside it ended, so that one attempt too few was allowed to continue a response.

--- a/internal/node/pass/hedge.go
+++ b/internal/node/pass/hedge.go
@@ -163,7 +163,7 @@
 	call := *s.call
 	return &callState{
 		relay: s.relay, call: &call, parts: s.parts, tried: s.tried.Union(nil), triedNodes: s.triedNodes.Union(nil), counted: true,
-		attempts: s.attempts, attemptsAtFork: s.attempts, refusedResumes: s.refusedResumes,
+		attempts: s.attempts, attemptsAtFork: s.attempts, refusedResumes: s.refusedResumes, refusedAtFork: s.refusedResumes,
 		mayHaveRun: s.mayHaveRun, forked: true,
 	}
 }
@@ -171,7 +171,7 @@
 // merge adds the attempts of a fork that has ended.
 func (s *callState) merge(fork *callState) {
 	s.attempts += fork.attempts - fork.attemptsAtFork
-	s.refusedResumes = fork.refusedResumes
+	s.refusedResumes += fork.refusedResumes - fork.refusedAtFork
 	s.tried, s.triedNodes = s.tried.Union(fork.tried), s.triedNodes.Union(fork.triedNodes)
 	s.mayHaveRun = s.mayHaveRun || fork.mayHaveRun
 	s.failure = fork.failure
--- a/internal/node/pass/serve.go
+++ b/internal/node/pass/serve.go
@@ -33,9 +33,9 @@
 	parts []crash.Part
 	runID crash.RunID
 	// forked is set in a copy of the state for attempts beside the one at a silent server. started then reports whether the
-	// caller may have received part of the response, attemptsAtFork is the number of attempts of then.
-	forked, started bool
-	attemptsAtFork  int
+	// caller may have received part of the response, attemptsAtFork and refusedAtFork are attempts and refusedResumes of then.
+	forked, started               bool
+	attemptsAtFork, refusedAtFork int
 	// hedge makes attempts beside the current one.
 	hedge *hedge
 	// failure is the last failure response to an attempt beside the current one.
