Do not take slow servers or a paused process for lost links

Cause: a node that became suspicious gave four servers 150 ms. Servers that answered later counted as not reached, even if they had accepted the connection, and so did answers that arrived while the process itself did not run.

A check now waits up to 500 ms while a connection stands or bytes of a server arrive, if another node reaches servers. Where packets are lost no connection is made, and the limit stays 150 ms; a refused or reset connection still counts at once, since lost links may look so. Time during which the process did not run does not count, and a wait ends only after 50 ms on time. A check that the process hardly ran through shows nothing: the node is not isolated by it, and Confirm denies the evidence. Requests that wait for a node are released once one accepts them.

A handshake alone is not taken as proof: the proxies of the stand-ins accept connections of nodes that are cut off.

--- a/internal/fleet/reach/reach.go
+++ b/internal/fleet/reach/reach.go
@@ -3,6 +3,7 @@
 // A server that does not answer may have failed, or the link to it. One observation cannot tell these apart, so a node
 // that hears nothing, or whose new connections fail, only becomes suspicious. It then checks some servers over new
 // connections, and asks other nodes whether they reach servers. It is isolated if it reaches none and others do.
+// A check waits longer while packets of servers arrive, and counts only time during which this process runs.
 // Until that is decided, and while the node is isolated, what it sees is no evidence about any server.
 package reach
 
@@ -58,6 +59,8 @@
 	// Peers is the number of other nodes that answered, PeersReaching the number of those that reach servers.
 	Peers         int
 	PeersReaching int
+	// Late is set if this process did not run on time during the check, so that silence proves nothing.
+	Late bool
 }
 
 // Decider is the state machine of one node. It does no I/O, and is not safe for concurrent use.
@@ -75,6 +78,8 @@
 	restored int
 	// undecidedUntil is until when no check begins because the last one did not show whose fault it is.
 	undecidedUntil time.Time
+	// late is set if the last check showed nothing because this process did not run on time.
+	late bool
 }
 
 // New returns a Decider of a node that is connected.
@@ -85,6 +90,9 @@
 // State returns the state.
 func (d *Decider) State() State { return d.state }
 
+// Evidence reports whether the failure of a server is evidence about that server, by the last check.
+func (d *Decider) Evidence() bool { return d.state == Connected && !d.late }
+
 // Heard records that bytes of a server arrived.
 func (d *Decider) Heard(now time.Time, server string) {
 	d.heard = now
@@ -96,6 +104,7 @@
 	d.Heard(now, server)
 	d.opened = now
 	clear(d.failed)
+	d.late = false
 	if d.state == Suspected {
 		d.state = Connected
 	}
@@ -142,7 +151,12 @@
 
 // Checked applies the result of a check and returns the new state.
 func (d *Decider) Checked(now time.Time, c Check) State {
+	d.late = c.Late && c.Reached == 0
 	switch {
+	case c.Reached == 0 && c.Late:
+		if d.state == Suspected {
+			d.state = Connected
+		}
 	case c.Reached == 0 && (c.PeersReaching > 0 || d.state == Isolated):
 		// An isolated node needs no other node to stay so: it has seen itself that it reaches no server.
 		d.state, d.restored = Isolated, 0
--- a/internal/fleet/reach/reach_test.go
+++ b/internal/fleet/reach/reach_test.go
@@ -39,6 +39,25 @@
 				t.Error("a stall that other nodes see too is no evidence")
 			}
 		}, reach.Connected},
+		{"silent, but this process did not run", func(d *reach.Decider, now time.Time) {
+			d.Silent(now.Add(300 * time.Millisecond))
+			d.Checked(now.Add(400*time.Millisecond), reach.Check{Peers: 3, PeersReaching: 2, Late: true})
+			if d.Evidence() {
+				t.Error("silence is evidence though this process did not run")
+			}
+			if evidence, check := d.Silent(now.Add(450 * time.Millisecond)); evidence || !check {
+				t.Error("no other check begins")
+			}
+			d.Opened(now.Add(460*time.Millisecond), "s1")
+			if !d.Evidence() {
+				t.Error("a server has answered, and silence is still no evidence")
+			}
+		}, reach.Connected},
+		{"isolated, and this process does not run", func(d *reach.Decider, now time.Time) {
+			d.Suspect(now)
+			d.Checked(now, lost)
+			d.Checked(now.Add(tick), reach.Check{Late: true})
+		}, reach.Isolated},
 		{"one new connection fails while others live", func(d *reach.Decider, now time.Time) {
 			d.Failed(now.Add(tick), "s1")
 			d.Failed(now.Add(2*tick), "s1")
--- a/internal/node/detour/detour.go
+++ b/internal/node/detour/detour.go
@@ -13,7 +13,6 @@
 
 	"geraniumhollow/internal/core/tasks"
 	"geraniumhollow/internal/fleet/reach"
-	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 )
 
@@ -52,8 +51,8 @@
 	Source string
 	// Servers returns the servers in use.
 	Servers func() []Server
-	// Try asks a server for its state over a new connection.
-	Try func(ctx context.Context, s Server) error
+	// Try asks a server for its state over a new connection, and calls connected once the connection is made.
+	Try func(ctx context.Context, s Server, connected func()) error
 	// Nodes returns the other nodes that requests may be passed on to.
 	Nodes func() []Node
 	// Ask asks a node for its status. The node may try the servers.
@@ -65,8 +64,10 @@
 
 // Times and numbers of checks.
 const (
-	// tryTimeout limits the wait for one server, askTimeout that for another node, which may try servers.
-	tryTimeout = 150 * time.Millisecond
+	// tryTimeout limits the wait for the servers. slowTimeout limits it while there is a sign that packets of servers arrive.
+	tryTimeout  = 150 * time.Millisecond
+	slowTimeout = 500 * time.Millisecond
+	// askTimeout limits the wait for other nodes, which may try servers.
 	askTimeout = 250 * time.Millisecond
 	// peerTryTimeout limits the wait for servers that another node asks about.
 	peerTryTimeout = 100 * time.Millisecond
@@ -188,7 +189,8 @@
 }
 
 // Confirm reports whether this node reaches servers, so that the failure of one is evidence about that one. It makes a check
-// unless one was made recently. It also returns true if no other node reaches servers.
+// unless one was made recently. It also returns true if no other node reaches servers, and false if this process did not run
+// on time during the check.
 func (d *Detour) Confirm(ctx context.Context) bool {
 	d.mu.Lock()
 	now := time.Now()
@@ -201,7 +203,10 @@
 	}
 	checked := d.checked
 	d.mu.Unlock()
-	return d.await(ctx, checked) == reach.Connected
+	d.await(ctx, checked)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.decider.Evidence()
 }
 
 // await waits for the end of a check and returns the state.
@@ -234,6 +239,13 @@
 	}
 }
 
+// releaseWaiting releases those that wait for a check once a node has been found that takes their requests.
+func (d *Detour) releaseWaiting() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.endCheck()
+}
+
 // endNeedlessCheck releases those that wait for a check if a server has answered since it was requested.
 func (d *Detour) endNeedlessCheck() {
 	d.mu.Lock()
@@ -267,7 +279,7 @@
 	d.mu.Unlock()
 	fields := []any{
 		"state", after.String(), "servers", len(servers), "reached", result.Reached, "nodes", result.Peers, "nodes_reaching", result.PeersReaching,
-		"ms", now.Sub(begun).Milliseconds(),
+		"late", result.Late, "ms", now.Sub(begun).Milliseconds(),
 	}
 	switch {
 	case changed && after == reach.Isolated:
@@ -318,62 +330,6 @@
 	return false
 }
 
-// gather tries the servers and asks other nodes at the same time. It returns as soon as the result decides about a suspicion.
-func (d *Detour) gather(ctx context.Context, servers []Server, state reach.State) reach.Check {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	var mu sync.Mutex
-	var c reach.Check
-	tried := 0
-	// decide cancels what is still in progress. An isolated node needs the statuses of all nodes.
-	decide := func() {
-		if state == reach.Suspected && (c.Reached > 0 || tried == len(servers) && c.PeersReaching > 0) {
-			cancel()
-		}
-	}
-	g := tasks.New(ctx)
-	for _, s := range servers {
-		g.Go("try server", func(ctx context.Context) error {
-			ctx, cancel := context.WithTimeout(ctx, tryTimeout)
-			defer cancel()
-			err := d.cfg.Try(ctx, s)
-			mu.Lock()
-			defer mu.Unlock()
-			tried++
-			if err == nil {
-				c.Reached++
-			}
-			decide()
-			return nil
-		})
-	}
-	for _, n := range d.peers.choose(state == reach.Isolated) {
-		g.Go("ask node", func(ctx context.Context) error {
-			st, err := d.cfg.Ask(ctx, n.Address, servers)
-			mu.Lock()
-			defer mu.Unlock()
-			if err != nil {
-				if !errors.Is(ctx.Err(), context.Canceled) {
-					d.peers.missed(n)
-				}
-				return nil
-			}
-			d.peers.answered(n, st)
-			c.Peers++
-			if st.Reaches {
-				c.PeersReaching++
-			}
-			decide()
-			return nil
-		})
-	}
-	_ = g.Wait() // The tasks return no errors.
-	if state == reach.Isolated || c.Reached == 0 {
-		d.peers.found(c.PeersReaching > 0)
-	}
-	return c
-}
-
 // maxForwardedPerCore limits the requests of other nodes in progress, per core. A node with few requests of its own uses
 // about a thousandth of a core for each.
 const maxForwardedPerCore = 600
@@ -407,7 +363,7 @@
 	g := tasks.New(ctx)
 	for _, s := range servers[:min(len(servers), recentServers+randomServers)] {
 		g.Go("try server", func(ctx context.Context) error {
-			if d.cfg.Try(ctx, s) != nil {
+			if d.cfg.Try(ctx, s, func() {}) != nil {
 				return nil
 			}
 			d.Exchanged(s.ID, true, nil)
--- a/internal/node/edge/links.go
+++ b/internal/node/edge/links.go
@@ -16,8 +16,8 @@
 func (n *Node) newDetour(set Settings) *detour.Detour {
 	return detour.New(detour.Config{
 		DataCentre: set.DataCentre, Source: set.IP, Servers: n.knownServers,
-		Try: func(ctx context.Context, s detour.Server) error {
-			return n.cfg.Engines.Try(ctx, group.Probe{Server: s.ID, Address: s.Address})
+		Try: func(ctx context.Context, s detour.Server, connected func()) error {
+			return n.cfg.Engines.Try(ctx, group.Probe{Server: s.ID, Address: s.Address}, connected)
 		},
 		Nodes: func() []detour.Node { return n.mesh.Forwarders() },
 		Ask: func(ctx context.Context, node string, s []detour.Server) (detour.Status, error) {
--- a/internal/node/keeper/keeper.go
+++ b/internal/node/keeper/keeper.go
@@ -30,8 +30,8 @@
 	Order(ctx context.Context, o group.Order) (group.Outcome, error)
 	// Report returns the state of a backend server. An error marked ErrProcessEnded proves that the server has ended.
 	Report(ctx context.Context, p group.Probe) (server.Report, error)
-	// Try asks a backend server for its state over a new connection.
-	Try(ctx context.Context, p group.Probe) error
+	// Try asks a backend server for its state over a new connection, and calls connected once the connection is made.
+	Try(ctx context.Context, p group.Probe, connected func()) error
 }
 
 // Config holds the settings and dependencies of a keeper.
--- a/internal/node/keeper/keeper_test.go
+++ b/internal/node/keeper/keeper_test.go
@@ -35,7 +35,7 @@
 	return server.Report{}, errUnreachable
 }
 
-func (unreachableEngines) Try(context.Context, group.Probe) error { return errUnreachable }
+func (unreachableEngines) Try(context.Context, group.Probe, func()) error { return errUnreachable }
 
 // startKeeper starts a keeper that reaches no backend server.
 func startKeeper(t *testing.T, table *store.Store, registry *index.Index) *keeper.Keeper {
