Keep a silent member while its host accepts connections

Callers saw: streams cut, or hanging until their deadline, and 503, while groups were formed anew around servers that had only paused for 0.3 to 1.5 s.

Cause: two missed probes, some 0.3 s, and the same answer of other nodes counted as a loss. A server that lacks a processor is as silent as one whose host is dark; what tells them apart is that the kernel of its host still answers.

The case "hosts accept connections" of TestKeepsGroupOfServersThatRun failed before; TestReplacesDarkMember has a process that is stopped for good.

Why this works: after a missed probe the keeper makes a new connection, for 0.1 s. If the host accepts it, the member keeps its place for up to 2 s of silence, as with a renewed registration. A host that is dark or cut off accepts none, and a process that has ended refuses it, so that these are found as before.

--- a/internal/node/keeper/carry.go
+++ b/internal/node/keeper/carry.go
@@ -75,6 +75,7 @@
 	case late := <-timeout:
 		<-k.probes
 		k.observerLate(late)
+		g.Go("connect", func(ctx context.Context) error { k.connect(ctx, p); return nil })
 		k.probeDone(ctx, p, answer{err: errProbeTimeout}, time.Since(start))
 		if a := <-answers; a.err == nil || errors.Is(a.err, ErrProcessEnded) {
 			k.lateAnswer(p, a, time.Since(start))
@@ -129,6 +130,23 @@
 	k.Wake()
 }
 
+// connect checks whether the host of a silent server accepts connections.
+func (k *Keeper) connect(ctx context.Context, p group.Probe) {
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	err := k.cfg.Engines.Try(ctx, p, func() {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		if k.decider != nil {
+			k.decider.HostConnected(time.Now(), p.Server)
+		}
+		cancel()
+	})
+	if err != nil {
+		k.cfg.Log.Debug("a silent server did not answer on a new connection either", "server", p.Server, "error", err)
+	}
+}
+
 // lateAnswer passes the result of a probe that counts as missed to the decider.
 func (k *Keeper) lateAnswer(p group.Probe, a answer, took time.Duration) {
 	k.cfg.Log.Info("a server answered a probe late", "server", p.Server, "ms", took.Milliseconds(), "error", a.err)
--- a/internal/node/keeper/keeper.go
+++ b/internal/node/keeper/keeper.go
@@ -94,6 +94,8 @@
 	maxProbeTime = 1500 * time.Millisecond
 	// minObserverLag is how much longer than its timeout a probe takes if this process was not scheduled.
 	minObserverLag = 60 * time.Millisecond
+	// connectTimeout limits the check whether the host of a silent server accepts connections.
+	connectTimeout = 100 * time.Millisecond
 	// maxConcurrentProbes limits the load of probes. When a failure domain is suspected, all of its servers are probed,
 	// and a node with a fifth of a core handles about two answers per millisecond: more concurrent probes would time out.
 	maxConcurrentProbes = 24
--- a/internal/node/keeper/late_test.go
+++ b/internal/node/keeper/late_test.go
@@ -82,7 +82,7 @@
 }
 
 // Try implements keeper.Engines.
-func (e *slowEngines) Try(context.Context, group.Probe) error { return nil }
+func (e *slowEngines) Try(context.Context, group.Probe, func()) error { return nil }
 
 // setDelay sets the delay of probes.
 func (e *slowEngines) setDelay(d time.Duration) {
--- a/internal/plan/group/doubt.go
+++ b/internal/plan/group/doubt.go
@@ -12,7 +12,8 @@
 const (
 	// signOfLifeAge is how long such a sign counts.
 	signOfLifeAge = 2 * time.Second
-	// maxSilence is how long a server may be silent whose only sign is its registration: it may reach nothing but the store.
+	// maxSilence is how long a server may be silent whose only sign is its registration, or that its host accepts connections: it may
+	// reach nothing but the store, or not run any more.
 	maxSilence = 2 * time.Second
 	// peerAnswerTimeout limits the wait for the answers of other nodes.
 	peerAnswerTimeout = 400 * time.Millisecond
@@ -36,7 +37,7 @@
 		return true
 	case silence >= maxSilence:
 		return false
-	case !s.renewedAfter.Before(s.silentSince):
+	case !s.renewedAfter.Before(s.silentSince), s.connectedAt.After(s.silentSince):
 		return true
 	default:
 		// Servers often share processors with this process.
@@ -58,6 +59,14 @@
 	}
 }
 
+// HostConnected records that the host of a silent server accepts connections. A server that lacks processor time is silent, but the
+// kernel of its host answers.
+func (d *Decider) HostConnected(now time.Time, id string) {
+	if s, ok := d.servers[id]; ok {
+		s.connectedAt = now
+	}
+}
+
 // ObserverLate records that this process was not scheduled for a while, and may have missed answers.
 func (d *Decider) ObserverLate(now time.Time) { d.observerLateUntil = now.Add(lateObserverTime) }
 
@@ -69,6 +78,6 @@
 		}
 		return now.Sub(at).Round(time.Millisecond).String()
 	}
-	return fmt.Sprintf("%s: exited %t, missed %d, silent %s, answered %s, renewed %s, peers asked %s, %d of %d reached it", s.ID, s.exited,
-		s.missedProbes, ago(s.silentSince), ago(s.answeredAt), ago(s.heartbeatAt), ago(s.peersAskedAt), s.peersReached, s.peersAnswered)
+	return fmt.Sprintf("%s: exited %t, missed %d, silent %s, answered %s, connected %s, renewed %s, peers asked %s, %d of %d reached it",
+		s.ID, s.exited, s.missedProbes, ago(s.silentSince), ago(s.answeredAt), ago(s.connectedAt), ago(s.heartbeatAt), ago(s.peersAskedAt), s.peersReached, s.peersAnswered)
 }
--- a/internal/plan/group/doubt_test.go
+++ b/internal/plan/group/doubt_test.go
@@ -25,6 +25,11 @@
 				sim.silent[id], sim.noHeartbeat[id], sim.reachedByPeers[id] = true, true, true
 			}
 		},
+		"hosts accept connections": func(sim *simulation, ids []string) {
+			for _, id := range ids {
+				sim.late[id], sim.noHeartbeat[id], sim.connects[id] = 1800*time.Millisecond, true, true
+			}
+		},
 		"keeper not scheduled for 1 s": func(sim *simulation, ids []string) {
 			sim.d.ObserverLate(sim.now)
 			sim.renewals = time.Second
@@ -37,7 +42,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			sim := newSimulation(t, 5)
-			sim.late, sim.reachedByPeers = make(map[string]time.Duration), make(map[string]bool)
+			sim.late, sim.reachedByPeers, sim.connects = make(map[string]time.Duration), make(map[string]bool), make(map[string]bool)
 			sim.run(3 * time.Second)
 			f := sim.open()["g1"]
 			impair(sim, f.Members)
@@ -65,6 +70,9 @@
 			sim.silent[id], sim.noHeartbeat[id] = true, true
 		}, time.Second},
 		"dark, and renews its registration": {func(sim *simulation, id string) { sim.silent[id] = true }, 3500 * time.Millisecond},
+		"stopped, and its host accepts connections": {func(sim *simulation, id string) {
+			sim.silent[id], sim.noHeartbeat[id], sim.connects = true, true, map[string]bool{id: true}
+		}, 3500 * time.Millisecond},
 		"dark, and the keeper was late": {func(sim *simulation, id string) {
 			sim.d.ObserverLate(sim.now)
 			sim.silent[id], sim.noHeartbeat[id] = true, true
--- a/internal/plan/group/group_test.go
+++ b/internal/plan/group/group_test.go
@@ -41,7 +41,9 @@
 	// that are due, with the time at which they arrive.
 	late           map[string]time.Duration
 	reachedByPeers map[string]bool
-	lateAnswers    []lateAnswer
+	// connects has the silent servers whose hosts accept connections.
+	connects    map[string]bool
+	lateAnswers []lateAnswer
 	// renewals is the time between heartbeats, or 0 if each step has one.
 	renewals time.Duration
 	// stale has the entries of servers that cannot renew them.
@@ -82,7 +84,7 @@
 		case a.answered:
 			sim.d.AnsweredLate(sim.now, a.id, sim.servers[a.id].StartedAt)
 		default:
-			sim.d.ProbeFailed(a.id, false)
+			sim.fail(a.id)
 		}
 		return true
 	})
@@ -186,7 +188,7 @@
 		} else if i, ok := sim.at(q.Address); ok && !sim.silent[i.ID] {
 			sim.d.ProbeAnswered(sim.now, q.Server, server.Report{Info: i, Slowdown: max(1, sim.pace[q.Server])})
 		} else {
-			sim.d.ProbeFailed(q.Server, false)
+			sim.fail(q.Server)
 		}
 	}
 	for _, q := range a.PeerProbes {
@@ -211,6 +213,14 @@
 	}
 }
 
+// fail has a probe of a server fail.
+func (sim *simulation) fail(id string) {
+	sim.d.ProbeFailed(id, false)
+	if sim.connects[id] {
+		sim.d.HostConnected(sim.now, id)
+	}
+}
+
 // execute carries out an order at once, except for weight loads with slowLoads.
 func (sim *simulation) execute(o group.Order) group.Outcome {
 	i, ok := sim.at(o.Address)
--- a/internal/plan/group/server.go
+++ b/internal/plan/group/server.go
@@ -31,6 +31,8 @@
 	// and inDoubt is set while it keeps a place because of that.
 	silentSince time.Time
 	aliveAt     time.Time
+	// connectedAt is when its host last accepted a connection although the server was silent.
+	connectedAt time.Time
 	inDoubt     bool
 	// excusedMisses counts missed probes that missedProbes leaves out. See maxExcusedMisses.
 	excusedMisses int
