Do not look for another server with each report of a silent one

Callers saw: more refusals and late answers at nodes that took themselves for isolated. Such a node reports all servers as silent every 50 ms, and each report began a search for another server for each of its streams.

Cause: an attempt at a silent server goes on now, so that it was reported again and again; before, the first report ended it.

TestReportsDoNotRepeatTheSearch: 71 searches for one request before, one now.

Why this works: another search begins 0.5 s after the end of the last one at the earliest.

--- a/internal/node/pass/hedge.go
+++ b/internal/node/pass/hedge.go
@@ -15,6 +15,10 @@
 // errSuperseded ends an attempt whose response another attempt continues.
 var errSuperseded = errors.New("another attempt continues the response")
 
+// searchAgainAfter is the time after which another search for a server may begin. A node that reaches none of them reports all of
+// them as silent with each check.
+const searchAgainAfter = 500 * time.Millisecond
+
 // hedge makes further attempts beside one whose server is silent. That one goes on, and ends only when the server of another one
 // has begun to answer: a silent server may only lack processor time, and nothing may be able to replace it.
 type hedge struct {
@@ -31,6 +35,8 @@
 	group  *tasks.Group
 	cancel context.CancelFunc
 	active bool
+	// searchedAt is when the last search for another server ended.
+	searchedAt time.Time
 	// closed is set once the attempt has ended.
 	closed bool
 	// progress counts the parts of the response that the attempt has delivered. answering is set once the caller may have
@@ -67,7 +73,7 @@
 	case h.state == nil:
 		h.cancelAttempt(cause)
 		return
-	case h.answering && !h.state.call.Route.Resumable:
+	case h.answering && !h.state.call.Route.Resumable, time.Since(h.searchedAt) < searchAgainAfter:
 		return
 	}
 	if h.group == nil {
@@ -112,7 +118,7 @@
 func (h *hedge) release() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.active = false
+	h.active, h.searchedAt = false, time.Now()
 }
 
 // deliver calls take, which takes the next part of the response and reports whether it is progress, unless another attempt
--- a/internal/node/pass/hedge_test.go
+++ b/internal/node/pass/hedge_test.go
@@ -41,6 +41,8 @@
 	live       map[*nervousReservation]struct{}
 	picks      int
 	releasedBy int
+	// calls is the number of choices, also of those without a server.
+	calls int
 }
 
 // nervousReservation implements pass.Reservation.
@@ -53,6 +55,7 @@
 func (p *nervous) Pick(_ context.Context, _ *pass.Call, tried sets.Set[string], cancel context.CancelCauseFunc) (pass.Reservation, *fault.Error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.calls++
 	first := p.rnd.IntN(len(p.slots))
 	for i := range p.slots {
 		s := p.slots[(first+i)%len(p.slots)]
@@ -543,3 +546,18 @@
 		t.Errorf("got %d %q, error %v, want %q", status, body, err, want)
 	}
 }
+
+// Guards against a search for another server with each report of a silent one.
+func TestReportsDoNotRepeatTheSearch(t *testing.T) {
+	t.Parallel()
+	route := match.Route{Name: "r", Kind: match.Stream, Resumable: true, MaxAttempts: 2, Timeout: 400 * time.Millisecond}
+	h := newHedgeBed(t, route, retry.NewBudgetWith(0, 9), func(*runs) []http.HandlerFunc {
+		return []http.HandlerFunc{func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }}
+	})
+	h.request(t, route, "a", time.Hour)
+	h.picker.mu.Lock()
+	defer h.picker.mu.Unlock()
+	if h.picker.calls > 2 {
+		t.Errorf("a server was looked for %d times, want the first one and one search", h.picker.calls)
+	}
+}
