--- a/internal/node/pass/pass.go
+++ b/internal/node/pass/pass.go
@@ -75,8 +75,8 @@
 // Picker picks backend servers for calls. It is safe for concurrent use.
 type Picker interface {
 	// Pick reserves a slot on a backend server outside tried, or returns the reason for refusing the call. It may
-	// block. The picker calls cancel if the server stops making progress.
-	Pick(ctx context.Context, c *Call, tried sets.Set[string], cancel context.CancelCauseFunc) (Reservation, *fault.Error)
+	// block. The picker calls onSilent with ErrStalled, at times again, while the server makes no progress.
+	Pick(ctx context.Context, c *Call, tried sets.Set[string], onSilent context.CancelCauseFunc) (Reservation, *fault.Error)
 }
 
 // Deps are the dependencies of a relay. All are required, unless noted otherwise.
--- a/internal/node/pass/serve.go
+++ b/internal/node/pass/serve.go
@@ -16,7 +16,7 @@
 
 // Errors that end an attempt.
 var (
-	// ErrStalled is the cancellation cause when a backend server has made no progress for too long.
+	// ErrStalled is the cause when a backend server makes no progress.
 	ErrStalled = errors.New("backend server makes no progress")
 	// errHeaderLate is the cancellation cause when the header of the response is late.
 	errHeaderLate = errors.New("header of the response is late")
--- a/internal/node/seat/seat.go
+++ b/internal/node/seat/seat.go
@@ -162,14 +162,14 @@
 }
 
 // Pick implements pass.Picker.
-func (s *Picker) Pick(ctx context.Context, c *pass.Call, tried sets.Set[string], cancel context.CancelCauseFunc) (pass.Reservation, *fault.Error) {
+func (s *Picker) Pick(ctx context.Context, c *pass.Call, tried sets.Set[string], onSilent context.CancelCauseFunc) (pass.Reservation, *fault.Error) {
 	wait := time.Duration(maxWaitShare * float64(c.Route.Objective))
 	if c.Answering {
 		wait = max(wait, resumeWait)
 	}
 	until := s.cfg.Now().Add(wait)
 	for {
-		res, freeAt, refusal := s.tryPick(c, tried, cancel)
+		res, freeAt, refusal := s.tryPick(c, tried, onSilent)
 		if res != nil {
 			return res, nil
 		}
@@ -183,7 +183,7 @@
 
 // tryPick reserves a slot on a server if one is available. If not, it returns the refusal and when a server becomes
 // available, zero if unknown.
-func (s *Picker) tryPick(c *pass.Call, tried sets.Set[string], cancel context.CancelCauseFunc) (*reservation, time.Time, *fault.Error) {
+func (s *Picker) tryPick(c *pass.Call, tried sets.Set[string], onSilent context.CancelCauseFunc) (*reservation, time.Time, *fault.Error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.cfg.Now()
@@ -214,7 +214,7 @@
 	sv.recentSends.Add(now)
 	s.cfg.Rates.Sent(now, sv.process())
 	s.watch.RecordTrial(now, sv.entry.ID)
-	res := &reservation{selection: sv.selection(now, est), picker: s, server: sv, entry: sv.entry, sendID: s.table.RecordSend(id, now, req), sentAt: now, promptTokens: c.PromptTokens, expectedFirstByte: est, cancel: cancel, repeatable: c.Route.Repeatable(), last: c.LastAttempt, answering: c.Answering, resumable: c.Route.Resumable}
+	res := &reservation{selection: sv.selection(now, est), picker: s, server: sv, entry: sv.entry, sendID: s.table.RecordSend(id, now, req), sentAt: now, promptTokens: c.PromptTokens, expectedFirstByte: est, onSilent: onSilent, repeatable: c.Route.Repeatable(), last: c.LastAttempt, answering: c.Answering, resumable: c.Route.Resumable}
 	sv.reservations[res] = struct{}{}
 	return res, time.Time{}, nil
 }
@@ -459,7 +459,7 @@
 	s.table.DecaySlowdowns(s.cfg.Now())
 }
 
-// checkStalls detects stalled servers and cancels their attempts that may be retried on another server.
+// checkStalls detects stalled servers and reports them to their attempts that another one may replace.
 func (s *Picker) checkStalls() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -497,7 +497,7 @@
 	}
 }
 
-// withdraw cancels the repeatable attempts on silent servers if this node is isolated, so that they can be made through
+// withdraw reports silent servers to their repeatable attempts if this node is isolated, so that others can be made through
 // another node. Nothing follows from the silence about the servers.
 func (s *Picker) withdraw(overdue []*server, silent []string) {
 	if !s.cfg.Links.Isolated() {
@@ -510,7 +510,7 @@
 	}
 	n := 0
 	for _, sv := range overdue {
-		n += sv.cancelRepeatable()
+		n += sv.reportSilent()
 	}
 	if n > 0 {
 		s.cfg.Log.Info("withdrew attempts on servers that this node does not reach", "servers", len(overdue), "withdrawn", n)
@@ -587,7 +587,7 @@
 		case now.Sub(sv.reportedAt) >= reportAgainAfter:
 			sv.reportedAt = now
 			silence := s.watch.UnknownSilenceLimit(s.passTime(sv))
-			sv.cancelRepeatableIf(func(r *reservation) bool { return r.firstByte > 0 || r.missesFirstByte(now, silence) })
+			sv.reportSilentIf(func(r *reservation) bool { return r.firstByte > 0 || r.missesFirstByte(now, silence) })
 		}
 	}
 	for _, sv := range s.servers {
@@ -640,11 +640,11 @@
 	}
 }
 
-// reportStall cancels the repeatable attempts on a stalled server and reports its group.
+// reportStall reports a stalled server to its repeatable attempts, and its group to the keeper.
 func (s *Picker) reportStall(now time.Time, sv *server, reason string) {
 	sv.reportedAt = now
 	s.cfg.Metrics.Stalled(reason)
-	s.cfg.Log.Warn("server makes no progress", "server", sv.entry.ID, "reason", reason, "withdrawn", sv.cancelRepeatable(), "running", len(sv.reservations),
+	s.cfg.Log.Warn("server makes no progress", "server", sv.entry.ID, "reason", reason, "withdrawn", sv.reportSilent(), "running", len(sv.reservations),
 		"silent_ms", now.Sub(sv.progress).Milliseconds())
 	if m := sv.entry.Member; m.InGroup() {
 		s.cfg.OnStalled(index.Formation{Group: m.Group, Epoch: m.Epoch})
--- a/internal/node/seat/server.go
+++ b/internal/node/seat/server.go
@@ -101,18 +101,18 @@
 	return sel
 }
 
-// cancelRepeatable tells the attempts that another one may replace that the server is silent, and returns their number.
-func (sv *server) cancelRepeatable() int {
-	return sv.cancelRepeatableIf(func(*reservation) bool { return true })
+// reportSilent tells the attempts that another one may replace that the server is silent, and returns their number.
+func (sv *server) reportSilent() int {
+	return sv.reportSilentIf(func(*reservation) bool { return true })
 }
 
-// cancelRepeatableIf does the same for the attempts that match.
-func (sv *server) cancelRepeatableIf(matches func(r *reservation) bool) int {
+// reportSilentIf does the same for the attempts that match.
+func (sv *server) reportSilentIf(matches func(r *reservation) bool) int {
 	n := 0
 	for r := range sv.reservations {
 		if r.repeatable && r.mayBeReplaced() && matches(r) {
 			n++
-			r.cancel(pass.ErrStalled)
+			r.onSilent(pass.ErrStalled)
 		}
 	}
 	return n
@@ -159,7 +159,7 @@
 	// firstByte is the measured time to the first byte, 0 until it arrives.
 	firstByte  time.Duration
 	stream     stall.ID
-	cancel     context.CancelCauseFunc
+	onSilent   context.CancelCauseFunc
 	repeatable bool
 	// last and answering are Call.LastAttempt and Call.Answering at the time of the choice.
 	last      bool
