Give planned stops in tests the time that their request needs on a slow machine

The request needs 2000 tokens of 2 ms. Measured under -race: 5.4 to 5.5 s at load 35 to 46, 9.3 s and 8.9 s beside 8 and 16 busy loops. The stop allows 1 s and 20 s. Paused for 3 quarters it passes in 11.4 s. So the stop did what its settings say, and the test asked for more.

The time-out is now 2 minutes. An answer that is cut fails the test as before; that the time-out ends a stop is tested in fleet/drain. A stop that ignores running requests still fails TestPlannedStop. The new time-out was not run with the paused process.

--- a/internal/node/serve/serve_test.go
+++ b/internal/node/serve/serve_test.go
@@ -32,6 +32,10 @@
 // convergenceTimeout is the time within which a change must be in force on all nodes.
 const convergenceTimeout = 4 * time.Second
 
+// drainTimeout is 30 times what the stand-in engines need for the longest answer that a stop must wait for, so that a
+// stop does not reach it on a machine without processor time.
+const drainTimeout = 2 * time.Minute
+
 // testNode is one running node of a testCluster.
 type testNode struct {
 	*serve.Node
@@ -88,7 +92,7 @@
 		NodeName: fmt.Sprintf("node-%d", i), DataCentre: s.site.Deployment.RunnerDataCentre(i),
 		CallerAddress: "127.0.0.1:0", OperatorAddress: "127.0.0.1:0", PeerAddress: peerAddress,
 		TableAddress: s.site.PlatformAddress, ObjectAddress: s.site.PlatformAddress, HostsAddress: s.site.PlatformAddress,
-		OperatorKeyHash: view.HashKey(operatorKey), LogLevel: "error", DrainNotice: time.Second, DrainTimeout: 20 * time.Second,
+		OperatorKeyHash: view.HashKey(operatorKey), LogLevel: "error", DrainNotice: time.Second, DrainTimeout: drainTimeout,
 	}
 	lns, cfg, err := serve.Listen(context.Background(), cfg)
 	if err != nil {
