Wait for the first request of a connection when a node drains

Cause: Drain ends the wait for a request on each connection at once, also on one that was accepted a moment before, whose request is on its way. The caller's request crosses the close, on a connection on which it expects none.

Evidence: TestNewConnectionAtDrain failed before.

Why this works: a connection without a request gets 0.2 s from the beginning of the drain. Those that have carried requests end at once, as before.

--- a/internal/node/front/conn.go
+++ b/internal/node/front/conn.go
@@ -45,6 +45,9 @@
 // drainReadTime is how long a draining server reads on a request that has begun to arrive.
 const drainReadTime = 500 * time.Millisecond
 
+// firstRequestTime is how long a draining server waits for the first request of a connection, which its caller may have just opened.
+const firstRequestTime = 200 * time.Millisecond
+
 // phase is what a connection does.
 type phase int
 
@@ -67,10 +70,12 @@
 	srv *Server
 	// readErr is the last error of reading from nc.
 	readErr error
-	// mu guards phase and deadline, the read deadline of the phase if the server does not drain.
+	// mu guards phase, served and deadline, the read deadline of the phase if the server does not drain.
 	mu       sync.Mutex
 	phase    phase
 	deadline time.Time
+	// served is set once a request has been handled.
+	served bool
 	// answering is set once part of the response may have been sent, and cancel cancels the context of the request.
 	answering atomic.Bool
 	cancel    atomic.Pointer[context.CancelCauseFunc]
@@ -110,6 +115,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase, c.deadline = p, deadline
+	c.served = c.served || p == handling
 	return c.applyDeadline()
 }
 
@@ -120,19 +126,18 @@
 	return c.applyDeadline()
 }
 
-// applyDeadline sets the read deadline of the phase. While the server drains, no request may begin, and one that has begun must
-// arrive soon. The lock must be held.
+// applyDeadline sets the read deadline of the phase. While the server drains, no request may begin, unless the caller has opened
+// the connection for it, and one that has begun must arrive soon. The lock must be held.
 func (c *conn) applyDeadline() error {
 	t := c.deadline
 	if since := c.srv.draining.Load(); since != nil {
-		switch c.phase {
-		case awaiting:
+		switch {
+		case c.phase == awaiting && c.served:
 			t = *since
-		case reading:
-			if by := since.Add(drainReadTime); by.Before(t) {
-				t = by
-			}
-		case handling, lingering:
+		case c.phase == awaiting:
+			t = earlier(t, since.Add(firstRequestTime))
+		case c.phase == reading:
+			t = earlier(t, since.Add(drainReadTime))
 		}
 	}
 	if err := c.nc.SetReadDeadline(t); err != nil {
@@ -141,6 +146,13 @@
 	return nil
 }
 
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // busy reports whether a request is being handled.
 func (c *conn) busy() bool {
 	c.mu.Lock()
--- a/internal/node/front/front_test.go
+++ b/internal/node/front/front_test.go
@@ -511,6 +511,27 @@
 	}
 }
 
+// Guards against closing a connection that was opened for a request that has not arrived yet when the server drains.
+func TestNewConnectionAtDrain(t *testing.T) {
+	t.Parallel()
+	s := newTestServer(t, 0)
+	nc, br := s.dial(t)
+	for s.srv.OpenConnections() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	s.srv.Drain()
+	time.Sleep(50 * time.Millisecond)
+	send(t, nc, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nok")
+	resp, err := http.ReadResponse(br, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, err := io.ReadAll(resp.Body); err != nil || string(body) != "ok" {
+		t.Errorf("got %d %q, error %v", resp.StatusCode, body, err)
+	}
+	_ = resp.Body.Close()
+}
+
 // Guards against accepting more than MaxConnections.
 func TestMaxConnections(t *testing.T) {
 	t.Parallel()
