Limit only attempts beside silent ones by the age of a node

Cause: since the allowance grows with the age of a process, requests that servers refuse could not be retried in its first seconds either.

--- a/internal/node/edge/limits.go
+++ b/internal/node/edge/limits.go
@@ -35,8 +35,10 @@
 	n.served.Store(true)
 	set := n.settings.Load()
 	floor := n.split.Load().FractionalPart(set.RetrySlack)
+	// Requests whose servers refuse them need retries at once; attempts beside silent ones can do without.
+	speculative := floor
 	if !set.FirstStart {
-		floor = retry.StartMinimum(floor, time.Since(n.startedAt))
+		speculative = retry.StartMinimum(floor, time.Since(n.startedAt))
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -45,7 +47,7 @@
 		b = retry.NewBudgetWith(set.RetryRatio, floor)
 		n.budgets[service] = b
 	}
-	b.Resize(set.RetryRatio, floor)
+	b.Resize(set.RetryRatio, floor, speculative)
 	return b
 }
 
--- a/internal/node/pass/hedge.go
+++ b/internal/node/pass/hedge.go
@@ -230,7 +230,9 @@
 	budget := s.relay.deps.Budget(s.call.Service.Name)
 	res := attemptResult{outcome: Stalled}
 	for {
-		v := retry.Decide(time.Now(), s.retryInput(res), budget)
+		input := s.retryInput(res)
+		input.Speculative = true
+		v := retry.Decide(time.Now(), input, budget)
 		s.logDecision("decided on an attempt beside one at a silent server", res, v)
 		if !v.Retry {
 			return nil
--- a/internal/route/retry/budget.go
+++ b/internal/route/retry/budget.go
@@ -38,9 +38,11 @@
 type Budget struct {
 	ratio      float64
 	minRetries float64
-	start      time.Time
-	mu         sync.Mutex
-	slots      [slots]slot
+	// minSpeculative is the minimum that speculative retries may use.
+	minSpeculative float64
+	start          time.Time
+	mu             sync.Mutex
+	slots          [slots]slot
 }
 
 // NewBudget returns a budget with the default ratio and minimum.
@@ -48,14 +50,14 @@
 
 // NewBudgetWith returns an empty budget with the given ratio and minimum.
 func NewBudgetWith(ratio, minRetries float64) *Budget {
-	return &Budget{ratio: ratio, minRetries: minRetries}
+	return &Budget{ratio: ratio, minRetries: minRetries, minSpeculative: minRetries}
 }
 
-// Resize changes the ratio and the minimum. Counts are kept.
-func (b *Budget) Resize(ratio, minRetries float64) {
+// Resize changes the ratio and the minimum, of which speculative retries may use a part. Counts are kept.
+func (b *Budget) Resize(ratio, minRetries, minSpeculative float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.ratio, b.minRetries = ratio, minRetries
+	b.ratio, b.minRetries, b.minSpeculative = ratio, minRetries, minSpeculative
 }
 
 // Request counts a new request.
@@ -66,9 +68,15 @@
 }
 
 // Take counts a retry and returns true, or returns false if the budget is exhausted.
-func (b *Budget) Take(now time.Time) bool {
+func (b *Budget) Take(now time.Time) bool { return b.take(now, false) }
+
+func (b *Budget) take(now time.Time, speculative bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	minRetries := b.minRetries
+	if speculative {
+		minRetries = b.minSpeculative
+	}
 	current := b.slotAt(now)
 	requests, retries := 0, 0
 	for _, s := range b.slots {
@@ -77,7 +85,7 @@
 			retries += s.retries
 		}
 	}
-	if float64(retries+1) > b.ratio*float64(requests)+b.minRetries {
+	if float64(retries+1) > b.ratio*float64(requests)+minRetries {
 		return false
 	}
 	current.retries++
--- a/internal/route/retry/retry.go
+++ b/internal/route/retry/retry.go
@@ -39,6 +39,8 @@
 	DeliveredTokens int
 	// Resumable is set if another attempt can continue after the delivered tokens.
 	Resumable bool
+	// Speculative is set if the attempt has not failed: its server may still answer.
+	Speculative bool
 	// TimeLeft is the time until the request's deadline.
 	TimeLeft time.Duration
 }
@@ -70,7 +72,7 @@
 	if r := refusalReason(a); r != ReasonNone {
 		return Decision{Reason: r, Outcome: outcome(a)}
 	}
-	if !a.NotSent && !b.Take(now) {
+	if !a.NotSent && !b.take(now, a.Speculative) {
 		return Decision{Reason: ReasonBudgetExhausted, Outcome: outcome(a)}
 	}
 	return Decision{Retry: true, Outcome: outcome(a)}
