--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -89,7 +89,7 @@
 type Server struct {
 	cfg Config
 	// closeAfterResponse is set if each connection is closed after its next response. draining is when Drain was called, after
-	// which connections without a request are closed at once.
+	// which connections without a request are closed, new ones after firstRequestTime.
 	closeAfterResponse atomic.Bool
 	draining           atomic.Pointer[time.Time]
 	// ending is set once CancelUnanswered was called.
--- a/internal/node/pass/hedge.go
+++ b/internal/node/pass/hedge.go
@@ -20,7 +20,7 @@
 const searchAgainAfter = 500 * time.Millisecond
 
 // hedge makes further attempts beside one whose server is silent. That one goes on, and ends only when the server of another one
-// has begun to answer: a silent server may only lack processor time, and nothing may be able to replace it.
+// has sent what the caller lacks: a silent server may only lack processor time, and nothing may be able to replace it.
 type hedge struct {
 	// parent is the context of the further attempts.
 	parent context.Context //nolint:containedctx // They begin long after the hedge is made.
