Look again for another node while a stream waits for a server

Cause: bytes that arrived within 0.15 s show that the node reaches servers, so that the attempt after the break made no check, and chose a server. The one that was left failed on a kept connection, and then the stream waited 2 s for a server without asking again whether its node reaches any.

Why this works: a stream that waits for a server asks every 0.25 s whether another node is to continue it, which makes a check once the last bytes are old. It waits no longer than is of use before its deadline.

--- a/internal/node/pass/attempt.go
+++ b/internal/node/pass/attempt.go
@@ -111,9 +111,12 @@
 	s.call.LastAttempt = s.countedAttempts()+1 >= s.maxAttempts()
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	x := &exchange{ctx: attemptCtx, cancel: cancel, hedge: &hedge{parent: ctx, cancelAttempt: cancel}}
-	reservation, refusal := s.relay.deps.Picker.Pick(attemptCtx, s.call, s.tried, x.hedge.silent)
-	if refusal != nil {
+	reservation, hop, refusal := s.reserve(attemptCtx, x.hedge)
+	if reservation == nil {
 		cancel(nil)
+		if hop != nil {
+			return s.beginHop(ctx, hop)
+		}
 		return nil, attemptResult{refusal: refusal}
 	}
 	if refusal := s.relay.deps.Crashes.Admit(attemptCtx, s.call.ID, s.parts); refusal != nil {
@@ -142,6 +145,40 @@
 	return x, attemptResult{}
 }
 
+// Times for which a call whose caller has received part of the response waits for a server, and after which it looks again whether
+// this node still reaches servers.
+const (
+	resumeWait     = 2 * time.Second
+	resumeInterval = 250 * time.Millisecond
+)
+
+// reserve reserves a slot on a server. It returns another node instead if this one finds meanwhile that it reaches no server, or the
+// reason for refusing the call.
+func (s *callState) reserve(ctx context.Context, h *hedge) (Reservation, Hop, *fault.Error) {
+	if !s.answering() {
+		reservation, refusal := s.relay.deps.Picker.Pick(ctx, s.call, s.tried, h.silent)
+		return reservation, nil, refusal
+	}
+	until := time.Now().Add(resumeWait)
+	if last := s.call.Deadline.Add(-resumeInterval); last.Before(until) {
+		until = last
+	}
+	for {
+		waitCtx, stop := context.WithTimeout(ctx, resumeInterval)
+		reservation, refusal := s.relay.deps.Picker.Pick(waitCtx, s.call, s.tried, h.silent)
+		if refusal != nil {
+			<-waitCtx.Done()
+		}
+		stop()
+		if refusal == nil || ctx.Err() != nil || !time.Now().Before(until) {
+			return reservation, nil, refusal
+		}
+		if hop, hopRefusal := s.chooseHop(ctx); hop != nil || hopRefusal != nil {
+			return nil, hop, hopRefusal
+		}
+	}
+}
+
 // logAttempt logs the outcome of an attempt and the data that its server was chosen by.
 func (s *callState) logAttempt(sel Selection, res attemptResult, d time.Duration) {
 	s.relay.deps.Metrics.AttemptEnded(attemptMetricLabels[res.outcome])
--- a/internal/node/pass/serve_test.go
+++ b/internal/node/pass/serve_test.go
@@ -426,6 +426,36 @@
 func (n toNode) Conns() *conns.Pool { return n.pool }
 func (n toNode) Done(bool)          {}
 
+// later passes requests on to a node once it was asked a number of times. It implements pass.Detour.
+type later struct {
+	toNode
+	asked *atomic.Int32
+}
+
+func (l later) Choose(context.Context, sets.Set[string], bool) (pass.Hop, *fault.Error) {
+	if l.asked.Add(1) < 4 {
+		return nil, nil
+	}
+	return l.toNode, nil
+}
+
+// Guards against cutting a stream because its node finds only after the last server has failed that it reaches none.
+func TestResumesThroughNodeThatIsFoundLate(t *testing.T) {
+	t.Parallel()
+	node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Hop-Outcome", "answer")
+		serves(w, r)
+	}))
+	t.Cleanup(node.Close)
+	route := match.Route{Name: "r", Kind: match.Stream, Resumable: true, MaxAttempts: 3, Timeout: 5 * time.Second}
+	detour := later{toNode{conns.New(node.Listener.Addr().String(), conns.Options{})}, new(atomic.Int32)}
+	status, body, err := get(t, newDetouredRelay(t, detour, func(context.Context, *pass.Call) {}, route, retry.NewBudgetWith(0, 9), cutsStream))
+	if status != http.StatusOK || body != whole || err != nil {
+		t.Errorf("got %d %q, error %v, want the whole stream", status, body, err)
+	}
+}
+
 // Guards against a message that is no answer of a server and that another node, as of an earlier version, has passed on as one.
 func TestMessageThatIsNoAnswerFromNode(t *testing.T) {
 	t.Parallel()
