Share the tries of servers that other nodes ask for

Servers had tens of thousands of connections that carried nothing or a question for their state.

Cause: a node that finds itself isolated asks others whether they reach servers, up to 48 of them. Each one that had heard no server for 0.15 s tried four over new connections, for each question. Servers that lack processor time then get so many connections that they answer none, and the nodes stay isolated: the state keeps itself up.

TestQuestionsShareTries: 80 tries for 20 questions before, 4 now.

Why this works: questions at the same time share one try, and for 0.25 s after a try that reached no server the answer is no.

--- a/internal/node/detour/detour.go
+++ b/internal/node/detour/detour.go
@@ -14,6 +14,7 @@
 	"geraniumhollow/internal/core/tasks"
 	"geraniumhollow/internal/fleet/reach"
 	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/singleflight"
 )
 
 // Server is a backend server that a check may try.
@@ -77,6 +78,8 @@
 	minCheckInterval = 40 * time.Millisecond
 	// heardAge is the age of the last bytes of a server up to which a node is sure to reach servers.
 	heardAge = 150 * time.Millisecond
+	// missedTryAge is how long other nodes are told that this one reaches no server without another try.
+	missedTryAge = 250 * time.Millisecond
 	// recentServers and randomServers are the numbers of servers that a check tries: those heard last, which are the least
 	// likely to have failed, and others in different failure domains.
 	recentServers = 2
@@ -99,6 +102,9 @@
 	heardAt time.Time
 	// checked is closed when the check that is due or in progress is done, or nil.
 	checked chan struct{}
+	// tries are the tries of servers for other nodes, missedAt is when the last one ended without having reached one.
+	tries    singleflight.Group
+	missedAt time.Time
 	// forwarded is the number of requests of other nodes in progress.
 	forwarded int
 	// since is when this node became isolated or connected.
@@ -354,8 +360,30 @@
 	return s
 }
 
-// tryAny reports whether this node reaches any of some servers over a new connection.
+// tryAny reports whether this node reaches any of some servers over a new connection. Nodes that ask at the same time, or soon after
+// a try that has reached none, share its result: where servers are busy, all nodes ask each other, and tries for each of them would
+// keep the servers busy.
 func (d *Detour) tryAny(ctx context.Context, servers []Server) bool {
+	d.mu.Lock()
+	missed := time.Since(d.missedAt) < missedTryAge
+	d.mu.Unlock()
+	if missed {
+		return false
+	}
+	reached, _, _ := d.tries.Do("", func() (any, error) {
+		reached := d.tryServers(ctx, servers)
+		if !reached {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			d.missedAt = time.Now()
+		}
+		return reached, nil
+	})
+	return reached == true
+}
+
+// tryServers tries some servers at the same time until one has answered.
+func (d *Detour) tryServers(ctx context.Context, servers []Server) bool {
 	ctx, cancel := context.WithTimeout(ctx, peerTryTimeout)
 	defer cancel()
 	var mu sync.Mutex
--- a/internal/node/detour/slow_test.go
+++ b/internal/node/detour/slow_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -204,3 +205,38 @@
 	_ = g.Wait()
 	return state
 }
+
+// Guards against tries of servers for each question of another node, which keep busy servers busy.
+func TestQuestionsShareTries(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		var tries atomic.Int32
+		d := newNode(func(ctx context.Context, _ detour.Server, _ func()) error {
+			tries.Add(1)
+			<-ctx.Done()
+			return ctx.Err()
+		}, fourServers...)
+		ask := func() {
+			g := tasks.New(t.Context())
+			for i := range 20 {
+				g.Go("ask", func(ctx context.Context) error {
+					tasks.Sleep(ctx, time.Duration(i)*10*time.Millisecond)
+					if d.Status(ctx, fourServers, 0, 1).Reaches {
+						t.Error("a server that does not answer was reached")
+					}
+					return nil
+				})
+			}
+			_ = g.Wait()
+		}
+		ask()
+		if n := tries.Load(); n != 4 {
+			t.Errorf("%d tries for 20 questions within 0.2 s, want 4", n)
+		}
+		time.Sleep(time.Second)
+		ask()
+		if n := tries.Load(); n != 8 {
+			t.Errorf("%d tries after a second, want 8", n)
+		}
+	})
+}
