--- a/internal/bench/plans/chaos.go
+++ b/internal/bench/plans/chaos.go
@@ -295,16 +295,6 @@
 	}
 }
 
-func (c *chaos) renewals() map[string]uint64 {
-	out := make(map[string]uint64)
-	for _, e := range c.engines {
-		if e.alive && !e.dark {
-			out[e.id] = e.beat
-		}
-	}
-	return out
-}
-
 // deliver carries an order to its engine, loses it, or carries it out late.
 func (c *chaos) deliver(o group.Order) group.Outcome {
 	e := c.byAddr[o.Address]
--- a/internal/bench/plans/world.go
+++ b/internal/bench/plans/world.go
@@ -96,8 +96,12 @@
 // worldStart is when modelled time begins.
 var worldStart = time.Unix(1_000_000, 0)
 
+func emptyWorld() *world {
+	return &world{now: worldStart, byID: make(map[string]*engine), byAddr: make(map[string]*engine), ready: make(map[formation]map[string]bool)}
+}
+
 func newWorld() *world {
-	w := &world{now: worldStart, byID: make(map[string]*engine), byAddr: make(map[string]*engine), ready: make(map[formation]map[string]bool)}
+	w := emptyWorld()
 	for d := range modelDomains {
 		for range domainHosts {
 			w.add(fmt.Sprintf("d%d", d))
@@ -325,3 +329,13 @@
 	}
 	return c
 }
+
+func (w *world) renewals() map[string]uint64 {
+	out := make(map[string]uint64)
+	for _, e := range w.engines {
+		if e.alive && !e.dark {
+			out[e.id] = e.beat
+		}
+	}
+	return out
+}
