Form a group anew without servers that late orders bind

Callers saw a group without a head for 11 s after a second loss of a member, if a join and an open of its head had got no answer before, although its domain had spares. The head that has left may still execute both and serve again, so it must not join another formation, and the other members waited with it until neither could come any more.

A head that may reopen its formation for more than 2 s, and members that may rejoin it, are now replaced by spares that have the weights. Groups that already wait are formed anew when such spares appear (reason late_orders). The other members are ordered to leave as soon as the head has left, and join another formation once they have certainly left: by their own word, in answer to a probe or an order that was sent when no join of that formation could be executed any more, or because they have joined a later formation. A server that is in no formation, and cannot return to the one of that head, is in no group whose head may serve. Joins of earlier keepers count as outstanding for as long as before. Servers that are bound are not placed in new groups.

The stored plan has no new fields. A keeper of the previous build that takes over has the members of such a formation wait until its head cannot reopen, as before; members that have joined are not affected.

--- a/internal/bench/plans/orders_test.go
+++ b/internal/bench/plans/orders_test.go
@@ -27,7 +27,7 @@
 func seconds(list ...float64) []time.Duration {
 	out := make([]time.Duration, len(list))
 	for i, s := range list {
-		out[i] = time.Duration(s * float64(time.Second))
+		out[i] = time.Duration(s*1000+0.5) * time.Millisecond
 	}
 	return out
 }
@@ -57,13 +57,23 @@
 	fastReads = 200 * time.Millisecond
 )
 
+// formsPair selects the orders that make the head serve in the second formation, and joins of the member that is added to it.
+func formsPair(o group.Order) bool {
+	return formsHead(o) && o.Epoch == 2 || o.Server == "e04" && o.Kind == group.Join
+}
+
 // lateSearches returns the searches of each run of the tests. The first finds the fault of review case 5 on the code before it was
-// mended.
+// mended. The second finds members that join another formation although they may rejoin the one that they have left.
 func lateSearches() []plans.LateSearch {
 	chain := depths(5, 2, 2.5)
 	chain[1] = chain[1][:1]
 	out := slices.Grow([]plans.LateSearch{
 		{Case: plans.LateCase{Servers: 5, SecondLoss: 2200 * time.Millisecond, Reads: fastReads}, Delays: chain, Select: endsHead},
+		{
+			Case:   plans.LateCase{Servers: 5, SecondLoss: 3900 * time.Millisecond, Reads: slowReads},
+			Delays: [][]time.Duration{seconds(4.1), seconds(4.1), seconds(2.5), seconds(2)}, Select: formsPair,
+		},
+		{Case: plans.LateCase{Servers: 6, SecondLoss: 2200 * time.Millisecond, Reads: fastReads}, Delays: depths(2, 2, 7)},
 		{Case: plans.LateCase{Servers: 6, SecondLoss: 2200 * time.Millisecond, Reads: fastReads}, Delays: chain[:4], Select: endsHead},
 		{Case: plans.LateCase{Servers: 7, SecondLoss: 3600 * time.Millisecond, Reads: slowReads, Silent: true}, Delays: depths(3, 2, 2.75), Select: formsHead},
 	}, 10)
--- a/internal/plan/group/change.go
+++ b/internal/plan/group/change.go
@@ -79,9 +79,6 @@
 			continue
 		}
 		kept, reason := d.remainingMembers(now, p, f)
-		if reason == "" && d.rejected.Has(f.key()) {
-			reason = "epoch_outdated"
-		}
 		if reason == "" {
 			delete(d.changeNeededSince, f.key())
 			continue
@@ -142,12 +139,27 @@
 		// The member has recovered or has no replacement, so the group opens again.
 		delete(d.closingSince, f.key())
 	}
-	if head := d.servers[f.Head()]; reason == "" && head != nil && head.isMemberOf(f) && head.Member.State == server.Broken {
-		reason = "head_broken"
+	if reason == "" {
+		reason = d.groupReason(now, p, f)
 	}
 	return kept, reason
 }
 
+// groupReason returns the reason to change a formation whose members can all stay, or "".
+func (d *Decider) groupReason(now time.Time, p *Plan, f Formation) string {
+	head := d.servers[f.Head()]
+	switch {
+	case head != nil && head.isMemberOf(f) && head.Member.State == server.Broken:
+		return "head_broken"
+	case d.rejected.Has(f.key()):
+		return "epoch_outdated"
+	case d.canReplaceBound(now, p, f):
+		return memberBound
+	default:
+		return ""
+	}
+}
+
 // Reasons to replace a member that still serves. Its group is closed first.
 const (
 	memberDraining = "member_draining"
@@ -164,7 +176,7 @@
 		return "head_not_listed"
 	case s.Draining:
 		return memberDraining
-	case s.isConfirmedSlow() && d.hasReadySpare(f):
+	case s.isConfirmedSlow() && d.hasReadySpare(now, f):
 		return memberSlow
 	default:
 		return ""
@@ -178,8 +190,9 @@
 }
 
 // hasReadySpare reports whether a free server of the domain has the model loaded.
-func (d *Decider) hasReadySpare(f Formation) bool {
-	return slices.ContainsFunc(d.freeServers(&d.plan, f.Domain), func(s *serverState) bool { return s.Model == f.Model })
+func (d *Decider) hasReadySpare(now time.Time, f Formation) bool {
+	bound := d.boundServers(now, d.plan.Retired)
+	return slices.ContainsFunc(d.freeServers(&d.plan, f.Domain), func(s *serverState) bool { return s.Model == f.Model && !bound.Has(s.ID) })
 }
 
 // leftFormation reports whether a member that had joined is no longer a member.
@@ -277,11 +290,14 @@
 	if !ok {
 		return nil
 	}
+	kept = d.withoutBound(now, p, f, kept)
 	free := slices.DeleteFunc(d.freeServers(p, f.Domain), func(s *serverState) bool { return slices.Contains(kept, s.ID) })
 	if len(kept)+len(free) < m.Hosts {
 		return nil
 	}
 	d.sortByReadiness(now, free, f.Model)
+	bound := d.boundServers(now, p.Retired)
+	slices.SortStableFunc(free, func(a, b *serverState) int { return compareBool(bound.Has(a.ID), bound.Has(b.ID)) })
 	members := slices.Clone(kept)
 	for _, s := range free {
 		members = append(members, s.ID)
--- a/internal/plan/group/order.go
+++ b/internal/plan/group/order.go
@@ -4,6 +4,7 @@
 	"maps"
 	"time"
 
+	"geraniumhollow/internal/core/sets"
 	"geraniumhollow/internal/fleet/index"
 	"geraniumhollow/internal/fleet/server"
 )
@@ -110,6 +111,7 @@
 		s.lastOrders[o.Kind] = last
 	}
 	d.recordRejected(o, outcome)
+	s.recordJoin(now, o, outcome)
 	if outcome == Unknown {
 		if o.Kind == Join || o.Kind == Open {
 			s.unconfirmed[unansweredOrder{o.Kind, o.Epoch}] = now
@@ -131,6 +133,7 @@
 	case outcome == Accepted && o.Kind == Leave && s.Member.InFormation(o.Group, o.Epoch):
 		// The registry shows this later.
 		s.Member = server.Member{}
+		s.tell(s.lastOrders[Leave].at, s.Member)
 	}
 }
 
@@ -142,7 +145,7 @@
 		if head.isMemberOf(f) {
 			return d.issue(now, head, leave)
 		}
-		return nil
+		return d.releaseOrders(now, f, head)
 	}
 	// The head cannot be reached. Removing a member stalls it, and some time later it is broken.
 	for _, id := range f.Members[1:] {
@@ -189,9 +192,9 @@
 }
 
 // boundToRetired reports whether a server may not join another formation because it was in a
-// retired one whose head may still serve. That holds for the head itself, too: joining another
-// formation prevents it from rejoining, but that order may be executed later than those that make it
-// serve.
+// retired one whose head may still serve. A member is free once it has certainly left. The head is not:
+// joining another formation prevents it from rejoining, but that order may be executed later than those
+// that make it serve.
 func (d *Decider) boundToRetired(now time.Time, id string) bool {
 	for _, r := range d.plan.Retired {
 		switch {
@@ -199,7 +202,7 @@
 			if s := d.servers[id]; s != nil && (s.isMemberOf(r) || !s.memberKnown || d.mayReopen(now, s, r)) {
 				return true
 			}
-		case r.HasMember(id) && !d.headStopped(now, r):
+		case r.HasMember(id) && !d.hasLeft(r, d.servers[id]) && !d.headStopped(now, r):
 			return true
 		}
 	}
@@ -290,7 +293,9 @@
 	return d.lookup().planned.Has(index.Formation{Group: m.Group, Epoch: m.Epoch})
 }
 
-// expireUnconfirmed removes unanswered orders that can no longer be executed.
-func (s *serverState) expireUnconfirmed(now time.Time) {
+// expireUnconfirmed removes unanswered orders that can no longer be executed, and what is known of orders for formations that are
+// no longer planned.
+func (s *serverState) expireUnconfirmed(now time.Time, planned sets.Set[index.Formation]) {
 	maps.DeleteFunc(s.unconfirmed, func(_ unansweredOrder, at time.Time) bool { return now.Sub(at) >= maxOrderDelay })
+	maps.DeleteFunc(s.joinedBy, func(f index.Formation, _ time.Time) bool { return !planned.Has(f) })
 }
--- a/internal/plan/group/place.go
+++ b/internal/plan/group/place.go
@@ -44,10 +44,11 @@
 	return out
 }
 
-// freeWithWeights returns the free servers of a domain that have the weights of a model, fastest to
-// join first.
+// freeWithWeights returns the free servers of a domain that have the weights of a model and that late
+// orders do not bind, fastest to join first.
 func (d *Decider) freeWithWeights(now time.Time, p *Plan, domain, model string) []*serverState {
-	out := slices.DeleteFunc(d.freeServers(p, domain), func(s *serverState) bool { return !s.hasWeights(model) })
+	bound := d.boundServers(now, p.Retired)
+	out := slices.DeleteFunc(d.freeServers(p, domain), func(s *serverState) bool { return !s.hasWeights(model) || bound.Has(s.ID) })
 	d.sortByReadiness(now, out, model)
 	return out
 }
@@ -104,7 +105,7 @@
 	return changed
 }
 
-// placementInput returns the free servers, the missing groups, and the domains that are still
+// placementInput returns the free servers that late orders do not bind, the missing groups, and the domains that are still
 // settling.
 func (d *Decider) placementInput(now time.Time, p *Plan) (form.Input, sets.Set[string]) {
 	var input form.Input
@@ -122,10 +123,13 @@
 			settling.Add(s.Domain)
 		}
 	}
+	bound := d.boundServers(now, p.Retired)
 	for _, domain := range slices.Sorted(maps.Keys(dataCentres)) {
 		input.Domains = append(input.Domains, form.Domain{Name: domain, DataCentre: dataCentres[domain]})
 		for _, s := range d.freeServers(p, domain) {
-			input.Hosts = append(input.Hosts, form.Host{Name: s.ID, Domain: domain, Accelerators: 1, Loaded: loadedWeights(s)})
+			if !bound.Has(s.ID) {
+				input.Hosts = append(input.Hosts, form.Host{Name: s.ID, Domain: domain, Accelerators: 1, Loaded: loadedWeights(s)})
+			}
 		}
 	}
 	input.Requests = d.missingGroups(p, total)
--- a/internal/plan/group/plan.go
+++ b/internal/plan/group/plan.go
@@ -12,7 +12,9 @@
 // been seen ready in its formation. A member of an earlier formation joins another one only after
 // the earlier head is known not to serve: the head has left and no delayed orders can make it serve
 // again, its process has exited, or it has lacked a member for longer than its stall time. The head
-// itself joins another formation under the same condition, as its join may be delayed, too.
+// itself joins another formation under the same condition, as its join may be delayed, too. Once the
+// head has left, a member also joins another formation if it has certainly left itself and no delayed
+// join can bring it back.
 //
 // The keeper is the node that currently manages the groups of a service; see package keeper. It
 // stores the plan and carries out the actions that the decider returns. The decider does no I/O and
--- a/internal/plan/group/probe.go
+++ b/internal/plan/group/probe.go
@@ -83,6 +83,7 @@
 	s.exited, s.missedProbes, s.excusedMisses, s.unreachableByPeers, s.inDoubt = false, 0, 0, false, false
 	s.setPace(now, r.Slowdown)
 	s.answeredAt = now
+	s.tell(s.probedAt, r.Member)
 	s.update(r.Info)
 }
 
--- a/internal/plan/group/reopen.go
+++ b/internal/plan/group/reopen.go
@@ -67,16 +67,21 @@
 	return !start.IsZero() && !s.StartedAt.IsZero() && !start.Equal(s.StartedAt)
 }
 
-// mayReopen reports whether the head of a retired formation that has left it can still rejoin and open it. It cannot once it has
-// seen a later epoch.
+// mayReopen reports whether the head of a retired formation that has left it can still rejoin and open it.
 func (d *Decider) mayReopen(now time.Time, head *serverState, f Formation) bool {
+	return now.Before(d.mayReopenUntil(head, f))
+}
+
+// mayReopenUntil returns until when the head of a formation can rejoin and open it after it has left. It cannot once it has seen a
+// later epoch.
+func (d *Decider) mayReopenUntil(head *serverState, f Formation) time.Time {
 	switch {
 	case head.highestEpoch > f.Epoch || head.startedAfter(f):
-		return false
+		return time.Time{}
 	case d.isInherited(f):
-		return now.Before(later(d.startedAt.Add(d.cfg.Overlap), d.storedUntil(f)))
+		return later(d.startedAt.Add(d.cfg.Overlap), d.storedUntil(f))
 	default:
-		return now.Before(earlier(d.outstandingUntil(head, f, Join), d.outstandingUntil(head, f, Open)))
+		return earlier(d.outstandingUntil(head, f, Join), d.outstandingUntil(head, f, Open))
 	}
 }
 
--- a/internal/plan/group/server.go
+++ b/internal/plan/group/server.go
@@ -68,10 +68,19 @@
 	// unconfirmed holds the orders that were not answered and may still be executed, with the time at
 	// which the outcome became unknown.
 	unconfirmed map[unansweredOrder]time.Time
+	// joinedBy is by when the joins of a formation whose outcome is known, or known to be unknown, have been executed if they are at all.
+	joinedBy map[index.Formation]time.Time
+	// told is the membership that the server itself reported last, in an answer to a probe or by accepting to leave. toldAt is when
+	// that probe or order was sent, so no later than the membership was as reported.
+	told   server.Member
+	toldAt time.Time
 }
 
 func newServerState(now time.Time) *serverState {
-	return &serverState{firstSeen: now, lastOrders: make(map[Kind]sentOrder), unconfirmed: make(map[unansweredOrder]time.Time)}
+	return &serverState{
+		firstSeen: now, lastOrders: make(map[Kind]sentOrder), unconfirmed: make(map[unansweredOrder]time.Time),
+		joinedBy: make(map[index.Formation]time.Time),
+	}
 }
 
 // lostAfterMisses is how many consecutive probes a server misses before it counts as lost.
--- a/internal/plan/group/spare.go
+++ b/internal/plan/group/spare.go
@@ -26,7 +26,7 @@
 	domains := make(map[string][]*serverState)
 	for _, id := range d.serverIDs() {
 		s := d.servers[id]
-		s.expireUnconfirmed(now)
+		s.expireUnconfirmed(now, d.lookup().planned)
 		if d.hasPlace(id) || !s.memberKnown || d.isHeld(s.Domain) || !s.usable() || s.Domain == "" || d.boundToRetired(now, id) {
 			continue
 		}
