Node reports to the holder of the duty: transport, settings, platform API

Where the settings ask for a duty, nodes send reports up the existing tree of links to the holder: counts of requests per window and account, and demand per service, model and data centre since the last report. They are one frame message, usage_report.

Demand is sent once and ignored when it arrives twice.

internal/node/duties is the shell. Connections to the API drop unsent bytes when they are closed, because the kernel would otherwise deliver a call after its tenure has ended.

Without Cloud settings nothing is sent or kept.

--- a/internal/fleet/roster/topology.go
+++ b/internal/fleet/roster/topology.go
@@ -99,6 +99,17 @@
 	return first
 }
 
+// Roots returns the first node of each data centre that is not excluded.
+func (t *Topology) Roots(excluded sets.Set[string]) []string {
+	out := make([]string, 0, len(t.byCapacity))
+	for dc := range t.byCapacity {
+		if r := t.RootOf(dc, excluded); r != "" {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // RootOf returns the first node of a data centre that is not excluded, or "".
 func (t *Topology) RootOf(dataCentre string, excluded sets.Set[string]) string {
 	for _, n := range t.byCapacity[dataCentre] {
--- a/internal/node/edge/config.go
+++ b/internal/node/edge/config.go
@@ -6,8 +6,10 @@
 	"geraniumhollow/internal/core/sets"
 	"geraniumhollow/internal/fleet/index"
 	"geraniumhollow/internal/fleet/mirror"
+	"geraniumhollow/internal/node/duties"
 	"geraniumhollow/internal/node/keeper"
 	"geraniumhollow/internal/node/pass"
+	"geraniumhollow/internal/plat/cloud"
 	"geraniumhollow/internal/plat/table"
 	"geraniumhollow/internal/report/metric"
 	"geraniumhollow/internal/route/match"
@@ -52,8 +54,13 @@
 	HeartbeatInterval time.Duration
 	// StallTime is how long a group may lack a member before its head counts as broken and serves no more requests.
 	StallTime time.Duration
+	// Cloud configures the calls of the platform's API. The zero value turns them off.
+	Cloud CloudSettings
 }
 
+// CloudSettings configure the calls of the platform's API.
+type CloudSettings = duties.Settings
+
 // Families are the names of the row families that a node replicates.
 type Families struct {
 	Servers  string
@@ -87,6 +94,8 @@
 	Reload   <-chan struct{}
 	// NewStore creates a client for the store at an address.
 	NewStore func(address string) Store
+	// NewCloud creates a client for the platform's API at an address, whose calls come from a local IP address.
+	NewCloud func(address, source string) cloud.API
 	Codec    pass.Codec
 	// Engines queries and controls backend servers.
 	Engines keeper.Engines
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -15,7 +15,9 @@
 	"geraniumhollow/internal/fleet/duty"
 	"geraniumhollow/internal/fleet/index"
 	"geraniumhollow/internal/fleet/mirror"
+	"geraniumhollow/internal/fleet/usage"
 	"geraniumhollow/internal/node/detour"
+	"geraniumhollow/internal/node/duties"
 	"geraniumhollow/internal/node/front"
 	"geraniumhollow/internal/node/keeper"
 	"geraniumhollow/internal/node/mesh"
@@ -54,6 +56,8 @@
 	forwarded *front.Server
 	// keeper forms and dissolves groups of backend servers while this node holds that duty.
 	keeper *keeper.Keeper
+	// duties calls the platform's API while this node holds the duty of the keeper.
+	duties *duties.Duties
 	group  *tasks.Group
 	// startedAt is when this process started.
 	startedAt time.Time
@@ -104,6 +108,7 @@
 		Table: n.store, Feed: n.store, Copies: n.copyOf, Members: n.updateMembers, OnStalled: n.handleStalled, Keeper: n.keeperAddress,
 		OnHolderReport: func(w duty.HolderReport) { n.keeper.HandleHolderReport(w) }, OnPeerConnected: n.handlePeerConnected,
 		CanReach: n.canReach, OnSuspects: n.handleFindings,
+		OnUsage: func(list []usage.Report) { n.duties.HandleReports(list) }, OnClock: n.handleClock,
 		OnRates: func(from string, list []pace.Notice) { n.rates.Learn(time.Now(), from, list) }, Log: cfg.Log,
 	})
 	if err != nil {
@@ -140,6 +145,7 @@
 		Confirm: n.detour.Confirm, Heard: n.detour.Heard, Isolated: n.detour.Isolated,
 		ProbeFromPeers: n.queryReachability, Announce: n.mesh.Announce, HasPeerExcept: n.mesh.HasPeerExcept, IsStandby: n.mesh.Leads, Metrics: cfg.Metrics, Log: cfg.Log,
 	})
+	n.duties = n.newDuties(set, incarnation)
 	n.registerMetrics()
 	return n, nil
 }
@@ -181,6 +187,7 @@
 	g.Go("servers", n.servers.Run)
 	g.Go("wishes", n.operator.Run)
 	g.Go("keeper", n.keeper.Run)
+	g.Go("duties", n.duties.Run)
 	g.Go("reload", n.reload)
 	g.Go("quarantines", n.quarantines.Run)
 	g.Go("rates", n.shareRates)
--- a/internal/node/keeper/duty.go
+++ b/internal/node/keeper/duty.go
@@ -125,3 +125,10 @@
 	defer k.mu.Unlock()
 	return k.duty.Holds(clock.Since())
 }
+
+// Tenure returns the current tenure of this node, and whether it holds the duty.
+func (k *Keeper) Tenure() (duty.Tenure, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.duty.Tenure(clock.Since())
+}
--- a/internal/node/mesh/mesh.go
+++ b/internal/node/mesh/mesh.go
@@ -21,6 +21,7 @@
 	"geraniumhollow/internal/fleet/index"
 	"geraniumhollow/internal/fleet/mirror"
 	"geraniumhollow/internal/fleet/roster"
+	"geraniumhollow/internal/fleet/usage"
 	"geraniumhollow/internal/node/detour"
 	"geraniumhollow/internal/plat/table"
 	"geraniumhollow/internal/route/pace"
@@ -99,6 +100,10 @@
 	OnSuspects func(s *frame.SuspectRequest)
 	// OnRates is called with what another node knows of the rates that backend servers name.
 	OnRates func(from string, list []pace.Notice)
+	// OnUsage is called with counts of requests of other nodes, which are on their way to the holder of the duty. OnClock is called
+	// with the wall clock of a linked node and its estimate of true time.
+	OnUsage func(list []usage.Report)
+	OnClock func(node string, wall, estimate time.Time)
 	Log     hclog.Logger
 }
 
@@ -129,6 +134,8 @@
 	beatSeq   int
 	lastBeat  frame.DutyBeat
 	relayedAt time.Time
+	// collectsUsage is set while this node is to be linked to the first node of each data centre, to receive counts of requests.
+	collectsUsage bool
 	// stallNotices holds the time of the last stall notice for each formation.
 	stallNotices *lru.Cache[index.Formation, time.Time]
 }
@@ -195,6 +202,7 @@
 	peer.On(m.net, func(from peer.Peer, b *frame.DutyBeat) { m.handleDutyBeat(from, b) })
 	peer.On(m.net, func(from peer.Peer, s *frame.SuspectRequest) { m.handleSuspicions(from.Node, s) })
 	peer.On(m.net, func(from peer.Peer, r *frame.RateNotices) { cfg.OnRates(from.Node, pace.FromFrame(r.List)) })
+	m.handleUsage()
 	return m, nil
 }
 
@@ -293,6 +301,13 @@
 	return len(m.members)
 }
 
+// Members returns the registered nodes.
+func (m *Mesh) Members() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Collect(maps.Keys(m.members))
+}
+
 // linkChanged is called when a link is opened or closed.
 func (m *Mesh) linkChanged(p peer.Peer, up bool) {
 	if up {
@@ -339,7 +354,7 @@
 	if m.position.readsStore {
 		want, m.outdated = append(want, sets.Sorted(away)...), outdated
 	}
-	m.net.Want("mesh", want)
+	m.net.Want("mesh", append(want, m.usageLinks(absent)...))
 }
 
 // maxOutdatedDeletes is the maximum number of rows that one transaction of deleteOutdated deletes.
--- a/internal/node/mesh/tell.go
+++ b/internal/node/mesh/tell.go
@@ -36,14 +36,14 @@
 	}
 	m.stallNotices.Add(f, now)
 	notice := &frame.StallNotice{Group: f.Group, Epoch: int(f.Epoch)}
-	if err := m.net.Send(m.stallNoticeTarget(), notice); err != nil {
+	if err := m.net.Send(m.targetTowardsHolder(), notice); err != nil {
 		m.cfg.Log.Info("cannot send a notice of a stalled group", "group", f.Group, "error", err)
 	}
 }
 
-// stallNoticeTarget returns the node to which stall notices are sent: the holder of the duty if there is a link to it, else the
-// upstream node.
-func (m *Mesh) stallNoticeTarget() string {
+// targetTowardsHolder returns the node to which messages for the holder of the duty are sent: the holder if there is a link to it,
+// else the upstream node, or "" if there is none.
+func (m *Mesh) targetTowardsHolder() string {
 	keeper := m.cfg.Keeper()
 	if _, ok := m.net.Peer(keeper); ok {
 		return keeper
--- a/internal/plat/conns/conns.go
+++ b/internal/plat/conns/conns.go
@@ -61,6 +61,9 @@
 	MaxOpen int
 	// Limits bound the silence of a connection.
 	Limits sock.Limits
+	// DropUnsent has the kernel discard bytes that are unsent when a connection is closed. Otherwise it goes on sending them, so
+	// that a request can arrive long after its context has ended.
+	DropUnsent bool
 	// Hello checks a new connection before its first request. An error closes the connection.
 	Hello func(c *Conn) error
 	// OnExchange is called when the headers of an answer have been read, and with the error if a new connection could not
@@ -340,6 +343,12 @@
 	if err != nil {
 		return nil, errors.Mark(errors.Newf("new connection: %w", err), errDial)
 	}
+	if tcp, ok := nc.(*net.TCPConn); ok && p.opts.DropUnsent {
+		if err := tcp.SetLinger(0); err != nil {
+			_ = nc.Close()
+			return nil, errors.Newf("new connection: %w", err)
+		}
+	}
 	c := &Conn{nc: nc}
 	c.br = bufio.NewReaderSize(nc, bufferBytes)
 	c.bw = bufio.NewWriterSize(writeNoter{c: c}, bufferBytes)
--- a/internal/wire/frame/messages.gen.go
+++ b/internal/wire/frame/messages.gen.go
@@ -2,6 +2,16 @@
 
 package frame
 
+// ClockNotice tells a linked node the time at the sender, in milliseconds since
+// 1970.
+type ClockNotice struct {
+	// The sender's estimate of true time.
+	EstimateMs int `json:"estimate_ms"`
+
+	// Time of the sender's wall clock.
+	WallMs int `json:"wall_ms"`
+}
+
 // CommitNoted answers a CommitNotice that the sender will remember.
 type CommitNoted struct {
 	// Ver corresponds to the JSON schema field "ver".
@@ -301,6 +311,9 @@
 
 // Messages lists every message between nodes; the type itself is not sent.
 type Messages struct {
+	// ClockNotice corresponds to the JSON schema field "clock_notice".
+	ClockNotice *ClockNotice `json:"clock_notice,omitempty,omitzero"`
+
 	// CommitNoted corresponds to the JSON schema field "commit_noted".
 	CommitNoted *CommitNoted `json:"commit_noted,omitempty,omitzero"`
 
@@ -396,6 +409,54 @@
 
 	// SuspectRequest corresponds to the JSON schema field "suspect_request".
 	SuspectRequest *SuspectRequest `json:"suspect_request,omitempty,omitzero"`
+
+	// UsageReport corresponds to the JSON schema field "usage_report".
+	UsageReport *UsageReport `json:"usage_report,omitempty,omitzero"`
+}
+
+// ModelDemand counts the requests for a model at one process.
+type ModelDemand struct {
+	// Answer tokens that were received.
+	Answer int `json:"answer,omitempty,omitzero"`
+
+	// Arrivals corresponds to the JSON schema field "arrivals".
+	Arrivals int `json:"arrivals,omitempty,omitzero"`
+
+	// Data centre of the node that received the requests.
+	Dc string `json:"dc,omitempty,omitzero"`
+
+	// Requests whose first token missed its objective.
+	Late int `json:"late,omitempty,omitzero"`
+
+	// Model, or empty where requests name none.
+	Model string `json:"model,omitempty,omitzero"`
+
+	// Prompt tokens of the requests.
+	Prompt int `json:"prompt,omitempty,omitzero"`
+
+	// Requests that were refused for lack of capacity.
+	Refused int `json:"refused,omitempty,omitzero"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+}
+
+// NodeUsage holds the counts of one process.
+type NodeUsage struct {
+	// Demand since the process last reported it.
+	Demand []ModelDemand `json:"demand,omitempty,omitzero"`
+
+	// Number of the demand among that of the process, from 1; 0 without demand.
+	DemandSeq int `json:"demand_seq,omitempty,omitzero"`
+
+	// Incarnation of the process.
+	Inc string `json:"inc"`
+
+	// Address that identifies the node.
+	Node string `json:"node"`
+
+	// Windows corresponds to the JSON schema field "windows".
+	Windows []WindowUsage `json:"windows,omitempty,omitzero"`
 }
 
 // OutcomeAsk asks the node that a request began on what became of it.
@@ -662,3 +723,23 @@
 	// Fingerprint of the request.
 	Fp string `json:"fp"`
 }
+
+// UsageReport carries counts of requests towards the holder of the duty that
+// reports them to the platform. Nodes pass it on.
+type UsageReport struct {
+	// List corresponds to the JSON schema field "list".
+	List []NodeUsage `json:"list"`
+}
+
+// WindowUsage holds requests that began to run in one window, by client account.
+type WindowUsage struct {
+	// Requests since the start of the window. Accounts whose count has not changed
+	// may be missing.
+	Counts map[string]int `json:"counts,omitempty,omitzero"`
+
+	// The counts are complete and will not change.
+	Final bool `json:"final,omitempty,omitzero"`
+
+	// Number of the window.
+	Window int `json:"window"`
+}
