Count usage, estimate true time, store and report windows

Adds the counter of each node, the ledger of the holder with a row per window that is created before its report is sent, and the loop that runs the ledger while the node holds the duty.

--- a/internal/fleet/usage/forwarder.go
+++ b/internal/fleet/usage/forwarder.go
@@ -104,6 +104,10 @@
 	}
 	if news.Final {
 		e.final, e.finalUnsent = true, true
+		// Final counts are sent in full, so that they replace earlier messages that were lost.
+		for account := range e.counts {
+			e.unsent[account] = struct{}{}
+		}
 	}
 	return news, true
 }
--- a/internal/node/duties/duties.go
+++ b/internal/node/duties/duties.go
@@ -81,8 +81,9 @@
 const (
 	// tickInterval is the time between two messages with reports. A report passes through up to four nodes.
 	tickInterval = 250 * time.Millisecond
-	// reportInterval is the time between reports of demand, and between notices of the time.
-	reportInterval = time.Second
+	// demandInterval is the time between reports of demand, clockInterval that between notices of the time.
+	demandInterval = time.Second
+	clockInterval  = 2 * time.Second
 	// idleInterval is the time between checks of the settings while no duty is asked for.
 	idleInterval = 2 * time.Second
 	// takeoverMargin is added to the lease before the first call of a tenure.
@@ -90,7 +91,7 @@
 	// lastCallMargin is how long before the end of the tenure the last call begins.
 	lastCallMargin = 300 * time.Millisecond
 	// callTimeout limits a call of the platform's API.
-	callTimeout = 3 * time.Second
+	callTimeout = 5 * time.Second
 	// tenureCheckInterval is the time between checks whether the tenure still lasts, during a call.
 	tenureCheckInterval = 50 * time.Millisecond
 	// defaultCallRate is the number of calls per second if the settings do not limit them.
@@ -99,7 +100,8 @@
 
 // Duties runs the duties of one node. It is safe for concurrent use.
 type Duties struct {
-	cfg Config
+	cfg     Config
+	metrics metrics
 	// active is set while a duty is asked for.
 	active atomic.Bool
 
@@ -108,21 +110,35 @@
 	api       cloud.API
 	limiter   *rate.Limiter
 	forwarder *usage.Forwarder
+	// trueTime is nil unless a duty is asked for, counter and ledger are nil unless reports of usage are.
+	trueTime *usage.TrueTime
+	counter  *usage.Counter
+	ledger   *usage.Ledger
 	// next and holder are the last route of reports.
 	next, holder string
 	demandSeq    uint64
 	reportedAt   time.Duration
-	// collecting is set while this node holds the duty.
+	clockSentAt  time.Duration
+	// collecting is set while this node holds the duty, in the tenure with the number fence, which was last known to last until
+	// tenureEnd.
 	collecting bool
+	fence      uint64
+	heldSince  time.Duration
+	tenureEnd  time.Duration
 }
 
 // New returns duties that are started by Run.
-func New(cfg Config) *Duties { return &Duties{cfg: cfg} }
+func New(cfg Config) *Duties {
+	d := &Duties{cfg: cfg}
+	d.metrics = newMetrics(cfg.Metrics, d)
+	return d
+}
 
 // Run runs the duties until ctx ends.
 func (d *Duties) Run(ctx context.Context) error {
 	g := tasks.New(ctx)
 	g.Go("reports", d.runReports)
+	g.Go("holder", func(ctx context.Context) error { return d.runHolder(ctx, g) })
 	if d.cfg.Scaler != nil {
 		g.Go("scaling", d.runScaling)
 	}
@@ -138,7 +154,7 @@
 		wait := idleInterval
 		if d.applySettings(d.cfg.Settings()) {
 			wait = tickInterval
-			d.tick(clock.Since())
+			d.tick(clock.Since(), time.Now())
 		}
 		if !tasks.Sleep(ctx, wait) {
 			return nil
@@ -153,7 +169,8 @@
 	if s == d.settings {
 		return s.active()
 	}
-	d.settings, d.api, d.limiter, d.forwarder = s, nil, nil, nil
+	d.settings, d.api, d.limiter, d.forwarder, d.trueTime, d.counter, d.ledger = s, nil, nil, nil, nil, nil, nil
+	d.collecting = false
 	if s.active() {
 		d.forwarder, d.api = usage.NewForwarder(), d.cfg.NewAPI(s.Address)
 		perSecond := s.CallsPerSecond
@@ -161,49 +178,118 @@
 			perSecond = defaultCallRate
 		}
 		d.limiter = rate.NewLimiter(rate.Limit(perSecond), 1)
+		mono := clock.Since()
+		d.trueTime = usage.NewTrueTime(mono, time.Now())
+		if s.ReportUsage {
+			d.counter = usage.NewCounter(d.trueTime.Now(mono), s.UsageWindow)
+			d.ledger = usage.NewLedger(usage.LedgerConfig{Length: s.UsageWindow, Lateness: s.UsageLateness})
+		}
 	}
 	d.active.Store(s.active())
-	d.cfg.Log.Info("duties changed", "report_usage", s.ReportUsage, "scale", s.Scale, "address", s.Address)
+	d.cfg.Log.Info("settings of duties", "report_usage", s.ReportUsage, "scale", s.Scale, "address", s.Address)
 	return s.active()
 }
 
-// tick sends what has not been sent, unless this node holds the duty.
-func (d *Duties) tick(now time.Duration) {
-	tenure, holds := d.cfg.Tenure()
-	next, holder := d.cfg.Network.UsageRoute()
-	d.mu.Lock()
-	if now-d.reportedAt >= reportInterval {
-		d.reportedAt = now
-		d.reportDemand(now)
-	}
-	if next != d.next || holder != d.holder {
-		d.next, d.holder = next, holder
-		d.forwarder.Resend()
+// Began counts a request of an account that began to run.
+func (d *Duties) Began(account string) {
+	if !d.active.Load() {
+		return
 	}
-	if holds != d.collecting {
-		d.collecting = holds
-		d.cfg.Log.Info("the duty to call the platform's API has changed", "holds", holds, "fence", tenure.Fence, "holder", holder)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.counter != nil {
+		d.counter.Began(d.trueTime.Now(clock.Since()), account)
 	}
+}
+
+// Flush sends the counts that have not been sent, because the process ends. It reports whether there were any.
+func (d *Duties) Flush() bool {
+	d.mu.Lock()
 	var list []usage.Report
-	switch {
-	case holds:
-		d.forwarder.DropDemand()
-	case next != "":
+	if d.counter != nil {
+		d.merge(clock.Since(), []usage.Report{{Process: d.cfg.Process, Windows: d.counter.Close()}})
 		list = d.forwarder.Take()
-	default:
-		d.forwarder.DropDemand()
 	}
 	d.mu.Unlock()
-	d.cfg.Network.SetCollectsUsage(holds)
+	if len(list) == 0 {
+		return false
+	}
+	if err := d.cfg.Network.SendUsage(list); err != nil {
+		d.cfg.Log.Info("cannot send the last usage", "error", err)
+	}
+	return true
+}
+
+// HandleClock processes the time of another node's wall clock and its estimate of true time.
+func (d *Duties) HandleClock(node string, wall, estimate time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.trueTime != nil {
+		d.trueTime.ObservePeer(clock.Since(), node, wall, estimate)
+	}
+}
+
+// PeerConnected has reports sent again if they are sent to a node to which a link was made: some may have been lost on the last link.
+func (d *Duties) PeerConnected(address, incarnation string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.forwarder != nil && d.next == address+"/"+incarnation {
+		d.forwarder.Resend()
+	}
+}
+
+// tick sends what has not been sent, unless this node holds the duty. wall is the time of the wall clock.
+func (d *Duties) tick(now time.Duration, wall time.Time) {
+	next, holder := d.cfg.Network.UsageRoute()
+	estimate, list, collecting := d.prepare(now, wall, next, holder)
+	d.cfg.Network.SetCollectsUsage(collecting)
+	if !estimate.IsZero() {
+		d.cfg.Network.SendClock(wall, estimate)
+	}
 	if len(list) == 0 {
 		return
 	}
 	if err := d.cfg.Network.SendUsage(list); err != nil {
 		d.cfg.Log.Info("cannot send usage", "to", next, "error", err)
 		d.mu.Lock()
+		defer d.mu.Unlock()
+		if d.forwarder != nil {
+			d.forwarder.Resend()
+		}
+	}
+}
+
+// prepare returns what to send now: the estimate of true time, zero if it is not due, and the reports. It also reports whether this
+// node collects the reports of all nodes.
+func (d *Duties) prepare(now time.Duration, wall time.Time, next, holder string) (time.Time, []usage.Report, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.trueTime.ObserveOwn(now, wall)
+	estimate := time.Time{}
+	if now-d.clockSentAt >= clockInterval {
+		d.clockSentAt, estimate = now, d.trueTime.Now(now)
+	}
+	if d.counter != nil {
+		if windows := d.counter.Reports(d.trueTime.Now(now)); len(windows) > 0 {
+			d.merge(now, []usage.Report{{Process: d.cfg.Process, Windows: windows}})
+		}
+	}
+	if now-d.reportedAt >= demandInterval {
+		d.reportedAt = now
+		d.reportDemand(now)
+	}
+	if next != d.next || holder != d.holder {
+		if holder != d.holder {
+			d.cfg.Log.Info("holder of the duty to call the platform's API", "holder", holder, "reports_to", next)
+		}
+		d.next, d.holder = next, holder
 		d.forwarder.Resend()
-		d.mu.Unlock()
 	}
+	if d.collecting || next == "" {
+		d.forwarder.DropDemand()
+		return estimate, nil, d.collecting
+	}
+	return estimate, d.forwarder.Take(), false
 }
 
 // reportDemand adds the demand at this node to the reports. The lock must be held.
@@ -230,7 +316,13 @@
 // held.
 func (d *Duties) merge(now time.Duration, list []usage.Report) {
 	list = d.forwarder.Merge(now, list)
-	if !d.collecting || d.cfg.Scaler == nil || !d.settings.Scale {
+	if !d.collecting {
+		return
+	}
+	if d.ledger != nil {
+		d.ledger.Merge(d.trueTime.Now(now), list)
+	}
+	if d.cfg.Scaler == nil || !d.settings.Scale {
 		return
 	}
 	for _, r := range list {
@@ -240,34 +332,43 @@
 	}
 }
 
-// mayCall returns the tenure of this node, and whether a call of the platform's API may begin now: neither so early that the previous
-// holder may have made calls within the lease, nor so late that the next one may be about to.
-func (d *Duties) mayCall(now time.Duration) (duty.Tenure, bool) {
-	t, holds := d.cfg.Tenure()
+// firstCall returns when the first call of a tenure may begin: the previous holder cannot have made one within the lease.
+func (d *Duties) firstCall(t duty.Tenure) time.Duration {
+	return max(t.Began, t.PredecessorEnd) + d.settings.Lease + takeoverMargin
+}
+
+// mayCall reports whether a call of the platform's API may begin now in a tenure that lasts: neither so early that the previous holder
+// may have made one within the lease, nor so late that the next one may be about to.
+func (d *Duties) mayCall(now time.Duration, t duty.Tenure) bool {
 	d.mu.Lock()
-	lease := d.settings.Lease
-	d.mu.Unlock()
-	return t, holds && now >= max(t.Began, t.PredecessorEnd)+lease+takeoverMargin && t.End-now > lastCallMargin
+	defer d.mu.Unlock()
+	return now >= d.firstCall(t) && t.End-now > lastCallMargin
 }
 
 // errNotCalled means that this node may not make a call now.
-var errNotCalled = errors.Mark(errors.New("this node may not call the platform's API now"), cloud.ErrUnavailable)
+var errNotCalled = errors.New("this node may not call the platform's API now")
 
 // call makes a call of the platform's API with the fencing number of a tenure. The call ends with the tenure.
-func (d *Duties) call(ctx context.Context, fence uint64, f func(ctx context.Context, api cloud.API, c cloud.Call) error) error {
+func (d *Duties) call(ctx context.Context, name string, fence uint64, f func(ctx context.Context, api cloud.API, c cloud.Call) error) error {
+	err := d.guardedCall(ctx, fence, f)
+	d.metrics.calls.WithLabelValues(name, callResult(err)).Inc()
+	return err
+}
+
+func (d *Duties) guardedCall(ctx context.Context, fence uint64, f func(ctx context.Context, api cloud.API, c cloud.Call) error) error {
 	d.mu.Lock()
 	api, limiter := d.api, d.limiter
 	d.mu.Unlock()
 	if api == nil {
-		return errNotCalled
+		return errors.Mark(errNotCalled, cloud.ErrUnavailable)
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if err := limiter.Wait(ctx); err != nil {
 		return errors.Mark(errors.Newf("wait for the rate of calls: %w", err), cloud.ErrUnavailable)
 	}
-	if t, ok := d.mayCall(clock.Since()); !ok || t.Fence != fence {
-		return errNotCalled
+	if t, holds := d.cfg.Tenure(); !holds || t.Fence != fence || !d.mayCall(clock.Since(), t) {
+		return errors.Mark(errNotCalled, cloud.ErrUnavailable)
 	}
 	g := tasks.New(ctx)
 	g.Go("tenure", func(ctx context.Context) error {
--- a/internal/node/duties/scaling.go
+++ b/internal/node/duties/scaling.go
@@ -66,13 +66,13 @@
 
 // scale sends the orders that the Scaler wants to be sent now.
 func (d *Duties) scale(ctx context.Context, fence uint64) {
-	t, ok := d.mayCall(clock.Since())
-	ok = ok && t.Fence == fence
+	t, ok := d.cfg.Tenure()
+	ok = ok && t.Fence == fence && d.mayCall(clock.Since(), t)
 	for _, o := range d.cfg.Scaler.Next(time.Now(), ok) {
 		if !ok {
 			continue
 		}
-		err := d.call(ctx, fence, func(ctx context.Context, api cloud.API, c cloud.Call) error {
+		err := d.call(ctx, callScale, fence, func(ctx context.Context, api cloud.API, c cloud.Call) error {
 			return api.Scale(ctx, c, o.Service, o.DataCentre, o.Desired) //nolint:wrapcheck // The API names the call.
 		})
 		d.cfg.Log.Info("scaling order", "service", o.Service, "data_centre", o.DataCentre, "desired", o.Desired, "fence", fence, "error", err)
--- a/internal/node/edge/duties.go
+++ b/internal/node/edge/duties.go
@@ -1,8 +1,6 @@
 package edge
 
 import (
-	"time"
-
 	"geraniumhollow/internal/fleet/usage"
 	"geraniumhollow/internal/node/duties"
 	"geraniumhollow/internal/plat/cloud"
@@ -18,6 +16,3 @@
 		Metrics: n.cfg.Metrics, Log: n.cfg.Log,
 	})
 }
-
-// handleClock processes the time at another node.
-func (n *Node) handleClock(string, time.Time, time.Time) {}
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -108,7 +108,7 @@
 		Table: n.store, Feed: n.store, Copies: n.copyOf, Members: n.updateMembers, OnStalled: n.handleStalled, Keeper: n.keeperAddress,
 		OnHolderReport: func(w duty.HolderReport) { n.keeper.HandleHolderReport(w) }, OnPeerConnected: n.handlePeerConnected,
 		CanReach: n.canReach, OnSuspects: n.handleFindings,
-		OnUsage: func(list []usage.Report) { n.duties.HandleReports(list) }, OnClock: n.handleClock,
+		OnUsage: func(list []usage.Report) { n.duties.HandleReports(list) }, OnClock: func(node string, wall, estimate time.Time) { n.duties.HandleClock(node, wall, estimate) },
 		OnRates: func(from string, list []pace.Notice) { n.rates.Learn(time.Now(), from, list) }, Log: cfg.Log,
 	})
 	if err != nil {
@@ -130,6 +130,7 @@
 	}
 	relay := pass.New(pass.Deps{
 		Codec: cfg.Codec, Table: n.table.Load, Picker: n.seats, Detour: n.detour, Crashes: n.crashes, Budget: n.budget,
+		Began:   func(account string) { n.duties.Began(account) },
 		Metrics: cfg.Metrics, Log: cfg.Log,
 	})
 	n.front = front.New(front.Config{
--- a/internal/node/edge/peers.go
+++ b/internal/node/edge/peers.go
@@ -91,6 +91,7 @@
 // handlePeerConnected informs a new peer of the quarantined prompt parts and the rates of servers, which it may have missed.
 func (n *Node) handlePeerConnected(address, incarnation string) {
 	n.keeper.PeerConnected(address, incarnation)
+	n.duties.PeerConnected(address, incarnation)
 	if list := n.crashes.Quarantines(); len(list) > 0 {
 		n.mesh.SuspectTo(address, crash.Findings{Quarantines: list}.ToFrame())
 	}
--- a/internal/node/edge/stop.go
+++ b/internal/node/edge/stop.go
@@ -25,6 +25,8 @@
 	maxNoticeShare  = 0.35
 	// stopPollInterval is the time between checks of the progress of a planned stop.
 	stopPollInterval = 50 * time.Millisecond
+	// flushTime is the time for the last counts of requests to leave the node.
+	flushTime = 50 * time.Millisecond
 )
 
 // stop waits for the end of stopCtx and runs a planned stop. When no caller connection is open, or the time for the
@@ -60,6 +62,9 @@
 			n.forwarded.CancelUnanswered()
 		}
 	}
+	if n.duties.Flush() {
+		tasks.Sleep(ctx, flushTime)
+	}
 	n.cfg.Log.Info("stopped", "connections", n.front.OpenConnections(), "requests", n.front.ActiveRequests(), "ms", time.Since(started).Milliseconds())
 	cancel()
 	return nil
--- a/internal/node/mesh/mesh.go
+++ b/internal/node/mesh/mesh.go
@@ -136,6 +136,8 @@
 	relayedAt time.Time
 	// collectsUsage is set while this node is to be linked to the first node of each data centre, to receive counts of requests.
 	collectsUsage bool
+	// lastUsageTarget is the last node to which counts of requests were to be sent.
+	lastUsageTarget string
 	// stallNotices holds the time of the last stall notice for each formation.
 	stallNotices *lru.Cache[index.Formation, time.Time]
 }
--- a/internal/node/mesh/usage.go
+++ b/internal/node/mesh/usage.go
@@ -20,7 +20,7 @@
 
 // SendUsage sends counts of requests one link further towards the holder of the duty. An error means that some were not sent.
 func (m *Mesh) SendUsage(list []usage.Report) error {
-	target := m.targetTowardsHolder()
+	target := m.usageTarget()
 	for _, f := range usage.ToFrames(list) {
 		if err := m.net.Send(target, f); err != nil {
 			return errors.Newf("send usage: %w", err)
@@ -32,7 +32,7 @@
 // UsageRoute returns the process of the linked node to which SendUsage sends, "" if there is none, and then the holder of the duty as
 // far as it is known. After a change of either, counts that were sent before may be lost.
 func (m *Mesh) UsageRoute() (string, string) {
-	target := m.targetTowardsHolder()
+	target := m.usageTarget()
 	p, ok := m.net.Peer(target)
 	if !ok {
 		return "", m.cfg.Keeper()
@@ -40,6 +40,20 @@
 	return target + "/" + p.Incarnation, m.cfg.Keeper()
 }
 
+// usageTarget returns the node to which counts are sent. Without a link to the one that is next on the way to the holder, it is the
+// last one to which there is still a link: a node that stops has no place in the topology any more while it ends its requests.
+func (m *Mesh) usageTarget() string {
+	target := m.targetTowardsHolder()
+	_, ok := m.net.Peer(target)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if ok {
+		m.lastUsageTarget = target
+		return target
+	}
+	return m.lastUsageTarget
+}
+
 // SetCollectsUsage sets whether this node receives the counts of all nodes. It is then linked to the first node of each data centre,
 // which is the case anyway unless it holds the duty in place of the first node of its own.
 func (m *Mesh) SetCollectsUsage(collects bool) {
--- a/internal/node/pass/attempt.go
+++ b/internal/node/pass/attempt.go
@@ -253,11 +253,15 @@
 	if !s.isRefusal(resp, info) {
 		if err := s.checkAnswer(resp.Header, info); err != nil {
 			s.mayHaveRun = true
+			if info.ID == s.call.ID && info.Signed {
+				s.countBegan()
+			}
 			return attemptResult{outcome: Failed, err: err}, false
 		}
 	}
 	reservation.HeadersReceived(info)
 	if !info.NotStarted {
+		s.countBegan()
 		return attemptResult{}, true
 	}
 	if s.answering() {
@@ -269,6 +273,13 @@
 	return attemptResult{outcome: NotRun, err: errors.Newf("status %d", resp.Header.StatusCode())}, false
 }
 
+// countBegan counts an attempt whose server has begun to run the call.
+func (s *callState) countBegan() {
+	if s.relay.deps.Began != nil {
+		s.relay.deps.Began(s.call.Account)
+	}
+}
+
 // isRefusal reports whether a message proves that the server did not start the call. Servers may leave the ID out of refusals,
 // but on a kept connection such a message may be a late copy of the refusal of an earlier request.
 func (s *callState) isRefusal(resp *conns.Response, info ResponseInfo) bool {
