--- a/internal/fleet/usage/forwarder.go
+++ b/internal/fleet/usage/forwarder.go
@@ -138,6 +138,19 @@
 
 // Take returns what has not been sent and counts it as sent.
 func (f *Forwarder) Take() []Report {
+	out := append(f.take(func(Process) bool { return true }), f.demand...)
+	f.demand = nil
+	sortReports(out)
+	return out
+}
+
+// TakeOf returns the counts of one process that have not been sent, and counts them as sent.
+func (f *Forwarder) TakeOf(p Process) []Report {
+	return f.take(func(other Process) bool { return other == p })
+}
+
+// take returns the counts of some processes that have not been sent.
+func (f *Forwarder) take(of func(Process) bool) []Report {
 	byProcess := make(map[Process]*Report)
 	report := func(p Process) *Report {
 		r := byProcess[p]
@@ -148,7 +161,7 @@
 		return r
 	}
 	for key, e := range f.entries {
-		if len(e.unsent) == 0 && !e.finalUnsent {
+		if len(e.unsent) == 0 && !e.finalUnsent || !of(key.process) {
 			continue
 		}
 		w := WindowCounts{Window: key.window, Counts: make(Counts, len(e.unsent)), Final: e.finalUnsent}
@@ -160,12 +173,10 @@
 		r := report(key.process)
 		r.Windows = append(r.Windows, w)
 	}
-	out := make([]Report, 0, len(byProcess)+len(f.demand))
+	out := make([]Report, 0, len(byProcess))
 	for _, r := range byProcess {
 		out = append(out, *r)
 	}
-	out = append(out, f.demand...)
-	f.demand = nil
 	sortReports(out)
 	return out
 }
--- a/internal/fleet/usage/ledger.go
+++ b/internal/fleet/usage/ledger.go
@@ -104,7 +104,7 @@
 //
 // A restored store may lack the rows of windows that have been reported. In a new era of the store, a holder therefore creates no
 // rows of windows up to its floor: those that had ended when its tenure began, or, if it was the holder before as well, the last one
-// that it stored. Its rows carry the floor to the holders that follow in the era.
+// that it or the holder before it may have stored. Its rows carry the floor to the holders that follow in the era.
 type Ledger struct {
 	cfg     LedgerConfig
 	windows map[uint64]*windowState
@@ -121,6 +121,8 @@
 	// floor is the last window of which no row may be created, and highest the last one whose row this process knows.
 	floor   uint64
 	highest uint64
+	// foreign is the last window that an earlier holder may have stored, since when this process has held the duty.
+	foreign uint64
 	// next is the first window that has not been entered because of the time.
 	next uint64
 	// rows holds the windows whose rows are in the store.
@@ -143,6 +145,10 @@
 	if duty.EraStart(l.fence) != duty.EraStart(fence) && !l.continuous {
 		l.forgetRows()
 	}
+	if !l.continuous {
+		// The earlier holder may act for HoldTime more.
+		l.foreign = max(Window(now.Add(duty.HoldTime), l.cfg.Length), 1) - 1
+	}
 	l.fence, l.began = fence, now
 	l.rowsRead, l.rowsBusy, l.rowsFailures, l.rowsRetryAt = false, false, 0, time.Time{}
 	l.rows = sets.New[uint64]()
@@ -385,7 +391,7 @@
 	case known:
 		l.floor = floor
 	case l.continuous:
-		l.floor = max(l.floor, l.highest)
+		l.floor = max(l.floor, l.highest, l.foreign)
 	default:
 		l.floor = max(Window(l.began, l.cfg.Length), 1) - 1
 	}
--- a/internal/fleet/usage/truetime.go
+++ b/internal/fleet/usage/truetime.go
@@ -12,6 +12,9 @@
 	// peerSamples is the number of samples of another clock that count. The latest time of them is used: a message that is delayed, as
 	// while this process is frozen, shows an earlier time.
 	peerSamples = 3
+	// pauseTime is the time without a call of ObserveOwn after which this process was not running. Clocks of other nodes that arrive for
+	// as long after it resumes are ignored, because they were sent earlier.
+	pauseTime = time.Second
 	// minClocks is the number of wall clocks from which estimates of other nodes are not needed.
 	minClocks = 3
 	// maxLoneStep is the largest difference to its own wall clock that a node without other nodes follows at once. It follows a
@@ -31,6 +34,9 @@
 	own      time.Duration
 	ownSince time.Duration
 	peers    map[string]*peerClock
+	// observedAt is when ObserveOwn was last called, and ignoreUntil is until when other clocks are ignored.
+	observedAt  time.Duration
+	ignoreUntil time.Duration
 }
 
 // peerClock holds the last samples of the clock of another node, and when the last one arrived.
@@ -43,7 +49,7 @@
 // NewTrueTime returns an estimate that follows this node's wall clock until others are heard.
 func NewTrueTime(mono time.Duration, wall time.Time) *TrueTime {
 	o := offsetOf(mono, wall)
-	return &TrueTime{offset: o, own: o, ownSince: mono, peers: make(map[string]*peerClock)}
+	return &TrueTime{offset: o, own: o, ownSince: mono, observedAt: mono, peers: make(map[string]*peerClock)}
 }
 
 func offsetOf(mono time.Duration, t time.Time) time.Duration {
@@ -58,6 +64,8 @@
 
 // ObserveOwn records the time of this node's wall clock.
 func (t *TrueTime) ObserveOwn(mono time.Duration, wall time.Time) {
+	t.checkPause(mono)
+	t.observedAt = mono
 	o := offsetOf(mono, wall)
 	if (o - t.own).Abs() > maxLoneStep {
 		t.ownSince = mono
@@ -66,8 +74,18 @@
 	t.update(mono)
 }
 
+// checkPause notices that this process was not running. It is to call ObserveOwn several times a second.
+func (t *TrueTime) checkPause(mono time.Duration) {
+	if mono-t.observedAt >= pauseTime {
+		t.ignoreUntil = mono + pauseTime
+	}
+}
+
 // ObservePeer records the time of another node's wall clock, and its estimate of true time.
 func (t *TrueTime) ObservePeer(mono time.Duration, node string, wall, estimate time.Time) {
+	if t.checkPause(mono); mono < t.ignoreUntil {
+		return
+	}
 	p := t.peers[node]
 	if p == nil || mono-p.heardAt >= peerTimeout {
 		p = &peerClock{}
--- a/internal/node/duties/duties.go
+++ b/internal/node/duties/duties.go
@@ -44,6 +44,8 @@
 type Network interface {
 	// SendUsage sends reports one link further towards the holder of the duty. An error means that some were not sent.
 	SendUsage(list []usage.Report) error
+	// CopyUsage sends reports of this node, which holds the duty, to other nodes.
+	CopyUsage(list []usage.Report)
 	// UsageRoute returns the process of the linked node to which SendUsage sends, "" if there is none, and then the
 	// holder of the duty.
 	UsageRoute() (string, string)
@@ -86,10 +88,6 @@
 	clockInterval  = 2 * time.Second
 	// idleInterval is the time between checks of the settings while no duty is asked for.
 	idleInterval = 2 * time.Second
-	// takeoverMargin is added to the lease before the first call of a tenure.
-	takeoverMargin = 500 * time.Millisecond
-	// lastCallMargin is how long before the end of the tenure the last call begins.
-	lastCallMargin = 300 * time.Millisecond
 	// callTimeout limits a call of the platform's API.
 	callTimeout = 5 * time.Second
 	// tenureCheckInterval is the time between checks whether the tenure still lasts, during a call.
@@ -238,7 +236,7 @@
 	}
 }
 
-// tick sends what has not been sent, unless this node holds the duty. wall is the time of the wall clock.
+// tick sends what has not been sent towards the holder of the duty. The holder sends copies of its own counts. wall is the time of the wall clock.
 func (d *Duties) tick(now time.Duration, wall time.Time) {
 	next, holder := d.cfg.Network.UsageRoute()
 	estimate, list, collecting := d.prepare(now, wall, next, holder)
@@ -249,6 +247,10 @@
 	if len(list) == 0 {
 		return
 	}
+	if collecting {
+		d.cfg.Network.CopyUsage(list)
+		return
+	}
 	if err := d.cfg.Network.SendUsage(list); err != nil {
 		d.cfg.Log.Info("cannot send usage", "to", next, "error", err)
 		d.mu.Lock()
@@ -287,7 +289,12 @@
 	}
 	if d.collecting || next == "" {
 		d.forwarder.DropDemand()
-		return estimate, nil, d.collecting
+	}
+	switch {
+	case d.collecting:
+		return estimate, d.forwarder.TakeOf(d.cfg.Process), true
+	case next == "":
+		return estimate, nil, false
 	}
 	return estimate, d.forwarder.Take(), false
 }
@@ -332,17 +339,11 @@
 	}
 }
 
-// firstCall returns when the first call of a tenure may begin: the previous holder cannot have made one within the lease.
-func (d *Duties) firstCall(t duty.Tenure) time.Duration {
-	return max(t.Began, t.PredecessorEnd) + d.settings.Lease + takeoverMargin
-}
-
-// mayCall reports whether a call of the platform's API may begin now in a tenure that lasts: neither so early that the previous holder
-// may have made one within the lease, nor so late that the next one may be about to.
+// mayCall reports whether a call of the platform's API may begin now in a tenure that lasts.
 func (d *Duties) mayCall(now time.Duration, t duty.Tenure) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return now >= d.firstCall(t) && t.End-now > lastCallMargin
+	return t.MayCall(now, d.settings.Lease)
 }
 
 // errNotCalled means that this node may not make a call now.
--- a/internal/node/duties/holder.go
+++ b/internal/node/duties/holder.go
@@ -68,8 +68,7 @@
 		return false
 	}
 	if !d.collecting {
-		// In less than the time before the first call of another holder, there can have been none.
-		continuous := d.fence > 0 && t.Began-d.tenureEnd < d.settings.Lease+takeoverMargin
+		continuous := d.fence > 0 && t.Follows(d.tenureEnd, d.settings.Lease)
 		d.collecting, d.fence, d.heldSince = true, t.Fence, t.Began
 		if d.ledger != nil {
 			estimate := d.trueTime.Now(now)
@@ -77,7 +76,7 @@
 			d.ledger.Merge(estimate, d.forwarder.All())
 		}
 		d.cfg.Log.Info("took the duty to call the platform's API", "fence", t.Fence, "continuous", continuous,
-			"first_call_in_ms", (d.firstCall(t) - now).Milliseconds())
+			"first_call_in_ms", (t.FirstCall(d.settings.Lease) - now).Milliseconds())
 	}
 	d.tenureEnd = t.End
 	return true
--- a/internal/node/mesh/usage.go
+++ b/internal/node/mesh/usage.go
@@ -29,6 +29,21 @@
 	return nil
 }
 
+// maxUsageCopies is the number of nodes to which the holder of the duty sends its own counts.
+const maxUsageCopies = 2
+
+// CopyUsage sends counts of requests of this node, which holds the duty, to other nodes, so that they are not lost with it.
+func (m *Mesh) CopyUsage(list []usage.Report) {
+	nodes := m.linked()
+	for _, node := range nodes[:min(len(nodes), maxUsageCopies)] {
+		for _, f := range usage.ToFrames(list) {
+			if err := m.net.Send(node, f); err != nil {
+				m.cfg.Log.Debug("cannot send a copy of usage", "node", node, "error", err)
+			}
+		}
+	}
+}
+
 // UsageRoute returns the process of the linked node to which SendUsage sends, "" if there is none, and then the holder of the duty as
 // far as it is known. After a change of either, counts that were sent before may be lost.
 func (m *Mesh) UsageRoute() (string, string) {
