--- a/internal/fleet/usage/ledger.go
+++ b/internal/fleet/usage/ledger.go
@@ -241,6 +241,8 @@
 			continue
 		}
 		if a, ok := l.action(now, k, w, nodes, maySend); ok {
+			// One report at a time begins, so that those of older windows come first.
+			maySend = maySend && a.Kind != Send
 			w.busy = true
 			out = append(out, a)
 		}
