--- a/internal/fleet/usage/forwarder.go
+++ b/internal/fleet/usage/forwarder.go
@@ -12,6 +12,9 @@
 	// keepTime is how long counts are kept after the last change, to send them again when the holder of the duty changes. It is longer
 	// than a window may be late.
 	keepTime = 20 * time.Second
+	// holdTime is how long after the end of a window counts of other processes that are not final are held back. The links near the
+	// holder then carry the counts of a window once, unless a process has ended before it sent final ones.
+	holdTime = 500 * time.Millisecond
 	// maxEntries limits the processes and windows whose counts are kept: those of 400 nodes for 20 s with windows of 2 s. Further ones
 	// are dropped.
 	maxEntries = 4000
@@ -36,6 +39,8 @@
 // Forwarder keeps the latest counts of this node and of those that send their counts through it, and returns what is to be sent
 // towards the holder of the duty. It does no I/O. Times are readings of a monotonic clock. It is not safe for concurrent use.
 type Forwarder struct {
+	self    Process
+	length  time.Duration
 	entries map[entryKey]*entry
 	// demandSeen holds the number of the last demand of each process.
 	demandSeen map[Process]demandMark
@@ -52,9 +57,9 @@
 	at  time.Duration
 }
 
-// NewForwarder returns a Forwarder without counts.
-func NewForwarder() *Forwarder {
-	return &Forwarder{entries: make(map[entryKey]*entry), demandSeen: make(map[Process]demandMark)}
+// NewForwarder returns a Forwarder of a process for windows of a length.
+func NewForwarder(self Process, length time.Duration) *Forwarder {
+	return &Forwarder{self: self, length: length, entries: make(map[entryKey]*entry), demandSeen: make(map[Process]demandMark)}
 }
 
 // Merge adds reports and returns what was new in them. Only that is sent on, so that reports do not circulate while the nodes
@@ -136,21 +141,23 @@
 	maps.DeleteFunc(f.demandSeen, func(_ Process, m demandMark) bool { return now-m.at >= keepTime })
 }
 
-// Take returns what has not been sent and counts it as sent.
-func (f *Forwarder) Take() []Report {
-	out := append(f.take(func(Process) bool { return true }), f.demand...)
+// Take returns what is to be sent at a point of true time, and counts it as sent.
+func (f *Forwarder) Take(now time.Time) []Report {
+	out := append(f.take(func(key entryKey, e *entry) bool {
+		return e.final || key.process == f.self || now.Sub(WindowEnd(key.window, f.length)) >= holdTime
+	}), f.demand...)
 	f.demand = nil
 	sortReports(out)
 	return out
 }
 
-// TakeOf returns the counts of one process that have not been sent, and counts them as sent.
-func (f *Forwarder) TakeOf(p Process) []Report {
-	return f.take(func(other Process) bool { return other == p })
+// TakeOwn returns the counts of this process that have not been sent, and counts them as sent.
+func (f *Forwarder) TakeOwn() []Report {
+	return f.take(func(key entryKey, _ *entry) bool { return key.process == f.self })
 }
 
-// take returns the counts of some processes that have not been sent.
-func (f *Forwarder) take(of func(Process) bool) []Report {
+// take returns those of some counts that have not been sent.
+func (f *Forwarder) take(due func(key entryKey, e *entry) bool) []Report {
 	byProcess := make(map[Process]*Report)
 	report := func(p Process) *Report {
 		r := byProcess[p]
@@ -161,7 +168,7 @@
 		return r
 	}
 	for key, e := range f.entries {
-		if len(e.unsent) == 0 && !e.finalUnsent || !of(key.process) {
+		if len(e.unsent) == 0 && !e.finalUnsent || !due(key, e) {
 			continue
 		}
 		w := WindowCounts{Window: key.window, Counts: make(Counts, len(e.unsent)), Final: e.finalUnsent}
--- a/internal/fleet/usage/report.go
+++ b/internal/fleet/usage/report.go
@@ -8,7 +8,9 @@
 package usage
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"geraniumhollow/internal/wire/frame"
@@ -80,49 +82,73 @@
 // maxFrameElements limits the accounts, windows, processes and models in one frame, as the decoder of frames does.
 const maxFrameElements = 1000
 
-// ToFrames converts reports to their wire format, in as many messages as their size requires.
-func ToFrames(list []Report) []*frame.UsageReport {
-	var out []*frame.UsageReport
-	var current *frame.UsageReport
-	size := 0
-	add := func(u frame.NodeUsage, n int) {
-		if current == nil || size+n > maxFrameElements {
-			current, size = &frame.UsageReport{}, 0
-			out = append(out, current)
-		}
-		current.List, size = append(current.List, u), size+n
+// frameBuilder distributes reports over messages. Each message names an account once, because most accounts occur at many nodes.
+type frameBuilder struct {
+	out []*frame.UsageReport
+	// positions holds the positions of the accounts in the last message, size its number of elements.
+	positions map[string]int
+	size      int
+}
+
+// reserve returns the last message, or a new one if it has no room for n more elements.
+func (b *frameBuilder) reserve(n int) *frame.UsageReport {
+	if len(b.out) == 0 || b.size+n > maxFrameElements {
+		b.out, b.positions, b.size = append(b.out, &frame.UsageReport{}), make(map[string]int), 0
 	}
-	for _, r := range list {
-		u := frame.NodeUsage{Node: r.Process.Node, Inc: r.Process.Incarnation, DemandSeq: int(r.DemandSeq)}
-		for _, d := range r.Demand[:min(len(r.Demand), maxFrameElements)] {
-			u.Demand = append(u.Demand, demandToFrame(d))
-		}
-		n := 1 + len(u.Demand)
-		for _, w := range r.Windows {
-			for _, part := range splitCounts(w) {
-				if n+1+len(part.Counts) > maxFrameElements {
-					add(u, n)
-					u, n = frame.NodeUsage{Node: u.Node, Inc: u.Inc}, 1
-				}
-				u.Windows, n = append(u.Windows, part), n+1+len(part.Counts)
+	b.size += n
+	return b.out[len(b.out)-1]
+}
+
+// process returns the entry for a process in the last message, which has room for n more elements.
+func (b *frameBuilder) process(p Process, n int) (*frame.UsageReport, *frame.NodeUsage) {
+	m := b.reserve(n + 1)
+	if last := len(m.List) - 1; last < 0 || m.List[last].Node != p.Node || m.List[last].Inc != p.Incarnation {
+		m.List = append(m.List, frame.NodeUsage{Node: p.Node, Inc: p.Incarnation})
+	}
+	return m, &m.List[len(m.List)-1]
+}
+
+// add adds the counts of a window in parts that fit into a frame. Only the last part is final.
+func (b *frameBuilder) add(p Process, w WindowCounts) {
+	accounts := slices.Sorted(maps.Keys(w.Counts))
+	for {
+		part := accounts[:min(len(accounts), maxFrameElements/4)]
+		accounts = accounts[len(part):]
+		m, u := b.process(p, 1+2*len(part))
+		f := frame.WindowUsage{Window: int(w.Window), Final: w.Final && len(accounts) == 0}
+		for _, account := range part {
+			k, ok := b.positions[account]
+			if !ok {
+				k = len(m.Accounts)
+				m.Accounts, b.positions[account] = append(m.Accounts, account), k
 			}
+			f.Accounts, f.Counts = append(f.Accounts, k), append(f.Counts, int(w.Counts[account]))
+		}
+		u.Windows = append(u.Windows, f)
+		if len(accounts) == 0 {
+			return
 		}
-		add(u, n)
 	}
-	return out
 }
 
-// splitCounts returns the counts of a window in parts that fit into a frame. Only the last part is final.
-func splitCounts(w WindowCounts) []frame.WindowUsage {
-	out := []frame.WindowUsage{{Window: int(w.Window), Counts: make(map[string]int)}}
-	for account, n := range w.Counts {
-		if len(out[len(out)-1].Counts) >= maxFrameElements/2 {
-			out = append(out, frame.WindowUsage{Window: int(w.Window), Counts: make(map[string]int)})
+// ToFrames converts reports to their wire format, in as many messages as their size requires.
+func ToFrames(list []Report) []*frame.UsageReport {
+	var b frameBuilder
+	for _, r := range list {
+		if r.DemandSeq > 0 {
+			demand := r.Demand[:min(len(r.Demand), maxFrameElements/2)]
+			m := b.reserve(1 + len(demand))
+			u := frame.NodeUsage{Node: r.Process.Node, Inc: r.Process.Incarnation, DemandSeq: int(r.DemandSeq)}
+			for _, d := range demand {
+				u.Demand = append(u.Demand, demandToFrame(d))
+			}
+			m.List = append(m.List, u)
+		}
+		for _, w := range r.Windows {
+			b.add(r.Process, w)
 		}
-		out[len(out)-1].Counts[account] = int(n)
 	}
-	out[len(out)-1].Final = w.Final
-	return out
+	return b.out
 }
 
 // FromFrame converts reports from their wire format. It leaves out what no node sends.
@@ -134,13 +160,7 @@
 		}
 		r := Report{Process: Process{Node: u.Node, Incarnation: u.Inc}, DemandSeq: number(u.DemandSeq)}
 		for _, w := range u.Windows {
-			counts := make(Counts, len(w.Counts))
-			for account, n := range w.Counts {
-				if account != "" && n > 0 && n <= math.MaxInt32 {
-					counts[account] = uint64(n)
-				}
-			}
-			r.Windows = append(r.Windows, WindowCounts{Window: number(w.Window), Counts: counts, Final: w.Final})
+			r.Windows = append(r.Windows, WindowCounts{Window: number(w.Window), Counts: countsFromFrame(m.Accounts, w), Final: w.Final})
 		}
 		for _, d := range u.Demand {
 			r.Demand = append(r.Demand, Demand{
@@ -153,6 +173,17 @@
 	return out
 }
 
+func countsFromFrame(accounts []string, w frame.WindowUsage) Counts {
+	counts := make(Counts, len(w.Counts))
+	for i, n := range w.Counts[:min(len(w.Counts), len(w.Accounts))] {
+		k := w.Accounts[i]
+		if k >= 0 && k < len(accounts) && accounts[k] != "" && n > 0 && n <= math.MaxInt32 {
+			counts[accounts[k]] = uint64(n)
+		}
+	}
+	return counts
+}
+
 func demandToFrame(d Demand) frame.ModelDemand {
 	return frame.ModelDemand{
 		Service: d.Service, Model: d.Model, Dc: d.DataCentre, Arrivals: int(d.Arrivals), Prompt: int(d.PromptTokens),
--- a/internal/node/duties/duties.go
+++ b/internal/node/duties/duties.go
@@ -170,7 +170,7 @@
 	d.settings, d.api, d.limiter, d.forwarder, d.trueTime, d.counter, d.ledger = s, nil, nil, nil, nil, nil, nil
 	d.collecting = false
 	if s.active() {
-		d.forwarder, d.api = usage.NewForwarder(), d.cfg.NewAPI(s.Address)
+		d.forwarder, d.api = usage.NewForwarder(d.cfg.Process, s.UsageWindow), d.cfg.NewAPI(s.Address)
 		perSecond := s.CallsPerSecond
 		if perSecond <= 0 {
 			perSecond = defaultCallRate
@@ -206,7 +206,7 @@
 	var list []usage.Report
 	if d.counter != nil {
 		d.merge(clock.Since(), []usage.Report{{Process: d.cfg.Process, Windows: d.counter.Close()}})
-		list = d.forwarder.Take()
+		list = d.forwarder.Take(d.trueTime.Now(clock.Since()))
 	}
 	d.mu.Unlock()
 	if len(list) == 0 {
@@ -292,11 +292,11 @@
 	}
 	switch {
 	case d.collecting:
-		return estimate, d.forwarder.TakeOf(d.cfg.Process), true
+		return estimate, d.forwarder.TakeOwn(), true
 	case next == "":
 		return estimate, nil, false
 	}
-	return estimate, d.forwarder.Take(), false
+	return estimate, d.forwarder.Take(d.trueTime.Now(now)), false
 }
 
 // reportDemand adds the demand at this node to the reports. The lock must be held.
--- a/internal/wire/frame/messages.gen.go
+++ b/internal/wire/frame/messages.gen.go
@@ -727,15 +727,21 @@
 // UsageReport carries counts of requests towards the holder of the duty that
 // reports them to the platform. Nodes pass it on.
 type UsageReport struct {
+	// Client accounts to which the counts refer by their position.
+	Accounts []string `json:"accounts,omitempty,omitzero"`
+
 	// List corresponds to the JSON schema field "list".
 	List []NodeUsage `json:"list"`
 }
 
 // WindowUsage holds requests that began to run in one window, by client account.
 type WindowUsage struct {
-	// Requests since the start of the window. Accounts whose count has not changed
-	// may be missing.
-	Counts map[string]int `json:"counts,omitempty,omitzero"`
+	// Positions of accounts in the message. Accounts whose count has not changed may
+	// be missing.
+	Accounts []int `json:"accounts,omitempty,omitzero"`
+
+	// Requests since the start of the window, for each of the accounts.
+	Counts []int `json:"counts,omitempty,omitzero"`
 
 	// The counts are complete and will not change.
 	Final bool `json:"final,omitempty,omitzero"`
