--- a/internal/fleet/duty/tenure.go
+++ b/internal/fleet/duty/tenure.go
@@ -34,9 +34,12 @@
 	return max(t.Began, t.PredecessorEnd) + lease + takeoverMargin
 }
 
+// LastCall returns when the last call may begin unless the tenure is renewed.
+func (t Tenure) LastCall() time.Duration { return t.End - lastCallMargin }
+
 // MayCall reports whether a call may begin now: neither before FirstCall nor so late that the tenure may end on the way.
 func (t Tenure) MayCall(now, lease time.Duration) bool {
-	return now >= t.FirstCall(lease) && t.End-now > lastCallMargin
+	return now >= t.FirstCall(lease) && now < t.LastCall()
 }
 
 // Follows reports whether the tenure follows one of the same node that lasted until end, without a tenure of another node between them
--- a/internal/fleet/usage/report_test.go
+++ b/internal/fleet/usage/report_test.go
@@ -33,7 +33,11 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		got.Merge(0, usage.FromFrame(msg.(*frame.UsageReport)))
+		report, ok := msg.(*frame.UsageReport)
+		if !ok {
+			t.Fatalf("got %T", msg)
+		}
+		got.Merge(0, usage.FromFrame(report))
 	}
 	if !reflect.DeepEqual(got.All(), sent.All()) {
 		t.Error("the reports have changed on their way")
@@ -121,8 +125,7 @@
 func TestTrueTimeAlone(t *testing.T) {
 	t.Parallel()
 	c := usage.NewTrueTime(0, epoch)
-	for s := range 20 * time.Minute / time.Second {
-		mono := s * time.Second
+	for mono := time.Duration(0); mono < 20*time.Minute; mono += time.Second {
 		c.ObserveOwn(mono, epoch.Add(mono+10*time.Second))
 		off := c.Now(mono).Sub(epoch.Add(mono))
 		if followed := off > time.Second; followed != (mono > 10*time.Minute) && mono > 0 && mono != 10*time.Minute {
--- a/internal/node/duties/duties.go
+++ b/internal/node/duties/duties.go
@@ -92,6 +92,8 @@
 	callTimeout = 5 * time.Second
 	// tenureCheckInterval is the time between checks whether the tenure still lasts, during a call.
 	tenureCheckInterval = 50 * time.Millisecond
+	// callRateShare is the part of the rate of calls that is used, as calls may be closer to each other when they arrive.
+	callRateShare = 0.8
 	// defaultCallRate is the number of calls per second if the settings do not limit them.
 	defaultCallRate = 1
 )
@@ -175,7 +177,7 @@
 		if perSecond <= 0 {
 			perSecond = defaultCallRate
 		}
-		d.limiter = rate.NewLimiter(rate.Limit(perSecond), 1)
+		d.limiter = rate.NewLimiter(rate.Limit(callRateShare*perSecond), 1)
 		mono := clock.Since()
 		d.trueTime = usage.NewTrueTime(mono, time.Now())
 		if s.ReportUsage {
@@ -368,9 +370,12 @@
 	if err := limiter.Wait(ctx); err != nil {
 		return errors.Mark(errors.Newf("wait for the rate of calls: %w", err), cloud.ErrUnavailable)
 	}
-	if t, holds := d.cfg.Tenure(); !holds || t.Fence != fence || !d.mayCall(clock.Since(), t) {
+	t, holds := d.cfg.Tenure()
+	now := clock.Since()
+	if !holds || t.Fence != fence || !d.mayCall(now, t) {
 		return errors.Mark(errNotCalled, cloud.ErrUnavailable)
 	}
+	call := cloud.Call{Holder: d.cfg.Node, Fence: fence, SendBy: time.Now().Add(t.LastCall() - now)}
 	g := tasks.New(ctx)
 	g.Go("tenure", func(ctx context.Context) error {
 		for tasks.Sleep(ctx, tenureCheckInterval) {
@@ -383,7 +388,7 @@
 	var err error
 	g.Go("call", func(ctx context.Context) error {
 		defer cancel()
-		err = f(ctx, api, cloud.Call{Holder: d.cfg.Node, Fence: fence})
+		err = f(ctx, api, call)
 		return nil
 	})
 	if werr := g.Wait(); werr != nil {
--- a/internal/plat/cloud/cloud.go
+++ b/internal/plat/cloud/cloud.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -23,6 +24,8 @@
 	Holder string
 	// Fence is the fencing number of its tenure.
 	Fence uint64
+	// SendBy is the time after which the call is not sent, zero for none.
+	SendBy time.Time
 }
 
 // Window is the number of a window of time: window k begins k times the length of a window after 1970-01-01.
