--- a/internal/fleet/usage/ledger.go
+++ b/internal/fleet/usage/ledger.go
@@ -76,7 +76,8 @@
 
 // windowState is the state of a window at the holder.
 type windowState struct {
-	// counts holds the merged counts by process until the row is stored, final the processes that have sent final counts.
+	// counts holds the merged counts by process, final the processes that have sent final ones. counts is nil when they are not needed any
+	// more: the row is another holder's, or the window is over.
 	counts map[Process]Counts
 	final  sets.Set[Process]
 	// stored holds the counts of the row once it is known to be stored.
@@ -193,15 +194,17 @@
 
 func (l *Ledger) mergeWindow(p Process, c WindowCounts) {
 	w := l.window(c.Window)
-	if w.stored != nil || w.done {
-		for _, n := range c.Counts {
-			l.late += n
-		}
+	if w.counts == nil {
 		return
 	}
 	if w.counts[p] == nil {
 		w.counts[p] = make(Counts)
 	}
+	if w.stored != nil {
+		for account, n := range c.Counts {
+			l.late += max(n, w.counts[p][account]) - w.counts[p][account]
+		}
+	}
 	w.counts[p].merge(c.Counts)
 	if c.Final {
 		w.final.Add(p)
@@ -327,6 +330,9 @@
 			}
 			out = append(out, Miss{Window: k, Reason: reason})
 		}
+		if w.done && age > l.cfg.Lateness+dropMargin {
+			w.counts = nil
+		}
 		if w.done && age > l.expiry() {
 			delete(l.windows, k)
 		}
@@ -351,8 +357,8 @@
 		}
 		l.rows.Add(k)
 		// A row of a window that nobody has sent counts of is still there if its report may be missing.
-		if counts, ok := decodeRow(r.Value); ok && l.recent(now, k) {
-			l.setStored(k, counts.Counts)
+		if v, ok := decodeRow(r.Value); ok && l.recent(now, k) {
+			l.setForeign(k, v.Counts)
 		}
 	}
 }
@@ -373,7 +379,15 @@
 	if counts == nil {
 		counts = Counts{}
 	}
-	w.stored, w.conflict, w.counts = counts, false, nil
+	w.stored, w.conflict = counts, false
+}
+
+// setForeign records the counts of a row that another holder may have created.
+func (l *Ledger) setForeign(k uint64, counts Counts) {
+	if l.window(k).stored == nil {
+		l.window(k).counts = nil
+	}
+	l.setStored(k, counts)
 }
 
 // setFloor sets the floor of the tenure from the rows of the store.
@@ -444,7 +458,7 @@
 			w.done = true
 			return []Miss{{Window: a.Window, Reason: MissRejected}}
 		}
-		l.setStored(a.Window, v.Counts)
+		l.setForeign(a.Window, v.Counts)
 		w.failures = 0
 	}
 	return nil
