--- a/internal/fleet/usage/faults_test.go
+++ b/internal/fleet/usage/faults_test.go
@@ -69,6 +69,7 @@
 	t.Parallel()
 	for at := 20 * time.Second; at < 25*time.Second; at += 100 * time.Millisecond {
 		s := newSim(t, uint64(at), 4)
+		s.lossy = true
 		s.run(at)
 		h := s.holder()
 		h.deaf = true
@@ -153,17 +154,20 @@
 	}
 }
 
-// Guards against windows that are lost because the store fails for a while.
+// Guards against windows that are lost, or stored before the nodes have sent their counts to the next holder, because the store fails for
+// a while. After the longer time, the holder's tenure has ended.
 func TestStoreDown(t *testing.T) {
 	t.Parallel()
 	for _, err := range []error{table.ErrUnavailable, table.ErrUnknown} {
-		s := newSim(t, 7, 3)
-		s.run(20 * time.Second)
-		s.store.err = err
-		s.run(2 * time.Second)
-		s.store.err = nil
-		s.run(40 * time.Second)
-		s.check(settled, exact)
+		for _, d := range []time.Duration{time.Second, 2800 * time.Millisecond} {
+			s := newSim(t, 7, 4)
+			s.run(19900 * time.Millisecond)
+			s.store.err = err
+			s.run(d)
+			s.store.err = nil
+			s.run(40 * time.Second)
+			s.check(settled, exact)
+		}
 	}
 }
 
@@ -173,6 +177,7 @@
 	t.Parallel()
 	for seed := range uint64(20) {
 		s := newSim(t, seed, 4)
+		s.lossy = true
 		s.store.backUp()
 		s.run(21*time.Second + s.delay(5*time.Second))
 		if seed%2 == 1 {
@@ -225,6 +230,7 @@
 	t.Parallel()
 	for seed := range *seeds {
 		s := newSim(t, seed+1000, 3+int(seed%3))
+		s.lossy = true
 		for range 40 {
 			s.run(500*time.Millisecond + s.delay(4*time.Second))
 			n := s.nodes[s.rng.IntN(len(s.nodes))]
@@ -233,6 +239,7 @@
 			}
 			s.fault(n)
 		}
+		s.lossy = false
 		s.store.err, s.platform.err, s.apiDelay = nil, nil, 100*time.Millisecond
 		for _, n := range s.nodes {
 			if n.cut, n.deaf, n.frozen, n.jump = false, false, 0, 0; !n.up {
--- a/internal/fleet/usage/sim_test.go
+++ b/internal/fleet/usage/sim_test.go
@@ -169,6 +169,8 @@
 	events   []simEvent
 	// apiDelay is how long a call of the API takes at most.
 	apiDelay time.Duration
+	// lossy has some reports be lost, so that holders have different counts.
+	lossy bool
 	// sent is called after each call of the API that was executed, before its answer.
 	sent func(n *simNode, a usage.Action)
 }
@@ -354,6 +356,9 @@
 }
 
 func (s *sim) receive(n *simNode, list []usage.Report) {
+	if s.lossy && s.rng.IntN(5) == 0 {
+		return
+	}
 	news := n.fwd.Merge(s.now, list)
 	if n.collecting {
 		n.ledger.Merge(n.clock.Now(s.now), news)
