Count each call once in the usage of its account

A call counts once, however many attempts it takes.

TestBeganCounts expected each attempt to count; it now expects one count for a call that is retried or resumed.

--- a/internal/node/pass/attempt.go
+++ b/internal/node/pass/attempt.go
@@ -273,9 +273,9 @@
 	return attemptResult{outcome: NotRun, err: errors.Newf("status %d", resp.Header.StatusCode())}, false
 }
 
-// countBegan counts an attempt whose server has begun to run the call.
+// countBegan counts the call when the first server has begun to run it. Further attempts run the same request again.
 func (s *callState) countBegan() {
-	if s.relay.deps.Began != nil {
+	if s.relay.deps.Began != nil && s.call.began.CompareAndSwap(false, true) {
 		s.relay.deps.Began(s.call.Account)
 	}
 }
--- a/internal/node/pass/pass.go
+++ b/internal/node/pass/pass.go
@@ -89,7 +89,7 @@
 	// Detour passes calls on to other nodes; nil if there are none.
 	Detour  Detour
 	Crashes *CrashTracker
-	// Began is called with the account of each attempt at a backend server that began to run the call, "" for none. It may be nil.
+	// Began is called with the account of each call that a backend server began to run, "" for none. It may be nil.
 	Began func(account string)
 	// Budget returns the retry budget of a service.
 	Budget  func(service string) *retry.Budget
