Bound the memory of request bodies and connections at a platform node

A node held each body that arrived, up to MaxBodyBytes each, whatever the memory of its host. Bodies that stopped short of their end filled it, and a large announced chunk or length took its whole size at once.

Package shed decides which body gives way when it is short: the largest stalled one, then the least complete one of the client that holds most. A body that gives way gets 503 with Retry-After; it has not run. What the header decides is decided before the body is read. Tiny chunks are decoded from the read buffer, and reads of tiny pieces are delayed.

A connection beyond the limit, which also depends on the memory, takes the place of the one that is idle for longest, or of one that is slow to send its request. The readiness and metrics ports get limits of their own.

--- a/internal/node/edge/config.go
+++ b/internal/node/edge/config.go
@@ -32,6 +32,8 @@
 	Region string
 	// Descriptors is the number of file descriptors that the node may use.
 	Descriptors int
+	// Memory is the memory of the host in bytes, or 0 if it is not known.
+	Memory int
 	// Capacity is the processor capacity of the host, in cores of ordinary speed.
 	Capacity float64
 	// FirstStart is true if all nodes of the system are starting for the first time.
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -25,6 +25,7 @@
 	"geraniumhollow/internal/route/pace"
 	"geraniumhollow/internal/route/quota"
 	"geraniumhollow/internal/route/retry"
+	"geraniumhollow/internal/route/shed"
 	"github.com/cockroachdb/errors"
 )
 
@@ -49,6 +50,8 @@
 	// quarantines keeps the quarantined parts of prompts in the store.
 	quarantines *Quarantines
 	front       *front.Server
+	// bodies is the memory for bodies of requests.
+	bodies *shed.Budget
 	// detour passes requests on while this node reaches no backend server, and forwarded takes those of other nodes.
 	detour    *detour.Detour
 	forwarded *front.Server
@@ -86,6 +89,7 @@
 	}
 	n := &Node{cfg: cfg, startedAt: time.Now(), index: index.New(), outOfService: sets.New[string](), budgets: make(map[string]*retry.Budget)}
 	n.settings.Store(&set)
+	n.bodies = set.newBodies()
 	n.switchable = newSwitchableStore(cfg.NewStore, set.StoreAddress)
 	n.store = cfg.Metrics.Store(n.switchable)
 	address := net.JoinHostPort(set.IP, strconv.Itoa(set.PeerPort))
@@ -128,11 +132,11 @@
 		Metrics: cfg.Metrics, Log: cfg.Log,
 	})
 	n.front = front.New(front.Config{
-		Handler: relay, Limits: n.limits, MaxConnections: int(callerDescriptorShare * float64(set.Descriptors)), Log: cfg.Log,
+		Handler: relay, Limits: n.limits, MaxConnections: set.maxCallers(), Bodies: n.bodies, Log: cfg.Log,
 	})
 	n.forwarded = front.New(front.Config{
 		Handler: detour.Handler{Detour: n.detour, Relay: relay, Capacity: set.Capacity, Stopping: n.stopping.Load},
-		Limits:  n.forwardLimits, MaxConnections: int(forwardDescriptorShare * float64(set.Descriptors)), Log: cfg.Log,
+		Limits:  n.forwardLimits, MaxConnections: int(forwardDescriptorShare * float64(set.Descriptors)), Bodies: n.bodies, Log: cfg.Log,
 	})
 	n.keeper = keeper.New(keeper.Config{
 		Node: address + "/" + incarnation, Table: n.store, Engines: cfg.Engines, View: n.index.View, Service: n.engineService,
@@ -157,6 +161,11 @@
 		return 0
 	})
 	n.cfg.Metrics.Func("forwarded_requests", "Requests of other nodes in progress.", func() float64 { return float64(n.detour.Forwarded()) })
+	n.cfg.Metrics.Func("body_bytes", "Bytes that bodies of requests hold.", func() float64 { return float64(n.bodies.Stats().Held) })
+	n.cfg.Metrics.Func("body_bytes_limit", "Most bytes that bodies of requests may hold.", func() float64 { return float64(n.bodies.Stats().Limit) })
+	n.cfg.Metrics.Func("bodies_shed", "Bodies of requests that gave way to others since the start.", func() float64 { return float64(n.bodies.Stats().Shed) })
+	n.cfg.Metrics.Func("connections_shed", "Connections of callers that were closed for others or refused since the start.",
+		func() float64 { return float64(n.front.ShedConnections()) })
 	n.cfg.Metrics.Func("caller_connections", "Open connections of callers.", func() float64 { return float64(n.front.OpenConnections()) })
 }
 
--- a/internal/node/edge/ready.go
+++ b/internal/node/edge/ready.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"time"
 
 	"geraniumhollow/internal/core/httpd"
 	"geraniumhollow/internal/node/front"
@@ -14,8 +15,15 @@
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 )
 
-// headerBytes limits the headers of readiness checks and of requests for metrics.
-const headerBytes = 4 << 10
+// Limits of readiness checks and of requests for metrics, which have no body. Each port has a few clients with a connection each.
+const (
+	headerBytes      = 4 << 10
+	checkBodyBytes   = 1 << 10
+	maxCheckConns    = 64
+	metricsReadTime  = 5 * time.Second
+	metricsWriteTime = 10 * time.Second
+	metricsIdleTime  = 90 * time.Second
+)
 
 // ready reports whether the load balancer may send connections to this node: it has a configuration and the list of
 // backend servers, and is not stopping.
@@ -30,7 +38,8 @@
 		return errors.Newf("listen for readiness checks: %w", err)
 	}
 	s := front.New(front.Config{
-		Handler: readiness{n}, Limits: func() front.Limits { return front.Limits{HeaderBytes: headerBytes} }, Log: n.cfg.Log,
+		Handler: readiness{n}, Limits: func() front.Limits { return front.Limits{HeaderBytes: headerBytes, BodyBytes: checkBodyBytes} },
+		MaxConnections: maxCheckConns, Log: n.cfg.Log,
 	})
 	if err := s.Run(ctx, ln); err != nil {
 		return errors.Newf("serve readiness checks: %w", err)
@@ -62,7 +71,8 @@
 	}
 	srv := &fasthttp.Server{
 		Handler: fasthttpadaptor.NewFastHTTPHandler(n.cfg.Metrics.Handler()), ReadBufferSize: headerBytes,
-		NoDefaultServerHeader: true, NoDefaultDate: true,
+		MaxRequestBodySize: checkBodyBytes, ReadTimeout: metricsReadTime, WriteTimeout: metricsWriteTime, IdleTimeout: metricsIdleTime,
+		Concurrency: maxCheckConns, NoDefaultServerHeader: true, NoDefaultDate: true,
 	}
 	if err := httpd.Serve(ctx, srv, ln); err != nil {
 		return errors.Newf("serve metrics: %w", err)
--- a/internal/node/front/conn.go
+++ b/internal/node/front/conn.go
@@ -13,6 +13,7 @@
 
 	"geraniumhollow/internal/core/sock"
 	"geraniumhollow/internal/core/tasks"
+	"geraniumhollow/internal/route/shed"
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 )
@@ -55,8 +56,9 @@
 const (
 	// awaiting means that no byte of a request has arrived.
 	awaiting phase = iota
-	// reading means that part of a request has arrived.
+	// reading means that part of a header has arrived, and readingBody that the header has.
 	reading
+	readingBody
 	// handling means that a request is handled.
 	handling
 	// lingering means that the last response has been sent.
@@ -65,15 +67,20 @@
 
 // conn is a connection of a caller.
 type conn struct {
-	nc  net.Conn
-	br  *bufio.Reader
-	srv *Server
+	nc net.Conn
+	// client is the IP address of the caller.
+	client string
+	br     *bufio.Reader
+	srv    *Server
 	// readErr is the last error of reading from nc.
 	readErr error
-	// mu guards phase, served and deadline, the read deadline of the phase if the server does not drain.
+	// mu guards phase, entered, expired, served and deadline, the read deadline of the phase if the server does not drain.
 	mu       sync.Mutex
 	phase    phase
 	deadline time.Time
+	// entered is when the phase began. expired is set once the connection has to end the phase for others.
+	entered time.Time
+	expired bool
 	// served is set once a request has been handled.
 	served bool
 	// answering is set once part of the response may have been sent, and cancel cancels the context of the request.
@@ -100,9 +107,12 @@
 		if err := c.awaitRequest(); err != nil {
 			return c.readErrorReason(err)
 		}
-		req, ok := c.readRequest()
-		if !ok {
-			return closedUnreadable
+		req, reason := c.readRequest()
+		if reason != "" {
+			return reason
+		}
+		if req == nil {
+			continue // Its header was enough to refuse it.
 		}
 		if reason, closes := c.handleRequest(ctx, g, req); closes {
 			return reason
@@ -114,7 +124,11 @@
 func (c *conn) enter(p phase, deadline time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase, c.deadline = p, deadline
+	now := time.Now()
+	if c.expired = c.expired && p == awaiting; c.expired {
+		deadline = now
+	}
+	c.phase, c.deadline, c.entered = p, deadline, now
 	c.served = c.served || p == handling
 	return c.applyDeadline()
 }
@@ -136,7 +150,7 @@
 			t = *since
 		case c.phase == awaiting:
 			t = earlier(t, since.Add(firstRequestTime))
-		case c.phase == reading:
+		case c.phase == reading || c.phase == readingBody:
 			t = earlier(t, since.Add(drainReadTime))
 		}
 	}
@@ -211,22 +225,34 @@
 // idleUntil returns when the connection has been idle for the idle timeout.
 func (c *conn) idleUntil() time.Time { return c.lastActive.Add(c.srv.limits().IdleTimeout) }
 
-// readRequest reads a complete request. A request that cannot be read is refused and ends the connection.
-func (c *conn) readRequest() (*pendingRequest, bool) {
+// readRequest reads a complete request. It returns nil if the header was enough to refuse the request, or why the connection
+// must be closed: a request that cannot be read ends it.
+func (c *conn) readRequest() (*pendingRequest, closeReason) {
 	l := c.srv.limits()
 	pending := &pendingRequest{req: fasthttp.AcquireRequest(), arrived: time.Now()}
 	status, err := c.readInto(pending, l)
-	if err == nil {
-		return pending, true
+	switch {
+	case err == nil:
+		return pending, ""
+	case errors.Is(err, errRefused):
+		return nil, c.discardBody(pending, l)
+	}
+	shed := pending.body != nil && pending.body.WasShed()
+	if shed {
+		status = fasthttp.StatusServiceUnavailable
 	}
-	c.srv.cfg.Log.Info("refused a request that cannot be read", "status", status, "error", err)
+	// The buffers of the request are free before the caller has taken the response.
+	pending.release()
+	c.srv.unreadable.log(c.srv.cfg.Log, "refused a request that cannot be read", "status", status, "shed", shed, "error", err)
 	if status != 0 {
 		c.refuse(status)
 	}
-	pending.release()
-	return nil, false
+	return nil, closedUnreadable
 }
 
+// errRefused means that a request was refused because of its header.
+var errRefused = errors.New("refused by its header")
+
 // readInto reads a request into m. On an error, it returns the status to refuse the request with, or 0 if the
 // connection has failed.
 func (c *conn) readInto(pending *pendingRequest, l Limits) (int, error) {
@@ -241,23 +267,109 @@
 		return fasthttp.StatusBadRequest, errors.New("request has both Content-Length and Transfer-Encoding")
 	}
 	pending.req.Header.SetNoDefaultContentType(true)
-	if err := c.enter(reading, time.Now().Add(l.IdleTimeout)); err != nil {
-		return 0, err
-	}
-	if pending.req.Header.ContentLength() > l.BodyBytes {
+	length := pending.req.Header.ContentLength()
+	if length > l.BodyBytes {
 		return fasthttp.StatusRequestEntityTooLarge, fasthttp.ErrBodyTooLarge
 	}
+	if (length == chunkedLength || length > c.br.Buffered()) && c.refusedByHeader(pending) {
+		return 0, errRefused
+	}
+	if err := c.enter(readingBody, time.Now().Add(l.IdleTimeout)); err != nil {
+		return 0, err
+	}
 	if pending.req.MayContinue() {
 		if _, err := io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return 0, errors.Newf("write interim response: %w", err)
 		}
 	}
-	if err := pending.req.ContinueReadBody(c.br, l.BodyBytes, false); err != nil {
+	if err := c.readBody(pending, length, l); err != nil {
 		return c.readErrorStatus(err), errors.Newf("read body: %w", err)
 	}
 	return 0, nil
 }
 
+// chunkedLength is the length that the parser gives for a chunked body.
+const chunkedLength = -1
+
+// readBody reads the body of a request, which draws on the budget of the process until the request is released.
+func (c *conn) readBody(pending *pendingRequest, length int, l Limits) error {
+	if length != chunkedLength && length <= 0 {
+		// It has none.
+		return pending.req.ContinueReadBody(c.br, l.BodyBytes, false) //nolint:wrapcheck // The caller wraps it.
+	}
+	pending.body = c.srv.cfg.Bodies.Open(pending.arrived, c.client, length, l.BodyBytes, c)
+	r := bodyReader{br: c.br, share: pending.body, limit: l.BodyBytes}
+	var err error
+	if length == chunkedLength {
+		err = r.readChunked(&pending.req.Header)
+	} else {
+		err = r.read(length, length)
+	}
+	if err == nil && !pending.body.Complete() {
+		err = errShed
+	}
+	if err != nil {
+		return err
+	}
+	pending.bytes = r.buf
+	return nil
+}
+
+// refusedByHeader lets the handler refuse a request whose body has not arrived yet. The connection can be used further only if
+// little of the body is to come.
+func (c *conn) refusedByHeader(pending *pendingRequest) bool {
+	checker, ok := c.srv.cfg.Handler.(HeaderChecker)
+	if !ok {
+		return false
+	}
+	h := &pending.req.Header
+	length := h.ContentLength()
+	// A caller that waits for an interim response may not send the body.
+	short := length != chunkedLength && length <= maxDiscardBytes && !pending.req.MayContinue()
+	w := &Writer{conn: c, headRequest: h.IsHead(), closeAfter: h.ConnectionClose() || !short, http10: !h.IsHTTP11()}
+	if !checker.RefuseByHeader(&Request{Header: h, Arrived: pending.arrived}, w) {
+		return false
+	}
+	w.finish()
+	pending.closes = w.closeAfter || w.incomplete
+	c.requests++
+	return true
+}
+
+// maxDiscardBytes is the length up to which the body of a refused request is read, so that the connection can be used further.
+const maxDiscardBytes = shed.SmallBytes
+
+// discardBody reads past the body of a request that was refused because of its header. It returns why the connection must be closed.
+func (c *conn) discardBody(pending *pendingRequest, l Limits) closeReason {
+	defer pending.release()
+	if pending.closes {
+		c.linger()
+		return closedLastResponse
+	}
+	if err := c.enter(readingBody, time.Now().Add(l.IdleTimeout)); err != nil {
+		return closedByCaller
+	}
+	if _, err := c.br.Discard(pending.req.Header.ContentLength()); err != nil {
+		return c.readErrorReason(err)
+	}
+	c.lastActive = time.Now()
+	return ""
+}
+
+// Shed implements shed.Source. It ends the wait for more of a body.
+func (c *conn) Shed() { c.expire(readingBody) }
+
+// expire ends the current wait of the connection if it is in a phase.
+func (c *conn) expire(p phase) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != p {
+		return
+	}
+	c.deadline, c.expired = time.Now(), true
+	_ = c.applyDeadline()
+}
+
 // hasTwoLengths reports whether a header has both Content-Length and Transfer-Encoding. Proxies that use different ones
 // see different requests (request smuggling).
 func hasTwoLengths(h *fasthttp.RequestHeader) bool {
@@ -274,6 +386,8 @@
 func (c *conn) readErrorStatus(err error) int {
 	var small *fasthttp.ErrSmallBuffer
 	switch {
+	case errors.Is(err, errShed):
+		return fasthttp.StatusServiceUnavailable
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		return fasthttp.StatusRequestEntityTooLarge
 	case isTimeout(c.readErr):
@@ -304,10 +418,17 @@
 	return errors.As(err, &ne) && ne.Timeout()
 }
 
+// retryAfterShed is the value of Retry-After, in seconds, for a request whose body gave way to others.
+const retryAfterShed = "1"
+
 // refuse responds to a request that could not be read. The caller of refuse closes the connection.
 func (c *conn) refuse(status int) {
 	w := &Writer{conn: c, closeAfter: true}
-	w.Refuse(status, nil, nil)
+	w.Refuse(status, func(h *fasthttp.ResponseHeader) {
+		if status == fasthttp.StatusServiceUnavailable {
+			h.Set(fasthttp.HeaderRetryAfter, retryAfterShed)
+		}
+	}, nil)
 	c.linger()
 }
 
@@ -331,7 +452,7 @@
 	done := make(chan struct{})
 	g.Go("request", func(context.Context) error {
 		defer close(done)
-		c.callHandler(ctx, &Request{Header: &pending.req.Header, Body: pending.req.Body(), Arrived: pending.arrived}, w)
+		c.callHandler(ctx, &Request{Header: &pending.req.Header, Body: pending.bytes, Arrived: pending.arrived}, w)
 		w.finish()
 		pending.release()
 		c.requests++
@@ -413,6 +534,17 @@
 type pendingRequest struct {
 	req     *fasthttp.Request
 	arrived time.Time
+	// bytes is the body, and body its share of the budget, or nil if it has none.
+	bytes []byte
+	body  *shed.Body
+	// closes is set if the connection must be closed after the request was refused because of its header.
+	closes bool
 }
 
-func (p *pendingRequest) release() { fasthttp.ReleaseRequest(p.req) }
+func (p *pendingRequest) release() {
+	fasthttp.ReleaseRequest(p.req)
+	p.bytes = nil
+	if p.body != nil {
+		p.body.Close()
+	}
+}
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -17,6 +17,7 @@
 
 	"geraniumhollow/internal/core/sock"
 	"geraniumhollow/internal/core/tasks"
+	"geraniumhollow/internal/route/shed"
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 	"github.com/valyala/fasthttp"
@@ -75,14 +76,24 @@
 	Handle(ctx context.Context, r *Request, w *Writer)
 }
 
+// HeaderChecker is implemented by handlers that can tell from the header that a request is refused.
+type HeaderChecker interface {
+	// RefuseByHeader responds to a request whose body has not been read if its header is enough to refuse it, and reports whether it
+	// did. The request is not handled then.
+	RefuseByHeader(r *Request, w *Writer) bool
+}
+
 // Config holds the settings and dependencies of a server.
 type Config struct {
 	Handler Handler
 	// Limits returns the current limits.
 	Limits func() Limits
-	// MaxConnections limits the number of open connections; those beyond it are closed at once. 0 means no limit.
+	// MaxConnections limits the number of open connections. For one beyond it, the one that has been idle for longest is closed, or
+	// one that is slow to send its request; if there is none, the new one is closed. 0 means no limit.
 	MaxConnections int
-	Log            hclog.Logger
+	// Bodies is the memory for request bodies, or nil for no limit.
+	Bodies *shed.Budget
+	Log    hclog.Logger
 }
 
 // Server serves the callers of a node. It is safe for concurrent use.
@@ -94,6 +105,11 @@
 	draining           atomic.Pointer[time.Time]
 	// ending is set once CancelUnanswered was called.
 	ending atomic.Bool
+	// unreadable and refused limit the log lines of requests that cannot be read and of connections beyond the limit.
+	unreadable, refused limitedLog
+
+	// shedConns counts the connections that were closed for others or refused.
+	shedConns atomic.Uint64
 
 	mu    sync.Mutex
 	ln    net.Listener
@@ -102,6 +118,9 @@
 
 // New returns a server that does not accept connections until Run is called.
 func New(cfg Config) *Server {
+	if cfg.Bodies == nil {
+		cfg.Bodies = shed.New(0)
+	}
 	return &Server{cfg: cfg, conns: make(map[*conn]struct{})}
 }
 
@@ -143,9 +162,9 @@
 			tasks.Sleep(ctx, acceptRetryDelay)
 			continue
 		}
-		c := &conn{nc: nc, srv: s}
+		c := &conn{nc: nc, client: clientAddress(nc), srv: s, entered: time.Now()}
 		if !s.addConn(c) {
-			s.cfg.Log.Warn("closed a connection beyond the connection limit", "limit", s.cfg.MaxConnections)
+			s.refused.log(s.cfg.Log, "closed a connection beyond the connection limit", "limit", s.cfg.MaxConnections)
 			_ = nc.Close()
 			continue
 		}
@@ -198,6 +217,9 @@
 	return len(s.conns)
 }
 
+// ShedConnections returns the number of connections that were closed for others, or refused, because there were too many.
+func (s *Server) ShedConnections() uint64 { return s.shedConns.Load() }
+
 // ActiveRequests returns the number of requests that are being handled.
 func (s *Server) ActiveRequests() int {
 	s.mu.Lock()
@@ -211,16 +233,6 @@
 	return n
 }
 
-func (s *Server) addConn(c *conn) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.cfg.MaxConnections > 0 && len(s.conns) >= s.cfg.MaxConnections {
-		return false
-	}
-	s.conns[c] = struct{}{}
-	return true
-}
-
 func (s *Server) removeConn(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/node/pass/pass.go
+++ b/internal/node/pass/pass.go
@@ -99,7 +99,10 @@
 	deps Deps
 }
 
-var _ front.Handler = (*Relay)(nil)
+var (
+	_ front.Handler       = (*Relay)(nil)
+	_ front.HeaderChecker = (*Relay)(nil)
+)
 
 // New returns a relay with the given dependencies.
 func New(d Deps) *Relay { return &Relay{deps: d} }
@@ -109,6 +112,16 @@
 	r.handle(ctx, req, w, nil)
 }
 
+// RefuseByHeader implements front.HeaderChecker. A request is refused as it would be with its body.
+func (r *Relay) RefuseByHeader(req *front.Request, w *front.Writer) bool {
+	c, refusal := r.resolveHeader(req, nil)
+	if refusal == nil {
+		return false
+	}
+	r.refuse(w, c, refusal)
+	return true
+}
+
 // handle handles a call of a caller, or one that another node has passed on.
 func (r *Relay) handle(ctx context.Context, req *front.Request, w *front.Writer, hop *hopRequest) {
 	c, refusal := r.resolve(req, hop)
@@ -141,6 +154,15 @@
 // resolve finds the route, the account and the service of a request. On an error, the call holds the fields that were
 // resolved before it.
 func (r *Relay) resolve(req *front.Request, hop *hopRequest) (*Call, *fault.Error) {
+	c, refusal := r.resolveHeader(req, hop)
+	if refusal == nil {
+		c.Fingerprint = fingerprint(c.Account, req)
+	}
+	return c, refusal
+}
+
+// resolveHeader does what resolve does without the body of the request.
+func (r *Relay) resolveHeader(req *front.Request, hop *hopRequest) (*Call, *fault.Error) {
 	c := &Call{Arrived: req.Arrived, req: req, hop: hop}
 	table := r.deps.Table()
 	if table == nil {
@@ -177,7 +199,6 @@
 		return c, fault.New(fault.NoBackend, fault.NotRun, "the route leads to no service").WithRetryAfter(retryAfterNotReady)
 	}
 	c.Deadline = callDeadline(c)
-	c.Fingerprint = fingerprint(c.Account, req)
 	return c, nil
 }
 
