Bound the memory of request bodies and connections in the product's own mode

fasthttp's server read each body into memory before the key was checked. It now passes bodies on as streams: the header decides first, and the body is then read into a buffer that draws on the budget of package shed, as on the platform. Long bodies without a valid key or beyond the limit are not read. Idle connections are closed for new ones. Multipart bodies are no longer taken apart before the handler, which wrote parts of them to files.

The settings memory_mb and max_fds say what the node may use; without them it takes the memory of the host. Package memory divides it for both modes. The first message of a link between nodes is bounded by 4 kB instead of 4 MB.

--- a/internal/conf/flags/flags.go
+++ b/internal/conf/flags/flags.go
@@ -50,6 +50,9 @@
 	if s.DrainNotice < 0 || s.DrainTimeout < 0 {
 		faults = append(faults, "drain-notice and drain-timeout must not be negative")
 	}
+	if s.MemoryMb < 0 || s.MaxFds < 0 {
+		faults = append(faults, "memory-mb and max-fds must not be negative")
+	}
 	if len(faults) > 0 {
 		return errors.Mark(errors.Newf("%s", strings.Join(faults, "; ")), ErrInvalid)
 	}
--- a/internal/conf/flags/settings.gen.go
+++ b/internal/conf/flags/settings.gen.go
@@ -34,6 +34,10 @@
 	DrainNotice time.Duration
 	// DrainTimeout: longest wait for running requests in a planned stop
 	DrainTimeout time.Duration
+	// MemoryMb: memory of the host in MB, from which the limits for bodies and connections of callers follow, and from which the runtime gets 0.7; 0 to take what the host has without a limit of the runtime
+	MemoryMb int
+	// MaxFds: file descriptors that the node may use, of which callers get 0.4; 0 if not known
+	MaxFds int
 }
 
 // Flags returns the flags that fill s. Each can be set by an environment variable as well.
@@ -123,5 +127,19 @@
 			Value:       120000 * time.Millisecond,
 			Destination: &s.DrainTimeout,
 		},
+		&cli.IntFlag{
+			Name:        "memory-mb",
+			Usage:       "memory of the host in MB, from which the limits for bodies and connections of callers follow, and from which the runtime gets 0.7; 0 to take what the host has without a limit of the runtime",
+			Sources:     cli.EnvVars("GERANIUMHOLLOW_MEMORY_MB"),
+			Value:       0,
+			Destination: &s.MemoryMb,
+		},
+		&cli.IntFlag{
+			Name:        "max-fds",
+			Usage:       "file descriptors that the node may use, of which callers get 0.4; 0 if not known",
+			Sources:     cli.EnvVars("GERANIUMHOLLOW_MAX_FDS"),
+			Value:       0,
+			Destination: &s.MaxFds,
+		},
 	}
 }
--- a/internal/node/caller/caller.go
+++ b/internal/node/caller/caller.go
@@ -15,6 +15,7 @@
 	"geraniumhollow/internal/core/httpd"
 	"geraniumhollow/internal/core/tasks"
 	"geraniumhollow/internal/node/relay"
+	"geraniumhollow/internal/route/shed"
 	"github.com/cockroachdb/errors"
 	"github.com/fasthttp/router"
 	"github.com/hashicorp/go-hclog"
@@ -64,6 +65,11 @@
 // WithTimeouts replaces the default timeouts.
 func WithTimeouts(t Timeouts) Option { return func(s *Server) { s.timeouts = t.withDefaults() } }
 
+// WithMemory sets the memory for request bodies and the limit of connections.
+func WithMemory(bodies *shed.Budget, maxConns int) Option {
+	return func(s *Server) { s.bodies, s.maxConns = bodies, min(maxConns, maxConnections) }
+}
+
 // ServiceHandler handles a request of an authenticated account to a service without an engine.
 type ServiceHandler func(rc *fasthttp.RequestCtx, requestID string, a schema.Account)
 
@@ -97,6 +103,8 @@
 	services    ServiceHandler
 	onEnded     func(e FinishedRequest)
 	disconnects *disconnectWatcher
+	bodies      *shed.Budget
+	maxConns    int
 	srv         *fasthttp.Server
 }
 
@@ -106,23 +114,27 @@
 ) *Server {
 	s := &Server{
 		ctx: ctx, log: log, node: node, view: current, relay: rl, timeouts: Timeouts{}.withDefaults(), disconnects: newDisconnectWatcher(),
-		onEnded: func(FinishedRequest) {},
+		onEnded: func(FinishedRequest) {}, bodies: shed.New(0), maxConns: maxConnections,
 	}
 	for _, o := range opts {
 		o(s)
 	}
 	s.srv = &fasthttp.Server{
-		Handler:               s.withEndReport(s.routes().Handler),
-		ErrorHandler:          s.handleReadError,
-		HeaderReceived:        s.headerReceived,
-		ReadBufferSize:        maxHeaderBytes,
-		ReadTimeout:           s.timeouts.Header,
-		WriteTimeout:          s.timeouts.Write,
-		IdleTimeout:           idleTimeout,
-		Concurrency:           2 * maxConnections, // The listener rejects connections earlier, with a JSON error.
-		NoDefaultServerHeader: true,
-		CloseOnShutdown:       true,
-		Logger:                debugLogger{log: log},
+		Handler:        s.withEndReport(s.routes().Handler),
+		ErrorHandler:   s.handleReadError,
+		HeaderReceived: s.headerReceived,
+		ConnState:      stateChanged,
+		// A body is read once the header has told that it is wanted, see readBody.
+		StreamRequestBody:            true,
+		DisablePreParseMultipartForm: true,
+		ReadBufferSize:               maxHeaderBytes,
+		ReadTimeout:                  s.timeouts.Header,
+		WriteTimeout:                 s.timeouts.Write,
+		IdleTimeout:                  idleTimeout,
+		Concurrency:                  2 * maxConnections, // The listener rejects connections earlier, with a JSON error.
+		NoDefaultServerHeader:        true,
+		CloseOnShutdown:              true,
+		Logger:                       debugLogger{log: log},
 	}
 	return s
 }
@@ -160,7 +172,11 @@
 // withEndReport calls onEnded at the end of each request. Streams call it themselves when they are closed.
 func (s *Server) withEndReport(next fasthttp.RequestHandler) fasthttp.RequestHandler {
 	return func(rc *fasthttp.RequestCtx) {
-		next(rc)
+		if len(rc.Request.Header.Peek(headerTooLarge)) > 0 {
+			s.refuseUnread(rc, "", readFault(fasthttp.ErrBodyTooLarge))
+		} else {
+			next(rc)
+		}
 		if rc.Response.IsBodyStream() || string(rc.Path()) == pathHealth {
 			return
 		}
@@ -174,15 +190,38 @@
 func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
 	g := tasks.New(ctx)
 	g.Go("watch for disconnects", s.disconnects.run)
-	g.Go("serve callers", func(ctx context.Context) error { return httpd.Serve(ctx, s.srv, &listener{Listener: ln}) })
+	g.Go("serve callers", func(ctx context.Context) error {
+		return httpd.Serve(ctx, s.srv, &listener{Listener: ln, limit: s.maxConns, conns: make(map[*conn]struct{})})
+	})
 	return g.Wait()
 }
 
-// headerReceived sets the limits for reading a body from the current configuration.
-func (s *Server) headerReceived(*fasthttp.RequestHeader) fasthttp.RequestConfig {
-	return fasthttp.RequestConfig{MaxRequestBodySize: s.view().Limits.BodyBytes, ReadTimeout: s.timeouts.Body}
+// headerReceived sets the limits for reading a body from the current configuration. A long body of a request that its header already
+// decides is not read: the request goes on without it, and its connection is closed.
+func (s *Server) headerReceived(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
+	limit := s.view().Limits.BodyBytes
+	h.Del(headerTooLarge)
+	if length := h.ContentLength(); length == chunkedLength || length > maxDiscardBytes {
+		_, ferr := s.account(h)
+		if length > limit {
+			h.Set(headerTooLarge, "1")
+		}
+		if length > limit || ferr != nil {
+			h.SetContentLength(0)
+			h.Del(fasthttp.HeaderExpect)
+			h.SetConnectionClose()
+		}
+	}
+	return fasthttp.RequestConfig{MaxRequestBodySize: limit, ReadTimeout: s.timeouts.Body}
 }
 
+// headerTooLarge marks a request with a body that is announced to be larger than the limit. The server sets it; one that a caller sends
+// is removed.
+const headerTooLarge = "X-Announced-Too-Large"
+
+// chunkedLength is the length that the parser gives for a chunked body.
+const chunkedLength = -1
+
 // handleReadError responds to a request that could not be read.
 func (s *Server) handleReadError(rc *fasthttp.RequestCtx, err error) {
 	if c, ok := rc.Conn().(*conn); ok {
@@ -210,29 +249,42 @@
 // handler handles a request of an authenticated account.
 type handler func(rc *fasthttp.RequestCtx, id string, a schema.Account)
 
-// authenticate looks up the account of a request by its bearer key and calls h.
+// authenticate looks up the account of a request by its bearer key, reads the body and calls h.
 func (s *Server) authenticate(h handler) fasthttp.RequestHandler {
 	return func(rc *fasthttp.RequestCtx) {
-		key, ok := strings.CutPrefix(string(rc.Request.Header.Peek("Authorization")), "Bearer ")
-		if !ok {
-			writeFault(rc, "", fault.New(fault.Unauthorized, fault.NotRun, "a bearer key is required"))
+		a, ferr := s.account(&rc.Request.Header)
+		if ferr != nil {
+			s.refuseUnread(rc, "", ferr)
 			return
 		}
-		v := s.view()
-		if v.Version == 0 {
-			writeFault(rc, "", fault.New(fault.NodeIsolated, fault.NotRun, "the node has no configuration yet").
-				WithRetryAfter(time.Second))
-			return
-		}
-		a, ok := v.AccountByKey(key)
-		if !ok {
-			writeFault(rc, "", fault.New(fault.Unauthorized, fault.NotRun, "the bearer key is not known"))
+		release, ferr := s.readBody(rc)
+		if ferr != nil {
+			closeAfter(rc)
+			writeFault(rc, "", ferr)
 			return
 		}
+		defer release()
 		h(rc, relay.NewRequestID(s.node, a.Name), a)
 	}
 }
 
+// account returns the account of a request.
+func (s *Server) account(h *fasthttp.RequestHeader) (schema.Account, *fault.Error) {
+	key, ok := strings.CutPrefix(string(h.Peek("Authorization")), "Bearer ")
+	if !ok {
+		return schema.Account{}, fault.New(fault.Unauthorized, fault.NotRun, "a bearer key is required")
+	}
+	v := s.view()
+	if v.Version == 0 {
+		return schema.Account{}, fault.New(fault.NodeIsolated, fault.NotRun, "the node has no configuration yet").WithRetryAfter(time.Second)
+	}
+	a, ok := v.AccountByKey(key)
+	if !ok {
+		return schema.Account{}, fault.New(fault.Unauthorized, fault.NotRun, "the bearer key is not known")
+	}
+	return a, nil
+}
+
 // modelEntry is one entry of the model list.
 type modelEntry struct {
 	ID     string `json:"id"`
--- a/internal/node/caller/conn.go
+++ b/internal/node/caller/conn.go
@@ -12,8 +12,10 @@
 	"geraniumhollow/internal/core/fault"
 	"geraniumhollow/internal/core/tasks"
 	"geraniumhollow/internal/node/relay"
+	"geraniumhollow/internal/route/shed"
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
+	"github.com/valyala/fasthttp"
 )
 
 // writeBufferBytes is the size of the kernel's send buffer. The default grows to megabytes, which would hide
@@ -30,10 +32,17 @@
 // listener limits the number of connections and their send buffers.
 type listener struct {
 	net.Listener
-	openConns atomic.Int64
+	limit int
+
+	mu    sync.Mutex
+	conns map[*conn]struct{}
 }
 
-// Accept returns the next connection. Connections beyond maxConnections are rejected.
+// closingShare is the part of the limit of connections that may be open beyond it while idle ones are being closed.
+const closingShare = 1.0 / 16
+
+// Accept returns the next connection. For one beyond the limit, the one that has been idle for longest is closed; if none is idle, the
+// new one is rejected.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
 		nc, err := l.Listener.Accept()
@@ -45,12 +54,59 @@
 			return nc, nil
 		}
 		_ = tcp.SetWriteBuffer(writeBufferBytes)
-		if l.openConns.Add(1) > maxConnections {
-			l.openConns.Add(-1)
+		c := &conn{TCPConn: tcp}
+		c.onClose = func() { l.remove(c) }
+		c.idleSince.Store(time.Now().UnixNano())
+		if !l.add(c) {
 			rejectConn(tcp)
 			continue
 		}
-		return &conn{TCPConn: tcp, onClose: func() { l.openConns.Add(-1) }}, nil
+		return c, nil
+	}
+}
+
+func (l *listener) add(c *conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if n := len(l.conns); n >= l.limit && (n >= l.limit+int(closingShare*float64(l.limit)) || !l.closeIdle()) {
+		return false
+	}
+	l.conns[c] = struct{}{}
+	return true
+}
+
+func (l *listener) remove(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+}
+
+// closeIdle closes the connection that has been idle for longest, and reports false if none is idle. The lock must be held.
+func (l *listener) closeIdle() bool {
+	var idle *conn
+	var since int64
+	for c := range l.conns {
+		if at := c.idleSince.Load(); at > 0 && (idle == nil || at < since) {
+			idle, since = c, at
+		}
+	}
+	if idle == nil || !idle.idleSince.CompareAndSwap(since, 0) {
+		return false
+	}
+	// The server closes a connection whose wait for a request has timed out.
+	_ = idle.SetReadDeadline(time.Now())
+	return true
+}
+
+// stateChanged records since when a connection is idle.
+func stateChanged(nc net.Conn, state fasthttp.ConnState) {
+	c, ok := nc.(*conn)
+	switch {
+	case !ok:
+	case state == fasthttp.StateIdle:
+		c.idleSince.Store(time.Now().UnixNano())
+	case state == fasthttp.StateActive:
+		c.idleSince.Store(0)
 	}
 }
 
@@ -71,6 +127,13 @@
 	lingerOnClose atomic.Bool
 	closeOnce     sync.Once
 	onClose       func()
+	// idleSince is when the connection became idle, in nanoseconds, or 0 while it is not or is being closed.
+	idleSince atomic.Int64
+	// body is the share of the body that is being read, or nil.
+	body atomic.Pointer[shed.Body]
+	// reads and received are the number of reads and bytes of the body reading. Only the reader of the connection uses them.
+	reading         *shed.Body
+	reads, received int
 }
 
 // Close closes the connection. If lingerOnClose is set, it first gives the caller time to read the response.
--- a/internal/node/edge/config.go
+++ b/internal/node/edge/config.go
@@ -8,6 +8,7 @@
 	"geraniumhollow/internal/fleet/mirror"
 	"geraniumhollow/internal/node/keeper"
 	"geraniumhollow/internal/node/pass"
+	"geraniumhollow/internal/plat/memory"
 	"geraniumhollow/internal/plat/table"
 	"geraniumhollow/internal/report/metric"
 	"geraniumhollow/internal/route/match"
@@ -56,6 +57,12 @@
 	StallTime time.Duration
 }
 
+// LimitRuntime has the runtime keep its memory below that of the host, if it is known.
+func (s Settings) LimitRuntime() { s.host().LimitRuntime() }
+
+// host returns what the node may use of its host.
+func (s Settings) host() memory.Host { return memory.Host{Bytes: s.Memory, Descriptors: s.Descriptors} }
+
 // Families are the names of the row families that a node replicates.
 type Families struct {
 	Servers  string
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -77,10 +77,6 @@
 	budgets      map[string]*retry.Budget
 }
 
-// callerDescriptorShare is the share of file descriptors that caller connections may use. The rest is for
-// connections to backend servers and other nodes, and for files.
-const callerDescriptorShare = 0.4
-
 // New returns a node that is not running yet.
 func New(cfg Config) (*Node, error) {
 	set, err := cfg.Settings()
@@ -89,7 +85,7 @@
 	}
 	n := &Node{cfg: cfg, startedAt: time.Now(), index: index.New(), outOfService: sets.New[string](), budgets: make(map[string]*retry.Budget)}
 	n.settings.Store(&set)
-	n.bodies = set.newBodies()
+	n.bodies = set.host().Bodies()
 	n.switchable = newSwitchableStore(cfg.NewStore, set.StoreAddress)
 	n.store = cfg.Metrics.Store(n.switchable)
 	address := net.JoinHostPort(set.IP, strconv.Itoa(set.PeerPort))
@@ -132,7 +128,7 @@
 		Metrics: cfg.Metrics, Log: cfg.Log,
 	})
 	n.front = front.New(front.Config{
-		Handler: relay, Limits: n.limits, MaxConnections: set.maxCallers(), Bodies: n.bodies, Log: cfg.Log,
+		Handler: relay, Limits: n.limits, MaxConnections: set.host().MaxCallers(), Bodies: n.bodies, Log: cfg.Log,
 	})
 	n.forwarded = front.New(front.Config{
 		Handler: detour.Handler{Detour: n.detour, Relay: relay, Capacity: set.Capacity, Stopping: n.stopping.Load},
--- a/internal/node/serve/command.go
+++ b/internal/node/serve/command.go
@@ -7,6 +7,7 @@
 	"syscall"
 
 	"geraniumhollow/internal/conf/flags"
+	"geraniumhollow/internal/plat/memory"
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 	"github.com/urfave/cli/v3"
@@ -27,6 +28,7 @@
 			log := hclog.New(&hclog.LoggerOptions{
 				Name: "geraniumhollow", Level: hclog.LevelFromString(cfg.LogLevel), JSONFormat: true, Output: os.Stderr,
 			})
+			memory.Host{Bytes: cfg.MemoryMb << 20}.LimitRuntime()
 			lns, cfg, err := Listen(ctx, cfg)
 			if err != nil {
 				return errors.Newf("serve: %w", err)
--- a/internal/node/serve/serve.go
+++ b/internal/node/serve/serve.go
@@ -20,9 +20,11 @@
 	"geraniumhollow/internal/node/peers"
 	"geraniumhollow/internal/node/relay"
 	"geraniumhollow/internal/plat/hosts"
+	"geraniumhollow/internal/plat/memory"
 	"geraniumhollow/internal/plat/table"
 	"geraniumhollow/internal/report/metric"
 	"geraniumhollow/internal/report/reason"
+	"geraniumhollow/internal/route/shed"
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 )
@@ -54,7 +56,9 @@
 	reasons *reason.Ring
 	metrics *metric.Set
 	now     func() time.Time
-	view    atomic.Pointer[view.View]
+	// bodies is the memory for bodies of requests.
+	bodies *shed.Budget
+	view   atomic.Pointer[view.View]
 	// allowed holds the rules for which backend servers may get new work.
 	allowed     atomic.Pointer[drain.Set]
 	running     atomic.Int64
@@ -117,8 +121,12 @@
 		incarnation: peers.NewIncarnation(time.Now()),
 		drain:       drain.NewNode(cfg.DrainNotice, cfg.DrainTimeout),
 	}
+	n.bodies = n.host().Bodies()
 	n.reasons = reason.New(reasonEntries, n.now)
 	n.metrics = metric.New()
+	n.metrics.Func("body_bytes", "Bytes that bodies of requests hold.", func() float64 { return float64(n.bodies.Stats().Held) })
+	n.metrics.Func("body_bytes_limit", "Most bytes that bodies of requests may hold.", func() float64 { return float64(n.bodies.Stats().Limit) })
+	n.metrics.Func("bodies_shed", "Bodies of requests that gave way to others since the start.", func() float64 { return float64(n.bodies.Stats().Shed) })
 	n.parts.Table = n.metrics.Table(parts.Table)
 	n.configs = apply.New(n.parts.Table, n.now)
 	n.view.Store(view.New(0, &schema.Document{}))
@@ -140,6 +148,15 @@
 	return n, nil
 }
 
+// host returns what the node may use of its host.
+func (n *Node) host() memory.Host {
+	h := memory.Host{Bytes: n.cfg.MemoryMb << 20, Descriptors: n.cfg.MaxFds}
+	if h.Bytes == 0 {
+		h.Bytes = memory.Total()
+	}
+	return h
+}
+
 // Peers returns the node's membership state and its connections to other nodes.
 func (n *Node) Peers() *peers.Peers { return n.peers }
 
@@ -172,7 +189,7 @@
 		return err
 	}
 	srv := caller.New(g.Context(), n.log.Named("caller"), n.cfg.NodeName, n.view.Load, rl,
-		caller.WithServices(services), caller.WithRequestObserver(obs.requestEnded))
+		caller.WithServices(services), caller.WithMemory(n.bodies, n.host().MaxCallers()), caller.WithRequestObserver(obs.requestEnded))
 	g.Go("callers", func(ctx context.Context) error { return srv.Serve(ctx, n.lns.Callers) })
 	g.Go("operators", func(ctx context.Context) error { return n.serveOperators(ctx, n.metricsPage(coord, rl), reporter) })
 	g.Go("peers", func(ctx context.Context) error { return n.peers.Run(ctx, n.lns.Peers) })
--- a/internal/wire/peer/link.go
+++ b/internal/wire/peer/link.go
@@ -45,9 +45,12 @@
 	pending map[uint64]chan answer
 }
 
+// helloBytes bounds the first message of a link, which anyone who reaches the port may send. A hello has some tens of bytes.
+const helloBytes = 4 << 10
+
 // newLink exchanges hellos on ws. The link is not registered yet.
 func (n *Net) newLink(ctx context.Context, ws *websocket.Conn, dialled bool) (*link, error) {
-	ws.SetReadLimit(frame.MaxBytes)
+	ws.SetReadLimit(helloBytes)
 	_ = ws.SetReadDeadline(time.Now().Add(helloTimeout))
 	_ = ws.SetWriteDeadline(time.Now().Add(helloTimeout))
 	p, err := n.exchangeHello(ws, dialled)
@@ -57,6 +60,7 @@
 	if p.Node == n.cfg.Self.Node || !n.cfg.Accept(p) {
 		return nil, errors.Newf("incarnation %s of %s is not expected: %w", p.Incarnation, p.Node, ErrNoLink)
 	}
+	ws.SetReadLimit(frame.MaxBytes)
 	l := &link{
 		net: n, ws: ws, peer: p, dialled: dialled,
 		queue:   make(chan outgoing, queueMessages),
--- a/internal/wire/peer/peer.go
+++ b/internal/wire/peer/peer.go
@@ -166,6 +166,7 @@
 	srv := &fasthttp.Server{
 		Handler:               n.upgrade,
 		ReadTimeout:           helloTimeout,
+		MaxRequestBodySize:    helloBytes, // An upgrade has no body.
 		Concurrency:           maxLinks,
 		ReadBufferSize:        2 << 10,
 		WriteBufferSize:       bufferBytes,
