--- a/internal/node/front/body_test.go
+++ b/internal/node/front/body_test.go
@@ -161,6 +161,26 @@
 	}
 }
 
+// Guards against refusing a body within the limits because it comes in tiny chunks, at once or slowly.
+func TestTinyChunksAreServed(t *testing.T) {
+	t.Parallel()
+	_, addr := newKeyServer(t, 0, 0)
+	const head = "POST / HTTP/1.1\r\nHost: h\r\nKey: k\r\nTransfer-Encoding: chunked\r\n\r\n"
+	_, br := begin(t, addr, head+strings.Repeat("1\r\nx\r\n", 200_000)+"0\r\n\r\n")
+	if status, _, _ := readStatus(t, br); status != http.StatusOK {
+		t.Errorf("many tiny chunks got %d", status)
+	}
+	nc, br := begin(t, addr, head)
+	for range 150 {
+		send(t, nc, "1\r\nx\r\n")
+		time.Sleep(5 * time.Millisecond)
+	}
+	send(t, nc, "0\r\n\r\n")
+	if status, _, _ := readStatus(t, br); status != http.StatusOK {
+		t.Errorf("slow tiny chunks got %d", status)
+	}
+}
+
 // Guards against bodies that stall and keep the memory from one that arrives, and against a refusal of theirs without a time to come
 // back.
 func TestStalledBodyGivesWay(t *testing.T) {
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -164,7 +164,7 @@
 		}
 		c := &conn{nc: nc, client: clientAddress(nc), srv: s, entered: time.Now()}
 		if !s.addConn(c) {
-			s.refused.log(s.cfg.Log, "closed a connection beyond the connection limit", "limit", s.cfg.MaxConnections)
+			s.refused.log(s.cfg.Log, hclog.Warn, "closed a connection beyond the connection limit", "limit", s.cfg.MaxConnections)
 			_ = nc.Close()
 			continue
 		}
--- a/internal/node/front/limit.go
+++ b/internal/node/front/limit.go
@@ -13,7 +13,8 @@
 	// for another one: ordinary headers arrive within a round trip, ordinary bodies within a few.
 	minHeaderTime = time.Second
 	minBodyTime   = 3 * time.Second
-	// closingShare is the part of MaxConnections that may be open beyond it while others are being closed.
+	// closingShare is the part of MaxConnections that may be open beyond it while others are being closed. A limit below 16 leaves
+	// no room for that, so that new connections are refused.
 	closingShare = 1.0 / 16
 )
 
@@ -83,8 +84,8 @@
 	omitted int
 }
 
-// log writes a line, with the number of lines that were omitted before, or omits it.
-func (l *limitedLog) log(log hclog.Logger, msg string, args ...any) {
+// log writes a line of a level, with the number of lines that were omitted before, or omits it.
+func (l *limitedLog) log(log hclog.Logger, level hclog.Level, msg string, args ...any) {
 	l.mu.Lock()
 	now := time.Now()
 	if now.Sub(l.last) < logInterval {
@@ -95,5 +96,5 @@
 	omitted := l.omitted
 	l.last, l.omitted = now, 0
 	l.mu.Unlock()
-	log.Info(msg, append(args, "omitted", omitted)...)
+	log.Log(level, msg, append(args, "omitted", omitted)...)
 }
