--- a/internal/node/caller/body.go
+++ b/internal/node/caller/body.go
@@ -8,6 +8,7 @@
 	"geraniumhollow/internal/core/fault"
 	"geraniumhollow/internal/route/shed"
 	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
 	"github.com/valyala/fasthttp"
 )
 
@@ -40,6 +41,7 @@
 	// The body may have been shed while it waited, which ends the wait as a timeout does.
 	ferr := readFault(err)
 	if share.WasShed() {
+		s.shedLog.Log(s.log, hclog.Info, "refused a request whose body gave way to others", "client", rc.RemoteIP().String())
 		ferr = fault.New(fault.Overloaded, fault.NotRun, "the node has no memory for the body").WithRetryAfter(retryAfterShed)
 	}
 	share.Close()
--- a/internal/node/caller/caller.go
+++ b/internal/node/caller/caller.go
@@ -13,6 +13,7 @@
 	"geraniumhollow/internal/conf/view"
 	"geraniumhollow/internal/core/fault"
 	"geraniumhollow/internal/core/httpd"
+	"geraniumhollow/internal/core/logbuf"
 	"geraniumhollow/internal/core/tasks"
 	"geraniumhollow/internal/node/relay"
 	"geraniumhollow/internal/route/shed"
@@ -105,7 +106,9 @@
 	disconnects *disconnectWatcher
 	bodies      *shed.Budget
 	maxConns    int
-	srv         *fasthttp.Server
+	// shedLog and refusedLog limit the log lines of bodies that were shed and of connections beyond the limit.
+	shedLog, refusedLog logbuf.Limited
+	srv                 *fasthttp.Server
 }
 
 // New returns a server whose requests are cancelled with ctx. node is the node name in request IDs.
@@ -191,11 +194,18 @@
 	g := tasks.New(ctx)
 	g.Go("watch for disconnects", s.disconnects.run)
 	g.Go("serve callers", func(ctx context.Context) error {
-		return httpd.Serve(ctx, s.srv, &listener{Listener: ln, limit: s.maxConns, conns: make(map[*conn]struct{})})
+		return httpd.Serve(ctx, s.srv, s.limit(ln))
 	})
 	return g.Wait()
 }
 
+// limit returns a listener that limits the number of connections.
+func (s *Server) limit(ln net.Listener) net.Listener {
+	return &listener{Listener: ln, limit: s.maxConns, conns: make(map[*conn]struct{}), onReject: func() {
+		s.refusedLog.Log(s.log, hclog.Warn, "refused a connection beyond the connection limit", "limit", s.maxConns)
+	}}
+}
+
 // headerReceived sets the limits for reading a body from the current configuration. A long body of a request that its header already
 // decides is not read: the request goes on without it, and its connection is closed.
 func (s *Server) headerReceived(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
--- a/internal/node/caller/conn.go
+++ b/internal/node/caller/conn.go
@@ -33,6 +33,8 @@
 type listener struct {
 	net.Listener
 	limit int
+	// onReject is called for each connection that is rejected.
+	onReject func()
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -58,6 +60,7 @@
 		c.onClose = func() { l.remove(c) }
 		c.idleSince.Store(time.Now().UnixNano())
 		if !l.add(c) {
+			l.onReject()
 			rejectConn(tcp)
 			continue
 		}
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"geraniumhollow/internal/core/logbuf"
 	"geraniumhollow/internal/core/sock"
 	"geraniumhollow/internal/core/tasks"
 	"geraniumhollow/internal/route/shed"
@@ -106,7 +107,7 @@
 	// ending is set once CancelUnanswered was called.
 	ending atomic.Bool
 	// unreadable and refused limit the log lines of requests that cannot be read and of connections beyond the limit.
-	unreadable, refused limitedLog
+	unreadable, refused logbuf.Limited
 
 	// shedConns counts the connections that were closed for others or refused.
 	shedConns atomic.Uint64
@@ -164,7 +165,7 @@
 		}
 		c := &conn{nc: nc, client: clientAddress(nc), srv: s, entered: time.Now()}
 		if !s.addConn(c) {
-			s.refused.log(s.cfg.Log, hclog.Warn, "closed a connection beyond the connection limit", "limit", s.cfg.MaxConnections)
+			s.refused.Log(s.cfg.Log, hclog.Warn, "closed a connection beyond the connection limit", "limit", s.cfg.MaxConnections)
 			_ = nc.Close()
 			continue
 		}
--- a/internal/node/front/limit.go
+++ b/internal/node/front/limit.go
@@ -2,10 +2,7 @@
 
 import (
 	"net"
-	"sync"
 	"time"
-
-	"github.com/hashicorp/go-hclog"
 )
 
 const (
@@ -73,28 +70,3 @@
 	}
 	return ""
 }
-
-// logInterval is the time between log lines of one cause.
-const logInterval = time.Second
-
-// limitedLog writes a line at most every logInterval. It is safe for concurrent use.
-type limitedLog struct {
-	mu      sync.Mutex
-	last    time.Time
-	omitted int
-}
-
-// log writes a line of a level, with the number of lines that were omitted before, or omits it.
-func (l *limitedLog) log(log hclog.Logger, level hclog.Level, msg string, args ...any) {
-	l.mu.Lock()
-	now := time.Now()
-	if now.Sub(l.last) < logInterval {
-		l.omitted++
-		l.mu.Unlock()
-		return
-	}
-	omitted := l.omitted
-	l.last, l.omitted = now, 0
-	l.mu.Unlock()
-	log.Log(level, msg, append(args, "omitted", omitted)...)
-}
--- a/internal/node/front/read.go
+++ b/internal/node/front/read.go
@@ -29,7 +29,7 @@
 	}
 	// The buffers of the request are free before the caller has taken the response.
 	pending.release()
-	c.srv.unreadable.log(c.srv.cfg.Log, hclog.Info, "refused a request that cannot be read", "status", status, "shed", shed, "error", err)
+	c.srv.unreadable.Log(c.srv.cfg.Log, hclog.Info, "refused a request that cannot be read", "status", status, "shed", shed, "error", err)
 	if status != 0 {
 		c.refuse(status)
 	}
