--- a/internal/node/edge/config.go
+++ b/internal/node/edge/config.go
@@ -10,6 +10,7 @@
 	"geraniumhollow/internal/node/keeper"
 	"geraniumhollow/internal/node/pass"
 	"geraniumhollow/internal/plat/cloud"
+	"geraniumhollow/internal/plat/memory"
 	"geraniumhollow/internal/plat/table"
 	"geraniumhollow/internal/report/metric"
 	"geraniumhollow/internal/route/match"
@@ -34,6 +35,8 @@
 	Region string
 	// Descriptors is the number of file descriptors that the node may use.
 	Descriptors int
+	// Memory is the memory of the host in bytes, or 0 if it is not known.
+	Memory int
 	// Capacity is the processor capacity of the host, in cores of ordinary speed.
 	Capacity float64
 	// FirstStart is true if all nodes of the system are starting for the first time.
@@ -61,6 +64,12 @@
 // CloudSettings configure the calls of the platform's API.
 type CloudSettings = duties.Settings
 
+// LimitRuntime has the runtime keep its memory below that of the host, if it is known.
+func (s Settings) LimitRuntime() { s.host().LimitRuntime() }
+
+// host returns what the node may use of its host.
+func (s Settings) host() memory.Host { return memory.Host{Bytes: s.Memory, Descriptors: s.Descriptors} }
+
 // Families are the names of the row families that a node replicates.
 type Families struct {
 	Servers  string
--- a/internal/node/front/conn.go
+++ b/internal/node/front/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"io"
 	"net"
@@ -35,6 +34,7 @@
 	// closedByCaller includes connections that the caller asked to close after the response.
 	closedByCaller     closeReason = "caller closed it"
 	closedIdle         closeReason = "idle"
+	closedForOthers    closeReason = "too many connections"
 	closedDraining     closeReason = "draining"
 	closedWithServer   closeReason = "server ended"
 	closedUnreadable   closeReason = "request cannot be read"
@@ -55,8 +55,9 @@
 const (
 	// awaiting means that no byte of a request has arrived.
 	awaiting phase = iota
-	// reading means that part of a request has arrived.
+	// reading means that part of a header has arrived, and readingBody that the header has.
 	reading
+	readingBody
 	// handling means that a request is handled.
 	handling
 	// lingering means that the last response has been sent.
@@ -65,15 +66,20 @@
 
 // conn is a connection of a caller.
 type conn struct {
-	nc  net.Conn
-	br  *bufio.Reader
-	srv *Server
+	nc net.Conn
+	// client is the IP address of the caller.
+	client string
+	br     *bufio.Reader
+	srv    *Server
 	// readErr is the last error of reading from nc.
 	readErr error
-	// mu guards phase, served and deadline, the read deadline of the phase if the server does not drain.
+	// mu guards phase, entered, expired, served and deadline, the read deadline of the phase if the server does not drain.
 	mu       sync.Mutex
 	phase    phase
 	deadline time.Time
+	// entered is when the phase began. expired is set once the connection has to end the phase for others.
+	entered time.Time
+	expired bool
 	// served is set once a request has been handled.
 	served bool
 	// answering is set once part of the response may have been sent, and cancel cancels the context of the request.
@@ -100,9 +106,12 @@
 		if err := c.awaitRequest(); err != nil {
 			return c.readErrorReason(err)
 		}
-		req, ok := c.readRequest()
-		if !ok {
-			return closedUnreadable
+		req, reason := c.readRequest()
+		if reason != "" {
+			return reason
+		}
+		if req == nil {
+			continue // Its header was enough to refuse it.
 		}
 		if reason, closes := c.handleRequest(ctx, g, req); closes {
 			return reason
@@ -114,7 +123,11 @@
 func (c *conn) enter(p phase, deadline time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase, c.deadline = p, deadline
+	now := time.Now()
+	if c.expired = c.expired && p == awaiting; c.expired {
+		deadline = now
+	}
+	c.phase, c.deadline, c.entered = p, deadline, now
 	c.served = c.served || p == handling
 	return c.applyDeadline()
 }
@@ -136,7 +149,7 @@
 			t = *since
 		case c.phase == awaiting:
 			t = earlier(t, since.Add(firstRequestTime))
-		case c.phase == reading:
+		case c.phase == reading || c.phase == readingBody:
 			t = earlier(t, since.Add(drainReadTime))
 		}
 	}
@@ -165,6 +178,8 @@
 	switch {
 	case isTimeout(err) && c.srv.draining.Load() != nil:
 		return closedDraining
+	case isTimeout(err) && c.ended():
+		return closedForOthers
 	case isTimeout(err):
 		return closedIdle
 	case errors.Is(err, net.ErrClosed):
@@ -174,6 +189,12 @@
 	}
 }
 
+// ended reports whether the connection had to end its phase for others.
+func (c *conn) ended() bool {
+	_, _, expired := c.state()
+	return expired
+}
+
 // logClosed logs that the server closes the connection. Data that was not read may be a request.
 func (c *conn) logClosed(reason closeReason) {
 	if reason == closedByCaller {
@@ -211,80 +232,18 @@
 // idleUntil returns when the connection has been idle for the idle timeout.
 func (c *conn) idleUntil() time.Time { return c.lastActive.Add(c.srv.limits().IdleTimeout) }
 
-// readRequest reads a complete request. A request that cannot be read is refused and ends the connection.
-func (c *conn) readRequest() (*pendingRequest, bool) {
-	l := c.srv.limits()
-	pending := &pendingRequest{req: fasthttp.AcquireRequest(), arrived: time.Now()}
-	status, err := c.readInto(pending, l)
-	if err == nil {
-		return pending, true
-	}
-	c.srv.cfg.Log.Info("refused a request that cannot be read", "status", status, "error", err)
-	if status != 0 {
-		c.refuse(status)
-	}
-	pending.release()
-	return nil, false
-}
+// Shed implements shed.Source. It ends the wait for more of a body.
+func (c *conn) Shed() { c.expire(readingBody) }
 
-// readInto reads a request into m. On an error, it returns the status to refuse the request with, or 0 if the
-// connection has failed.
-func (c *conn) readInto(pending *pendingRequest, l Limits) (int, error) {
-	c.readErr = nil
-	if err := c.enter(reading, time.Now().Add(l.HeaderTimeout)); err != nil {
-		return 0, err
-	}
-	if err := pending.req.Header.Read(c.br); err != nil {
-		return c.readErrorStatus(err), errors.Newf("read header: %w", err)
-	}
-	if hasTwoLengths(&pending.req.Header) {
-		return fasthttp.StatusBadRequest, errors.New("request has both Content-Length and Transfer-Encoding")
-	}
-	pending.req.Header.SetNoDefaultContentType(true)
-	if err := c.enter(reading, time.Now().Add(l.IdleTimeout)); err != nil {
-		return 0, err
-	}
-	if pending.req.Header.ContentLength() > l.BodyBytes {
-		return fasthttp.StatusRequestEntityTooLarge, fasthttp.ErrBodyTooLarge
-	}
-	if pending.req.MayContinue() {
-		if _, err := io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return 0, errors.Newf("write interim response: %w", err)
-		}
-	}
-	if err := pending.req.ContinueReadBody(c.br, l.BodyBytes, false); err != nil {
-		return c.readErrorStatus(err), errors.Newf("read body: %w", err)
-	}
-	return 0, nil
-}
-
-// hasTwoLengths reports whether a header has both Content-Length and Transfer-Encoding. Proxies that use different ones
-// see different requests (request smuggling).
-func hasTwoLengths(h *fasthttp.RequestHeader) bool {
-	chunks, length := false, false
-	for line := range bytes.Lines(h.RawHeaders()) {
-		name, _, _ := bytes.Cut(line, []byte(":"))
-		chunks = chunks || bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding))
-		length = length || bytes.EqualFold(name, []byte(fasthttp.HeaderContentLength))
-	}
-	return chunks && length
-}
-
-// readErrorStatus returns the status to refuse a request with that cannot be read, or 0 if the connection has failed.
-func (c *conn) readErrorStatus(err error) int {
-	var small *fasthttp.ErrSmallBuffer
-	switch {
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		return fasthttp.StatusRequestEntityTooLarge
-	case isTimeout(c.readErr):
-		return fasthttp.StatusRequestTimeout
-	case c.readErr != nil:
-		return 0
-	case errors.As(err, &small):
-		return fasthttp.StatusRequestHeaderFieldsTooLarge
-	default:
-		return fasthttp.StatusBadRequest
+// expire ends the current wait of the connection if it is in a phase.
+func (c *conn) expire(p phase) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != p {
+		return
 	}
+	c.deadline, c.expired = time.Now(), true
+	_ = c.applyDeadline()
 }
 
 // connReader reads from the connection and records the error, which the parser hides in its own.
@@ -304,13 +263,6 @@
 	return errors.As(err, &ne) && ne.Timeout()
 }
 
-// refuse responds to a request that could not be read. The caller of refuse closes the connection.
-func (c *conn) refuse(status int) {
-	w := &Writer{conn: c, closeAfter: true}
-	w.Refuse(status, nil, nil)
-	c.linger()
-}
-
 // handleRequest calls the handler for a request, and reports whether the connection must be closed and why.
 func (c *conn) handleRequest(ctx context.Context, g *tasks.Group, pending *pendingRequest) (closeReason, bool) {
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -331,7 +283,7 @@
 	done := make(chan struct{})
 	g.Go("request", func(context.Context) error {
 		defer close(done)
-		c.callHandler(ctx, &Request{Header: &pending.req.Header, Body: pending.req.Body(), Arrived: pending.arrived}, w)
+		c.callHandler(ctx, &Request{Header: &pending.req.Header, Body: pending.bytes, Arrived: pending.arrived}, w)
 		w.finish()
 		pending.release()
 		c.requests++
@@ -408,11 +360,3 @@
 	_ = c.enter(lingering, time.Now().Add(lingerTimeout))
 	_, _ = io.CopyN(io.Discard, c.nc, lingerBytes)
 }
-
-// pendingRequest is a request that is being read or handled.
-type pendingRequest struct {
-	req     *fasthttp.Request
-	arrived time.Time
-}
-
-func (p *pendingRequest) release() { fasthttp.ReleaseRequest(p.req) }
