Refuse bodies that end before their announced length

In the product's own mode, the body stream of fasthttp reports the end of the connection as io.EOF, as it does for the end of the body. A body of more than 8 kB whose caller had gone was handled as if it were complete. It is refused with 400 again, as before bodies were streamed.

TestTruncatedBodyIsNotHandled got 404 model_not_found for bodies that lack half of 20 kB and of 200 kB before the change.

--- a/internal/node/caller/body.go
+++ b/internal/node/caller/body.go
@@ -69,6 +69,10 @@
 		n, err := stream.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
 		if errors.Is(err, io.EOF) {
+			if len(buf) < length {
+				// The stream of an announced length reports the end of the connection in the same way as the end of the body.
+				return nil, io.ErrUnexpectedEOF
+			}
 			return buf, nil
 		}
 		if err != nil {
--- a/internal/node/caller/memory_test.go
+++ b/internal/node/caller/memory_test.go
@@ -93,3 +93,19 @@
 		time.Sleep(5 * time.Millisecond) // The server learns that the connection is idle.
 	}
 }
+
+// Guards against a body that ends before its announced length, as its caller has gone, and is taken for a complete one.
+func TestTruncatedBodyIsNotHandled(t *testing.T) {
+	t.Parallel()
+	addr, key := startLimited(t, 0, 100)
+	for _, length := range []int{100, 20 << 10, 200 << 10} {
+		nc, br := ask(t, addr, fmt.Sprintf("POST /v1/completions %sContent-Length: %d\r\n\r\n{}", key, length)+strings.Repeat(" ", length/2))
+		if err := nc.(*net.TCPConn).CloseWrite(); err != nil { //nolint:forcetypeassert // dial returns a TCP connection.
+			t.Fatal(err)
+		}
+		code, raw, _ := status(t, br)
+		if code != http.StatusBadRequest || !strings.Contains(string(raw), "not valid HTTP") {
+			t.Errorf("a body that lacks half of its %d bytes got %d %s", length, code, raw)
+		}
+	}
+}
