Keep a connection on which a request has arrived while it was closed for another one

In the product's own mode, a connection beyond the limit ends the wait of the one that has been idle for longest by a deadline. The deadline also hides a request that has arrived but was not read yet, so the connection was closed without an answer. This mostly affects new connections in a burst, as they count as idle until their first byte is read. internal/node/front already looks for unread data; the listener of internal/node/caller now does the same.

TestConnectionWithRequestIsNotClosedForOther got a time-out before the change.

--- a/internal/node/caller/body.go
+++ b/internal/node/caller/body.go
@@ -3,9 +3,11 @@
 import (
 	"io"
 	"net"
+	"os"
 	"time"
 
 	"geraniumhollow/internal/core/fault"
+	"geraniumhollow/internal/core/sock"
 	"geraniumhollow/internal/route/shed"
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
@@ -128,7 +130,7 @@
 func (c *conn) Read(b []byte) (int, error) {
 	share := c.body.Load()
 	if share == nil {
-		return c.TCPConn.Read(b) //nolint:wrapcheck // net.Conn: the server compares the error.
+		return c.readRequest(b)
 	}
 	if c.reading != share {
 		c.reading, c.reads, c.received = share, 0, 0
@@ -145,6 +147,19 @@
 	return n, err //nolint:wrapcheck // net.Conn: the server compares the error.
 }
 
+// readRequest reads while no body is read. A connection whose wait was ended for another one is kept if a request has arrived: the
+// deadline hides data that is still unread.
+func (c *conn) readRequest(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.expired.Swap(false) && sock.HasUnread(c.TCPConn) {
+		if err := c.SetReadDeadline(time.Now().Add(c.headerTimeout)); err != nil {
+			return 0, errors.Newf("set deadline: %w", err)
+		}
+		n, err = c.TCPConn.Read(b)
+	}
+	return n, err //nolint:wrapcheck // net.Conn: the server compares the error.
+}
+
 // Shed implements shed.Source. It ends the wait for more of a body.
 func (c *conn) Shed() {
 	if c.TCPConn != nil {
--- a/internal/node/caller/caller.go
+++ b/internal/node/caller/caller.go
@@ -201,7 +201,7 @@
 
 // limit returns a listener that limits the number of connections.
 func (s *Server) limit(ln net.Listener) net.Listener {
-	return &listener{Listener: ln, limit: s.maxConns, conns: make(map[*conn]struct{}), onReject: func() {
+	return &listener{Listener: ln, limit: s.maxConns, headerTimeout: s.timeouts.Header, conns: make(map[*conn]struct{}), onReject: func() {
 		s.refusedLog.Log(s.log, hclog.Warn, "refused a connection beyond the connection limit", "limit", s.maxConns)
 	}}
 }
--- a/internal/node/caller/conn.go
+++ b/internal/node/caller/conn.go
@@ -33,6 +33,8 @@
 type listener struct {
 	net.Listener
 	limit int
+	// headerTimeout limits the header of a request.
+	headerTimeout time.Duration
 	// onReject is called for each connection that is rejected.
 	onReject func()
 
@@ -56,7 +58,7 @@
 			return nc, nil
 		}
 		_ = tcp.SetWriteBuffer(writeBufferBytes)
-		c := &conn{TCPConn: tcp}
+		c := &conn{TCPConn: tcp, headerTimeout: l.headerTimeout}
 		c.onClose = func() { l.remove(c) }
 		c.idleSince.Store(time.Now().UnixNano())
 		if !l.add(c) {
@@ -97,6 +99,7 @@
 		return false
 	}
 	// The server closes a connection whose wait for a request has timed out.
+	idle.expired.Store(true)
 	_ = idle.SetReadDeadline(time.Now())
 	return true
 }
@@ -110,6 +113,7 @@
 		c.idleSince.Store(time.Now().UnixNano())
 	case state == fasthttp.StateActive:
 		c.idleSince.Store(0)
+		c.expired.Store(false)
 	}
 }
 
@@ -132,6 +136,10 @@
 	onClose       func()
 	// idleSince is when the connection became idle, in nanoseconds, or 0 while it is not or is being closed.
 	idleSince atomic.Int64
+	// expired is set while the wait for a request ends for another connection. headerTimeout limits the header of a request that has
+	// arrived nevertheless.
+	expired       atomic.Bool
+	headerTimeout time.Duration
 	// body is the share of the body that is being read, or nil.
 	body atomic.Pointer[shed.Body]
 	// reads and received are the number of reads and bytes of the body reading. Only the reader of the connection uses them.
