Shed incomplete bodies for a small one also while a large one is handled

A small body could displace others of its size only while no large body held memory. Bodies that had arrived counted as well, although they are not shed, so one large request in progress and small bodies that did not end were enough to refuse ordinary requests. The same happened if the client that holds most had only bodies that may not give way: no other client was considered.

TestSmallBodyGetsMemoryOfIncompleteOnes fails in both cases before the change.

--- a/internal/route/shed/shed.go
+++ b/internal/route/shed/shed.go
@@ -5,6 +5,7 @@
 package shed
 
 import (
+	"maps"
 	"math"
 	"sync"
 	"time"
@@ -194,10 +195,31 @@
 }
 
 // victim returns the body to shed so that y can take n more bytes, which may be y itself, or nil if there is none: first the largest
-// of those that have stalled, then the least complete one of the client that holds most. For a body that is not small, only bodies
-// that are not small are shed.
+// of those that have stalled, then the least complete one of the client that holds most, of those that have one that may give way. For a
+// body that is not small, only bodies that are not small are shed; for a small one, others that are small only if there is no large one
+// that may give way. Bodies that have arrived do not count as such: they may be held for as long as their requests run.
 func (b *Budget) victim(now time.Time, y *Body, n int) *Body {
 	small := y.held+n <= SmallBytes
+	stalled, totals := b.survey(now, y, small)
+	if stalled != nil {
+		return stalled
+	}
+	if !small {
+		// What y asks for counts as held, so that a client cannot displace others by asking.
+		totals[y.client] += n
+	}
+	least := b.leastComplete(func(v *Body) bool { return v.isLarge() || v == y && !small })
+	if small && len(least) == 0 {
+		least = b.leastComplete(func(v *Body) bool { return v.held > 0 })
+	}
+	// The clients without a body that may give way do not keep others from doing so.
+	maps.DeleteFunc(totals, func(client string, _ int) bool { return least[client] == nil })
+	return least[largest(totals)]
+}
+
+// survey returns the largest body that has stalled, or nil, and how much the clients hold for bodies that have not arrived. For a body
+// that is not small, only bodies that are not small count.
+func (b *Budget) survey(now time.Time, y *Body, small bool) (*Body, map[string]int) {
 	var stalled *Body
 	totals := make(map[string]int)
 	for v := range b.bodies {
@@ -209,14 +231,7 @@
 		}
 		totals[v.client] += v.held
 	}
-	if stalled != nil {
-		return stalled
-	}
-	if !small {
-		// What y asks for counts as held, so that a client cannot displace others by asking.
-		totals[y.client] += n
-	}
-	return b.leastComplete(largest(totals), y, small)
+	return stalled, totals
 }
 
 // largest returns the client with the largest total.
@@ -230,30 +245,19 @@
 	return most
 }
 
-// leastComplete returns the body of a client that has most to come, without those that are nearly complete.
-func (b *Budget) leastComplete(client string, y *Body, small bool) *Body {
-	var least *Body
+// leastComplete returns, of the bodies that may give way, the one of each client that has most to come. Those that are nearly complete
+// are left out.
+func (b *Budget) leastComplete(may func(v *Body) bool) map[string]*Body {
+	out := make(map[string]*Body)
 	for v := range b.bodies {
-		if v.client != client || v.complete || v.nearlyComplete() || !b.candidate(v, y, small) {
+		if v.complete || v.nearlyComplete() || !may(v) {
 			continue
 		}
-		if least == nil || v.fraction() < least.fraction() {
-			least = v
+		if least := out[v.client]; least == nil || v.fraction() < least.fraction() {
+			out[v.client] = v
 		}
 	}
-	return least
-}
-
-// candidate reports whether v may be shed for y: a large body for any, a small one only for a small one while there are no large ones.
-func (b *Budget) candidate(v, y *Body, small bool) bool {
-	switch {
-	case v.isLarge():
-		return true
-	case small:
-		return v.held > 0 && b.heldLarge == 0
-	default:
-		return v == y
-	}
+	return out
 }
 
 // fraction returns which part of the body has arrived.
--- a/internal/route/shed/shed_test.go
+++ b/internal/route/shed/shed_test.go
@@ -1,6 +1,7 @@
 package shed_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -150,3 +151,32 @@
 		t.Errorf("%d bytes are held after the end", got)
 	}
 }
+
+// Guards against an ordinary request that is refused because a large body has arrived, or because the client that holds most has none
+// that may give way, while bodies of others may.
+func TestSmallBodyGetsMemoryOfIncompleteOnes(t *testing.T) {
+	t.Parallel()
+	const small = shed.SmallBytes
+	for _, arrived := range []bool{true, false} {
+		b := shed.New(limit)
+		large, largeSource := open(t, b, t0, "large", 800<<10, 200<<10)
+		if arrived {
+			large.Complete()
+		}
+		const bodies = (limit - 200<<10) / small
+		greedy := make([]*source, 0, bodies)
+		for range bodies {
+			_, s := open(t, b, t0, "greedy", -1, small)
+			greedy = append(greedy, s)
+		}
+		if _, s := open(t, b, t0, "ordinary", 12<<10, 12<<10); s.shed {
+			t.Errorf("arrived %v: the ordinary body was shed", arrived)
+		}
+		if largeSource.shed == arrived {
+			t.Errorf("arrived %v: the large body was shed: %v", arrived, largeSource.shed)
+		}
+		if n := len(slices.DeleteFunc(greedy, func(s *source) bool { return !s.shed })); (n == 1) != arrived {
+			t.Errorf("arrived %v: %d small bodies were shed", arrived, n)
+		}
+	}
+}
