Keep counts and the rate of calls when other settings change

Each change of the settings of the duties, also of the address or the rate, discarded the counts of the open window and of windows that had ended but were not stored, so that up to two or three windows were reported too low. It also made a new rate limiter, which allowed a call at once, less than the spacing after the last one. Counts are now discarded only if the window, its lateness or whether usage is reported changes, and the limiter is kept.

TestChangeOfSettingsKeepsCounts and TestChangeOfSettingsKeepsRate fail before the change.

--- a/internal/node/duties/duties.go
+++ b/internal/node/duties/duties.go
@@ -40,6 +40,11 @@
 // active reports whether any duty is asked for.
 func (s Settings) active() bool { return s.ReportUsage || s.Scale }
 
+// countsAs reports whether counts that were made under other settings can be used further.
+func (s Settings) countsAs(o Settings) bool {
+	return s.active() == o.active() && s.ReportUsage == o.ReportUsage && s.UsageWindow == o.UsageWindow && s.UsageLateness == o.UsageLateness
+}
+
 // Network sends messages to other nodes.
 type Network interface {
 	// SendUsage sends reports one link further towards the holder of the duty. An error means that some were not sent.
@@ -162,34 +167,58 @@
 	}
 }
 
-// applySettings reports whether any duty is asked for. A change of the settings discards what was counted.
+// applySettings reports whether any duty is asked for. A change of what is counted discards what was counted.
 func (d *Duties) applySettings(s Settings) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if s == d.settings {
 		return s.active()
 	}
-	d.settings, d.api, d.limiter, d.forwarder, d.trueTime, d.counter, d.ledger = s, nil, nil, nil, nil, nil, nil
-	d.collecting = false
-	if s.active() {
-		d.forwarder, d.api = usage.NewForwarder(d.cfg.Process, s.UsageWindow), d.cfg.NewAPI(s.Address)
-		perSecond := s.CallsPerSecond
-		if perSecond <= 0 {
-			perSecond = defaultCallRate
+	if !s.countsAs(d.settings) {
+		d.forwarder, d.trueTime, d.counter, d.ledger, d.collecting = nil, nil, nil, nil, false
+		if s.active() {
+			d.startCounts(s)
 		}
-		d.limiter = rate.NewLimiter(rate.Limit(callRateShare*perSecond), 1)
-		mono := clock.Since()
-		d.trueTime = usage.NewTrueTime(mono, time.Now())
-		if s.ReportUsage {
-			d.counter = usage.NewCounter(d.trueTime.Now(mono), s.UsageWindow)
-			d.ledger = usage.NewLedger(usage.LedgerConfig{Length: s.UsageWindow, Lateness: s.UsageLateness})
+	}
+	if s.active() {
+		if d.api == nil || s.Address != d.settings.Address {
+			d.api = d.cfg.NewAPI(s.Address)
 		}
+		d.limitCalls(s.CallsPerSecond)
+	} else {
+		d.api = nil
 	}
+	d.settings = s
 	d.active.Store(s.active())
 	d.cfg.Log.Info("settings of duties", "report_usage", s.ReportUsage, "scale", s.Scale, "address", s.Address)
 	return s.active()
 }
 
+// startCounts begins to count. The lock must be held.
+func (d *Duties) startCounts(s Settings) {
+	d.forwarder = usage.NewForwarder(d.cfg.Process, s.UsageWindow)
+	mono := clock.Since()
+	d.trueTime = usage.NewTrueTime(mono, time.Now())
+	if s.ReportUsage {
+		d.counter = usage.NewCounter(d.trueTime.Now(mono), s.UsageWindow)
+		d.ledger = usage.NewLedger(usage.LedgerConfig{Length: s.UsageWindow, Lateness: s.UsageLateness})
+	}
+}
+
+// limitCalls sets the maximum rate of calls. The limiter is kept, as a new one would allow a call at once, whenever the last one
+// was. The lock must be held.
+func (d *Duties) limitCalls(perSecond float64) {
+	if perSecond <= 0 {
+		perSecond = defaultCallRate
+	}
+	limit := rate.Limit(callRateShare * perSecond)
+	if d.limiter == nil {
+		d.limiter = rate.NewLimiter(limit, 1)
+		return
+	}
+	d.limiter.SetLimit(limit)
+}
+
 // Began counts a request of an account that began to run.
 func (d *Duties) Began(account string) {
 	if !d.active.Load() {
--- a/internal/node/duties/duties_test.go
+++ b/internal/node/duties/duties_test.go
@@ -110,10 +110,16 @@
 	return duty.Tenure{Fence: 1, Began: now - time.Minute, PredecessorEnd: now - time.Minute, End: now + duty.HoldTime}, b.holds
 }
 
+func (b *bed) currentSettings() duties.Settings {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.settings
+}
+
 func (b *bed) start(t *testing.T) *duties.Duties {
 	t.Helper()
 	d := duties.New(duties.Config{
-		Node: "n", Process: usage.Process{Node: "n", Incarnation: "1"}, Settings: func() duties.Settings { return b.settings },
+		Node: "n", Process: usage.Process{Node: "n", Incarnation: "1"}, Settings: b.currentSettings,
 		NewAPI: func(string) cloud.API { return b }, Tenure: b.tenure, Table: b, Network: b, Nodes: func() []string { return []string{"n"} },
 		TakeDemand: func() []usage.Demand { return []usage.Demand{{Service: "s", Arrivals: 1}} },
 		Scaler:     b, Metrics: metric.New(), Log: hclog.NewNullLogger(),
@@ -200,3 +206,45 @@
 		t.Errorf("the call ended %v after the tenure", took)
 	}
 }
+
+// changeLease changes a setting on which counts do not depend, and waits until the node has read it.
+func (b *bed) changeLease() {
+	b.with(func() { b.settings.Lease += 100 * time.Millisecond })
+	time.Sleep(time.Second)
+}
+
+// Guards against counts of the current window, or of ended ones that are not stored yet, that are discarded with each change of the
+// settings.
+func TestChangeOfSettingsKeepsCounts(t *testing.T) {
+	t.Parallel()
+	b := &bed{settings: on, holder: "h"}
+	b.settings.UsageWindow = 365 * 24 * time.Hour // All counts are of one window.
+	d := b.start(t)
+	await(t, b, "the node does not count", func() bool { return b.clocks > 0 })
+	for want := uint64(1); want <= 2; want++ {
+		d.Began("a")
+		await(t, b, "the count is not sent", func() bool {
+			return slices.ContainsFunc(b.sent, func(r usage.Report) bool {
+				return slices.ContainsFunc(r.Windows, func(w usage.WindowCounts) bool { return w.Counts["a"] == want })
+			})
+		})
+		b.changeLease()
+	}
+}
+
+// Guards against a call that a change of the settings allows at once, too close to the last one.
+func TestChangeOfSettingsKeepsRate(t *testing.T) {
+	t.Parallel()
+	b := &bed{settings: on, holder: "n", holds: true}
+	b.settings.ReportUsage, b.settings.CallsPerSecond = false, 0.1
+	b.start(t)
+	await(t, b, "no order is sent", func() bool { return b.scaled > 0 })
+	b.changeLease()
+	b.with(func() { b.scaled = 0 }) // The next order may be sent.
+	time.Sleep(time.Second)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.scaled > 0 {
+		t.Error("a call began less than 3 s after the last one, with one allowed in 12 s")
+	}
+}
