Do not handle a request whose body was left unread

In the product's own mode, a long body is dropped if the header names no known account. The account was then looked up again. If the configuration changed in between, the request was handled with an empty body. It is refused with 503 and outcome not_run now, so that the caller repeats it.

TestAccountThatBecomesKnown got 400 for the empty body before the change.

--- a/internal/node/caller/caller.go
+++ b/internal/node/caller/caller.go
@@ -211,11 +211,15 @@
 func (s *Server) headerReceived(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
 	limit := s.view().Limits.BodyBytes
 	h.Del(headerTooLarge)
+	h.Del(headerUnread)
 	if length := h.ContentLength(); length == chunkedLength || length > maxDiscardBytes {
 		_, ferr := s.account(h)
 		if length > limit {
 			h.Set(headerTooLarge, "1")
 		}
+		if ferr != nil {
+			h.Set(headerUnread, "1")
+		}
 		if length > limit || ferr != nil {
 			h.SetContentLength(0)
 			h.Del(fasthttp.HeaderExpect)
@@ -229,6 +233,9 @@
 // is removed.
 const headerTooLarge = "X-Announced-Too-Large"
 
+// headerUnread marks a request whose body is not read because its account is not known. The server sets it as well.
+const headerUnread = "X-Body-Unread"
+
 // chunkedLength is the length that the parser gives for a chunked body.
 const chunkedLength = -1
 
@@ -267,6 +274,11 @@
 			s.refuseUnread(rc, "", ferr)
 			return
 		}
+		if len(rc.Request.Header.Peek(headerUnread)) > 0 {
+			// The configuration has changed since the header arrived.
+			s.refuseUnread(rc, "", fault.New(fault.NodeIsolated, fault.NotRun, "the configuration has just changed").WithRetryAfter(time.Second))
+			return
+		}
 		release, ferr := s.readBody(rc)
 		if ferr != nil {
 			closeAfter(rc)
--- a/internal/node/caller/memory_test.go
+++ b/internal/node/caller/memory_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -109,3 +110,32 @@
 		}
 	}
 }
+
+// Guards against a request that is handled without its body because its account became known while its header was handled.
+func TestAccountThatBecomesKnown(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 0, schema.Limits{})
+	doc := f.d.Document(site.Addresses{Runners: []string{"127.0.0.1:1"}, Instances: make([]string, f.d.Instances)})
+	doc.Limits.BodyBytes = 1 << 20
+	known := view.New(2, doc)
+	doc.Accounts = nil
+	unknown := view.New(1, doc)
+	var reads atomic.Int64
+	// The limits and the accounts are read once before the request is handled.
+	current := func() *view.View {
+		if reads.Add(1) <= 2 {
+			return unknown
+		}
+		return known
+	}
+	rl := relay.New(hclog.NewNullLogger(), current, relay.Deps{Node: "node-c", Origin: f})
+	addr := f.startServer(caller.New(t.Context(), hclog.NewNullLogger(), "node-c", current, rl).Serve)
+	const size = 100 << 10
+	_, br := ask(t, addr, fmt.Sprintf("POST /v1/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
+		f.d.AccountKey(0), size, strings.Repeat(" ", size)))
+	code, raw, _ := status(t, br)
+	if code != http.StatusServiceUnavailable {
+		t.Errorf("got %d %s", code, raw)
+	}
+	checkErrorBody(t, raw, fault.NodeIsolated, fault.NotRun)
+}
