Mark a refusal for lack of memory for a call of another node

A node that sheds the body of a call that another node has passed on answered with 503 without the header that marks answers to such calls. The other node skipped it as an answer to another call and waited for the next, so that its caller got 502 for a call that may have run. The refusal is marked as not run now, and the caller gets 503 with Retry-After.

TestBodyIsShedByNode got 502 without the mark.

--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -138,7 +138,8 @@
 	})
 	n.forwarded = front.New(front.Config{
 		Handler: detour.Handler{Detour: n.detour, Relay: relay, Capacity: set.Capacity, Stopping: n.stopping.Load},
-		Limits:  n.forwardLimits, MaxConnections: int(forwardDescriptorShare * float64(set.Descriptors)), Bodies: n.bodies, Log: cfg.Log,
+		Limits:  n.forwardLimits, MaxConnections: int(forwardDescriptorShare * float64(set.Descriptors)), Bodies: n.bodies, MarkShed: pass.MarkShed,
+		Log: cfg.Log,
 	})
 	n.keeper = keeper.New(keeper.Config{
 		Node: address + "/" + incarnation, Table: n.store, Engines: cfg.Engines, View: n.index.View, Service: n.engineService,
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -94,7 +94,9 @@
 	MaxConnections int
 	// Bodies is the memory for request bodies, or nil for no limit.
 	Bodies *shed.Budget
-	Log    hclog.Logger
+	// MarkShed adds headers to the refusal of a request whose body gave way to others. Nil adds none.
+	MarkShed func(h *fasthttp.ResponseHeader)
+	Log      hclog.Logger
 }
 
 // Server serves the callers of a node. It is safe for concurrent use.
--- a/internal/node/front/read.go
+++ b/internal/node/front/read.go
@@ -180,8 +180,12 @@
 func (c *conn) refuse(status int) {
 	w := &Writer{conn: c, closeAfter: true}
 	w.Refuse(status, func(h *fasthttp.ResponseHeader) {
-		if status == fasthttp.StatusServiceUnavailable {
-			h.Set(fasthttp.HeaderRetryAfter, retryAfterShed)
+		if status != fasthttp.StatusServiceUnavailable {
+			return
+		}
+		h.Set(fasthttp.HeaderRetryAfter, retryAfterShed)
+		if c.srv.cfg.MarkShed != nil {
+			c.srv.cfg.MarkShed(h)
 		}
 	}, nil)
 	c.linger()
--- a/internal/node/pass/hop.go
+++ b/internal/node/pass/hop.go
@@ -98,6 +98,12 @@
 	w.Refuse(ferr.Status(), func(h *fasthttp.ResponseHeader) { encodeHopError(h, ferr) }, []byte(ferr.Message()))
 }
 
+// MarkShed marks the refusal of a call of another node whose body this node has no memory for. Without the mark, the other node
+// takes it for an answer to another call.
+func MarkShed(h *fasthttp.ResponseHeader) {
+	encodeHopError(h, fault.New(fault.Overloaded, fault.NotRun, "the node has no memory for the body"))
+}
+
 func encodeHopError(h *fasthttp.ResponseHeader, ferr *fault.Error) {
 	h.Set(headerHopOutcome, string(ferr.Outcome()))
 	h.Set(headerHopCode, string(ferr.Code()))
