Answer a request whose header makes the handler panic

RefuseByHeader runs on the goroutine of the connection, where a panic ended the task group of the server and with it the node. Handle was already protected. A panic of either is answered with 500 now, and ends the connection only.

TestPanicForHeader got an end of the connection before the change.

--- a/internal/node/front/body_test.go
+++ b/internal/node/front/body_test.go
@@ -87,6 +87,9 @@
 	if len(r.Header.Peek("Key")) > 0 {
 		return false
 	}
+	if len(r.Header.Peek("Panic")) > 0 {
+		panic("header")
+	}
 	w.Refuse(fasthttp.StatusUnauthorized, nil, nil)
 	return true
 }
@@ -232,3 +235,18 @@
 		}
 	}
 }
+
+// Guards against a panic for the header of one request that ends the server.
+func TestPanicForHeader(t *testing.T) {
+	t.Parallel()
+	_, addr := newKeyServer(t, 0, 0)
+	other, otherReader := begin(t, addr, "POST / HTTP/1.1\r\n")
+	_, br := begin(t, addr, "POST / HTTP/1.1\r\nHost: h\r\nPanic: 1\r\nContent-Length: 5\r\n\r\n")
+	if status, closes, _ := readStatus(t, br); status != http.StatusInternalServerError || !closes {
+		t.Errorf("got %d, closes %v", status, closes)
+	}
+	send(t, other, "Host: h\r\nKey: k\r\nContent-Length: 2\r\n\r\nok")
+	if status, _, _ := readStatus(t, otherReader); status != http.StatusOK {
+		t.Errorf("another request got %d", status)
+	}
+}
--- a/internal/node/front/conn.go
+++ b/internal/node/front/conn.go
@@ -319,24 +319,27 @@
 	}
 }
 
-// callHandler calls the handler. A panic ends the response, but not those to other callers.
+// callHandler calls the handler.
 func (c *conn) callHandler(ctx context.Context, r *Request, w *Writer) {
-	defer func() {
-		p := recover()
-		if p == nil {
-			return
-		}
-		c.srv.cfg.Log.Error("a request caused a panic", "panic", p, "stack", string(debug.Stack()))
-		w.closeAfter = true
-		if w.Started() {
-			w.Abort()
-			return
-		}
-		w.Refuse(fasthttp.StatusInternalServerError, nil, nil)
-	}()
+	defer c.endAfterPanic(w)
 	c.srv.cfg.Handler.Handle(ctx, r, w)
 }
 
+// endAfterPanic is to be deferred around calls of the handler. A panic ends the response, but not those to other callers.
+func (c *conn) endAfterPanic(w *Writer) {
+	p := recover()
+	if p == nil {
+		return
+	}
+	c.srv.cfg.Log.Error("a request caused a panic", "panic", p, "stack", string(debug.Stack()))
+	w.closeAfter = true
+	if w.Started() {
+		w.Abort()
+		return
+	}
+	w.Refuse(fasthttp.StatusInternalServerError, nil, nil)
+}
+
 // nextDeadline returns the read deadline after a response.
 func (c *conn) nextDeadline(w *Writer) time.Time {
 	if w.closeAfter || w.incomplete {
--- a/internal/node/front/read.go
+++ b/internal/node/front/read.go
@@ -113,7 +113,7 @@
 	// A caller that waits for an interim response may not send the body.
 	short := length != chunkedLength && length <= maxDiscardBytes && !pending.req.MayContinue()
 	w := &Writer{conn: c, headRequest: h.IsHead(), closeAfter: h.ConnectionClose() || !short, http10: !h.IsHTTP11()}
-	if !checker.RefuseByHeader(&Request{Header: h, Arrived: pending.arrived}, w) {
+	if !c.callChecker(checker, &Request{Header: h, Arrived: pending.arrived}, w) {
 		return false
 	}
 	w.finish()
@@ -122,6 +122,16 @@
 	return true
 }
 
+// callChecker reports whether the request was refused. It is if the checker panics.
+func (c *conn) callChecker(checker HeaderChecker, r *Request, w *Writer) bool {
+	refused := true
+	func() {
+		defer c.endAfterPanic(w)
+		refused = checker.RefuseByHeader(r, w)
+	}()
+	return refused
+}
+
 // maxDiscardBytes is the length up to which the body of a refused request is read, so that the connection can be used further.
 const maxDiscardBytes = shed.SmallBytes
 
