--- a/internal/node/caller/body.go
+++ b/internal/node/caller/body.go
@@ -3,9 +3,11 @@
 import (
 	"io"
 	"net"
+	"os"
 	"time"
 
 	"geraniumhollow/internal/core/fault"
+	"geraniumhollow/internal/core/sock"
 	"geraniumhollow/internal/route/shed"
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
@@ -69,6 +71,10 @@
 		n, err := stream.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
 		if errors.Is(err, io.EOF) {
+			if len(buf) < length {
+				// The stream of an announced length reports the end of the connection in the same way as the end of the body.
+				return nil, io.ErrUnexpectedEOF
+			}
 			return buf, nil
 		}
 		if err != nil {
@@ -124,7 +130,7 @@
 func (c *conn) Read(b []byte) (int, error) {
 	share := c.body.Load()
 	if share == nil {
-		return c.TCPConn.Read(b) //nolint:wrapcheck // net.Conn: the server compares the error.
+		return c.readRequest(b)
 	}
 	if c.reading != share {
 		c.reading, c.reads, c.received = share, 0, 0
@@ -141,6 +147,19 @@
 	return n, err //nolint:wrapcheck // net.Conn: the server compares the error.
 }
 
+// readRequest reads while no body is read. A connection whose wait was ended for another one is kept if a request has arrived: the
+// deadline hides data that is still unread.
+func (c *conn) readRequest(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.expired.Swap(false) && sock.HasUnread(c.TCPConn) {
+		if err := c.SetReadDeadline(time.Now().Add(c.headerTimeout)); err != nil {
+			return 0, errors.Newf("set deadline: %w", err)
+		}
+		n, err = c.TCPConn.Read(b)
+	}
+	return n, err //nolint:wrapcheck // net.Conn: the server compares the error.
+}
+
 // Shed implements shed.Source. It ends the wait for more of a body.
 func (c *conn) Shed() {
 	if c.TCPConn != nil {
--- a/internal/node/caller/memory_test.go
+++ b/internal/node/caller/memory_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -93,3 +94,48 @@
 		time.Sleep(5 * time.Millisecond) // The server learns that the connection is idle.
 	}
 }
+
+// Guards against a body that ends before its announced length, as its caller has gone, and is taken for a complete one.
+func TestTruncatedBodyIsNotHandled(t *testing.T) {
+	t.Parallel()
+	addr, key := startLimited(t, 0, 100)
+	for _, length := range []int{100, 20 << 10, 200 << 10} {
+		nc, br := ask(t, addr, fmt.Sprintf("POST /v1/completions %sContent-Length: %d\r\n\r\n{}", key, length)+strings.Repeat(" ", length/2))
+		if err := nc.(*net.TCPConn).CloseWrite(); err != nil { //nolint:forcetypeassert // dial returns a TCP connection.
+			t.Fatal(err)
+		}
+		code, raw, _ := status(t, br)
+		if code != http.StatusBadRequest || !strings.Contains(string(raw), "not valid HTTP") {
+			t.Errorf("a body that lacks half of its %d bytes got %d %s", length, code, raw)
+		}
+	}
+}
+
+// Guards against a request that is handled without its body because its account became known while its header was handled.
+func TestAccountThatBecomesKnown(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 0, schema.Limits{})
+	doc := f.d.Document(site.Addresses{Runners: []string{"127.0.0.1:1"}, Instances: make([]string, f.d.Instances)})
+	doc.Limits.BodyBytes = 1 << 20
+	known := view.New(2, doc)
+	doc.Accounts = nil
+	unknown := view.New(1, doc)
+	var reads atomic.Int64
+	// The limits and the accounts are read once before the request is handled.
+	current := func() *view.View {
+		if reads.Add(1) <= 2 {
+			return unknown
+		}
+		return known
+	}
+	rl := relay.New(hclog.NewNullLogger(), current, relay.Deps{Node: "node-c", Origin: f})
+	addr := f.startServer(caller.New(t.Context(), hclog.NewNullLogger(), "node-c", current, rl).Serve)
+	const size = 100 << 10
+	_, br := ask(t, addr, fmt.Sprintf("POST /v1/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
+		f.d.AccountKey(0), size, strings.Repeat(" ", size)))
+	code, raw, _ := status(t, br)
+	if code != http.StatusServiceUnavailable {
+		t.Errorf("got %d %s", code, raw)
+	}
+	checkErrorBody(t, raw, fault.NodeIsolated, fault.NotRun)
+}
