Hold back and refuse requests by priority when servers are full

Requests of services whose routes or accounts have different priorities wait in a queue of their node (internal/route/queue) in place of polling. Nodes release them at their share of the rate at which requests end, as known from the sums that they send each other up and down the tree in the messages about rates.

--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -23,6 +23,7 @@
 	"geraniumhollow/internal/node/seat"
 	"geraniumhollow/internal/route/match"
 	"geraniumhollow/internal/route/pace"
+	"geraniumhollow/internal/route/queue"
 	"geraniumhollow/internal/route/quota"
 	"geraniumhollow/internal/route/retry"
 	"github.com/cockroachdb/errors"
@@ -64,7 +65,9 @@
 	// split divides the limits of the fleet among its nodes.
 	split atomic.Pointer[quota.Split]
 	// rates are the rates that backend servers name for all nodes together.
-	rates    *pace.Book
+	rates *pace.Book
+	// pressure combines the demand for models over the nodes.
+	pressure *queue.Tree
 	stopping atomic.Bool
 	// joinedAt is the time at which this node first appeared in the list of nodes, or nil before that.
 	joinedAt atomic.Pointer[time.Time]
@@ -93,6 +96,7 @@
 	n.index.SetHeartbeatInterval(set.HeartbeatInterval)
 	n.updateMembers(nil)
 	n.rates = pace.NewBook(n.sendingPosition)
+	n.pressure = queue.NewTree()
 	incarnation := strconv.FormatInt(time.Now().UnixNano(), 36)
 	n.servers = mirror.New(n.copyConfig(cfg.Decoder.Families().Servers, n.applyServers, n.storeReachable))
 	n.operator = n.operatorCopy()
@@ -104,7 +108,7 @@
 		Table: n.store, Feed: n.store, Copies: n.copyOf, Members: n.updateMembers, OnStalled: n.handleStalled, Keeper: n.keeperAddress,
 		OnHolderReport: func(w duty.HolderReport) { n.keeper.HandleHolderReport(w) }, OnPeerConnected: n.handlePeerConnected,
 		CanReach: n.canReach, OnSuspects: n.handleFindings,
-		OnRates: func(from string, list []pace.Notice) { n.rates.Learn(time.Now(), from, list) }, Log: cfg.Log,
+		OnRates: func(from string, list []pace.Notice) { n.rates.Learn(time.Now(), from, list) }, OnPressure: n.handlePressure, Log: cfg.Log,
 	})
 	if err != nil {
 		return nil, errors.Newf("create mesh: %w", err)
@@ -150,6 +154,7 @@
 		func() float64 { return float64(len(n.crashes.Quarantines())) })
 	n.cfg.Metrics.Func("rate_limited_servers", "Backend servers that name a rate of requests for all nodes together.",
 		func() float64 { return float64(n.rates.Limited(time.Now())) })
+	n.cfg.Metrics.Collect(queueCollector{lines: n.seats.Lines})
 	n.cfg.Metrics.Func("isolated", "1 while this node reaches no backend server and passes requests on to other nodes.", func() float64 {
 		if n.detour.Isolated() {
 			return 1
@@ -184,6 +189,7 @@
 	g.Go("reload", n.reload)
 	g.Go("quarantines", n.quarantines.Run)
 	g.Go("rates", n.shareRates)
+	g.Go("pressure", n.sharePressure)
 	g.Go("callers", func(ctx context.Context) error { return n.front.Run(ctx, callers) })
 	g.Go("stop", func(ctx context.Context) error { return n.stop(ctx, stopCtx, cancel) })
 	g.Go("balancer", n.serveReadiness)
--- a/internal/node/mesh/mesh.go
+++ b/internal/node/mesh/mesh.go
@@ -24,6 +24,7 @@
 	"geraniumhollow/internal/node/detour"
 	"geraniumhollow/internal/plat/table"
 	"geraniumhollow/internal/route/pace"
+	"geraniumhollow/internal/route/queue"
 	"geraniumhollow/internal/wire/frame"
 	"geraniumhollow/internal/wire/peer"
 	"github.com/cockroachdb/errors"
@@ -99,7 +100,10 @@
 	OnSuspects func(s *frame.SuspectRequest)
 	// OnRates is called with what another node knows of the rates that backend servers name.
 	OnRates func(from string, list []pace.Notice)
-	Log     hclog.Logger
+	// OnPressure is called with the demand for models and the load of their servers that another node knows, as the sums over the
+	// nodes below it, or over all nodes if total is set.
+	OnPressure func(from string, total bool, list []queue.ModelTotals)
+	Log        hclog.Logger
 }
 
 // Mesh manages the links of one node. It is safe for concurrent use.
@@ -194,7 +198,7 @@
 	})
 	peer.On(m.net, func(from peer.Peer, b *frame.DutyBeat) { m.handleDutyBeat(from, b) })
 	peer.On(m.net, func(from peer.Peer, s *frame.SuspectRequest) { m.handleSuspicions(from.Node, s) })
-	peer.On(m.net, func(from peer.Peer, r *frame.RateNotices) { cfg.OnRates(from.Node, pace.FromFrame(r.List)) })
+	peer.On(m.net, func(from peer.Peer, r *frame.RateNotices) { m.handleRates(from.Node, r) })
 	return m, nil
 }
 
--- a/internal/node/mesh/rates.go
+++ b/internal/node/mesh/rates.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"geraniumhollow/internal/route/pace"
+	"geraniumhollow/internal/route/queue"
 	"geraniumhollow/internal/wire/frame"
 )
 
@@ -32,3 +33,29 @@
 		}
 	}
 }
+
+// handleRates processes what another node knows of rates and of demand.
+func (m *Mesh) handleRates(from string, r *frame.RateNotices) {
+	if list := pace.FromFrame(r.List); len(list) > 0 {
+		m.cfg.OnRates(from, list)
+	}
+	if list := queue.FromFrame(r.Pressure); len(list) > 0 {
+		m.cfg.OnPressure(from, r.Total, list)
+	}
+}
+
+// Upstream returns the node whose copies this node follows, "" if there is none.
+func (m *Mesh) Upstream() string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.position.upstream
+}
+
+// SendPressure tells a linked node the demand for models and the load of their servers.
+func (m *Mesh) SendPressure(node string, total bool, list []queue.ModelTotals) {
+	for part := range slices.Chunk(list, maxRateNotices) {
+		if err := m.net.Send(node, &frame.RateNotices{List: []frame.RateNotice{}, Pressure: queue.ToFrame(part), Total: total}); err != nil {
+			m.cfg.Log.Debug("cannot send the demand for models", "node", node, "error", err)
+		}
+	}
+}
--- a/internal/node/pass/attempt.go
+++ b/internal/node/pass/attempt.go
@@ -207,6 +207,7 @@
 	s.call.req.Header.CopyTo(&req.Header)
 	s.relay.deps.Codec.EncodeRequest(&req.Header, AttemptInfo{
 		Server: reservation.Entry().ID, Account: s.call.Account, TimeLeft: time.Until(s.call.Deadline), LastEventID: s.events.lastID,
+		Priority: s.call.Priority, HasPriority: s.call.Prioritized,
 	})
 	req.SetBodyRaw(s.call.req.Body)
 	s.sending(x)
--- a/internal/node/pass/call.go
+++ b/internal/node/pass/call.go
@@ -37,6 +37,9 @@
 	// TimeLeft is the time until the deadline of the call.
 	TimeLeft    time.Duration
 	LastEventID string
+	// Priority is the priority of the call if HasPriority is set; 0 for the most urgent.
+	Priority    int
+	HasPriority bool
 }
 
 // Load is the load that a backend server reports.
@@ -85,8 +88,9 @@
 	Route   *match.Route
 	Service *match.Service
 	Account string
-	// Priority is 0 for the most urgent requests.
-	Priority int
+	// Priority is 0 for the most urgent requests. Prioritized is set if calls of the service have different priorities.
+	Priority    int
+	Prioritized bool
 	// Deadline is the earlier of the caller's and the route's timeout, or defaultTimeout after arrival if there is
 	// neither.
 	Deadline time.Time
@@ -119,6 +123,14 @@
 	return c.Timeout > 0 && float64(c.Timeout) < callerRetryMaxShare*float64(c.Route.Timeout)
 }
 
+// FirstArrival returns when the caller first sent the request, as far as its timeout tells.
+func (c *Call) FirstArrival() time.Time {
+	if !c.IsCallerRetry() {
+		return c.Arrived
+	}
+	return c.Arrived.Add(c.Timeout - c.Route.Timeout)
+}
+
 // fingerprint hashes the account, method, URI and body of a request.
 func fingerprint(account string, r *front.Request) uint64 {
 	h := xxh3.New()
--- a/internal/node/pass/pass.go
+++ b/internal/node/pass/pass.go
@@ -176,6 +176,7 @@
 	if c.Service == nil {
 		return c, fault.New(fault.NoBackend, fault.NotRun, "the route leads to no service").WithRetryAfter(retryAfterNotReady)
 	}
+	c.Prioritized = table.Prioritized(c.Service.Name)
 	c.Deadline = callDeadline(c)
 	c.Fingerprint = fingerprint(c.Account, req)
 	return c, nil
--- a/internal/node/seat/seat.go
+++ b/internal/node/seat/seat.go
@@ -73,8 +73,11 @@
 	cfg Config
 
 	mu      sync.Mutex
+	rnd     *rand.Rand
 	table   *choose.Table
 	chooser choose.Chooser
+	// aged chooses servers for calls that wait in a line.
+	aged    *choose.Aged
 	watch   *stall.Monitor
 	view    *index.View
 	servers map[string]*server
@@ -82,6 +85,8 @@
 	// time from which their silence counts.
 	departed map[*server]time.Time
 	notices  notices
+	// lines hold the calls that wait for servers by model key, for services whose calls have different priorities.
+	lines map[string]*line
 	// averageLoad is the average of the recently reported loads, by model key.
 	averageLoad map[string]*movingAverage
 	// lastCheck is when servers were last checked for stalls, or a check was skipped. Until skipUntil, checks are skipped
@@ -142,10 +147,10 @@
 	rnd := rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Now().UnixNano())))
 	return &Picker{
 		cfg: cfg, table: choose.NewTable(tableConfig, cfg.Now()),
-		chooser: choose.NewLowestEstimate(rnd, choose.DefaultWindow()),
+		chooser: choose.NewLowestEstimate(rnd, choose.DefaultWindow()), aged: choose.NewAged(rnd),
 		watch:   stall.New(stall.DefaultConfig()),
 		servers: make(map[string]*server), departed: make(map[*server]time.Time), notices: make(notices),
-		averageLoad: make(map[string]*movingAverage),
+		averageLoad: make(map[string]*movingAverage), lines: make(map[string]*line), rnd: rnd,
 	}
 }
 
@@ -163,6 +168,9 @@
 
 // Pick implements pass.Picker.
 func (s *Picker) Pick(ctx context.Context, c *pass.Call, tried sets.Set[string], onSilent context.CancelCauseFunc) (pass.Reservation, *fault.Error) {
+	if c.Prioritized && !c.Answering && len(tried) == 0 {
+		return s.pickInLine(ctx, c, onSilent)
+	}
 	wait := time.Duration(maxWaitShare * float64(c.Route.Objective))
 	if c.Answering {
 		wait = max(wait, resumeWait)
@@ -188,6 +196,29 @@
 	defer s.mu.Unlock()
 	now := s.cfg.Now()
 	s.sync(now)
+	cand, freeAt, refusal := s.candidate(now, c, tried)
+	if refusal != nil {
+		return nil, freeAt, refusal
+	}
+	if refusal := checkWait(now, c, cand.estimate, len(tried) > 0 || c.Delayed); refusal != nil {
+		if !c.Answering { // Such a call asks again and again.
+			s.table.RecordRefusal(cand.request.Model)
+		}
+		return nil, time.Time{}, refusal
+	}
+	return s.reserve(now, c, cand, onSilent), time.Time{}, nil
+}
+
+// candidate is the server that is best for a call now.
+type candidate struct {
+	server   *server
+	request  choose.Request
+	estimate time.Duration
+}
+
+// candidate returns the best server for a call. If there is none, it returns the refusal and when a server becomes available, zero
+// if unknown. The caller must hold mu.
+func (s *Picker) candidate(now time.Time, c *pass.Call, tried sets.Set[string]) (candidate, time.Time, *fault.Error) {
 	freeAt := s.exclude(now, c, tried)
 	if c.Trial {
 		s.excludeAllButLeastBusy(c)
@@ -201,22 +232,32 @@
 		if !freeAt.IsZero() {
 			retryAfter = min(max(freeAt.Sub(now), minRetryAfter), maxRetryAfter)
 		}
-		return nil, freeAt, fault.New(fault.NoBackend, fault.NotRun, "no backend server is open for the request").WithRetryAfter(retryAfter)
+		return candidate{}, freeAt, fault.New(fault.NoBackend, fault.NotRun, "no backend server is open for the request").WithRetryAfter(retryAfter)
 	}
-	est, _ := s.table.Estimate(id, now, req)
-	if refusal := checkWait(now, c, est, len(tried) > 0 || c.Delayed); refusal != nil {
-		if !c.Answering { // Such a call asks again and again.
-			s.table.RecordRefusal(req.Model)
-		}
-		return nil, time.Time{}, refusal
-	}
-	sv := s.servers[s.table.Name(id)]
+	est := s.estimate(c, id, now, req)
+	return candidate{server: s.servers[s.table.Name(id)], request: req, estimate: est}, time.Time{}, nil
+}
+
+// reserve reserves a slot on a server for a call. The caller must hold mu.
+func (s *Picker) reserve(now time.Time, c *pass.Call, cand candidate, onSilent context.CancelCauseFunc) *reservation {
+	sv, est := cand.server, cand.estimate
 	sv.recentSends.Add(now)
 	s.cfg.Rates.Sent(now, sv.process())
 	s.watch.RecordTrial(now, sv.entry.ID)
-	res := &reservation{selection: sv.selection(now, est), picker: s, server: sv, entry: sv.entry, sendID: s.table.RecordSend(id, now, req), sentAt: now, promptTokens: c.PromptTokens, expectedFirstByte: est, onSilent: onSilent, repeatable: c.Route.Repeatable(), last: c.LastAttempt, answering: c.Answering, resumable: c.Route.Resumable}
+	res := &reservation{selection: sv.selection(now, est), picker: s, server: sv, entry: sv.entry, sendID: s.recordSend(now, c, cand), sentAt: now, promptTokens: c.PromptTokens, expectedFirstByte: est, onSilent: onSilent, repeatable: c.Route.Repeatable(), last: c.LastAttempt, answering: c.Answering, resumable: c.Route.Resumable}
 	sv.reservations[res] = struct{}{}
-	return res, time.Time{}, nil
+	if l := s.lines[sv.modelKey]; l != nil {
+		res.line, res.objective = l, c.Route.Objective
+		l.queue.RequestSent()
+	}
+	return res
+}
+
+func (s *Picker) recordSend(now time.Time, c *pass.Call, cand candidate) uint64 {
+	if c.Prioritized {
+		return s.aged.RecordSend(s.table, cand.server.tableIndex, now, cand.request)
+	}
+	return s.table.RecordSend(cand.server.tableIndex, now, cand.request)
 }
 
 // A server that names a rate is preferred if its response would start within soonShare of the latency objective, or within
@@ -230,11 +271,15 @@
 // fleet, only a few nodes may send to such a server at a time, so that it would hardly be used if they sent it no more than to
 // any other.
 func (s *Picker) choose(now time.Time, c *pass.Call, req choose.Request) (int, bool) {
-	id, ok := s.chooser.Choose(s.table, now, req)
+	chooser := s.chooser
+	if c.Prioritized {
+		chooser = s.aged
+	}
+	id, ok := chooser.Choose(s.table, now, req)
 	if !ok || len(s.paced) == 0 {
 		return id, ok
 	}
-	best, _ := s.table.Estimate(id, now, req)
+	best := s.estimate(c, id, now, req)
 	objective := float64(c.Route.Objective)
 	limit := max(best+time.Duration(pacedShare*objective), time.Duration(soonShare*objective))
 	for _, sv := range s.paced {
@@ -248,6 +293,18 @@
 	return id, true
 }
 
+// estimate returns the expected time to the first byte on a server that was chosen for a call.
+func (s *Picker) estimate(c *pass.Call, id int, now time.Time, req choose.Request) time.Duration {
+	estimate := s.table.Estimate
+	if c.Prioritized {
+		estimate = func(id int, now time.Time, r choose.Request) (time.Duration, bool) {
+			return s.aged.Estimate(s.table, id, now, r)
+		}
+	}
+	est, _ := estimate(id, now, req)
+	return est
+}
+
 // checkWait refuses a streaming call if even the best server would start its response too late. A call that would miss
 // the latency objective is still served if it is a retry by the caller or by a node, unless its response would
 // start after the deadline.
--- a/internal/node/seat/server.go
+++ b/internal/node/seat/server.go
@@ -166,6 +166,9 @@
 	answering bool
 	resumable bool
 	selection pass.Selection
+	// line counts the attempt, and objective is the latency objective of its route, if the calls of its model wait in a line.
+	line      *line
+	objective time.Duration
 }
 
 // mayBeReplaced reports whether another attempt may follow and answer in place of this one.
@@ -195,6 +198,7 @@
 	switch {
 	case r.firstByte == 0:
 		r.firstByte = max(1, now.Sub(r.sentAt))
+		r.picker.observeFirstByte(now, r)
 		if watched {
 			r.stream = r.picker.watch.Begin(now, r.entry.ID)
 		}
@@ -215,6 +219,9 @@
 	}
 	r.server.load, r.server.loadAt = a.Load, now
 	r.picker.observeLoad(r.server.modelKey, a.Load)
+	if l := r.picker.lines[r.server.modelKey]; l != nil {
+		l.queue.ObserveLoad(now, a.Load.Running+a.Load.Waiting, a.Load.Slots)
+	}
 	r.picker.table.ApplyReport(r.server.tableIndex, choose.Report{
 		Instance: r.entry.ID, Open: true, Running: a.Load.Running, Waiting: a.Load.Waiting, CreatedAt: r.server.loadAt,
 	})
@@ -235,6 +242,10 @@
 	r.picker.mu.Lock()
 	defer r.picker.mu.Unlock()
 	delete(r.server.reservations, r)
+	if r.line != nil {
+		r.line.queue.RequestEnded(r.picker.cfg.Now())
+		defer r.picker.dispatch(r.line)
+	}
 	if o == pass.Refused {
 		r.picker.holdRefused(r.picker.cfg.Now(), r.server)
 	}
--- a/internal/report/metric/metric.go
+++ b/internal/report/metric/metric.go
@@ -30,6 +30,7 @@
 	orderKinds   = []string{"join", "open", "close", "leave", "stage"}
 	orderResults = []string{"accepted", "rejected", "unknown"}
 	groupStates  = []string{"open", "planned", "retired", "free", "lost"}
+	queueReasons = []string{"threshold", "wait", "expired", "full"}
 	peerStates   = []string{"live", "suspect", "leaving", "gone"}
 	tableCalls   = []string{"get", "scan", "commit", "snapshot", "changes"}
 	tableResults = []string{"ok", "not_found", "conflict", "history_lost", "unavailable", "unknown"}
@@ -59,6 +60,7 @@
 	cuts      *prometheus.CounterVec
 	orders    *prometheus.CounterVec
 	groups    *prometheus.GaugeVec
+	queueOut  *prometheus.CounterVec
 }
 
 // New returns the metrics of one node.
@@ -82,14 +84,15 @@
 		tableTime: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "table_call_seconds", Help: "Time of a call of the table.", Buckets: prometheus.DefBuckets,
 		}, []string{"call"}),
-		first:  histogram("first_event_seconds", "Time from the request to the first bytes of its answer."),
-		stalls: counters("stalls_total", "Backend servers found to make no progress, by what showed it.", "reason"),
-		cuts:   counters("answers_cut_total", "Answers that ended before they were complete, by why nothing followed.", "reason"),
-		orders: counters("orders_total", "Orders to backend servers by kind and result.", "kind", "result"),
-		groups: gauges("groups", "Serving groups by state, on the node that keeps them.", "state"),
+		first:    histogram("first_event_seconds", "Time from the request to the first bytes of its answer."),
+		stalls:   counters("stalls_total", "Backend servers found to make no progress, by what showed it.", "reason"),
+		cuts:     counters("answers_cut_total", "Answers that ended before they were complete, by why nothing followed.", "reason"),
+		orders:   counters("orders_total", "Orders to backend servers by kind and result.", "kind", "result"),
+		groups:   gauges("groups", "Serving groups by state, on the node that keeps them.", "state"),
+		queueOut: counters("queue_refusals_total", "Requests that the waiting queues of models refused, by why.", "reason"),
 	}
 	s.registry.MustRegister(s.requests, s.duration, s.attempts, s.retries, s.refusals, s.queue, s.buffered, s.grants,
-		s.granted, s.version, s.age, s.mode, s.peers, s.tableUses, s.tableTime, s.first, s.stalls, s.cuts, s.orders, s.groups)
+		s.granted, s.version, s.age, s.mode, s.peers, s.tableUses, s.tableTime, s.first, s.stalls, s.cuts, s.orders, s.groups, s.queueOut)
 	return s
 }
 
@@ -128,6 +131,11 @@
 // Refused counts a request that was refused before an attempt.
 func (s *Set) Refused(code fault.Code) { s.refusals.WithLabelValues(codeLabel(code)).Inc() }
 
+// QueueRefused counts a request that the waiting queue of a model refused: threshold, wait, expired or full.
+func (s *Set) QueueRefused(reason string) {
+	s.queueOut.WithLabelValues(known(reason, queueReasons)).Inc()
+}
+
 // AttemptEnded counts an attempt: answered, failed, cancelled or unknown.
 func (s *Set) AttemptEnded(result string) {
 	s.attempts.WithLabelValues(known(result, attemptResults)).Inc()
@@ -223,3 +231,9 @@
 	}
 	return 0
 }
+
+// Collect registers a collector. The names of its metrics are made by Name.
+func (s *Set) Collect(c prometheus.Collector) { s.registry.MustRegister(c) }
+
+// Name returns the full name of a metric.
+func Name(name string) string { return prometheus.BuildFQName(namespace, "", name) }
--- a/internal/route/choose/learn.go
+++ b/internal/route/choose/learn.go
@@ -9,6 +9,8 @@
 type learnedDelay struct {
 	value   float64
 	samples int
+	// learnedAt is when RecordFirstToken last changed it, in nanoseconds since Table.epoch.
+	learnedAt int64
 }
 
 // maxDelaySampleSeconds limits each sample, so that the average stays near the median. Otherwise a few requests
@@ -47,6 +49,36 @@
 	t.firstTokenDelays[model] = l
 }
 
+// Parameters of RecordFirstToken: the time constant of the average, the largest weight of a sample, and the largest sample, so
+// that single requests that waited for a stalled server change the average little.
+const (
+	fastDelayTime        = time.Second
+	maxFastDelayStep     = 0.25
+	maxFastSampleSeconds = 0.3
+)
+
+// RecordFirstToken records the time to first token of a running request. The delay of its model then follows within
+// about a second, whereas RecordEnd learns only at the end of a request, with a weight that is the same however few requests this
+// node has. RecordEnd still has to be called.
+func (t *Table) RecordFirstToken(id int, sendID uint64, now time.Time, firstToken time.Duration) {
+	st := &t.servers[id]
+	for i := range st.sends {
+		s := &st.sends[i]
+		if s.id != sendID || s.learned || t.cfg.FirstTokenLearningRate == 0 {
+			continue
+		}
+		s.learned = true
+		l, at := t.firstTokenDelays[st.spec.Model], t.clock(now)
+		elapsed := float64(at-l.learnedAt) / float64(fastDelayTime)
+		step := min(max(t.cfg.FirstTokenLearningRate, 1-math.Exp(-elapsed)), maxFastDelayStep)
+		late := min(max(firstToken.Seconds()-s.estimate, -maxFastSampleSeconds), maxFastSampleSeconds)
+		l.value, l.learnedAt = max(0, l.value+step*late), at
+		l.samples++
+		t.firstTokenDelays[st.spec.Model] = l
+		return
+	}
+}
+
 // RecordRefusal records that a request for a model was refused because of the estimate.
 func (t *Table) RecordRefusal(model string) {
 	l := t.firstTokenDelays[model]
--- a/internal/route/choose/table.go
+++ b/internal/route/choose/table.go
@@ -148,6 +148,7 @@
 	tokens   int
 	prefill  float64 // seconds on a server whose slowdown is 1
 	estimate float64 // expected time to first token in seconds
+	learned  bool    // RecordFirstToken was called
 }
 
 // maxSends is the maximum number of sends kept for one server; the oldest are dropped first.
@@ -311,7 +312,9 @@
 		}
 		s.ended = t.clock(now)
 		if firstToken > 0 {
-			t.learnFirstTokenDelay(st.spec.Model, firstToken.Seconds()-s.estimate)
+			if !s.learned {
+				t.learnFirstTokenDelay(st.spec.Model, firstToken.Seconds()-s.estimate)
+			}
 			ratio := min(max(firstToken.Seconds()/max(s.estimate, minEstimateSeconds), slowdownMin), slowdownMax)
 			st.slowdown = min(max(st.slowdown*math.Pow(ratio, slowdownStep), slowdownMin), slowdownMax)
 			t.meanHold += holdStep * (float64(s.ended-s.at)/float64(time.Second) - t.meanHold)
--- a/internal/route/match/match.go
+++ b/internal/route/match/match.go
@@ -118,6 +118,8 @@
 	routesByHost   map[string][]*Route
 	accountsByKey  map[string]*Account
 	servicesByName map[string]*Service
+	// prioritized holds the services whose requests have different priorities.
+	prioritized map[string]bool
 }
 
 // New returns the table of a document. The document must not be changed afterwards.
@@ -127,7 +129,9 @@
 		routesByHost:   make(map[string][]*Route),
 		accountsByKey:  make(map[string]*Account, len(doc.Accounts)),
 		servicesByName: make(map[string]*Service, len(doc.Services)),
+		prioritized:    make(map[string]bool),
 	}
+	t.findPrioritized()
 	for i := range doc.Routes {
 		r := &doc.Routes[i]
 		host := strings.ToLower(r.Host)
@@ -148,6 +152,37 @@
 	return t
 }
 
+// findPrioritized determines the services whose requests have different priorities.
+func (t *Table) findPrioritized() {
+	first := make(map[string]int)
+	note := func(service string, priority int) {
+		if p, ok := first[service]; ok && p != priority {
+			t.prioritized[service] = true
+		} else if !ok {
+			first[service] = priority
+		}
+	}
+	for i := range t.doc.Routes {
+		r := &t.doc.Routes[i]
+		for _, target := range r.Targets {
+			if r.Public || !t.HasAccounts() {
+				note(target.Service, r.Priority)
+				continue
+			}
+			for j := range t.doc.Accounts {
+				if a := &t.doc.Accounts[j]; a.HasPriority {
+					note(target.Service, a.Priority)
+				} else {
+					note(target.Service, r.Priority)
+				}
+			}
+		}
+	}
+}
+
+// Prioritized reports whether requests for a service have different priorities, by their routes or accounts.
+func (t *Table) Prioritized(service string) bool { return t.prioritized[service] }
+
 // Version returns the version of the document.
 func (t *Table) Version() uint64 { return t.doc.Version }
 
--- a/internal/route/match/match_test.go
+++ b/internal/route/match/match_test.go
@@ -50,3 +50,30 @@
 		}
 	}
 }
+
+// Guards against a service whose requests wait in order of priority although all have the same, or do not although they differ.
+func TestPrioritized(t *testing.T) {
+	t.Parallel()
+	route := func(priority int, public bool, service string) match.Route {
+		return match.Route{Priority: priority, Public: public, Targets: []match.Target{{Service: service, Weight: 1}}}
+	}
+	with, without := match.Account{Name: "with", Priority: 2, HasPriority: true}, match.Account{Name: "without"}
+	tests := map[string]struct {
+		doc  match.Document
+		want bool
+	}{
+		"one route":                         {match.Document{Routes: []match.Route{route(1, false, "s")}}, false},
+		"equal routes":                      {match.Document{Routes: []match.Route{route(1, false, "s"), route(1, true, "s")}}, false},
+		"different routes":                  {match.Document{Routes: []match.Route{route(1, false, "s"), route(0, false, "s")}}, true},
+		"different routes of others":        {match.Document{Routes: []match.Route{route(1, false, "s"), route(0, false, "other")}}, false},
+		"account of another priority":       {match.Document{Routes: []match.Route{route(1, false, "s")}, Accounts: []match.Account{with, without}}, true},
+		"account of the same priority":      {match.Document{Routes: []match.Route{route(2, false, "s")}, Accounts: []match.Account{with, without}}, false},
+		"account of another, public route":  {match.Document{Routes: []match.Route{route(1, true, "s")}, Accounts: []match.Account{with, without}}, false},
+		"all accounts of the same priority": {match.Document{Routes: []match.Route{route(0, false, "s"), route(1, false, "s")}, Accounts: []match.Account{with}}, false},
+	}
+	for name, tt := range tests {
+		if got := match.New(tt.doc).Prioritized("s"); got != tt.want {
+			t.Errorf("%s: %v, want %v", name, got, tt.want)
+		}
+	}
+}
--- a/internal/wire/frame/messages.gen.go
+++ b/internal/wire/frame/messages.gen.go
@@ -398,6 +398,32 @@
 	SuspectRequest *SuspectRequest `json:"suspect_request,omitempty,omitzero"`
 }
 
+// ModelPressure is the demand for a model and the load of its servers, summed over
+// some nodes. Rates are in tenths per second.
+type ModelPressure struct {
+	// Rates by priority at which requests arrive that can be on time; priorities that
+	// are left out at the end have none.
+	Demand []int `json:"demand,omitempty,omitzero"`
+
+	// Rate at which requests end.
+	Ended int `json:"ended,omitempty,omitzero"`
+
+	// Rate of first bytes of responses.
+	First int `json:"first,omitempty,omitzero"`
+
+	// Requests that were sent to servers and have not ended.
+	InFlight int `json:"in_flight,omitempty,omitzero"`
+
+	// The same, weighted with the fraction of the objective that had passed.
+	Late int `json:"late,omitempty,omitzero"`
+
+	// Service and model.
+	Model string `json:"model"`
+
+	// Number of nodes in the sums.
+	Nodes int `json:"nodes"`
+}
+
 // OutcomeAsk asks the node that a request began on what became of it.
 type OutcomeAsk struct {
 	// Acct corresponds to the JSON schema field "acct".
@@ -490,6 +516,13 @@
 type RateNotices struct {
 	// List corresponds to the JSON schema field "list".
 	List []RateNotice `json:"list"`
+
+	// Demand for models and load of their servers, summed over the nodes below the
+	// sender in the tree, or over all if total is set.
+	Pressure []ModelPressure `json:"pressure,omitempty,omitzero"`
+
+	// The sums in pressure come from upstream.
+	Total bool `json:"total,omitempty,omitzero"`
 }
 
 // ReachAsk asks whether the receiver reaches backend servers and takes requests of
