--- a/internal/route/choose/aged.go
+++ b/internal/route/choose/aged.go
@@ -1,6 +1,7 @@
 package choose
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -80,26 +81,30 @@
 		if !t.usable(int(id), at, r.PromptTokens+r.AnswerTokens) {
 			continue
 		}
-		reported, w := st.reportedRequests(), t.reportWeight(st, at)
+		reported, w := st.reportedRequests(), minAverageWeight+t.reportWeight(st, at, 1)
 		sum, weights = sum+w*reported, weights+w
 		c.loads = append(c.loads, agedLoad{id: int(id), requests: reported})
 	}
 	if len(c.loads) == 0 {
 		return
 	}
-	average := sum / max(weights, minReportWeight)
+	average := sum / weights
 	for i := range c.loads {
 		l := &c.loads[i]
-		st, w := &t.servers[l.id], t.reportWeight(&t.servers[l.id], at)
+		st, w := &t.servers[l.id], t.reportWeight(&t.servers[l.id], at, reportTrust)
 		l.requests = average + w*(l.requests-average) + float64(st.ownChange())
+		prefill := cmp.Or(st.spec.PrefillPerToken, t.cfg.PrefillPerToken).Seconds() * st.slowdown
+		if st.report.Cold {
+			prefill *= t.cfg.ColdFactor
+		}
+		wait := 0.0
 		if slots := float64(st.slots()); slots > 0 {
 			l.requests = max(l.requests, slots*(st.unanswered(at)-patience)/t.slotSeconds(st)+slots)
+			prefill *= 1 + t.cfg.BatchFactor*min(1, (l.requests+1)/slots)
+			wait = max(0, (l.requests+1-slots)/slots*t.slotSeconds(st))
 		}
-		row := &t.rows[l.id]
-		l.cost = row.roundTrip + row.prefillPerToken*float64(max(0, r.PromptTokens-max(0, int(t.marks[l.id]))))
-		if slots := float64(st.slots()); slots > 0 && l.requests+1 > slots {
-			l.cost += (l.requests + 1 - slots) / slots * t.slotSeconds(st)
-		}
+		uncachedTokens := max(0, r.PromptTokens-max(0, int(t.marks[l.id])))
+		l.cost = t.rows[l.id].roundTrip + prefill*float64(uncachedTokens) + wait
 	}
 }
 
@@ -108,13 +113,15 @@
 // 0.15 than with 0.3, 0.5 and 1.
 const reportTrust = 0.15
 
-// minReportWeight avoids a division by zero.
-const minReportWeight = 1e-9
+// minAverageWeight is the weight of the oldest reports in the average load, relative to new ones, so that a single report does not
+// determine it after a time with few requests.
+const minAverageWeight = 0.05
 
-// reportWeight returns the weight of a server's load report against the average load.
-func (t *Table) reportWeight(st *serverState, at int64) float64 {
+// reportWeight returns the weight of a server's load report, which falls with a time constant of the given fraction of the time for
+// which a request holds its slot.
+func (t *Table) reportWeight(st *serverState, at int64, fraction float64) float64 {
 	age := max(0, float64(at-st.madeAt)/float64(time.Second))
-	return math.Exp(-age / max(t.slotSeconds(st)*reportTrust, minEstimateSeconds))
+	return math.Exp(-age / max(t.slotSeconds(st)*fraction, minEstimateSeconds))
 }
 
 func (t *Table) slotSeconds(st *serverState) float64 {
