Share the demand for models up and down the tree, and describe the queue

Nodes exchange the sums every 200 ms while the servers of a model are three quarters busy, and every 800 ms from half on.

--- a/internal/node/edge/pressure.go
+++ b/internal/node/edge/pressure.go
@@ -12,29 +12,42 @@
 	"github.com/prometheus/client_golang/prometheus"
 )
 
-// pressureInterval is the time between messages to other nodes about the demand for models whose servers are nearly busy. Nodes two
-// steps from the first one so agree within a second. More messages would cost more than the 4 KB/s that a node may send.
-const pressureInterval = 200 * time.Millisecond
+// pressureInterval is the time between messages to other nodes about the demand for models whose servers are nearly busy, so that nodes
+// two steps from the first one agree within a second. While servers have room, only every calmRounds-th message is sent: a node with
+// eight children would else send 5 KB/s for one model all the time.
+const (
+	pressureInterval = 200 * time.Millisecond
+	calmRounds       = 4
+)
 
 // sharePressure combines the demand for models with that of other nodes, until ctx ends.
 func (n *Node) sharePressure(ctx context.Context) error {
+	round := 0
 	return tasks.Every(ctx, pressureInterval, func(context.Context) {
-		upstream := n.mesh.Upstream()
-		out := n.pressure.Exchange(time.Now(), n.seats.Pressure(), upstream, n.mesh.Size())
-		for _, t := range out.Fleet {
-			n.seats.SetFleetTotals(t)
-		}
-		if len(out.Up) > 0 && upstream != "" {
-			n.mesh.SendPressure(upstream, false, out.Up)
-		}
-		if len(out.Down) > 0 {
-			for _, node := range out.Children {
-				n.mesh.SendPressure(node, true, out.Down)
-			}
+		round++
+		if own, urgent := n.seats.Pressure(); urgent || round%calmRounds == 0 {
+			n.exchangePressure(own)
 		}
 	})
 }
 
+func (n *Node) exchangePressure(own []queue.ModelTotals) {
+	upstream := n.mesh.Upstream()
+	out := n.pressure.Exchange(time.Now(), own, upstream, n.mesh.Size())
+	for _, t := range out.Fleet {
+		n.seats.SetFleetTotals(out.At, t)
+	}
+	if len(out.Up) > 0 && upstream != "" {
+		n.mesh.SendPressure(upstream, false, out.Up)
+	}
+	if len(out.Down) == 0 {
+		return
+	}
+	for _, node := range out.Children {
+		n.mesh.SendPressure(node, true, out.Down)
+	}
+}
+
 // handlePressure records the demand for models that another node knows.
 func (n *Node) handlePressure(from string, total bool, list []queue.ModelTotals) {
 	if total {
--- a/internal/node/seat/burst_test.go
+++ b/internal/node/seat/burst_test.go
@@ -251,13 +251,14 @@
 	for ctx.Err() == nil {
 		sum := queue.Totals{}
 		for _, n := range b.nodes {
-			for _, t := range n.Pressure() {
+			list, _ := n.Pressure()
+			for _, t := range list {
 				sum.Add(t.Totals)
 			}
 		}
 		time.Sleep(b.shareLag)
 		for _, n := range b.nodes {
-			n.SetFleetTotals(queue.ModelTotals{Model: "svc/m", Totals: sum})
+			n.SetFleetTotals(time.Now(), queue.ModelTotals{Model: "svc/m", Totals: sum})
 		}
 		time.Sleep(interval - b.shareLag)
 	}
--- a/internal/node/seat/line.go
+++ b/internal/node/seat/line.go
@@ -92,7 +92,7 @@
 	c := w.call
 	r := queue.Request{
 		ID: l.nextID, Priority: c.Priority, Account: c.Account, Tokens: c.PromptTokens + c.MaxTokens, Fingerprint: c.Fingerprint, FirstArrival: c.FirstArrival(),
-		Objective: c.Route.Objective, Deadline: c.Deadline, StartTime: min(cand.estimate, time.Duration(maxWaitShare*float64(c.Route.Objective))),
+		Objective: c.Route.Objective, Deadline: c.Deadline, StartTime: startTime(c, cand.estimate),
 	}
 	s.updateCapacity(now, l)
 	if x := l.queue.Arrive(now, r); x != nil {
@@ -103,6 +103,11 @@
 	return l, r.ID
 }
 
+// startTime returns the expected time to the first byte that a call needs at least. An estimate of a busy server is more than that.
+func startTime(c *pass.Call, estimate time.Duration) time.Duration {
+	return min(estimate, time.Duration(maxWaitShare*float64(c.Route.Objective)))
+}
+
 // line returns the line of a model. The caller must hold mu.
 func (s *Picker) line(now time.Time, model string) *line {
 	l, ok := s.lines[model]
@@ -228,6 +233,9 @@
 		return nil
 	}
 	startsAt, by := now.Add(estimate), now.Add(c.Route.Objective)
+	if c.Route.Objective <= 0 {
+		by = c.Deadline
+	}
 	if at := c.FirstArrival().Add(c.Route.Objective); l.queue.Saturated(now) && at.After(now) {
 		by = at
 	}
@@ -270,25 +278,32 @@
 	s.table.RecordFirstToken(r.server.tableIndex, r.sendID, now, r.firstByte)
 }
 
-// pressureShare is the share of the target for requests at servers from which nodes tell each other of the demand for a model. Below,
-// no request is held back.
-const pressureShare = 0.5
+// pressureShare is the share of the target for requests at servers from which nodes tell each other of the demand for a model; below,
+// no request is held back. From urgentShare on, they do so often.
+const (
+	pressureShare = 0.5
+	urgentShare   = 0.75
+)
 
-// Pressure returns the demand and load of this node for each model whose servers are nearly busy or whose calls wait, by model.
-func (s *Picker) Pressure() []queue.ModelTotals {
+// Pressure returns the demand and load of this node for each model whose servers are busy or whose calls wait, by model, and whether calls
+// wait or may soon have to.
+func (s *Picker) Pressure() ([]queue.ModelTotals, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.cfg.Now()
-	var out []queue.ModelTotals
+	var list []queue.ModelTotals
+	urgent := false
 	for _, model := range s.modelsInLine() {
 		l := s.lines[model]
 		s.updateCapacity(now, l)
 		s.logThreshold(now, l)
-		if l.queue.Len() > 0 || l.queue.Status(now).Occupancy >= pressureShare {
-			out = append(out, queue.ModelTotals{Model: model, Totals: l.queue.Totals(now)})
+		occupancy := l.queue.Status(now).Occupancy
+		if l.queue.Len() > 0 || occupancy >= pressureShare {
+			list = append(list, queue.ModelTotals{Model: model, Totals: l.queue.Totals(now)})
 		}
+		urgent = urgent || l.queue.Len() > 0 || occupancy >= urgentShare
 	}
-	return out
+	return list, urgent
 }
 
 // logThreshold logs when a line begins or ceases to hold requests back, and when the source of its threshold changes meanwhile.
@@ -303,12 +318,12 @@
 		"occupancy", st.Occupancy, "waiting", l.queue.Len())
 }
 
-// SetFleetTotals sets the demand and load of all nodes for a model. It does nothing for a model without calls on this node.
-func (s *Picker) SetFleetTotals(t queue.ModelTotals) {
+// SetFleetTotals sets the demand and load of all nodes for a model, as received at a time. It does nothing for a model without calls on this node.
+func (s *Picker) SetFleetTotals(at time.Time, t queue.ModelTotals) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if l := s.lines[t.Model]; l != nil {
-		l.queue.SetFleet(s.cfg.Now(), t.Totals)
+		l.queue.SetFleet(at, t.Totals)
 	}
 }
 
--- a/internal/route/queue/queue.go
+++ b/internal/route/queue/queue.go
@@ -29,7 +29,7 @@
 	Fingerprint uint64
 	// FirstArrival is when the caller first sent the request, as far as is known.
 	FirstArrival time.Time
-	// Objective is the latency objective, counted from FirstArrival.
+	// Objective is the latency objective, counted from FirstArrival; 0 stands for the time until Deadline.
 	Objective time.Duration
 	// Deadline is when the caller gives up.
 	Deadline time.Time
@@ -40,28 +40,6 @@
 // latestSend returns when the request must be sent to a server in order to meet its objective.
 func (r *Request) latestSend() time.Time { return r.FirstArrival.Add(r.Objective - r.StartTime) }
 
-// Reason is why a request is refused.
-type Reason string
-
-// Reasons for refusals.
-const (
-	// BelowThreshold means that the requests that are admitted first take all capacity.
-	BelowThreshold Reason = "threshold"
-	// WaitTooLong means that the requests ahead would make this one late.
-	WaitTooLong Reason = "wait"
-	// Expired means that the request has waited until it could no longer be on time.
-	Expired Reason = "expired"
-	// Full means that the queue holds MaxWaiting requests.
-	Full Reason = "full"
-)
-
-// Refusal is a refused request.
-type Refusal struct {
-	ID         uint64
-	Reason     Reason
-	RetryAfter time.Duration
-}
-
 // Parameters of a Queue.
 const (
 	// MaxWaiting bounds the waiting requests.
@@ -83,12 +61,6 @@
 	retryInterval = 20 * time.Millisecond
 )
 
-// Bounds of the retry time of a refusal. The upper one is well below usual deadlines.
-const (
-	minRetryAfter = 300 * time.Millisecond
-	maxRetryAfter = 2500 * time.Millisecond
-)
-
 // waiting is a request in the queue.
 type waiting struct {
 	Request
@@ -125,6 +97,9 @@
 // Arrive adds a request to the queue, or refuses it at once if it could not be served in time.
 func (q *Queue) Arrive(now time.Time, r Request) *Refusal {
 	r.Priority = min(max(r.Priority, 0), Levels-1)
+	if r.Objective <= 0 {
+		r.Objective = r.Deadline.Sub(r.FirstArrival)
+	}
 	w := &waiting{Request: r, seq: q.seq, until: r.latestSend()}
 	q.seq++
 	if !w.until.After(now) {
@@ -165,34 +140,6 @@
 	return w
 }
 
-// repeats reports whether a request was counted in the demand less than minRetryAfter ago and refused since. Otherwise, callers that
-// return at once would raise the demand, and so this node's share of the capacity, at the expense of others.
-func (q *Queue) repeats(now time.Time, fingerprint uint64) bool {
-	at, ok := q.refusedAt[fingerprint]
-	return ok && now.Sub(at) < minRetryAfter
-}
-
-// remember records that a request was counted in the demand and is refused.
-func (q *Queue) remember(now time.Time, fingerprint uint64) {
-	if q.repeats(now, fingerprint) {
-		return
-	}
-	if len(q.refusedAt) >= maxRefused {
-		for f, at := range q.refusedAt {
-			if now.Sub(at) >= minRetryAfter {
-				delete(q.refusedAt, f)
-			}
-		}
-		if len(q.refusedAt) >= maxRefused {
-			clear(q.refusedAt)
-		}
-	}
-	q.refusedAt[fingerprint] = now
-}
-
-// maxRefused bounds the refused requests that are remembered.
-const maxRefused = 2048
-
 // makeRoom reports whether a request goes before the last one, which then expires with the next call of Expired.
 func (q *Queue) makeRoom(w *waiting) bool {
 	last := slices.MaxFunc(q.items, q.compare)
@@ -442,23 +389,6 @@
 	q.tokens = min(q.tokens+elapsed*rate, max(minBurst, rate*burstTime.Seconds()))
 }
 
-// refuse returns the refusal of a request. Its retry time is the expected time until the fleet admits requests of its priority,
-// with jitter so that callers do not all return at once.
-func (q *Queue) refuse(now time.Time, w *waiting, reason Reason) *Refusal {
-	q.remember(now, w.Fingerprint)
-	s := q.meter.state(now)
-	wait := s.recovery(w.Priority)
-	if rate := s.rateFor(w.Priority); rate > minRate {
-		wait = max(wait, float64(q.ahead(w)+1)/rate)
-	}
-	wait *= 0.75 + 0.75*q.rnd.Float64()
-	after := min(max(seconds(min(wait, 60)), minRetryAfter), maxRetryAfter)
-	if after == minRetryAfter || after == maxRetryAfter {
-		after += time.Duration(q.rnd.Float64() * 0.25 * float64(after))
-	}
-	return &Refusal{ID: w.ID, Reason: reason, RetryAfter: after}
-}
-
 // Waiting returns the number of waiting requests by priority.
 func (q *Queue) Waiting() [Levels]int {
 	var out [Levels]int
--- a/internal/route/queue/tree.go
+++ b/internal/route/queue/tree.go
@@ -19,8 +19,8 @@
 
 // Times for which the sums of the nodes below a node and those from upstream are used.
 const (
-	belowAge    = 700 * time.Millisecond
-	upstreamAge = time.Second
+	belowAge    = time.Second
+	upstreamAge = 1200 * time.Millisecond
 )
 
 // maxModels bounds the models in a message that are taken in.
@@ -65,8 +65,9 @@
 	// Up is for the node upstream, Down for the nodes in Children.
 	Up, Down []ModelTotals
 	Children []string
-	// Fleet holds the totals by which this node acts.
+	// Fleet holds the totals by which this node acts, as of At.
 	Fleet []ModelTotals
+	At    time.Time
 }
 
 // Exchange returns what this node sends, given its own totals of the models under pressure, the node upstream, "" if there is none, and
@@ -99,11 +100,11 @@
 			out.Up = append(out.Up, ModelTotals{Model: model, Totals: x})
 		}
 	}
-	out.Down = out.Up
+	out.Down, out.At = out.Up, now
 	if upstream == "" {
 		out.Up = nil
 	} else if t.from == upstream && now.Sub(t.upstream.at) < upstreamAge {
-		out.Down = t.upstream.list
+		out.Down, out.At = t.upstream.list, t.upstream.at
 	}
 	out.Fleet = out.Down
 	return out
