--- a/internal/node/seat/line.go
+++ b/internal/node/seat/line.go
@@ -136,14 +136,40 @@
 	l.capacityAt = now
 	c := queue.Capacity{Nodes: max(1, s.cfg.Nodes())}
 	for _, sv := range s.servers {
+		if sv.modelKey != l.model {
+			continue
+		}
 		blocked, _ := s.notices.blocks(now, sv.entry)
-		if sv.modelKey == l.model && !blocked && !sv.cold(now) && !sv.namesRate && !now.Before(sv.refusedUntil) && !s.watch.Stalled(now, sv.entry.ID) {
-			c.Slots += float64(sv.entry.Slots)
+		if blocked || now.Before(sv.refusedUntil) || s.watch.Stalled(now, sv.entry.ID) {
+			c.Elsewhere += len(sv.reservations)
+			continue
+		}
+		c.Slots += s.usableSlots(now, sv)
+	}
+	for sv := range s.departed {
+		if sv.modelKey == l.model {
+			c.Elsewhere += len(sv.reservations)
 		}
 	}
 	l.queue.SetCapacity(c)
 }
 
+// usableSlots returns how many requests a server can run at the same time. If the rate of requests to it is limited, these are no more
+// than arrive in the time for which a request holds its slot.
+func (s *Picker) usableSlots(now time.Time, sv *server) float64 {
+	slots, hold := float64(sv.entry.Slots), defaultSlotTime.Seconds()
+	if svc := s.cfg.Service(sv.entry.Service); svc != nil && sv.cold(now) && svc.ColdRate > 0 {
+		slots = min(slots, svc.ColdRate*hold)
+	}
+	if rate, ok := s.cfg.Rates.Rate(sv.process()); ok {
+		slots = min(slots, rate*hold)
+	}
+	return slots
+}
+
+// defaultSlotTime is the time for which a request is taken to hold its slot on a server with a limited rate.
+const defaultSlotTime = 2 * time.Second
+
 // leave removes a call that ends before its decision. If it has been made, it stands.
 func (s *Picker) leave(l *line, id uint64, w *waiter) {
 	s.mu.Lock()
--- a/internal/node/seat/server.go
+++ b/internal/node/seat/server.go
@@ -243,7 +243,7 @@
 	defer r.picker.mu.Unlock()
 	delete(r.server.reservations, r)
 	if r.line != nil {
-		r.line.queue.RequestEnded(r.picker.cfg.Now())
+		r.line.queue.RequestEnded(r.picker.cfg.Now(), o == pass.Served || o == pass.Cancelled)
 		defer r.picker.dispatch(r.line)
 	}
 	if o == pass.Refused {
--- a/internal/route/pace/pace.go
+++ b/internal/route/pace/pace.go
@@ -277,6 +277,16 @@
 	return ok && !r.notice.Ended
 }
 
+// Rate returns the requests per second that a server takes from all nodes together, or false if it names no rate.
+func (b *Book) Rate(s Server) (float64, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r, ok := b.records[s]; ok && !r.notice.Ended {
+		return r.notice.Rate, true
+	}
+	return 0, false
+}
+
 // Sent records that this node sends a request to a server.
 func (b *Book) Sent(now time.Time, s Server) {
 	b.mu.Lock()
--- a/internal/route/queue/meter.go
+++ b/internal/route/queue/meter.go
@@ -59,6 +59,8 @@
 type Capacity struct {
 	// Slots is the number of requests that the usable servers run at the same time; 0 if it is not known.
 	Slots float64
+	// Elsewhere is the number of requests of this node at servers that are not usable, such as stalled ones.
+	Elsewhere int
 	// Nodes is the number of nodes that send requests to these servers.
 	Nodes int
 }
@@ -144,12 +146,16 @@
 // RequestSent records that a request was sent to a server, whether or not it was in the queue.
 func (q *Queue) RequestSent() { q.meter.inFlight++ }
 
-// RequestEnded records that a request that was sent to a server has ended.
-func (q *Queue) RequestEnded(now time.Time) {
+// RequestEnded records that a request that was sent to a server has ended. freed is set if another one can start in its place, which
+// is not the case if the server has failed.
+func (q *Queue) RequestEnded(now time.Time, freed bool) {
 	q.meter.inFlight = max(0, q.meter.inFlight-1)
+	q.meter.dirty = true
+	if !freed {
+		return
+	}
 	q.meter.ended.add(now, endedTime, 1)
 	q.meter.slowEnded.add(now, aloneTime, 1)
-	q.meter.dirty = true
 }
 
 // FirstByte records the time from sending a request to its first byte.
@@ -178,7 +184,7 @@
 
 func (m *meter) totals(now time.Time) Totals {
 	t := Totals{
-		Nodes: 1, InFlight: m.inFlight, Ended: m.ended.rate(now, endedTime),
+		Nodes: 1, InFlight: max(0, m.inFlight-float64(m.capacity.Elsewhere)), Ended: m.ended.rate(now, endedTime),
 		FirstBytes: m.first.rate(now, endedTime), Lateness: m.lateness.rate(now, endedTime),
 	}
 	for i := range m.demand {
