--- a/internal/node/edge/pressure.go
+++ b/internal/node/edge/pressure.go
@@ -13,7 +13,7 @@
 )
 
 // pressureInterval is the time between messages to other nodes about the demand for models whose servers are nearly busy, so that nodes
-// two steps from the first one agree within a second. While servers have room, only every calmRounds-th message is sent: a node with
+// three steps from the first one agree within a second. While servers have room, only every calmRounds-th message is sent: a node with
 // eight children would else send 5 KB/s for one model all the time.
 const (
 	pressureInterval = 200 * time.Millisecond
@@ -50,11 +50,14 @@
 
 // handlePressure records the demand for models that another node knows.
 func (n *Node) handlePressure(from string, total bool, list []queue.ModelTotals) {
-	if total {
-		n.pressure.Upstream(time.Now(), from, list)
+	now := time.Now()
+	if !total {
+		n.pressure.Below(now, from, list)
 		return
 	}
-	n.pressure.Below(time.Now(), from, list)
+	for _, node := range n.pressure.Upstream(now, from, n.mesh.Upstream(), list) {
+		n.mesh.SendPressure(node, true, list)
+	}
 }
 
 // queueCollector exports the state of the waiting queues.
--- a/internal/route/queue/tree.go
+++ b/internal/route/queue/tree.go
@@ -53,16 +53,29 @@
 	t.below[node] = received{at: now, list: list}
 }
 
-// Upstream records the sums over all nodes, as the node upstream sent them.
-func (t *Tree) Upstream(now time.Time, node string, list []ModelTotals) {
+// Upstream records the sums over all nodes, as the node upstream sent them, and returns the nodes below to which they are to be passed on
+// at once. There are none if the sender is not the node upstream.
+func (t *Tree) Upstream(now time.Time, node, upstream string, list []ModelTotals) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if node != upstream {
+		return nil
+	}
 	t.upstream, t.from = received{at: now, list: list}, node
+	return t.children(now, upstream)
+}
+
+// children returns the nodes that have sent sums of late, without the node upstream, which may still count as one of them while the tree
+// changes.
+func (t *Tree) children(now time.Time, upstream string) []string {
+	maps.DeleteFunc(t.below, func(node string, r received) bool { return now.Sub(r.at) >= belowAge || node == upstream })
+	return slices.Sorted(maps.Keys(t.below))
 }
 
 // Messages are what a node sends to others at an interval.
 type Messages struct {
-	// Up is for the node upstream, Down for the nodes in Children.
+	// Up is for the node upstream, Down for the nodes in Children. Down is empty while the node upstream sends sums, which are passed on as
+	// they come.
 	Up, Down []ModelTotals
 	Children []string
 	// Fleet holds the totals by which this node acts, as of At.
@@ -85,14 +98,9 @@
 	}
 	add(own)
 	var out Messages
-	for _, node := range slices.Sorted(maps.Keys(t.below)) {
-		// While the tree changes, the node upstream may still count as one below.
-		if r := t.below[node]; now.Sub(r.at) >= belowAge || node == upstream {
-			delete(t.below, node)
-			continue
-		}
+	out.Children = t.children(now, upstream)
+	for _, node := range out.Children {
 		add(t.below[node].list)
-		out.Children = append(out.Children, node)
 	}
 	for _, model := range slices.Sorted(maps.Keys(sums)) {
 		// Sums that exceed the registered nodes contain some twice, which happens while links form a circle.
@@ -100,13 +108,12 @@
 			out.Up = append(out.Up, ModelTotals{Model: model, Totals: x})
 		}
 	}
-	out.Down, out.At = out.Up, now
+	out.Fleet, out.At, out.Down = out.Up, now, out.Up
 	if upstream == "" {
 		out.Up = nil
 	} else if t.from == upstream && now.Sub(t.upstream.at) < upstreamAge {
-		out.Down, out.At = t.upstream.list, t.upstream.at
+		out.Fleet, out.At, out.Down = t.upstream.list, t.upstream.at, nil
 	}
-	out.Fleet = out.Down
 	return out
 }
 
