--- a/internal/node/seat/line.go
+++ b/internal/node/seat/line.go
@@ -21,6 +21,8 @@
 	nextID  uint64
 	// capacityAt is when the capacity of the servers was last computed.
 	capacityAt time.Time
+	// usedAt is when a call last entered.
+	usedAt time.Time
 	// saturated and source are what was last logged of the threshold.
 	saturated bool
 	source    queue.Source
@@ -108,16 +110,45 @@
 	return min(estimate, time.Duration(maxWaitShare*float64(c.Route.Objective)))
 }
 
-// line returns the line of a model. The caller must hold mu.
+// line returns the line of a model. A new one counts the requests that are at its servers already. The caller must hold mu.
 func (s *Picker) line(now time.Time, model string) *line {
 	l, ok := s.lines[model]
 	if !ok {
 		l = &line{model: model, queue: queue.New(now, rand.New(rand.NewPCG(s.rnd.Uint64(), s.rnd.Uint64()))), waiters: make(map[uint64]*waiter)}
 		s.lines[model] = l
+		for _, sv := range s.servers {
+			for r := range sv.reservations {
+				if sv.modelKey == model {
+					r.line = l
+					l.queue.RequestSent()
+				}
+			}
+		}
 	}
+	l.usedAt = now
 	return l
 }
 
+// lineRetention is how long the line of a model without calls is kept, such as after a change of the configuration to equal priorities.
+const lineRetention = 30 * time.Second
+
+// expireLines deletes the lines that have not been used for lineRetention. The caller must hold mu.
+func (s *Picker) expireLines(now time.Time) {
+	for model, l := range s.lines {
+		if now.Sub(l.usedAt) < lineRetention || l.queue.Len() > 0 {
+			continue
+		}
+		delete(s.lines, model)
+		for _, sv := range s.servers {
+			for r := range sv.reservations {
+				if r.line == l {
+					r.line = nil
+				}
+			}
+		}
+	}
+}
+
 // serves reports whether a server of a model is known. The names of models come from callers, so that lines are kept only for those.
 func (s *Picker) serves(model string) bool {
 	for _, sv := range s.servers {
@@ -317,6 +348,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.cfg.Now()
+	s.expireLines(now)
 	var list []queue.ModelTotals
 	urgent := false
 	for _, model := range s.modelsInLine() {
--- a/internal/node/seat/seat_test.go
+++ b/internal/node/seat/seat_test.go
@@ -717,3 +717,42 @@
 		}
 	})
 }
+
+// Guards against a change to different priorities after which the requests that are at the servers already do not count, so that as many
+// are sent again, and against calls that are counted for as long as the node runs once all have the same priority again.
+func TestLineCountsRequestsFromBefore(t *testing.T) {
+	t.Parallel()
+	runWithFakeClock(t, func(t *testing.T, ctx context.Context, _ func(*testBed)) {
+		b := newTestBed(engine(), 1)
+		b.put("a")
+		running := make([]pass.Reservation, 0, 8)
+		for range 7 {
+			s, _, refusal := b.pick(ctx)
+			if refusal != nil {
+				t.Fatal(refusal)
+			}
+			s.Progress()
+			running = append(running, s)
+		}
+		if lines := b.seats.Lines(); len(lines) > 0 {
+			t.Error("calls of the same priority are counted")
+		}
+		c := b.call()
+		c.Prioritized = true
+		s, _, refusal := b.pickFor(ctx, c)
+		if refusal != nil {
+			t.Fatal(refusal)
+		}
+		list, _ := b.seats.Pressure()
+		if len(list) != 1 || list[0].Totals.InFlight != 8 {
+			t.Errorf("counted %v, want 8 requests", list)
+		}
+		for _, r := range append(running, s) {
+			r.Release(pass.Served)
+		}
+		time.Sleep(time.Minute)
+		if list, _ := b.seats.Pressure(); len(list) > 0 || len(b.seats.Lines()) > 0 {
+			t.Error("calls are counted a minute after the last one with a priority")
+		}
+	})
+}
