--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -25,6 +25,7 @@
 	"geraniumhollow/internal/node/seat"
 	"geraniumhollow/internal/route/match"
 	"geraniumhollow/internal/route/pace"
+	"geraniumhollow/internal/route/queue"
 	"geraniumhollow/internal/route/quota"
 	"geraniumhollow/internal/route/retry"
 	"geraniumhollow/internal/route/shed"
@@ -71,7 +72,9 @@
 	// split divides the limits of the fleet among its nodes.
 	split atomic.Pointer[quota.Split]
 	// rates are the rates that backend servers name for all nodes together.
-	rates    *pace.Book
+	rates *pace.Book
+	// pressure combines the demand for models over the nodes.
+	pressure *queue.Tree
 	stopping atomic.Bool
 	// joinedAt is the time at which this node first appeared in the list of nodes, or nil before that.
 	joinedAt atomic.Pointer[time.Time]
@@ -97,6 +100,7 @@
 	n.index.SetHeartbeatInterval(set.HeartbeatInterval)
 	n.updateMembers(nil)
 	n.rates = pace.NewBook(n.sendingPosition)
+	n.pressure = queue.NewTree()
 	incarnation := strconv.FormatInt(time.Now().UnixNano(), 36)
 	n.servers = mirror.New(n.copyConfig(cfg.Decoder.Families().Servers, n.applyServers, n.storeReachable))
 	n.operator = n.operatorCopy()
@@ -109,7 +113,7 @@
 		OnHolderReport: func(w duty.HolderReport) { n.keeper.HandleHolderReport(w) }, OnPeerConnected: n.handlePeerConnected,
 		CanReach: n.canReach, OnSuspects: n.handleFindings,
 		OnUsage: func(list []usage.Report) { n.duties.HandleReports(list) }, OnClock: func(node string, wall, estimate time.Time) { n.duties.HandleClock(node, wall, estimate) },
-		OnRates: func(from string, list []pace.Notice) { n.rates.Learn(time.Now(), from, list) }, Log: cfg.Log,
+		OnRates: func(from string, list []pace.Notice) { n.rates.Learn(time.Now(), from, list) }, OnPressure: n.handlePressure, Log: cfg.Log,
 	})
 	if err != nil {
 		return nil, errors.Newf("create mesh: %w", err)
@@ -157,6 +161,7 @@
 		func() float64 { return float64(len(n.crashes.Quarantines())) })
 	n.cfg.Metrics.Func("rate_limited_servers", "Backend servers that name a rate of requests for all nodes together.",
 		func() float64 { return float64(n.rates.Limited(time.Now())) })
+	n.cfg.Metrics.Collect(queueCollector{lines: n.seats.Lines})
 	n.cfg.Metrics.Func("isolated", "1 while this node reaches no backend server and passes requests on to other nodes.", func() float64 {
 		if n.detour.Isolated() {
 			return 1
@@ -197,6 +202,7 @@
 	g.Go("reload", n.reload)
 	g.Go("quarantines", n.quarantines.Run)
 	g.Go("rates", n.shareRates)
+	g.Go("pressure", n.sharePressure)
 	g.Go("callers", func(ctx context.Context) error { return n.front.Run(ctx, callers) })
 	g.Go("stop", func(ctx context.Context) error { return n.stop(ctx, stopCtx, cancel) })
 	g.Go("balancer", n.serveReadiness)
--- a/internal/node/mesh/mesh.go
+++ b/internal/node/mesh/mesh.go
@@ -25,6 +25,7 @@
 	"geraniumhollow/internal/node/detour"
 	"geraniumhollow/internal/plat/table"
 	"geraniumhollow/internal/route/pace"
+	"geraniumhollow/internal/route/queue"
 	"geraniumhollow/internal/wire/frame"
 	"geraniumhollow/internal/wire/peer"
 	"github.com/cockroachdb/errors"
@@ -104,7 +105,10 @@
 	// with the wall clock of a linked node and its estimate of true time.
 	OnUsage func(list []usage.Report)
 	OnClock func(node string, wall, estimate time.Time)
-	Log     hclog.Logger
+	// OnPressure is called with the demand for models and the load of their servers that another node knows, as the sums over the
+	// nodes below it, or over all nodes if total is set.
+	OnPressure func(from string, total bool, list []queue.ModelTotals)
+	Log        hclog.Logger
 }
 
 // Mesh manages the links of one node. It is safe for concurrent use.
@@ -203,8 +207,8 @@
 	})
 	peer.On(m.net, func(from peer.Peer, b *frame.DutyBeat) { m.handleDutyBeat(from, b) })
 	peer.On(m.net, func(from peer.Peer, s *frame.SuspectRequest) { m.handleSuspicions(from.Node, s) })
-	peer.On(m.net, func(from peer.Peer, r *frame.RateNotices) { cfg.OnRates(from.Node, pace.FromFrame(r.List)) })
 	m.handleUsage()
+	peer.On(m.net, func(from peer.Peer, r *frame.RateNotices) { m.handleRates(from.Node, r) })
 	return m, nil
 }
 
--- a/internal/route/match/match.go
+++ b/internal/route/match/match.go
@@ -118,6 +118,8 @@
 	routesByHost   map[string][]*Route
 	accountsByKey  map[string]*Account
 	servicesByName map[string]*Service
+	// prioritized holds the services whose requests have different priorities.
+	prioritized map[string]bool
 }
 
 // New returns the table of a document. The document must not be changed afterwards.
@@ -127,7 +129,9 @@
 		routesByHost:   make(map[string][]*Route),
 		accountsByKey:  make(map[string]*Account, len(doc.Accounts)),
 		servicesByName: make(map[string]*Service, len(doc.Services)),
+		prioritized:    make(map[string]bool),
 	}
+	t.findPrioritized()
 	for i := range doc.Routes {
 		r := &doc.Routes[i]
 		host := strings.ToLower(r.Host)
@@ -148,6 +152,51 @@
 	return t
 }
 
+// findPrioritized determines the services whose requests have different priorities.
+func (t *Table) findPrioritized() {
+	first := make(map[string]int)
+	note := func(service string, priority int) {
+		if p, ok := first[service]; ok && p != priority {
+			t.prioritized[service] = true
+		} else if !ok {
+			first[service] = priority
+		}
+	}
+	own, priorities := t.accountPriorities()
+	for i := range t.doc.Routes {
+		r := &t.doc.Routes[i]
+		for _, target := range r.Targets {
+			if r.Public || own {
+				note(target.Service, r.Priority)
+			}
+			if r.Public {
+				continue
+			}
+			for _, p := range priorities {
+				note(target.Service, p)
+			}
+		}
+	}
+}
+
+// accountPriorities returns the priorities that accounts have themselves, and whether some requests have that of their route.
+func (t *Table) accountPriorities() (bool, []int) {
+	own := !t.HasAccounts()
+	var priorities []int
+	for i := range t.doc.Accounts {
+		switch a := &t.doc.Accounts[i]; {
+		case !a.HasPriority:
+			own = true
+		case !slices.Contains(priorities, a.Priority):
+			priorities = append(priorities, a.Priority)
+		}
+	}
+	return own, priorities
+}
+
+// Prioritized reports whether requests for a service have different priorities, by their routes or accounts.
+func (t *Table) Prioritized(service string) bool { return t.prioritized[service] }
+
 // Version returns the version of the document.
 func (t *Table) Version() uint64 { return t.doc.Version }
 
