Keep requests with a long deadline waiting when no request has just ended

Where requests take several seconds, the rate at which they end, which is measured over a second, is zero for much of the time. With all slots taken, each request was refused at once then, also one that could wait for a minute: of 30 such requests in three seconds at a server with 8 slots, none was accepted. The rate is now relied on only for requests that have at most two seconds left. Others are refused if more than the slots of the node's share are ahead of them beyond what the rate serves.

--- a/internal/route/queue/queue.go
+++ b/internal/route/queue/queue.go
@@ -57,6 +57,9 @@
 	lateWait = 0.5
 	// minRate is the release rate of a node at which waits are estimated if its share is lower, in requests per second.
 	minRate = 0.05
+	// forecastTime is the time for which the rate at which requests end now tells how many can start. Where requests take several
+	// seconds, none may end for longer than the rates are measured, though all that wait will be served before their deadline.
+	forecastTime = 2 * time.Second
 	// retryInterval is the time between two attempts to place the first request when no server takes it.
 	retryInterval = 20 * time.Millisecond
 )
@@ -164,6 +167,10 @@
 		rate = 0
 	}
 	ahead := float64(q.ahead(w)) + 1
+	if !w.late && left > forecastTime.Seconds() {
+		// Every slot is free again once within such a time, or nothing tells otherwise.
+		return WaitTooLong, ahead > max(1, s.share*q.meter.capacity.Slots)+rate*left && !q.passes(now, w)
+	}
 	switch {
 	case rate <= minRate:
 		return BelowThreshold, !q.passes(now, w)
--- /dev/null
+++ b/internal/route/queue/review_test.go
@@ -0,0 +1,54 @@
+package queue_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"geraniumhollow/internal/route/queue"
+)
+
+// full returns the queue of the only node, all of whose slots are taken by requests that take long.
+func full(now time.Time, slots int) *queue.Queue {
+	q := queue.New(now, rand.New(rand.NewPCG(1, 2)))
+	q.SetCapacity(queue.Capacity{Slots: float64(slots), Nodes: 1})
+	for range slots {
+		q.RequestSent()
+	}
+	return q
+}
+
+// patient returns a request without an objective whose caller waits for a minute.
+func patient(id uint64, now time.Time) queue.Request {
+	r := request(id, 0, now)
+	r.Objective, r.Deadline, r.StartTime = 0, now.Add(time.Minute), 0
+	return r
+}
+
+// Guards against requests that are refused at once because no request has ended for a moment, though they have a minute, and against
+// accepting many more than can be served in that time.
+func TestLongDeadlineWaitsForSlot(t *testing.T) {
+	t.Parallel()
+	q := full(start, 8)
+	accepted := 0
+	for id := range uint64(30) {
+		now := start.Add(time.Duration(id) * 100 * time.Millisecond)
+		if q.Arrive(now, patient(id, now)) == nil {
+			accepted++
+		}
+		if next, ok := q.Next(now, none); ok {
+			q.Sent(now, next)
+			q.RequestSent()
+		}
+	}
+	if accepted < 8 || accepted > 16 {
+		t.Errorf("%d requests of 30 were accepted", accepted)
+	}
+	now := start.Add(10 * time.Second)
+	for range 10 {
+		q.RequestEnded(now, true)
+	}
+	if _, ok := q.Next(now.Add(time.Second), none); !ok {
+		t.Error("nothing is sent though slots are free")
+	}
+}
