Bound the time until the next wakeup of a queue

The rate at which requests end decays for as long as none ends. After some 20 s, the time until the next release exceeded the range of a Duration, and its conversion gave a time in the past, so that each waiting call looked at the queue once per millisecond.

--- a/internal/route/queue/queue.go
+++ b/internal/route/queue/queue.go
@@ -450,7 +450,8 @@
 	}
 }
 
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+// seconds converts a time in seconds, at most an hour: the quotients of small rates exceed the range of a Duration.
+func seconds(s float64) time.Duration { return time.Duration(min(s, 3600) * float64(time.Second)) }
 
 func maxTime(a, b time.Time) time.Time {
 	if a.After(b) {
--- a/internal/route/queue/review_test.go
+++ b/internal/route/queue/review_test.go
@@ -52,3 +52,22 @@
 		t.Error("nothing is sent though slots are free")
 	}
 }
+
+// Guards against a loop without pause when hardly any request ends: the time until the next one may be sent exceeds the range of a
+// Duration then, and its conversion gave a time in the past.
+func TestWakeupWhenNothingEnds(t *testing.T) {
+	t.Parallel()
+	q := full(start, 9)
+	q.SetCapacity(queue.Capacity{Slots: 8, Nodes: 1})
+	q.RequestEnded(start, true)
+	now := start.Add(time.Minute)
+	for id := range uint64(4) {
+		q.Arrive(now, patient(id, now))
+		if next, ok := q.Next(now, none); ok {
+			q.Sent(now, next)
+		}
+	}
+	if at, ok := q.Wakeup(now); !ok || at.Sub(now) < 10*time.Millisecond {
+		t.Errorf("wakeup after %v, requests wait: %v", at.Sub(now), ok)
+	}
+}
