Hold nothing back by slots while those of a usable server are not known

The capacity was the sum of the known slots, whereas the requests at all servers were counted. With one server of two slots and one that names none, the third request at a time was refused although the other server had room.

--- a/internal/node/seat/line.go
+++ b/internal/node/seat/line.go
@@ -165,7 +165,7 @@
 		return
 	}
 	l.capacityAt = now
-	c := queue.Capacity{Nodes: max(1, s.cfg.Nodes())}
+	c, known := queue.Capacity{Nodes: max(1, s.cfg.Nodes())}, true
 	for _, sv := range s.servers {
 		if sv.modelKey != l.model {
 			continue
@@ -175,6 +175,7 @@
 			c.Elsewhere += len(sv.reservations)
 			continue
 		}
+		known = known && sv.entry.Slots > 0
 		c.Slots += s.usableSlots(now, sv)
 	}
 	for sv := range s.departed {
@@ -182,6 +183,10 @@
 			c.Elsewhere += len(sv.reservations)
 		}
 	}
+	if !known {
+		// The servers whose slots are known cannot stand for those that may have room beyond.
+		c.Slots = 0
+	}
 	l.queue.SetCapacity(c)
 }
 
--- /dev/null
+++ b/internal/node/seat/review_test.go
@@ -0,0 +1,56 @@
+package seat_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"geraniumhollow/internal/fleet/index"
+	"geraniumhollow/internal/fleet/server"
+	"geraniumhollow/internal/node/pass"
+	"geraniumhollow/internal/route/match"
+)
+
+// Guards against holding requests back by the slots of some servers while those of others are not known, which may have room.
+func TestUnknownSlotsHoldNothingBack(t *testing.T) {
+	t.Parallel()
+	runWithFakeClock(t, func(t *testing.T, ctx context.Context, _ func(*testBed)) {
+		b := newTestBed(nil, 1)
+		b.route.Kind, b.route.Objective = match.Idempotent, 250*time.Millisecond
+		b.index.Apply(time.Now(), index.Change{Put: []server.Info{
+			{ID: "a", Service: "svc", Address: "127.0.0.1:1", Slots: 2, StartedAt: time.Unix(1, 0)},
+			{ID: "b", Service: "svc", Address: "127.0.0.1:2", StartedAt: time.Unix(1, 0)},
+		}})
+		for i := range 20 {
+			c := b.call()
+			c.Prioritized = true
+			if _, _, refusal := b.pickFor(ctx, c); refusal != nil {
+				t.Fatalf("call %d: %v", i, refusal)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+}
+
+// Guards against calls that wait for as long as they may although all servers have named a later time, at which they take requests again.
+func TestLineRefusesWhenServersReturnTooLate(t *testing.T) {
+	t.Parallel()
+	runWithFakeClock(t, func(t *testing.T, ctx context.Context, _ func(*testBed)) {
+		b := newTestBed(engine(), 1)
+		b.put("a")
+		s, _, refusal := b.pick(ctx)
+		if refusal != nil {
+			t.Fatal(refusal)
+		}
+		s.HeadersReceived(pass.ResponseInfo{NotStarted: true, RetryAfter: 3 * time.Second})
+		s.Release(pass.NotRun)
+		c, began := b.call(), time.Now()
+		c.Prioritized = true
+		if _, _, refusal := b.pickFor(ctx, c); refusal == nil {
+			t.Fatal("the call was sent to a server that takes none")
+		}
+		if d := time.Since(began); d > tolerance {
+			t.Errorf("refused after %v", d)
+		}
+	})
+}
