Refuse calls in line at once when their servers return too late

When all servers have named a time at which they take requests again, and that is after the latest time for a call, the call waited for its whole objective, or its deadline if it has none, and was refused then. Services without priorities refuse such a call at once.

--- a/internal/node/seat/line.go
+++ b/internal/node/seat/line.go
@@ -85,7 +85,7 @@
 	now := s.cfg.Now()
 	s.sync(now)
 	cand, freeAt, refusal := s.candidate(now, w.call, nil)
-	if refusal != nil && (freeAt.IsZero() || !s.serves(callModelKey(w.call))) {
+	if refusal != nil && (freesTooLate(now, w.call, freeAt) || !s.serves(callModelKey(w.call))) {
 		w.result <- pickResult{refusal: refusal}
 		return nil, 0
 	}
@@ -105,6 +105,18 @@
 	return l, r.ID
 }
 
+// freesTooLate reports whether a call would wait in vain for a server that becomes available at a time, zero if unknown.
+func freesTooLate(now time.Time, c *pass.Call, freeAt time.Time) bool {
+	latest := c.FirstArrival().Add(c.Route.Objective)
+	switch {
+	case c.Route.Objective <= 0:
+		latest = c.Deadline
+	case !latest.After(now):
+		latest = now.Add(time.Duration(maxWaitShare * float64(c.Route.Objective)))
+	}
+	return freeAt.IsZero() || freeAt.After(latest) || freeAt.After(c.Deadline)
+}
+
 // startTime returns the expected time to the first byte that a call needs at least. An estimate of a busy server is more than that.
 func startTime(c *pass.Call, estimate time.Duration) time.Duration {
 	return min(estimate, time.Duration(maxWaitShare*float64(c.Route.Objective)))
@@ -271,7 +283,7 @@
 	cand, freeAt, refusal := s.candidate(now, c, nil)
 	if refusal == nil {
 		refusal = s.checkStart(now, l, c, cand.estimate)
-	} else if freeAt.IsZero() {
+	} else if freesTooLate(now, c, freeAt) {
 		l.queue.Remove(id)
 		delete(l.waiters, id)
 		w.result <- pickResult{refusal: refusal}
