--- a/internal/route/queue/queue.go
+++ b/internal/route/queue/queue.go
@@ -118,12 +118,12 @@
 		q.meter.arrived(now, r.Priority)
 	}
 	q.refill(now)
-	if len(q.items) >= MaxWaiting && !q.makeRoom(w) {
-		return q.refuse(now, w, Full)
-	}
 	if reason, ok := q.hopeless(now, w); ok {
 		return q.refuse(now, w, reason)
 	}
+	if len(q.items) >= MaxWaiting && !q.makeRoom(w) {
+		return q.refuse(now, w, Full)
+	}
 	q.items = append(q.items, w)
 	q.countBacklog(w, 1)
 	return nil
--- a/internal/route/queue/review_test.go
+++ b/internal/route/queue/review_test.go
@@ -71,3 +71,28 @@
 		t.Errorf("wakeup after %v, requests wait: %v", at.Sub(now), ok)
 	}
 }
+
+// Guards against a request that loses its place to one that is refused itself.
+func TestRefusedRequestTakesNoPlace(t *testing.T) {
+	t.Parallel()
+	q := saturated(start, 200, 50, 10)
+	exhaust(t, q, start)
+	for id := range uint64(queue.MaxWaiting) {
+		r := request(id, 0, start)
+		r.Deadline, r.Objective = start.Add(time.Hour), time.Hour
+		q.Arrive(start, r)
+	}
+	if q.Len() != queue.MaxWaiting {
+		t.Fatalf("%d requests wait", q.Len())
+	}
+	for id := range uint64(5) {
+		r := request(5000+id, 0, start)
+		r.StartTime = r.Objective - time.Millisecond
+		if q.Arrive(start, r) == nil {
+			t.Fatal("a request with a millisecond left was accepted")
+		}
+	}
+	if x := q.Expired(start); len(x) > 0 {
+		t.Errorf("%d waiting requests were refused for others that were refused as well", len(x))
+	}
+}
