Let the only node act on its present totals

It used the sums that it had made itself for the exchange with other nodes, which are up to 0.8 s old. Within that time, all requests were sent though all slots were taken.

--- a/internal/route/queue/meter.go
+++ b/internal/route/queue/meter.go
@@ -238,6 +238,8 @@
 	}
 	age := 0.0
 	switch {
+	case nodes == 1 && m.fleet.Nodes <= 1:
+		// The node's own totals are those of all nodes, and newer.
 	case now.Sub(m.fleetAt) < totalsAge && 2*m.fleet.Nodes > m.capacity.Nodes:
 		// Fewer nodes would not do: those that begin to take part see a higher load than the others.
 		s.totals, s.source = m.fleet.scaled(max(1, nodes/float64(m.fleet.Nodes))), Fleet
--- a/internal/route/queue/review_test.go
+++ b/internal/route/queue/review_test.go
@@ -96,3 +96,18 @@
 		t.Errorf("%d waiting requests were refused for others that were refused as well", len(x))
 	}
 }
+
+// Guards against the only node acting on its own requests as of some time ago, and so sending more than the slots.
+func TestOnlyNodeKnowsItsRequests(t *testing.T) {
+	t.Parallel()
+	q := queue.New(start, rand.New(rand.NewPCG(1, 2)))
+	q.SetCapacity(queue.Capacity{Slots: 8, Nodes: 1})
+	q.SetFleet(start, q.Totals(start))
+	now := start.Add(400 * time.Millisecond)
+	for range 8 {
+		q.RequestSent()
+	}
+	if s := q.Status(now); s.Occupancy != 1 {
+		t.Errorf("occupancy %v with all slots taken", s.Occupancy)
+	}
+}
