Pass sums over all nodes on at most every 50 ms

A node passes them on as they come. While three or more nodes follow each other in a circle, as may happen while the tree changes, they went round without pause.

--- a/internal/route/queue/review_test.go
+++ b/internal/route/queue/review_test.go
@@ -111,3 +111,18 @@
 		t.Errorf("occupancy %v with all slots taken", s.Occupancy)
 	}
 }
+
+// Guards against messages that circulate without pause while three nodes follow each other in a circle.
+func TestTotalsDoNotCirculateWithoutPause(t *testing.T) {
+	t.Parallel()
+	list := []queue.ModelTotals{{Model: "m", Totals: queue.Totals{Nodes: 1, InFlight: 2}}}
+	tree := queue.NewTree()
+	tree.Below(start, "below", list)
+	passed := 0
+	for i := range 1000 {
+		passed += len(tree.Upstream(start.Add(time.Duration(i)*100*time.Microsecond), "above", "above", list))
+	}
+	if passed == 0 || passed > 4 {
+		t.Errorf("passed on %d times within 100 ms", passed)
+	}
+}
--- a/internal/route/queue/tree.go
+++ b/internal/route/queue/tree.go
@@ -23,6 +23,10 @@
 	upstreamAge = 1200 * time.Millisecond
 )
 
+// passInterval is the minimum time between two times that sums over all nodes are passed on. They come at most five times a second, but
+// would go round without pause while three or more nodes follow each other in a circle.
+const passInterval = 50 * time.Millisecond
+
 // maxModels bounds the models in a message that are taken in.
 const maxModels = 256
 
@@ -33,8 +37,9 @@
 	mu       sync.Mutex
 	below    map[string]received
 	upstream received
-	// from is the node that sent upstream.
-	from string
+	// from is the node that sent upstream, and passedAt is when what it sent was last passed on.
+	from     string
+	passedAt time.Time
 }
 
 // received is what another node sent.
@@ -54,7 +59,7 @@
 }
 
 // Upstream records the sums over all nodes, as the node upstream sent them, and returns the nodes below to which they are to be passed on
-// at once. There are none if the sender is not the node upstream.
+// at once. There are none if the sender is not the node upstream, or less than passInterval after the last time.
 func (t *Tree) Upstream(now time.Time, node, upstream string, list []ModelTotals) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -62,6 +67,10 @@
 		return nil
 	}
 	t.upstream, t.from = received{at: now, list: list}, node
+	if now.Sub(t.passedAt) < passInterval {
+		return nil
+	}
+	t.passedAt = now
 	return t.children(now, upstream)
 }
 
