--- a/internal/route/match/match.go
+++ b/internal/route/match/match.go
@@ -131,7 +131,6 @@
 		servicesByName: make(map[string]*Service, len(doc.Services)),
 		prioritized:    make(map[string]bool),
 	}
-	t.findPrioritized()
 	for i := range doc.Routes {
 		r := &doc.Routes[i]
 		host := strings.ToLower(r.Host)
@@ -149,10 +148,12 @@
 	for i := range doc.Services {
 		t.servicesByName[doc.Services[i].Name] = &doc.Services[i]
 	}
+	t.findPrioritized()
 	return t
 }
 
-// findPrioritized determines the services whose requests have different priorities.
+// findPrioritized determines the services whose requests have different priorities. Those without an engine are left out: with a few
+// servers of a few slots, the loads that a node knows tell nothing about those of the fleet, and calls were refused while slots were free.
 func (t *Table) findPrioritized() {
 	first := make(map[string]int)
 	note := func(service string, priority int) {
@@ -166,6 +167,9 @@
 	for i := range t.doc.Routes {
 		r := &t.doc.Routes[i]
 		for _, target := range r.Targets {
+			if svc := t.servicesByName[target.Service]; svc == nil || svc.Engine == nil {
+				continue
+			}
 			if r.Public || own {
 				note(target.Service, r.Priority)
 			}
@@ -194,7 +198,7 @@
 	return own, priorities
 }
 
-// Prioritized reports whether requests for a service have different priorities, by their routes or accounts.
+// Prioritized reports whether requests for a service with an engine have different priorities, by their routes or accounts.
 func (t *Table) Prioritized(service string) bool { return t.prioritized[service] }
 
 // Version returns the version of the document.
--- a/internal/route/match/match_test.go
+++ b/internal/route/match/match_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"geraniumhollow/internal/route/batch"
 	"geraniumhollow/internal/route/match"
 )
 
@@ -72,8 +73,13 @@
 		"all accounts of the same priority": {match.Document{Routes: []match.Route{route(0, false, "s"), route(1, false, "s")}, Accounts: []match.Account{with}}, false},
 	}
 	for name, tt := range tests {
+		tt.doc.Services = []match.Service{{Name: "s", Engine: &batch.Engine{}}}
 		if got := match.New(tt.doc).Prioritized("s"); got != tt.want {
 			t.Errorf("%s: %v, want %v", name, got, tt.want)
 		}
+		tt.doc.Services = []match.Service{{Name: "s"}}
+		if match.New(tt.doc).Prioritized("s") {
+			t.Errorf("%s: a service without an engine has priorities", name)
+		}
 	}
 }
