--- a/internal/node/seat/line.go
+++ b/internal/node/seat/line.go
@@ -299,24 +299,24 @@
 	return time.Time{}, true
 }
 
-// checkStart returns an error if a streaming call should not be sent to its best server now. A server must be able to start the
-// call within its objective, counted from the first arrival while the fleet is saturated and from now otherwise: a late response
-// is of use if its server would else be idle.
+// checkStart returns an error if a streaming call should not be sent to its best server now. While the fleet is saturated, a server must
+// be able to start the call within its objective. Otherwise servers have free slots, and a late response is better than none: estimates
+// are too high for some calls, which would be refused again each time that they return.
 func (s *Picker) checkStart(now time.Time, l *line, c *pass.Call, estimate time.Duration) *fault.Error {
 	if c.Route.Kind != match.Stream {
 		return nil
 	}
-	startsAt, by := now.Add(estimate), now.Add(c.Route.Objective)
-	if c.Route.Objective <= 0 {
-		by = c.Deadline
-	}
-	if at := c.FirstArrival().Add(c.Route.Objective); l.queue.Saturated(now) && at.After(now) {
-		by = at
+	by := c.Deadline
+	if c.Route.Objective > 0 && l.queue.Saturated(now) {
+		by = now.Add(c.Route.Objective)
+		if at := c.FirstArrival().Add(c.Route.Objective); at.After(now) {
+			by = at
+		}
 	}
 	if c.Deadline.Before(by) {
 		by = c.Deadline
 	}
-	if startsAt.After(by) {
+	if now.Add(estimate).After(by) {
 		return fault.New(fault.Overloaded, fault.NotRun, "all backend servers are busy")
 	}
 	return nil
