Learn a node's portion of all requests where the totals of others are missing

A node without totals took its own requests times the nodes for those of all. Where callers use few nodes, which also keeps the totals from covering half of the nodes, it refused requests while most slots were free: one of ten nodes with all requests refused at 13 of 100. It now learns its portion from the loads that servers report at the same time, beginning with an equal one.

--- a/internal/route/queue/meter.go
+++ b/internal/route/queue/meter.go
@@ -105,6 +105,13 @@
 	maxOwnError = 1.6
 )
 
+// portionTime is the time over which the portion of this node in the requests of all nodes is learnt from reports, and priorRequests the
+// weight of an equal portion before, in requests.
+const (
+	portionTime   = 20 * time.Second
+	priorRequests = 20
+)
+
 // minDemand is added to the demand of each node in computing its share, in requests per second, so that a node without recent
 // requests may release its next one.
 const minDemand = 0.2
@@ -125,7 +132,10 @@
 	// load and loads are the sums of the reported loads as fractions of the slots, and of their weights.
 	load  decaying
 	loads decaying
-	fleet Totals
+	// reported and own are sums over the reports of the requests at all servers that a report suggests, and of those of this node at that time.
+	reported decaying
+	own      decaying
+	fleet    Totals
 	// fleetAt is when fleet was received.
 	fleetAt time.Time
 	cached  state
@@ -175,6 +185,8 @@
 	if slots > 0 {
 		q.meter.load.add(now, loadTime, float64(requests)/float64(slots))
 		q.meter.loads.add(now, loadTime, 1)
+		q.meter.reported.add(now, portionTime, float64(requests)/float64(slots)*q.meter.capacity.Slots)
+		q.meter.own.add(now, portionTime, q.meter.ownInFlight())
 		q.meter.dirty = true
 	}
 }
@@ -184,7 +196,7 @@
 
 func (m *meter) totals(now time.Time) Totals {
 	t := Totals{
-		Nodes: 1, InFlight: max(0, m.inFlight-float64(m.capacity.Elsewhere)), Ended: m.ended.rate(now, endedTime),
+		Nodes: 1, InFlight: m.ownInFlight(), Ended: m.ended.rate(now, endedTime),
 		FirstBytes: m.first.rate(now, endedTime), Lateness: m.lateness.rate(now, endedTime),
 	}
 	for i := range m.demand {
@@ -193,6 +205,17 @@
 	return t
 }
 
+// ownInFlight returns the requests of this node at usable servers.
+func (m *meter) ownInFlight() float64 { return max(0, m.inFlight-float64(m.capacity.Elsewhere)) }
+
+// multiple returns how many times the requests of this node those of all nodes are. Without reports, this is the number of nodes, but
+// callers may use few of them.
+func (m *meter) multiple(now time.Time) float64 {
+	nodes := float64(max(1, m.capacity.Nodes))
+	ratio := (priorRequests*nodes + m.reported.at(now, portionTime)) / (priorRequests + m.own.at(now, portionTime))
+	return min(max(1, ratio), nodes)
+}
+
 // backlogDemand returns the demand of waiting requests, which should be served within backlogTime.
 func (m *meter) backlogDemand(level int) float64 {
 	return float64(m.backlog[level]) / backlogTime.Seconds()
@@ -246,7 +269,7 @@
 		age = (knowledgeAge + now.Sub(m.fleetAt)).Seconds()
 	case nodes > 1:
 		own = m.alone(now)
-		s.totals = own.scaled(nodes)
+		s.totals = own.scaled(m.multiple(now))
 		if n := m.loads.at(now, loadTime); n > 0 {
 			reported := m.load.at(now, loadTime) / n * m.capacity.Slots
 			s.totals.InFlight = min(max(reported, s.totals.InFlight/maxOwnError), s.totals.InFlight*minOwnError)
--- a/internal/route/queue/review_test.go
+++ b/internal/route/queue/review_test.go
@@ -126,3 +126,29 @@
 		t.Errorf("passed on %d times within 100 ms", passed)
 	}
 }
+
+// Guards against refusals while slots are free, where one node of several has all requests and the totals of the others are not there.
+func TestNodeWithAllRequests(t *testing.T) {
+	t.Parallel()
+	q := queue.New(start, rand.New(rand.NewPCG(1, 2)))
+	q.SetCapacity(queue.Capacity{Slots: 100, Nodes: 10})
+	id := uint64(0)
+	for i := range 200 {
+		now := start.Add(time.Duration(i) * 50 * time.Millisecond)
+		q.SetCapacity(queue.Capacity{Slots: 100, Nodes: 10})
+		id++
+		if x := q.Arrive(now, request(id, int(id%3), now)); x != nil {
+			t.Fatalf("request %d refused (%v) while %d of 100 slots are taken", i, x.Reason, min(i, 20))
+		}
+		next, ok := q.Next(now, none)
+		if !ok {
+			t.Fatalf("request %d held back while %d of 100 slots are taken", i, min(i, 20))
+		}
+		q.Sent(now, next)
+		q.RequestSent()
+		if i >= 20 {
+			q.RequestEnded(now, true)
+		}
+		q.ObserveLoad(now, min(i, 20)/5, 20)
+	}
+}
