Bound the requests assumed for nodes without totals by the loads of servers

Totals of more than half of the nodes were scaled to all of them, although nodes without requests send none. With totals of 6 of 10 nodes that hold 60 of 100 slots, the servers counted as full.

--- a/internal/route/queue/meter.go
+++ b/internal/route/queue/meter.go
@@ -265,7 +265,7 @@
 		// The node's own totals are those of all nodes, and newer.
 	case now.Sub(m.fleetAt) < totalsAge && 2*m.fleet.Nodes > m.capacity.Nodes:
 		// Fewer nodes would not do: those that begin to take part see a higher load than the others.
-		s.totals, s.source = m.fleet.scaled(max(1, nodes/float64(m.fleet.Nodes))), Fleet
+		s.totals, s.source = m.fleet.scaled(m.missing(now)), Fleet
 		age = (knowledgeAge + now.Sub(m.fleetAt)).Seconds()
 	case nodes > 1:
 		own = m.alone(now)
@@ -286,6 +286,17 @@
 	return s
 }
 
+// missing returns the factor on the totals of some nodes that accounts for the others. They are taken to have as many requests as the
+// mean of these, but no more than the loads that servers report leave for them: callers may use few of the nodes.
+func (m *meter) missing(now time.Time) float64 {
+	factor := max(1, float64(m.capacity.Nodes)/float64(m.fleet.Nodes))
+	if n := m.loads.at(now, loadTime); n > 0 && m.fleet.InFlight > 0 {
+		reported := m.load.at(now, loadTime) / n * m.capacity.Slots
+		factor = min(factor, max(1, minOwnError*reported/m.fleet.InFlight))
+	}
+	return factor
+}
+
 // alone returns the totals of this node with rates over a longer time.
 func (m *meter) alone(now time.Time) Totals {
 	t := m.totals(now)
--- a/internal/route/queue/review_test.go
+++ b/internal/route/queue/review_test.go
@@ -152,3 +152,28 @@
 		q.ObserveLoad(now, min(i, 20)/5, 20)
 	}
 }
+
+// Guards against refusals while slots are free, where nodes without requests are missing in the totals.
+func TestTotalsWithoutIdleNodes(t *testing.T) {
+	t.Parallel()
+	q := queue.New(start, rand.New(rand.NewPCG(1, 2)))
+	q.SetCapacity(queue.Capacity{Slots: 100, Nodes: 10})
+	for range 10 {
+		q.RequestSent()
+	}
+	for range 5 {
+		q.ObserveLoad(start, 12, 20)
+	}
+	totals := queue.Totals{Nodes: 6, InFlight: 60, Ended: 20, Demand: [queue.Levels]float64{10, 10}}
+	q.SetFleet(start, totals)
+	if s := q.Status(start); s.Occupancy > 0.85 {
+		t.Errorf("occupancy %v with 60 of 100 slots taken", s.Occupancy)
+	}
+	// Nodes of an earlier build send no totals, but their requests show in the loads of servers.
+	for range 50 {
+		q.ObserveLoad(start, 20, 20)
+	}
+	if s := q.Status(start); s.Occupancy < 0.95 {
+		t.Errorf("occupancy %v while servers report to be full", s.Occupancy)
+	}
+}
