Let the waiting calls of a model share the looks at their queue

Each waiting call looked through the queue at least every 50 ms, so that the work grew with the square of their number: 63 calls looked 1,554 times in a second. A look is now made once for all of them, when it is due or a call arrives, at least every 20 ms.

--- a/internal/node/seat/line.go
+++ b/internal/node/seat/line.go
@@ -21,6 +21,8 @@
 	nextID  uint64
 	// capacityAt is when the capacity of the servers was last computed.
 	capacityAt time.Time
+	// lookAt is when the queue has to be looked through again.
+	lookAt time.Time
 	// usedAt is when a call last entered.
 	usedAt time.Time
 	// saturated and source are what was last logged of the threshold.
@@ -101,7 +103,7 @@
 		w.result <- pickResult{refusal: s.refuse(x, w)}
 		return nil, 0
 	}
-	l.waiters[r.ID] = w
+	l.waiters[r.ID], l.lookAt = w, now
 	return l, r.ID
 }
 
@@ -230,16 +232,21 @@
 	w.result <- pickResult{refusal: fault.New(fault.Overloaded, fault.NotRun, "the call ended while it waited for a backend server").WithRetryAfter(minRetryAfter)}
 }
 
-// dispatchNow sends waiting calls to servers, and returns the time until this has to be done again.
+// dispatchNow sends waiting calls to servers if this is due, and returns the time until it is due again. All waiting calls ask for it at
+// the same times.
 func (s *Picker) dispatchNow(l *line) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if now := s.cfg.Now(); now.Before(l.lookAt) {
+		return l.lookAt.Sub(now)
+	}
 	s.dispatch(l)
 	now := s.cfg.Now()
 	at, ok := l.queue.Wakeup(now)
 	if !ok {
-		return capacityInterval
+		at = now.Add(capacityInterval)
 	}
+	l.lookAt = at
 	return at.Sub(now)
 }
 
--- a/internal/node/seat/review_test.go
+++ b/internal/node/seat/review_test.go
@@ -2,13 +2,18 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"geraniumhollow/internal/fleet/index"
 	"geraniumhollow/internal/fleet/server"
 	"geraniumhollow/internal/node/pass"
+	"geraniumhollow/internal/node/seat"
+	"geraniumhollow/internal/report/metric"
 	"geraniumhollow/internal/route/match"
+	"github.com/hashicorp/go-hclog"
 )
 
 // Guards against holding requests back by the slots of some servers while those of others are not known, which may have room.
@@ -54,3 +59,44 @@
 		}
 	})
 }
+
+// Guards against each waiting call looking through the whole queue: with a few hundred, this took most of a core.
+func TestWaitingCallsShareTheirWork(t *testing.T) {
+	t.Parallel()
+	runWithFakeClock(t, func(t *testing.T, ctx context.Context, _ func(*testBed)) {
+		b := newTestBed(engine(), 1)
+		b.route.Kind, b.route.Objective = match.Idempotent, 0
+		b.put("a", "b", "c", "d", "e", "f", "g", "h")
+		var looks atomic.Int64
+		seats := seat.New(seat.Config{
+			View: func() *index.View { looks.Add(1); return b.index.View() }, Service: func(string) *match.Service { return b.service },
+			ColdAllowance: func(string, float64) int { return 2 }, Nodes: func() int { return 1 }, Now: time.Now, Rates: b.rates,
+			Metrics: metric.New(), Log: hclog.NewNullLogger(),
+		})
+		ctx, cancel := context.WithCancel(ctx)
+		var wg sync.WaitGroup
+		for range 120 {
+			wg.Go(func() {
+				c := b.call()
+				c.Prioritized = true
+				c.Deadline = c.Arrived.Add(time.Minute)
+				_, _ = seats.Pick(ctx, c, nil, func(error) {})
+			})
+		}
+		time.Sleep(time.Second)
+		waiting := 0
+		for _, n := range seats.Lines()[0].Waiting {
+			waiting += n
+		}
+		before := looks.Load()
+		time.Sleep(time.Second)
+		if n := looks.Load() - before; waiting < 20 || n > 100 {
+			t.Errorf("%d waiting calls looked %d times in a second", waiting, n)
+		}
+		cancel()
+		wg.Wait()
+		if n := seats.Lines()[0].Waiting[0]; n > 0 {
+			t.Errorf("%d calls wait after they have ended", n)
+		}
+	})
+}
--- a/internal/route/queue/queue.go
+++ b/internal/route/queue/queue.go
@@ -392,7 +392,7 @@
 // Bounds of the time between two looks at a queue with waiting requests.
 const (
 	minWakeup = time.Millisecond
-	maxWakeup = 50 * time.Millisecond
+	maxWakeup = 20 * time.Millisecond
 )
 
 // refill adds the requests that the release rates have allowed since the last call.
