Fill the slots of the only node's servers at once

A node that is the only one knows what is at the servers, but held requests back by the rate at which they had just arrived: of eight requests that arrived together at a server with eight free slots, the fifth was refused.

--- a/internal/route/queue/meter.go
+++ b/internal/route/queue/meter.go
@@ -154,7 +154,10 @@
 func (q *Queue) SetCapacity(c Capacity) { q.meter.capacity, q.meter.dirty = c, true }
 
 // RequestSent records that a request was sent to a server, whether or not it was in the queue.
-func (q *Queue) RequestSent() { q.meter.inFlight++ }
+func (q *Queue) RequestSent() {
+	q.meter.inFlight++
+	q.meter.dirty = true
+}
 
 // RequestEnded records that a request that was sent to a server has ended. freed is set if another one can start in its place, which
 // is not the case if the server has failed.
@@ -239,6 +242,8 @@
 	share float64
 	// lateRate is the rate at which this node may release requests that are late anyway.
 	lateRate float64
+	// alone is set for the only node, which knows the requests at servers as of now.
+	alone bool
 }
 
 // cacheTime is how long a state is used: a queue asks for it several times for each request.
@@ -254,14 +259,14 @@
 func (m *meter) compute(now time.Time) state {
 	own := m.totals(now)
 	nodes := float64(max(1, m.capacity.Nodes))
-	s := state{totals: own, source: Local, share: 1}
+	s := state{totals: own, source: Local, share: 1, alone: nodes == 1 && m.fleet.Nodes <= 1}
 	if m.capacity.Slots <= 0 {
 		s.budget, s.lateRate = math.Inf(1), math.Inf(1)
 		return s
 	}
 	age := 0.0
 	switch {
-	case nodes == 1 && m.fleet.Nodes <= 1:
+	case s.alone:
 		// The node's own totals are those of all nodes, and newer.
 	case now.Sub(m.fleetAt) < totalsAge && 2*m.fleet.Nodes > m.capacity.Nodes:
 		// Fewer nodes would not do: those that begin to take part see a higher load than the others.
@@ -334,6 +339,9 @@
 
 // open reports whether all requests that can be on time may be sent to servers.
 func (s state) open() bool {
+	if s.alone && s.totals.InFlight+1 <= s.target {
+		return true
+	}
 	return s.demand <= s.budget || s.totals.InFlight+s.demand*reactionTime.Seconds() <= s.target
 }
 
--- a/internal/route/queue/review_test.go
+++ b/internal/route/queue/review_test.go
@@ -177,3 +177,33 @@
 		t.Errorf("occupancy %v while servers report to be full", s.Occupancy)
 	}
 }
+
+// Guards against refusing some of several requests that arrive together at the only node, although slots are free for all.
+func TestOnlyNodeFillsItsSlots(t *testing.T) {
+	t.Parallel()
+	q := queue.New(start, rand.New(rand.NewPCG(1, 2)))
+	q.SetCapacity(queue.Capacity{Slots: 8, Nodes: 1})
+	for id := range uint64(8) {
+		if x := q.Arrive(start, request(id, int(id%3), start)); x != nil {
+			t.Fatalf("request %d was refused (%v)", id, x.Reason)
+		}
+		next, ok := q.Next(start, none)
+		if !ok {
+			t.Fatalf("request %d was held back with %d of 8 slots taken", id, id)
+		}
+		q.Sent(start, next)
+		q.RequestSent()
+	}
+	sent := 0
+	for id := uint64(8); id < 16; id++ {
+		q.Arrive(start, request(id, 0, start))
+		if next, ok := q.Next(start, none); ok {
+			q.Sent(start, next)
+			q.RequestSent()
+			sent++
+		}
+	}
+	if sent > 2 {
+		t.Errorf("%d more requests were sent than there are slots", sent)
+	}
+}
