Leave out only requests that the line of their model has counted

Requests at servers that are stalled or have left were subtracted from those in flight, also such as were sent before the line existed and were not counted. The line then took as many slots for free as it had not counted requests.

--- a/internal/node/seat/line.go
+++ b/internal/node/seat/line.go
@@ -186,7 +186,7 @@
 		}
 		blocked, _ := s.notices.blocks(now, sv.entry)
 		if blocked || now.Before(sv.refusedUntil) || s.watch.Stalled(now, sv.entry.ID) {
-			c.Elsewhere += len(sv.reservations)
+			c.Elsewhere += l.counted(sv)
 			continue
 		}
 		known = known && sv.entry.Slots > 0
@@ -194,7 +194,7 @@
 	}
 	for sv := range s.departed {
 		if sv.modelKey == l.model {
-			c.Elsewhere += len(sv.reservations)
+			c.Elsewhere += l.counted(sv)
 		}
 	}
 	if !known {
@@ -204,6 +204,17 @@
 	l.queue.SetCapacity(c)
 }
 
+// counted returns the number of requests at a server that the line counts.
+func (l *line) counted(sv *server) int {
+	n := 0
+	for r := range sv.reservations {
+		if r.line == l {
+			n++
+		}
+	}
+	return n
+}
+
 // usableSlots returns how many requests a server can run at the same time. If the rate of requests to it is limited, these are no more
 // than arrive in the time for which a request holds its slot.
 func (s *Picker) usableSlots(now time.Time, sv *server) float64 {
--- a/internal/node/seat/review_test.go
+++ b/internal/node/seat/review_test.go
@@ -100,3 +100,31 @@
 		}
 	})
 }
+
+// Guards against subtracting requests that a line has not counted, at servers that left before its first call, so that too many are sent.
+func TestLineLeavesOutOnlyWhatItCounted(t *testing.T) {
+	t.Parallel()
+	runWithFakeClock(t, func(t *testing.T, ctx context.Context, _ func(*testBed)) {
+		b := newTestBed(engine(), 1)
+		b.put("a")
+		for range 4 {
+			if _, _, refusal := b.pick(ctx); refusal != nil {
+				t.Fatal(refusal)
+			}
+		}
+		b.put("b")
+		b.index.Apply(time.Now(), index.Change{Removed: []string{"a"}})
+		for range 6 {
+			c := b.call()
+			c.Prioritized = true
+			if _, _, refusal := b.pickFor(ctx, c); refusal != nil {
+				t.Fatal(refusal)
+			}
+		}
+		time.Sleep(200 * time.Millisecond)
+		list, _ := b.seats.Pressure()
+		if len(list) != 1 || list[0].Totals.InFlight != 6 {
+			t.Errorf("counted %v, want 6 requests", list)
+		}
+	})
+}
