Release late requests by the node's portion of all requests

A node got an equal part of the rate for late requests. Where one of ten nodes has all requests, it sent 17 of 100 late ones in two seconds while 70 of 100 slots were free.

--- a/internal/route/queue/meter.go
+++ b/internal/route/queue/meter.go
@@ -287,7 +287,7 @@
 	s.budget = s.budgetFor(s.target)
 	s.totals.InFlight = max(0, s.totals.InFlight+(min(s.demand, s.budget)-s.totals.Ended)*age)
 	s.budget = s.budgetFor(s.target)
-	s.lateRate = max(0, s.budgetFor(lateTarget*s.target)-s.demand) / nodes
+	s.lateRate = max(0, s.budgetFor(lateTarget*s.target)-s.demand) / m.multiple(now)
 	return s
 }
 
--- a/internal/route/queue/review_test.go
+++ b/internal/route/queue/review_test.go
@@ -207,3 +207,30 @@
 		t.Errorf("%d more requests were sent than there are slots", sent)
 	}
 }
+
+// Guards against refusing late requests while most slots are free, where one node of several has all requests.
+func TestLateRequestsOfNodeWithAll(t *testing.T) {
+	t.Parallel()
+	q := queue.New(start, rand.New(rand.NewPCG(1, 2)))
+	q.SetCapacity(queue.Capacity{Slots: 100, Nodes: 10})
+	for range 30 {
+		q.RequestSent()
+	}
+	for range 100 {
+		q.ObserveLoad(start, 6, 20)
+	}
+	sent := 0
+	for id := range uint64(100) {
+		now := start.Add(time.Duration(id) * 20 * time.Millisecond)
+		r := request(id, 0, now.Add(-2*time.Second))
+		q.Expired(now)
+		q.Arrive(now, r)
+		if next, ok := q.Next(now, none); ok {
+			q.Sent(now, next)
+			sent++
+		}
+	}
+	if sent < 90 {
+		t.Errorf("%d of 100 late requests in 2 s were sent though 70 of 100 slots are free", sent)
+	}
+}
