Compare only streams' first bytes with the objective

Other responses begin when the work is done. Where that takes longer than the objective, the target for requests at servers was lowered to 85% for good.

--- a/internal/node/seat/review_test.go
+++ b/internal/node/seat/review_test.go
@@ -128,3 +128,37 @@
 		}
 	})
 }
+
+// Guards against leaving slots free because responses that begin when the work is done take longer than the objective.
+func TestTimeOfWorkIsNotLateness(t *testing.T) {
+	t.Parallel()
+	runWithFakeClock(t, func(t *testing.T, ctx context.Context, _ func(*testBed)) {
+		b := newTestBed(engine(), 1)
+		b.route.Kind = match.Idempotent
+		b.put("a")
+		for range 4 {
+			c := b.call()
+			c.Prioritized = true
+			s, _, refusal := b.pickFor(ctx, c)
+			if refusal != nil {
+				t.Fatal(refusal)
+			}
+			time.Sleep(500 * time.Millisecond)
+			s.Progress()
+			s.Release(pass.Served)
+		}
+		running := make([]pass.Reservation, 0, 4)
+		for range 4 {
+			c := b.call()
+			c.Prioritized = true
+			s, _, refusal := b.pickFor(ctx, c)
+			if refusal != nil {
+				t.Fatal(refusal)
+			}
+			running = append(running, s)
+		}
+		if o := b.seats.Lines()[0].Occupancy; o != 0.5 {
+			t.Errorf("occupancy %v with %d of 8 slots taken", o, len(running))
+		}
+	})
+}
--- a/internal/node/seat/seat.go
+++ b/internal/node/seat/seat.go
@@ -247,7 +247,11 @@
 	res := &reservation{selection: sv.selection(now, est), picker: s, server: sv, entry: sv.entry, sendID: s.recordSend(now, c, cand), sentAt: now, promptTokens: c.PromptTokens, expectedFirstByte: est, onSilent: onSilent, repeatable: c.Route.Repeatable(), last: c.LastAttempt, answering: c.Answering, resumable: c.Route.Resumable}
 	sv.reservations[res] = struct{}{}
 	if l := s.lines[sv.modelKey]; l != nil {
-		res.line, res.objective = l, c.Route.Objective
+		res.line = l
+		if c.Route.Kind == match.Stream {
+			// Other responses begin when the work is done, whose time tells nothing of how long the request waited.
+			res.objective = c.Route.Objective
+		}
 		l.queue.RequestSent()
 	}
 	return res
--- a/internal/node/seat/server.go
+++ b/internal/node/seat/server.go
@@ -166,7 +166,8 @@
 	answering bool
 	resumable bool
 	selection pass.Selection
-	// line counts the attempt, and objective is the latency objective of its route, if the calls of its model wait in a line.
+	// line counts the attempt, and objective is the latency objective of its route if that is one for streams, if the calls of its model wait
+	// in a line.
 	line      *line
 	objective time.Duration
 }
