--- a/internal/node/seat/line.go
+++ b/internal/node/seat/line.go
@@ -21,6 +21,8 @@
 	nextID  uint64
 	// capacityAt is when the capacity of the servers was last computed.
 	capacityAt time.Time
+	// lookAt is when the queue has to be looked through again.
+	lookAt time.Time
 	// usedAt is when a call last entered.
 	usedAt time.Time
 	// saturated and source are what was last logged of the threshold.
@@ -101,7 +103,7 @@
 		w.result <- pickResult{refusal: s.refuse(x, w)}
 		return nil, 0
 	}
-	l.waiters[r.ID] = w
+	l.waiters[r.ID], l.lookAt = w, now
 	return l, r.ID
 }
 
@@ -184,7 +186,7 @@
 		}
 		blocked, _ := s.notices.blocks(now, sv.entry)
 		if blocked || now.Before(sv.refusedUntil) || s.watch.Stalled(now, sv.entry.ID) {
-			c.Elsewhere += len(sv.reservations)
+			c.Elsewhere += l.counted(sv)
 			continue
 		}
 		known = known && sv.entry.Slots > 0
@@ -192,7 +194,7 @@
 	}
 	for sv := range s.departed {
 		if sv.modelKey == l.model {
-			c.Elsewhere += len(sv.reservations)
+			c.Elsewhere += l.counted(sv)
 		}
 	}
 	if !known {
@@ -202,6 +204,17 @@
 	l.queue.SetCapacity(c)
 }
 
+// counted returns the number of requests at a server that the line counts.
+func (l *line) counted(sv *server) int {
+	n := 0
+	for r := range sv.reservations {
+		if r.line == l {
+			n++
+		}
+	}
+	return n
+}
+
 // usableSlots returns how many requests a server can run at the same time. If the rate of requests to it is limited, these are no more
 // than arrive in the time for which a request holds its slot.
 func (s *Picker) usableSlots(now time.Time, sv *server) float64 {
@@ -230,16 +243,21 @@
 	w.result <- pickResult{refusal: fault.New(fault.Overloaded, fault.NotRun, "the call ended while it waited for a backend server").WithRetryAfter(minRetryAfter)}
 }
 
-// dispatchNow sends waiting calls to servers, and returns the time until this has to be done again.
+// dispatchNow sends waiting calls to servers if this is due, and returns the time until it is due again. All waiting calls ask for it at
+// the same times.
 func (s *Picker) dispatchNow(l *line) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if now := s.cfg.Now(); now.Before(l.lookAt) {
+		return l.lookAt.Sub(now)
+	}
 	s.dispatch(l)
 	now := s.cfg.Now()
 	at, ok := l.queue.Wakeup(now)
 	if !ok {
-		return capacityInterval
+		at = now.Add(capacityInterval)
 	}
+	l.lookAt = at
 	return at.Sub(now)
 }
 
--- a/internal/route/queue/meter.go
+++ b/internal/route/queue/meter.go
@@ -105,6 +105,13 @@
 	maxOwnError = 1.6
 )
 
+// portionTime is the time over which the portion of this node in the requests of all nodes is learnt from reports, and priorRequests the
+// weight of an equal portion before, in requests.
+const (
+	portionTime   = 20 * time.Second
+	priorRequests = 20
+)
+
 // minDemand is added to the demand of each node in computing its share, in requests per second, so that a node without recent
 // requests may release its next one.
 const minDemand = 0.2
@@ -125,7 +132,10 @@
 	// load and loads are the sums of the reported loads as fractions of the slots, and of their weights.
 	load  decaying
 	loads decaying
-	fleet Totals
+	// reported and own are sums over the reports of the requests at all servers that a report suggests, and of those of this node at that time.
+	reported decaying
+	own      decaying
+	fleet    Totals
 	// fleetAt is when fleet was received.
 	fleetAt time.Time
 	cached  state
@@ -144,7 +154,10 @@
 func (q *Queue) SetCapacity(c Capacity) { q.meter.capacity, q.meter.dirty = c, true }
 
 // RequestSent records that a request was sent to a server, whether or not it was in the queue.
-func (q *Queue) RequestSent() { q.meter.inFlight++ }
+func (q *Queue) RequestSent() {
+	q.meter.inFlight++
+	q.meter.dirty = true
+}
 
 // RequestEnded records that a request that was sent to a server has ended. freed is set if another one can start in its place, which
 // is not the case if the server has failed.
@@ -175,6 +188,8 @@
 	if slots > 0 {
 		q.meter.load.add(now, loadTime, float64(requests)/float64(slots))
 		q.meter.loads.add(now, loadTime, 1)
+		q.meter.reported.add(now, portionTime, float64(requests)/float64(slots)*q.meter.capacity.Slots)
+		q.meter.own.add(now, portionTime, q.meter.ownInFlight())
 		q.meter.dirty = true
 	}
 }
@@ -184,7 +199,7 @@
 
 func (m *meter) totals(now time.Time) Totals {
 	t := Totals{
-		Nodes: 1, InFlight: max(0, m.inFlight-float64(m.capacity.Elsewhere)), Ended: m.ended.rate(now, endedTime),
+		Nodes: 1, InFlight: m.ownInFlight(), Ended: m.ended.rate(now, endedTime),
 		FirstBytes: m.first.rate(now, endedTime), Lateness: m.lateness.rate(now, endedTime),
 	}
 	for i := range m.demand {
@@ -193,6 +208,17 @@
 	return t
 }
 
+// ownInFlight returns the requests of this node at usable servers.
+func (m *meter) ownInFlight() float64 { return max(0, m.inFlight-float64(m.capacity.Elsewhere)) }
+
+// multiple returns how many times the requests of this node those of all nodes are. Without reports, this is the number of nodes, but
+// callers may use few of them.
+func (m *meter) multiple(now time.Time) float64 {
+	nodes := float64(max(1, m.capacity.Nodes))
+	ratio := (priorRequests*nodes + m.reported.at(now, portionTime)) / (priorRequests + m.own.at(now, portionTime))
+	return min(max(1, ratio), nodes)
+}
+
 // backlogDemand returns the demand of waiting requests, which should be served within backlogTime.
 func (m *meter) backlogDemand(level int) float64 {
 	return float64(m.backlog[level]) / backlogTime.Seconds()
@@ -216,6 +242,8 @@
 	share float64
 	// lateRate is the rate at which this node may release requests that are late anyway.
 	lateRate float64
+	// alone is set for the only node, which knows the requests at servers as of now.
+	alone bool
 }
 
 // cacheTime is how long a state is used: a queue asks for it several times for each request.
@@ -231,22 +259,22 @@
 func (m *meter) compute(now time.Time) state {
 	own := m.totals(now)
 	nodes := float64(max(1, m.capacity.Nodes))
-	s := state{totals: own, source: Local, share: 1}
+	s := state{totals: own, source: Local, share: 1, alone: nodes == 1 && m.fleet.Nodes <= 1}
 	if m.capacity.Slots <= 0 {
 		s.budget, s.lateRate = math.Inf(1), math.Inf(1)
 		return s
 	}
 	age := 0.0
 	switch {
-	case nodes == 1 && m.fleet.Nodes <= 1:
+	case s.alone:
 		// The node's own totals are those of all nodes, and newer.
 	case now.Sub(m.fleetAt) < totalsAge && 2*m.fleet.Nodes > m.capacity.Nodes:
 		// Fewer nodes would not do: those that begin to take part see a higher load than the others.
-		s.totals, s.source = m.fleet.scaled(max(1, nodes/float64(m.fleet.Nodes))), Fleet
+		s.totals, s.source = m.fleet.scaled(m.missing(now)), Fleet
 		age = (knowledgeAge + now.Sub(m.fleetAt)).Seconds()
 	case nodes > 1:
 		own = m.alone(now)
-		s.totals = own.scaled(nodes)
+		s.totals = own.scaled(m.multiple(now))
 		if n := m.loads.at(now, loadTime); n > 0 {
 			reported := m.load.at(now, loadTime) / n * m.capacity.Slots
 			s.totals.InFlight = min(max(reported, s.totals.InFlight/maxOwnError), s.totals.InFlight*minOwnError)
@@ -259,10 +287,21 @@
 	s.budget = s.budgetFor(s.target)
 	s.totals.InFlight = max(0, s.totals.InFlight+(min(s.demand, s.budget)-s.totals.Ended)*age)
 	s.budget = s.budgetFor(s.target)
-	s.lateRate = max(0, s.budgetFor(lateTarget*s.target)-s.demand) / nodes
+	s.lateRate = max(0, s.budgetFor(lateTarget*s.target)-s.demand) / m.multiple(now)
 	return s
 }
 
+// missing returns the factor on the totals of some nodes that accounts for the others. They are taken to have as many requests as the
+// mean of these, but no more than the loads that servers report leave for them: callers may use few of the nodes.
+func (m *meter) missing(now time.Time) float64 {
+	factor := max(1, float64(m.capacity.Nodes)/float64(m.fleet.Nodes))
+	if n := m.loads.at(now, loadTime); n > 0 && m.fleet.InFlight > 0 {
+		reported := m.load.at(now, loadTime) / n * m.capacity.Slots
+		factor = min(factor, max(1, minOwnError*reported/m.fleet.InFlight))
+	}
+	return factor
+}
+
 // alone returns the totals of this node with rates over a longer time.
 func (m *meter) alone(now time.Time) Totals {
 	t := m.totals(now)
@@ -300,6 +339,9 @@
 
 // open reports whether all requests that can be on time may be sent to servers.
 func (s state) open() bool {
+	if s.alone && s.totals.InFlight+1 <= s.target {
+		return true
+	}
 	return s.demand <= s.budget || s.totals.InFlight+s.demand*reactionTime.Seconds() <= s.target
 }
 
--- a/internal/route/queue/review_test.go
+++ b/internal/route/queue/meter_test.go
@@ -126,3 +126,111 @@
 		t.Errorf("passed on %d times within 100 ms", passed)
 	}
 }
+
+// Guards against refusals while slots are free, where one node of several has all requests and the totals of the others are not there.
+func TestNodeWithAllRequests(t *testing.T) {
+	t.Parallel()
+	q := queue.New(start, rand.New(rand.NewPCG(1, 2)))
+	q.SetCapacity(queue.Capacity{Slots: 100, Nodes: 10})
+	id := uint64(0)
+	for i := range 200 {
+		now := start.Add(time.Duration(i) * 50 * time.Millisecond)
+		q.SetCapacity(queue.Capacity{Slots: 100, Nodes: 10})
+		id++
+		if x := q.Arrive(now, request(id, int(id%3), now)); x != nil {
+			t.Fatalf("request %d refused (%v) while %d of 100 slots are taken", i, x.Reason, min(i, 20))
+		}
+		next, ok := q.Next(now, none)
+		if !ok {
+			t.Fatalf("request %d held back while %d of 100 slots are taken", i, min(i, 20))
+		}
+		q.Sent(now, next)
+		q.RequestSent()
+		if i >= 20 {
+			q.RequestEnded(now, true)
+		}
+		q.ObserveLoad(now, min(i, 20)/5, 20)
+	}
+}
+
+// Guards against refusals while slots are free, where nodes without requests are missing in the totals.
+func TestTotalsWithoutIdleNodes(t *testing.T) {
+	t.Parallel()
+	q := queue.New(start, rand.New(rand.NewPCG(1, 2)))
+	q.SetCapacity(queue.Capacity{Slots: 100, Nodes: 10})
+	for range 10 {
+		q.RequestSent()
+	}
+	for range 5 {
+		q.ObserveLoad(start, 12, 20)
+	}
+	totals := queue.Totals{Nodes: 6, InFlight: 60, Ended: 20, Demand: [queue.Levels]float64{10, 10}}
+	q.SetFleet(start, totals)
+	if s := q.Status(start); s.Occupancy > 0.85 {
+		t.Errorf("occupancy %v with 60 of 100 slots taken", s.Occupancy)
+	}
+	// Nodes of an earlier build send no totals, but their requests show in the loads of servers.
+	for range 50 {
+		q.ObserveLoad(start, 20, 20)
+	}
+	if s := q.Status(start); s.Occupancy < 0.95 {
+		t.Errorf("occupancy %v while servers report to be full", s.Occupancy)
+	}
+}
+
+// Guards against refusing some of several requests that arrive together at the only node, although slots are free for all.
+func TestOnlyNodeFillsItsSlots(t *testing.T) {
+	t.Parallel()
+	q := queue.New(start, rand.New(rand.NewPCG(1, 2)))
+	q.SetCapacity(queue.Capacity{Slots: 8, Nodes: 1})
+	for id := range uint64(8) {
+		if x := q.Arrive(start, request(id, int(id%3), start)); x != nil {
+			t.Fatalf("request %d was refused (%v)", id, x.Reason)
+		}
+		next, ok := q.Next(start, none)
+		if !ok {
+			t.Fatalf("request %d was held back with %d of 8 slots taken", id, id)
+		}
+		q.Sent(start, next)
+		q.RequestSent()
+	}
+	sent := 0
+	for id := uint64(8); id < 16; id++ {
+		q.Arrive(start, request(id, 0, start))
+		if next, ok := q.Next(start, none); ok {
+			q.Sent(start, next)
+			q.RequestSent()
+			sent++
+		}
+	}
+	if sent > 2 {
+		t.Errorf("%d more requests were sent than there are slots", sent)
+	}
+}
+
+// Guards against refusing late requests while most slots are free, where one node of several has all requests.
+func TestLateRequestsOfNodeWithAll(t *testing.T) {
+	t.Parallel()
+	q := queue.New(start, rand.New(rand.NewPCG(1, 2)))
+	q.SetCapacity(queue.Capacity{Slots: 100, Nodes: 10})
+	for range 30 {
+		q.RequestSent()
+	}
+	for range 100 {
+		q.ObserveLoad(start, 6, 20)
+	}
+	sent := 0
+	for id := range uint64(100) {
+		now := start.Add(time.Duration(id) * 20 * time.Millisecond)
+		r := request(id, 0, now.Add(-2*time.Second))
+		q.Expired(now)
+		q.Arrive(now, r)
+		if next, ok := q.Next(now, none); ok {
+			q.Sent(now, next)
+			sent++
+		}
+	}
+	if sent < 90 {
+		t.Errorf("%d of 100 late requests in 2 s were sent though 70 of 100 slots are free", sent)
+	}
+}
