Ration late requests only shortly after a saturation

Now they are sent like others, except within 2 s of a saturation, when many return at once. TestLateRequestsInCalm failed before (1 of 10 sent in calm).

--- a/internal/route/queue/queue.go
+++ b/internal/route/queue/queue.go
@@ -53,6 +53,9 @@
 	// trickle is the part of the release rate at which requests of each priority below the threshold are admitted nevertheless, so
 	// that none starves. It does not depend on their number, as callers that return at once would otherwise get more of it.
 	trickle = 0.03
+	// recoveryTime is how long after a saturation late requests are sent at a limited rate only, as many return at about the same time.
+	// At other times they are sent like others: a caller with a short timeout of its own cannot be told from one that returns.
+	recoveryTime = 2 * time.Second
 	// lateWait is the fraction of the objective for which a late request may wait for a free slot.
 	lateWait = 0.5
 	// minRate is the release rate of a node at which waits are estimated if its share is lower, in requests per second.
@@ -84,10 +87,13 @@
 	// They were last updated at refilled.
 	tokens     float64
 	lateTokens float64
-	refilled   time.Time
-	meter      meter
-	credits    [Levels]credit
-	usage      map[string]*decaying
+	// saturatedAt is when the fleet was last seen to be saturated, recovered is set unless that is less than recoveryTime ago.
+	saturatedAt time.Time
+	recovered   bool
+	refilled    time.Time
+	meter       meter
+	credits     [Levels]credit
+	usage       map[string]*decaying
 	// refusedAt holds the times at which refused requests were counted in the demand, by fingerprint.
 	refusedAt map[uint64]time.Time
 	// holdUntil is when the first request is tried again after no server took it.
@@ -96,7 +102,7 @@
 
 // New returns an empty queue that draws the jitter of retry times from rnd.
 func New(now time.Time, rnd *rand.Rand) *Queue {
-	return &Queue{rnd: rnd, tokens: minBurst, lateTokens: 1, refilled: now, meter: meter{dirty: true}, usage: make(map[string]*decaying), refusedAt: make(map[uint64]time.Time)}
+	return &Queue{rnd: rnd, tokens: minBurst, lateTokens: 1, recovered: true, refilled: now, meter: meter{dirty: true}, usage: make(map[string]*decaying), refusedAt: make(map[uint64]time.Time)}
 }
 
 // Arrive adds a request to the queue, or refuses it at once if it could not be served in time.
@@ -272,7 +278,7 @@
 func (q *Queue) mayRelease(s state, w *waiting) bool {
 	switch {
 	case w.late:
-		return s.open() && q.lateTokens >= 1
+		return s.open() && (q.lateTokens >= 1 || q.recovered)
 	case s.open():
 		return true
 	default:
@@ -397,12 +403,16 @@
 
 // refill adds the requests that the release rates have allowed since the last call.
 func (q *Queue) refill(now time.Time) {
+	s := q.meter.state(now)
+	if !s.open() {
+		q.saturatedAt = now
+	}
+	q.recovered = q.saturatedAt.IsZero() || now.Sub(q.saturatedAt) >= recoveryTime
 	elapsed := now.Sub(q.refilled).Seconds()
 	if elapsed <= 0 {
 		return
 	}
 	q.refilled = now
-	s := q.meter.state(now)
 	rate := s.nodeRate()
 	if math.IsInf(rate, 1) {
 		q.tokens, q.lateTokens = minBurst, 1
--- a/internal/route/queue/queue_test.go
+++ b/internal/route/queue/queue_test.go
@@ -67,6 +67,38 @@
 	}
 }
 
+// Guards against callers with short timeouts that are refused in calm: their requests look like those of callers that return late, and a
+// tenth of all requests was. Shortly after a saturation, when many return, they are sent one by one.
+func TestLateRequestsInCalm(t *testing.T) {
+	t.Parallel()
+	arrived := start.Add(-3 * time.Second)
+	released := func(q *queue.Queue, now time.Time) int {
+		n := 0
+		for id := range uint64(10) {
+			if q.Arrive(now, request(id, 0, arrived)) == nil {
+				if next, ok := q.Next(now, none); ok {
+					q.Sent(now, next)
+					n++
+				}
+			}
+		}
+		return n
+	}
+	calm := queue.New(start, rand.New(rand.NewPCG(1, 2)))
+	calm.SetCapacity(queue.Capacity{Slots: 320, Nodes: 20})
+	calm.SetFleet(start, queue.Totals{Nodes: 20, InFlight: 280, Ended: 100, Demand: [queue.Levels]float64{100}})
+	if n := released(calm, start); n != 10 {
+		t.Errorf("%d of 10 late requests were sent in calm", n)
+	}
+	q := saturated(start, 200)
+	exhaust(t, q, start)
+	after := start.Add(time.Second)
+	q.SetFleet(after, queue.Totals{Nodes: 20, InFlight: 280, Ended: 100, Demand: [queue.Levels]float64{100}})
+	if n := released(q, after); n > 1 {
+		t.Errorf("%d of 10 late requests were sent at once after a saturation", n)
+	}
+}
+
 // Guards against less urgent requests that take the slots of more urgent ones, against requests that wait in vain, and against a
 // threshold that differs from what is admitted.
 func TestLessUrgentGivesWay(t *testing.T) {
