--- a/internal/node/pass/pass.go
+++ b/internal/node/pass/pass.go
@@ -201,6 +201,7 @@
 	if c.Service == nil {
 		return c, fault.New(fault.NoBackend, fault.NotRun, "the route leads to no service").WithRetryAfter(retryAfterNotReady)
 	}
+	c.Prioritized = table.Prioritized(c.Service.Name)
 	c.Deadline = callDeadline(c)
 	return c, nil
 }
