--- a/internal/wire/frame/messages.gen.go
+++ b/internal/wire/frame/messages.gen.go
@@ -441,24 +441,6 @@
 	Service string `json:"service"`
 }
 
-// NodeUsage holds the counts of one process.
-type NodeUsage struct {
-	// Demand since the process last reported it.
-	Demand []ModelDemand `json:"demand,omitempty,omitzero"`
-
-	// Number of the demand among that of the process, from 1; 0 without demand.
-	DemandSeq int `json:"demand_seq,omitempty,omitzero"`
-
-	// Incarnation of the process.
-	Inc string `json:"inc"`
-
-	// Address that identifies the node.
-	Node string `json:"node"`
-
-	// Windows corresponds to the JSON schema field "windows".
-	Windows []WindowUsage `json:"windows,omitempty,omitzero"`
-}
-
 // ModelPressure is the demand for a model and the load of its servers, summed over
 // some nodes. Rates are in tenths per second.
 type ModelPressure struct {
@@ -485,6 +467,24 @@
 	Nodes int `json:"nodes"`
 }
 
+// NodeUsage holds the counts of one process.
+type NodeUsage struct {
+	// Demand since the process last reported it.
+	Demand []ModelDemand `json:"demand,omitempty,omitzero"`
+
+	// Number of the demand among that of the process, from 1; 0 without demand.
+	DemandSeq int `json:"demand_seq,omitempty,omitzero"`
+
+	// Incarnation of the process.
+	Inc string `json:"inc"`
+
+	// Address that identifies the node.
+	Node string `json:"node"`
+
+	// Windows corresponds to the JSON schema field "windows".
+	Windows []WindowUsage `json:"windows,omitempty,omitzero"`
+}
+
 // OutcomeAsk asks the node that a request began on what became of it.
 type OutcomeAsk struct {
 	// Acct corresponds to the JSON schema field "acct".
