Decide on the number of servers and groups by demand

Servers are counted in whole groups per fabric domain, because the platform chooses which servers it terminates.

--- /dev/null
+++ b/internal/plan/scale/spread.go
@@ -0,0 +1,114 @@
+package scale
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+// Servers are counted in units: the servers of a group of the smallest model. Groups of larger models take several units of one
+// fabric domain. The platform chooses which servers it terminates, so the servers that are left in a domain are a random share of
+// those that were there, and the ones that do not make a whole unit are spares.
+
+// wholeUnits returns the expected number of whole units of a data centre once it has n servers, given the numbers of servers of its
+// fabric domains. Servers are removed at random, and added to the domains with the fewest, up to domainSize in each.
+func wholeUnits(domains []int, n, unit, domainSize int) float64 {
+	total := 0
+	for _, k := range domains {
+		total += k
+	}
+	if n >= total {
+		return float64(countUnits(grow(domains, n-total, domainSize), unit))
+	}
+	sum := 0.0
+	for _, k := range domains {
+		for left := unit; left <= min(k, n); left++ {
+			sum += hypergeometric(total, k, n, left) * float64(left/unit)
+		}
+	}
+	return sum
+}
+
+// countUnits returns the number of whole units in domains.
+func countUnits(domains []int, unit int) int {
+	n := 0
+	for _, k := range domains {
+		n += k / unit
+	}
+	return n
+}
+
+// grow adds servers to domains.
+func grow(domains []int, added, domainSize int) []int {
+	out := slices.Clone(domains)
+	for ; added > 0; added-- {
+		i := -1
+		for j, k := range out {
+			if k < domainSize && (i < 0 || k < out[i]) {
+				i = j
+			}
+		}
+		if i < 0 {
+			out, i = append(out, 0), len(out)
+		}
+		out[i]++
+	}
+	return out
+}
+
+// hypergeometric returns the probability that x of n servers chosen at random from total are among k given ones.
+func hypergeometric(total, k, n, x int) float64 {
+	if x > k || n-x > total-k || x > n {
+		return 0
+	}
+	return math.Exp(logChoose(k, x) + logChoose(total-k, n-x) - logChoose(total, n))
+}
+
+func logChoose(n, k int) float64 {
+	lg := func(v int) float64 { r, _ := math.Lgamma(float64(v) + 1); return r }
+	return lg(n) - lg(k) - lg(n-k)
+}
+
+// site is a data centre that may get servers.
+type site struct {
+	name    string
+	domains []int
+	// min and max bound the number of servers. demand is the rate of requests of its callers.
+	min, max int
+	demand   float64
+}
+
+// spread returns the smallest numbers of servers of data centres, as even as possible, with which the expected number of whole units
+// reaches the given one, and that expected number. If the bounds do not allow it, all get their maximum.
+func spread(sites []site, units float64, unit, domainSize int) (map[string]int, float64) {
+	sites = slices.Clone(sites)
+	// The data centre with the most demand gets the odd server.
+	slices.SortFunc(sites, func(a, b site) int { return cmp.Or(cmp.Compare(b.demand, a.demand), cmp.Compare(a.name, b.name)) })
+	counts, expected := make([]int, len(sites)), make([]float64, len(sites))
+	sum := 0.0
+	for i, s := range sites {
+		counts[i] = s.min
+		expected[i] = wholeUnits(s.domains, s.min, unit, domainSize)
+		sum += expected[i]
+	}
+	for sum < units {
+		least := -1
+		for i, s := range sites {
+			if counts[i] < s.max && (least < 0 || counts[i] < counts[least]) {
+				least = i
+			}
+		}
+		if least < 0 {
+			break
+		}
+		counts[least]++
+		e := wholeUnits(sites[least].domains, counts[least], unit, domainSize)
+		sum += e - expected[least]
+		expected[least] = e
+	}
+	out := make(map[string]int, len(sites))
+	for i, s := range sites {
+		out[s.name] = counts[i]
+	}
+	return out, sum
+}
