--- a/internal/node/pass/attempt.go
+++ b/internal/node/pass/attempt.go
@@ -112,6 +112,7 @@
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	x := &exchange{ctx: attemptCtx, cancel: cancel, hedge: &hedge{parent: ctx, cancelAttempt: cancel}}
 	reservation, hop, refusal := s.reserve(attemptCtx, x.hedge)
+	s.lacksRoom = refusal != nil
 	if reservation == nil {
 		cancel(nil)
 		if hop != nil {
@@ -470,8 +471,8 @@
 // recordFirstByte records the time to the first byte of the response.
 func (s *callState) recordFirstByte() {
 	if !s.gotFirstByte {
-		s.gotFirstByte = true
-		s.relay.deps.Metrics.FirstEvent(time.Since(s.call.Arrived))
+		s.gotFirstByte, s.firstByte = true, time.Since(s.call.Arrived)
+		s.relay.deps.Metrics.FirstEvent(s.firstByte)
 	}
 }
 
--- a/internal/node/pass/pass.go
+++ b/internal/node/pass/pass.go
@@ -92,6 +92,8 @@
 	Budget  func(service string) *retry.Budget
 	Metrics *metric.Set
 	Log     hclog.Logger
+	// Demand observes the calls of callers; nil if nobody does.
+	Demand DemandObserver
 }
 
 // Relay serves calls. It implements front.Handler.
@@ -123,6 +125,9 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
+	if r.deps.Demand != nil && hop == nil { // The node that passed a call on observes it.
+		r.deps.Demand.Arrived(c)
+	}
 	r.serve(ctx, c, w)
 }
 
--- a/internal/node/pass/serve.go
+++ b/internal/node/pass/serve.go
@@ -62,6 +62,9 @@
 	eventsBefore int
 	// gotFirstByte is set once part of a response body has arrived.
 	gotFirstByte bool
+	// firstByte is the time from the arrival of the call until then. lacksRoom is set if no server had room for the last attempt.
+	firstByte time.Duration
+	lacksRoom bool
 	// mediaType is the type of the response that the caller receives.
 	mediaType string
 	events    eventParser
@@ -77,6 +80,7 @@
 		s.events.resumeFrom(c.LastEventID)
 	}
 	budget := r.deps.Budget(c.Service.Name)
+	defer s.observeEnd()
 	for {
 		res := s.attempt(ctx)
 		if res.server != "" {
@@ -190,6 +194,7 @@
 		return
 	}
 	if v.Outcome == fault.NotRun {
+		s.lacksRoom = true
 		s.finishWithError(ctx, fault.New(fault.Overloaded, fault.NotRun, "no backend server took the request").
 			WithRetryAfter(retryAfterRefused).WithCause(res.err), string(v.Reason))
 		return
--- a/internal/plan/group/change.go
+++ b/internal/plan/group/change.go
@@ -34,6 +34,7 @@
 	recorded := d.recordStarts(p)
 	recorded = d.reopeningOutdated(now) || recorded
 	dropped := d.dropRetired(now, p)
+	d.makeRoom(now, p)
 	repaired := d.repairGroups(now, p)
 	swapped := d.replaceUnloaded(now, p)
 	return d.placeGroups(now, p) || recorded || dropped || repaired || swapped
@@ -95,6 +96,9 @@
 		delete(d.closingSince, f.key())
 		d.rejected.Remove(f.key())
 		members := d.fillMembers(now, p, f, kept)
+		if d.dissolving.Has(f.key()) || d.isSurplus(p, f) {
+			members = nil
+		}
 		if members == nil {
 			d.addLossNote(now, "dissolve", f, f.Members, reason)
 			p.Current = slices.Delete(p.Current, i, i+1)
@@ -116,6 +120,12 @@
 func (d *Decider) remainingMembers(now time.Time, p *Plan, f Formation) ([]string, string) {
 	var kept []string
 	reason, closing := "", false
+	if d.dissolving.Has(f.key()) {
+		closing = true
+		if d.closeForRoom(now, f) {
+			reason = memberReassigned
+		}
+	}
 	for rank, id := range f.Members {
 		switch memberReason := d.replaceReason(now, f, id); memberReason {
 		case "":
@@ -124,7 +134,7 @@
 				reason = "member_left"
 			}
 		case memberDraining, memberSlow:
-			if memberReason == memberDraining && d.keepDraining(now, p, f, id) {
+			if memberReason == memberDraining && (d.keepDraining(now, p, f, id) || d.mayWait(now, p, f, id)) {
 				kept = append(kept, id)
 				continue
 			}
--- a/internal/plan/group/decider.go
+++ b/internal/plan/group/decider.go
@@ -93,6 +93,14 @@
 	rejected sets.Set[index.Formation]
 	// index is nil if it has to be rebuilt.
 	index *planIndex
+	// follows is set if the number of groups follows demand. See target.go.
+	follows bool
+	targets *Targets
+	// inherited counts the groups of the plan that this decider began with, by model.
+	inherited map[string]int
+	// lackingSince is since when a model has lacked groups for which there is no room. dissolving has the formations that make room.
+	lackingSince map[string]time.Time
+	dissolving   sets.Set[index.Formation]
 }
 
 // New returns a decider that continues from a stored plan.
@@ -102,6 +110,10 @@
 		incompleteSince: make(map[index.Formation]time.Time), changeNeededSince: make(map[index.Formation]time.Time),
 		closingSince: make(map[index.Formation]time.Time), rejected: sets.New[index.Formation](), reopenUntil: make(map[index.Formation]time.Time),
 		reopening: make(map[index.Formation]time.Time), headWaits: make(map[index.Formation]time.Time),
+		inherited: make(map[string]int), lackingSince: make(map[string]time.Time), dissolving: sets.New[index.Formation](),
+	}
+	for _, f := range plan.Current {
+		d.inherited[f.Model]++
 	}
 	// The latest formation of a server has its last known start.
 	formations := slices.Concat(plan.Current, plan.Retired)
--- a/internal/plan/group/place.go
+++ b/internal/plan/group/place.go
@@ -113,7 +113,7 @@
 	total := 0
 	for _, id := range d.serverIDs() {
 		s := d.servers[id]
-		if s.Domain == "" || !s.listed || s.lost() || d.isHeld(s.Domain) {
+		if s.Domain == "" || !s.listed || s.lost() || d.isHeld(s.Domain) || d.isOut(s.DataCentre) {
 			continue
 		}
 		total++
@@ -143,13 +143,10 @@
 
 // missingGroups returns the groups that models lack for their share of the work.
 func (d *Decider) missingGroups(p *Plan, total int) []form.Request {
-	current := make(map[string]int)
-	for _, f := range p.Current {
-		current[f.Model]++
-	}
+	current := d.countGroups(p)
 	var out []form.Request
 	for _, m := range d.cfg.Engine.Models {
-		target := targetGroups(m, total)
+		target := d.target(m, total)
 		for i := current[m.Name]; i < target; i++ {
 			out = append(out, form.Request{
 				Group: fmt.Sprintf("%s/%d", m.Name, i), Weights: form.Weights{Model: m.Name}, Hosts: m.Hosts,
--- a/internal/plan/scale/demand.go
+++ b/internal/plan/scale/demand.go
@@ -16,7 +16,8 @@
 	Late         float64
 }
 
-func (c Counts) add(o Counts) Counts {
+// Add returns the sum of two counts.
+func (c Counts) Add(o Counts) Counts {
 	return Counts{
 		c.Arrivals + o.Arrivals, c.PromptTokens + o.PromptTokens, c.AnswerTokens + o.AnswerTokens, c.Refused + o.Refused, c.Late + o.Late,
 	}
@@ -90,7 +91,7 @@
 	}
 	last := e.bins[len(e.bins)-1]
 	for k, c := range d {
-		last.models[k.Model] = last.models[k.Model].add(c)
+		last.models[k.Model] = last.models[k.Model].Add(c)
 		last.sites[k.DataCentre] += c.Arrivals
 	}
 }
@@ -121,11 +122,11 @@
 	var sum Counts
 	for _, b := range bins {
 		if model != "" {
-			sum = sum.add(b.models[model])
+			sum = sum.Add(b.models[model])
 			continue
 		}
 		for _, c := range b.models {
-			sum = sum.add(c)
+			sum = sum.Add(c)
 		}
 	}
 	return sum
--- a/internal/route/match/match.go
+++ b/internal/route/match/match.go
@@ -93,6 +93,16 @@
 	ColdRate     float64
 	// Engine describes a model engine; it is nil for a plain service.
 	Engine *batch.Engine
+	// Scaling holds the bounds within which the number of backend servers follows demand; it is nil if the number is fixed.
+	Scaling *Scaling
+}
+
+// Scaling holds the bounds of the number of backend servers of a service in each data centre.
+type Scaling struct {
+	Min int
+	Max int
+	// Boot is the time until a new backend server starts to serve.
+	Boot time.Duration
 }
 
 // Limits restrict what callers may send.
