Count demand at nodes, and scale from the holder of the duty

Nodes count the calls of their callers by model. The holder passes the demand and the registry to the decider of package scale, sends its orders, and has the groups follow.

--- a/internal/node/edge/duties.go
+++ b/internal/node/edge/duties.go
@@ -13,6 +13,7 @@
 		Settings: func() duties.Settings { return n.settings.Load().Cloud },
 		NewAPI:   func(address string) cloud.API { return n.cfg.NewCloud(address, set.IP) },
 		Tenure:   n.keeper.Tenure, Table: n.store, Network: n.mesh, Nodes: n.mesh.Members,
+		TakeDemand: n.tally.Take, Scaler: n.scaler,
 		Metrics: n.cfg.Metrics, Log: n.cfg.Log,
 	})
 }
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -22,7 +22,9 @@
 	"geraniumhollow/internal/node/keeper"
 	"geraniumhollow/internal/node/mesh"
 	"geraniumhollow/internal/node/pass"
+	"geraniumhollow/internal/node/scaler"
 	"geraniumhollow/internal/node/seat"
+	"geraniumhollow/internal/node/tally"
 	"geraniumhollow/internal/route/match"
 	"geraniumhollow/internal/route/pace"
 	"geraniumhollow/internal/route/quota"
@@ -56,6 +58,9 @@
 	forwarded *front.Server
 	// keeper forms and dissolves groups of backend servers while this node holds that duty.
 	keeper *keeper.Keeper
+	// tally counts the demand of callers of this node, and scaler decides on the number of backend servers.
+	tally  *tally.Tally
+	scaler *scaler.Scaler
 	// duties calls the platform's API while this node holds the duty of the keeper.
 	duties *duties.Duties
 	group  *tasks.Group
@@ -128,10 +133,11 @@
 	if err != nil {
 		return nil, errors.Newf("create crash tracker: %w", err)
 	}
+	n.tally = n.newTally(set)
 	relay := pass.New(pass.Deps{
 		Codec: cfg.Codec, Table: n.table.Load, Picker: n.seats, Detour: n.detour, Crashes: n.crashes, Budget: n.budget,
 		Began:   func(account string) { n.duties.Began(account) },
-		Metrics: cfg.Metrics, Log: cfg.Log,
+		Metrics: cfg.Metrics, Log: cfg.Log, Demand: n.tally,
 	})
 	n.front = front.New(front.Config{
 		Handler: relay, Limits: n.limits, MaxConnections: int(callerDescriptorShare * float64(set.Descriptors)), Log: cfg.Log,
@@ -141,11 +147,12 @@
 		Limits:  n.forwardLimits, MaxConnections: int(forwardDescriptorShare * float64(set.Descriptors)), Log: cfg.Log,
 	})
 	n.keeper = keeper.New(keeper.Config{
-		Node: address + "/" + incarnation, Table: n.store, Engines: cfg.Engines, View: n.index.View, Service: n.engineService,
+		Node: address + "/" + incarnation, Table: n.store, Engines: cfg.Engines, View: n.index.View, Service: n.engineService, FollowsDemand: n.followsDemand,
 		StallTime: set.StallTime, HeartbeatInterval: set.HeartbeatInterval, ReadHeartbeats: n.readBeats, Traffic: n.served.Load, Sleep: tasks.Sleep,
 		Confirm: n.detour.Confirm, Heard: n.detour.Heard, Isolated: n.detour.Isolated,
 		ProbeFromPeers: n.queryReachability, Announce: n.mesh.Announce, HasPeerExcept: n.mesh.HasPeerExcept, IsStandby: n.mesh.Leads, Metrics: cfg.Metrics, Log: cfg.Log,
 	})
+	n.scaler = n.newScaler()
 	n.duties = n.newDuties(set, incarnation)
 	n.registerMetrics()
 	return n, nil
--- a/internal/node/keeper/keeper.go
+++ b/internal/node/keeper/keeper.go
@@ -43,6 +43,8 @@
 	View    func() *index.View
 	// Service returns the service whose groups are managed and its engine, or "" while there is no service.
 	Service func() (string, *batch.Engine)
+	// FollowsDemand reports whether the number of groups follows demand, see SetTargets. Nil if it never does.
+	FollowsDemand func() bool
 	// StallTime is how long the head of a group stalls after the loss of a member before the group is broken up.
 	StallTime time.Duration
 	// HeartbeatInterval is the time between renewals of a server's registration. ReadHeartbeats reads the renewal counters of all
@@ -134,6 +136,8 @@
 	storeRetryAt time.Time
 	suspects     []index.Formation
 	lastReport   time.Time
+	// targets are the numbers of groups that demand asks for, or nil if it is not known.
+	targets *group.Targets
 }
 
 // New returns a keeper that is started by Run.
@@ -172,6 +176,13 @@
 	k.Wake()
 }
 
+// SetTargets sets the number of groups of each model, or nil while demand is not known. The caller must not change it afterwards.
+func (k *Keeper) SetTargets(t *group.Targets) {
+	k.mu.Lock()
+	k.targets = t
+	k.mu.Unlock()
+}
+
 // keepGroups runs steps of the decider while this node holds the duty.
 func (k *Keeper) keepGroups(ctx context.Context, g *tasks.Group) {
 	t := time.NewTimer(stepInterval)
@@ -252,6 +263,7 @@
 		k.decider.RequestProbes(f.Group, f.Epoch)
 	}
 	k.suspects = nil
+	k.decider.FollowDemand(k.cfg.FollowsDemand != nil && k.cfg.FollowsDemand(), k.targets)
 	now := time.Now()
 	k.decider.ApplyView(now, k.cfg.View())
 	actions := k.decider.Step(now)
--- a/internal/node/scaler/scaler.go
+++ b/internal/node/scaler/scaler.go
@@ -14,6 +14,7 @@
 	"geraniumhollow/internal/plan/group"
 	"geraniumhollow/internal/plan/scale"
 	"geraniumhollow/internal/plat/cloud"
+	"geraniumhollow/internal/report/metric"
 	"geraniumhollow/internal/route/match"
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
@@ -28,6 +29,7 @@
 	Objectives func(service string) map[string]time.Duration
 	// SetTargets sets the number of groups of each model, or nil while it is not known.
 	SetTargets func(t *group.Targets)
+	Metrics    *metric.Set
 	Log        hclog.Logger
 }
 
--- a/internal/plan/group/change.go
+++ b/internal/plan/group/change.go
@@ -119,13 +119,7 @@
 // if no change is needed.
 func (d *Decider) remainingMembers(now time.Time, p *Plan, f Formation) ([]string, string) {
 	var kept []string
-	reason, closing := "", false
-	if d.dissolving.Has(f.key()) {
-		closing = true
-		if d.closeForRoom(now, f) {
-			reason = memberReassigned
-		}
-	}
+	reason, closing := d.closeForRoom(now, f)
 	for rank, id := range f.Members {
 		switch memberReason := d.replaceReason(now, f, id); memberReason {
 		case "":
@@ -134,7 +128,7 @@
 				reason = "member_left"
 			}
 		case memberDraining, memberSlow:
-			if memberReason == memberDraining && (d.keepDraining(now, p, f, id) || d.mayWait(now, p, f, id)) {
+			if memberReason == memberDraining && d.keepDraining(now, p, f, id) {
 				kept = append(kept, id)
 				continue
 			}
@@ -182,9 +176,15 @@
 }
 
 // keepDraining reports whether to keep a draining member for now because every replacement would
-// have to load the weights first. A draining head is never kept, because it takes no new requests.
+// have to load the weights first, or because enough other groups of its model are being formed anew.
+// A draining head is never kept, because it takes no new requests.
 func (d *Decider) keepDraining(now time.Time, p *Plan, f Formation, id string) bool {
-	return id != f.Head() && now.Sub(d.servers[id].drainingSince) < maxDrainingStay && len(d.freeWithWeights(now, p, f.Domain, f.Model)) == 0
+	return id != f.Head() && (d.lacksReplacement(now, p, f, id) || d.mayWait(now, p, f, id))
+}
+
+// lacksReplacement reports whether every replacement of a draining member would have to load the weights first.
+func (d *Decider) lacksReplacement(now time.Time, p *Plan, f Formation, id string) bool {
+	return now.Sub(d.servers[id].drainingSince) < maxDrainingStay && len(d.freeWithWeights(now, p, f.Domain, f.Model)) == 0
 }
 
 // hasReadySpare reports whether a free server of the domain has the model loaded.
--- a/internal/plan/group/group_test.go
+++ b/internal/plan/group/group_test.go
@@ -61,6 +61,8 @@
 	seen map[string]uint64
 	// loses reports whether an order gets no answer and is not executed now; nil for none.
 	loses func(o group.Order) bool
+	// busy has the heads that run requests, which do not end.
+	busy sets.Set[string]
 	// ready has the members that have been ready, by formation.
 	ready map[index.Formation]sets.Set[string]
 }
@@ -251,6 +253,9 @@
 		i.Member.State = server.Open
 	case group.Close:
 		i.Member.State = server.Ready
+		if sim.busy.Has(o.Server) {
+			i.Member.State = server.Closing
+		}
 	case group.Leave:
 		i.Member = server.Member{}
 	case group.Stage:
--- a/internal/plan/group/target.go
+++ b/internal/plan/group/target.go
@@ -238,21 +238,26 @@
 	return 0
 }
 
-// closeForRoom starts closing a group that makes room, and reports whether it may be dissolved now.
-func (d *Decider) closeForRoom(now time.Time, f Formation) bool {
+// closeForRoom starts closing a group that makes room. It returns the reason to dissolve it, or "" if it still has requests, and
+// whether it is closing.
+func (d *Decider) closeForRoom(now time.Time, f Formation) (string, bool) {
+	if !d.dissolving.Has(f.key()) {
+		return "", false
+	}
 	since, ok := d.closingSince[f.key()]
 	if !ok {
-		d.closingSince[f.key()] = now
-		return !d.serves(f)
+		since, d.closingSince[f.key()] = now, now
+	}
+	if d.serves(f) && now.Sub(since) < roomCloseTimeout {
+		return "", true
 	}
-	return !d.serves(f) || now.Sub(since) >= roomCloseTimeout
+	return memberReassigned, true
 }
 
-// mayWait reports whether a draining member may stay for now because other groups of its model are being formed anew. A draining head
-// takes no new requests, so its group does not wait.
+// mayWait reports whether a draining member may stay for now because other groups of its model are being formed anew.
 func (d *Decider) mayWait(now time.Time, p *Plan, f Formation, id string) bool {
 	_, closing := d.closingSince[f.key()]
-	if !d.follows || closing || id == f.Head() || now.Sub(d.servers[id].drainingSince) >= maxStagger || !d.serves(f) {
+	if !d.follows || closing || now.Sub(d.servers[id].drainingSince) >= maxStagger || !d.serves(f) {
 		return false
 	}
 	total, down := 0, 0
