--- a/internal/node/pass/serve_test.go
+++ b/internal/node/pass/serve_test.go
@@ -104,7 +104,9 @@
 
 // inOrder picks the servers of a test one after another. It implements pass.Picker.
 type inOrder struct {
-	slots []*slot
+	// demand is the observer of the node's calls, or nil.
+	demand pass.DemandObserver
+	slots  []*slot
 	// onPick is called before each choice.
 	onPick func(ctx context.Context, c *pass.Call)
 	// silent says from when on the first server is silent.
@@ -214,7 +216,7 @@
 	srv := front.New(front.Config{
 		Handler: pass.New(pass.Deps{
 			Codec: headerCodec{}, Table: func() *match.Table { return table }, Picker: picker, Detour: detour, Crashes: f.nodes[0],
-			Budget: func(string) *retry.Budget { return budget }, Metrics: metrics, Log: log,
+			Budget: func(string) *retry.Budget { return budget }, Metrics: metrics, Log: log, Demand: picker.demand,
 		}),
 		Limits: func() front.Limits { return front.Limits{} }, Log: hclog.NewNullLogger(),
 	})
--- a/internal/node/scaler/scaler.go
+++ b/internal/node/scaler/scaler.go
@@ -71,7 +71,22 @@
 var _ duties.Scaler = (*Scaler)(nil)
 
 // New returns a Scaler that does nothing until Start.
-func New(cfg Config) *Scaler { return &Scaler{cfg: cfg} }
+func New(cfg Config) *Scaler {
+	s := &Scaler{cfg: cfg}
+	cfg.Metrics.Func("scaling_desired_servers", "Desired number of backend servers of all data centres, 0 if this node does not decide on it.", s.total)
+	return s
+}
+
+// total returns the desired number of servers.
+func (s *Scaler) total() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sum := 0
+	for _, n := range s.desired {
+		sum += n
+	}
+	return float64(sum)
+}
 
 // Start implements duties.Scaler.
 func (s *Scaler) Start(time.Time, uint64) {
--- a/internal/plan/group/change.go
+++ b/internal/plan/group/change.go
@@ -215,7 +215,11 @@
 	}
 	head := d.servers[f.Head()]
 	idle := head == nil || !head.isMemberOf(f) || (head.Member.State != server.Open && head.Member.State != server.Closing)
-	return idle || now.Sub(since) >= closeTimeout
+	limit := closeTimeout
+	if d.follows && reason == memberDraining {
+		limit = scaledCloseTimeout
+	}
+	return idle || now.Sub(since) >= limit
 }
 
 // domainProbed requests probes of all servers of a domain when one of its groups needs a change,
--- a/internal/plan/group/target.go
+++ b/internal/plan/group/target.go
@@ -37,6 +37,9 @@
 	// maxStagger is how long a draining member waits while other groups of its model are formed anew. The platform lets it stay for
 	// 10 s while its head has requests.
 	maxStagger = 5 * time.Second
+	// scaledCloseTimeout is the closeTimeout of a group with a draining member. Scaling in has many groups finish their requests, so
+	// more of them would be cut off. With maxStagger it is less than a draining member may stay.
+	scaledCloseTimeout = 4 * time.Second
 	// staggerShare is the share of the groups of a model that may be formed anew at the same time because members are draining. The
 	// platform may end many servers at once when it is told to have fewer.
 	staggerShare = 0.2
