Measure scaling by demand, and remove servers only once groups had time to form

In the simulation of gauge sizes, servers that are removed while groups still load the weights of a model with more demand break up groups that cannot be formed anew for a whole load.

--- a/internal/bench/gauge/gauge.go
+++ b/internal/bench/gauge/gauge.go
@@ -9,6 +9,7 @@
 	"geraniumhollow/internal/bench/plans"
 	"geraniumhollow/internal/bench/runs"
 	"geraniumhollow/internal/bench/share"
+	"geraniumhollow/internal/bench/sizes"
 	"geraniumhollow/internal/bench/spread"
 	"geraniumhollow/internal/bench/stall"
 	"github.com/urfave/cli/v3"
@@ -27,6 +28,7 @@
 			plans.Command(),
 			runs.Command(),
 			share.Command(),
+			sizes.Command(),
 			spread.Command(),
 			stall.Command(),
 		},
--- a/internal/plan/group/target.go
+++ b/internal/plan/group/target.go
@@ -42,7 +42,7 @@
 	scaledCloseTimeout = 4 * time.Second
 	// staggerShare is the share of the groups of a model that may be formed anew at the same time because members are draining. The
 	// platform may end many servers at once when it is told to have fewer.
-	staggerShare = 0.2
+	staggerShare = 0.25
 )
 
 // memberReassigned is the reason to dissolve a group whose members another model needs.
@@ -269,8 +269,10 @@
 			continue
 		}
 		total++
+		_, closes := d.closingSince[o.key()]
 		head := d.servers[o.Head()]
-		if _, closes := d.closingSince[o.key()]; closes || head == nil || !head.isMemberOf(o) || head.Member.State != server.Open {
+		open := head != nil && head.isMemberOf(o) && head.Member.State == server.Open
+		if closes || !open && len(d.unloadedMembers(o)) == 0 { // Groups that load weights take much longer.
 			down++
 		}
 	}
--- a/internal/plan/scale/decider.go
+++ b/internal/plan/scale/decider.go
@@ -77,6 +77,9 @@
 	// inAfter is how long demand is observed before servers are removed. The mean of 7 s around a trough of a period of 11 s is at most
 	// a tenth too low, which the assumed swing makes up for.
 	inAfter = 7 * time.Second
+	// settleTime is how long demand is observed before servers are removed although groups are missing. In simulations of the first
+	// deployment (gauge sizes), 0 s and 25 s gave less than 12 s.
+	settleTime = 12 * time.Second
 	// inInterval is the time from a change of the number of servers to their next reduction.
 	inInterval = 15 * time.Second
 	// silenceHold is how long after a data centre without requests was seen servers are not removed.
@@ -102,6 +105,9 @@
 	minStepShare = 0.03
 )
 
+// urgentShare is the share of the groups that a model needs below which it needs more at once.
+const urgentShare = 0.85
+
 // Decider decides on the number of servers of one service. It does no I/O and is not safe for concurrent use. One decider is used for
 // one tenure of the duty.
 type Decider struct {
@@ -143,7 +149,8 @@
 	d.out.Groups = d.groups(in, p)
 	d.out.Urgent = make(map[string]bool)
 	for name, n := range d.needs {
-		d.out.Urgent[name] = n.overloaded && in.Open[name] < d.out.Groups[name]
+		wanted := d.out.Groups[name]
+		d.out.Urgent[name] = in.Open[name] < wanted && (n.overloaded || float64(in.Open[name]) < urgentShare*float64(wanted))
 	}
 	return d.out
 }
@@ -203,14 +210,7 @@
 
 // updateDesired updates the desired number of servers.
 func (d *Decider) updateDesired(now time.Time, in Input, p plan) {
-	short := p.have+fragmentSlack < p.units
-	switch {
-	case !d.est.full():
-		// The mean and the peak are not known yet, and servers that turn out not to be needed are removed only later.
-		short = p.have < p.tight
-	case d.raisedAt.After(d.changedAt):
-		short = p.have < p.units
-	}
+	short := d.isShort(p)
 	base, total, needed := make(map[string]int), 0, 0
 	for _, s := range p.sites {
 		z := d.zones[s.name]
@@ -232,7 +232,7 @@
 		if d.raisedAt.After(d.changedAt) {
 			reason = ReasonDemand
 		}
-	case total-needed >= step && d.mayScaleIn(now):
+	case total-needed >= step && d.mayScaleIn(now, in):
 		for name, n := range p.counts {
 			if z := d.zones[name]; n < z.count || !z.undelivered(now, in.Bounds) {
 				next[name] = n
@@ -245,12 +245,39 @@
 	d.setDesired(now, in, next, reason)
 }
 
+// isShort reports whether servers have to be added.
+func (d *Decider) isShort(p plan) bool {
+	switch {
+	case !d.est.full():
+		// The mean and the peak are not known yet, and servers that turn out not to be needed are removed only later.
+		return p.have < p.tight
+	case d.raisedAt.After(d.changedAt):
+		return p.have < p.units
+	default:
+		return p.have+fragmentSlack < p.units
+	}
+}
+
 // mayScaleIn reports whether servers may be removed now.
-func (d *Decider) mayScaleIn(now time.Time) bool {
-	return d.est.age(now) >= inAfter && !d.est.rising() &&
+func (d *Decider) mayScaleIn(now time.Time, in Input) bool {
+	return d.est.age(now) >= inAfter && !d.est.rising() && d.settled(now, in) &&
 		(d.changedAt.IsZero() || now.Sub(d.changedAt) >= inInterval) && (d.silentAt.IsZero() || now.Sub(d.silentAt) >= silenceHold)
 }
 
+// settled reports whether the groups that are needed are open, or have had time to be formed. Before, servers that are removed break
+// up groups whose replacements still load weights.
+func (d *Decider) settled(now time.Time, in Input) bool {
+	if d.est.age(now) >= settleTime {
+		return true
+	}
+	for _, m := range in.Engine.Models {
+		if in.Open[m.Name] < d.needs[m.Name].groups {
+			return false
+		}
+	}
+	return true
+}
+
 // setDesired sets the desired numbers of servers: of data centres in service as given, of others see elsewhere.
 func (d *Decider) setDesired(now time.Time, in Input, next map[string]int, reason string) {
 	first := d.out.Desired == nil
--- a/internal/plan/scale/demand.go
+++ b/internal/plan/scale/demand.go
@@ -187,9 +187,8 @@
 		return Mix{}
 	}
 	m := Mix{PromptTokens: c.PromptTokens / c.Arrivals}
-	if served := c.Arrivals - c.Refused; served > 0 {
-		m.AnswerTokens = c.AnswerTokens / served
-	}
+	// Requests that were refused may have been refused more than once.
+	m.AnswerTokens = c.AnswerTokens / max(c.Arrivals-c.Refused, c.Arrivals/2)
 	if len(e.complete()) < answerBins || m.AnswerTokens <= 0 {
 		m.AnswerTokens = max(m.AnswerTokens, float64(usualAnswer))
 	}
--- a/internal/plan/scale/need.go
+++ b/internal/plan/scale/need.go
@@ -46,6 +46,8 @@
 	// exact is the number without rounding, tight the number without headroom.
 	exact float64
 	tight int
+	// early is set until demand has been observed for a window.
+	early bool
 	// lowerSince is since when fewer groups would suffice.
 	lowerSince time.Time
 	// derating is the learned ratio of the capacity of groups to the predicted one. adjustedAt is when it was changed, failingSince
@@ -84,6 +86,12 @@
 		if n.update(now, wanted, lower) {
 			d.raisedAt = now
 		}
+		// The first estimates are replaced by that of a whole window.
+		if early := !d.est.full(); early {
+			n.groups, n.early = max(n.groups, wanted), true
+		} else if n.early {
+			n.groups, n.early = wanted, false
+		}
 	}
 }
 
--- a/internal/plan/scale/spread.go
+++ b/internal/plan/scale/spread.go
@@ -106,6 +106,16 @@
 		sum += e - expected[least]
 		expected[least] = e
 	}
+	// Servers that complete no unit are not needed.
+	for i, s := range slices.Backward(sites) {
+		for n := counts[i] - 1; n >= s.min; n-- {
+			e := wholeUnits(s.domains, n, unit, domainSize)
+			if sum+e-expected[i] < units {
+				break
+			}
+			sum, counts[i], expected[i] = sum+e-expected[i], n, e
+		}
+	}
 	out := make(map[string]int, len(sites))
 	for i, s := range sites {
 		out[s.name] = counts[i]
