--- a/internal/bench/sizes/command.go
+++ b/internal/bench/sizes/command.go
@@ -24,6 +24,7 @@
 			&cli.DurationFlag{Name: "time", Usage: "time with demand", Value: 80 * time.Second, Destination: &o.Time},
 			&cli.FloatFlag{Name: "loads-per-second", Usage: "loads of weights that may start in a second", Value: 3, Destination: &o.LoadsPerSecond},
 			&cli.IntFlag{Name: "loads-at-once", Usage: "loads of weights at the same time", Value: 16, Destination: &o.LoadsAtOnce},
+			&cli.DurationFlag{Name: "lost-at", Usage: "when a data centre is lost for 20 s; 0 for never", Destination: &o.LostAt},
 			&cli.BoolFlag{Name: "trace", Usage: "print the events of each run", Destination: &trace},
 		},
 		Action: func(context.Context, *cli.Command) error { return measure(os.Stdout, o, seeds, trace) },
--- a/internal/bench/sizes/world.go
+++ b/internal/bench/sizes/world.go
@@ -43,6 +43,7 @@
 	// warmUp is the time before demand begins.
 	warmUp    = 8 * time.Second
 	stallTime = 5 * time.Second
+	lostTime  = 20 * time.Second
 	service   = "llm"
 )
 
@@ -79,7 +80,9 @@
 	// Scales is unset for a fixed number of servers.
 	Scales bool
 	// Time is how long there is demand. Demand begins at a phase of its wave that depends on the seed.
-	Time           time.Duration
+	Time time.Duration
+	// LostAt is when a data centre is lost for lostTime, or 0 for never.
+	LostAt         time.Duration
 	LoadsPerSecond float64
 	LoadsAtOnce    int
 }
@@ -175,10 +178,11 @@
 // platform carries out the orders.
 func (w *world) platform() {
 	for _, dc := range dataCentres {
-		if want, ok := w.desired[dc]; ok {
+		if want, ok := w.desired[dc]; ok && !w.isLost(dc) {
 			w.adjust(dc, want)
 		}
 	}
+	maps.DeleteFunc(w.servers, func(_ string, h *host) bool { return w.isLost(h.DataCentre) })
 	for id, h := range w.servers {
 		stayed := w.now.Sub(h.drainingAt)
 		if h.Draining && (stayed >= drainTime || stayed >= idleDrainTime && !w.serves(h)) {
@@ -187,6 +191,12 @@
 	}
 }
 
+// isLost reports whether a data centre is lost.
+func (w *world) isLost(dc string) bool {
+	since := w.now.Sub(w.begun) - w.opts.LostAt
+	return w.opts.LostAt > 0 && !w.begun.IsZero() && dc == dataCentres[1] && since >= 0 && since < lostTime
+}
+
 // adjust starts and terminates servers of a data centre.
 func (w *world) adjust(dc string, want int) {
 	w.booting[dc] = slices.DeleteFunc(w.booting[dc], func(at time.Time) bool {
@@ -409,7 +419,9 @@
 	}
 	zones := make(map[string]scale.Zone)
 	for _, dc := range dataCentres {
-		zones[dc] = scale.Zone{Domains: w.domains(dc)}
+		if sizes := w.domains(dc); len(sizes) > 0 {
+			zones[dc] = scale.Zone{Domains: sizes}
+		}
 	}
 	out := w.scale.Step(w.now, scale.Input{
 		Demand: w.reports[0], Engine: w.engine, Objectives: objectives, Zones: zones, Open: open,
--- a/internal/plan/scale/decider.go
+++ b/internal/plan/scale/decider.go
@@ -80,6 +80,8 @@
 	// settleTime is how long demand is observed before servers are removed although groups are missing. In simulations of the first
 	// deployment (gauge sizes), 0 s and 25 s gave less than 12 s.
 	settleTime = 12 * time.Second
+	// growTime is the same for the time since servers were last added. Many servers load weights at a limited rate.
+	growTime = 40 * time.Second
 	// inInterval is the time from a change of the number of servers to their next reduction.
 	inInterval = 15 * time.Second
 	// silenceHold is how long after a data centre without requests was seen servers are not removed.
@@ -119,6 +121,8 @@
 	// changedAt is when the desired number of servers last changed, silentAt when a data centre was last seen without requests.
 	changedAt time.Time
 	silentAt  time.Time
+	// grewAt is when a data centre last got servers.
+	grewAt time.Time
 	// domainSize is the largest number of servers seen in a fabric domain.
 	domainSize int
 }
@@ -267,7 +271,7 @@
 // settled reports whether the groups that are needed are open, or have had time to be formed. Before, servers that are removed break
 // up groups whose replacements still load weights.
 func (d *Decider) settled(now time.Time, in Input) bool {
-	if d.est.age(now) >= settleTime {
+	if d.est.age(now) >= settleTime && (d.grewAt.IsZero() || now.Sub(d.grewAt) >= growTime) {
 		return true
 	}
 	for _, m := range in.Engine.Models {
--- a/internal/plan/scale/need.go
+++ b/internal/plan/scale/need.go
@@ -166,13 +166,16 @@
 		}
 	}
 	for name, z := range d.zones {
-		reported := in.Zones[name]
+		reported, before := in.Zones[name], z.count
 		z.domains, z.count = z.domains[:0], 0
 		for _, k := range sortedCounts(reported.Domains) {
 			z.domains = append(z.domains, k)
 			z.count += k
 			d.domainSize = max(d.domainSize, k)
 		}
+		if z.count > before && len(z.history) > 0 {
+			d.grewAt = now
+		}
 		z.observe(now, z.count+reported.Draining, reported.OutOfService)
 	}
 }
