--- a/internal/bench/plans/chaos.go
+++ b/internal/bench/plans/chaos.go
@@ -70,6 +70,9 @@
 	*world
 	src     Source
 	isolate bool
+	// demand is set if targets change. They are nil while demand is not known.
+	demand  bool
+	targets *group.Targets
 	keepers []*keeper
 	plan    row
 	fence   uint64
@@ -84,13 +87,15 @@
 	// Isolate lets a server that lives be cut off from the nodes and from the store at the same time, which
 	// nodes cannot tell from its end: they then take it for dead.
 	Isolate bool
+	// Demand lets the numbers of groups that demand asks for change.
+	Demand bool
 	// Trace takes a line for each event; nil for none.
 	Trace io.Writer
 }
 
 // Interleave runs one interleaving of keepers and faults.
 func Interleave(src Source, o Options) Outcome {
-	c := &chaos{world: newWorld(), src: src, isolate: o.Isolate}
+	c := &chaos{world: newWorld(), src: src, isolate: o.Isolate, demand: o.Demand}
 	c.plan.rows = make(group.Rows)
 	c.trace = o.Trace
 	for range keepers {
@@ -142,6 +147,9 @@
 	if c.chance(30) {
 		c.disturbEngine(c.engines[c.src.IntN(len(c.engines))])
 	}
+	if c.demand && c.chance(40) {
+		c.changeDemand()
+	}
 	switch c.src.IntN(200) {
 	case 0:
 		c.plan.away = c.now.Add(c.span(longFault))
@@ -152,6 +160,18 @@
 	}
 }
 
+// changeDemand changes the numbers of groups that demand asks for.
+func (c *chaos) changeDemand() {
+	if c.targets = nil; c.chance(8) {
+		return
+	}
+	c.targets = &group.Targets{Groups: make(map[string]int), Urgent: make(map[string]bool)}
+	for _, m := range modelEngine().Models {
+		c.targets.Groups[m.Name], c.targets.Urgent[m.Name] = c.src.IntN(5), c.chance(2)
+	}
+	c.logf("demand asks for %v, urgent %v", c.targets.Groups, c.targets.Urgent)
+}
+
 func (c *chaos) disturbEngine(e *engine) {
 	if !e.alive {
 		return
@@ -250,6 +270,9 @@
 		k.decider.ApplyHeartbeats(c.now, c.renewals())
 		k.beats = c.now.Add(500 * time.Millisecond)
 	}
+	if c.demand {
+		k.decider.FollowDemand(true, c.targets)
+	}
 	k.decider.ApplyView(c.now, k.view.View())
 	c.act(k, k.decider.Step(c.now))
 }
--- a/internal/bench/plans/chaos_test.go
+++ b/internal/bench/plans/chaos_test.go
@@ -31,6 +31,16 @@
 	}
 }
 
+// Guards against the same while groups make room for others because demand changes.
+func TestInterleavingsOfDemand(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(rt *rapid.T) {
+		if got := plans.Interleave(drawn{rt}, plans.Options{Demand: true}); got.Fault != "" {
+			rt.Fatal(got.Fault)
+		}
+	})
+}
+
 // Guards against a head that has left, but whose delayed join and open of an earlier keeper are carried out before it joins its
 // next formation. The interleaving is in testdata.
 func TestLateJoinOfHead(t *testing.T) {
--- a/internal/bench/plans/command.go
+++ b/internal/bench/plans/command.go
@@ -34,6 +34,7 @@
 					&cli.Uint64Flag{Name: "seed", Usage: "first seed", Value: 1, Destination: &seed},
 					&cli.BoolFlag{Name: "trace", Usage: "print each event of the first seed and run no other", Destination: &trace},
 					&cli.BoolFlag{Name: "isolate", Usage: "cut live servers off from nodes and store at the same time", Destination: &opts.Isolate},
+					&cli.BoolFlag{Name: "demand", Usage: "change the numbers of groups that demand asks for", Destination: &opts.Demand},
 				},
 				Action: func(ctx context.Context, _ *cli.Command) error {
 					if trace {
