Scale while calls of the API are slow; count only servers that stay

A step of scaling runs with reports of demand as well, because a call may take seconds. Servers that were ordered to end count neither as capacity nor as lost.

--- a/internal/node/scaler/scaler.go
+++ b/internal/node/scaler/scaler.go
@@ -114,8 +114,8 @@
 	}
 }
 
-// Observe implements duties.Scaler.
-func (s *Scaler) Observe(_ time.Time, _ usage.Process, demand []usage.Demand) {
+// Observe implements duties.Scaler. It runs a step when one is due, because Next is not called during a call of the API.
+func (s *Scaler) Observe(now time.Time, _ usage.Process, demand []usage.Demand) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, d := range demand {
@@ -128,34 +128,41 @@
 			Refused: float64(d.Refused), Late: float64(d.Late),
 		})
 	}
+	s.update(now)
 }
 
 // Next implements duties.Scaler. It returns at most one order, so that each one is current when it is sent.
 func (s *Scaler) Next(now time.Time, mayCall bool) []duties.ScaleOrder {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.update(now) {
+		return nil
+	}
+	if !mayCall || now.Before(s.retryAt) {
+		return nil
+	}
+	return s.due(now)
+}
+
+// update runs a step of the decider if one is due, and reports whether the service asks for scaling and its servers are known. The
+// lock must be held.
+func (s *Scaler) update(now time.Time) bool {
 	svc, view := s.cfg.Service(), s.cfg.View()
 	if !s.holds || svc == nil || svc.Scaling == nil || svc.Engine == nil {
 		if s.decider != nil {
 			s.reset("")
 			s.cfg.SetTargets(nil)
 		}
-		return nil
+		return false
 	}
 	if svc.Name != s.service {
 		s.reset(svc.Name)
 	}
-	if !view.Read {
-		return nil
-	}
-	if now.Sub(s.steppedAt) >= stepInterval {
+	if view.Read && now.Sub(s.steppedAt) >= stepInterval {
 		s.steppedAt = now
 		s.step(now, svc, view)
 	}
-	if !mayCall || now.Before(s.retryAt) {
-		return nil
-	}
-	return s.due(now)
+	return view.Read
 }
 
 // step runs a step of the decider.
--- a/internal/node/scaler/scaler_test.go
+++ b/internal/node/scaler/scaler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -29,13 +30,16 @@
 	calls   []string
 	at      []time.Duration
 	mayCall bool
+	// slow is set while a call is not answered. factor multiplies demand.
+	slow   bool
+	factor uint64
 	// result returns the result of a call.
 	result func(o duties.ScaleOrder) error
 }
 
 func newHolder() *holder {
 	h := &holder{
-		now: time.Unix(1000, 0), index: index.New(), mayCall: true, result: func(duties.ScaleOrder) error { return nil },
+		now: time.Unix(1000, 0), factor: 1, index: index.New(), mayCall: true, result: func(duties.ScaleOrder) error { return nil },
 		service: &match.Service{
 			Name: "llm", Scaling: &match.Scaling{Min: 6, Max: 30, Boot: 8 * time.Second},
 			Engine: &batch.Engine{
@@ -65,9 +69,12 @@
 	for ; h.now.Sub(begin) < d; h.now = h.now.Add(200 * time.Millisecond) {
 		for dc := range 2 {
 			h.s.Observe(h.now, usage.Process{Node: fmt.Sprint(dc)}, []usage.Demand{{
-				Service: "llm", Model: "m", DataCentre: fmt.Sprintf("dc%d", dc), Arrivals: 3, PromptTokens: 300, AnswerTokens: 300,
+				Service: "llm", Model: "m", DataCentre: fmt.Sprintf("dc%d", dc), Arrivals: 3 * h.factor, PromptTokens: 300 * h.factor, AnswerTokens: 300 * h.factor,
 			}})
 		}
+		if h.slow {
+			continue
+		}
 		for _, o := range h.s.Next(h.now, h.mayCall) {
 			if !h.mayCall {
 				continue
@@ -115,6 +122,21 @@
 	}
 }
 
+// Guards against demand that is forgotten, or an order that is out of date, because the API takes long to answer.
+func TestSlowAPI(t *testing.T) {
+	t.Parallel()
+	h := newHolder()
+	h.run(16 * time.Second)
+	before := h.calls[len(h.calls)-1]
+	h.slow, h.factor = true, 12
+	h.run(12 * time.Second)
+	h.slow, h.calls = false, nil
+	h.run(300 * time.Millisecond)
+	if len(h.calls) == 0 || h.calls[0] == before || !strings.HasSuffix(h.calls[0], " 30") {
+		t.Errorf("the first call after a slow one is %v, before %s", h.calls, before)
+	}
+}
+
 // Guards against orders before the API may be called, while the groups should follow demand already, and after the tenure.
 func TestTenure(t *testing.T) {
 	t.Parallel()
--- a/internal/plan/scale/decider.go
+++ b/internal/plan/scale/decider.go
@@ -202,7 +202,11 @@
 			s.max = min(s.max, z.count)
 			s.min = min(s.min, s.max)
 		}
-		p.have += float64(countUnits(s.domains, unit))
+		if z.desired > 0 && z.count > z.desired { // Some of them are about to end.
+			p.have += wholeUnits(s.domains, z.desired, unit, d.domainSize)
+		} else {
+			p.have += float64(countUnits(s.domains, unit))
+		}
 		p.sites = append(p.sites, s)
 	}
 	if p.have >= p.units {
--- a/internal/plan/scale/need.go
+++ b/internal/plan/scale/need.go
@@ -196,7 +196,11 @@
 			z.before = max(z.before, h.n)
 		}
 	}
-	z.lost = float64(n) < lossShare*float64(z.before)
+	expected := z.before
+	if z.desired > 0 {
+		expected = min(expected, z.desired) // Servers that were ordered to end are not lost.
+	}
+	z.lost = float64(n) < lossShare*float64(expected)
 	if z.count >= z.desired {
 		z.shortSince = time.Time{}
 	} else if z.shortSince.IsZero() || z.shortSince.Before(z.orderedAt) {
--- a/internal/plan/scale/scale_test.go
+++ b/internal/plan/scale/scale_test.go
@@ -292,7 +292,8 @@
 	}
 }
 
-// Guards against scaling out later than at the first crest of demand, or beyond the bounds.
+// Guards against scaling out later than at the first crest of demand, or beyond the bounds, and against taking servers that were
+// ordered to end for lost ones.
 func TestRisingDemand(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 0)
@@ -311,6 +312,12 @@
 	if g := f.last.Groups; 6*g["small"]+12*g["large"] > 180 || g["small"] < 2*g["large"] {
 		t.Errorf("groups of 180 servers: %v", g)
 	}
+	f.orders = nil
+	f.factor["small"], f.factor["large"] = 0.1, 0.1
+	f.run(60 * time.Second)
+	if n := f.servers(); n != 78 || slices.ContainsFunc(f.orders, func(o order) bool { return o.reason != scale.ReasonScaleIn }) {
+		t.Errorf("%d servers are left for a tenth of the demand: %v", n, f.orders)
+	}
 	f.bounded()
 }
 
--- a/internal/plan/scale/spread.go
+++ b/internal/plan/scale/spread.go
@@ -20,10 +20,10 @@
 	if n >= total {
 		return float64(countUnits(grow(domains, n-total, domainSize), unit))
 	}
-	sum := 0.0
+	sum, logs := 0.0, logFactorials(total)
 	for _, k := range domains {
 		for left := unit; left <= min(k, n); left++ {
-			sum += hypergeometric(total, k, n, left) * float64(left/unit)
+			sum += hypergeometric(logs, total, k, n, left) * float64(left/unit)
 		}
 	}
 	return sum
@@ -57,16 +57,21 @@
 }
 
 // hypergeometric returns the probability that x of n servers chosen at random from total are among k given ones.
-func hypergeometric(total, k, n, x int) float64 {
+func hypergeometric(logs []float64, total, k, n, x int) float64 {
 	if x > k || n-x > total-k || x > n {
 		return 0
 	}
-	return math.Exp(logChoose(k, x) + logChoose(total-k, n-x) - logChoose(total, n))
+	choose := func(n, k int) float64 { return logs[n] - logs[k] - logs[n-k] }
+	return math.Exp(choose(k, x) + choose(total-k, n-x) - choose(total, n))
 }
 
-func logChoose(n, k int) float64 {
-	lg := func(v int) float64 { r, _ := math.Lgamma(float64(v) + 1); return r }
-	return lg(n) - lg(k) - lg(n-k)
+// logFactorials returns the logarithms of the factorials up to n.
+func logFactorials(n int) []float64 {
+	out := make([]float64, n+1)
+	for i := 2; i <= n; i++ {
+		out[i] = out[i-1] + math.Log(float64(i))
+	}
+	return out
 }
 
 // site is a data centre that may get servers.
