--- a/internal/node/pass/call.go
+++ b/internal/node/pass/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"sync/atomic"
 	"time"
 
 	"geraniumhollow/internal/node/front"
@@ -107,6 +108,8 @@
 	hop *hopRequest
 	// config is the version of the configuration by which the call was resolved.
 	config uint64
+	// began is set once a backend server has begun to run the call. Copies of the call share it.
+	began *atomic.Bool
 }
 
 // callerRetryMaxShare is the fraction of a route's timeout below which a caller's timeout marks its request as a
--- a/internal/node/pass/pass.go
+++ b/internal/node/pass/pass.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"geraniumhollow/internal/core/fault"
@@ -88,7 +89,7 @@
 	// Detour passes calls on to other nodes; nil if there are none.
 	Detour  Detour
 	Crashes *CrashTracker
-	// Began is called with the account of each attempt at a backend server that began to run the call, "" for none. It may be nil.
+	// Began is called with the account of each call that a backend server began to run, "" for none. It may be nil.
 	Began func(account string)
 	// Budget returns the retry budget of a service.
 	Budget  func(service string) *retry.Budget
@@ -148,7 +149,7 @@
 // resolve finds the route, the account and the service of a request. On an error, the call holds the fields that were
 // resolved before it.
 func (r *Relay) resolve(req *front.Request, hop *hopRequest) (*Call, *fault.Error) {
-	c := &Call{Arrived: req.Arrived, req: req, hop: hop}
+	c := &Call{Arrived: req.Arrived, req: req, hop: hop, began: new(atomic.Bool)}
 	table := r.deps.Table()
 	if table == nil {
 		return c, fault.New(fault.NodeIsolated, fault.NotRun, "the node has no configuration yet").WithRetryAfter(retryAfterNotReady)
