Keep numbers of groups over a change of keeper, and groups whose requests are late

It now keeps the numbers of the plan: for 3 s in any case, and until demand is known once it has heard of any.

Targets say which models have late requests. Their groups are not dissolved, neither for another model nor after the loss of a member. Groups beyond the target are formed anew after a loss unless the other model lacks groups.

Before there are callers, whole groups are formed from all free servers, as weights load ten times faster then.

Tests: the first groups of the test are 4 and 8 instead of 4 and 7, as six free servers form a group. TestScaleInKeepsNeededGroups now wants all groups kept, as no model lacks any; that a surplus group makes way for the other model is checked by a new test. The test of the new keeper failed to notice the fallback, as there was no room for another group; now there is.

--- a/internal/plan/group/place.go
+++ b/internal/plan/group/place.go
@@ -132,7 +132,10 @@
 			}
 		}
 	}
-	input.Requests = d.missingGroups(p, total)
+	input.Requests = d.missingGroups(now, p, total)
+	if r, ok := d.extraGroup(now, input, d.countGroups(p)); ok {
+		input.Requests = []form.Request{r}
+	}
 	return input, settling
 }
 
@@ -146,11 +149,11 @@
 }
 
 // missingGroups returns the groups that models lack for their share of the work.
-func (d *Decider) missingGroups(p *Plan, total int) []form.Request {
+func (d *Decider) missingGroups(now time.Time, p *Plan, total int) []form.Request {
 	current := d.countGroups(p)
 	var out []form.Request
 	for _, m := range d.cfg.Engine.Models {
-		target := d.target(m, total)
+		target := d.target(now, m, total)
 		for i := current[m.Name]; i < target; i++ {
 			out = append(out, form.Request{
 				Group: fmt.Sprintf("%s/%d", m.Name, i), Weights: form.Weights{Model: m.Name}, Hosts: m.Hosts,
--- a/internal/plan/group/target.go
+++ b/internal/plan/group/target.go
@@ -10,22 +10,31 @@
 	"geraniumhollow/internal/core/sets"
 	"geraniumhollow/internal/fleet/index"
 	"geraniumhollow/internal/fleet/server"
+	"geraniumhollow/internal/plan/form"
 	"geraniumhollow/internal/route/batch"
 )
 
 // Where the number of servers of a service follows demand, the number of groups of each model does, too. Groups beyond that number
-// are not formed anew when they lose a member, and make room for another model if it lacks groups. Otherwise they are kept, because
-// loading the weights of another model takes long. Data centres that are out of service are left out, as their groups serve nothing.
+// make room for another model if it lacks groups, unless requests of their own model are late. Otherwise they are kept, because loading
+// the weights of another model takes long. Data centres that are out of service are left out, as their groups serve nothing.
 
 // Targets are the desired numbers of groups.
 type Targets struct {
-	// Groups holds the number of groups by model. Urgent has the models whose open groups cannot carry their demand.
+	// Groups holds the number of groups by model, or is nil while the size of demand is not known. Urgent has the models whose open groups cannot carry their demand, and Late those
+	// whose requests are late or refused.
 	Groups map[string]int
 	Urgent map[string]bool
+	Late   map[string]bool
 }
 
-// FollowDemand sets whether the number of groups of each model follows demand. targets is nil while demand is not known.
-func (d *Decider) FollowDemand(follow bool, targets *Targets) { d.follows, d.targets = follow, targets }
+// FollowDemand sets whether the number of groups of each model follows demand. targets is nil while there is no demand.
+func (d *Decider) FollowDemand(follow bool, targets *Targets) {
+	d.follows, d.targets = follow, targets
+	if follow && targets != nil {
+		// This process may not have served callers itself.
+		d.TrafficStarted()
+	}
+}
 
 // Times of changes for another model.
 const (
@@ -43,26 +52,34 @@
 	// staggerShare is the share of the groups of a model that may be formed anew at the same time because members are draining. The
 	// platform may end many servers at once when it is told to have fewer.
 	staggerShare = 0.25
+	// inheritTime is how long a new keeper keeps the numbers of groups of the plan although it has not heard of callers. Nodes report
+	// demand once a second.
+	inheritTime = 3 * time.Second
 )
 
 // memberReassigned is the reason to dissolve a group whose members another model needs.
 const memberReassigned = "member_reassigned"
 
-// target returns the number of groups that a model should have. total is the number of servers. A decider that continues from a plan
-// keeps its numbers of groups until demand is known: the configured shares of the work may be far from it.
-func (d *Decider) target(m batch.Model, total int) int {
+// target returns the number of groups that a model should have. total is the number of servers.
+func (d *Decider) target(now time.Time, m batch.Model, total int) int {
 	switch {
-	case d.follows && d.targets != nil:
+	case d.byDemand():
 		return d.targets.Groups[m.Name]
-	case d.follows && d.trafficStarted && len(d.inherited) > 0:
+	case d.keepsInherited(now):
 		return d.inherited[m.Name]
 	default:
 		return targetGroups(m, total)
 	}
 }
 
+// keepsInherited reports whether a decider that continues from a plan keeps its numbers of groups, because the configured shares of the
+// work may be far from demand. Only before there are callers the shares may be better than an unfinished plan.
+func (d *Decider) keepsInherited(now time.Time) bool {
+	return d.follows && len(d.inherited) > 0 && (d.trafficStarted || now.Sub(d.startedAt) < inheritTime)
+}
+
 // byDemand reports whether the number of groups follows known demand.
-func (d *Decider) byDemand() bool { return d.follows && d.targets != nil }
+func (d *Decider) byDemand() bool { return d.follows && d.targets != nil && d.targets.Groups != nil }
 
 // isOut reports whether the servers of a data centre get no requests, and are therefore left out.
 func (d *Decider) isOut(dataCentre string) bool {
@@ -86,9 +103,46 @@
 	return out
 }
 
-// isSurplus reports whether a model has more groups than it should have, so that one that has lost a member is not formed anew.
+// isSurplus reports whether a group that has lost a member is not formed anew, because its model has more groups than it should have
+// and another one lacks some.
 func (d *Decider) isSurplus(p *Plan, f Formation) bool {
-	return d.byDemand() && !d.isOutDomain(f.Domain) && d.countGroups(p)[f.Model] > d.targets.Groups[f.Model]
+	if !d.byDemand() || d.isOutDomain(f.Domain) || d.targets.Late[f.Model] {
+		return false
+	}
+	counts := d.countGroups(p)
+	return counts[f.Model] > d.targets.Groups[f.Model] && slices.ContainsFunc(d.cfg.Engine.Models, func(m batch.Model) bool {
+		return m.Name != f.Model && counts[m.Name] < d.targets.Groups[m.Name]
+	})
+}
+
+// extraGroup returns a request for one more group than the configured shares ask for, or false if none fits or a group that they ask
+// for does. Until callers are served, weights load much faster than later, so all free servers that make up a group are used.
+func (d *Decider) extraGroup(now time.Time, input form.Input, current map[string]int) (form.Request, bool) {
+	if !d.follows || d.trafficStarted || d.keepsInherited(now) {
+		return form.Request{}, false
+	}
+	free, largest := make(map[string]int), 0
+	for _, h := range input.Hosts {
+		free[h.Domain]++
+		largest = max(largest, free[h.Domain])
+	}
+	if slices.ContainsFunc(input.Requests, func(r form.Request) bool { return r.Hosts <= largest }) {
+		return form.Request{}, false
+	}
+	var best batch.Model
+	least := math.Inf(1)
+	for _, m := range d.cfg.Engine.Models {
+		if m.Hosts <= 0 || m.Hosts > largest || m.WorkFraction <= 0 {
+			continue
+		}
+		if share := float64(current[m.Name]*m.Hosts) / m.WorkFraction; share < least {
+			best, least = m, share
+		}
+	}
+	if best.Hosts == 0 {
+		return form.Request{}, false
+	}
+	return form.Request{Group: best.Name + "/extra", Weights: form.Weights{Model: best.Name}, Hosts: best.Hosts}, true
 }
 
 // makeRoom chooses groups of models that have more than they need to be dissolved, if another model needs their servers.
@@ -134,7 +188,7 @@
 			continue
 		}
 		d.dissolving.Remove(f.key())
-		if d.countGroups(p)[f.Model] > d.targets.Groups[f.Model] {
+		if d.countGroups(p)[f.Model] > d.targets.Groups[f.Model] && !d.targets.Late[f.Model] {
 			remaining.Add(f.key())
 		}
 	}
@@ -185,7 +239,7 @@
 		}
 		for _, other := range d.cfg.Engine.Models {
 			surplus := counts[other.Name] - d.targets.Groups[other.Name]
-			if other.Name == m.Name || surplus <= 0 {
+			if other.Name == m.Name || surplus <= 0 || d.targets.Late[other.Name] {
 				continue
 			}
 			if c := d.roomIn(p, domain, m, other.Name, surplus); c.gain > 0 && c.better(best) {
