Count a late answer when its first byte arrives

An answer of 150 tokens ends seconds after its first token, so lateness reached the holder of the duty only then. The observer of demand is now told of the first byte, and Ended counts only calls that never got one.

--- a/internal/bench/plans/chaos.go
+++ b/internal/bench/plans/chaos.go
@@ -165,11 +165,14 @@
 	if c.targets = nil; c.chance(8) {
 		return
 	}
-	c.targets = &group.Targets{Groups: make(map[string]int), Urgent: make(map[string]bool)}
+	c.targets = &group.Targets{Groups: make(map[string]int), Urgent: make(map[string]bool), Late: make(map[string]bool)}
 	for _, m := range modelEngine().Models {
-		c.targets.Groups[m.Name], c.targets.Urgent[m.Name] = c.src.IntN(5), c.chance(2)
+		c.targets.Groups[m.Name], c.targets.Urgent[m.Name], c.targets.Late[m.Name] = c.src.IntN(5), c.chance(2), c.chance(8)
 	}
-	c.logf("demand asks for %v, urgent %v", c.targets.Groups, c.targets.Urgent)
+	if c.chance(16) { // The size of demand is not known yet.
+		c.targets.Groups = nil
+	}
+	c.logf("demand asks for %v, urgent %v, late %v", c.targets.Groups, c.targets.Urgent, c.targets.Late)
 }
 
 func (c *chaos) disturbEngine(e *engine) {
--- a/internal/node/pass/attempt.go
+++ b/internal/node/pass/attempt.go
@@ -484,6 +484,7 @@
 	if !s.gotFirstByte {
 		s.gotFirstByte, s.firstByte = true, time.Since(s.call.Arrived)
 		s.relay.deps.Metrics.FirstEvent(s.firstByte)
+		s.observeAnswer()
 	}
 }
 
--- a/internal/node/pass/demand.go
+++ b/internal/node/pass/demand.go
@@ -6,6 +6,8 @@
 type DemandObserver interface {
 	// Arrived is called when a call begins to be served or to wait.
 	Arrived(c *Call)
+	// Answered is called when the first byte of an answer has arrived, with the time since the arrival of the call.
+	Answered(c *Call, firstByte time.Duration)
 	// Ended is called when it has ended.
 	Ended(c *Call, r CallResult)
 }
@@ -22,6 +24,13 @@
 	Events int
 }
 
+// observeAnswer reports the first byte of an answer.
+func (s *callState) observeAnswer() {
+	if s.relay.deps.Demand != nil && s.call.hop == nil {
+		s.relay.deps.Demand.Answered(s.call, s.firstByte)
+	}
+}
+
 // observeEnd reports the end of a call.
 func (s *callState) observeEnd() {
 	if s.relay.deps.Demand == nil || s.call.hop != nil {
--- a/internal/node/pass/demand_test.go
+++ b/internal/node/pass/demand_test.go
@@ -16,9 +16,10 @@
 
 // observer records what it is told. It implements pass.DemandObserver.
 type observer struct {
-	mu      sync.Mutex
-	arrived int
-	ended   []pass.CallResult
+	mu       sync.Mutex
+	arrived  int
+	answered []time.Duration
+	ended    []pass.CallResult
 }
 
 func (o *observer) Arrived(*pass.Call) {
@@ -27,6 +28,12 @@
 	o.arrived++
 }
 
+func (o *observer) Answered(_ *pass.Call, firstByte time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.answered = append(o.answered, firstByte)
+}
+
 func (o *observer) Ended(_ *pass.Call, r pass.CallResult) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -63,6 +70,9 @@
 			if r := o.ended[0]; r.Refused != tt.refused || r.Events != tt.events || (r.FirstByte > 0) != (tt.events > 0) {
 				t.Errorf("result %+v", r)
 			}
+			if r := o.ended[0]; (len(o.answered) == 1) != (r.FirstByte > 0) || len(o.answered) > 1 || len(o.answered) == 1 && o.answered[0] != r.FirstByte {
+				t.Errorf("answered %v, result %+v", o.answered, r)
+			}
 		})
 	}
 }
--- a/internal/node/tally/tally.go
+++ b/internal/node/tally/tally.go
@@ -89,6 +89,18 @@
 	n.PromptTokens += uint64(max(0, c.PromptTokens))
 }
 
+// Answered implements pass.DemandObserver. Late answers are counted at once, as it takes seconds until they end.
+func (t *Tally) Answered(c *pass.Call, firstByte time.Duration) {
+	if !t.cfg.Enabled() || c.Route.Objective <= 0 || firstByte <= c.Route.Objective {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if n := t.model(c); n != nil {
+		n.Late++
+	}
+}
+
 // Ended implements pass.DemandObserver.
 func (t *Tally) Ended(c *pass.Call, r pass.CallResult) {
 	if !t.cfg.Enabled() {
@@ -101,11 +113,11 @@
 		return
 	}
 	n.AnswerTokens += uint64(r.Events * max(1, c.Service.Engine.StepsPerPass))
-	switch first := cmp.Or(r.FirstByte, r.Duration); {
+	switch {
 	case r.Refused:
 		n.Refused++
 		n.returning++
-	case c.Route.Objective > 0 && first > c.Route.Objective:
+	case r.FirstByte == 0 && c.Route.Objective > 0 && r.Duration > c.Route.Objective:
 		n.Late++
 	}
 }
--- a/internal/node/tally/tally_test.go
+++ b/internal/node/tally/tally_test.go
@@ -38,6 +38,9 @@
 		{Duration: 6 * time.Second},
 	} {
 		c.Arrived(call("m", 6*time.Second))
+		if r.FirstByte > 0 {
+			c.Answered(call("m", 6*time.Second), r.FirstByte)
+		}
 		c.Ended(call("m", 6*time.Second), r)
 	}
 	want := usage.Demand{Service: "llm", Model: "m", DataCentre: "dc", Arrivals: 5, PromptTokens: 500, AnswerTokens: 160, Refused: 1, Late: 2}
@@ -52,6 +55,21 @@
 	}
 }
 
+// Guards against lateness that is known only once the answers have ended.
+func TestCountsLateAnswersAtOnce(t *testing.T) {
+	t.Parallel()
+	c := newTally(true)
+	c.Arrived(call("m", 6*time.Second))
+	c.Answered(call("m", 6*time.Second), 400*time.Millisecond)
+	if got := c.Take(); len(got) != 1 || got[0].Late != 1 {
+		t.Errorf("late before the end: %+v", got)
+	}
+	c.Ended(call("m", 6*time.Second), pass.CallResult{FirstByte: 400 * time.Millisecond, Duration: 2 * time.Second, Events: 1})
+	if got := c.Take(); len(got) != 1 || got[0].Late != 0 {
+		t.Errorf("late again: %+v", got)
+	}
+}
+
 // Guards against demand that grows with refusals, because callers that were refused come again, and against leaving out callers whose
 // timeouts are always short.
 func TestReturningCallers(t *testing.T) {
@@ -74,6 +92,7 @@
 	for name, c := range map[string]*pass.Call{"fixed number of servers": fixed, "no engine": plain, "unknown model": call("x", 0)} {
 		n := newTally(true)
 		n.Arrived(c)
+		n.Answered(c, time.Second)
 		n.Ended(c, pass.CallResult{Refused: true})
 		if got := n.Take(); len(got) != 0 {
 			t.Errorf("%s: %+v", name, got)
@@ -81,6 +100,7 @@
 	}
 	off := newTally(false)
 	off.Arrived(call("m", 0))
+	off.Answered(call("m", 0), time.Second)
 	off.Ended(call("m", 0), pass.CallResult{})
 	if got := off.Take(); len(got) != 0 {
 		t.Errorf("not asked for: %+v", got)
