Divide groups among models without the noise of the highest demand

The highest of many rates exceeds the mean by more for a model with few requests, which got 5 groups where 4 suffice, and the small model 14 instead of 16. The last numbers are kept while no model is busier by more than 8%.

--- a/internal/plan/scale/decider.go
+++ b/internal/plan/scale/decider.go
@@ -110,7 +110,7 @@
 	minStep      = 6
 	maxStepShare = 0.2
 	// keptImbalance is how much busier than needed the groups of a model may be before groups are divided anew among the models.
-	keptImbalance = 1.15
+	keptImbalance = 1.08
 )
 
 // Decider decides on the number of servers of one service. It does no I/O and is not safe for concurrent use. One decider is used for
@@ -353,11 +353,11 @@
 	return next
 }
 
-// busiest returns the highest ratio of the need of a model to its number of groups.
+// busiest returns the highest ratio of the load of a model to its number of groups.
 func (d *Decider) busiest(groups map[string]int) float64 {
 	load := 0.0
 	for name, n := range d.needs {
-		load = max(load, n.exact/float64(max(1, groups[name])))
+		load = max(load, n.load/float64(max(1, groups[name])))
 	}
 	return load
 }
@@ -366,7 +366,7 @@
 func (d *Decider) addGroup(e *batch.Engine, p plan, out map[string]int, units *float64, available float64) bool {
 	best, load := batch.Model{}, 0.0
 	for _, m := range e.Models {
-		l := d.needs[m.Name].exact / float64(out[m.Name])
+		l := d.needs[m.Name].load / float64(out[m.Name])
 		if l > load && *units+float64(modelUnits(m, p.unit)) <= available {
 			best, load = m, l
 		}
--- a/internal/plan/scale/need.go
+++ b/internal/plan/scale/need.go
@@ -20,6 +20,9 @@
 	excessUtilisation = 1.1
 	// minCapacity is the smallest capacity of a group in requests per second. Requests that no group can serve in time need none.
 	minCapacity = 0.1
+	// noiseDeviations is how many standard deviations the highest of many rates usually is above the mean: more for a model with few
+	// requests, which would get too large a share of the groups.
+	noiseDeviations = 2
 	// groupTolerance is the fraction of a group that is not provided. It keeps the need from changing with the noise of sizes.
 	groupTolerance = 0.2
 )
@@ -46,6 +49,8 @@
 	// exact is the number without rounding, tight the number below which more are needed at once.
 	exact float64
 	tight int
+	// load is the number without headroom and without what the highest demand may owe to chance. Groups are divided by it.
+	load float64
 	// derating is the learned ratio of the capacity of groups to the predicted one. adjustedAt is when it was changed.
 	derating   float64
 	adjustedAt time.Time
@@ -69,6 +74,7 @@
 		capacity := max(minCapacity, n.derating*Capacity(in.Engine, m, mix, in.Objectives[m.Name]))
 		highest := d.est.highest(m.Name)
 		n.exact = highest / utilisation / capacity
+		n.load = (highest - noiseDeviations*math.Sqrt(highest/(recentBins*binTime.Seconds()))) / capacity
 		n.tight = roundGroups(highest / tightUtilisation / capacity)
 		if wanted := roundGroups(n.exact); wanted > n.groups || roundGroups(n.exact+groupTolerance) < n.groups {
 			n.groups = wanted
