Use free servers that a missing group cannot, and keep room that was made

With a target of larger groups that fit nowhere, whole groups of free servers stayed idle. They now form a group of the model that has the smallest share of its groups.

It no longer moves there while they suffice for a missing group.

While requests fail, the mean answer is now at least the one before: the configured mean of all models made groups of the large model seem to carry a fifth less, so that small groups were dissolved for them.

--- a/internal/plan/group/place.go
+++ b/internal/plan/group/place.go
@@ -133,7 +133,7 @@
 		}
 	}
 	input.Requests = d.missingGroups(now, p, total)
-	if r, ok := d.extraGroup(now, input, d.countGroups(p)); ok {
+	if r, ok := d.extraGroup(now, p, input); ok {
 		input.Requests = []form.Request{r}
 	}
 	return input, settling
--- a/internal/plan/group/swap.go
+++ b/internal/plan/group/swap.go
@@ -61,7 +61,7 @@
 func (d *Decider) moveDomain(now time.Time, p *Plan, f *Formation) bool {
 	var best []*serverState
 	for _, domain := range slices.Sorted(maps.Keys(d.lookup().domains)) {
-		if domain == f.Domain || d.isHeld(domain) || d.isOutDomain(domain) {
+		if domain == f.Domain || d.isHeld(domain) || d.isOutDomain(domain) || d.isRoomForOther(p, domain, f) {
 			continue
 		}
 		free := d.freeWithWeights(now, p, domain, f.Model)
--- a/internal/plan/group/target.go
+++ b/internal/plan/group/target.go
@@ -115,10 +115,11 @@
 	})
 }
 
-// extraGroup returns a request for one more group than the configured shares ask for, or false if none fits or a group that they ask
-// for does. Until callers are served, weights load much faster than later, so all free servers that make up a group are used.
-func (d *Decider) extraGroup(now time.Time, input form.Input, current map[string]int) (form.Request, bool) {
-	if !d.follows || d.trafficStarted || d.keepsInherited(now) {
+// extraGroup returns a request for one more group than is missing, or false if none fits or a missing one does. Free servers that make up
+// a group are used: by the model that has the least of what it should have, or before there are callers, when weights load much faster
+// than later, of its configured share.
+func (d *Decider) extraGroup(now time.Time, p *Plan, input form.Input) (form.Request, bool) {
+	if !d.byDemand() && (!d.follows || d.trafficStarted || d.keepsInherited(now)) {
 		return form.Request{}, false
 	}
 	free, largest := make(map[string]int), 0
@@ -126,16 +127,24 @@
 		free[h.Domain]++
 		largest = max(largest, free[h.Domain])
 	}
-	if slices.ContainsFunc(input.Requests, func(r form.Request) bool { return r.Hosts <= largest }) {
-		return form.Request{}, false
+	for _, domain := range input.Domains {
+		// Servers that late orders still bind, or whose groups make room, will be free for a missing group.
+		room := d.room(p, domain.Name, 0)
+		if slices.ContainsFunc(input.Requests, func(r form.Request) bool { return r.Hosts <= room }) {
+			return form.Request{}, false
+		}
 	}
 	var best batch.Model
-	least := math.Inf(1)
+	current, least := d.countGroups(p), math.Inf(1)
 	for _, m := range d.cfg.Engine.Models {
-		if m.Hosts <= 0 || m.Hosts > largest || m.WorkFraction <= 0 {
+		wanted := m.WorkFraction / float64(max(1, m.Hosts))
+		if d.byDemand() {
+			wanted = float64(d.targets.Groups[m.Name])
+		}
+		if m.Hosts <= 0 || m.Hosts > largest || wanted <= 0 {
 			continue
 		}
-		if share := float64(current[m.Name]*m.Hosts) / m.WorkFraction; share < least {
+		if share := float64(current[m.Name]) / wanted; share < least {
 			best, least = m, share
 		}
 	}
@@ -209,6 +218,18 @@
 	return n
 }
 
+// isRoomForOther reports whether the servers that are free in a domain suffice for a group that another model lacks, and would not if a
+// group moved there. It would take the room that other groups have made.
+func (d *Decider) isRoomForOther(p *Plan, domain string, f *Formation) bool {
+	if !d.byDemand() {
+		return false
+	}
+	counts, room := d.countGroups(p), d.room(p, domain, 0)
+	return slices.ContainsFunc(d.cfg.Engine.Models, func(m batch.Model) bool {
+		return m.Name != f.Model && counts[m.Name] < d.targets.Groups[m.Name] && room >= m.Hosts && room-len(f.Members) < m.Hosts
+	})
+}
+
 // roomChoice is a choice of groups of one domain that make room.
 type roomChoice struct {
 	formations []Formation
--- a/internal/plan/group/target_test.go
+++ b/internal/plan/group/target_test.go
@@ -272,6 +272,22 @@
 	}
 }
 
+// Guards against servers that stay free because a model lacks a larger group than they make up.
+func TestUsesServersThatLackingModelCannot(t *testing.T) {
+	t.Parallel()
+	sim := newTwoModels(t)
+	for i := range 8 {
+		id := fmt.Sprintf("new%02d", i)
+		sim.addCold(id)
+		sim.change(id, func(i *server.Info) { i.DataCentre, i.Domain = "dc0", "dc0-d2" })
+	}
+	sim.demand(5, 8)
+	sim.run(20 * time.Second)
+	if n := sim.openGroups(); n["large"] != 4 || n["small"] != 9 {
+		t.Errorf("open groups %v, want a small one of eight free servers", n)
+	}
+}
+
 // Guards against counting groups of a data centre that is out of service, and against forming new ones there.
 func TestGroupsOutOfService(t *testing.T) {
 	t.Parallel()
--- a/internal/plan/scale/demand.go
+++ b/internal/plan/scale/demand.go
@@ -67,6 +67,8 @@
 	bins    []bin
 	binEnd  time.Time
 	lastAdd time.Time
+	// answers holds the mean answers by model when requests last were in time.
+	answers map[string]float64
 }
 
 // add adds the requests that were reported since the last call.
@@ -144,20 +146,28 @@
 	return best
 }
 
-// mix returns the mean size of requests for a model. usualAnswer is used as long as answers have not ended, and if it is more while
-// requests fail: answers that are cut short or delayed by overload would make groups seem to carry more.
+// mix returns the mean size of requests for a model. As long as answers have not ended, and while requests fail, the mean answer is at
+// least the one before, or usualAnswer: answers that are cut short or delayed by overload would make groups seem to carry more.
 func (e *estimator) mix(model string, usualAnswer int) Mix {
 	b := e.last(sizeBins)
 	c := total(b, model)
 	if c.Arrivals <= 0 {
 		return Mix{}
 	}
-	m := Mix{PromptTokens: c.PromptTokens / c.Arrivals}
 	// Requests that were refused may have been refused more than once.
-	m.AnswerTokens = c.AnswerTokens / max(c.Arrivals-c.Refused, c.Arrivals/2)
-	if len(b) < answerBins || c.failedShare() > lateShare {
-		m.AnswerTokens = max(m.AnswerTokens, float64(usualAnswer))
+	m := Mix{PromptTokens: c.PromptTokens / c.Arrivals, AnswerTokens: c.AnswerTokens / max(c.Arrivals-c.Refused, c.Arrivals/2)}
+	if len(b) >= answerBins && c.failedShare() <= lateShare && m.AnswerTokens > 0 {
+		if e.answers == nil {
+			e.answers = make(map[string]float64)
+		}
+		e.answers[model] = m.AnswerTokens
+		return m
+	}
+	before, ok := e.answers[model]
+	if !ok {
+		before = float64(usualAnswer)
 	}
+	m.AnswerTokens = max(m.AnswerTokens, before)
 	return m
 }
 
