--- a/internal/bench/sizes/sizes_test.go
+++ b/internal/bench/sizes/sizes_test.go
@@ -25,3 +25,15 @@
 		}
 	}
 }
+
+// Guards against groups that are dissolved again and again, or for the wrong model, after the loss of a data centre. 0.045 of the requests
+// were lost with seed 2 when groups that waited for weights took the room that others had made.
+func TestLossOfDataCentre(t *testing.T) {
+	t.Parallel()
+	for _, seed := range []uint64{2, 9} {
+		o := sizes.Options{Seed: seed, Scales: true, Time: 80 * time.Second, LoadsPerSecond: 3, LoadsAtOnce: 16, LostAt: 35 * time.Second}
+		if r := sizes.Run(o); r.LostShare() > 0.025 {
+			t.Errorf("seed %d: %.4f of the requests are lost: %v", seed, r.LostShare(), r.Events)
+		}
+	}
+}
--- a/internal/plan/group/target.go
+++ b/internal/plan/group/target.go
@@ -115,6 +115,14 @@
 	})
 }
 
+// wantedShare returns the number of groups that a model should have in relation to other models.
+func (d *Decider) wantedShare(m batch.Model) float64 {
+	if d.byDemand() {
+		return float64(d.targets.Groups[m.Name])
+	}
+	return m.WorkFraction / float64(max(1, m.Hosts))
+}
+
 // extraGroup returns a request for one more group than is missing, or false if none fits or a missing one does. Free servers that make up
 // a group are used: by the model that has the least of what it should have, or before there are callers, when weights load much faster
 // than later, of its configured share.
@@ -137,14 +145,8 @@
 	var best batch.Model
 	current, least := d.countGroups(p), math.Inf(1)
 	for _, m := range d.cfg.Engine.Models {
-		wanted := m.WorkFraction / float64(max(1, m.Hosts))
-		if d.byDemand() {
-			wanted = float64(d.targets.Groups[m.Name])
-		}
-		if m.Hosts <= 0 || m.Hosts > largest || wanted <= 0 {
-			continue
-		}
-		if share := float64(current[m.Name]) / wanted; share < least {
+		wanted := d.wantedShare(m)
+		if share := float64(current[m.Name]) / wanted; wanted > 0 && m.Hosts <= largest && share < least {
 			best, least = m, share
 		}
 	}
