--- a/internal/plan/group/change.go
+++ b/internal/plan/group/change.go
@@ -34,6 +34,7 @@
 	recorded := d.recordStarts(p)
 	recorded = d.reopeningOutdated(now) || recorded
 	dropped := d.dropRetired(now, p)
+	d.makeRoom(now, p)
 	repaired := d.repairGroups(now, p)
 	swapped := d.replaceUnloaded(now, p)
 	return d.placeGroups(now, p) || recorded || dropped || repaired || swapped
@@ -92,6 +93,9 @@
 		delete(d.closingSince, f.key())
 		d.rejected.Remove(f.key())
 		members := d.fillMembers(now, p, f, kept)
+		if d.dissolving.Has(f.key()) || d.isSurplus(p, f) {
+			members = nil
+		}
 		if members == nil {
 			d.addLossNote(now, "dissolve", f, f.Members, reason)
 			p.Current = slices.Delete(p.Current, i, i+1)
@@ -112,7 +116,7 @@
 // if no change is needed.
 func (d *Decider) remainingMembers(now time.Time, p *Plan, f Formation) ([]string, string) {
 	var kept []string
-	reason, closing := "", false
+	reason, closing := d.closeForRoom(now, f)
 	for rank, id := range f.Members {
 		switch memberReason := d.replaceReason(now, f, id); memberReason {
 		case "":
@@ -184,9 +188,15 @@
 }
 
 // keepDraining reports whether to keep a draining member for now because every replacement would
-// have to load the weights first. A draining head is never kept, because it takes no new requests.
+// have to load the weights first, or because enough other groups of its model are being formed anew.
+// A draining head is never kept, because it takes no new requests.
 func (d *Decider) keepDraining(now time.Time, p *Plan, f Formation, id string) bool {
-	return id != f.Head() && now.Sub(d.servers[id].drainingSince) < maxDrainingStay && len(d.freeWithWeights(now, p, f.Domain, f.Model)) == 0
+	return id != f.Head() && (d.lacksReplacement(now, p, f, id) || d.mayWait(now, p, f, id))
+}
+
+// lacksReplacement reports whether every replacement of a draining member would have to load the weights first.
+func (d *Decider) lacksReplacement(now time.Time, p *Plan, f Formation, id string) bool {
+	return now.Sub(d.servers[id].drainingSince) < maxDrainingStay && len(d.freeWithWeights(now, p, f.Domain, f.Model)) == 0
 }
 
 // hasReadySpare reports whether a free server of the domain has the model loaded.
@@ -218,7 +228,11 @@
 	}
 	head := d.servers[f.Head()]
 	idle := head == nil || !head.isMemberOf(f) || (head.Member.State != server.Open && head.Member.State != server.Closing)
-	return idle || now.Sub(since) >= closeTimeout
+	limit := closeTimeout
+	if d.follows && reason == memberDraining {
+		limit = scaledCloseTimeout
+	}
+	return idle || now.Sub(since) >= limit
 }
 
 // domainProbed requests probes of all servers of a domain when one of its groups needs a change,
