--- a/internal/route/queue/queue.go
+++ b/internal/route/queue/queue.go
@@ -53,9 +53,10 @@
 	// trickle is the part of the release rate at which requests of each priority below the threshold are admitted nevertheless, so
 	// that none starves. It does not depend on their number, as callers that return at once would otherwise get more of it.
 	trickle = 0.03
-	// recoveryTime is how long after a saturation late requests are sent at a limited rate only, as many return at about the same time.
+	// recoveryTime is how long after a saturation late requests are sent at a limited rate only, as many return at about the same time. With
+	// 2 s, those that returned after a burst filled the servers again.
 	// At other times they are sent like others: a caller with a short timeout of its own cannot be told from one that returns.
-	recoveryTime = 2 * time.Second
+	recoveryTime = 4 * time.Second
 	// lateWait is the fraction of the objective for which a late request may wait for a free slot.
 	lateWait = 0.5
 	// minRate is the release rate of a node at which waits are estimated if its share is lower, in requests per second.
