--- a/internal/plan/scale/decider.go
+++ b/internal/plan/scale/decider.go
@@ -341,32 +341,33 @@
 			units += float64(modelUnits(m, p.unit))
 		}
 	}
-	for d.addGroup(in.Engine, p, next, &units, available) {
+	spare := available >= p.tight
+	for d.addGroup(in.Engine, p, next, &units, available, spare) {
 	}
 	last := 0.0
 	for _, m := range in.Engine.Models {
 		last += float64(d.out.Groups[m.Name] * modelUnits(m, p.unit))
 	}
-	if d.out.Groups != nil && last <= available && available-last < 1 && d.busiest(d.out.Groups) <= keptImbalance*d.busiest(next) {
+	if d.out.Groups != nil && last <= available && available-last < 1 && d.busiest(d.out.Groups, spare) <= keptImbalance*d.busiest(next, spare) {
 		return d.out.Groups
 	}
 	return next
 }
 
-// busiest returns the highest ratio of the load of a model to its number of groups.
-func (d *Decider) busiest(groups map[string]int) float64 {
+// busiest returns the highest ratio of the load of a model to its number of groups, see need.loadOf.
+func (d *Decider) busiest(groups map[string]int, spare bool) float64 {
 	load := 0.0
 	for name, n := range d.needs {
-		load = max(load, n.load/float64(max(1, groups[name])))
+		load = max(load, n.loadOf(groups[name], spare))
 	}
 	return load
 }
 
 // addGroup adds a group of the model whose groups are busiest, if the units that are left suffice, and reports whether it did.
-func (d *Decider) addGroup(e *batch.Engine, p plan, out map[string]int, units *float64, available float64) bool {
+func (d *Decider) addGroup(e *batch.Engine, p plan, out map[string]int, units *float64, available float64, spare bool) bool {
 	best, load := batch.Model{}, 0.0
 	for _, m := range e.Models {
-		l := d.needs[m.Name].load / float64(out[m.Name])
+		l := d.needs[m.Name].loadOf(out[m.Name], spare)
 		if l > load && *units+float64(modelUnits(m, p.unit)) <= available {
 			best, load = m, l
 		}
