--- a/internal/plan/scale/decider.go
+++ b/internal/plan/scale/decider.go
@@ -341,7 +341,7 @@
 			units += float64(modelUnits(m, p.unit))
 		}
 	}
-	spare := available >= p.tight
+	spare := !d.lacksCentre()
 	for d.addGroup(in.Engine, p, next, &units, available, spare) {
 	}
 	last := 0.0
@@ -354,6 +354,16 @@
 	return next
 }
 
+// lacksCentre reports whether a data centre is lost or out of service, so that the others are short of servers.
+func (d *Decider) lacksCentre() bool {
+	for _, z := range d.centres {
+		if z.lost || z.out {
+			return true
+		}
+	}
+	return false
+}
+
 // busiest returns the highest ratio of the load of a model to its number of groups, see need.loadOf.
 func (d *Decider) busiest(groups map[string]int, spare bool) float64 {
 	load := 0.0
--- a/internal/plan/scale/need.go
+++ b/internal/plan/scale/need.go
@@ -88,8 +88,8 @@
 }
 
 // loadOf returns how busy groups are. With spare, half of a group is taken to be missing, as groups lose members all the time and a model
-// with few groups loses most with one: with an even share, the model with four groups had a quarter of its requests late. When servers are
-// short, an even share serves more requests.
+// with few groups loses most with one: with an even share, the model with four groups had a quarter of its requests late. While a data
+// centre is missing, an even share serves more requests.
 func (n *need) loadOf(groups int, spare bool) float64 {
 	have := float64(max(1, groups))
 	if spare {
