--- a/internal/plan/group/target.go
+++ b/internal/plan/group/target.go
@@ -20,8 +20,8 @@
 
 // Targets are the desired numbers of groups.
 type Targets struct {
-	// Groups holds the number of groups by model, or is nil while the size of demand is not known. Urgent has the models whose open groups cannot carry their demand, and Late those
-	// whose requests are late or refused.
+	// Groups holds the number of groups by model, or is nil while the size of demand is not known. Urgent has the models whose open
+	// groups cannot carry their demand, and Late those whose requests are late or refused.
 	Groups map[string]int
 	Urgent map[string]bool
 	Late   map[string]bool
--- a/internal/route/choose/aged.go
+++ b/internal/route/choose/aged.go
@@ -99,7 +99,7 @@
 		}
 		wait := 0.0
 		if slots := float64(st.slots()); slots > 0 {
-			l.requests = max(l.requests, slots*(st.unanswered(at)-patience)/t.slotSeconds(st)+slots)
+			l.requests = max(l.requests, slots*(st.unanswered(at)-usualAnswerSeconds)/t.slotSeconds(st)+slots)
 			prefill *= 1 + t.cfg.BatchFactor*min(1, (l.requests+1)/slots)
 			wait = max(0, (l.requests+1-slots)/slots*t.slotSeconds(st))
 		}
@@ -143,11 +143,11 @@
 	return float64(st.report.Running + st.report.Waiting)
 }
 
-// patience is the time in seconds within which servers with free slots usually answer. A request that waits longer shows that the
-// server has a queue, which is at least as long as this node has waited.
-const patience = 0.15
+// usualAnswerSeconds is the time within which servers with free slots usually send the first byte. A request that waits longer shows that
+// the server has a queue, which is at least as long as this node has waited.
+const usualAnswerSeconds = 0.15
 
-// unanswered returns for how many seconds the newest request without a first byte has been waiting, -Inf if there is none.
+// unanswered returns the longest time in seconds for which a request has been waiting for its first byte, -Inf if none is.
 func (st *serverState) unanswered(at int64) float64 {
 	longest := math.Inf(-1)
 	for i := range st.sends {
