--- a/internal/fleet/usage/forwarder.go
+++ b/internal/fleet/usage/forwarder.go
@@ -68,19 +68,19 @@
 	f.expire(now)
 	var out []Report
 	for _, r := range list {
-		news := Report{Process: r.Process}
+		added := Report{Process: r.Process}
 		for _, w := range r.Windows {
 			if n, ok := f.mergeWindow(now, r.Process, w); ok {
-				news.Windows = append(news.Windows, n)
+				added.Windows = append(added.Windows, n)
 			}
 		}
 		if r.DemandSeq > f.demandSeen[r.Process].seq {
 			f.demandSeen[r.Process] = demandMark{seq: r.DemandSeq, at: now}
-			news.DemandSeq, news.Demand = r.DemandSeq, r.Demand
+			added.DemandSeq, added.Demand = r.DemandSeq, r.Demand
 			f.demand = append(f.demand, Report{Process: r.Process, DemandSeq: r.DemandSeq, Demand: r.Demand})
 		}
-		if len(news.Windows) > 0 || news.DemandSeq > 0 {
-			out = append(out, news)
+		if len(added.Windows) > 0 || added.DemandSeq > 0 {
+			out = append(out, added)
 		}
 	}
 	return out
@@ -99,22 +99,22 @@
 		e = &entry{counts: make(Counts), unsent: make(map[string]struct{})}
 		f.entries[key] = e
 	}
-	news := WindowCounts{Window: w.Window, Counts: e.counts.merge(w.Counts), Final: w.Final && !e.final}
-	if !isNew && len(news.Counts) == 0 && !news.Final {
+	added := WindowCounts{Window: w.Window, Counts: e.counts.merge(w.Counts), Final: w.Final && !e.final}
+	if !isNew && len(added.Counts) == 0 && !added.Final {
 		return WindowCounts{}, false
 	}
 	e.changedAt = now
-	for account := range news.Counts {
+	for account := range added.Counts {
 		e.unsent[account] = struct{}{}
 	}
-	if news.Final {
+	if added.Final {
 		e.final, e.finalUnsent = true, true
 		// Final counts are sent in full, so that they replace earlier messages that were lost.
 		for account := range e.counts {
 			e.unsent[account] = struct{}{}
 		}
 	}
-	return news, true
+	return added, true
 }
 
 // merge raises counts to those of another set and returns the counts that were raised.
