--- a/review/world2/case8.go
+++ b/review/world2/case8.go
@@ -3,80 +3,215 @@
 package main
 
 import (
+	"context"
 	"fmt"
-	"io"
 	"net"
-	"strings"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
+
+	"geraniumhollow/platform/standin"
 )
 
-// c8Requests is how many requests with another one in their body are sent.
-const c8Requests = 5
+// Figures of case 8.
+const (
+	c8Body = "poison"
+	// c8Back is after what time a runner that has crashed is back, with another ID.
+	c8Back = 2 * time.Second
+	// c8Pause is the time between two attempts of the client.
+	c8Pause = 1100 * time.Millisecond
+	// c8Callers is how many other callers there are.
+	c8Callers = 6
+	// c8Stability is StabilityMs of the settings.
+	c8Stability = 3 * time.Second
+	// c8Known is how long the client comes again before the machines are restarted, and c8After how long afterwards.
+	c8Known, c8After = 12 * time.Second, 14 * time.Second
+)
 
-// case8: the body of a request looks like a request, and its length is not stated in a way that HTTP/1.1 allows.
-func case8(w *world) (int, error) {
-	if err := w.addPlain(3); err != nil {
-		return failed, err
-	}
-	w.store.Put("op", "config", manifest(1))
-	n, err := w.addNode("esbjerg", true)
+// crashing keeps the plain runners, each of which crashes when it begins to run the request.
+type crashing struct {
+	w  *world
+	mu sync.Mutex
+	n  int
+	// crashes are the runs of the request, each of which crashed a runner.
+	crashes []crashRun
+}
+
+type crashRun struct {
+	attempt string
+	at      time.Time
+}
+
+// start starts a runner at an address of its own.
+func (c *crashing) start() error {
+	c.mu.Lock()
+	c.n++
+	id := fmt.Sprintf("i-app%d", c.n)
+	c.mu.Unlock()
+	var srv *http.Server
+	var runner *standin.Runner
+	ready := make(chan struct{})
+	handler := http.HandlerFunc(func(rw http.ResponseWriter, q *http.Request) {
+		<-ready
+		expected := q.Header.Get("Expect-Instance")
+		if q.URL.Path != "/once/poison" || expected != "" && expected != id {
+			runner.ServeHTTP(rw, q)
+			return
+		}
+		c.mu.Lock()
+		c.crashes = append(c.crashes, crashRun{q.Header.Get("Attempt-Id"), time.Now()})
+		n := len(c.crashes)
+		c.mu.Unlock()
+		c.w.rec.printf("%s begins to run %s and crashes (crash %d)", id, q.Header.Get("Attempt-Id"), n)
+		_ = srv.Close()
+		runner.Kill(false)
+		time.AfterFunc(c8Back, func() { _ = c.start() })
+	})
+	var err error
+	runner, err = c.w.fleet.Start(standin.RunnerConfig{
+		ID: id, Service: "app", Zone: "esbjerg", Slots: 26, Work: plainWork, Beat: heartbeat,
+		Through: func(string) (string, error) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				return "", fmt.Errorf("listen: %w", err)
+			}
+			srv = &http.Server{Handler: handler}
+			go func() { _ = srv.Serve(ln) }()
+			context.AfterFunc(c.w.ctx, func() { _ = srv.Close() })
+			return ln.Addr().String(), nil
+		},
+	})
+	close(ready)
 	if err != nil {
-		return failed, err
+		return fmt.Errorf("runner: %w", err)
 	}
-	if err := w.await(n.name+" is ready", 15*time.Second, n.isReady); err != nil {
-		return failed, err
+	return nil
+}
+
+// sent is an attempt of the client.
+type sent struct {
+	node *node
+	at   time.Time
+}
+
+// case8: a request that crashes runners comes again, while the machines are restarted one after the other.
+func case8(w *world) (int, error) {
+	c := &crashing{w: w}
+	for range 6 {
+		if err := c.start(); err != nil {
+			return failed, err
+		}
 	}
-	time.Sleep(4 * time.Second) // StabilityMs is 3 s.
-	for i := range c8Requests {
-		if err := sendNested(w, n, i); err != nil {
+	w.store.Put("op", "config", manifest(1))
+	for _, zone := range []string{"esbjerg", "herning", "vejle"} {
+		if _, err := w.addNode(zone, true); err != nil {
 			return failed, err
 		}
 	}
-	time.Sleep(time.Second)
-	outer, inner := 0, 0
-	for _, r := range w.fleet.Runs() {
-		w.rec.printf("%s ran %s %s, attempt %s, %d bytes of body", r.Server, r.Method, r.URI, r.Attempt, len(r.Body))
-		if strings.HasPrefix(r.Attempt, "inner") {
-			inner++
-			w.rec.printf("UNASKED: %s was part of the body of another request", r.Attempt)
-		} else {
-			outer++
+	for _, n := range w.nodes {
+		if err := w.await(n.name+" is ready", 15*time.Second, n.isReady); err != nil {
+			return failed, err
 		}
 	}
-	w.rec.printf("%d requests were sent; %d of them ran, and %d that were part of a body", c8Requests, outer, inner)
-	if inner > 0 {
-		return broken, nil
+	time.Sleep(c8Stability + time.Second)
+	attempts := make(map[string]sent)
+	var mu sync.Mutex
+	undisturbed := make(map[*node]time.Time) // Since when nothing was done to the machine; zero while something is.
+	for _, n := range w.nodes {
+		undisturbed[n] = w.rec.begun
 	}
-	return held, nil
-}
-
-// sendNested sends a request whose body is the text of another one, on a connection of its own.
-func sendNested(w *world, n *node, i int) error {
-	head := func(path, attempt, length string) string {
-		return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: 3000\r\nAuthorization: Bearer %s\r\n%s\r\n\r\n",
-			path, host, attempt, accountKey, length)
+	stop, done := make(chan struct{}), make(chan struct{})
+	var callers sync.WaitGroup
+	var served, others atomic.Int64
+	unanswered := make(chan string, 10000)
+	for i := range c8Callers {
+		callers.Go(func() { callOnce(w, w.nodes[i%len(w.nodes)], i, stop, unanswered, &served, &others) })
 	}
-	body := head("/once/inner", fmt.Sprintf("inner%011d", i), "Content-Length: 4") + "book"
-	length := fmt.Sprintf("Content-Length: %d", len(body))
+	go func() {
+		defer close(done)
+		for i := 0; ; i++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(c8Pause):
+			}
+			n := w.nodes[i%len(w.nodes)]
+			if !n.isReady() {
+				continue // The balancer sends nothing there.
+			}
+			call := standin.Call{
+				Node: n.front, Path: "/once/poison", Body: c8Body, Attempt: fmt.Sprintf("p%015d", i), Key: accountKey, Deadline: 3 * time.Second,
+			}
+			mu.Lock()
+			attempts[call.Attempt] = sent{n, time.Now()}
+			mu.Unlock()
+			r := call.Do(&http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}})
+			w.rec.printf("%s at %s: status %d, error %v", call.Attempt, n.name, r.Status, r.Err)
+		}
+	}()
+	time.Sleep(c8Known)
 	if w.trouble {
-		length = "Transfer-Encoding: identity"
+		for _, n := range w.nodes {
+			if err := restart(w, n, undisturbed, &mu); err != nil {
+				return failed, err
+			}
+			time.Sleep(c8After)
+		}
+	} else {
+		time.Sleep(time.Duration(len(w.nodes)) * (c8After + 4*time.Second))
 	}
-	attempt := fmt.Sprintf("outer%011d", i)
-	c, err := net.Dial("tcp", n.front)
-	if err != nil {
-		return fmt.Errorf("connect: %w", err)
+	close(stop)
+	<-done
+	callers.Wait()
+	w.rec.printf("requests of other callers: %d answered 200, %d with another status, %d without an answer", served.Load(), others.Load(), len(unanswered))
+	return c.judge(attempts, undisturbed, w)
+}
+
+// restart stops a machine as planned, and waits until its next process is ready.
+func restart(w *world, n *node, undisturbed map[*node]time.Time, mu *sync.Mutex) error {
+	n.mu.Lock()
+	starts := n.starts
+	n.mu.Unlock()
+	w.rec.printf("SIGTERM to %s", n.name)
+	n.signal(syscall.SIGTERM)
+	if err := w.await(n.name+" is ready again", 15*time.Second, func() bool {
+		n.mu.Lock()
+		again := n.starts > starts
+		n.mu.Unlock()
+		return again && n.isReady()
+	}); err != nil {
+		return err
 	}
-	defer func() { _ = c.Close() }()
-	if _, err := c.Write([]byte(head("/once/outer", attempt, length) + body)); err != nil {
-		return fmt.Errorf("send: %w", err)
+	mu.Lock()
+	undisturbed[n] = time.Now()
+	mu.Unlock()
+	return nil
+}
+
+// judge counts the runs that the rule counts: those sent by machines in touch, later than StabilityMs after the third crash.
+func (c *crashing) judge(attempts map[string]sent, undisturbed map[*node]time.Time, w *world) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.crashes) < 3 {
+		return failed, fmt.Errorf("only %d crashes", len(c.crashes))
 	}
-	w.rec.printf("sent %s with %q and a body of %d bytes", attempt, length, len(body))
-	_ = c.SetReadDeadline(time.Now().Add(2 * time.Second))
-	answer, _ := io.ReadAll(c)
-	for line := range strings.SplitSeq(string(answer), "\r\n") {
-		if strings.HasPrefix(line, "HTTP/") || strings.HasPrefix(line, "Attempt-Id") {
-			w.rec.printf("    got %s", line)
+	third := c.crashes[2].at
+	counted := 0
+	for _, x := range c.crashes[3:] {
+		a := attempts[x.attempt]
+		// Restarted machines are in touch again StabilityMs after their start, those before their stop until then.
+		since := undisturbed[a.node]
+		inTouch := a.at.Before(since) || a.at.Sub(since) >= c8Stability
+		if x.at.Sub(third) > c8Stability && inTouch {
+			counted++
+			w.rec.printf("BUDGET: %s was sent by %s %.1f s after the third crash, and crashed another runner", x.attempt, a.node.name, x.at.Sub(third).Seconds())
 		}
 	}
-	return nil
+	w.rec.printf("%d crashes in all; %d retries count; the rule allows three", len(c.crashes), counted)
+	if counted > 3 {
+		return broken, nil
+	}
+	return held, nil
 }
--- a/review/world2/main.go
+++ b/review/world2/main.go
@@ -8,7 +8,7 @@
 )
 
 // cases are the cases by their number.
-var cases = map[string]func(w *world) (int, error){"6": case6, "7": case7, "8": case8, "10": case10}
+var cases = map[string]func(w *world) (int, error){"6": case6, "8": case8, "9": case9}
 
 func main() {
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
