Reject responses whose status HTTP does not have

Callers got "HTTP/1.1 000 Odd" of a backend server as 200, with its text and body. After a status of 001 to 099 the message was skipped as an interim one, and its body was read as the next response: bytes that a caller had chosen, and a server had repeated, became a 200. Statuses of 600 and more, and versions such as HTTP/2.0, were passed on as they came, and what follows a 101, which no request asks for, counted as HTTP.

Cause: conns.Pool decoded whatever fasthttp takes. Its StatusCode is 200 where the status was 0, it takes any three digits, and everything below 200 counted as interim. The decision looked at the decoded message only.

Package wire/head now checks the bytes of a head before they are decoded, once for all that read answers through conns. The status line must be that of RFC 9112, the status one of RFC 9110 (100 to 599). Interim responses are skipped by their heads there. A message that is rejected ends its attempt like any bytes that are no answer: 502 for a request that may run once, another attempt within the budget for others, and the connection is closed.

Evidence: TestMessageThatIsNoAnswer and, through a second node, TestMessageThatIsNoAnswerFromNode failed before for status 000 with and without a body, 042, 600, 101 and HTTP/2.0 (200 "page", and 600 "page", instead of 502 or the answer of another server).

--- a/internal/node/pass/serve_test.go
+++ b/internal/node/pass/serve_test.go
@@ -377,6 +377,12 @@
 	"timeout without proof":      "HTTP/1.1 408 Request Timeout\r\nId: ID\r\nContent-Length: 4\r\n\r\npage",
 	"misdirected without proof":  "HTTP/1.1 421 Misdirected Request\r\nId: ID\r\nContent-Length: 4\r\n\r\npage",
 	"interim, then a page":       "HTTP/1.1 103 Early Hints\r\nId: ID\r\n\r\nHTTP/1.1 200 OK\r\nUnsigned: 1\r\nContent-Length: 4\r\n\r\npage",
+	"status 000":                 "HTTP/1.1 000 Odd\r\nId: ID\r\nContent-Length: 4\r\n\r\npage",
+	"status 000 without a body":  "HTTP/1.1 000 Odd\r\nId: ID\r\nContent-Length: 0\r\n\r\n",
+	"status 042, then a page":    "HTTP/1.1 042 Odd\r\nId: ID\r\n\r\nHTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 4\r\n\r\npage",
+	"status 600":                 "HTTP/1.1 600 Odd\r\nId: ID\r\nContent-Length: 4\r\n\r\npage",
+	"protocol switched to":       "HTTP/1.1 101 Switching Protocols\r\nId: ID\r\n\r\nHTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 4\r\n\r\npage",
+	"other version":              "HTTP/2.0 200 OK\r\nId: ID\r\nContent-Length: 4\r\n\r\npage",
 	"other request, then a page": "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nUnsigned: 1\r\nContent-Length: 4\r\n\r\npage",
 }
 
--- a/internal/plat/conns/conns.go
+++ b/internal/plat/conns/conns.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"geraniumhollow/internal/core/sock"
+	"geraniumhollow/internal/wire/head"
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 )
@@ -419,13 +420,13 @@
 		}
 	}
 	for range maxSkipped {
+		if err := head.Await(c.br); err != nil {
+			return nil, errors.Newf("await answer: %w", err)
+		}
 		resp := &fasthttp.Response{StreamBody: true, SkipBody: x.Request.Header.IsHead()}
 		if err := resp.Read(c.br); err != nil {
 			return nil, errors.Newf("read answer: %w", err)
 		}
-		if interim(resp) {
-			continue
-		}
 		if x.Matches == nil || x.Matches(&resp.Header) {
 			return resp, nil
 		}
@@ -433,12 +434,9 @@
 			return nil, err
 		}
 	}
-	return nil, errors.New("too many interim answers, or answers to other requests")
+	return nil, errors.New("too many answers to other requests")
 }
 
-// interim reports whether an answer only says that another one follows. It has no body.
-func interim(resp *fasthttp.Response) bool { return resp.StatusCode() < fasthttp.StatusOK }
-
 // Bounds of what is skipped on a connection before the answer to its request.
 const (
 	maxSkipped      = 4
