Drop repeated events as they arrive, and give up a server that repeats them

Cause: readHead, which waits beside a silent server until another one has sent what the caller lacks, kept all bytes of that answer. Events that the caller has were dropped by the parser and kept in the head, which had no bound; the bound of an event does not help, as each one is complete. After a cut, without a silent server, the repeats were dropped, but the stream waited for their end until its deadline.

The head now keeps only the new events and the bytes of an incomplete one. The parser gives an error after 1 MiB of events in a row that the caller has, so the attempt fails and another server may go on.

Evidence, TestRepeatedEvents, bytes that the node took before: 42, 197, 268 and 268 MB (268 is the most that the server sends), and in two cases the caller got a part of the stream with a regular end; now at most 16 MB, and the whole stream.

--- a/internal/node/pass/event.go
+++ b/internal/node/pass/event.go
@@ -16,6 +16,13 @@
 // errEventGap means that event IDs are missing from a stream: it is a different stream or has lost data.
 var errEventGap = errors.New("stream is missing events")
 
+// maxRepeatedBytes bounds the events in a row that the caller already has. A server that sends more of them does not go on from
+// the event after which it was asked to resume.
+const maxRepeatedBytes = 1 << 20
+
+// errRepeats means that a stream holds more than maxRepeatedBytes of events that the caller already has.
+var errRepeats = errors.New("stream repeats its events")
+
 // errNoEvent means that a stream of events with IDs goes on with bytes that have none: they are no part of it.
 var errNoEvent = errors.New("event has no ID")
 
@@ -28,6 +35,8 @@
 	lastNumber uint64
 	numbered   bool
 	count      int
+	// repeated is the size of the events since the last new one.
+	repeated int
 	// complete is the buffer that feed returns; partial holds the bytes of an incomplete event.
 	complete []byte
 	partial  []byte
@@ -46,7 +55,8 @@
 }
 
 // feed parses the next bytes of the stream and returns the events that are now complete, without those that the
-// caller already has. The result is valid until the next call. On an error, it holds the events before the error.
+// caller already has. The result is valid until the next call. On an error, it holds the events before the error, and partial
+// begins with the event that caused it.
 func (e *eventParser) feed(b []byte) ([]byte, error) {
 	// The existing partial event contains no terminator, but its last byte may be the first half of one.
 	searchFrom := max(0, len(e.partial)-1)
@@ -63,10 +73,14 @@
 		event := remaining[:end+len(eventEnd)]
 		isNew, err := e.accept(event)
 		if err != nil {
+			e.partial = append(e.partial[:0], remaining...)
 			return e.complete, err
 		}
 		if isNew {
 			e.complete = append(e.complete, event...)
+			e.repeated = 0
+		} else if e.repeated += len(event); e.repeated > maxRepeatedBytes {
+			return e.complete, errors.Newf("after event %s: %w", e.lastID, errRepeats)
 		}
 		remaining = remaining[len(event):]
 	}
@@ -121,4 +135,4 @@
 }
 
 // discardPartial drops an incomplete event: the server sends it again when the stream is resumed.
-func (e *eventParser) discardPartial() { e.partial = e.partial[:0] }
+func (e *eventParser) discardPartial() { e.partial, e.repeated = e.partial[:0], 0 }
--- a/internal/node/pass/hedge.go
+++ b/internal/node/pass/hedge.go
@@ -204,7 +204,6 @@
 	var buf [copyBufferBytes]byte
 	for {
 		n, err := x.resp.Read(buf[:])
-		x.head = append(x.head, buf[:n]...)
 		part := buf[:n]
 		if stream {
 			var parseErr error
@@ -214,6 +213,8 @@
 		}
 		switch {
 		case len(part) > 0:
+			// Events that the caller has are left out: a server may send them without end.
+			x.head = append(append(x.head, part...), events.partial...)
 			return nil
 		case errors.Is(err, io.EOF) && len(events.partial) == 0:
 			x.headEnds = true
