Bound the answers of engines

The load report of an engine, the hello of a connection to it and the bodies of its answers to orders and cancels were read to their end, whatever that was. An engine that sent bytes without end filled the memory of the node (report, hello), or kept the call until its time was over.

Cause: conns.Conn.Get and engine.Client.Load used io.ReadAll on the connection, and orders and cancels io.Copy.

Reports and hellos are now read by readBody with a bound of 8 MiB. Of the bodies that say nothing 4 KiB are read, as of refusals before.

--- a/internal/plat/conns/conns.go
+++ b/internal/plat/conns/conns.go
@@ -462,22 +462,22 @@
 	return nil
 }
 
-// Get sends a GET for a whole small body; it serves hello checks.
-func (c *Conn) Get(path, host string) (*fasthttp.ResponseHeader, []byte, error) {
+// Get sends a GET for a whole body of at most maxBytes; it serves hello checks.
+func (c *Conn) Get(path, host string, maxBytes int) (Whole, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	req.SetRequestURI(path)
 	req.Header.SetHost(host)
 	resp, err := c.exchange(Exchange{Request: req})
 	if err != nil {
-		return nil, nil, err
+		return Whole{}, err
 	}
-	body, err := io.ReadAll(resp.BodyStream())
+	body, err := readBody(resp.BodyStream(), maxBytes)
 	if err != nil {
-		return nil, nil, errors.Newf("read body: %w", err)
+		return Whole{}, err
 	}
 	_ = resp.CloseBodyStream()
-	return &resp.Header, body, nil
+	return Whole{Header: &resp.Header, Body: body}, nil
 }
 
 // writeNoter notes that bytes were handed to the kernel, whether or not the write succeeded.
--- a/internal/plat/engine/engine.go
+++ b/internal/plat/engine/engine.go
@@ -160,11 +160,11 @@
 
 // hello demands that a new connection reaches the instance of the client.
 func (c *Client) hello(conn *conns.Conn) error {
-	header, _, err := conn.Get(PathLoad, c.addr)
+	answer, err := conn.Get(PathLoad, c.addr, maxReportBytes)
 	if err != nil {
 		return err
 	}
-	if got := string(header.Peek(HeaderInstance)); got != c.instance {
+	if got := string(answer.Header.Peek(HeaderInstance)); got != c.instance {
 		return errors.Newf("want %s, got %s: %w", c.instance, got, ErrInstanceChanged)
 	}
 	return nil
@@ -176,20 +176,15 @@
 	defer fasthttp.ReleaseRequest(req)
 	req.SetRequestURI(PathLoad)
 	req.Header.SetHost(c.addr)
-	resp, err := c.pool.Do(ctx, req, time.Time{})
+	answer, err := c.pool.Fetch(ctx, conns.Exchange{Request: req}, maxReportBytes)
 	if err != nil {
 		return Report{}, errors.Newf("ask for load: %w", err)
 	}
-	defer resp.Close()
-	body, err := io.ReadAll(resp)
-	if err != nil {
-		return Report{}, errors.Newf("read load report: %w", err)
-	}
-	if resp.Header.StatusCode() != http.StatusOK {
-		return Report{}, errors.Newf("ask for load: status %d", resp.Header.StatusCode())
+	if status := answer.Header.StatusCode(); status != http.StatusOK {
+		return Report{}, errors.Newf("ask for load: status %d", status)
 	}
 	var r Report
-	if err := json.Unmarshal(body, &r); err != nil {
+	if err := json.Unmarshal(answer.Body, &r); err != nil {
 		return Report{}, errors.Newf("decode load report: %w", err)
 	}
 	return r, nil
@@ -227,12 +222,18 @@
 	return st, nil
 }
 
-// maxRefusalBytes bounds what is read of an error answer.
-const maxRefusalBytes = 4 << 10
+// maxReportBytes bounds a load report, which has some tens of bytes for each change of the cache that it lists.
+const maxReportBytes = 8 << 20
+
+// maxIgnoredBytes bounds what is read of a body that says nothing, so that its connection can be used again.
+const maxIgnoredBytes = 4 << 10
+
+// ignoreBody reads a body that says nothing.
+func ignoreBody(resp *conns.Response) { _, _ = io.CopyN(io.Discard, resp, maxIgnoredBytes) }
 
 // refusal turns an error answer into an error.
 func refusal(resp *conns.Response, status int) error {
-	_, _ = io.CopyN(io.Discard, resp, maxRefusalBytes)
+	ignoreBody(resp)
 	err := errors.Newf("engine answered status %d", status)
 	if len(resp.Header.Peek(HeaderNotStarted)) > 0 {
 		err = errors.Mark(err, ErrNotStarted)
@@ -284,7 +285,7 @@
 		return errors.Newf("cancel attempt: %w", err)
 	}
 	defer resp.Close()
-	_, _ = io.Copy(io.Discard, resp)
+	ignoreBody(resp)
 	if status := resp.Header.StatusCode(); status != http.StatusOK {
 		return errors.Newf("cancel attempt: status %d", status)
 	}
--- a/internal/plat/engine/orders.go
+++ b/internal/plat/engine/orders.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"time"
 
@@ -62,7 +61,7 @@
 		return errors.Newf("send order: %w", err)
 	}
 	defer resp.Close()
-	_, _ = io.Copy(io.Discard, resp)
+	ignoreBody(resp)
 	switch status := resp.Header.StatusCode(); status {
 	case http.StatusOK, http.StatusAccepted:
 		return nil
