Take the hello of an engine that has no body

A node of the product's own mode ended when an engine answered the hello of a new connection with 204, or any other status without a body: the callers of all other engines lost their requests.

Cause: conns.Conn.Get read the body stream of the answer, which is nil if there is no body.

Evidence: TestHelloWithoutBody; before, the process of the test ended with "invalid memory address or nil pointer dereference" in io.ReadAll.

--- a/internal/plat/conns/conns.go
+++ b/internal/plat/conns/conns.go
@@ -472,12 +472,14 @@
 	if err != nil {
 		return Whole{}, err
 	}
-	body, err := readBody(resp.BodyStream(), maxBytes)
-	if err != nil {
-		return Whole{}, err
+	answer := Whole{Header: &resp.Header}
+	if stream := resp.BodyStream(); stream != nil {
+		if answer.Body, err = readBody(stream, maxBytes); err != nil {
+			return Whole{}, err
+		}
 	}
 	_ = resp.CloseBodyStream()
-	return Whole{Header: &resp.Header, Body: body}, nil
+	return answer, nil
 }
 
 // writeNoter notes that bytes were handed to the kernel, whether or not the write succeeded.
--- a/internal/plat/engine/flood_test.go
+++ b/internal/plat/engine/flood_test.go
@@ -50,3 +50,13 @@
 		})
 	}
 }
+
+// Guards against a process that ends because an engine answers the hello of a connection without a body.
+func TestHelloWithoutBody(t *testing.T) {
+	t.Parallel()
+	c := engine.New(noise.Serve(t, "HTTP/1.1 204 No Content\r\nX-Instance: i2\r\n\r\n"), "i1")
+	t.Cleanup(c.Close)
+	if _, err := c.Complete(t.Context(), engine.Job{}); !errors.Is(err, engine.ErrInstanceChanged) {
+		t.Errorf("got %v, want another instance", err)
+	}
+}
