Bound the handshake of a link to another node

A process at the address of another node could answer the handshake of a link with a head without end; the node kept it until its memory or the 2 s of the handshake were over. At 1 Gbit/s these are 250 MB.

Cause: the WebSocket library reads the head of the response with http.ReadResponse, which has no bound of its own. The bound of 4 KiB for the hello begins after it.

handshakeConn ends the connection after 4 KiB until the handshake is done. Connections that the node accepts were bounded before.

--- a/internal/wire/peer/link.go
+++ b/internal/wire/peer/link.go
@@ -198,13 +198,22 @@
 	defer cancel()
 	d := websocket.Dialer{
 		ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes,
-		NetDialContext: func(ctx context.Context, _, addr string) (net.Conn, error) { return n.cfg.Dial(ctx, addr) },
+	}
+	var shake *handshakeConn
+	d.NetDialContext = func(ctx context.Context, _, addr string) (net.Conn, error) {
+		nc, err := n.cfg.Dial(ctx, addr)
+		if err != nil {
+			return nil, errors.Newf("connect: %w", err)
+		}
+		shake = &handshakeConn{Conn: nc, left: handshakeBytes}
+		return shake, nil
 	}
 	ws, resp, err := d.DialContext(ctx, "ws://"+addr+path, nil)
 	if err != nil {
 		return nil, errors.Newf("dial %s: %w", node, err)
 	}
 	_ = resp.Body.Close()
+	shake.done = true
 	stop := context.AfterFunc(ctx, func() { _ = ws.Close() })
 	l, err = n.newLink(g.Context(), ws, true)
 	if !stop() && err == nil {
