--- a/internal/node/tool/tool_test.go
+++ b/internal/node/tool/tool_test.go
@@ -136,10 +136,17 @@
 // operator without a next step.
 func TestScripts(t *testing.T) {
 	malformed := noise.Serve(t, noise.Malformed("", "{}")["status 000"])
+	flood, sent := noise.Flood(t, "HTTP/1.1 200 OK\r\n\r\n", "x", 256<<20)
+	t.Cleanup(func() {
+		if n := sent(); n > 80<<20 {
+			t.Errorf("%d bytes of an answer without end were taken", n)
+		}
+	})
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata",
 		Setup: func(env *testscript.Env) error {
 			env.Setenv("MALFORMED_ADDRESS", malformed)
+			env.Setenv("FLOOD_ADDRESS", flood)
 			return startNode(env)
 		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){"table": injectFault, "code": checkExitCode},
