Send responses with the node's version of HTTP, not the server's

A caller got the chunks of a body as the body ("4\r\npage\r\n0\r\n\r\n" for "page", with status 200) when the server had answered in HTTP/1.0 and without a length.

Cause: front.Writer wrote the status line of the decoded response, with its version. A body of unknown length goes out in chunks, which HTTP/1.0 does not have, so its receiver takes the bytes as they are.

A message has the version of its sender (RFC 9110, section 2.5), so the node now writes HTTP/1.1 in all of them.

Evidence: TestVersionOfResponse/without_a_length failed before, with the body above, after the 15 s in which the caller waited for the end of the connection. The other two cases passed before.

--- a/internal/node/front/writer.go
+++ b/internal/node/front/writer.go
@@ -43,6 +43,7 @@
 func (w *Writer) Start(h *fasthttp.ResponseHeader) {
 	w.closeAfter = w.closeAfter || w.conn.srv.closeAfterResponse.Load()
 	h.SetNoDefaultContentType(true)
+	h.SetProtocol(protocol) // The version is that of the sender of this message, also if another one sent the response.
 	h.Del(fasthttp.HeaderKeepAlive)
 	h.ResetConnectionClose()
 	h.Del(fasthttp.HeaderConnection)
@@ -62,6 +63,9 @@
 	w.buf = h.AppendBytes(w.buf[:0])
 }
 
+// protocol is the version of all responses.
+var protocol = []byte("HTTP/1.1")
+
 func bodyAllowed(status int) bool {
 	return status >= fasthttp.StatusOK && status != fasthttp.StatusNoContent && status != fasthttp.StatusNotModified
 }
