Reject chunks that HTTP does not have

A body passed as a whole answer when a size had a blank or a tab behind it, an extension had a control byte, no name or an open quote, or when a field of the trailer had a blank in its name, one before its colon, or was folded. Extensions with blanks before their semicolon, which the grammar has, cut the answer.

Cause: the same as of the heads; bodies were read by fasthttp's reader, which also keeps the names of trailers for the head of a failure that is held.

Package wire/chunk reads chunked bodies of all answers by RFC 9112, section 7.1, with the fields of the trailer checked by wire/head and dropped.

--- a/internal/plat/conns/conns.go
+++ b/internal/plat/conns/conns.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"geraniumhollow/internal/core/sock"
+	"geraniumhollow/internal/wire/chunk"
 	"geraniumhollow/internal/wire/head"
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
@@ -117,6 +118,8 @@
 	Header *fasthttp.ResponseHeader
 
 	resp *fasthttp.Response
+	// body is nil if there is none.
+	body io.Reader
 	conn *Conn
 	pool *Pool
 	stop func() bool
@@ -177,7 +180,7 @@
 	}
 	p.exchanged(c.uses == 1, nil)
 	return &Response{
-		Header: &resp.Header, resp: resp, conn: c, pool: p, stop: stop, endless: resp.Header.ContentLength() == identityLength,
+		Header: &resp.Header, resp: resp, body: c.body(resp), conn: c, pool: p, stop: stop, endless: resp.Header.ContentLength() == identityLength,
 	}, nil
 }
 
@@ -212,12 +215,11 @@
 
 // Read reads the body.
 func (r *Response) Read(b []byte) (int, error) {
-	body := r.resp.BodyStream()
-	if body == nil { // An answer to HEAD, or a status that has no body.
+	if r.body == nil {
 		r.eof = true
 		return 0, io.EOF
 	}
-	n, err := body.Read(b)
+	n, err := r.body.Read(b)
 	if errors.Is(err, io.EOF) {
 		r.eof = true
 		return n, io.EOF
@@ -257,8 +259,20 @@
 	})
 }
 
-// identityLength is the content length of a body that ends with its connection.
-const identityLength = -2
+// Content lengths of a chunked body and of one that ends with its connection.
+const (
+	chunkedLength  = -1
+	identityLength = -2
+)
+
+// body returns a reader of the body that follows the head of resp, or nil for an answer to HEAD and a status that has none.
+func (c *Conn) body(resp *fasthttp.Response) io.Reader {
+	stream := resp.BodyStream()
+	if stream != nil && resp.Header.ContentLength() == chunkedLength {
+		return chunk.NewReader(c.br)
+	}
+	return stream
+}
 
 // keepMargin is how much earlier than the server a connection is given up, so that no request meets the
 // server's close on its way.
@@ -430,7 +444,7 @@
 		if x.Matches == nil || x.Matches(&resp.Header) {
 			return resp, nil
 		}
-		if err := skipBody(resp); err != nil {
+		if err := c.skipBody(resp); err != nil {
 			return nil, err
 		}
 	}
@@ -444,11 +458,11 @@
 )
 
 // skipBody reads past the body of an answer to another request.
-func skipBody(resp *fasthttp.Response) error {
+func (c *Conn) skipBody(resp *fasthttp.Response) error {
 	if resp.Header.ContentLength() == identityLength {
 		return errors.New("an answer to another request has no end")
 	}
-	body := resp.BodyStream()
+	body := c.body(resp)
 	if body == nil {
 		return nil
 	}
@@ -473,8 +487,8 @@
 		return Whole{}, err
 	}
 	answer := Whole{Header: &resp.Header}
-	if stream := resp.BodyStream(); stream != nil {
-		if answer.Body, err = readBody(stream, maxBytes); err != nil {
+	if body := c.body(resp); body != nil {
+		if answer.Body, err = readBody(body, maxBytes); err != nil {
 			return Whole{}, err
 		}
 	}
--- a/internal/wire/head/field.go
+++ b/internal/wire/head/field.go
@@ -28,18 +28,27 @@
 	chunked bool
 }
 
-// field checks a field line and notes what it says of the length.
-func (l *length) field(line []byte) error {
+// ParseField returns the name and the value of a field line without its end. The value may have white space around it.
+func ParseField(line []byte) ([]byte, []byte, error) {
 	colon := bytes.IndexByte(line, ':')
 	if colon < 0 {
-		return errors.New("field without colon")
+		return nil, nil, errors.New("field without colon")
 	}
 	name, value := line[:colon], line[colon+1:]
 	if !isToken(name) {
-		return errors.New("invalid field name")
+		return nil, nil, errors.New("invalid field name")
 	}
 	if !isText(value) {
-		return errors.New("control character in field value")
+		return nil, nil, errors.New("control character in field value")
+	}
+	return name, value, nil
+}
+
+// field checks a field line and notes what it says of the length.
+func (l *length) field(line []byte) error {
+	name, value, err := ParseField(line)
+	if err != nil {
+		return err
 	}
 	switch {
 	case len(name) == len(contentLength) && bytes.EqualFold(name, contentLength):
