--- a/internal/wire/chunk/chunk.go
+++ b/internal/wire/chunk/chunk.go
@@ -158,5 +158,5 @@
 const quotedBytes = 80
 
 func malformed(what string, line []byte) error {
-	return errors.Mark(errors.Newf("%s: %q", what, line[:min(len(line), quotedBytes)]), head.ErrMalformed)
+	return errors.Mark(errors.Newf("malformed chunks: %s in %q", what, line[:min(len(line), quotedBytes)]), head.ErrMalformed)
 }
--- a/internal/wire/head/head.go
+++ b/internal/wire/head/head.go
@@ -63,7 +63,7 @@
 
 // malformed returns the error for a head that begins with b.
 func malformed(err error, b []byte) error {
-	return errors.Mark(errors.Newf("%w in %q", err, b[:min(len(b), quotedBytes)]), ErrMalformed)
+	return errors.Mark(errors.Newf("malformed head: %w in %q", err, b[:min(len(b), quotedBytes)]), ErrMalformed)
 }
 
 // scanner checks a head line by line.
