--- a/internal/wire/head/field.go
+++ b/internal/wire/head/field.go
@@ -121,7 +121,7 @@
 }
 
 var (
-	// textChars are all characters but controls. A tab is none.
+	// textChars are all characters but controls other than tabs.
 	textChars = newCharSet(func(c byte) bool { return c == '\t' || c >= ' ' && c != 0x7f })
 	// tokenChars are the characters of tokens.
 	tokenChars = newCharSet(func(c byte) bool {
