Tests of answers without end: allow for what the kernel's buffers hold

The bounds of these tests were the bound of the reader and a guess for the buffers (16 to 32 MB). Now they are the bound of the reader and what the kernel says that the buffers may hold; for repeated events, engines and handshakes the part that belongs to the reader is lower than before.

--- a/internal/fake/noise/noise.go
+++ b/internal/fake/noise/noise.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -53,6 +54,25 @@
 // floodBytes is the size of the writes of a flood.
 const floodBytes = 32 << 10
 
+// Buffered returns how many bytes that a server has sent may be in the buffers of a connection on this machine, so that nobody has
+// taken them.
+func Buffered(t testing.TB) int64 {
+	t.Helper()
+	sum := int64(floodBytes)
+	for _, file := range []string{"/proc/sys/net/ipv4/tcp_rmem", "/proc/sys/net/ipv4/tcp_wmem"} {
+		b, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var least, usual, most int64
+		if _, err := fmt.Sscan(string(b), &least, &usual, &most); err != nil {
+			t.Fatalf("%s: %v", file, err)
+		}
+		sum += most
+	}
+	return sum
+}
+
 func serve(t testing.TB, answer func(w io.Writer)) string {
 	t.Helper()
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/node/pass/repeat_test.go
+++ b/internal/node/pass/repeat_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"geraniumhollow/internal/fake/noise"
 	"geraniumhollow/internal/route/match"
 	"geraniumhollow/internal/route/retry"
 )
@@ -16,7 +17,8 @@
 // instead of asking another server (review case 6, LOST).
 func TestRepeatedEvents(t *testing.T) {
 	t.Parallel()
-	const mostSent, mostTaken = 256 << 20, 16 << 20
+	// The events in a row that a node takes have 1 MiB and a part of the next one.
+	const mostSent, mostTaken = 256 << 20, 2 << 20
 	resumes := func(w http.ResponseWriter, r *http.Request) {
 		writeEvents(w, r, 1)
 		select {
@@ -55,7 +57,7 @@
 			if status != http.StatusOK || body != whole || err != nil {
 				t.Errorf("got %d and %d bytes, error %v, want the whole stream", status, len(body), err)
 			}
-			if sent.Load() > mostTaken {
+			if sent.Load() > mostTaken+noise.Buffered(t) {
 				t.Errorf("the node took %d bytes of an event that its caller has", sent.Load())
 			}
 		})
--- a/internal/node/tool/tool_test.go
+++ b/internal/node/tool/tool_test.go
@@ -136,9 +136,10 @@
 // operator without a next step.
 func TestScripts(t *testing.T) {
 	malformed := noise.Serve(t, noise.Malformed("", "{}")["status 000"])
-	flood, sent := noise.Flood(t, "HTTP/1.1 200 OK\r\n\r\n", "x", 256<<20)
+	const maxResponseBytes, mostSent = 64 << 20, 256 << 20
+	flood, sent := noise.Flood(t, "HTTP/1.1 200 OK\r\n\r\n", "x", mostSent)
 	t.Cleanup(func() {
-		if n := sent(); n > 80<<20 {
+		if n := sent(); n > maxResponseBytes+noise.Buffered(t) {
 			t.Errorf("%d bytes of an answer without end were taken", n)
 		}
 	})
--- a/internal/plat/engine/flood_test.go
+++ b/internal/plat/engine/flood_test.go
@@ -10,10 +10,10 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Bounds of the flood tests. The report with the largest bound has 8 MiB.
+// Bounds of the flood test. A report may have 8 MiB.
 const (
 	mostSent  = 256 << 20
-	mostTaken = 16 << 20
+	mostTaken = 8 << 20
 	floodTime = 30 * time.Second
 )
 
@@ -44,7 +44,7 @@
 			if wantErr := name != "order"; (err != nil) != wantErr || errors.Is(err, context.DeadlineExceeded) {
 				t.Errorf("got %v", err)
 			}
-			if n := sent(); n > mostTaken {
+			if n := sent(); n > mostTaken+noise.Buffered(t) {
 				t.Errorf("%d bytes were taken", n)
 			}
 		})
--- a/internal/plat/object/flood_test.go
+++ b/internal/plat/object/flood_test.go
@@ -21,11 +21,11 @@
 		"object": {func(ctx context.Context, address string) error {
 			_, err := object.New(address).Get(ctx, "a")
 			return err
-		}, 80 << 20},
+		}, 64 << 20},
 		"hosts": {func(ctx context.Context, address string) error {
 			_, err := hosts.New(address).List(ctx)
 			return err
-		}, 32 << 20},
+		}, 16 << 20},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -36,7 +36,7 @@
 			if err := tt.call(ctx, address); err == nil {
 				t.Error("got no error")
 			}
-			if n := sent(); n > tt.mostTaken {
+			if n := sent(); n > tt.mostTaken+noise.Buffered(t) {
 				t.Errorf("%d bytes were taken", n)
 			}
 		})
--- a/internal/wire/peer/handshake_test.go
+++ b/internal/wire/peer/handshake_test.go
@@ -10,12 +10,13 @@
 	"time"
 
 	"geraniumhollow/internal/core/tasks"
+	"geraniumhollow/internal/fake/noise"
 	"github.com/cockroachdb/errors"
 )
 
 // Guards against a process at the address of a node whose handshake has no end and is kept until the node has no memory left.
 func TestHandshakeWithoutEnd(t *testing.T) {
-	const mostSent, mostTaken = 256 << 20, 16 << 20
+	const mostSent, mostTaken = 256 << 20, 4 << 10
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -53,7 +54,7 @@
 	if err := g.Wait(); err != nil {
 		t.Error(err)
 	}
-	if sent > mostTaken {
+	if int64(sent) > mostTaken+noise.Buffered(t) {
 		t.Errorf("%d bytes were taken", sent)
 	}
 }
