Do not use connections again that their server closes

A call that may run once got 502, and others cost a retry, when it met the close of a connection that the server had announced with the answer before.

Cause: conns.Response.Close read "Connection: close" and the time of "Keep-Alive" from the header of the answer. Nodes pass that header on, and front.Writer removes both fields from it first. So the connection went back to the pool, for the pool's own idle time. The check before its next use finds a close that has arrived, not one that is on its way.

Both fields are now read when the answer arrives.

TestConnectionEndsThoughHeadersAreRemoved failed before in both cases.

--- a/internal/plat/conns/conns.go
+++ b/internal/plat/conns/conns.go
@@ -123,8 +123,9 @@
 	conn *Conn
 	pool *Pool
 	stop func() bool
-	// endless is read from the headers as they came; callers may change them.
+	// endless and keep, how long the connection may be used again, are read from the headers as they came; callers may change them.
 	endless bool
+	keep    time.Duration
 	eof     bool
 	once    sync.Once
 }
@@ -180,7 +181,8 @@
 	}
 	p.exchanged(c.uses == 1, nil)
 	return &Response{
-		Header: &resp.Header, resp: resp, body: c.body(resp), conn: c, pool: p, stop: stop, endless: resp.Header.ContentLength() == identityLength,
+		Header: &resp.Header, resp: resp, body: c.body(resp), conn: c, pool: p, stop: stop,
+		endless: resp.Header.ContentLength() == identityLength, keep: keepFor(&resp.Header, p.opts.IdleTimeout),
 	}, nil
 }
 
@@ -250,12 +252,12 @@
 	r.once.Do(func() {
 		ended := !r.stop()
 		_ = r.resp.CloseBodyStream()
-		if !r.eof || ended || r.Header.ConnectionClose() || r.endless {
+		if !r.eof || ended || r.endless {
 			r.pool.discard(r.conn)
 			return
 		}
 		_ = r.conn.nc.SetReadDeadline(time.Time{})
-		r.pool.put(r.conn, keepFor(r.Header, r.pool.opts.IdleTimeout))
+		r.pool.put(r.conn, r.keep)
 	})
 }
 
@@ -278,8 +280,12 @@
 // server's close on its way.
 const keepMargin = 500 * time.Millisecond
 
-// keepFor returns how long a connection may wait for its next request: less than the server announces.
+// keepFor returns how long a connection may wait for its next request: less than the server announces, and 0 if it closes the
+// connection.
 func keepFor(h *fasthttp.ResponseHeader, longest time.Duration) time.Duration {
+	if h.ConnectionClose() {
+		return 0
+	}
 	_, after, ok := bytes.Cut(h.Peek(fasthttp.HeaderKeepAlive), []byte("timeout="))
 	if !ok {
 		return longest
--- a/internal/plat/conns/conns_test.go
+++ b/internal/plat/conns/conns_test.go
@@ -256,3 +256,33 @@
 		})
 	}
 }
+
+// Guards against the use of a connection that its server closes, or has said to close soon, because the caller of the answer has
+// removed these headers, as nodes do before they pass it on: the next request is lost.
+func TestConnectionEndsThoughHeadersAreRemoved(t *testing.T) {
+	t.Parallel()
+	for name, header := range map[string]string{"close": "Connection: close", "keep-alive": "Keep-Alive: timeout=1"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			message := "HTTP/1.1 200 OK\r\n" + header + "\r\nContent-Length: 2\r\n\r\nok"
+			s := newScript(t, message, message)
+			p := conns.New(s.ln.Addr().String(), conns.Options{})
+			t.Cleanup(p.Close)
+			for range 2 {
+				req := fasthttp.AcquireRequest()
+				req.Header.SetHost("h")
+				resp, err := p.Do(t.Context(), req, time.Time{})
+				if err != nil {
+					t.Fatal(err)
+				}
+				resp.Header.ResetConnectionClose()
+				resp.Header.Del(fasthttp.HeaderKeepAlive)
+				if body, err := io.ReadAll(resp); string(body) != "ok" || err != nil || resp.Reused() {
+					t.Errorf("got %q, %v, on a connection of an earlier request: %v", body, err, resp.Reused())
+				}
+				resp.Close()
+				time.Sleep(700 * time.Millisecond)
+			}
+		})
+	}
+}
