Test of a restored table: name the moment that is restored

The test asked for a copy that is 100 ms old, and took for granted that two commits take less than that. A trial with a trace, 30 processes of the package's tests beside each other, failed 8 times, in process and over HTTP. Where it failed the commits had taken more than 100 ms: up to 350 ms, all of it in a single call that needs microseconds in process. The stand-in restored what it was asked for.

The test now notes a moment between the first write and the lost ones and restores the copy of that moment, as the other tests of restored stores do. What it checks is the same. 30 processes, 10 runs each, beside each other: 8 failures before, none after.

--- a/internal/plat/table/table_test.go
+++ b/internal/plat/table/table_test.go
@@ -123,10 +123,12 @@
 				return rev
 			}
 			kept := table.Row{Key: "a", Revision: commit(table.Insert("a", []byte("kept")))}
-			time.Sleep(200 * time.Millisecond)
+			time.Sleep(100 * time.Millisecond)
+			between := time.Now()
+			time.Sleep(100 * time.Millisecond)
 			lost := table.Row{Key: "a", Revision: commit(table.Replace(kept, []byte("lost")))}
 			commit(table.Insert("b", []byte("lost")))
-			p.Restore(100 * time.Millisecond)
+			p.Restore(time.Since(between))
 			expectValue(t, tb, "a", "kept")
 			expectValue(t, tb, "b", "")
 			row, err := tb.Get(t.Context(), "a")
