Planned stop: accept connections that are made before the listener closes

Cause: Drain closed the listener at once. The kernel completes connections before the process accepts them, and resets those in the listener's queue when it closes. A caller that had connected and sent its request while the accept loop waited for a processor was reset.

Evidence: TestDrainAcceptsQueuedConnections has three connections with their requests in the queue when the server drains; it failed before with the same message for all three, and passes now.

Change: Drain makes the accept loop end. The loop accepts what the queue holds, at most 4096 connections, closes the listener when the kernel has no more, and Drain waits for it. The first request of such a connection is handled, as that of any new connection of a draining server is already. What remains are connections made between the last look at the queue and the close.

--- a/internal/core/sock/sock.go
+++ b/internal/core/sock/sock.go
@@ -96,6 +96,23 @@
 	return err == nil && n > 0
 }
 
+// HasPending reports whether a connection waits to be accepted. It returns false if ln does not expose its socket.
+func HasPending(ln net.Listener) bool {
+	sc, ok := ln.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	ctlErr := raw.Control(func(fd uintptr) {
+		n, err = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+	})
+	return ctlErr == nil && err == nil && n > 0
+}
+
 // peek reads up to one byte without waiting or removing it. It returns 0 if the peer has closed the connection.
 func peek(nc net.Conn) (int, error) {
 	sc, ok := nc.(syscall.Conn)
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -106,6 +106,8 @@
 	// which connections without a request are closed, new ones after firstRequestTime.
 	closeAfterResponse atomic.Bool
 	draining           atomic.Pointer[time.Time]
+	// stopped is closed when no connections are accepted any more.
+	stopped chan struct{}
 	// ending is set once CancelUnanswered was called.
 	ending atomic.Bool
 	// unreadable and refused limit the log lines of requests that cannot be read and of connections beyond the limit.
@@ -124,10 +126,10 @@
 	if cfg.Bodies == nil {
 		cfg.Bodies = shed.New(0)
 	}
-	return &Server{cfg: cfg, conns: make(map[*conn]struct{})}
+	return &Server{cfg: cfg, stopped: make(chan struct{}), conns: make(map[*conn]struct{})}
 }
 
-// Run accepts connections on ln until ctx is cancelled. It returns after all connections have been closed.
+// Run accepts connections on ln until ctx is cancelled. It returns after all connections have been closed. It is called once.
 func (s *Server) Run(ctx context.Context, ln net.Listener) error {
 	s.mu.Lock()
 	s.ln = ln
@@ -152,7 +154,8 @@
 const acceptRetryDelay = 20 * time.Millisecond
 
 func (s *Server) accept(ctx context.Context, g *tasks.Group, ln net.Listener) error {
-	for {
+	defer close(s.stopped)
+	for s.draining.Load() == nil {
 		nc, err := ln.Accept()
 		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 			if err == nil {
@@ -160,40 +163,90 @@
 			}
 			return nil
 		}
-		if err != nil {
+		switch {
+		case err == nil:
+			s.serve(g, nc)
+		case !isTimeout(err):
 			s.cfg.Log.Warn("cannot accept connection", "error", err)
 			tasks.Sleep(ctx, acceptRetryDelay)
-			continue
 		}
-		c := &conn{nc: nc, client: clientAddress(nc), srv: s, entered: time.Now()}
-		if !s.addConn(c) {
-			s.refused.Log(s.cfg.Log, hclog.Warn, "closed a connection beyond the connection limit", "limit", s.cfg.MaxConnections)
-			_ = nc.Close()
-			continue
+	}
+	s.acceptPending(g, ln)
+	_ = ln.Close()
+	return nil
+}
+
+// maxPending limits the connections that a draining server still accepts, so that it stops while callers go on to connect. It is
+// the length of a listener's queue on most systems.
+const maxPending = 4096
+
+// acceptPending accepts the connections that callers have already made, which closing the listener would reset.
+func (s *Server) acceptPending(g *tasks.Group, ln net.Listener) {
+	if d, ok := ln.(deadliner); ok {
+		_ = d.SetDeadline(time.Now().Add(firstRequestTime))
+	}
+	for range maxPending {
+		if !sock.HasPending(ln) {
+			return
 		}
-		g.Go("connection", func(ctx context.Context) error {
-			defer s.removeConn(c)
-			c.serve(ctx, g)
-			return nil
-		})
+		nc, err := ln.Accept()
+		if err != nil {
+			s.cfg.Log.Warn("cannot accept connection", "error", err)
+			return
+		}
+		s.serve(g, nc)
 	}
 }
 
+// serve starts serving a connection, or closes it if there are too many.
+func (s *Server) serve(g *tasks.Group, nc net.Conn) {
+	c := &conn{nc: nc, client: clientAddress(nc), srv: s, entered: time.Now()}
+	if !s.addConn(c) {
+		s.refused.Log(s.cfg.Log, hclog.Warn, "closed a connection beyond the connection limit", "limit", s.cfg.MaxConnections)
+		_ = nc.Close()
+		return
+	}
+	g.Go("connection", func(ctx context.Context) error {
+		defer s.removeConn(c)
+		c.serve(ctx, g)
+		return nil
+	})
+}
+
+// deadliner is a listener whose Accept can be ended without closing it.
+type deadliner interface {
+	SetDeadline(t time.Time) error
+}
+
 // Drain stops accepting connections, closes each connection after the current response, and closes idle connections. A request
-// that has begun to arrive is still read and handled.
+// that has begun to arrive is still read and handled, and so is the first one of a connection that the caller has already made.
 func (s *Server) Drain() {
 	s.closeAfterResponse.Store(true)
-	s.draining.CompareAndSwap(nil, new(time.Now()))
+	if s.beginDrain() {
+		<-s.stopped
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.ln != nil {
-		_ = s.ln.Close()
-	}
 	for c := range s.conns {
 		_ = c.drain()
 	}
 }
 
+// beginDrain makes accept end, and reports whether it has begun.
+func (s *Server) beginDrain() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ln != nil && s.draining.Load() == nil {
+		// accept replaces this deadline once it sees that the server drains, so it must be set before.
+		d, ok := s.ln.(deadliner)
+		if !ok || d.SetDeadline(time.Now()) != nil {
+			_ = s.ln.Close()
+		}
+	}
+	s.draining.CompareAndSwap(nil, new(time.Now()))
+	return s.ln != nil
+}
+
 // ErrServerEnds is the cancellation cause of a request's context if its server has no time left for it.
 var ErrServerEnds = errors.New("server ends")
 
--- a/internal/node/front/front_test.go
+++ b/internal/node/front/front_test.go
@@ -532,6 +532,71 @@
 	_ = resp.Body.Close()
 }
 
+// lateListener accepts connections only after run is closed, as if the process did not run.
+type lateListener struct {
+	*net.TCPListener
+	waiting, run chan struct{}
+}
+
+func (l lateListener) Accept() (net.Conn, error) {
+	select {
+	case l.waiting <- struct{}{}:
+	default:
+	}
+	<-l.run
+	return l.TCPListener.Accept() //nolint:wrapcheck // net.Listener: the server compares the error.
+}
+
+// Guards against a drain that resets connections which the server has not accepted yet.
+func TestDrainAcceptsQueuedConnections(t *testing.T) {
+	t.Parallel()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	tcp, ok := ln.(*net.TCPListener)
+	if !ok {
+		t.Fatalf("listener is a %T", ln)
+	}
+	waiting, run := make(chan struct{}, 1), make(chan struct{})
+	s := newTestServerOn(t, lateListener{tcp, waiting, run}, 0)
+	<-waiting
+	readers := make([]*bufio.Reader, 3)
+	for i := range readers {
+		var nc net.Conn
+		nc, readers[i] = s.dial(t)
+		send(t, nc, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nok")
+	}
+	drained := make(chan struct{})
+	g := tasks.New(t.Context())
+	g.Go("drain", func(context.Context) error {
+		s.srv.Drain()
+		close(drained)
+		return nil
+	})
+	time.Sleep(50 * time.Millisecond)
+	close(run)
+	for i, br := range readers {
+		resp, err := http.ReadResponse(br, nil)
+		if err != nil {
+			t.Errorf("connection %d: %v", i, err)
+			continue
+		}
+		body, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusOK || string(body) != "ok" || err != nil || !resp.Close {
+			t.Errorf("connection %d: got %d %q, closes %v, error %v", i, resp.StatusCode, body, resp.Close, err)
+		}
+	}
+	<-drained
+	if _, err := net.Dial("tcp", s.addr); err == nil {
+		t.Error("a draining server accepts a connection")
+	}
+	if err := g.Wait(); err != nil {
+		t.Error(err)
+	}
+}
+
 // Guards against accepting more than MaxConnections.
 func TestMaxConnections(t *testing.T) {
 	t.Parallel()
