--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -166,7 +166,7 @@
 		switch {
 		case err == nil:
 			s.serve(g, nc)
-		case !isTimeout(err):
+		case !isTimeout(err): // beginDrain sets a deadline.
 			s.cfg.Log.Warn("cannot accept connection", "error", err)
 			tasks.Sleep(ctx, acceptRetryDelay)
 		}
@@ -176,13 +176,12 @@
 	return nil
 }
 
-// maxPending limits the connections that a draining server still accepts, so that it stops while callers go on to connect. It is
-// the length of a listener's queue on most systems.
+// maxPending limits the connections that a draining server still accepts, so that it stops while callers go on to connect.
 const maxPending = 4096
 
 // acceptPending accepts the connections that callers have already made, which closing the listener would reset.
 func (s *Server) acceptPending(g *tasks.Group, ln net.Listener) {
-	if d, ok := ln.(deadliner); ok {
+	if d, ok := ln.(deadliner); ok { // The deadline of beginDrain has passed.
 		_ = d.SetDeadline(time.Now().Add(firstRequestTime))
 	}
 	for range maxPending {
--- a/internal/node/tool/client.go
+++ b/internal/node/tool/client.go
@@ -17,7 +17,7 @@
 // requestTimeout exceeds the timeout of the node's own table requests.
 const requestTimeout = 10 * time.Second
 
-// maxResponseBytes bounds a response. The largest ones hold two configurations of 16 MiB.
+// maxResponseBytes bounds a response.
 const maxResponseBytes = 64 << 20
 
 // client calls the API of one node.
--- a/internal/plat/engine/engine.go
+++ b/internal/plat/engine/engine.go
@@ -222,7 +222,7 @@
 	return st, nil
 }
 
-// maxReportBytes bounds a load report, which has some tens of bytes for each change of the cache that it lists.
+// maxReportBytes bounds a load report.
 const maxReportBytes = 8 << 20
 
 // maxIgnoredBytes bounds what is read of a body that says nothing, so that its connection can be used again.
--- a/internal/plat/hosts/hosts.go
+++ b/internal/plat/hosts/hosts.go
@@ -52,7 +52,7 @@
 // defaultTimeout bounds a call whose context has no deadline.
 const defaultTimeout = 2 * time.Second
 
-// maxListBytes bounds the list, which has a few hundred bytes a host.
+// maxListBytes bounds the list.
 const maxListBytes = 16 << 20
 
 // PathHosts is the path of the list.
--- a/internal/plat/object/object.go
+++ b/internal/plat/object/object.go
@@ -32,8 +32,7 @@
 // defaultTimeout bounds a call whose context has no deadline.
 const defaultTimeout = 5 * time.Second
 
-// maxAnswerBytes bounds an object, or a list of keys. The largest objects are answers of plain services, which a configuration
-// can limit to 64 MiB.
+// maxAnswerBytes bounds an object, or a list of keys.
 const maxAnswerBytes = 64 << 20
 
 // Paths of the object store.
--- a/internal/plat/table/client.go
+++ b/internal/plat/table/client.go
@@ -19,7 +19,7 @@
 // maxIdle is how long an idle connection is kept.
 const maxIdle = 30 * time.Second
 
-// maxAnswerBytes bounds an answer. The largest one holds a configuration of 16 MiB in base64.
+// maxAnswerBytes bounds an answer.
 const maxAnswerBytes = 32 << 20
 
 // Paths of the table service.
--- a/internal/wire/peer/handshake.go
+++ b/internal/wire/peer/handshake.go
@@ -6,7 +6,7 @@
 	"github.com/cockroachdb/errors"
 )
 
-// handshakeBytes bounds the response to the handshake of a link. It has a few hundred bytes.
+// handshakeBytes bounds the response to the handshake of a link.
 const handshakeBytes = 4 << 10
 
 // errHandshakeTooLong means that a process at the address of a node sends more than a handshake.
