Do not take comments for events of a stream

Cause: eventParser counted each event without an ID as new. So a comment won against the silent server (readHead), was progress of the attempt (copy), so that its server never counted as silent, and restarted the count of repeated events, which then had no bound.

An event without an ID and without data is passed on now, but it does not win, is no progress, and counts together with repeated events against the bound of 1 MiB between two new events. The server is then treated like one that sends nothing, for which another server is asked.

--- a/internal/node/pass/attempt.go
+++ b/internal/node/pass/attempt.go
@@ -457,14 +457,13 @@
 	for {
 		n, err := x.Read(buf[:])
 		if n > 0 {
-			s.recordFirstByte()
 			before := s.events.count
 			err := s.forward(x.hedge, buf[:n], stream)
 			if stream && len(s.parts) > 0 && s.events.count > before && before > s.eventsBefore {
 				s.relay.deps.Crashes.partsSafe(s.runID)
 			}
 			if !stream || s.events.count > before {
-				// Bytes that complete no event do not count as progress: a stalled server may still send some.
+				// Bytes that complete no event, and comments, do not count as progress: a stalled server may still send some.
 				x.progress()
 			}
 			if err != nil {
@@ -480,7 +479,7 @@
 	}
 }
 
-// recordFirstByte records the time to the first byte of the response.
+// recordFirstByte records the time to the first byte of the response; of a stream, to its first event.
 func (s *callState) recordFirstByte() {
 	if !s.gotFirstByte {
 		s.gotFirstByte, s.firstByte = true, time.Since(s.call.Arrived)
@@ -491,16 +490,21 @@
 
 // forward writes bytes of a response to the caller: of a stream, only complete events that the caller does not have.
 func (s *callState) forward(h *hedge, b []byte, stream bool) error {
-	out, parseErr := b, error(nil)
-	err := h.deliver(s, func() bool {
+	out, parseErr, isProgress := b, error(nil), true
+	err := h.deliver(s, func() (bool, bool) {
 		if stream {
+			before := s.events.count
 			out, parseErr = s.events.feed(b)
+			isProgress = s.events.count > before
 		}
-		return len(out) > 0
+		return len(out) > 0, isProgress
 	})
 	if err != nil {
 		return err
 	}
+	if isProgress {
+		s.recordFirstByte()
+	}
 	if err := s.w.Write(out); err != nil {
 		return errors.Mark(err, errCallerWrite)
 	}
@@ -512,7 +516,7 @@
 	if stream && len(s.events.partial) > 0 {
 		return errors.New("stream ended in the middle of an event")
 	}
-	if err := h.deliver(s, func() bool { return true }); err != nil {
+	if err := h.deliver(s, func() (bool, bool) { return true, true }); err != nil {
 		return err
 	}
 	if err := s.w.End(); err != nil {
--- a/internal/node/pass/event.go
+++ b/internal/node/pass/event.go
@@ -16,12 +16,12 @@
 // errEventGap means that event IDs are missing from a stream: it is a different stream or has lost data.
 var errEventGap = errors.New("stream is missing events")
 
-// maxRepeatedBytes bounds the events in a row that the caller already has. A server that sends more of them does not go on from
-// the event after which it was asked to resume.
-const maxRepeatedBytes = 1 << 20
+// maxStaleBytes bounds the events that the caller already has and the comments between two new events. A server that sends more of
+// them does not go on with the stream.
+const maxStaleBytes = 1 << 20
 
-// errRepeats means that a stream holds more than maxRepeatedBytes of events that the caller already has.
-var errRepeats = errors.New("stream repeats its events")
+// errStale means that a stream holds more than maxStaleBytes without a new event.
+var errStale = errors.New("stream has no new event")
 
 // errNoEvent means that a stream of events with IDs goes on with bytes that have none: they are no part of it.
 var errNoEvent = errors.New("event has no ID")
@@ -34,17 +34,19 @@
 	// lastNumber is lastID as a number, valid if numbered is set.
 	lastNumber uint64
 	numbered   bool
-	count      int
-	// repeated is the size of the events since the last new one.
-	repeated int
+	// count is the number of new events.
+	count int
+	// stale is the size of what followed the last new event.
+	stale int
 	// complete is the buffer that feed returns; partial holds the bytes of an incomplete event.
 	complete []byte
 	partial  []byte
 }
 
 var (
-	idField  = []byte("id:")
-	eventEnd = []byte("\n\n")
+	idField   = []byte("id:")
+	dataField = []byte("data")
+	eventEnd  = []byte("\n\n")
 )
 
 // resumeFrom sets the ID of the last event that the caller has.
@@ -55,8 +57,8 @@
 }
 
 // feed parses the next bytes of the stream and returns the events that are now complete, without those that the
-// caller already has. The result is valid until the next call. On an error, it holds the events before the error, and partial
-// begins with the event that caused it.
+// caller already has. Comments are returned, but not counted as events. The result is valid until the next call. On an error, it
+// holds the events before the error, and partial begins with the event that caused it.
 func (e *eventParser) feed(b []byte) ([]byte, error) {
 	// The existing partial event contains no terminator, but its last byte may be the first half of one.
 	searchFrom := max(0, len(e.partial)-1)
@@ -71,18 +73,25 @@
 		end += searchFrom
 		searchFrom = 0
 		event := remaining[:end+len(eventEnd)]
-		isNew, err := e.accept(event)
+		kind, err := e.accept(event)
 		if err != nil {
 			e.partial = append(e.partial[:0], remaining...)
 			return e.complete, err
 		}
-		if isNew {
+		if kind != repeatedEvent {
 			e.complete = append(e.complete, event...)
-			e.repeated = 0
-		} else if e.repeated += len(event); e.repeated > maxRepeatedBytes {
-			return e.complete, errors.Newf("after event %s: %w", e.lastID, errRepeats)
+		}
+		if kind == newEvent {
+			e.count++
+			e.stale = 0
+		} else {
+			e.stale += len(event)
 		}
 		remaining = remaining[len(event):]
+		if e.stale > maxStaleBytes {
+			e.partial = append(e.partial[:0], remaining...)
+			return e.complete, errors.Newf("after event %s: %w", e.lastID, errStale)
+		}
 	}
 	e.partial = append(e.partial[:0], remaining...)
 	if len(e.partial) > maxEventBytes {
@@ -91,28 +100,43 @@
 	return e.complete, nil
 }
 
-// accept checks the ID of an event and reports whether it is new to the caller.
-func (e *eventParser) accept(event []byte) (bool, error) {
+// eventKind is what an event is to the caller.
+type eventKind int
+
+const (
+	newEvent eventKind = iota
+	// repeatedEvent is one that the caller already has.
+	repeatedEvent
+	// commentEvent has neither an ID nor data, and so is no event for the caller. Servers send comments to keep connections alive.
+	commentEvent
+)
+
+// accept checks the ID of an event.
+func (e *eventParser) accept(event []byte) (eventKind, error) {
 	id, ok := eventID(event)
 	if !ok {
-		if e.numbered && !isComment(event) {
-			return false, errors.Newf("after event %s: %w", e.lastID, errNoEvent)
+		switch {
+		case isComment(event):
+			return commentEvent, nil
+		case e.numbered:
+			return newEvent, errors.Newf("after event %s: %w", e.lastID, errNoEvent)
+		case !hasData(event):
+			return commentEvent, nil
+		default:
+			return newEvent, nil
 		}
-		e.count++
-		return true, nil
 	}
 	n, err := strconv.ParseUint(id, 10, 64)
 	if err == nil && e.numbered {
 		switch {
 		case n <= e.lastNumber:
-			return false, nil
+			return repeatedEvent, nil
 		case n > e.lastNumber+1:
-			return false, errors.Newf("event %d after %d: %w", n, e.lastNumber, errEventGap)
+			return newEvent, errors.Newf("event %d after %d: %w", n, e.lastNumber, errEventGap)
 		}
 	}
 	e.resumeFrom(id)
-	e.count++
-	return true, nil
+	return newEvent, nil
 }
 
 func eventID(event []byte) (string, bool) {
@@ -124,7 +148,7 @@
 	return "", false
 }
 
-// isComment reports whether an event has only comments, which servers send to keep connections alive.
+// isComment reports whether an event has only comments and empty lines.
 func isComment(event []byte) bool {
 	for line := range bytes.Lines(event) {
 		if line[0] != ':' && len(bytes.TrimSpace(line)) > 0 {
@@ -134,5 +158,15 @@
 	return true
 }
 
+// hasData reports whether an event has a data field.
+func hasData(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if name, _, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":")); bytes.Equal(name, dataField) {
+			return true
+		}
+	}
+	return false
+}
+
 // discardPartial drops an incomplete event: the server sends it again when the stream is resumed.
-func (e *eventParser) discardPartial() { e.partial, e.repeated = e.partial[:0], 0 }
+func (e *eventParser) discardPartial() { e.partial, e.stale = e.partial[:0], 0 }
--- a/internal/node/pass/hedge.go
+++ b/internal/node/pass/hedge.go
@@ -121,18 +121,21 @@
 	h.active, h.searchedAt = false, time.Now()
 }
 
-// deliver calls take, which takes the next part of the response and reports whether it is progress, unless another attempt
-// continues the response.
-func (h *hedge) deliver(s *callState, take func() bool) error {
+// deliver calls take, which takes the next part of the response, unless another attempt continues the response. take reports whether
+// the caller receives something, and whether it is progress, which comments are not.
+func (h *hedge) deliver(s *callState, take func() (bool, bool)) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.superseded {
 		return errSuperseded
 	}
-	if take() {
-		h.progress++
+	received, progress := take()
+	if received {
 		h.answering = true
 	}
+	if progress {
+		h.progress++
+	}
 	h.lastID, h.events, h.mediaType, h.numbered = s.events.lastID, s.events.count, s.mediaType, s.events.numbered
 	return nil
 }
@@ -207,13 +210,17 @@
 		part := buf[:n]
 		if stream {
 			var parseErr error
-			if part, parseErr = events.feed(part); parseErr != nil && len(part) == 0 {
+			part, parseErr = events.feed(part)
+			if events.count == 0 {
+				part = nil // Comments alone continue nothing.
+			}
+			if parseErr != nil && len(part) == 0 {
 				return parseErr
 			}
 		}
 		switch {
 		case len(part) > 0:
-			// Events that the caller has are left out: a server may send them without end.
+			// Events that the caller has, and comments before the first new one, are left out: a server may send them without end.
 			x.head = append(append(x.head, part...), events.partial...)
 			return nil
 		case errors.Is(err, io.EOF) && len(events.partial) == 0:
--- a/internal/node/pass/repeat_test.go
+++ b/internal/node/pass/repeat_test.go
@@ -42,15 +42,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			var sent atomic.Int64
-			repeats := func(w http.ResponseWriter, _ *http.Request) {
-				w.Header().Set("Content-Type", streamType)
-				for sent.Load() < mostSent {
-					n, err := io.WriteString(w, event)
-					if sent.Add(int64(n)); err != nil {
-						return
-					}
-				}
-			}
+			repeats := sendsWithoutEnd(event, mostSent, &sent)
 			route := match.Route{Name: "r", Kind: match.Stream, Resumable: true, MaxAttempts: 4, Timeout: 5 * time.Second}
 			servers := append([]http.HandlerFunc{tt.first, repeats}, tt.others...)
 			status, body, err := get(t, newSilentRelay(t, tt.silent, route, retry.NewBudgetWith(0, 9), servers...))
@@ -64,6 +56,19 @@
 	}
 }
 
+// sendsWithoutEnd is a server that sends a part of a stream again and again, until the node closes the connection or most bytes are sent.
+func sendsWithoutEnd(part string, most int64, sent *atomic.Int64) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", streamType)
+		for sent.Load() < most {
+			n, err := io.WriteString(w, part)
+			if sent.Add(int64(n)); err != nil {
+				return
+			}
+		}
+	}
+}
+
 // Guards against an error of a stream that is forgotten while the part before it is kept for the caller.
 func TestGapAfterHead(t *testing.T) {
 	t.Parallel()
--- a/internal/node/pass/serve_test.go
+++ b/internal/node/pass/serve_test.go
@@ -122,6 +122,8 @@
 	neverSilent silentFrom = iota
 	silentFromStart
 	silentFromFirstPart
+	// withoutProgress means that each server is silent while it makes no progress.
+	withoutProgress
 )
 
 const silence = 50 * time.Millisecond
@@ -146,6 +148,8 @@
 				report()
 			case i == 0 && p.silent == silentFromFirstPart:
 				return &silentSlot{slot: s, report: report}, nil
+			case p.silent == withoutProgress:
+				return newWatchedSlot(s, cancel), nil
 			}
 			return s, nil
 		}
