Reject event IDs that are no numbers within a numbered stream

Callers of a stream whose IDs are numbers got an event of another stream, and then the rest with a gap ("id: 1", "id: x", "id: 4", with a regular end), when the server that was asked to resume it sent an event with an ID that is no number, or an empty one. It also won against a server that was silent for a while.

Cause: eventParser.accept compared IDs only if both are numbers. Any other ID was new, and became the last one, after which nothing was checked.

A stream whose IDs are numbers goes on with numbers only. Otherwise the attempt fails like one with an event without an ID, and another server goes on. Streams whose IDs are no numbers from the start are passed on as before.

--- a/internal/node/pass/event.go
+++ b/internal/node/pass/event.go
@@ -26,6 +26,9 @@
 // errNoEvent means that a stream of events with IDs goes on with bytes that have none: they are no part of it.
 var errNoEvent = errors.New("event has no ID")
 
+// errForeignID means that a stream whose IDs are numbers goes on with an ID that is none.
+var errForeignID = errors.New("event ID is not a number")
+
 // eventParser splits a server-sent event stream into events, drops events that the caller already has and detects
 // missing ones.
 type eventParser struct {
@@ -127,8 +130,10 @@
 		}
 	}
 	n, err := strconv.ParseUint(id, 10, 64)
-	if err == nil && e.numbered {
+	if e.numbered {
 		switch {
+		case err != nil:
+			return newEvent, errors.Newf("event %.80q after %s: %w", id, e.lastID, errForeignID)
 		case n <= e.lastNumber:
 			return repeatedEvent, nil
 		case n > e.lastNumber+1:
