Bound what is held of the answers of all servers together

A service whose servers send events without an end could have a node killed for its memory, and with it the requests at all other services: a node of 184 MB took 323 and 355 MB for 1,000 requests at 40 such servers.

Cause: an event has a bound of 256 kB and a failure that is held one of 64 kB, for each request; docs/design/memory.md listed the sum under "not bounded". Buffers doubled beyond these bounds, complete events were copied into a second one, and both were kept until the stream ended.

Such an attempt ends with "no memory for the answer" and is followed by others like any failure. The parser of events has one buffer, and gives it back once a large event is written.

--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -57,6 +57,8 @@
 	front       *front.Server
 	// bodies is the memory for bodies of requests.
 	bodies *shed.Budget
+	// answers is the memory for what is held of answers.
+	answers *shed.Budget
 	// detour passes requests on while this node reaches no backend server, and forwarded takes those of other nodes.
 	detour    *detour.Detour
 	forwarded *front.Server
@@ -97,7 +99,7 @@
 	}
 	n := &Node{cfg: cfg, startedAt: time.Now(), index: index.New(), outOfService: sets.New[string](), budgets: make(map[string]*retry.Budget)}
 	n.settings.Store(&set)
-	n.bodies = set.host().Bodies()
+	n.bodies, n.answers = set.host().Bodies(), set.host().Answers()
 	n.switchable = newSwitchableStore(cfg.NewStore, set.StoreAddress)
 	n.store = cfg.Metrics.Store(n.switchable)
 	address := net.JoinHostPort(set.IP, strconv.Itoa(set.PeerPort))
@@ -141,7 +143,7 @@
 	relay := pass.New(pass.Deps{
 		Codec: cfg.Codec, Table: n.table.Load, Picker: n.seats, Detour: n.detour, Crashes: n.crashes, Budget: n.budget,
 		Began:   func(account string) { n.duties.Began(account) },
-		Metrics: cfg.Metrics, Log: cfg.Log, Demand: n.tally,
+		Metrics: cfg.Metrics, Log: cfg.Log, Demand: n.tally, Answers: n.answers,
 	})
 	n.front = front.New(front.Config{
 		Handler: relay, Limits: n.limits, MaxConnections: set.host().MaxCallers(), Bodies: n.bodies, Log: cfg.Log,
@@ -180,6 +182,9 @@
 	n.cfg.Metrics.Func("body_bytes", "Bytes that bodies of requests hold.", func() float64 { return float64(n.bodies.Stats().Held) })
 	n.cfg.Metrics.Func("body_bytes_limit", "Most bytes that bodies of requests may hold.", func() float64 { return float64(n.bodies.Stats().Limit) })
 	n.cfg.Metrics.Func("bodies_shed", "Bodies of requests that gave way to others since the start.", func() float64 { return float64(n.bodies.Stats().Shed) })
+	n.cfg.Metrics.Func("answer_bytes", "Bytes that are held of answers of backend servers.", func() float64 { return float64(n.answers.Stats().Held) })
+	n.cfg.Metrics.Func("answer_bytes_limit", "Most bytes that may be held of answers.", func() float64 { return float64(n.answers.Stats().Limit) })
+	n.cfg.Metrics.Func("answers_shed", "Attempts that gave way because no more of their answers could be held.", func() float64 { return float64(n.answers.Stats().Shed) })
 	n.cfg.Metrics.Func("connections_shed", "Connections of callers that were closed for others or refused since the start.",
 		func() float64 { return float64(n.front.ShedConnections()) })
 	n.cfg.Metrics.Func("caller_connections", "Open connections of callers.", func() float64 { return float64(n.front.OpenConnections()) })
--- a/internal/node/pass/attempt.go
+++ b/internal/node/pass/attempt.go
@@ -1,7 +1,6 @@
 package pass
 
 import (
-	"cmp"
 	"context"
 	"io"
 	"strings"
@@ -25,8 +24,10 @@
 	ctx   context.Context //nolint:containedctx // It belongs to the attempt, which may be followed elsewhere than it was begun.
 	resp  *conns.Response
 	hedge *hedge
-	// head is the part of the body that was read before the attempt continued the response. headEnds is set if it is all of it.
+	// head is the part of the body that was read before the attempt continued the response, and hold its memory. headEnds is set if it
+	// is all of the body.
 	head     []byte
+	hold     hold
 	headEnds bool
 	// server and group are the ID and the group of the server, or the address of the other node. runID is the crash tracker's
 	// ID of the attempt.
@@ -44,6 +45,7 @@
 	if x.resp != nil {
 		x.resp.Close()
 	}
+	x.hold.close()
 	res.server, res.group = x.server, x.group
 	x.record(s, res)
 	x.cancel(nil)
@@ -55,7 +57,10 @@
 	switch {
 	case len(x.head) > 0:
 		n := copy(b, x.head)
-		x.head = x.head[n:]
+		if x.head = x.head[n:]; len(x.head) == 0 {
+			x.head = nil
+			x.hold.close()
+		}
 		return n, nil
 	case x.headEnds:
 		return 0, io.EOF
@@ -85,10 +90,11 @@
 		h := s.hedge
 		s.hedge = nil
 		if x = h.close(s, res.done || res.refusal != nil); x == nil {
-			res.failureResponse, s.failure = cmp.Or(res.failureResponse, s.failure), nil
+			if res.failureResponse == nil {
+				res.failureResponse, s.failure = s.failure, nil
+			}
 			return res
 		}
-		s.events.discardPartial()
 		x.hedge.arm(s, x.server)
 	}
 }
@@ -322,7 +328,7 @@
 		return attemptResult{outcome: Failed, err: errors.Newf("set read deadline of response: %w", err)}
 	}
 	if s.shouldHold(x.resp.Header) {
-		return s.holdFailure(x.resp)
+		return s.holdFailure(x)
 	}
 	return s.relayAnswer(x)
 }
@@ -360,7 +366,7 @@
 		return attemptResult{outcome: Failed, err: err}
 	case errors.Is(cause, ErrStalled):
 		return attemptResult{outcome: Stalled, err: cause}
-	case errors.Is(cause, errHeaderLate):
+	case errors.IsAny(cause, errHeaderLate, errNoMemory):
 		return attemptResult{outcome: Failed, err: cause}
 	default:
 		return attemptResult{outcome: Cancelled, refusal: fault.New(fault.Timeout, fault.Unknown, "the request ended").WithCause(cause)}
@@ -393,18 +399,13 @@
 }
 
 // holdFailure reads a failure response completely and keeps it, to forward it if no further attempt is made.
-func (s *callState) holdFailure(resp *conns.Response) attemptResult {
-	body, err := io.ReadAll(io.LimitReader(resp, maxFailureBodyBytes+1))
-	if err != nil {
-		return attemptResult{outcome: Failed, err: errors.Newf("read failure response: %w", err)}
-	}
-	if len(body) > maxFailureBodyBytes {
-		return attemptResult{outcome: Failed, err: errors.Newf("failure response has more than %d bytes", maxFailureBodyBytes)}
-	}
-	return attemptResult{
-		outcome: Failed, err: errors.Newf("status %d", resp.Header.StatusCode()),
-		failureResponse: &failureResponse{header: resp.Header, body: body},
+func (s *callState) holdFailure(x *exchange) attemptResult {
+	f := &failureResponse{header: x.resp.Header, hold: s.newHold(x, maxFailureBodyBytes)}
+	if err := f.read(x.resp); err != nil {
+		f.hold.close()
+		return attemptResult{outcome: Failed, err: err}
 	}
+	return attemptResult{outcome: Failed, err: errors.Newf("status %d", x.resp.Header.StatusCode()), failureResponse: f}
 }
 
 // relayAnswer forwards a response to the caller. A stream is forwarded in complete events, so that it can be resumed.
@@ -430,7 +431,6 @@
 		s.w.Abort()
 		return attemptResult{done: true, aborted: true, outcome: s.abortOutcome(x.ctx), err: err}
 	default:
-		s.events.discardPartial()
 		return s.classifyError(x.ctx, err)
 	}
 }
@@ -453,6 +453,8 @@
 
 // copy forwards the body of a response until its end.
 func (s *callState) copy(x *exchange, stream bool) error {
+	s.events.hold = s.newHold(x, maxEventBytes)
+	defer s.events.discardPartial()
 	var buf [copyBufferBytes]byte
 	for {
 		n, err := x.Read(buf[:])
@@ -508,6 +510,7 @@
 	if err := s.w.Write(out); err != nil {
 		return errors.Mark(err, errCallerWrite)
 	}
+	s.events.shrink()
 	return parseErr
 }
 
--- a/internal/node/pass/event.go
+++ b/internal/node/pass/event.go
@@ -41,9 +41,11 @@
 	count int
 	// stale is the size of what followed the last new event.
 	stale int
-	// complete is the buffer that feed returns; partial holds the bytes of an incomplete event.
-	complete []byte
-	partial  []byte
+	// buf holds the events that feed returned, followed by partial, the bytes of an incomplete event.
+	buf     []byte
+	partial []byte
+	// hold is the memory of buf.
+	hold hold
 }
 
 var (
@@ -65,42 +67,64 @@
 func (e *eventParser) feed(b []byte) ([]byte, error) {
 	// The existing partial event contains no terminator, but its last byte may be the first half of one.
 	searchFrom := max(0, len(e.partial)-1)
-	e.partial = append(e.partial, b...)
-	e.complete = e.complete[:0]
-	remaining := e.partial
+	if err := e.add(b); err != nil {
+		return nil, err
+	}
+	// Events that are returned are moved to buf[:kept], in place of those that the caller already has. parsed is the end of the last one.
+	kept, parsed := 0, 0
+	defer func() { e.partial = e.buf[parsed:] }()
 	for {
-		end := bytes.Index(remaining[searchFrom:], eventEnd)
+		end := bytes.Index(e.buf[parsed+searchFrom:], eventEnd)
 		if end < 0 {
 			break
 		}
-		end += searchFrom
+		event := e.buf[parsed : parsed+searchFrom+end+len(eventEnd)]
 		searchFrom = 0
-		event := remaining[:end+len(eventEnd)]
 		kind, err := e.accept(event)
 		if err != nil {
-			e.partial = append(e.partial[:0], remaining...)
-			return e.complete, err
+			return e.buf[:kept], err
 		}
+		parsed += len(event)
 		if kind != repeatedEvent {
-			e.complete = append(e.complete, event...)
+			kept += copy(e.buf[kept:], event)
 		}
 		if kind == newEvent {
 			e.count++
 			e.stale = 0
-		} else {
-			e.stale += len(event)
+		} else if e.stale += len(event); e.stale > maxStaleBytes {
+			return e.buf[:kept], errors.Newf("after event %s: %w", e.lastID, errStale)
 		}
-		remaining = remaining[len(event):]
-		if e.stale > maxStaleBytes {
-			e.partial = append(e.partial[:0], remaining...)
-			return e.complete, errors.Newf("after event %s: %w", e.lastID, errStale)
+	}
+	if n := len(e.buf) - parsed; n > maxEventBytes {
+		return e.buf[:kept], errors.Newf("%d bytes: %w", n, errEventTooLong)
+	}
+	return e.buf[:kept], nil
+}
+
+// add drops the events that feed returned, and appends bytes to partial.
+func (e *eventParser) add(b []byte) error {
+	need := len(e.partial) + len(b)
+	if need <= cap(e.buf) {
+		e.buf = append(e.buf[:0], e.partial...)
+	} else {
+		size := max(need, 2*cap(e.buf))
+		if err := e.hold.resize(len(e.partial), size); err != nil {
+			return err
 		}
+		e.buf = append(make([]byte, 0, size), e.partial...)
 	}
-	e.partial = append(e.partial[:0], remaining...)
-	if len(e.partial) > maxEventBytes {
-		return e.complete, errors.Newf("%d bytes: %w", len(e.partial), errEventTooLong)
+	e.buf = append(e.buf, b...)
+	e.partial = e.buf
+	return nil
+}
+
+// shrink returns the memory of a large event once it has been written to the caller.
+func (e *eventParser) shrink() {
+	if cap(e.buf) > freeBytes && len(e.partial) <= freeBytes {
+		e.buf = bytes.Clone(e.partial)
+		e.partial = e.buf
+		e.hold.close()
 	}
-	return e.complete, nil
 }
 
 // eventKind is what an event is to the caller.
@@ -173,5 +197,16 @@
 	return false
 }
 
+// take returns the events that feed returned and the bytes behind them, with their memory. The parser cannot be used any more.
+func (e *eventParser) take(events []byte) ([]byte, hold) {
+	h := e.hold
+	events = append(events, e.partial...)
+	*e = eventParser{}
+	return events, h
+}
+
 // discardPartial drops an incomplete event: the server sends it again when the stream is resumed.
-func (e *eventParser) discardPartial() { e.partial, e.stale = e.partial[:0], 0 }
+func (e *eventParser) discardPartial() {
+	e.partial, e.stale = nil, 0
+	e.shrink()
+}
--- a/internal/node/pass/hedge.go
+++ b/internal/node/pass/hedge.go
@@ -1,13 +1,13 @@
 package pass
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"sync"
 	"time"
 
 	"geraniumhollow/internal/core/tasks"
-	"geraniumhollow/internal/plat/conns"
 	"geraniumhollow/internal/route/retry"
 	"github.com/cockroachdb/errors"
 )
@@ -183,15 +183,16 @@
 	s.refusedResumes += fork.refusedResumes - fork.refusedAtFork
 	s.tried, s.triedNodes = s.tried.Union(fork.tried), s.triedNodes.Union(fork.triedNodes)
 	s.mayHaveRun = s.mayHaveRun || fork.mayHaveRun
-	s.failure = fork.failure
+	s.failure.drop()
+	s.failure, fork.failure = fork.failure, nil
 }
 
 // takeFailure holds a failure of a server that has run the call.
-func (s *callState) takeFailure(resp *conns.Response) attemptResult {
-	if err := resp.SetReadDeadline(s.call.Deadline); err != nil {
+func (s *callState) takeFailure(x *exchange) attemptResult {
+	if err := x.resp.SetReadDeadline(s.call.Deadline); err != nil {
 		return attemptResult{outcome: Failed, err: errors.Newf("set read deadline of failure response: %w", err)}
 	}
-	return s.holdFailure(resp)
+	return s.holdFailure(x)
 }
 
 // readHead reads the body of an answer until it has a part that the caller lacks: of a stream, an event.
@@ -200,7 +201,8 @@
 		return errors.Newf("set read deadline of response: %w", err)
 	}
 	stream := s.isStream(x.resp.Header)
-	var events eventParser
+	events := eventParser{hold: s.newHold(x, maxEventBytes)}
+	defer events.discardPartial()
 	if s.events.lastID != "" {
 		events.resumeFrom(s.events.lastID)
 	}
@@ -219,9 +221,12 @@
 			}
 		}
 		switch {
-		case len(part) > 0:
+		case len(part) > 0 && stream:
 			// Events that the caller has, and comments before the first new one, are left out: a server may send them without end.
-			x.head = append(append(x.head, part...), events.partial...)
+			x.head, x.hold = events.take(part)
+			return nil
+		case len(part) > 0:
+			x.head = bytes.Clone(part)
 			return nil
 		case errors.Is(err, io.EOF) && len(events.partial) == 0:
 			x.headEnds = true
@@ -269,7 +274,8 @@
 func (s *callState) checkHead(x *exchange) (attemptResult, bool) {
 	switch {
 	case !s.started && s.isFailure(x.resp.Header):
-		res := s.takeFailure(x.resp)
+		res := s.takeFailure(x)
+		s.failure.drop()
 		s.failure = res.failureResponse
 		return res, false
 	case s.started && !s.continues(x.resp.Header):
--- a/internal/node/pass/pass.go
+++ b/internal/node/pass/pass.go
@@ -19,6 +19,7 @@
 	"geraniumhollow/internal/report/metric"
 	"geraniumhollow/internal/route/match"
 	"geraniumhollow/internal/route/retry"
+	"geraniumhollow/internal/route/shed"
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 	"github.com/valyala/fasthttp"
@@ -97,6 +98,8 @@
 	Log     hclog.Logger
 	// Demand observes the calls of callers; nil if nobody does.
 	Demand DemandObserver
+	// Answers is the memory for what is held of answers; nil for no limit.
+	Answers *shed.Budget
 }
 
 // Relay serves calls. It implements front.Handler.
--- a/internal/node/pass/serve.go
+++ b/internal/node/pass/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"time"
 
 	"geraniumhollow/internal/core/fault"
@@ -81,33 +82,40 @@
 	}
 	budget := r.deps.Budget(c.Service.Name)
 	defer s.observeEnd()
-	for {
-		res := s.attempt(ctx)
-		if res.server != "" {
-			s.last = res
-		}
-		if res.done {
-			code := fault.Code("")
-			if res.aborted {
-				code = fault.BackendFailed
-				s.logCut(ctx, abortReason(res.err), res.err)
-			}
-			r.requestEnded(c, code, time.Since(c.Arrived))
-			return
-		}
-		if res.refusal != nil {
-			s.finishWithError(ctx, res.refusal, refusalReason(res.refusal))
-			return
-		}
-		v := retry.Decide(time.Now(), s.retryInput(res), budget)
-		s.logDecision("decided on another attempt", res, v)
-		if v.Retry {
-			r.deps.Metrics.Retried()
-			continue
+	defer func() { s.failure.drop() }()
+	for s.serveOnce(ctx, budget) {
+	}
+}
+
+// serveOnce makes an attempt, ends the call if no other one follows, and reports whether one does.
+func (s *callState) serveOnce(ctx context.Context, budget *retry.Budget) bool {
+	c := s.call
+	res := s.attempt(ctx)
+	defer res.failureResponse.drop()
+	if res.server != "" {
+		s.last = res
+	}
+	if res.done {
+		code := fault.Code("")
+		if res.aborted {
+			code = fault.BackendFailed
+			s.logCut(ctx, abortReason(res.err), res.err)
 		}
-		s.finishFailed(ctx, res, v)
-		return
+		s.relay.requestEnded(c, code, time.Since(c.Arrived))
+		return false
+	}
+	if res.refusal != nil {
+		s.finishWithError(ctx, res.refusal, refusalReason(res.refusal))
+		return false
 	}
+	v := retry.Decide(time.Now(), s.retryInput(res), budget)
+	s.logDecision("decided on another attempt", res, v)
+	if v.Retry {
+		s.relay.deps.Metrics.Retried()
+		return true
+	}
+	s.finishFailed(ctx, res, v)
+	return false
 }
 
 // logDecision logs whether another attempt is made after one that ended with a result.
@@ -176,10 +184,42 @@
 	failureResponse *failureResponse
 }
 
-// failureResponse is a response with a failure status of a backend server.
+// failureResponse is a response with a failure status of a backend server. hold is the memory of the body.
 type failureResponse struct {
 	header *fasthttp.ResponseHeader
 	body   []byte
+	hold   hold
+}
+
+// read reads a body of up to maxFailureBodyBytes.
+func (f *failureResponse) read(r io.Reader) error {
+	for {
+		if len(f.body) == cap(f.body) {
+			size := min(max(copyBufferBytes, 2*cap(f.body)), maxFailureBodyBytes+1)
+			if err := f.hold.resize(len(f.body), size); err != nil {
+				return err
+			}
+			f.body = append(make([]byte, 0, size), f.body...)
+		}
+		n, err := r.Read(f.body[len(f.body):cap(f.body)])
+		f.body = f.body[:len(f.body)+n]
+		switch {
+		case len(f.body) > maxFailureBodyBytes:
+			return errors.Newf("failure response has more than %d bytes", maxFailureBodyBytes)
+		case errors.Is(err, io.EOF):
+			return f.hold.complete()
+		case err != nil:
+			return errors.Newf("read failure response: %w", err)
+		}
+	}
+}
+
+// drop returns the memory of a failure response, unless it is nil, that is not needed any more.
+func (f *failureResponse) drop() {
+	if f != nil {
+		f.body = nil
+		f.hold.close()
+	}
 }
 
 // finishFailed ends a call whose last attempt failed.
--- a/internal/node/pass/serve_test.go
+++ b/internal/node/pass/serve_test.go
@@ -26,6 +26,7 @@
 	"geraniumhollow/internal/report/metric"
 	"geraniumhollow/internal/route/match"
 	"geraniumhollow/internal/route/retry"
+	"geraniumhollow/internal/route/shed"
 	"github.com/hashicorp/go-hclog"
 	"github.com/valyala/fasthttp"
 )
@@ -106,7 +107,9 @@
 type inOrder struct {
 	// demand is the observer of the node's calls, or nil.
 	demand pass.DemandObserver
-	slots  []*slot
+	// answers is the memory for what the node holds of answers, or nil.
+	answers *shed.Budget
+	slots   []*slot
 	// onPick is called before each choice.
 	onPick func(ctx context.Context, c *pass.Call)
 	// silent says from when on the first server is silent.
@@ -222,7 +225,7 @@
 	srv := front.New(front.Config{
 		Handler: pass.New(pass.Deps{
 			Codec: headerCodec{}, Table: func() *match.Table { return table }, Picker: picker, Detour: detour, Crashes: f.nodes[0], Began: picker.began,
-			Budget: func(string) *retry.Budget { return budget }, Metrics: metrics, Log: log, Demand: picker.demand,
+			Budget: func(string) *retry.Budget { return budget }, Metrics: metrics, Log: log, Demand: picker.demand, Answers: picker.answers,
 		}),
 		Limits: func() front.Limits { return front.Limits{} }, Log: hclog.NewNullLogger(),
 	})
--- a/internal/plat/memory/memory.go
+++ b/internal/plat/memory/memory.go
@@ -13,9 +13,11 @@
 const (
 	// runtimeShare is the share from which the runtime collects garbage more often.
 	runtimeShare = 0.7
-	// bodyShare is the share for bodies of requests, connectionShare the one for connections of callers. Both together are less
-	// than what the runtime may use, as copies and refused bodies are there until they are collected.
+	// bodyShare is the share for bodies of requests, answerShare the one for what is held of answers, connectionShare the one for
+	// connections of callers. Together they are less than what the runtime may use, as copies and refused bodies are there until
+	// they are collected.
 	bodyShare       = 0.2
+	answerShare     = 0.05
 	connectionShare = 0.25
 	// connectionBytes is what a connection of a caller may take: a buffer of the size of a header, stacks, a response in progress.
 	connectionBytes = 40 << 10
@@ -61,6 +63,9 @@
 // Bodies returns a budget for bodies of requests.
 func (h Host) Bodies() *shed.Budget { return shed.New(int(bodyShare * h.bytes())) }
 
+// Answers returns a budget for what is held of answers.
+func (h Host) Answers() *shed.Budget { return shed.New(int(answerShare * h.bytes())) }
+
 // MaxCallers returns the limit of connections of callers, by memory and by descriptors.
 func (h Host) MaxCallers() int {
 	byMemory := int(connectionShare * h.bytes() / connectionBytes)
