--- a/internal/node/pass/hold_test.go
+++ b/internal/node/pass/hold_test.go
@@ -56,7 +56,7 @@
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
-	goesOn := func(w http.ResponseWriter, r *http.Request) {
+	goesOn := func(w http.ResponseWriter, _ *http.Request) {
 		time.Sleep(3 * silence / 2)
 		_, _ = io.WriteString(w, largeEvent(events))
 	}
