Bound what a node holds of messages of other nodes

A process that reaches the port for other nodes could have a node killed for its memory, and the callers of that node lost their requests: 60 links with a message of 4 MB each that does not end took 354 MB of 184, 200 links 1,129 MB.

Cause: a message has a bound of 4 MB, for each of up to 1,024 links, and 30 s for the next one; docs/design/memory.md had the sum under "not bounded". The buffer of the reader doubles beyond the message.

What messages take beyond 4 kB draws on a budget of the process, 0.02 of the memory of the host, in both modes; what is held of answers has 0.03 now, so that all shares stay below half of the memory. A message that has not progressed for 1 s gives way first, then one of the node that holds most, and its link is closed.

Evidence: TestUnfinishedLinkMessages failed before (354 MB), 35 MB now. TestUnfinishedMessages checks that a sound node's message of 300 kB gets through beside eight others that do not end, and that memory is returned. TestHeldAnswers with the lower share: 112 to 134 MB.

--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -57,8 +57,8 @@
 	front       *front.Server
 	// bodies is the memory for bodies of requests.
 	bodies *shed.Budget
-	// answers is the memory for what is held of answers.
-	answers *shed.Budget
+	// answers is the memory for what is held of answers, messages the one for messages of other nodes.
+	answers, messages *shed.Budget
 	// detour passes requests on while this node reaches no backend server, and forwarded takes those of other nodes.
 	detour    *detour.Detour
 	forwarded *front.Server
@@ -99,7 +99,7 @@
 	}
 	n := &Node{cfg: cfg, startedAt: time.Now(), index: index.New(), outOfService: sets.New[string](), budgets: make(map[string]*retry.Budget)}
 	n.settings.Store(&set)
-	n.bodies, n.answers = set.host().Bodies(), set.host().Answers()
+	n.bodies, n.answers, n.messages = set.host().Bodies(), set.host().Answers(), set.host().Messages()
 	n.switchable = newSwitchableStore(cfg.NewStore, set.StoreAddress)
 	n.store = cfg.Metrics.Store(n.switchable)
 	address := net.JoinHostPort(set.IP, strconv.Itoa(set.PeerPort))
@@ -118,7 +118,7 @@
 		Gather: gatherTime(set.FirstStart), StoreReadDelay: max(0, set.ChangeTime-storeFallbackTime),
 		Table: n.store, Feed: n.store, Copies: n.copyOf, Members: n.updateMembers, OnStalled: n.handleStalled, Keeper: n.keeperAddress,
 		OnHolderReport: func(w duty.HolderReport) { n.keeper.HandleHolderReport(w) }, OnPeerConnected: n.handlePeerConnected,
-		CanReach: n.canReach, OnSuspects: n.handleFindings,
+		CanReach: n.canReach, OnSuspects: n.handleFindings, Messages: n.messages,
 		OnUsage: func(list []usage.Report) { n.duties.HandleReports(list) }, OnClock: func(node string, wall, estimate time.Time) { n.duties.HandleClock(node, wall, estimate) },
 		OnRates: func(from string, list []pace.Notice) { n.rates.Learn(time.Now(), from, list) }, OnPressure: n.handlePressure, Log: cfg.Log,
 	})
@@ -185,6 +185,7 @@
 	n.cfg.Metrics.Func("answer_bytes", "Bytes that are held of answers of backend servers.", func() float64 { return float64(n.answers.Stats().Held) })
 	n.cfg.Metrics.Func("answer_bytes_limit", "Most bytes that may be held of answers.", func() float64 { return float64(n.answers.Stats().Limit) })
 	n.cfg.Metrics.Func("answers_shed", "Attempts that gave way because no more of their answers could be held.", func() float64 { return float64(n.answers.Stats().Shed) })
+	n.cfg.Metrics.Func("link_messages_shed", "Links that were closed because no more of their messages could be held.", func() float64 { return float64(n.messages.Stats().Shed) })
 	n.cfg.Metrics.Func("connections_shed", "Connections of callers that were closed for others or refused since the start.",
 		func() float64 { return float64(n.front.ShedConnections()) })
 	n.cfg.Metrics.Func("caller_connections", "Open connections of callers.", func() float64 { return float64(n.front.OpenConnections()) })
--- a/internal/node/mesh/mesh.go
+++ b/internal/node/mesh/mesh.go
@@ -26,6 +26,7 @@
 	"geraniumhollow/internal/plat/table"
 	"geraniumhollow/internal/route/pace"
 	"geraniumhollow/internal/route/queue"
+	"geraniumhollow/internal/route/shed"
 	"geraniumhollow/internal/wire/frame"
 	"geraniumhollow/internal/wire/peer"
 	"github.com/cockroachdb/errors"
@@ -108,7 +109,9 @@
 	// OnPressure is called with the demand for models and the load of their servers that another node knows, as the sums over the
 	// nodes below it, or over all nodes if total is set.
 	OnPressure func(from string, total bool, list []queue.ModelTotals)
-	Log        hclog.Logger
+	// Messages is the memory for messages that are being read; nil for no limit.
+	Messages *shed.Budget
+	Log      hclog.Logger
 }
 
 // Mesh manages the links of one node. It is safe for concurrent use.
@@ -174,7 +177,7 @@
 		Resolve: func(node string) (string, bool) { return node, true },
 		Accept:  func(peer.Peer) bool { return true },
 		Changed: m.linkChanged,
-		Dial:    m.dial,
+		Dial:    m.dial, Messages: cfg.Messages,
 	})
 	m.nodes = mirror.New(mirror.Config{
 		Family: Family, Name: cfg.Address, Store: cfg.Feed, Apply: m.apply, StoreReadDelay: m.StoreReadDelay,
--- a/internal/node/peers/peers.go
+++ b/internal/node/peers/peers.go
@@ -18,6 +18,7 @@
 	"geraniumhollow/internal/core/tasks"
 	"geraniumhollow/internal/fleet/roster"
 	"geraniumhollow/internal/plat/hosts"
+	"geraniumhollow/internal/route/shed"
 	"geraniumhollow/internal/wire/frame"
 	"geraniumhollow/internal/wire/peer"
 	"github.com/cockroachdb/errors"
@@ -70,6 +71,8 @@
 	ModeChanged func(from, to watch.Mode, st Status)
 	// Dial opens connections to other nodes; nil means plain TCP.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
+	// Messages is the memory for messages of other nodes that are being read; nil for no limit.
+	Messages *shed.Budget
 }
 
 // NewIncarnation returns an incarnation for a process that starts at now. It is ordered by the
@@ -137,7 +140,7 @@
 		Resolve: p.resolve,
 		Accept:  p.accept,
 		Changed: p.linkChanged,
-		Dial:    cfg.Dial,
+		Dial:    cfg.Dial, Messages: cfg.Messages,
 	})
 	peer.On(p.net, p.handleHeartbeat)
 	peer.On(p.net, p.handleOffer)
--- a/internal/node/serve/serve.go
+++ b/internal/node/serve/serve.go
@@ -142,6 +142,7 @@
 		Listed:      n.hostsListed,
 		Installed:   n.installed,
 		ModeChanged: n.modeChanged,
+		Messages:    n.host().Messages(),
 		Dial:        parts.Dial,
 	})
 	n.origin = origin.New(n.peers.Net())
--- a/internal/plat/memory/memory.go
+++ b/internal/plat/memory/memory.go
@@ -13,11 +13,12 @@
 const (
 	// runtimeShare is the share from which the runtime collects garbage more often.
 	runtimeShare = 0.7
-	// bodyShare is the share for bodies of requests, answerShare the one for what is held of answers, connectionShare the one for
-	// connections of callers. Together they are less than what the runtime may use, as copies and refused bodies are there until
-	// they are collected.
+	// bodyShare is the share for bodies of requests, answerShare the one for what is held of answers, messageShare the one for
+	// messages of other nodes, connectionShare the one for connections of callers. Together they are less than what the runtime may
+	// use, as copies and refused bodies are there until they are collected.
 	bodyShare       = 0.2
-	answerShare     = 0.05
+	answerShare     = 0.03
+	messageShare    = 0.02
 	connectionShare = 0.25
 	// connectionBytes is what a connection of a caller may take: a buffer of the size of a header, stacks, a response in progress.
 	connectionBytes = 40 << 10
@@ -66,6 +67,9 @@
 // Answers returns a budget for what is held of answers.
 func (h Host) Answers() *shed.Budget { return shed.New(int(answerShare * h.bytes())) }
 
+// Messages returns a budget for messages of other nodes that are being read.
+func (h Host) Messages() *shed.Budget { return shed.New(int(messageShare * h.bytes())) }
+
 // MaxCallers returns the limit of connections of callers, by memory and by descriptors.
 func (h Host) MaxCallers() int {
 	byMemory := int(connectionShare * h.bytes() / connectionBytes)
--- a/internal/wire/peer/link.go
+++ b/internal/wire/peer/link.go
@@ -331,12 +331,13 @@
 func (l *link) readLoop() {
 	for {
 		_ = l.ws.SetReadDeadline(time.Now().Add(idleTimeout))
-		_, b, err := l.ws.ReadMessage()
+		m, err := l.readMessage()
 		if err != nil {
 			return
 		}
 		l.read.Store(time.Now().UnixNano())
-		h, msg, err := frame.Decode(b)
+		h, msg, err := frame.Decode(m.bytes)
+		m.release()
 		if errors.Is(err, frame.ErrUnknownKind) {
 			// A newer node may know more messages.
 			l.refuse(h)
@@ -347,7 +348,7 @@
 			return
 		}
 		if c, ok := l.net.stats.received[h.Kind]; ok {
-			c.add(wireBytes(len(b), !l.dialled))
+			c.add(wireBytes(len(m.bytes), !l.dialled))
 		}
 		l.dispatch(h, msg)
 	}
--- a/internal/wire/peer/peer.go
+++ b/internal/wire/peer/peer.go
@@ -13,8 +13,10 @@
 	"time"
 
 	"geraniumhollow/internal/core/httpd"
+	"geraniumhollow/internal/core/logbuf"
 	"geraniumhollow/internal/core/sets"
 	"geraniumhollow/internal/core/tasks"
+	"geraniumhollow/internal/route/shed"
 	"geraniumhollow/internal/wire/frame"
 	"github.com/cockroachdb/errors"
 	"github.com/fasthttp/websocket"
@@ -80,6 +82,8 @@
 	Changed func(p Peer, up bool)
 	// Dial makes a connection; nil for plain TCP.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
+	// Messages is the memory for messages that are being read; nil for no limit.
+	Messages *shed.Budget
 }
 
 // Handler handles a message. The reply is nil for a one-way message; a nil reply to an ask refuses it.
@@ -91,6 +95,8 @@
 	stats  *counters
 	asks   chan struct{}
 	flight singleflight.Group
+	// shedLog tells of links whose messages gave way.
+	shedLog logbuf.Limited
 
 	mu       sync.Mutex
 	group    *tasks.Group
--- a/internal/wire/peer/peer_test.go
+++ b/internal/wire/peer/peer_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"geraniumhollow/internal/core/tasks"
+	"geraniumhollow/internal/route/shed"
 	"geraniumhollow/internal/wire/frame"
 	"geraniumhollow/internal/wire/peer"
 	"github.com/cockroachdb/errors"
@@ -30,6 +31,8 @@
 	addrs map[string]string
 	// incs are the incarnations that the nodes accept; absent means any.
 	incs map[string]string
+	// messages is the memory for messages of each node, or nil.
+	messages *shed.Budget
 	// pipes holds the listeners by address when the nodes are connected by pipes instead of loopback.
 	pipes map[string]*pipeListener
 }
@@ -94,7 +97,7 @@
 	f.addrs[name] = ln.Addr().String()
 	f.mu.Unlock()
 	n := peer.New(peer.Config{
-		Self: peer.Peer{Node: name, Incarnation: inc, DataCentre: "dc"}, Log: hclog.NewNullLogger(), Dial: dial,
+		Self: peer.Peer{Node: name, Incarnation: inc, DataCentre: "dc"}, Log: hclog.NewNullLogger(), Dial: dial, Messages: f.messages,
 		Resolve: func(node string) (string, bool) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
