Hold two buffers of an answer without the budget; drop failures at once

A busy stream, whose reads fill the buffer of 4 kB, drew on the budget and allocated with each read, as part of an event lay before it. 8 kB are free now. And a failure of an attempt beside a silent server was kept when the first attempt had failed, too: with a later attempt that ended without a response, it could have been sent in place of 502. Before the budget, it was dropped there; so it is again.

--- a/internal/node/pass/attempt.go
+++ b/internal/node/pass/attempt.go
@@ -91,8 +91,11 @@
 		s.hedge = nil
 		if x = h.close(s, res.done || res.refusal != nil); x == nil {
 			if res.failureResponse == nil {
-				res.failureResponse, s.failure = s.failure, nil
+				res.failureResponse = s.failure
+			} else {
+				s.failure.drop()
 			}
+			s.failure = nil
 			return res
 		}
 		x.hedge.arm(s, x.server)
--- a/internal/node/pass/event.go
+++ b/internal/node/pass/event.go
@@ -108,6 +108,9 @@
 		e.buf = append(e.buf[:0], e.partial...)
 	} else {
 		size := max(need, 2*cap(e.buf))
+		if need <= freeBytes {
+			size = min(size, freeBytes)
+		}
 		if err := e.hold.resize(len(e.partial), size); err != nil {
 			return err
 		}
@@ -120,7 +123,7 @@
 
 // shrink returns the memory of a large event once it has been written to the caller.
 func (e *eventParser) shrink() {
-	if cap(e.buf) > freeBytes && len(e.partial) <= freeBytes {
+	if cap(e.buf) > freeBytes && len(e.partial) <= copyBufferBytes {
 		e.buf = bytes.Clone(e.partial)
 		e.partial = e.buf
 		e.hold.close()
--- a/internal/node/pass/hold.go
+++ b/internal/node/pass/hold.go
@@ -9,8 +9,8 @@
 )
 
 // freeBytes is what an attempt may hold of an answer without drawing on the budget of the process. The number of requests bounds the
-// sum.
-const freeBytes = 4 << 10
+// sum. Two buffers suffice for events that are no larger than one.
+const freeBytes = 2 * copyBufferBytes
 
 // errNoMemory ends an attempt of whose answer this process cannot hold more.
 var errNoMemory = errors.New("no memory for the answer")
