--- a/internal/node/pass/event_test.go
+++ b/internal/node/pass/event_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -55,6 +56,49 @@
 	})
 }
 
+// Guards against bytes that are lost, doubled or out of order where repeated events are dropped between comments and new events,
+// and against memory that large events leave behind.
+func TestRepeatedEventsAreCutOut(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(rt *rapid.T) {
+		const events = 6
+		var e pass.EventParser
+		has := rapid.IntRange(0, events).Draw(rt, "last event")
+		if has > 0 {
+			e.ResumeFrom(strconv.Itoa(has))
+		}
+		stream, want, got := "", "", ""
+		for n := 1; n <= events; n++ {
+			for range rapid.IntRange(0, 2).Draw(rt, "comments") {
+				stream, want = stream+": c\n\n", want+": c\n\n"
+			}
+			size := rapid.SampledFrom([]int{1, 100, 5_000, 40_000}).Draw(rt, "size")
+			ev := fmt.Sprintf("id: %d\ndata: %s\n\n", n, strings.Repeat(strconv.Itoa(n), size))
+			if stream += ev; n > has {
+				want += ev
+			}
+		}
+		for len(stream) > 0 {
+			n := min(len(stream), rapid.IntRange(1, 4_096).Draw(rt, "piece"))
+			out, err := e.Feed(stream[:n])
+			if err != nil {
+				rt.Fatal(err)
+			}
+			got, stream = got+out, stream[n:]
+			e.Shrink()
+		}
+		if got != want {
+			rt.Fatalf("got %d bytes, want %d", len(got), len(want))
+		}
+		if e.Count() != events-has {
+			rt.Fatalf("%d events are new, want %d", e.Count(), events-has)
+		}
+		if e.Cap() > 8<<10 {
+			rt.Fatalf("%d bytes are held", e.Cap())
+		}
+	})
+}
+
 // Guards against forwarding events after a gap.
 func TestEventsWithGap(t *testing.T) {
 	t.Parallel()
--- a/internal/node/pass/export_test.go
+++ b/internal/node/pass/export_test.go
@@ -20,6 +20,15 @@
 	return string(out), err
 }
 
+// Shrink returns the memory of large events.
+func (e *EventParser) Shrink() { e.e.shrink() }
+
+// Count returns the number of new events.
+func (e *EventParser) Count() int { return e.e.count }
+
+// Cap returns the size of the buffer.
+func (e *EventParser) Cap() int { return cap(e.e.buf) }
+
 // LastID returns the ID of the last complete event.
 func (e *EventParser) LastID() string { return e.e.lastID }
 
