One stand-in for links with unfinished messages

Two tests wrote the same link to a node and message without its last byte. Both use noise.UnfinishedMessage now; what they check is the same.

--- a/internal/wire/peer/message_test.go
+++ b/internal/wire/peer/message_test.go
@@ -5,39 +5,12 @@
 	"testing"
 	"time"
 
+	"geraniumhollow/internal/fake/noise"
 	"geraniumhollow/internal/route/shed"
 	"geraniumhollow/internal/wire/frame"
 	"geraniumhollow/internal/wire/peer"
-	"github.com/fasthttp/websocket"
 )
 
-// sendUnfinished makes a link and sends all but the last byte of a message of the largest size.
-func sendUnfinished(t *testing.T, address, node string) {
-	t.Helper()
-	ws, resp, err := websocket.DefaultDialer.DialContext(t.Context(), "ws://"+address+"/v1/peer", nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	_ = resp.Body.Close()
-	t.Cleanup(func() { _ = ws.Close() })
-	hello, err := frame.Encode(frame.Header{}, &frame.Hello{Node: node, Inc: "1", Dc: "dc"})
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := ws.WriteMessage(websocket.BinaryMessage, hello); err != nil {
-		t.Fatal(err)
-	}
-	if _, _, err := ws.ReadMessage(); err != nil {
-		t.Fatal(err)
-	}
-	w, err := ws.NextWriter(websocket.BinaryMessage)
-	if err != nil {
-		t.Fatal(err)
-	}
-	// The node may close the link meanwhile.
-	_, _ = w.Write(make([]byte, frame.MaxBytes-1))
-}
-
 // Guards against messages of many links that do not end and fill the memory together, and against a sound node that gets no large
 // message through beside them.
 func TestUnfinishedMessages(t *testing.T) {
@@ -47,7 +20,7 @@
 	a, _ := f.start("a", "1")
 	b, _ := f.start("b", "1")
 	for i := range links {
-		sendUnfinished(t, f.addrs["b"], fmt.Sprint("x", i))
+		noise.UnfinishedMessage(t, f.addrs["b"], fmt.Sprint("x", i))
 	}
 	a.Want("test", []string{"b"})
 	got := make(chan int, 1)
