--- a/review/world3/main.go
+++ b/review/world3/main.go
@@ -17,6 +17,7 @@
 
 var cases = map[string]func(dir string) int{
 	"twogroups": leaveAnsweredByReport,
+	"attempts":  attemptsThroughNodes,
 }
 
 func main() {
