--- a/review/world3/main.go
+++ b/review/world3/main.go
@@ -18,6 +18,7 @@
 var cases = map[string]func(dir string) int{
 	"twogroups": leaveAnsweredByReport,
 	"attempts":  attemptsThroughNodes,
+	"crashing":  crashingAfterRestart,
 }
 
 func main() {
