--- a/review/world3/main.go
+++ b/review/world3/main.go
@@ -19,6 +19,7 @@
 	"twogroups": leaveAnsweredByReport,
 	"attempts":  attemptsThroughNodes,
 	"crashing":  crashingAfterRestart,
+	"leaving":   leavingWhileCut,
 }
 
 func main() {
