--- a/review/world3/main.go
+++ b/review/world3/main.go
@@ -20,6 +20,7 @@
 	"attempts":  attemptsThroughNodes,
 	"crashing":  crashingAfterRestart,
 	"leaving":   leavingWhileCut,
+	"headers":   largerHeaders,
 }
 
 func main() {
