--- a/review/world3/attempts.go
+++ b/review/world3/attempts.go
@@ -33,9 +33,9 @@
 	manifest = bytes.ReplaceAll(manifest, []byte(`"MaxAttempts":3`), []byte(fmt.Sprintf(`"MaxAttempts":%d`, maxAttempts)))
 	w.store.Put("op", "config", manifest)
 	var losing atomic.Bool
-	runs := &plainRuns{w: w, losing: func(place int) bool { return losing.Load() && place < 3 }}
+	runs := &plainRuns{w: w, work: usualWork, losing: func(place int) bool { return losing.Load() && place < 3 }}
 	for i := range 5 {
-		if err := runs.start(i, 1, ""); err != nil {
+		if err := runs.start(i); err != nil {
 			fmt.Println(err)
 			return unable
 		}
--- a/review/world3/main.go
+++ b/review/world3/main.go
@@ -18,8 +18,8 @@
 var cases = map[string]func(dir string) int{
 	"twogroups": leaveAnsweredByReport,
 	"attempts":  attemptsThroughNodes,
-	"crashing":  crashingAfterRestart,
 	"leaving":   leavingWhileCut,
+	"waiting":   waitingAtStop,
 }
 
 func main() {
--- a/review/world3/plain.go
+++ b/review/world3/plain.go
@@ -14,18 +14,14 @@
 	"time"
 )
 
-// Lives of a plain runner.
-const (
-	// backAfter is how long a runner that has crashed is away.
-	backAfter = 2 * time.Second
-	// lapseAfter is when the store removes the entry of a runner that renews it no more.
-	lapseAfter = 3 * beatMs * time.Millisecond
-)
+// usualWork is the time that a request takes at a plain runner of the site.
+const usualWork = 60 * time.Millisecond
 
-// plainRuns notes what plain runners did, and crashes those that begin to run a body.
+// plainRuns notes what plain runners did.
 type plainRuns struct {
-	w      *world
-	poison string
+	w *world
+	// work is the time that a request takes.
+	work time.Duration
 	// losing says whether the runner at a place loses answers, of which every second or third one is lost.
 	losing func(place int) bool
 
@@ -35,9 +31,8 @@
 
 // plainRun is a request that a runner began to run.
 type plainRun struct {
-	attempt, server, from, body string
-	at                          time.Time
-	crashed, lost               bool
+	attempt, server, from string
+	lost                  bool
 }
 
 func (p *plainRuns) list() []plainRun {
@@ -46,27 +41,13 @@
 	return append([]plainRun(nil), p.runs...)
 }
 
-// crashes returns how many runners have crashed.
-func (p *plainRuns) crashes() int {
-	n := 0
-	for _, r := range p.list() {
-		if r.crashed {
-			n++
-		}
-	}
-	return n
-}
-
-// plainRunner is one lifetime of a runner of the service "app", which is not a model runner.
+// plainRunner is a runner of the service "app", which is not a model runner.
 type plainRunner struct {
 	all     *plainRuns
 	place   int
-	life    int
 	address string
 	born    time.Time
 	srv     *http.Server
-	dead    chan struct{}
-	once    sync.Once
 	// answers counts the answers that might be lost.
 	answers int
 }
@@ -80,18 +61,15 @@
 	return r.answers%5 == 1 || r.answers%5 == 3
 }
 
-func (r *plainRunner) id() string { return fmt.Sprintf("i-%d-%d", r.place, r.life) }
+func (r *plainRunner) id() string { return fmt.Sprintf("i-app-%d", r.place) }
 
-// start begins a lifetime. An empty address stands for any.
-func (p *plainRuns) start(place, life int, address string) error {
-	if address == "" {
-		address = "127.0.0.1:0"
-	}
-	ln, err := net.Listen("tcp", address)
+// start starts a runner.
+func (p *plainRuns) start(place int) error {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
-	r := &plainRunner{all: p, place: place, life: life, address: ln.Addr().String(), born: time.Now(), dead: make(chan struct{})}
+	r := &plainRunner{all: p, place: place, address: ln.Addr().String(), born: time.Now()}
 	r.srv = &http.Server{Handler: r}
 	p.w.group.Go("plain runner", func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, func() { _ = r.srv.Close() })
@@ -121,31 +99,11 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-r.dead:
-			time.AfterFunc(lapseAfter, func() { r.all.w.store.Delete("servers", r.id()) })
-			return nil
 		case <-time.After(beatMs * time.Millisecond):
 		}
 	}
 }
 
-// crash ends the runner at once. Another lifetime begins some seconds later.
-func (r *plainRunner) crash() {
-	r.once.Do(func() {
-		r.all.w.printf("runner %s crashes", r.id())
-		close(r.dead)
-		_ = r.srv.Close()
-		time.AfterFunc(backAfter, func() {
-			if r.all.w.ctx.Err() != nil {
-				return
-			}
-			if err := r.all.start(r.place, r.life+1, r.address); err != nil {
-				r.all.w.printf("runner %s cannot start again: %v", r.id(), err)
-			}
-		})
-	})
-}
-
 // ServeHTTP implements http.Handler.
 func (r *plainRunner) ServeHTTP(w http.ResponseWriter, q *http.Request) {
 	w.Header().Set("Attempt-Id", q.Header.Get("Attempt-Id"))
@@ -159,28 +117,20 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	body, err := io.ReadAll(q.Body)
-	if err != nil {
+	if _, err := io.Copy(io.Discard, q.Body); err != nil {
 		return
 	}
 	from, _, _ := net.SplitHostPort(q.RemoteAddr)
-	run := plainRun{attempt: q.Header.Get("Attempt-Id"), server: r.id(), from: from, body: string(body), at: time.Now()}
-	run.crashed = r.all.poison != "" && run.body == r.all.poison
+	run := plainRun{attempt: q.Header.Get("Attempt-Id"), server: r.id(), from: from}
 	r.all.mu.Lock()
 	run.lost = r.loses()
 	r.all.runs = append(r.all.runs, run)
 	r.all.mu.Unlock()
 	r.all.w.printf("runner %s runs %s from %s", r.id(), run.attempt, from)
-	if run.crashed {
-		r.crash()
-		panic(http.ErrAbortHandler)
-	}
 	select {
 	case <-q.Context().Done():
 		return
-	case <-r.dead:
-		panic(http.ErrAbortHandler)
-	case <-time.After(60 * time.Millisecond):
+	case <-time.After(r.all.work):
 	}
 	if run.lost {
 		resetConn(w)
